Add RouterCore with its full interface

Queues, demand, grants, starts, responses, refusals and timers are small modules that share one state object; RouterCore only calls them in order. Ruled out: one class with everything (over 400 lines), and a timer for each request (a heap of deadlines and a scan every 50 ms are enough for timeouts of 0.5 s and more). Conclusion: the shell can be built on this interface.

--- /dev/null
+++ b/catkinfork/routing/_admission.py
@@ -0,0 +1,133 @@
+"""Whether a new request is accepted."""
+
+from catkinfork.routing._refusals import (
+    DEADLINE_EXCEEDED,
+    DEFAULT_RETRY_AFTER_S,
+    DRAINING,
+    NO_BACKEND_SERVER,
+    NO_DOCUMENT,
+    OWNER_UNREACHABLE,
+    QUEUE_BYTES_FULL,
+    QUEUE_FULL,
+    REQUEST_BLOCKED,
+    UNKNOWN_TARGET,
+    UNKNOWN_WORKSPACE,
+    WAIT_TOO_LONG,
+    make_refusal,
+)
+
+# Agents block a crashing request for 10 minutes by default (block_time_s).
+BLOCKED_RETRY_AFTER_S = 600.0
+
+
+def check_admission(state, entry, now):
+    """Return why a new request is refused at once, or None.
+
+    :param state: :class:`RouterState`.
+    :param entry: :class:`OpenRequest` that is not open yet.
+    :param now: monotonic time in seconds.
+    """
+    for check in (
+        check_router,
+        check_placement,
+        check_blocked,
+        check_queue,
+        check_wait,
+    ):
+        refusal = check(state, entry, now)
+        if refusal is not None:
+            return refusal
+    return None
+
+
+def check_router(state, entry, now):
+    """Check that the router takes work and the deadline has not passed."""
+    if state.is_draining:
+        return make_refusal(DRAINING, entry.outcome)
+    if state.view is None:
+        return make_refusal(NO_DOCUMENT, entry.outcome)
+    time_left_s = entry.request.deadline - now
+    if time_left_s <= 0:
+        detail = f"{-time_left_s:.3f} s ago"
+        return make_refusal(DEADLINE_EXCEEDED, entry.outcome, detail)
+    return None
+
+
+def check_placement(state, entry, now):
+    """Check that a backend server may run the request.
+
+    The check is also made for waiting requests when a document is adopted.
+    """
+    request = entry.request
+    if request.workspace not in state.view.workspaces:
+        return make_refusal(UNKNOWN_WORKSPACE, entry.outcome, request.workspace)
+    pool = state.view.pool_of_target.get(request.target)
+    if pool is None:
+        return make_refusal(UNKNOWN_TARGET, entry.outcome, request.target)
+    servers = [
+        server.name
+        for server in state.view.list_pool(pool)
+        if request.target in server.serves
+    ]
+    if not any(state.view.is_in_service(name) for name in servers):
+        detail = f"0 of {len(servers)} in service"
+        return make_refusal(NO_BACKEND_SERVER, entry.outcome, detail)
+    return check_owner(state, entry, pool, now)
+
+
+def check_owner(state, entry, pool, now):
+    """Check that the owner of a key reports to a dispatcher that is heard."""
+    if not entry.request.key:
+        return None
+    owner = state.classify(entry).required
+    pool_state = state.get_pool(pool)
+    if pool_state.is_fresh(now) and pool_state.is_missing(owner, now):
+        return make_refusal(OWNER_UNREACHABLE, entry.outcome, owner)
+    return None
+
+
+def check_blocked(state, entry, now):
+    """Check that the request has not crashed backend servers."""
+    pool = state.view.pool_of_target[entry.request.target]
+    if entry.fingerprint not in state.get_pool(pool).blocked:
+        return None
+    fingerprint = entry.fingerprint.hex()
+    return make_refusal(
+        REQUEST_BLOCKED, entry.outcome, fingerprint, BLOCKED_RETRY_AFTER_S
+    )
+
+
+def check_queue(state, entry, now):
+    """Check the bounds of the workspace's queue."""
+    workspace = entry.request.workspace
+    n_waiting, n_bytes = state.queues.get_size(workspace)
+    max_waiting = state.view.workspaces[workspace].max_waiting
+    pool = state.view.pool_of_target[entry.request.target]
+    wait_s = state.get_pool(pool).get_wait(workspace, now)
+    retry_after_s = max(DEFAULT_RETRY_AFTER_S, wait_s)
+    if n_waiting >= max_waiting:
+        detail = f"{n_waiting} of {max_waiting}"
+        return make_refusal(QUEUE_FULL, entry.outcome, detail, retry_after_s)
+    max_bytes = state.settings.routing.max_waiting_bytes
+    if n_bytes + entry.n_bytes > max_bytes:
+        detail = f"{n_bytes} + {entry.n_bytes} of {max_bytes} bytes"
+        return make_refusal(QUEUE_BYTES_FULL, entry.outcome, detail, retry_after_s)
+    return None
+
+
+def check_wait(state, entry, now):
+    """Check that the expected wait ends before the deadline."""
+    request = entry.request
+    pool = state.view.pool_of_target[request.target]
+    wait_s = state.get_pool(pool).get_wait(request.workspace, now)
+    return compare_wait(entry, wait_s, now)
+
+
+def compare_wait(entry, wait_s, now):
+    """Return a refusal if an expected wait ends after the deadline, else None."""
+    time_left_s = entry.request.deadline - now
+    if wait_s <= time_left_s:
+        return None
+    detail = f"{wait_s:.1f} s expected, {time_left_s:.1f} s left"
+    retry_after_s = max(DEFAULT_RETRY_AFTER_S, wait_s)
+    return make_refusal(WAIT_TOO_LONG, entry.outcome, detail, retry_after_s)
--- /dev/null
+++ b/catkinfork/routing/_attempts.py
@@ -0,0 +1,138 @@
+"""Live attempts, their parts, and the attempts that ended lately."""
+
+from collections import OrderedDict
+
+from catkinfork.protocol import AttemptId, ResponseAck, Resume
+from catkinfork.routing._errors import check_invariant
+
+ACK_PARTS = 32
+ACK_INTERVAL_S = 0.5
+SILENCE_TIMEOUT_S = 1.5
+# Several attempts on one agent fall silent together; its link is replaced once.
+REPLACE_INTERVAL_S = 1.0
+# An agent that has answered none of these requests to resume is given up.
+MAX_SILENCES = 3
+MAX_ENDED = 4096
+
+
+class Attempt:
+    """One attempt to run a request at an agent.
+
+    :param start: :class:`Start`.
+    :param entry: :class:`OpenRequest` that it runs.
+    :param grant: :class:`GrantEntry` on which it runs.
+    :param now: monotonic time in seconds.
+    """
+
+    def __init__(self, start, entry, grant, now):
+        self.id = start.attempt
+        self.start = start
+        self.entry = entry
+        self.agent = grant.agent
+        self.agent_incarnation = grant.agent_incarnation
+        self.backend_server = grant.backend_server
+        self.started_at = now
+        self.heard_at = now
+        self.is_heard = False
+        self.n_silences = 0
+        self.next_sequence = 0
+        self.acked_sequence = 0
+        self.acked_at = now
+        self.resumed_sequence = -1
+
+    def note_sign(self, now):
+        """Note that the agent has sent something about this attempt."""
+        self.heard_at = now
+        self.is_heard = True
+        self.n_silences = 0
+
+    def is_ack_due(self, now):
+        """Return whether an acknowledgement is to be sent."""
+        if self.next_sequence - self.acked_sequence >= ACK_PARTS:
+            return True
+        return now - self.acked_at >= ACK_INTERVAL_S
+
+    def make_ack(self, now):
+        """Return the acknowledgement of the parts that have arrived."""
+        self.acked_sequence = self.next_sequence
+        self.acked_at = now
+        return ResponseAck(self.id, self.next_sequence)
+
+    def make_resume(self):
+        """Return the request to send the missing parts again."""
+        self.resumed_sequence = self.next_sequence
+        return Resume(self.id, self.next_sequence, self.agent_incarnation)
+
+
+class AttemptTable:
+    """All live attempts of a router.
+
+    :param identity: :class:`Sender` of the router.
+    """
+
+    def __init__(self, identity):
+        self.identity = identity
+        self.number = 0
+        self.live = {}
+        self.by_agent = {}
+        self.replaced_at = {}
+        self.ended = OrderedDict()
+
+    def make_id(self):
+        """Return a new attempt id."""
+        self.number += 1
+        return AttemptId(self.identity.name, self.identity.incarnation, self.number)
+
+    def add(self, attempt):
+        """Add a live attempt."""
+        check_invariant(
+            attempt.entry.attempt is None and attempt.entry.demand_class is None,
+            "a request has one live attempt and does not wait meanwhile",
+            attempt.entry.request.request_id,
+        )
+        attempt.entry.attempt = attempt
+        self.live[attempt.id] = attempt
+        self.by_agent.setdefault(attempt.agent, {})[attempt.id] = attempt
+
+    def remove(self, attempt):
+        """End a live attempt; its id is remembered for late messages."""
+        check_invariant(
+            self.live.pop(attempt.id, None) is attempt,
+            "an attempt ends once",
+            attempt.id,
+        )
+        attempts = self.by_agent[attempt.agent]
+        del attempts[attempt.id]
+        if not attempts:
+            del self.by_agent[attempt.agent]
+            self.replaced_at.pop(attempt.agent, None)
+        attempt.entry.attempt = None
+        self.ended[attempt.id] = None
+        if len(self.ended) > MAX_ENDED:
+            self.ended.popitem(last=False)
+
+    def note_complete(self, attempt):
+        """Remember that all parts of an ended attempt have arrived."""
+        self.ended[attempt.id] = attempt.next_sequence
+
+    def find(self, sender, attempt_id):
+        """Return the live attempt if the message is from its agent, else None."""
+        attempt = self.live.get(attempt_id)
+        if attempt is None:
+            return None
+        source = (sender.name, sender.incarnation)
+        if source != (attempt.agent, attempt.agent_incarnation):
+            return None
+        return attempt
+
+    def list_agent(self, agent):
+        """Return the live attempts at an agent."""
+        return list(self.by_agent.get(agent, {}).values())
+
+    def take_replacement(self, agent, now):
+        """Return whether the link to an agent is to be replaced now."""
+        replaced_at = self.replaced_at.get(agent)
+        if replaced_at is not None and now - replaced_at < REPLACE_INTERVAL_S:
+            return False
+        self.replaced_at[agent] = now
+        return True
--- /dev/null
+++ b/catkinfork/routing/_core.py
@@ -0,0 +1,228 @@
+"""Decisions of a router."""
+
+from catkinfork.observability import log_event
+from catkinfork.protocol import (
+    BaseCore,
+    Grant,
+    PoolSummary,
+    ResponsePart,
+    Send,
+    StartRefused,
+)
+from catkinfork.routing._admission import check_admission
+from catkinfork.routing._errors import check_invariant
+from catkinfork.routing._events import (
+    DISPATCHERS_CHANGED,
+    DRAIN_STARTED,
+    REQUEST_ABANDONED,
+)
+from catkinfork.routing._refusals import AGENT_LOST
+from catkinfork.routing._requests import OpenRequest
+from catkinfork.routing._responses import (
+    handle_part,
+    handle_start_refused,
+    lose_attempt,
+)
+from catkinfork.routing._starts import handle_grant
+from catkinfork.routing._state import RouterState
+from catkinfork.routing._timers import (
+    apply_summary,
+    check_attempts,
+    reclassify_waiting,
+    refuse_expired,
+    refuse_unowned,
+)
+
+# Timeouts are 0.5 s and longer; scanning on every tick would cost more than it gains.
+SCAN_INTERVAL_S = 0.05
+
+
+class RouterCore(BaseCore):
+    """Admission, queues, attempts and retries of a router.
+
+    The shell calls :meth:`tick` every 5 ms while it has work and passes every message
+    on, because any message of an agent shows the agent's incarnation.
+
+    :param settings: :class:`RouterSettings`.
+    :param identity: :class:`Sender` of this router.
+    :param rng: random generator; no decision draws from it at present.
+    """
+
+    def __init__(self, settings, identity, rng):
+        self.settings = settings
+        self.identity = identity
+        self.rng = rng
+        self.state = RouterState(settings, identity)
+        self.scanned_at = None
+
+    @property
+    def n_open(self):
+        """Number of requests without a final answer, waiting and running."""
+        return len(self.state.open)
+
+    @property
+    def n_waiting(self):
+        """Number of waiting requests."""
+        return self.state.queues.n_waiting
+
+    @property
+    def counters(self):
+        """Counts for metrics, :class:`RouterCounters`."""
+        return self.state.counters
+
+    def adopt(self, view, now):
+        """Use a document from now on.
+
+        :param view: :class:`DocumentView`.
+        :param now: monotonic time in seconds.
+        :returns: list of actions.
+        """
+        actions = []
+        self.state.view = view
+        for pool_state in self.state.pools.values():
+            pool_state.keep_servers(view.backend_servers)
+        reclassify_waiting(self.state, now, actions)
+        self.state.send_demands(now, actions)
+        return actions
+
+    def set_dispatchers(self, pool, addresses, now):
+        """Set the live dispatchers of a pool.
+
+        :param pool: pool name.
+        :param addresses: inner addresses in the pool's rendezvous order.
+        :param now: monotonic time in seconds.
+        :returns: list of actions.
+        """
+        demand = self.state.get_demand(pool)
+        before = demand.dispatchers
+        dropped = demand.set_dispatchers(addresses)
+        actions = []
+        if demand.dispatchers != before:
+            event = log_event(
+                DISPATCHERS_CHANGED,
+                pool=pool,
+                dispatchers=" ".join(demand.dispatchers),
+                n_waiting=self.state.queues.n_waiting,
+            )
+            actions.append(event)
+        for address in dropped:
+            actions.append(Send(address, demand.make_message(address, [])))
+        self.state.send_demands(now, actions)
+        return actions
+
+    def drop_agent(self, address, now):
+        """End the attempts at an agent that has fallen silent.
+
+        :param address: inner address of the agent.
+        :param now: monotonic time in seconds.
+        :returns: list of actions.
+        """
+        actions = []
+        for attempt in self.state.attempts.list_agent(address):
+            lose_attempt(self.state, attempt, AGENT_LOST.code, False, now, actions)
+        self.state.send_demands(now, actions)
+        return actions
+
+    def submit(self, request, now):
+        """Take a request of a caller; refuse it at once or let it wait.
+
+        :param request: :class:`RouterRequest`.
+        :param now: monotonic time in seconds.
+        :returns: list of actions.
+        :raises InvariantError: if a request with this id is open.
+        """
+        check_invariant(
+            request.request_id not in self.state.open,
+            "request ids are unique among open requests",
+            request.request_id,
+        )
+        state = self.state
+        state.n_numbered += 1
+        state.counters.n_submitted += 1
+        state.budget.note_request()
+        entry = OpenRequest(request, state.n_numbered, now)
+        actions = []
+        refusal = check_admission(state, entry, now)
+        if refusal is not None:
+            state.reject(entry, refusal, now, actions)
+            return actions
+        pool = state.view.pool_of_target[request.target]
+        entry.is_suspect = entry.fingerprint in state.get_pool(pool).suspects
+        state.open_request(entry)
+        state.enqueue(entry, state.classify(entry), now)
+        state.send_demands(now, actions)
+        return actions
+
+    def abandon(self, request_id, now):
+        """End a request whose caller has disconnected; it receives no answer.
+
+        :param request_id: id of the request; an id that is not open is ignored.
+        :param now: monotonic time in seconds.
+        :returns: list of actions.
+        """
+        entry = self.state.open.get(request_id)
+        if entry is None:
+            return []
+        backend_server = entry.attempt.backend_server if entry.attempt else ""
+        event = log_event(
+            REQUEST_ABANDONED,
+            workspace=entry.request.workspace,
+            request_id=request_id,
+            backend_server=backend_server,
+            age_s=now - entry.submitted_at,
+        )
+        actions = [event]
+        self.state.cancel_attempt(entry, actions)
+        self.state.close_request(entry)
+        self.state.counters.n_abandoned += 1
+        self.state.send_demands(now, actions)
+        return actions
+
+    def drain(self, now):
+        """Refuse new requests from now on and let the open ones finish.
+
+        :param now: monotonic time in seconds.
+        :returns: list of actions.
+        """
+        if self.state.is_draining:
+            return []
+        self.state.is_draining = True
+        event = log_event(
+            DRAIN_STARTED, n_open=self.n_open, n_waiting=self.state.queues.n_waiting
+        )
+        return [event]
+
+    def handle(self, sender, message, now):
+        actions = []
+        self.end_old_attempts(sender, now, actions)
+        if isinstance(message, ResponsePart):
+            handle_part(self.state, sender, message, now, actions)
+        elif isinstance(message, Grant):
+            handle_grant(self.state, sender, message, now, actions)
+        elif isinstance(message, StartRefused):
+            handle_start_refused(self.state, sender, message, now, actions)
+        elif isinstance(message, PoolSummary):
+            self.handle_summary(sender, message, now, actions)
+        self.state.send_demands(now, actions)
+        return actions
+
+    def handle_summary(self, sender, summary, now, actions):
+        """Take the state of a pool from its dispatcher."""
+        if self.state.get_pool(summary.pool).note_summary(sender, summary, now):
+            apply_summary(self.state, summary.pool, now, actions)
+
+    def end_old_attempts(self, sender, now, actions):
+        """End the attempts at an earlier incarnation of an agent."""
+        for attempt in self.state.attempts.list_agent(sender.name):
+            if attempt.agent_incarnation < sender.incarnation:
+                lose_attempt(self.state, attempt, AGENT_LOST.code, True, now, actions)
+
+    def tick(self, now):
+        actions = []
+        refuse_expired(self.state, now, actions)
+        if self.scanned_at is None or now - self.scanned_at >= SCAN_INTERVAL_S:
+            self.scanned_at = now
+            check_attempts(self.state, now, actions)
+            refuse_unowned(self.state, now, actions)
+        self.state.send_demands(now, actions)
+        return actions
--- /dev/null
+++ b/catkinfork/routing/_demand.py
@@ -0,0 +1,171 @@
+"""Level-triggered demand of one pool, and the grants it has already used."""
+
+from catkinfork.protocol import Demand, DemandEntry
+
+MIN_INTERVAL_S = 0.005
+MAX_INTERVAL_S = 0.5
+# Two, so that processes whose rankings differ by one still share a dispatcher.
+N_DISPATCHERS = 2
+# Grants of dispatchers that have left the ranking may still arrive for a while.
+MAX_GRANTORS = 8
+# A control frame holds 64 KiB; the rest is for the envelope and the signature.
+MAX_ENTRIES_BYTES = 60000
+ENTRY_OVERHEAD_BYTES = 40
+
+
+class PoolDemand:
+    """Demand messages of one pool.
+
+    :param pool: pool name.
+    """
+
+    def __init__(self, pool):
+        self.pool = pool
+        self.dispatchers = []
+        self.sequence = 0
+        self.is_changed = False
+        self.sent_at = None
+        self.grantors = {}
+
+    def set_dispatchers(self, addresses):
+        """Set the live dispatchers, ranked.
+
+        :returns: addresses that no longer receive the demand.
+        """
+        chosen = list(addresses[:N_DISPATCHERS])
+        dropped = [name for name in self.dispatchers if name not in chosen]
+        self.is_changed = self.is_changed or chosen != self.dispatchers
+        self.dispatchers = chosen
+        return dropped
+
+    def is_due(self, now):
+        """Return whether the demand is to be sent now."""
+        if not self.dispatchers:
+            return False
+        if self.sent_at is None:
+            return True
+        age_s = now - self.sent_at
+        return age_s >= (MIN_INTERVAL_S if self.is_changed else MAX_INTERVAL_S)
+
+    def make_message(self, dispatcher, entries):
+        """Return the demand for a dispatcher.
+
+        :param dispatcher: address of the dispatcher.
+        :param entries: list of :class:`DemandEntry`.
+        """
+        self.sequence += 1
+        incarnation, n_seen = self.grantors.get(dispatcher, (0, 0))
+        return Demand(self.pool, self.sequence, n_seen, incarnation, entries)
+
+    def note_grantor(self, sender):
+        """Note the incarnation of a dispatcher.
+
+        :returns: whether the sender is its latest known incarnation.
+        """
+        incarnation, _ = self.grantors.get(sender.name, (0, 0))
+        if sender.incarnation < incarnation:
+            return False
+        if sender.incarnation > incarnation:
+            self.grantors.pop(sender.name, None)
+            self.grantors[sender.name] = (sender.incarnation, 0)
+            self.forget_grantors()
+        return True
+
+    def forget_grantors(self):
+        """Drop the oldest dispatchers that are no longer in the ranking."""
+        for name in list(self.grantors):
+            if len(self.grantors) <= MAX_GRANTORS:
+                return
+            if name not in self.dispatchers:
+                del self.grantors[name]
+
+    def accept_grant(self, sender, number):
+        """Count a grant as seen if it is newer than those seen before.
+
+        :returns: whether it is in order and of the latest incarnation.
+        """
+        if not self.note_grantor(sender):
+            return False
+        incarnation, n_seen = self.grantors[sender.name]
+        if number <= n_seen:
+            return False
+        self.grantors[sender.name] = (incarnation, number)
+        return True
+
+
+def make_entries(classes, now):
+    """Return the demand entries of the waiting requests of a pool.
+
+    Names of preferred servers are left out if the entries would not fit into a frame,
+    then the later classes of the workspaces that have the most.
+
+    :param classes: pairs of :class:`DemandClass` and queue.
+    :param now: monotonic time in seconds.
+    """
+    entries = [make_entry(*pair, now) for pair in classes]
+    if measure_entries(entries) <= MAX_ENTRIES_BYTES:
+        return entries
+    entries = merge_preferred(entries)
+    if measure_entries(entries) <= MAX_ENTRIES_BYTES:
+        return entries
+    return cut_entries(entries)
+
+
+def make_entry(demand_class, queue, now):
+    """Return the demand entry of one class."""
+    oldest = min(entry.submitted_at for entry in queue.values())
+    return DemandEntry(
+        demand_class.workspace,
+        demand_class.target,
+        demand_class.required,
+        demand_class.preferred,
+        demand_class.suspect,
+        len(queue),
+        max(0, int((now - oldest) * 1000)),
+    )
+
+
+def measure_entry(entry):
+    """Return an upper bound of the encoded size of an entry in bytes."""
+    names = (entry.workspace, entry.target, entry.required, entry.preferred)
+    n_bytes = sum(len(name.encode()) for name in names)
+    return n_bytes + len(entry.suspect) + ENTRY_OVERHEAD_BYTES
+
+
+def measure_entries(entries):
+    """Return an upper bound of the encoded size of entries in bytes."""
+    return sum(measure_entry(entry) for entry in entries)
+
+
+def merge_preferred(entries):
+    """Merge the entries that differ only in the preferred server."""
+    merged = {}
+    for entry in entries:
+        key = (entry.workspace, entry.target, entry.required, entry.suspect)
+        other = merged.get(key)
+        n_waiting = entry.n_waiting + (other.n_waiting if other else 0)
+        oldest_ms = max(entry.oldest_wait_ms, other.oldest_wait_ms if other else 0)
+        merged[key] = entry._replace(
+            preferred="", n_waiting=n_waiting, oldest_wait_ms=oldest_ms
+        )
+    return list(merged.values())
+
+
+def cut_entries(entries):
+    """Return as many entries as fit, one of each workspace first, oldest first."""
+    entries = sorted(entries, key=lambda entry: -entry.oldest_wait_ms)
+    n_of_workspace = {}
+    ranked = []
+    for entry in entries:
+        n_before = n_of_workspace.get(entry.workspace, 0)
+        n_of_workspace[entry.workspace] = n_before + 1
+        ranked.append((n_before, -entry.oldest_wait_ms, entry))
+    ranked.sort(key=lambda item: item[:2])
+    chosen = []
+    n_bytes = 0
+    for _, _, entry in ranked:
+        n_bytes += measure_entry(entry)
+        if n_bytes > MAX_ENTRIES_BYTES:
+            break
+        chosen.append(entry)
+    return chosen
--- /dev/null
+++ b/catkinfork/routing/_pools.py
@@ -0,0 +1,67 @@
+"""What the router has heard of a pool from its dispatchers."""
+
+# Four summaries in a row; with fewer, a change of dispatcher would look like a fault.
+SUMMARY_LIFETIME_S = 2.0
+
+
+class PoolState:
+    """Last summary of a pool.
+
+    :param pool: pool name.
+    """
+
+    def __init__(self, pool):
+        self.pool = pool
+        self.source = None
+        self.sequence = 0
+        self.heard_at = None
+        self.waits_s = {}
+        self.suspects = frozenset()
+        self.blocked = frozenset()
+        self.listed_at = {}
+
+    def note_summary(self, sender, summary, now):
+        """Store a summary unless a later one of the same dispatcher is known.
+
+        :returns: whether it was stored.
+        """
+        source = (sender.name, sender.incarnation)
+        if source == self.source and summary.sequence <= self.sequence:
+            return False
+        self.source = source
+        self.sequence = summary.sequence
+        self.heard_at = now
+        self.waits_s = {
+            entry.workspace: entry.wait_ms / 1000 for entry in summary.workspaces
+        }
+        self.suspects = frozenset(summary.suspects)
+        self.blocked = frozenset(summary.blocked)
+        for name in summary.backend_servers:
+            self.listed_at[name] = now
+        return True
+
+    def is_fresh(self, now):
+        """Return whether a summary has arrived lately."""
+        return self.heard_at is not None and now - self.heard_at < SUMMARY_LIFETIME_S
+
+    def get_wait(self, workspace, now):
+        """Return the expected wait of a new request in seconds, 0 if not known."""
+        return self.waits_s.get(workspace, 0.0) if self.is_fresh(now) else 0.0
+
+    def is_missing(self, backend_server, now):
+        """Return whether a backend server has not reported to the dispatcher lately.
+
+        True also if no summary has arrived lately.
+        """
+        listed_at = self.listed_at.get(backend_server)
+        return listed_at is None or now - listed_at >= SUMMARY_LIFETIME_S
+
+    def drop_server(self, backend_server):
+        """Forget that a backend server has reported."""
+        self.listed_at.pop(backend_server, None)
+
+    def keep_servers(self, names):
+        """Forget backend servers that are not in the document."""
+        self.listed_at = {
+            name: heard_at for name, heard_at in self.listed_at.items() if name in names
+        }
--- /dev/null
+++ b/catkinfork/routing/_queues.py
@@ -0,0 +1,154 @@
+"""Waiting requests, bounded for each workspace and grouped by demand class."""
+
+from collections import OrderedDict
+
+from catkinfork.routing._errors import check_invariant
+
+
+class QueueSize:
+    """Number and bytes of the waiting requests of one workspace."""
+
+    def __init__(self):
+        self.n_waiting = 0
+        self.n_bytes = 0
+
+
+class RequestQueues:
+    """Waiting requests of all workspaces.
+
+    ``groups[pool][workspace][demand_class]`` is an ordered dictionary of requests by
+    id, oldest first. Empty groups are removed, so that memory follows the number of
+    waiting requests.
+    """
+
+    def __init__(self):
+        self.groups = {}
+        self.sizes = {}
+        self.n_waiting = 0
+
+    def get_size(self, workspace):
+        """Return the pair of number and bytes that wait for a workspace."""
+        size = self.sizes.get(workspace)
+        return (size.n_waiting, size.n_bytes) if size else (0, 0)
+
+    def add(self, entry, demand_class, is_first=False):
+        """Queue a request.
+
+        :param entry: :class:`OpenRequest` that does not wait yet.
+        :param demand_class: :class:`DemandClass`.
+        :param is_first: whether it goes to the head of its class.
+        """
+        check_invariant(
+            entry.demand_class is None and entry.attempt is None,
+            "a request waits once, and not while it runs",
+            entry.request.request_id,
+        )
+        workspaces = self.groups.setdefault(demand_class.pool, {})
+        classes = workspaces.setdefault(demand_class.workspace, {})
+        queue = classes.setdefault(demand_class, OrderedDict())
+        request_id = entry.request.request_id
+        queue[request_id] = entry
+        if is_first:
+            queue.move_to_end(request_id, last=False)
+        entry.demand_class = demand_class
+        size = self.sizes.setdefault(demand_class.workspace, QueueSize())
+        size.n_waiting += 1
+        size.n_bytes += entry.n_bytes
+        self.n_waiting += 1
+
+    def remove(self, entry):
+        """Take a request out of its queue."""
+        demand_class = entry.demand_class
+        check_invariant(
+            demand_class is not None,
+            "a request that leaves the queue was waiting",
+            entry.request.request_id,
+        )
+        workspaces = self.groups[demand_class.pool]
+        classes = workspaces[demand_class.workspace]
+        del classes[demand_class][entry.request.request_id]
+        if not classes[demand_class]:
+            del classes[demand_class]
+        if not classes:
+            del workspaces[demand_class.workspace]
+        if not workspaces:
+            del self.groups[demand_class.pool]
+        entry.demand_class = None
+        self.shrink(demand_class.workspace, entry.n_bytes)
+
+    def shrink(self, workspace, n_bytes):
+        """Subtract one request from the size of a workspace's queue."""
+        size = self.sizes[workspace]
+        size.n_waiting -= 1
+        size.n_bytes -= n_bytes
+        self.n_waiting -= 1
+        check_invariant(
+            size.n_waiting >= 0 and size.n_bytes >= 0,
+            "queue sizes are not negative",
+            (workspace, size.n_waiting, size.n_bytes),
+        )
+        if size.n_waiting == 0:
+            check_invariant(
+                size.n_bytes == 0, "an empty queue holds no bytes", workspace
+            )
+            del self.sizes[workspace]
+
+    def list_classes(self, pool):
+        """Return pairs of demand class and queue of a pool."""
+        return [
+            (demand_class, queue)
+            for classes in self.groups.get(pool, {}).values()
+            for demand_class, queue in classes.items()
+        ]
+
+    def list_waiting(self, pool=None):
+        """Return the waiting requests of a pool or of all, in submission order."""
+        pools = list(self.groups) if pool is None else [pool]
+        waiting = [
+            entry
+            for name in pools
+            for _, queue in self.list_classes(name)
+            for entry in queue.values()
+        ]
+        return sorted(waiting, key=lambda entry: entry.number)
+
+    def find_match(self, pool, grant):
+        """Return the waiting request for which a granted ticket is used.
+
+        The head of the granted class comes first. If it has gone, the oldest request
+        of the workspace and target that may run on the granted server takes its place,
+        because the grant has been charged to the workspace.
+
+        :param pool: pool name.
+        :param grant: :class:`GrantEntry`.
+        :returns: :class:`OpenRequest` or None.
+        """
+        classes = self.groups.get(pool, {}).get(grant.workspace, {})
+        heads = [
+            next(iter(queue.values()))
+            for demand_class, queue in classes.items()
+            if is_usable(demand_class, grant)
+        ]
+        if not heads:
+            return None
+        return min(heads, key=lambda head: rank_head(head, grant))
+
+
+def is_usable(demand_class, grant):
+    """Return whether a request of a class may run on a granted ticket."""
+    if demand_class.target != grant.target:
+        return False
+    if demand_class.required not in ("", grant.backend_server):
+        return False
+    return demand_class.suspect in (b"", grant.suspect)
+
+
+def rank_head(head, grant):
+    """Return the sort key of a candidate: exact class first, then the oldest."""
+    demand_class = head.demand_class
+    is_exact = (
+        demand_class.required == grant.required
+        and demand_class.preferred == grant.preferred
+        and demand_class.suspect == grant.suspect
+    )
+    return (not is_exact, head.number)
--- /dev/null
+++ b/catkinfork/routing/_starts.py
@@ -0,0 +1,154 @@
+"""Grants of dispatchers, and the starts that use them."""
+
+from catkinfork.observability import log_event
+from catkinfork.protocol import Send, Start, TicketReturn
+from catkinfork.routing._attempts import Attempt
+from catkinfork.routing._errors import check_invariant
+from catkinfork.routing._events import REQUEST_STARTED, TICKET_RETURNED
+
+
+def handle_grant(state, sender, grant, now, actions):
+    """Use the granted tickets in order, and give back those without a request.
+
+    :param state: :class:`RouterState`.
+    :param sender: :class:`Sender` of the dispatcher.
+    :param grant: :class:`Grant`.
+    """
+    demand = state.get_demand(grant.pool)
+    returned = {}
+    for entry in sorted(grant.entries, key=lambda entry: entry.number):
+        is_in_order = demand.accept_grant(sender, entry.number)
+        if not state.tickets.note(entry, now):
+            continue
+        request, reason = choose_request(state, grant.pool, entry, is_in_order, now)
+        if request is not None:
+            start_request(state, request, entry, reason, now, actions)
+            continue
+        key = (entry.agent, entry.agent_incarnation)
+        returned.setdefault(key, []).append(entry.ticket)
+        state.counters.n_returned += 1
+        actions.append(log_return(sender, entry, reason))
+    for (agent, incarnation), tickets in returned.items():
+        actions.append(Send(agent, TicketReturn(tickets, incarnation)))
+    demand.is_changed = True
+
+
+def log_return(sender, grant, reason):
+    """Return the log event of a ticket that is given back."""
+    return log_event(
+        TICKET_RETURNED,
+        workspace=grant.workspace,
+        backend_server=grant.backend_server,
+        reason=reason,
+        ticket=grant.ticket,
+        dispatcher=sender.name,
+        number=grant.number,
+    )
+
+
+def choose_request(state, pool, grant, is_in_order, now):
+    """Return the waiting request for a grant, or None, and the reason.
+
+    :param is_in_order: whether the grant is newer than those processed before.
+    :returns: pair of :class:`OpenRequest` or None, and the reason.
+    """
+    if not is_in_order:
+        return None, "late_grant"
+    reason = check_server(state, pool, grant)
+    if reason:
+        return None, reason
+    request = state.queues.find_match(pool, grant)
+    if request is None:
+        return None, "no_request"
+    if request.request.deadline <= now:
+        return None, "deadline_passed"
+    return request, "granted"
+
+
+def check_server(state, pool, grant):
+    """Return why a granted backend server must not be used, empty if it may."""
+    if state.view is None:
+        return "no_document"
+    server = state.view.backend_servers.get(grant.backend_server)
+    if server is None or server.agent != grant.agent:
+        return "unknown_backend_server"
+    if server.pool != pool or grant.target not in server.serves:
+        return "other_pool_or_target"
+    if not state.view.is_in_service(grant.backend_server):
+        return "out_of_service"
+    return ""
+
+
+def start_request(state, entry, grant, reason, now, actions):
+    """Send a waiting request to the agent of a grant."""
+    check_start(state, entry, grant)
+    n_waiting = state.queues.get_size(entry.request.workspace)[0]
+    state.dequeue(entry)
+    start = make_start(state, entry, grant, now)
+    state.attempts.add(Attempt(start, entry, grant, now))
+    entry.n_tries += 1
+    state.counters.n_attempts += 1
+    state.prefixes.note(entry.request, grant.backend_server)
+    event = log_event(
+        REQUEST_STARTED,
+        workspace=entry.request.workspace,
+        request_id=entry.request.request_id,
+        backend_server=grant.backend_server,
+        reason=reason,
+        attempt=start.attempt.number,
+        ticket=grant.ticket,
+        wait_s=now - entry.submitted_at,
+        n_waiting=n_waiting,
+        time_left_s=entry.request.deadline - now,
+    )
+    actions.append(event)
+    actions.append(Send(grant.agent, start))
+
+
+def check_start(state, entry, grant):
+    """Assert what holds of every start.
+
+    :raises InvariantError: if it does not hold.
+    """
+    request_id = entry.request.request_id
+    check_invariant(
+        state.open.get(request_id) is entry, "only open requests start", request_id
+    )
+    check_invariant(
+        entry.is_idempotent or not entry.may_have_run,
+        "a request that may have run starts again only if it is idempotent",
+        request_id,
+    )
+    check_invariant(
+        not entry.request.key or entry.demand_class.required == grant.backend_server,
+        "a keyed request starts at the owner of its key",
+        (request_id, entry.demand_class.required, grant.backend_server),
+    )
+    check_invariant(entry.n_sent == 0, "no byte was sent before a start", request_id)
+
+
+def make_start(state, entry, grant, now):
+    """Return the start of a request on a granted ticket."""
+    request = entry.request
+    return Start(
+        state.attempts.make_id(),
+        request.request_id,
+        grant.ticket,
+        grant.agent_incarnation,
+        request.workspace,
+        request.target,
+        request.method,
+        request.path,
+        request.headers,
+        request.body,
+        compute_time_left(request, now),
+        request.key,
+        entry.is_idempotent,
+        entry.fingerprint,
+        state.view.version,
+    )
+
+
+def compute_time_left(request, now):
+    """Return the time left until the deadline in whole milliseconds."""
+    return max(0, int((request.deadline - now) * 1000))
--- /dev/null
+++ b/catkinfork/routing/_state.py
@@ -0,0 +1,204 @@
+"""State of a router that its decisions share."""
+
+from heapq import heapify, heappop, heappush
+
+from catkinfork.observability import log_event
+from catkinfork.protocol import Cancel, Send
+from catkinfork.routing._attempts import AttemptTable
+from catkinfork.routing._budget import RetryBudget
+from catkinfork.routing._demand import PoolDemand, make_entries
+from catkinfork.routing._errors import check_invariant
+from catkinfork.routing._events import REQUEST_REFUSED
+from catkinfork.routing._owners import find_acting_owner
+from catkinfork.routing._pools import PoolState
+from catkinfork.routing._prefixes import PrefixTable
+from catkinfork.routing._queues import RequestQueues
+from catkinfork.routing._refusals import NOT_RUN
+from catkinfork.routing._requests import DemandClass, Refuse
+from catkinfork.routing._tickets import SeenTickets
+
+MIN_DEADLINES = 64
+
+
+class RouterCounters:
+    """Counts for metrics, all since the start of the router."""
+
+    def __init__(self):
+        self.n_submitted = 0
+        self.n_answered = 0
+        self.n_refused = {}
+        self.n_abandoned = 0
+        self.n_attempts = 0
+        self.n_retries = 0
+        self.n_requeued = 0
+        self.n_returned = 0
+        self.n_resumed = 0
+        self.n_stray_parts = 0
+
+
+class RouterState:
+    """Everything a router knows; changed only by the decisions of this package.
+
+    :param settings: :class:`RouterSettings`.
+    :param identity: :class:`Sender` of this router.
+    """
+
+    def __init__(self, settings, identity):
+        self.settings = settings
+        self.identity = identity
+        self.view = None
+        self.is_draining = False
+        self.open = {}
+        self.deadlines = []
+        self.n_numbered = 0
+        self.queues = RequestQueues()
+        self.pools = {}
+        self.demands = {}
+        self.attempts = AttemptTable(identity)
+        self.tickets = SeenTickets()
+        self.prefixes = PrefixTable()
+        self.budget = RetryBudget(settings.routing.retry_ratio)
+        self.counters = RouterCounters()
+
+    def get_pool(self, pool):
+        """Return the state of a pool, empty if it is new."""
+        if pool not in self.pools:
+            self.pools[pool] = PoolState(pool)
+        return self.pools[pool]
+
+    def get_demand(self, pool):
+        """Return the demand of a pool, empty if it is new."""
+        if pool not in self.demands:
+            self.demands[pool] = PoolDemand(pool)
+        return self.demands[pool]
+
+    def classify(self, entry):
+        """Return the demand class of a request under the document in force.
+
+        :param entry: :class:`OpenRequest` with a target in the document.
+        :returns: :class:`DemandClass`, or None if a key has no owner in service.
+        """
+        request = entry.request
+        pool = self.view.pool_of_target[request.target]
+        required = ""
+        preferred = ""
+        if request.key:
+            required = entry.redirect or find_acting_owner(
+                self.view, request.workspace, request.key, pool, request.target
+            )
+            if not required:
+                return None
+        else:
+            preferred = self.prefixes.find(request)
+            if not self.view.is_in_service(preferred):
+                preferred = ""
+        suspect = entry.fingerprint if entry.is_suspect else b""
+        return DemandClass(
+            pool, request.workspace, request.target, required, preferred, suspect
+        )
+
+    def enqueue(self, entry, demand_class, now, is_first=False):
+        """Let a request wait and mark the demand as changed."""
+        entry.waiting_since = now
+        self.queues.add(entry, demand_class, is_first)
+        self.get_demand(demand_class.pool).is_changed = True
+
+    def dequeue(self, entry):
+        """Take a request out of its queue and mark the demand as changed."""
+        self.get_demand(entry.demand_class.pool).is_changed = True
+        self.queues.remove(entry)
+
+    def open_request(self, entry):
+        """Register a request that has been admitted."""
+        request = entry.request
+        self.open[request.request_id] = entry
+        heappush(self.deadlines, (request.deadline, entry.number, request.request_id))
+        if len(self.deadlines) > 2 * len(self.open) + MIN_DEADLINES:
+            self.compact_deadlines()
+
+    def compact_deadlines(self):
+        """Drop the deadlines of requests that have ended."""
+        self.deadlines = [item for item in self.deadlines if self.is_current(item)]
+        heapify(self.deadlines)
+
+    def is_current(self, item):
+        """Return whether a deadline belongs to an open request."""
+        entry = self.open.get(item[2])
+        return entry is not None and entry.number == item[1]
+
+    def take_expired(self, now):
+        """Return open requests whose deadline has passed."""
+        expired = []
+        while self.deadlines and self.deadlines[0][0] <= now:
+            item = heappop(self.deadlines)
+            if self.is_current(item):
+                expired.append(self.open[item[2]])
+        return expired
+
+    def close_request(self, entry):
+        """Remove a request from all tables; its final answer follows."""
+        request_id = entry.request.request_id
+        check_invariant(
+            self.open.pop(request_id, None) is entry,
+            "a request has one final answer",
+            request_id,
+        )
+        if entry.demand_class is not None:
+            self.dequeue(entry)
+
+    def cancel_attempt(self, entry, actions):
+        """Tell the agent to stop the live attempt of a request, if there is one."""
+        attempt = entry.attempt
+        if attempt is None:
+            return
+        self.attempts.remove(attempt)
+        entry.may_have_run = True
+        actions.append(Send(attempt.agent, Cancel(attempt.id)))
+
+    def refuse(self, entry, refusal, now, actions):
+        """Give a request its final answer without a complete response.
+
+        :param entry: open :class:`OpenRequest`.
+        :param refusal: :class:`Refusal`.
+        :param actions: list that receives the actions.
+        """
+        backend_server = entry.attempt.backend_server if entry.attempt else ""
+        self.cancel_attempt(entry, actions)
+        self.close_request(entry)
+        self.reject(entry, refusal, now, actions, backend_server)
+
+    def reject(self, entry, refusal, now, actions, backend_server=""):
+        """Emit a refusal for a request that is not open."""
+        check_invariant(
+            refusal.outcome != NOT_RUN
+            or not (entry.may_have_run or entry.attempt or entry.n_sent),
+            "not_run is said only of requests that did not run",
+            (entry.request.request_id, refusal),
+        )
+        counts = self.counters.n_refused
+        counts[refusal.code] = counts.get(refusal.code, 0) + 1
+        event = log_event(
+            REQUEST_REFUSED,
+            workspace=entry.request.workspace,
+            request_id=entry.request.request_id,
+            backend_server=backend_server,
+            reason=refusal.code,
+            outcome=refusal.outcome,
+            n_waiting=self.queues.get_size(entry.request.workspace)[0],
+            age_s=now - entry.submitted_at,
+            detail=refusal.message,
+        )
+        actions.append(event)
+        actions.append(Refuse(entry.request.request_id, refusal))
+
+    def send_demands(self, now, actions):
+        """Send the demand of each pool that has changed or is due."""
+        for pool, demand in self.demands.items():
+            if not demand.is_due(now):
+                continue
+            entries = make_entries(self.queues.list_classes(pool), now)
+            for dispatcher in demand.dispatchers:
+                message = demand.make_message(dispatcher, entries)
+                actions.append(Send(dispatcher, message))
+            demand.is_changed = False
+            demand.sent_at = now
--- /dev/null
+++ b/catkinfork/routing/_timers.py
@@ -0,0 +1,127 @@
+"""Decisions that depend on time or on the state of a pool."""
+
+from catkinfork.observability import log_event
+from catkinfork.protocol import Send
+from catkinfork.routing._admission import check_blocked, check_placement, compare_wait
+from catkinfork.routing._attempts import MAX_SILENCES, SILENCE_TIMEOUT_S
+from catkinfork.routing._events import REQUEST_SUSPECTED
+from catkinfork.routing._pools import SUMMARY_LIFETIME_S
+from catkinfork.routing._refusals import (
+    AGENT_LOST,
+    DEADLINE_EXCEEDED,
+    FIRST_BYTE_TIMEOUT,
+    OWNER_UNREACHABLE,
+    make_refusal,
+)
+from catkinfork.routing._responses import lose_attempt, resume_attempt
+
+
+def refuse_expired(state, now, actions):
+    """End the requests whose deadline has passed."""
+    for entry in state.take_expired(now):
+        detail = f"after {now - entry.submitted_at:.3f} s"
+        refusal = make_refusal(DEADLINE_EXCEEDED, entry.outcome, detail)
+        state.refuse(entry, refusal, now, actions)
+
+
+def check_attempts(state, now, actions):
+    """Acknowledge parts, resume silent attempts and end those that take too long."""
+    timeout_s = state.settings.gateway.first_byte_timeout_s
+    for attempt in list(state.attempts.live.values()):
+        if attempt.next_sequence == 0 and now - attempt.started_at >= timeout_s:
+            detail = f"{now - attempt.started_at:.1f} s of {timeout_s:.1f} s"
+            refusal = make_refusal(FIRST_BYTE_TIMEOUT, attempt.entry.outcome, detail)
+            state.refuse(attempt.entry, refusal, now, actions)
+        elif now - attempt.heard_at >= SILENCE_TIMEOUT_S:
+            note_silence(state, attempt, now, actions)
+        elif attempt.is_ack_due(now):
+            actions.append(Send(attempt.agent, attempt.make_ack(now)))
+
+
+def note_silence(state, attempt, now, actions):
+    """Resume a silent attempt, or end it after several tries."""
+    attempt.n_silences += 1
+    attempt.heard_at = now
+    if attempt.n_silences > MAX_SILENCES:
+        lose_attempt(state, attempt, AGENT_LOST.code, False, now, actions)
+        return
+    resume_attempt(state, attempt, "silence", now, actions)
+
+
+def refuse_unowned(state, now, actions):
+    """End keyed requests whose owner has not reported for a while."""
+    for pool in list(state.queues.groups):
+        pool_state = state.get_pool(pool)
+        missing = [
+            queue
+            for demand_class, queue in state.queues.list_classes(pool)
+            if demand_class.required
+            and pool_state.is_missing(demand_class.required, now)
+        ]
+        for entry in [entry for queue in missing for entry in queue.values()]:
+            if now - entry.waiting_since < SUMMARY_LIFETIME_S:
+                continue
+            refusal = make_refusal(
+                OWNER_UNREACHABLE, entry.outcome, entry.demand_class.required
+            )
+            state.refuse(entry, refusal, now, actions)
+
+
+def apply_summary(state, pool, now, actions):
+    """Refuse or reclassify waiting requests after a summary of their pool."""
+    pool_state = state.get_pool(pool)
+    for entry in state.queues.list_waiting(pool):
+        refusal = check_blocked(state, entry, now)
+        if refusal is not None:
+            state.refuse(entry, refusal, now, actions)
+        elif entry.fingerprint in pool_state.suspects and not entry.is_suspect:
+            mark_suspect(state, entry, now, actions)
+    refuse_slow(state, pool, now, actions)
+
+
+def mark_suspect(state, entry, now, actions):
+    """Let a waiting request wait as a suspect."""
+    entry.is_suspect = True
+    event = log_event(
+        REQUEST_SUSPECTED,
+        workspace=entry.request.workspace,
+        request_id=entry.request.request_id,
+        fingerprint=entry.fingerprint,
+    )
+    actions.append(event)
+    demand_class = entry.demand_class._replace(suspect=entry.fingerprint)
+    since = entry.waiting_since
+    state.dequeue(entry)
+    state.enqueue(entry, demand_class, since)
+
+
+def refuse_slow(state, pool, now, actions):
+    """End waiting requests whose expected remaining wait exceeds their deadline.
+
+    The summary gives the wait of a request that arrives now, behind all others. A
+    waiting request has a part of it left according to its position.
+    """
+    pool_state = state.get_pool(pool)
+    positions = {}
+    for entry in state.queues.list_waiting(pool):
+        workspace = entry.request.workspace
+        wait_s = pool_state.get_wait(workspace, now)
+        positions[workspace] = positions.get(workspace, 0) + 1
+        n_waiting = max(state.queues.get_size(workspace)[0], positions[workspace])
+        refusal = compare_wait(entry, wait_s * positions[workspace] / n_waiting, now)
+        if refusal is not None:
+            state.refuse(entry, refusal, now, actions)
+
+
+def reclassify_waiting(state, now, actions):
+    """Queue all waiting requests anew after a document has been adopted."""
+    for entry in state.queues.list_waiting():
+        since = entry.waiting_since
+        entry.redirect = ""
+        entry.n_redirects = 0
+        refusal = check_placement(state, entry, now)
+        if refusal is not None:
+            state.refuse(entry, refusal, now, actions)
+            continue
+        state.dequeue(entry)
+        state.enqueue(entry, state.classify(entry), since)
