--- /dev/null
+++ b/catkinfork/cli/_exit_codes.py
@@ -0,0 +1,7 @@
+"""Exit codes of the commands."""
+
+EXIT_OK = 0
+EXIT_FAULTS = 1
+EXIT_USAGE = 2
+EXIT_PORT = 3
+EXIT_UNREACHABLE = 4
--- /dev/null
+++ b/catkinfork/cli/_run.py
@@ -0,0 +1,60 @@
+"""Commands that run a process of the fleet."""
+
+from typing import Annotated
+
+import anyio
+import pynng
+import typer
+
+from catkinfork.cli._exit_codes import EXIT_PORT, EXIT_USAGE
+from catkinfork.processes import AgentProcess, PortInUseError, RouterProcess
+from catkinfork.protocol import KeyFileError
+from catkinfork.settings import AgentSettings, RouterSettings, read_settings
+
+SettingsOption = Annotated[
+    str, typer.Option("--settings", help="Path of the INI settings file.")
+]
+
+
+def run_router(settings: SettingsOption):
+    """Run a router on an entry host.
+
+    Exit codes: 0 after a drain, 2 for faults in the settings file or the key file, 3 if
+    a port is in use.
+    """
+    run_process(settings, RouterSettings, RouterProcess)
+
+
+def run_agent(settings: SettingsOption):
+    """Run the agent beside a backend server.
+
+    Exit codes: 0 after a drain, 2 for faults in the settings file or the key file, 3 if
+    a port is in use.
+    """
+    run_process(settings, AgentSettings, AgentProcess)
+
+
+def run_process(path, settings_type, process_type):
+    """Read the settings and run a process until it is told to stop."""
+    read = read_settings(path, settings_type)
+    if read.is_err():
+        for fault in read.err_value:
+            typer.echo(f"{path}: {fault.describe()}", err=True)
+        raise typer.Exit(EXIT_USAGE)
+    try:
+        anyio.run(start_process, process_type, read.ok_value)
+    except* KeyFileError as group:
+        typer.echo(f"{path}: {group.exceptions[0]}", err=True)
+        raise typer.Exit(EXIT_USAGE) from None
+    except* PortInUseError as group:
+        typer.echo(f"{path}: {group.exceptions[0]}", err=True)
+        raise typer.Exit(EXIT_PORT) from None
+    except* pynng.exceptions.AddressInUse:
+        address = read.ok_value.fleet.address
+        typer.echo(f"{path}: {address} is in use by another process", err=True)
+        raise typer.Exit(EXIT_PORT) from None
+
+
+async def start_process(process_type, settings):
+    """Run a process on the event loop."""
+    await process_type(settings).run()
--- a/catkinfork/gateway/__init__.py
+++ b/catkinfork/gateway/__init__.py
@@ -0,0 +1,21 @@
+"""The port for callers."""
+
+from catkinfork.gateway._application import (
+    BaseRequestHandler,
+    Gateway,
+    answer_lifespan,
+    send_whole,
+)
+from catkinfork.gateway._exchange import Exchange, ResponseData, ResponseHead
+from catkinfork.gateway._refusals import encode_refusal
+
+__all__ = [
+    "BaseRequestHandler",
+    "Exchange",
+    "Gateway",
+    "ResponseData",
+    "ResponseHead",
+    "answer_lifespan",
+    "encode_refusal",
+    "send_whole",
+]
--- /dev/null
+++ b/catkinfork/gateway/_application.py
@@ -0,0 +1,299 @@
+"""ASGI application for callers."""
+
+import math
+import uuid
+from abc import ABC, abstractmethod
+
+import anyio
+
+from catkinfork.gateway._events import (
+    CALLER_GONE,
+    REQUEST_REFUSED,
+    RESPONSE_BROKEN,
+    SLOW_CALLER,
+)
+from catkinfork.gateway._exchange import Exchange, ResponseHead, is_refusal
+from catkinfork.gateway._refusals import (
+    BODY_TIMEOUT,
+    NOT_READY,
+    UNAUTHORIZED,
+    encode_refusal,
+    refuse_large_body,
+)
+from catkinfork.gateway._requests import (
+    MODELS_PATH,
+    HttpRequest,
+    convert_request,
+    find_header,
+    list_models,
+)
+from catkinfork.observability import log_event
+
+
+class CallerGoneError(Exception):
+    """The caller closed the connection."""
+
+
+class ResponseBrokenError(Exception):
+    """A response ended after its first byte; the server closes the connection."""
+
+
+class BaseRequestHandler(ABC):
+    """What the gateway needs of the router process."""
+
+    @abstractmethod
+    def find_view(self):
+        """Return the :class:`DocumentView` in force, or None."""
+
+    @abstractmethod
+    def read_clock(self):
+        """Return the monotonic time in seconds."""
+
+    @abstractmethod
+    def submit(self, request, exchange):
+        """Hand a :class:`RouterRequest` over; its response goes to ``exchange``."""
+
+    @abstractmethod
+    def abandon(self, request_id):
+        """Note that the caller of a request has gone."""
+
+    @abstractmethod
+    def log(self, action):
+        """Write a :class:`LogEvent`."""
+
+
+class Gateway:
+    """ASGI application for callers.
+
+    :param settings: :class:`GatewaySettings`.
+    :param handler: :class:`BaseRequestHandler`.
+    """
+
+    def __init__(self, settings, handler):
+        self.settings = settings
+        self.handler = handler
+
+    async def __call__(self, scope, receive, send):
+        if scope["type"] == "lifespan":
+            await answer_lifespan(receive, send)
+        elif scope["type"] == "http":
+            await self.answer(scope, receive, send)
+
+    async def answer(self, scope, receive, send):
+        """Answer one HTTP request."""
+        request_id = uuid.uuid4().hex
+        headers = decode_headers(scope["headers"])
+        view = self.handler.find_view()
+        if view is None:
+            await self.refuse(send, NOT_READY, request_id, "")
+            return
+        workspace = view.find_workspace(read_api_key(headers))
+        if workspace is None:
+            await self.refuse(send, UNAUTHORIZED, request_id, "")
+            return
+        if scope["path"] == MODELS_PATH and scope["method"] == "GET":
+            content_type = [("content-type", "application/json")]
+            await send_whole(send, 200, content_type, list_models(view))
+            return
+        body = await self.read_body(headers, receive, send, request_id, workspace)
+        if body is None:
+            return
+        http = HttpRequest(
+            request_id,
+            workspace,
+            scope["method"],
+            scope["path"],
+            scope["query_string"].decode("latin-1"),
+            headers,
+            body,
+        )
+        now = self.handler.read_clock()
+        converted = convert_request(http, view, self.settings, now)
+        if converted.is_err():
+            await self.refuse(send, converted.err_value, request_id, workspace)
+            return
+        await self.exchange(converted.ok_value, receive, send)
+
+    async def read_body(self, headers, receive, send, request_id, workspace):
+        """Return the whole body, or None if the request was refused or cut."""
+        bound = self.settings.max_body_bytes
+        length = find_header(headers, "content-length")
+        if length.isdigit() and int(length) > bound:
+            await self.refuse(send, refuse_large_body(bound), request_id, workspace)
+            return None
+        chunks = []
+        n_bytes = 0
+        with anyio.move_on_after(self.settings.body_timeout_s):
+            while True:
+                message = await receive()
+                if message["type"] == "http.disconnect":
+                    self.note_caller_gone(request_id, workspace, "request body")
+                    return None
+                chunks.append(message.get("body", b""))
+                n_bytes += len(chunks[-1])
+                if n_bytes > bound:
+                    refusal = refuse_large_body(bound)
+                    await self.refuse(send, refusal, request_id, workspace)
+                    return None
+                if not message.get("more_body", False):
+                    return b"".join(chunks)
+        await self.refuse(send, BODY_TIMEOUT, request_id, workspace)
+        return None
+
+    async def exchange(self, request, receive, send):
+        """Submit a request and pass its response on until either side ends."""
+        exchange = Exchange(request.request_id)
+        self.handler.submit(request, exchange)
+        is_complete = False
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self.watch_caller, request, receive, tasks.cancel_scope)
+            try:
+                await self.pass_response(request, exchange, send)
+                is_complete = True
+            finally:
+                if not is_complete:
+                    self.handler.abandon(request.request_id)
+            tasks.cancel_scope.cancel()
+
+    async def watch_caller(self, request, receive, scope):
+        """Cancel the exchange when the caller closes the connection."""
+        while True:
+            message = await receive()
+            if message["type"] == "http.disconnect":
+                self.note_caller_gone(request.request_id, request.workspace, "response")
+                scope.cancel()
+                return
+
+    async def pass_response(self, request, exchange, send):
+        """Send the items of an exchange to the caller.
+
+        :raises ResponseBrokenError: if the response breaks off after its head.
+        """
+        first = await exchange.pull()
+        if is_refusal(first):
+            await self.refuse(send, first, request.request_id, request.workspace)
+            return
+        await send_head(send, first, request.request_id)
+        is_last = False
+        while not is_last:
+            item = await exchange.pull()
+            if is_refusal(item):
+                self.break_off(request, item.code)
+            if exchange.is_over_buffer:
+                self.note_slow_caller(request, exchange)
+                self.break_off(request, "slow_caller")
+            is_last = item.is_last
+            await send(
+                {
+                    "type": "http.response.body",
+                    "body": item.data,
+                    "more_body": not is_last,
+                }
+            )
+
+    def break_off(self, request, code):
+        """Log that a response broke off, and raise."""
+        self.handler.log(
+            log_event(
+                RESPONSE_BROKEN,
+                request_id=request.request_id,
+                workspace=request.workspace,
+                code=code,
+            )
+        )
+        raise ResponseBrokenError(request.request_id, code)
+
+    def note_slow_caller(self, request, exchange):
+        """Log that a caller reads too slowly."""
+        self.handler.log(
+            log_event(
+                SLOW_CALLER,
+                request_id=request.request_id,
+                workspace=request.workspace,
+                buffered_bytes=exchange.n_buffered_bytes,
+            )
+        )
+
+    def note_caller_gone(self, request_id, workspace, stage):
+        """Log that a caller has gone."""
+        self.handler.log(
+            log_event(
+                CALLER_GONE, request_id=request_id, workspace=workspace, stage=stage
+            )
+        )
+
+    async def refuse(self, send, refusal, request_id, workspace):
+        """Send a refusal and log it."""
+        self.handler.log(
+            log_event(
+                REQUEST_REFUSED,
+                request_id=request_id,
+                workspace=workspace,
+                code=refusal.code,
+                status=refusal.status,
+                detail=refusal.message,
+            )
+        )
+        headers = [
+            ("content-type", "application/json"),
+            ("x-request-id", request_id),
+        ]
+        if refusal.retry_after_s > 0:
+            headers.append(("retry-after", str(math.ceil(refusal.retry_after_s))))
+        body = encode_refusal(refusal, request_id)
+        await send_whole(send, refusal.status, headers, body)
+
+
+def decode_headers(raw):
+    """Return lower-case header names and values as text."""
+    return [
+        (name.decode("latin-1").lower(), value.decode("latin-1")) for name, value in raw
+    ]
+
+
+def read_api_key(headers):
+    """Return the API key of the ``Authorization`` header, or an empty text."""
+    scheme, _, key = find_header(headers, "authorization").partition(" ")
+    return key.strip() if scheme.lower() == "bearer" else ""
+
+
+def encode_headers(headers):
+    """Return headers as ASGI wants them."""
+    return [
+        (name.encode("latin-1"), value.encode("latin-1")) for name, value in headers
+    ]
+
+
+async def send_head(send, head: ResponseHead, request_id):
+    """Send status and headers of a response."""
+    headers = [pair for pair in head.headers if pair[0].lower() != "x-request-id"]
+    headers.append(("x-request-id", request_id))
+    await send(
+        {
+            "type": "http.response.start",
+            "status": head.status,
+            "headers": encode_headers(headers),
+        }
+    )
+
+
+async def send_whole(send, status, headers, body):
+    """Send a response whose body is known."""
+    headers = [*headers, ("content-length", str(len(body)))]
+    await send(
+        {
+            "type": "http.response.start",
+            "status": status,
+            "headers": encode_headers(headers),
+        }
+    )
+    await send({"type": "http.response.body", "body": body, "more_body": False})
+
+
+async def answer_lifespan(receive, send):
+    """Answer the server's start and stop messages."""
+    while True:
+        message = await receive()
+        await send({"type": message["type"] + ".complete"})
+        if message["type"] == "lifespan.shutdown":
+            return
--- /dev/null
+++ b/catkinfork/gateway/_events.py
@@ -0,0 +1,34 @@
+"""Log events of the gateway, 700 to 799."""
+
+from catkinfork.observability import Event
+
+REQUEST_REFUSED = Event(
+    701,
+    "info",
+    "request_refused_at_gateway",
+    "a request was refused before it reached a queue",
+    ("request_id", "workspace", "code", "status", "detail"),
+)
+CALLER_GONE = Event(
+    702,
+    "info",
+    "caller_gone",
+    "the caller closed the connection before the response was complete",
+    ("request_id", "workspace", "stage"),
+)
+RESPONSE_BROKEN = Event(
+    703,
+    "warning",
+    "response_broken_off",
+    "a response was broken off after its first byte",
+    ("request_id", "workspace", "code"),
+)
+SLOW_CALLER = Event(
+    704,
+    "warning",
+    "slow_caller",
+    "a caller read more slowly than its response arrived, past the buffer",
+    ("request_id", "workspace", "buffered_bytes"),
+)
+
+EVENTS = (REQUEST_REFUSED, CALLER_GONE, RESPONSE_BROKEN, SLOW_CALLER)
--- a/catkinfork/membership/_peers.py
+++ b/catkinfork/membership/_peers.py
@@ -7,6 +7,8 @@
 HEARTBEAT_INTERVAL_S = 0.5
 SILENCE_TIMEOUT_S = 1.5
 FORGET_AFTER_S = 30.0
+ACTIVE_FOR_S = 5.0
+PAUSE_S = 0.75
 
 
 class ReplaceLink(NamedTuple):
@@ -26,7 +28,10 @@
         self.address = address
         self.added_at = now
         self.heard_at = None
+        self.active_at = None
+        self.probed_at = None
         self.acked_at = None
+        self.probing_since = None
         self.replaced_at = now
         self.role = ""
         self.data_centre = ""
@@ -51,6 +56,7 @@
         self.wanted = set()
         self.sequence = 0
         self.next_heartbeat_at = 0.0
+        self.ticked_at = None
 
     def want(self, addresses, now):
         """Set the peers to probe, in place of those set before.
@@ -63,7 +69,11 @@
             self.peers.setdefault(address, Peer(address, now))
 
     def hear(self, sender, now):
-        """Note that a message from a peer has arrived."""
+        """Note that a message other than a heartbeat has arrived from a peer."""
+        self.note_sender(sender, now).active_at = now
+
+    def note_sender(self, sender, now):
+        """Store what an envelope tells of a peer, and return the peer."""
         peer = self.peers.get(sender.name)
         if peer is None:
             peer = self.peers[sender.name] = Peer(sender.name, now)
@@ -71,58 +81,105 @@
         peer.incarnation = sender.incarnation
         peer.version = sender.version
         peer.digest = sender.digest
+        return peer
 
     def handle(self, sender, message, now):
-        self.hear(sender, now)
+        peer = self.note_sender(sender, now)
         if isinstance(message, Heartbeat):
-            self.note_state(sender, message)
+            self.note_state(peer, message)
+            if message.is_wanted:
+                peer.probed_at = now
             ack = HeartbeatAck(
                 message.sequence, self.role, self.data_centre, self.is_leaving
             )
             return [Send(sender.name, ack)]
         if isinstance(message, HeartbeatAck):
-            self.note_state(sender, message)
-            self.peers[sender.name].acked_at = now
+            self.note_state(peer, message)
+            peer.acked_at = now
         return []
 
-    def note_state(self, sender, message):
+    def note_state(self, peer, message):
         """Store role, data centre and draining state of a peer."""
-        peer = self.peers[sender.name]
         peer.role = message.role
         peer.data_centre = message.data_centre
         peer.is_leaving = message.leaving
 
     def tick(self, now):
+        self.skip_pause(now)
         if now < self.next_heartbeat_at:
             return []
         self.next_heartbeat_at = now + HEARTBEAT_INTERVAL_S
         self.sequence += 1
-        probe = Heartbeat(self.sequence, self.role, self.data_centre, self.is_leaving)
-        actions = [ReplaceLink(address) for address in self.find_silent(now)]
-        actions += [Send(address, probe) for address in sorted(self.find_probed(now))]
+        needed = self.find_needed(now)
+        probed = sorted(needed | self.find_probing(now))
+        self.end_probes(set(probed))
+        actions = [ReplaceLink(address) for address in self.find_silent(probed, now)]
+        actions += [
+            Send(address, self.build_probe(address in needed)) for address in probed
+        ]
         self.forget(now)
         return actions
 
-    def find_probed(self, now):
-        """Return wanted peers and those heard from lately."""
-        heard = {
+    def build_probe(self, is_wanted):
+        """Return the heartbeat of this tick."""
+        return Heartbeat(
+            self.sequence, self.role, self.data_centre, self.is_leaving, is_wanted
+        )
+
+    def find_needed(self, now):
+        """Return wanted peers and those that have sent real messages lately."""
+        active = {
+            address
+            for address, peer in self.peers.items()
+            if peer.active_at is not None and now - peer.active_at < ACTIVE_FOR_S
+        }
+        return self.wanted | active
+
+    def find_probing(self, now):
+        """Return peers that probe this process on their own account.
+
+        They are probed back, since only the sender's own unanswered probes show that
+        its outgoing connection has gone silent.
+        """
+        return {
             address
             for address, peer in self.peers.items()
-            if peer.heard_at is not None and now - peer.heard_at < SILENCE_TIMEOUT_S
+            if peer.probed_at is not None and now - peer.probed_at < SILENCE_TIMEOUT_S
         }
-        return self.wanted | heard
 
-    def find_silent(self, now):
-        """Return peers whose link is to be replaced: probed, but not answering."""
+    def find_silent(self, probed, now):
+        """Return probed peers that have not answered within the silence timeout."""
         silent = []
-        for address in sorted(self.find_probed(now)):
+        for address in probed:
             peer = self.peers[address]
-            last = max(peer.acked_at or 0.0, peer.replaced_at)
+            if peer.probing_since is None:
+                peer.probing_since = now
+            last = max(peer.acked_at or 0.0, peer.probing_since, peer.replaced_at)
             if now - last >= SILENCE_TIMEOUT_S:
                 peer.replaced_at = now
                 silent.append(address)
         return silent
 
+    def end_probes(self, probed):
+        """Note which peers are no longer probed."""
+        for address in self.peers.keys() - probed:
+            self.peers[address].probing_since = None
+
+    def skip_pause(self, now):
+        """Move the times of all peers on if this process itself has been paused.
+
+        Without it, a process that wakes late would take every peer for dead.
+        """
+        pause_s = now - self.ticked_at if self.ticked_at is not None else 0.0
+        self.ticked_at = now
+        if pause_s < PAUSE_S:
+            return
+        for peer in self.peers.values():
+            if peer.heard_at is not None:
+                peer.heard_at = min(now, peer.heard_at + pause_s)
+            if peer.acked_at is not None:
+                peer.acked_at = min(now, peer.acked_at + pause_s)
+
     def forget(self, now):
         """Drop peers that are not wanted and have been silent for long."""
         for address in list(self.peers):
--- a/catkinfork/processes/__init__.py
+++ b/catkinfork/processes/__init__.py
@@ -0,0 +1,23 @@
+"""The processes: thin shells around the decision objects."""
+
+from catkinfork.processes._agent import AgentProcess
+from catkinfork.processes._base import BaseProcess
+from catkinfork.processes._router import RouterProcess
+from catkinfork.processes._server import PortInUseError
+from catkinfork.processes._status import (
+    BackendServerState,
+    DataCentreState,
+    FleetState,
+    ProcessState,
+)
+
+__all__ = [
+    "AgentProcess",
+    "BackendServerState",
+    "BaseProcess",
+    "DataCentreState",
+    "FleetState",
+    "PortInUseError",
+    "ProcessState",
+    "RouterProcess",
+]
--- /dev/null
+++ b/catkinfork/processes/_admin.py
@@ -0,0 +1,52 @@
+"""ASGI application for metrics, health and status."""
+
+import msgspec
+
+from catkinfork.gateway import answer_lifespan, send_whole
+from catkinfork.processes._metrics import MetricSet
+
+JSON_HEADERS = [("content-type", "application/json")]
+
+
+class AdminApplication:
+    """Answers on the admin port of a process.
+
+    ``/health/live`` answers while the loop runs, ``/health/ready`` only while the
+    process takes work, ``/metrics`` in the Prometheus format, ``/status`` with the
+    state of the whole fleet as JSON.
+
+    :param process: :class:`BaseProcess`.
+    """
+
+    def __init__(self, process):
+        self.process = process
+        self.metrics = MetricSet(process)
+
+    async def __call__(self, scope, receive, send):
+        if scope["type"] == "lifespan":
+            await answer_lifespan(receive, send)
+        elif scope["type"] == "http":
+            await self.answer(scope, send)
+
+    async def answer(self, scope, send):
+        """Answer one request by its path."""
+        path = scope["path"]
+        if path == "/health/live":
+            await send_whole(send, 200, JSON_HEADERS, b'{"live":true}')
+        elif path == "/health/ready":
+            is_ready = self.process.is_ready()
+            body = b'{"ready":true}' if is_ready else b'{"ready":false}'
+            await send_whole(send, 200 if is_ready else 503, JSON_HEADERS, body)
+        elif path == "/metrics":
+            accepts = [
+                value.decode("latin-1")
+                for name, value in scope["headers"]
+                if name.lower() == b"accept"
+            ]
+            body, headers = self.metrics.render(accepts)
+            await send_whole(send, 200, list(headers.items()), body)
+        elif path == "/status":
+            status = await self.process.collect_status()
+            await send_whole(send, 200, JSON_HEADERS, msgspec.json.encode(status))
+        else:
+            await send_whole(send, 404, JSON_HEADERS, b'{"error":"not found"}')
--- /dev/null
+++ b/catkinfork/processes/_base.py
@@ -0,0 +1,531 @@
+"""What the router and the agent have in common: the shell around the decisions."""
+
+import signal
+import time
+from abc import ABC, abstractmethod
+
+import anyio
+import anyio.lowlevel
+
+from catkinfork.configuration import (
+    AdoptDocument,
+    ConfigurationState,
+    HttpConfigurationSource,
+    HttpHostList,
+)
+from catkinfork.membership import PeerTable, ReplaceLink, rank_candidates
+from catkinfork.observability import EventLog, LogEvent, log_event
+from catkinfork.processes._admin import AdminApplication
+from catkinfork.processes._events import (
+    DISPATCHERS_CHANGED,
+    DRAIN_ENDED,
+    DRAIN_STARTED,
+    FRAME_REJECTED,
+    FRAME_UNSENDABLE,
+    KEY_FILE_FAILED,
+    KEYS_CHANGED,
+    LINK_REPLACED,
+    PROCESS_READY,
+    PROCESS_STARTED,
+    WRONG_RECEIVER,
+)
+from catkinfork.processes._server import bind_port, serve_application
+from catkinfork.processes._status import StatusCollector
+from catkinfork.protocol import (
+    DocumentReply,
+    DocumentRequest,
+    FrameTooLargeError,
+    Heartbeat,
+    HeartbeatAck,
+    KeyFileError,
+    KeyRing,
+    Send,
+    Sender,
+    StatusReply,
+    StatusRequest,
+    Transport,
+)
+
+TICK_INTERVAL_S = 0.005
+IDLE_TICK_INTERVAL_S = 0.05
+REVIEW_INTERVAL_S = 0.1
+KEY_FILE_INTERVAL_S = 2.0
+READINESS_DELAY_S = 1.0
+LAST_MESSAGES_S = 0.3
+N_DISPATCHERS = 2
+N_CANDIDATES = 3
+
+
+class BaseProcess(ABC):
+    """A process of the fleet: I/O and clock around the decision objects.
+
+    :param settings: :class:`RouterSettings` or :class:`AgentSettings`.
+    """
+
+    role = ""
+
+    def __init__(self, settings):
+        self.settings = settings
+        self.fleet = settings.fleet
+        self.incarnation = int(time.time() * 1000)
+        self.started_at = time.monotonic()
+        self.keys = KeyRing(self.fleet.key_file)
+        self.log = EventLog(settings.log, self.fleet.address)
+        self.peers = PeerTable(self.role, self.fleet.data_centre)
+        self.configuration = ConfigurationState(settings.platform.environment)
+        self.transport = Transport(
+            self.fleet.address,
+            self.keys,
+            self.identify,
+            self.receive,
+            self.reject,
+        )
+        self.status = StatusCollector(self)
+        self.hosts = []
+        self.dispatchers = {}
+        self.has_started = False
+        self.is_draining = False
+        self.stop = anyio.Event()
+        self.work = anyio.Event()
+
+    # Decisions of the role.
+
+    @abstractmethod
+    def list_cores(self):
+        """Return the decision objects that tick."""
+
+    @abstractmethod
+    def handle(self, sender, message, now):
+        """Return the actions for a message of the role, or None if it has none."""
+
+    @abstractmethod
+    def perform(self, action, now):
+        """Carry out an action of the role."""
+
+    @abstractmethod
+    def adopt(self, view, now):
+        """Return the actions for a new document in force."""
+
+    @abstractmethod
+    def set_dispatchers(self, pool, addresses, now):
+        """Return the actions for the live dispatchers of a pool, first choice first."""
+
+    @abstractmethod
+    def review(self, now):
+        """Return the actions of the regular review of peers and hosts."""
+
+    @abstractmethod
+    def list_pools(self):
+        """Return the names of the pools in which this process takes part."""
+
+    @abstractmethod
+    def count_open(self):
+        """Return the number of requests that a stop would cut."""
+
+    @abstractmethod
+    def start_drain(self, now):
+        """Return the actions that stop the taking of new work."""
+
+    @abstractmethod
+    def list_backend_servers(self):
+        """Return the :class:`BackendServerStatus` of this process."""
+
+    @abstractmethod
+    def list_metrics(self):
+        """Yield ``(name, help, labels, value)`` for each metric."""
+
+    # State that others ask for.
+
+    def identify(self):
+        """Return the :class:`Sender` of this process now."""
+        view = self.configuration.view
+        if view is None:
+            return Sender(self.fleet.address, self.incarnation)
+        return Sender(self.fleet.address, self.incarnation, view.version, view.digest)
+
+    def is_ready(self):
+        """Return whether the process takes work."""
+        return (
+            self.has_started
+            and not self.is_draining
+            and self.configuration.view is not None
+        )
+
+    def list_routers(self):
+        """Return the inner addresses of routers that are not leaving."""
+        listed = [
+            host.address
+            for host in self.hosts
+            if host.role == "router" and host.state == "live"
+        ]
+        return listed or list(self.fleet.seeds)
+
+    def list_known_addresses(self):
+        """Return the inner addresses of all processes of the fleet."""
+        addresses = set(self.list_routers()) | {self.fleet.address}
+        if self.configuration.view is not None:
+            servers = self.configuration.view.document.backend_servers
+            addresses |= {entry.agent for entry in servers}
+        return addresses
+
+    async def collect_status(self):
+        """Return the state of the fleet as :class:`FleetState`."""
+        return await self.status.collect()
+
+    # Messages and actions.
+
+    def receive(self, sender, message):
+        """Take a message from the transport."""
+        now = time.monotonic()
+        self.apply(self.configuration.hear(sender, now), now)
+        if isinstance(message, Heartbeat | HeartbeatAck):
+            self.apply(self.peers.handle(sender, message, now), now)
+            return
+        self.peers.hear(sender, now)
+        if isinstance(message, DocumentRequest | DocumentReply):
+            self.apply(self.configuration.handle(sender, message, now), now)
+        elif isinstance(message, StatusRequest):
+            self.transport.send(sender.name, self.build_status_reply(message))
+        elif isinstance(message, StatusReply):
+            self.status.hear(sender, message)
+        else:
+            self.receive_for_role(sender, message, now)
+
+    def receive_for_role(self, sender, message, now):
+        """Hand a message to the decisions of the role."""
+        actions = self.handle(sender, message, now)
+        if actions is None:
+            event = log_event(
+                WRONG_RECEIVER, peer=sender.name, message=type(message).__name__
+            )
+            self.log.write(event)
+            return
+        self.apply(actions, now)
+        self.work.set()
+
+    def build_status_reply(self, request):
+        """Return the state of this process."""
+        identity = self.identify()
+        return StatusReply(
+            request.request,
+            self.role,
+            self.fleet.data_centre,
+            identity.version,
+            identity.digest,
+            self.configuration.has_conflict,
+            self.is_ready(),
+            self.list_backend_servers(),
+        )
+
+    def reject(self, error):
+        """Log an inner message that was dropped."""
+        self.log.write(
+            log_event(
+                FRAME_REJECTED,
+                reason=error.reason,
+                peer=error.peer,
+                detail=error.detail,
+            )
+        )
+
+    def apply(self, actions, now):
+        """Carry out actions in their order."""
+        for action in actions:
+            if isinstance(action, Send):
+                self.send(action)
+            elif isinstance(action, LogEvent):
+                self.log.write(action)
+            elif isinstance(action, ReplaceLink):
+                self.replace_link(action.destination)
+            elif isinstance(action, AdoptDocument):
+                self.apply(self.adopt(action.view, now), now)
+                self.review_dispatchers(now)
+            else:
+                self.perform(action, now)
+
+    def send(self, action):
+        """Send a message; one that is too large is logged and dropped."""
+        try:
+            self.transport.send(action.destination, action.message)
+        except FrameTooLargeError as error:
+            self.log.write(
+                log_event(
+                    FRAME_UNSENDABLE, peer=action.destination, detail=error.detail
+                )
+            )
+
+    def replace_link(self, destination):
+        """Close a silent connection."""
+        self.transport.replace(destination)
+        self.log.write(log_event(LINK_REPLACED, peer=destination))
+
+    # Regular work.
+
+    async def tick(self):
+        """Tick the decision objects, often while there is work."""
+        while True:
+            with anyio.move_on_after(IDLE_TICK_INTERVAL_S):
+                await self.work.wait()
+            self.work = anyio.Event()
+            now = time.monotonic()
+            self.apply(self.peers.tick(now), now)
+            self.apply(self.configuration.tick(now), now)
+            for core in self.list_cores():
+                self.apply(core.tick(now), now)
+            if self.count_open():
+                self.work.set()
+            await anyio.sleep(TICK_INTERVAL_S)
+
+    async def review_regularly(self):
+        """Review peers, hosts and dispatchers."""
+        while True:
+            now = time.monotonic()
+            self.review_dispatchers(now)
+            self.apply(self.review(now), now)
+            await anyio.sleep(REVIEW_INTERVAL_S)
+
+    def review_dispatchers(self, now):
+        """Choose the live dispatchers of each pool and the peers to probe."""
+        routers = set(self.list_routers())
+        wanted = set()
+        for pool in self.list_pools():
+            ranked = rank_candidates(pool, routers)
+            live = [address for address in ranked if self.can_dispatch(address, now)]
+            chosen = live[:N_DISPATCHERS]
+            last = ranked.index(chosen[-1]) if chosen else 0
+            wanted.update(ranked[: max(N_CANDIDATES, last + 1)])
+            if chosen != self.dispatchers.get(pool):
+                self.dispatchers[pool] = chosen
+                self.log.write(
+                    log_event(
+                        DISPATCHERS_CHANGED, pool=pool, dispatchers=",".join(chosen)
+                    )
+                )
+                self.apply(self.set_dispatchers(pool, chosen, now), now)
+        if self.configuration.view is None:
+            wanted.update(routers)
+        wanted.discard(self.fleet.address)
+        self.peers.want(wanted, now)
+
+    def can_dispatch(self, address, now):
+        """Return whether a router may act as dispatcher."""
+        if address == self.fleet.address:
+            return not self.is_draining
+        peer = self.peers.peers.get(address)
+        if peer is not None and peer.is_leaving:
+            return False
+        return self.peers.is_live(address, now)
+
+    async def watch_keys(self):
+        """Read the key file again when it changes."""
+        while True:
+            await anyio.sleep(KEY_FILE_INTERVAL_S)
+            try:
+                if self.keys.load():
+                    key_id = self.keys.keys[0].key_id.hex()
+                    event = log_event(
+                        KEYS_CHANGED,
+                        signing_key_id=key_id,
+                        n_keys=len(self.keys.keys),
+                    )
+                    self.log.write(event)
+            except KeyFileError as error:
+                self.log.write(log_event(KEY_FILE_FAILED, detail=str(error)))
+
+    def take_document(self, content):
+        """Offer a value of the configuration service."""
+        now = time.monotonic()
+        self.apply(self.configuration.offer(content, "configuration service", now), now)
+
+    def take_hosts(self, hosts):
+        """Take a new host list."""
+        self.hosts = hosts
+        self.review_dispatchers(time.monotonic())
+
+    async def become_ready(self):
+        """Ask service and peers for a document, then take work."""
+        asked = set()
+        while self.configuration.view is None or self.wait_left() > 0:
+            for address in set(self.list_routers()) - asked - {self.fleet.address}:
+                asked.add(address)
+                self.transport.send(address, DocumentRequest(0, ""))
+            await anyio.sleep(min(0.05, max(self.wait_left(), 0.01)))
+        self.has_started = True
+        view = self.configuration.view
+        self.log.write(
+            log_event(
+                PROCESS_READY,
+                role=self.role,
+                version=view.version,
+                digest=view.digest[:12],
+                waited_s=time.monotonic() - self.started_at,
+            )
+        )
+
+    def wait_left(self):
+        """Return the rest of the start-up wait, in seconds."""
+        waited = time.monotonic() - self.started_at
+        return self.settings.platform.startup_wait_s - waited
+
+    # Start and stop.
+
+    async def run(self):
+        """Run until SIGTERM or SIGINT, then drain.
+
+        :raises PortInUseError: if a port is taken.
+        :raises KeyFileError: if the key file cannot be read at the start.
+        """
+        self.keys.load()
+        self.bind()
+        async with anyio.create_task_group() as tasks:
+            await tasks.start(self.transport.run)
+            self.log_start()
+            tasks.start_soon(self.watch_signals, tasks.cancel_scope)
+            for job in self.list_jobs():
+                tasks.start_soon(job)
+
+    def bind(self):
+        """Bind the ports, the inner one first: it fences off a second process."""
+        self.transport.listen()
+        self.admin_port = bind_port(self.settings.admin.bind)
+
+    def log_start(self):
+        """Log the start."""
+        self.log.write(
+            log_event(
+                PROCESS_STARTED,
+                role=self.role,
+                address=self.fleet.address,
+                data_centre=self.fleet.data_centre,
+                incarnation=self.incarnation,
+            )
+        )
+
+    def list_jobs(self):
+        """Return the coroutines that run beside each other."""
+        return [
+            self.tick,
+            self.review_regularly,
+            self.watch_keys,
+            self.become_ready,
+            self.read_documents,
+            self.read_hosts,
+            self.serve_admin,
+        ]
+
+    async def serve_admin(self):
+        """Serve metrics, health and status."""
+        await serve_application(AdminApplication(self), self.admin_port, self.stop)
+
+    async def read_documents(self):
+        """Read the configuration service."""
+        source = HttpConfigurationSource(
+            self.settings.platform, watches=self.role == "router"
+        )
+        await source.run(self.take_document, self.log.write)
+
+    async def read_hosts(self):
+        """Read the host list."""
+        await HttpHostList(self.settings.platform).run(self.take_hosts, self.log.write)
+
+    async def watch_signals(self, scope):
+        """Drain and end on SIGTERM or SIGINT."""
+        with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+            async for _ in signals:
+                break
+        await self.drain()
+        scope.cancel()
+
+    async def drain(self):
+        """Stop taking work, wait for what is open, within the bound."""
+        started_at = time.monotonic()
+        self.is_draining = True
+        self.peers.is_leaving = True
+        self.log.write(
+            log_event(DRAIN_STARTED, role=self.role, n_open=self.count_open())
+        )
+        await anyio.sleep(READINESS_DELAY_S)
+        now = time.monotonic()
+        self.apply(self.start_drain(now), now)
+        with anyio.move_on_after(self.drain_timeout_s()):
+            while self.count_open():
+                await anyio.sleep(0.02)
+        await anyio.sleep(LAST_MESSAGES_S)
+        self.stop.set()
+        self.log.write(
+            log_event(
+                DRAIN_ENDED,
+                role=self.role,
+                n_left=self.count_open(),
+                waited_s=time.monotonic() - started_at,
+            )
+        )
+        await self.end_servers()
+
+    async def end_servers(self):
+        """Give the HTTP servers time to close; overridden where callers connect."""
+        await anyio.lowlevel.checkpoint()
+
+    @abstractmethod
+    def drain_timeout_s(self):
+        """Return the longest drain in seconds."""
+
+    def count_metrics(self):
+        """Yield the metrics that every process has."""
+        sent = self.transport.count()
+        yield (
+            "catkinfork_messages_sent",
+            "Inner messages sent since the start",
+            {},
+            sent.n_sent,
+        )
+        yield (
+            "catkinfork_messages_received",
+            "Inner messages received since the start",
+            {},
+            sent.n_received,
+        )
+        yield (
+            "catkinfork_sent_bytes",
+            "Bytes of inner messages sent since the start",
+            {},
+            sent.bytes_sent,
+        )
+        yield (
+            "catkinfork_received_bytes",
+            "Bytes of inner messages received since the start",
+            {},
+            sent.bytes_received,
+        )
+        yield (
+            "catkinfork_messages_dropped",
+            "Inner messages dropped at the sender since the start",
+            {},
+            sent.n_dropped,
+        )
+        identity = self.identify()
+        yield (
+            "catkinfork_document_version",
+            "Version of the document in force",
+            {"digest": identity.digest[:12]},
+            identity.version,
+        )
+        yield (
+            "catkinfork_ready",
+            "Whether the process takes work",
+            {},
+            int(self.is_ready()),
+        )
+        yield (
+            "catkinfork_processor_seconds",
+            "Processor time since the start in seconds",
+            {},
+            time.process_time(),
+        )
+        for number, count in sorted(self.log.n_events.items()):
+            yield (
+                "catkinfork_events",
+                "Log events since the start, by number",
+                {"event": str(number)},
+                count,
+            )
--- /dev/null
+++ b/catkinfork/processes/_events.py
@@ -0,0 +1,95 @@
+"""Log events of the processes, 100 to 199."""
+
+from catkinfork.observability import Event
+
+PROCESS_STARTED = Event(
+    101,
+    "info",
+    "process_started",
+    "a process listens on its ports",
+    ("role", "address", "data_centre", "incarnation"),
+)
+PROCESS_READY = Event(
+    102,
+    "info",
+    "process_ready",
+    "a process has a document in force and takes work",
+    ("role", "version", "digest", "waited_s"),
+)
+DRAIN_STARTED = Event(
+    103,
+    "info",
+    "drain_started",
+    "a process was asked to stop; readiness fails from now on",
+    ("role", "n_open"),
+)
+DRAIN_ENDED = Event(
+    104,
+    "info",
+    "drain_ended",
+    "a process stops",
+    ("role", "n_left", "waited_s"),
+)
+FRAME_REJECTED = Event(
+    105,
+    "warning",
+    "frame_rejected",
+    "an inner message was dropped without effect",
+    ("reason", "peer", "detail"),
+)
+KEYS_CHANGED = Event(
+    106,
+    "info",
+    "fleet_keys_changed",
+    "the fleet keys were read again",
+    ("signing_key_id", "n_keys"),
+)
+KEY_FILE_FAILED = Event(
+    107,
+    "error",
+    "fleet_keys_unreadable",
+    "the key file could not be read; the keys in use stay",
+    ("detail",),
+)
+LINK_REPLACED = Event(
+    108,
+    "warning",
+    "link_replaced",
+    "a silent connection was closed and is opened again",
+    ("peer",),
+)
+FRAME_UNSENDABLE = Event(
+    109,
+    "error",
+    "frame_unsendable",
+    "a message was not sent because it is too large",
+    ("peer", "detail"),
+)
+DISPATCHERS_CHANGED = Event(
+    110,
+    "info",
+    "dispatchers_changed",
+    "another router is first in the order of a pool",
+    ("pool", "dispatchers"),
+)
+WRONG_RECEIVER = Event(
+    111,
+    "warning",
+    "message_for_another_role",
+    "a message came that this role does not handle",
+    ("peer", "message"),
+)
+
+EVENTS = (
+    PROCESS_STARTED,
+    PROCESS_READY,
+    DRAIN_STARTED,
+    DRAIN_ENDED,
+    FRAME_REJECTED,
+    KEYS_CHANGED,
+    KEY_FILE_FAILED,
+    LINK_REPLACED,
+    FRAME_UNSENDABLE,
+    DISPATCHERS_CHANGED,
+    WRONG_RECEIVER,
+)
--- /dev/null
+++ b/catkinfork/processes/_router.py
@@ -0,0 +1,187 @@
+"""The router process."""
+
+import random
+import time
+
+import anyio
+
+from catkinfork.dispatch import Dispatcher
+from catkinfork.gateway import (
+    BaseRequestHandler,
+    Gateway,
+    ResponseData,
+    ResponseHead,
+)
+from catkinfork.processes._base import BaseProcess
+from catkinfork.processes._server import (
+    GRACEFUL_TIMEOUT_S,
+    bind_port,
+    serve_application,
+)
+from catkinfork.protocol import (
+    AgentReport,
+    Demand,
+    Grant,
+    PoolSummary,
+    ResponsePart,
+    Sender,
+    StartRefused,
+)
+from catkinfork.routing import Refuse, Respond, RouterCore
+
+AGENT_SILENCE_S = 3.0
+
+
+class RouterProcess(BaseProcess, BaseRequestHandler):
+    """A router: gateway, queues and, for some pools, the dispatcher.
+
+    :param settings: :class:`RouterSettings`.
+    """
+
+    role = "router"
+
+    def __init__(self, settings):
+        super().__init__(settings)
+        self.rng = random.Random(self.incarnation)
+        identity = Sender(self.fleet.address, self.incarnation)
+        self.core = RouterCore(settings, identity, self.rng)
+        self.pool_dispatchers = {}
+        self.exchanges = {}
+        self.callers = anyio.Event()
+
+    # The gateway's view.
+
+    def find_view(self):
+        return self.configuration.view if self.has_started else None
+
+    def read_clock(self):
+        return time.monotonic()
+
+    def submit(self, request, exchange):
+        now = time.monotonic()
+        self.exchanges[request.request_id] = exchange
+        self.apply(self.core.submit(request, now), now)
+        self.work.set()
+
+    def abandon(self, request_id):
+        now = time.monotonic()
+        self.exchanges.pop(request_id, None)
+        self.apply(self.core.abandon(request_id, now), now)
+        self.work.set()
+
+    # The process's decisions.
+
+    def list_cores(self):
+        return [self.core, *self.pool_dispatchers.values()]
+
+    def handle(self, sender, message, now):
+        if isinstance(message, Demand | AgentReport):
+            dispatcher = self.pool_dispatchers.get(message.pool)
+            return dispatcher.handle(sender, message, now) if dispatcher else []
+        if isinstance(message, PoolSummary) and sender.name != self.fleet.address:
+            dispatcher = self.pool_dispatchers.get(message.pool)
+            if dispatcher is not None:
+                dispatcher.seed(message, now)
+        if isinstance(message, Grant | PoolSummary | ResponsePart | StartRefused):
+            return self.core.handle(sender, message, now)
+        return None
+
+    def perform(self, action, now):
+        if isinstance(action, Respond):
+            self.pass_on(action)
+        elif isinstance(action, Refuse):
+            exchange = self.exchanges.pop(action.request_id, None)
+            if exchange is not None:
+                exchange.push(action.refusal)
+
+    def pass_on(self, action):
+        """Hand a part of a response to its exchange."""
+        exchange = self.exchanges.get(action.request_id)
+        if exchange is None:
+            return
+        if action.status:
+            exchange.push(ResponseHead(action.status, action.headers))
+        if action.data or action.is_last:
+            exchange.push(ResponseData(action.data, action.is_last))
+        if action.is_last:
+            del self.exchanges[action.request_id]
+
+    def adopt(self, view, now):
+        actions = []
+        for pool in view.pools:
+            if pool not in self.pool_dispatchers:
+                identity = Sender(self.fleet.address, self.incarnation)
+                self.pool_dispatchers[pool] = Dispatcher(pool, identity, self.rng)
+        for dispatcher in self.pool_dispatchers.values():
+            actions += dispatcher.adopt(view, now)
+        return actions + self.core.adopt(view, now)
+
+    def set_dispatchers(self, pool, addresses, now):
+        return self.core.set_dispatchers(pool, addresses, now)
+
+    def review(self, now):
+        actions = []
+        view = self.configuration.view
+        for entry in view.document.backend_servers if view else ():
+            peer = self.peers.peers.get(entry.agent)
+            if peer is None or peer.heard_at is None:
+                continue
+            if now - peer.heard_at > AGENT_SILENCE_S:
+                actions += self.core.drop_agent(entry.agent, now)
+        return actions
+
+    def list_pools(self):
+        view = self.configuration.view
+        return sorted(view.pools) if view else []
+
+    def count_open(self):
+        return self.core.n_open
+
+    def start_drain(self, now):
+        return self.core.drain(now)
+
+    def list_backend_servers(self):
+        return []
+
+    def drain_timeout_s(self):
+        return self.settings.routing.drain_timeout_s
+
+    # Start and stop.
+
+    def bind(self):
+        super().bind()
+        self.gateway_port = bind_port(self.settings.gateway.bind)
+
+    def list_jobs(self):
+        return [*super().list_jobs(), self.serve_callers]
+
+    async def serve_callers(self):
+        """Serve the port for callers."""
+        gateway = Gateway(self.settings.gateway, self)
+        await serve_application(
+            gateway,
+            self.gateway_port,
+            self.stop,
+            self.settings.gateway.max_header_bytes,
+        )
+        self.callers.set()
+
+    async def end_servers(self):
+        with anyio.move_on_after(GRACEFUL_TIMEOUT_S):
+            await self.callers.wait()
+
+    def list_metrics(self):
+        yield from self.count_metrics()
+        yield (
+            "catkinfork_requests_open",
+            "Requests that wait or run",
+            {},
+            self.core.n_open,
+        )
+        for pool, dispatcher in sorted(self.pool_dispatchers.items()):
+            yield (
+                "catkinfork_dispatcher_agents",
+                "Agents that report to this dispatcher",
+                {"pool": pool},
+                len(dispatcher.agents),
+            )
--- /dev/null
+++ b/catkinfork/processes/_server.py
@@ -0,0 +1,73 @@
+"""HTTP ports of a process, served by hypercorn."""
+
+import socket
+
+from hypercorn.asyncio import serve
+from hypercorn.config import Config
+
+LISTEN_BACKLOG = 1024
+GRACEFUL_TIMEOUT_S = 5.0
+KEEP_ALIVE_S = 75.0
+KEEP_ALIVE_REQUESTS = 1_000_000
+MAX_STREAMS = 1000
+
+
+class PortInUseError(Exception):
+    """A port cannot be bound.
+
+    :param bind: ``host:port``.
+    :param detail: the system's reason.
+    """
+
+    def __init__(self, bind, detail):
+        super().__init__(bind, detail)
+        self.bind = bind
+        self.detail = detail
+
+    def __str__(self):
+        return f"{self.bind} cannot be bound: {self.detail}"
+
+
+def bind_port(bind):
+    """Bind a TCP port.
+
+    :param bind: ``host:port``.
+    :returns: the bound socket.
+    :raises PortInUseError: if the port cannot be bound.
+    """
+    host, _, port = bind.rpartition(":")
+    host = host.strip("[]")
+    family = socket.AF_INET6 if ":" in host else socket.AF_INET
+    bound = socket.socket(family, socket.SOCK_STREAM)
+    bound.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    bound.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    bound.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    try:
+        bound.bind((host, int(port)))
+    except OSError as error:
+        bound.close()
+        raise PortInUseError(bind, str(error)) from error
+    return bound
+
+
+async def serve_application(application, bound, stop, max_header_bytes=16384):
+    """Serve an ASGI application over HTTP/1.1 and HTTP/2 until told to stop.
+
+    :param application: ASGI application.
+    :param bound: socket from :func:`bind_port`.
+    :param stop: event that ends the server gracefully.
+    :param max_header_bytes: largest request head.
+    """
+    config = Config()
+    config.bind = [f"fd://{bound.detach()}"]
+    config.accesslog = None
+    config.errorlog = None
+    config.include_server_header = False
+    config.backlog = LISTEN_BACKLOG
+    config.graceful_timeout = GRACEFUL_TIMEOUT_S
+    config.keep_alive_timeout = KEEP_ALIVE_S
+    config.keep_alive_max_requests = KEEP_ALIVE_REQUESTS
+    config.h2_max_concurrent_streams = MAX_STREAMS
+    config.h11_max_incomplete_size = max_header_bytes
+    config.h2_max_header_list_size = max_header_bytes
+    await serve(application, config, shutdown_trigger=stop.wait)
--- a/catkinfork/protocol/_messages.py
+++ b/catkinfork/protocol/_messages.py
@@ -30,12 +30,15 @@
     :param role: ``router`` or ``agent``.
     :param data_centre: data centre of the sender.
     :param leaving: whether the sender is draining.
+    :param is_wanted: whether the sender needs the link itself. A probe that only
+        answers another probe does not keep the link in use.
     """
 
     sequence: int
     role: str
     data_centre: str
     leaving: bool = False
+    is_wanted: bool = True
 
 
 class HeartbeatAck(NamedTuple):
--- /dev/null
+++ b/standins/local_fleet.py
@@ -0,0 +1,442 @@
+"""A whole fleet on loopback, each process started by hand; for demo and tests."""
+
+import json
+import os
+import secrets
+import signal
+import socket
+import subprocess
+import sys
+import time
+from hashlib import sha256
+from pathlib import Path
+from typing import NamedTuple
+
+import httpx
+
+START_TIMEOUT_S = 20.0
+STOP_TIMEOUT_S = 15.0
+ENVIRONMENT = "production"
+
+
+class LocalFleetError(Exception):
+    """A process of the local fleet did not start or stop as it should."""
+
+
+class ServerLayout(NamedTuple):
+    """A backend server of the local fleet.
+
+    :param name: name in the document.
+    :param data_centre: its data centre.
+    :param pool: its pool.
+    :param serves: models or services.
+    :param max_places: ``max_places`` in the document.
+    :param options: further options of the stand-in.
+    """
+
+    name: str
+    data_centre: str
+    pool: str
+    serves: tuple[str, ...]
+    max_places: int = 4
+    options: tuple[str, ...] = ()
+
+
+class FleetLayout(NamedTuple):
+    """What a local fleet consists of.
+
+    :param data_centres: names of the data centres.
+    :param servers: backend servers.
+    :param router_data_centres: data centre of each router.
+    :param workspaces: share of each workspace by its name.
+    :param pools: kind of each pool by its name.
+    """
+
+    data_centres: tuple[str, ...]
+    servers: tuple[ServerLayout, ...]
+    router_data_centres: tuple[str, ...]
+    workspaces: dict[str, float]
+    pools: dict[str, str]
+
+
+SMALL_LAYOUT = FleetLayout(
+    data_centres=("gasabo", "kicukiro"),
+    servers=(
+        ServerLayout("runner-1", "gasabo", "assistant", ("contract-draft",)),
+        ServerLayout("runner-2", "kicukiro", "assistant", ("contract-draft",)),
+        ServerLayout("runner-3", "kicukiro", "assistant", ("contract-draft",)),
+        ServerLayout("ledger-1", "gasabo", "ledger", ("ledger",)),
+        ServerLayout("ledger-2", "kicukiro", "ledger", ("ledger",)),
+    ),
+    router_data_centres=("gasabo", "kicukiro"),
+    workspaces={"dealers": 2.0, "depots": 1.0},
+    pools={"assistant": "engine", "ledger": "service"},
+)
+
+
+def find_free_ports(n_ports):
+    """Return free loopback ports; all are held until the last is known."""
+    held = [socket.socket() for _ in range(n_ports)]
+    try:
+        for entry in held:
+            entry.bind(("127.0.0.1", 0))
+        return [entry.getsockname()[1] for entry in held]
+    finally:
+        for entry in held:
+            entry.close()
+
+
+class LocalFleet:
+    """Processes of a fleet and its stand-ins on loopback.
+
+    :param directory: empty folder for settings and logs.
+    :param layout: :class:`FleetLayout`.
+    :param overrides: settings by ``(section, key)`` that differ from the defaults.
+    :param program: command that starts the program.
+    """
+
+    def __init__(self, directory, layout=SMALL_LAYOUT, overrides=None, program=None):
+        self.directory = Path(directory)
+        self.layout = layout
+        self.overrides = overrides or {}
+        self.program = program or (sys.executable, "-m", "catkinfork")
+        self.processes = {}
+        self.commands = {}
+        self.n_starts = {}
+        self.ports = {}
+        self.api_keys = {name: secrets.token_hex(16) for name in layout.workspaces}
+        self.routers = [
+            f"router-{n}" for n in range(1, len(layout.router_data_centres) + 1)
+        ]
+        self.leaving = set()
+
+    # Layout.
+
+    def allot_ports(self):
+        """Choose a port for everything that listens."""
+        names = ["configuration", "hosts"]
+        names += [server.name for server in self.layout.servers]
+        for name in self.list_members():
+            names += [f"{name}/inner", f"{name}/admin"]
+        names += [f"{name}/callers" for name in self.routers]
+        self.ports = dict(zip(names, find_free_ports(len(names)), strict=True))
+
+    def list_members(self):
+        """Return the names of routers and agents."""
+        return self.routers + [f"agent-{server.name}" for server in self.layout.servers]
+
+    def locate(self, name):
+        """Return ``127.0.0.1:port`` of something that listens."""
+        return f"127.0.0.1:{self.ports[name]}"
+
+    def find_url(self, name):
+        """Return the base URL of something that listens."""
+        return f"http://{self.locate(name)}"
+
+    def build_document(self, version, out=(), states=None):
+        """Return the document.
+
+        :param version: its version.
+        :param out: names of data centres out of service.
+        :param states: state of backend servers that are not in service.
+        """
+        states = states or {}
+        return {
+            "environment": ENVIRONMENT,
+            "version": version,
+            "region": "rw-central",
+            "workspaces": [
+                {
+                    "name": name,
+                    "share": share,
+                    "key_digests": [sha256(self.api_keys[name].encode()).hexdigest()],
+                }
+                for name, share in self.layout.workspaces.items()
+            ],
+            "data_centres": [
+                {"name": name, "state": "out" if name in out else "in_service"}
+                for name in self.layout.data_centres
+            ],
+            "pools": [
+                {"name": name, "kind": kind, "max_cost": 20000}
+                for name, kind in self.layout.pools.items()
+            ],
+            "backend_servers": [
+                {
+                    "name": server.name,
+                    "data_centre": server.data_centre,
+                    "pool": server.pool,
+                    "agent": self.locate(f"agent-{server.name}/inner"),
+                    "serves": list(server.serves),
+                    "max_places": server.max_places,
+                    "state": states.get(server.name, "in_service"),
+                }
+                for server in self.layout.servers
+            ],
+        }
+
+    def list_hosts(self):
+        """Return the host list as the platform would publish it."""
+        hosts = []
+        for name, data_centre in zip(
+            self.routers, self.layout.router_data_centres, strict=True
+        ):
+            hosts.append(self.describe_host(name, "router", data_centre))
+        for server in self.layout.servers:
+            name = f"agent-{server.name}"
+            hosts.append(self.describe_host(name, "agent", server.data_centre))
+        return {"hosts": hosts}
+
+    def describe_host(self, name, role, data_centre):
+        """Return one entry of the host list."""
+        return {
+            "address": self.locate(f"{name}/inner"),
+            "role": role,
+            "data_centre": data_centre,
+            "state": "leaving" if name in self.leaving else "live",
+        }
+
+    # Settings.
+
+    def write_settings(self, name, sections):
+        """Write a settings file and return its path."""
+        lines = []
+        for section, options in sections.items():
+            merged = dict(options)
+            for (place, key), value in self.overrides.items():
+                if place == section:
+                    merged[key] = value
+            lines.append(f"[{section}]")
+            lines += [f"{key} = {value}" for key, value in merged.items()]
+        path = self.directory / f"{name}.ini"
+        path.write_text("\n".join(lines) + "\n")
+        return path
+
+    def build_common(self, name, data_centre):
+        """Return the settings that routers and agents share."""
+        return {
+            "fleet": {
+                "address": self.locate(f"{name}/inner"),
+                "data_centre": data_centre,
+                "key_file": self.directory / "fleet.keys",
+                "seeds": ",".join(
+                    self.locate(f"{router}/inner") for router in self.routers
+                ),
+            },
+            "platform": {
+                "configuration_url": self.find_url("configuration"),
+                "environment": ENVIRONMENT,
+                "hosts_url": self.find_url("hosts") + "/v1/hosts",
+                "hosts_interval_s": 0.5,
+            },
+            "admin": {"bind": self.locate(f"{name}/admin")},
+            "log": {"format": "json"},
+        }
+
+    def add_router(self, name, data_centre):
+        """Write the settings of a router and note its command."""
+        sections = self.build_common(name, data_centre)
+        sections["gateway"] = {"bind": self.locate(f"{name}/callers")}
+        sections["routing"] = {}
+        path = self.write_settings(name, sections)
+        self.commands[name] = [*self.program, "router", "--settings", str(path)]
+
+    def add_agent(self, server):
+        """Write the settings of an agent and note its command."""
+        name = f"agent-{server.name}"
+        sections = self.build_common(name, server.data_centre)
+        sections["backend"] = {"name": server.name, "url": self.find_url(server.name)}
+        sections["execution"] = {"quiet_time_s": 1.0}
+        path = self.write_settings(name, sections)
+        self.commands[name] = [*self.program, "agent", "--settings", str(path)]
+
+    def add_stand_ins(self):
+        """Note the commands of the stand-ins."""
+        document = self.directory / "document.json"
+        document.write_text(json.dumps(self.build_document(1)))
+        hosts = self.directory / "hosts.json"
+        hosts.write_text(json.dumps(self.list_hosts()))
+        python = [sys.executable, "-m"]
+        self.commands["configuration"] = [
+            *(*python, "standins.configuration_service"),
+            *("--bind", self.locate("configuration")),
+            *("--environment", ENVIRONMENT, "--file", str(document)),
+        ]
+        self.commands["hosts"] = [
+            *(*python, "standins.host_list", "--bind", self.locate("hosts")),
+        ]
+        for server in self.layout.servers:
+            self.commands[server.name] = [
+                *python,
+                *self.build_server_command(server),
+                *server.options,
+            ]
+
+    def build_server_command(self, server):
+        """Return the options of a backend server's stand-in."""
+        common = ["--bind", self.locate(server.name), "--name", server.name]
+        if self.layout.pools[server.pool] == "engine":
+            model = ["--model", server.serves[0], "--cold-s", "0"]
+            return ["standins.engine", *common, *model]
+        return ["standins.ledger", *common]
+
+    # Processes.
+
+    def start(self):
+        """Start everything and wait until it takes work."""
+        self.directory.mkdir(parents=True, exist_ok=True)
+        self.allot_ports()
+        key = f"00000001:{secrets.token_hex(32)}\n"
+        (self.directory / "fleet.keys").write_text(key)
+        self.add_stand_ins()
+        for name, data_centre in zip(
+            self.routers, self.layout.router_data_centres, strict=True
+        ):
+            self.add_router(name, data_centre)
+        for server in self.layout.servers:
+            self.add_agent(server)
+        stand_ins = [name for name in self.commands if name not in self.list_members()]
+        for name in stand_ins:
+            self.launch(name)
+        for name in stand_ins:
+            self.wait_for_port(name)
+        self.publish_hosts()
+        for name in self.list_members():
+            self.launch(name)
+        for name in self.list_members():
+            self.wait_ready(name)
+
+    def launch(self, name):
+        """Start one process; its output goes to a file of its own."""
+        self.n_starts[name] = self.n_starts.get(name, 0) + 1
+        environment = {**os.environ, "PYTHONUNBUFFERED": "1"}
+        with (self.directory / f"{name}.log").open("ab") as output:
+            self.processes[name] = subprocess.Popen(
+                self.commands[name],
+                stdin=subprocess.DEVNULL,
+                stdout=output,
+                stderr=output,
+                env=environment,
+            )
+
+    def wait_for_port(self, name):
+        """Wait until something accepts connections."""
+        deadline = time.monotonic() + START_TIMEOUT_S
+        while time.monotonic() < deadline:
+            self.check_running(name)
+            try:
+                socket.create_connection(("127.0.0.1", self.ports[name]), 1.0).close()
+            except OSError:
+                time.sleep(0.02)
+            else:
+                return
+        raise LocalFleetError(f"{name} does not listen after {START_TIMEOUT_S} s")
+
+    def wait_ready(self, name):
+        """Wait until a router or agent is ready."""
+        deadline = time.monotonic() + START_TIMEOUT_S
+        while time.monotonic() < deadline:
+            self.check_running(name)
+            if self.is_ready(name):
+                return
+            time.sleep(0.05)
+        raise LocalFleetError(f"{name} is not ready after {START_TIMEOUT_S} s")
+
+    def is_ready(self, name):
+        """Return whether a router or agent is ready."""
+        try:
+            url = self.find_url(f"{name}/admin") + "/health/ready"
+            return httpx.get(url, timeout=1.0).status_code == 200
+        except httpx.HTTPError:
+            return False
+
+    def check_running(self, name):
+        """Raise if a process has ended."""
+        code = self.processes[name].poll()
+        if code is not None:
+            output = self.read_log(name)[-2000:]
+            raise LocalFleetError(f"{name} ended with {code}: {output}")
+
+    def send_signal(self, name, number):
+        """Send a signal to a process that this fleet has started."""
+        self.processes[name].send_signal(number)
+
+    def kill(self, name):
+        """Kill a process and wait for its end."""
+        self.send_signal(name, signal.SIGKILL)
+        self.processes[name].wait()
+
+    def freeze(self, name):
+        """Stop a process with SIGSTOP."""
+        self.send_signal(name, signal.SIGSTOP)
+
+    def thaw(self, name):
+        """Let a stopped process go on."""
+        self.send_signal(name, signal.SIGCONT)
+
+    def terminate(self, name):
+        """Stop a process with SIGTERM and return its exit code."""
+        self.send_signal(name, signal.SIGTERM)
+        return self.processes[name].wait(timeout=STOP_TIMEOUT_S + 30)
+
+    def restart(self, name):
+        """Start a process that has ended again, with empty state."""
+        self.launch(name)
+        if name in self.list_members():
+            self.wait_ready(name)
+        else:
+            self.wait_for_port(name)
+
+    def stop(self):
+        """End every process that this fleet has started."""
+        for process in self.processes.values():
+            if process.poll() is None:
+                process.send_signal(signal.SIGCONT)
+                process.terminate()
+        deadline = time.monotonic() + STOP_TIMEOUT_S
+        for process in self.processes.values():
+            try:
+                process.wait(timeout=max(0.1, deadline - time.monotonic()))
+            except subprocess.TimeoutExpired:
+                process.kill()
+                process.wait()
+
+    def read_log(self, name):
+        """Return what a process has printed."""
+        path = self.directory / f"{name}.log"
+        return path.read_text(errors="replace") if path.exists() else ""
+
+    def read_events(self, name):
+        """Return the log events of a router or agent as dictionaries."""
+        lines = self.read_log(name).splitlines()
+        return [json.loads(line) for line in lines if line.startswith("{")]
+
+    # Operators.
+
+    def publish(self, document):
+        """Publish a document at the configuration service."""
+        url = f"{self.find_url('configuration')}/control/values/{ENVIRONMENT}"
+        httpx.post(url, content=json.dumps(document)).raise_for_status()
+
+    def publish_hosts(self):
+        """Publish the host list."""
+        url = f"{self.find_url('hosts')}/control/hosts"
+        httpx.put(url, json=self.list_hosts()).raise_for_status()
+
+    def set_mode(self, name, mode):
+        """Set a platform stand-in to ``ok``, ``stale``, ``down`` or ``silent``."""
+        url = f"{self.find_url(name)}/control/mode"
+        httpx.post(url, json={"mode": mode}).raise_for_status()
+
+    def read_status(self, name):
+        """Return the fleet's state as a member tells it."""
+        url = self.find_url(f"{name}/admin") + "/status"
+        return httpx.get(url, timeout=5.0).json()
+
+    def connect(self, router, workspace, timeout_s=30.0):
+        """Return an HTTP client of a workspace at a router."""
+        return httpx.Client(
+            base_url=self.find_url(f"{router}/callers"),
+            headers={"Authorization": f"Bearer {self.api_keys[workspace]}"},
+            timeout=timeout_s,
+        )
