Test routing under late, doubled and missing messages, and close the gaps found

Changes: a request to resume that is lost is sent again after 1 s; a start of which there is no sign is repeated with the same attempt id and ticket, but never for an unkeyed request that may run only once; a refused start with the outcome unknown counts as run; drop_agent keeps attempts whose own start is younger than 1.5 s, because an idle agent that sends nothing looks silent; bodies are freed with the first byte. Ruled out: ending keyed requests after 2 s without their owner, because a change of dispatcher takes up to 3.5 s; 4 s is used.

--- a/catkinfork/routing/_admission.py
+++ b/catkinfork/routing/_admission.py
@@ -27,13 +27,15 @@
     :param entry: :class:`OpenRequest` that is not open yet.
     :param now: monotonic time in seconds.
     """
-    for check in (
+    checks = (
         check_router,
         check_placement,
         check_blocked,
         check_queue,
         check_wait,
-    ):
+        check_owner,
+    )
+    for check in checks:
         refusal = check(state, entry, now)
         if refusal is not None:
             return refusal
@@ -64,24 +66,18 @@
     pool = state.view.pool_of_target.get(request.target)
     if pool is None:
         return make_refusal(UNKNOWN_TARGET, entry.outcome, request.target)
-    servers = [
-        server.name
-        for server in state.view.list_pool(pool)
-        if request.target in server.serves
-    ]
-    if not any(state.view.is_in_service(name) for name in servers):
-        detail = f"0 of {len(servers)} in service"
-        return make_refusal(NO_BACKEND_SERVER, entry.outcome, detail)
-    return check_owner(state, entry, pool, now)
-
-
-def check_owner(state, entry, pool, now):
-    """Check that the owner of a key reports to a dispatcher that is heard."""
+    if state.n_servers[request.target] == 0:
+        return make_refusal(NO_BACKEND_SERVER, entry.outcome, request.target)
+    return None
+
+
+def check_owner(state, entry, now):
+    """Check that the owner of a key has been in a summary lately."""
     if not entry.request.key:
         return None
-    owner = state.classify(entry).required
-    pool_state = state.get_pool(pool)
-    if pool_state.is_fresh(now) and pool_state.is_missing(owner, now):
+    demand_class = state.classify(entry)
+    owner = demand_class.required
+    if state.get_pool(demand_class.pool).is_missing(owner, now):
         return make_refusal(OWNER_UNREACHABLE, entry.outcome, owner)
     return None
 
--- a/catkinfork/routing/_attempts.py
+++ b/catkinfork/routing/_attempts.py
@@ -10,6 +10,8 @@
 SILENCE_TIMEOUT_S = 1.5
 # Several attempts on one agent fall silent together; its link is replaced once.
 REPLACE_INTERVAL_S = 1.0
+# A request to resume or its answer may be lost while keepalives still arrive.
+RESUME_INTERVAL_S = 1.0
 # An agent that has answered none of these requests to resume is given up.
 MAX_SILENCES = 3
 MAX_ENDED = 4096
@@ -32,20 +34,27 @@
         self.agent_incarnation = grant.agent_incarnation
         self.backend_server = grant.backend_server
         self.started_at = now
-        self.heard_at = now
+        self.signed_at = now
+        self.checked_at = now
         self.is_heard = False
         self.n_silences = 0
         self.next_sequence = 0
         self.acked_sequence = 0
         self.acked_at = now
         self.resumed_sequence = -1
+        self.resumed_at = now
 
     def note_sign(self, now):
         """Note that the agent has sent something about this attempt."""
-        self.heard_at = now
+        self.signed_at = now
+        self.checked_at = now
         self.is_heard = True
         self.n_silences = 0
 
+    def is_silent(self, now):
+        """Return whether neither a sign nor the start is recent."""
+        return now - self.signed_at >= SILENCE_TIMEOUT_S
+
     def is_ack_due(self, now):
         """Return whether an acknowledgement is to be sent."""
         if self.next_sequence - self.acked_sequence >= ACK_PARTS:
@@ -58,9 +67,16 @@
         self.acked_at = now
         return ResponseAck(self.id, self.next_sequence)
 
-    def make_resume(self):
+    def is_resume_due(self, now):
+        """Return whether the next part was not requested again lately."""
+        if self.resumed_sequence != self.next_sequence:
+            return True
+        return now - self.resumed_at >= RESUME_INTERVAL_S
+
+    def make_resume(self, now):
         """Return the request to send the missing parts again."""
         self.resumed_sequence = self.next_sequence
+        self.resumed_at = now
         return Resume(self.id, self.next_sequence, self.agent_incarnation)
 
 
@@ -107,7 +123,7 @@
             del self.by_agent[attempt.agent]
             self.replaced_at.pop(attempt.agent, None)
         attempt.entry.attempt = None
-        self.ended[attempt.id] = None
+        self.ended.setdefault(attempt.id)
         if len(self.ended) > MAX_ENDED:
             self.ended.popitem(last=False)
 
--- a/catkinfork/routing/_core.py
+++ b/catkinfork/routing/_core.py
@@ -16,12 +16,13 @@
     DRAIN_STARTED,
     REQUEST_ABANDONED,
 )
-from catkinfork.routing._refusals import AGENT_LOST
+from catkinfork.routing._refusals import AGENT_RESTARTED
 from catkinfork.routing._requests import OpenRequest
 from catkinfork.routing._responses import (
+    fail_attempt,
+    give_up_attempt,
     handle_part,
     handle_start_refused,
-    lose_attempt,
 )
 from catkinfork.routing._starts import handle_grant
 from catkinfork.routing._state import RouterState
@@ -40,8 +41,8 @@
 class RouterCore(BaseCore):
     """Admission, queues, attempts and retries of a router.
 
-    The shell calls :meth:`tick` every 5 ms while it has work and passes every message
-    on, because any message of an agent shows the agent's incarnation.
+    The shell calls :meth:`tick` every 5 ms while there are open requests and passes on
+    ``Grant``, ``PoolSummary``, ``ResponsePart`` and ``StartRefused``.
 
     :param settings: :class:`RouterSettings`.
     :param identity: :class:`Sender` of this router.
@@ -78,12 +79,9 @@
         :returns: list of actions.
         """
         actions = []
-        self.state.view = view
-        for pool_state in self.state.pools.values():
-            pool_state.keep_servers(view.backend_servers)
+        self.state.set_view(view, now)
         reclassify_waiting(self.state, now, actions)
-        self.state.send_demands(now, actions)
-        return actions
+        return self.finish(actions, now)
 
     def set_dispatchers(self, pool, addresses, now):
         """Set the live dispatchers of a pool.
@@ -107,21 +105,23 @@
             actions.append(event)
         for address in dropped:
             actions.append(Send(address, demand.make_message(address, [])))
-        self.state.send_demands(now, actions)
-        return actions
+        return self.finish(actions, now)
 
     def drop_agent(self, address, now):
         """End the attempts at an agent that has fallen silent.
 
+        An attempt is kept while its own start or last sign is recent: an agent that
+        had nothing to send counts as silent until it answers a new start.
+
         :param address: inner address of the agent.
         :param now: monotonic time in seconds.
         :returns: list of actions.
         """
         actions = []
         for attempt in self.state.attempts.list_agent(address):
-            lose_attempt(self.state, attempt, AGENT_LOST.code, False, now, actions)
-        self.state.send_demands(now, actions)
-        return actions
+            if attempt.is_silent(now):
+                give_up_attempt(self.state, attempt, now, actions)
+        return self.finish(actions, now)
 
     def submit(self, request, now):
         """Take a request of a caller; refuse it at once or let it wait.
@@ -149,9 +149,8 @@
         pool = state.view.pool_of_target[request.target]
         entry.is_suspect = entry.fingerprint in state.get_pool(pool).suspects
         state.open_request(entry)
-        state.enqueue(entry, state.classify(entry), now)
-        state.send_demands(now, actions)
-        return actions
+        state.enqueue(entry, state.classify(entry))
+        return self.finish(actions, now)
 
     def abandon(self, request_id, now):
         """End a request whose caller has disconnected; it receives no answer.
@@ -175,8 +174,7 @@
         self.state.cancel_attempt(entry, actions)
         self.state.close_request(entry)
         self.state.counters.n_abandoned += 1
-        self.state.send_demands(now, actions)
-        return actions
+        return self.finish(actions, now)
 
     def drain(self, now):
         """Refuse new requests from now on and let the open ones finish.
@@ -194,6 +192,7 @@
 
     def handle(self, sender, message, now):
         actions = []
+        refuse_expired(self.state, now, actions)
         self.end_old_attempts(sender, now, actions)
         if isinstance(message, ResponsePart):
             handle_part(self.state, sender, message, now, actions)
@@ -203,19 +202,37 @@
             handle_start_refused(self.state, sender, message, now, actions)
         elif isinstance(message, PoolSummary):
             self.handle_summary(sender, message, now, actions)
-        self.state.send_demands(now, actions)
-        return actions
+        return self.finish(actions, now)
 
     def handle_summary(self, sender, summary, now, actions):
         """Take the state of a pool from its dispatcher."""
-        if self.state.get_pool(summary.pool).note_summary(sender, summary, now):
+        pool_state = self.state.pools.get(summary.pool)
+        if pool_state is None:
+            return
+        if pool_state.note_summary(sender, summary, now):
             apply_summary(self.state, summary.pool, now, actions)
 
+    def finish(self, actions, now):
+        """Add the demand that is due and check the counts.
+
+        :returns: the list of actions.
+        :raises InvariantError: if the counts contradict each other.
+        """
+        self.state.send_demands(now, actions)
+        n_running = len(self.state.attempts.live)
+        check_invariant(
+            self.n_open == self.n_waiting + n_running,
+            "each open request either waits or has one live attempt",
+            (self.n_open, self.n_waiting, n_running),
+        )
+        return actions
+
     def end_old_attempts(self, sender, now, actions):
         """End the attempts at an earlier incarnation of an agent."""
         for attempt in self.state.attempts.list_agent(sender.name):
             if attempt.agent_incarnation < sender.incarnation:
-                lose_attempt(self.state, attempt, AGENT_LOST.code, True, now, actions)
+                code = AGENT_RESTARTED.code
+                fail_attempt(self.state, attempt, code, True, now, actions)
 
     def tick(self, now):
         actions = []
@@ -224,5 +241,4 @@
             self.scanned_at = now
             check_attempts(self.state, now, actions)
             refuse_unowned(self.state, now, actions)
-        self.state.send_demands(now, actions)
-        return actions
+        return self.finish(actions, now)
--- a/catkinfork/routing/_demand.py
+++ b/catkinfork/routing/_demand.py
@@ -113,7 +113,7 @@
 
 def make_entry(demand_class, queue, now):
     """Return the demand entry of one class."""
-    oldest = min(entry.submitted_at for entry in queue.values())
+    oldest = next(iter(queue.values())).submitted_at
     return DemandEntry(
         demand_class.workspace,
         demand_class.target,
--- a/catkinfork/routing/_pools.py
+++ b/catkinfork/routing/_pools.py
@@ -1,7 +1,10 @@
 """What the router has heard of a pool from its dispatchers."""
 
-# Four summaries in a row; with fewer, a change of dispatcher would look like a fault.
+# Four summaries in a row.
 SUMMARY_LIFETIME_S = 2.0
+# Longer than a change of dispatcher takes: 1.5 s until routers notice, as much until
+# agents do, and 0.5 s until the next summary.
+OWNER_TIMEOUT_S = 4.0
 
 
 class PoolState:
@@ -37,7 +40,8 @@
         self.suspects = frozenset(summary.suspects)
         self.blocked = frozenset(summary.blocked)
         for name in summary.backend_servers:
-            self.listed_at[name] = now
+            if name in self.listed_at:
+                self.listed_at[name] = now
         return True
 
     def is_fresh(self, now):
@@ -49,19 +53,10 @@
         return self.waits_s.get(workspace, 0.0) if self.is_fresh(now) else 0.0
 
     def is_missing(self, backend_server, now):
-        """Return whether a backend server has not reported to the dispatcher lately.
-
-        True also if no summary has arrived lately.
-        """
+        """Return whether a backend server has not been in a summary for a while."""
         listed_at = self.listed_at.get(backend_server)
-        return listed_at is None or now - listed_at >= SUMMARY_LIFETIME_S
+        return listed_at is None or now - listed_at >= OWNER_TIMEOUT_S
 
-    def drop_server(self, backend_server):
-        """Forget that a backend server has reported."""
-        self.listed_at.pop(backend_server, None)
-
-    def keep_servers(self, names):
-        """Forget backend servers that are not in the document."""
-        self.listed_at = {
-            name: heard_at for name, heard_at in self.listed_at.items() if name in names
-        }
+    def set_servers(self, names, now):
+        """Set the backend servers of the document; new ones count as just listed."""
+        self.listed_at = {name: self.listed_at.get(name, now) for name in names}
--- a/catkinfork/routing/_queues.py
+++ b/catkinfork/routing/_queues.py
@@ -144,11 +144,15 @@
 
 
 def rank_head(head, grant):
-    """Return the sort key of a candidate: exact class first, then the oldest."""
+    """Return the sort key of a candidate.
+
+    The exact class comes first, then a prefix on the granted server, then the oldest.
+    """
     demand_class = head.demand_class
     is_exact = (
         demand_class.required == grant.required
         and demand_class.preferred == grant.preferred
         and demand_class.suspect == grant.suspect
     )
-    return (not is_exact, head.number)
+    is_preferred = demand_class.preferred == grant.backend_server
+    return (not is_exact, not is_preferred, head.number)
--- a/catkinfork/routing/_refusals.py
+++ b/catkinfork/routing/_refusals.py
@@ -69,7 +69,8 @@
 FIRST_BYTE_TIMEOUT = RefusalCode(
     "first_byte_timeout", 504, "the backend server did not begin to answer in time"
 )
-AGENT_LOST = RefusalCode("agent_lost", 502, "the agent has restarted or fallen silent")
+AGENT_LOST = RefusalCode("agent_lost", 502, "the agent has fallen silent")
+AGENT_RESTARTED = RefusalCode("agent_restarted", 502, "the agent has restarted")
 RETRIES_EXHAUSTED = RefusalCode(
     "retries_exhausted", 503, "the retry budget or the number of attempts is used up"
 )
@@ -91,13 +92,26 @@
     DEADLINE_EXCEEDED,
     FIRST_BYTE_TIMEOUT,
     AGENT_LOST,
+    AGENT_RESTARTED,
     RETRIES_EXHAUSTED,
     REDIRECT_LOOP,
 )
 
-# Codes that come from agents and are not in the table are faults behind the router.
-AGENT_STATUS = 502
-AGENT_NOT_RUN_STATUS = 503
+# Status of the codes that agents report, where neither 502 nor 503 describes them.
+AGENT_STATUSES = {
+    "too_expensive": 422,
+    "response_too_large": 502,
+    "key_closed": 409,
+    "key_in_future": 422,
+    "key_outcome_unknown": 409,
+    "key_ran_elsewhere": 409,
+    "key_reused": 422,
+    "key_too_old": 409,
+    "answer_not_kept": 409,
+}
+# Any other code of an agent is a fault behind the router.
+DEFAULT_STATUS = 502
+DEFAULT_NOT_RUN_STATUS = 503
 
 
 def make_refusal(code, outcome, detail="", retry_after_s=DEFAULT_RETRY_AFTER_S):
@@ -121,7 +135,8 @@
     :param detail: message.
     :returns: :class:`Refusal`.
     """
-    known = {entry.code: entry.status for entry in ROUTER_CODES}
-    default = AGENT_NOT_RUN_STATUS if outcome == NOT_RUN else AGENT_STATUS
-    status = known.get(code, default)
+    statuses = {entry.code: entry.status for entry in ROUTER_CODES}
+    statuses.update(AGENT_STATUSES)
+    default = DEFAULT_NOT_RUN_STATUS if outcome == NOT_RUN else DEFAULT_STATUS
+    status = statuses.get(code, default)
     return Refusal(code, status, outcome, DEFAULT_RETRY_AFTER_S, detail)
--- a/catkinfork/routing/_requests.py
+++ b/catkinfork/routing/_requests.py
@@ -100,7 +100,6 @@
         self.request = request
         self.number = number
         self.submitted_at = now
-        self.waiting_since = now
         self.fingerprint = compute_fingerprint(request.workspace, request.body)
         self.demand_class = None
         self.is_suspect = False
@@ -115,6 +114,10 @@
             len(name) + len(value) for name, value in request.headers
         )
 
+    def drop_content(self):
+        """Free the body and the headers, which are needed only to start the request."""
+        self.request = self.request._replace(headers=[], body=b"")
+
     @property
     def is_idempotent(self):
         """Whether it may run more than once."""
--- a/catkinfork/routing/_responses.py
+++ b/catkinfork/routing/_responses.py
@@ -13,8 +13,9 @@
 )
 from catkinfork.routing._refusals import (
     AGENT_LOST,
-    NO_BACKEND_SERVER,
+    AGENT_RESTARTED,
     NOT_RUN,
+    OWNER_UNREACHABLE,
     REDIRECT_LOOP,
     RETRIES_EXHAUSTED,
     UNKNOWN,
@@ -27,8 +28,18 @@
 # Ticket races end after a few rounds; a longer series is a fault.
 MAX_REFUSED_STARTS = 20
 MAX_REDIRECTS = 3
-# Failures that the backend server survives and that would occur again.
-FINAL_FAILURES = frozenset({"cancelled", "too_expensive", "deadline_exceeded"})
+# Failures that would occur again.
+FINAL_FAILURES = frozenset(
+    {"cancelled", "deadline_exceeded", "response_too_large", "too_expensive"}
+)
+# Failures that are no reason to suspect the request of a crash.
+HARMLESS_FAILURES = FINAL_FAILURES | {
+    "agent_lost",
+    "attempt_forgotten",
+    "attempt_unknown",
+    "backend_overloaded",
+    "router_silent",
+}
 
 
 def handle_part(state, sender, part, now, actions):
@@ -39,14 +50,16 @@
         return
     attempt.note_sign(now)
     if part.sequence > attempt.next_sequence:
-        if attempt.resumed_sequence != attempt.next_sequence:
+        if attempt.is_resume_due(now):
             resume_attempt(state, attempt, "gap", now, actions)
         return
     if part.is_keepalive or part.sequence < attempt.next_sequence:
         return
     if part.failure:
-        is_crash = part.failure not in FINAL_FAILURES
-        lose_attempt(state, attempt, part.failure, is_crash, now, actions)
+        attempt.next_sequence += 1
+        actions.append(Send(attempt.agent, attempt.make_ack(now)))
+        state.attempts.note_complete(attempt)
+        fail_attempt(state, attempt, part.failure, True, now, actions)
         return
     forward_part(state, attempt, part, now, actions)
 
@@ -55,6 +68,9 @@
     """Pass a part on to the caller and acknowledge it when due."""
     entry = attempt.entry
     attempt.next_sequence += 1
+    if entry.n_sent == 0:
+        attempt.start = None
+        entry.drop_content()
     entry.n_sent += 1
     if part.is_last:
         finish_attempt(state, attempt, now, actions)
@@ -75,8 +91,8 @@
     """Close a request whose response is complete."""
     entry = attempt.entry
     actions.append(Send(attempt.agent, attempt.make_ack(now)))
-    state.attempts.remove(attempt)
     state.attempts.note_complete(attempt)
+    state.attempts.remove(attempt)
     state.close_request(entry)
     state.counters.n_answered += 1
     event = log_event(
@@ -115,18 +131,18 @@
 def resume_attempt(state, attempt, reason, now, actions):
     """Replace the link to an agent and request the missing parts.
 
-    A start of which the agent has shown no sign is repeated first, with the same
-    attempt id and ticket, which the agent runs at most once.
+    A start of which the agent has shown no sign may have been lost and is repeated
+    first, with the same attempt id and ticket, which the agent runs at most once.
     """
     entry = attempt.entry
     state.counters.n_resumed += 1
     if state.attempts.take_replacement(attempt.agent, now):
         actions.append(ReplaceLink(attempt.agent))
-    if not attempt.is_heard and (entry.is_idempotent or entry.request.key):
+    if may_repeat_start(state, attempt):
         time_left_ms = compute_time_left(entry.request, now)
         start = attempt.start._replace(deadline_ms=time_left_ms)
         actions.append(Send(attempt.agent, start))
-    actions.append(Send(attempt.agent, attempt.make_resume()))
+    actions.append(Send(attempt.agent, attempt.make_resume(now)))
     event = log_event(
         ATTEMPT_RESUMED,
         workspace=entry.request.workspace,
@@ -139,25 +155,36 @@
     actions.append(event)
 
 
+def may_repeat_start(state, attempt):
+    """Return whether a start of which there is no sign is sent once more."""
+    entry = attempt.entry
+    if attempt.is_heard or not state.view.is_in_service(attempt.backend_server):
+        return False
+    return entry.is_idempotent or entry.request.key != ""
+
+
 def handle_start_refused(state, sender, message, now, actions):
     """Queue a request again that an agent did not run, or refuse it."""
     attempt = state.attempts.find(sender, message.attempt)
-    if attempt is None or attempt.next_sequence > 0:
+    if attempt is None:
         return
     entry = attempt.entry
+    has_run = message.outcome != NOT_RUN and not entry.request.key
+    if has_run or attempt.next_sequence > 0:
+        is_retryable = message.is_retryable
+        fail_attempt(state, attempt, message.code, is_retryable, now, actions)
+        return
     state.attempts.remove(attempt)
     entry.n_tries -= 1
     entry.n_refused_starts += 1
-    is_lost = message.outcome == UNKNOWN and not entry.request.key
-    entry.may_have_run = entry.may_have_run or is_lost
     if message.redirect and entry.request.key:
         redirect_request(state, attempt, message, now, actions)
         return
     if message.is_retryable and may_start_again(entry):
         requeue_request(state, attempt, message.code, now, actions)
         return
-    outcome = message.outcome if not entry.may_have_run else UNKNOWN
-    outcome = outcome if outcome == NOT_RUN else UNKNOWN
+    is_not_run = message.outcome == NOT_RUN and not entry.may_have_run
+    outcome = NOT_RUN if is_not_run else UNKNOWN
     refusal = make_agent_refusal(
         message.code, outcome, f"the agent of {attempt.backend_server} refused it"
     )
@@ -186,9 +213,14 @@
         n_redirects=entry.n_redirects,
     )
     actions.append(event)
+    refusal = None
     if entry.n_redirects > MAX_REDIRECTS:
         detail = f"{entry.n_redirects} redirects"
         refusal = make_refusal(REDIRECT_LOOP, entry.outcome, detail)
+    elif not state.view.is_in_service(message.redirect):
+        detail = f"{message.redirect} is out of service"
+        refusal = make_refusal(OWNER_UNREACHABLE, entry.outcome, detail)
+    if refusal is not None:
         state.refuse(entry, refusal, now, actions)
         return
     requeue_request(state, attempt, message.code, now, actions)
@@ -201,12 +233,7 @@
     if refusal is not None:
         state.refuse(entry, refusal, now, actions)
         return
-    demand_class = state.classify(entry)
-    if demand_class is None:
-        refusal = make_refusal(NO_BACKEND_SERVER, entry.outcome)
-        state.refuse(entry, refusal, now, actions)
-        return
-    state.enqueue(entry, demand_class, now, is_first=True)
+    state.enqueue(entry, state.classify(entry), is_first=True)
     state.counters.n_requeued += 1
     event = log_event(
         REQUEST_REQUEUED,
@@ -221,11 +248,17 @@
     actions.append(event)
 
 
-def lose_attempt(state, attempt, code, is_crash, now, actions):
+def give_up_attempt(state, attempt, now, actions):
+    """End an attempt at an agent that is silent but may still run it."""
+    actions.append(Send(attempt.agent, Cancel(attempt.id)))
+    fail_attempt(state, attempt, AGENT_LOST.code, True, now, actions)
+
+
+def fail_attempt(state, attempt, code, is_retryable, now, actions):
     """End an attempt that may have run, and retry the request if that is allowed.
 
     :param code: code of the failure.
-    :param is_crash: whether the backend server may have crashed with the request.
+    :param is_retryable: whether another attempt makes sense.
     """
     entry = attempt.entry
     state.attempts.remove(attempt)
@@ -240,25 +273,27 @@
         n_tries=entry.n_tries,
     )
     actions.append(event)
-    is_final = code in FINAL_FAILURES
+    is_final = code in FINAL_FAILURES or not is_retryable
     if is_final or entry.n_sent or not entry.is_idempotent:
-        detail = f"on {attempt.backend_server} after {attempt.next_sequence} parts"
+        detail = f"on {attempt.backend_server} after {entry.n_sent} parts"
         state.refuse(entry, make_loss(code, detail), now, actions)
         return
-    retry_request(state, attempt, code, is_crash, now, actions)
+    retry_request(state, attempt, code, now, actions)
 
 
 def make_loss(code, detail):
     """Return the refusal of a request whose attempt was lost."""
-    if code == AGENT_LOST.code:
-        return make_refusal(AGENT_LOST, UNKNOWN, detail)
+    for known in (AGENT_LOST, AGENT_RESTARTED):
+        if code == known.code:
+            return make_refusal(known, UNKNOWN, detail)
     return make_agent_refusal(code, UNKNOWN, f"the response failed {detail}")
 
 
-def retry_request(state, attempt, code, is_crash, now, actions):
+def retry_request(state, attempt, code, now, actions):
     """Queue an idempotent request again if the budget allows it."""
     entry = attempt.entry
-    entry.is_suspect = entry.is_suspect or is_crash
+    if code not in HARMLESS_FAILURES:
+        entry.is_suspect = True
     max_attempts = state.settings.routing.max_attempts
     if entry.n_tries >= max_attempts or not state.budget.take():
         detail = (
--- a/catkinfork/routing/_starts.py
+++ b/catkinfork/routing/_starts.py
@@ -20,7 +20,7 @@
         is_in_order = demand.accept_grant(sender, entry.number)
         if not state.tickets.note(entry, now):
             continue
-        request, reason = choose_request(state, grant.pool, entry, is_in_order, now)
+        request, reason = choose_request(state, grant.pool, entry, is_in_order)
         if request is not None:
             start_request(state, request, entry, reason, now, actions)
             continue
@@ -46,7 +46,7 @@
     )
 
 
-def choose_request(state, pool, grant, is_in_order, now):
+def choose_request(state, pool, grant, is_in_order):
     """Return the waiting request for a grant, or None, and the reason.
 
     :param is_in_order: whether the grant is newer than those processed before.
@@ -60,9 +60,18 @@
     request = state.queues.find_match(pool, grant)
     if request is None:
         return None, "no_request"
-    if request.request.deadline <= now:
-        return None, "deadline_passed"
-    return request, "granted"
+    return request, name_reason(request.demand_class, grant)
+
+
+def name_reason(demand_class, grant):
+    """Return why a request runs on the backend server of a grant."""
+    if demand_class.required:
+        return "key_owner"
+    if demand_class.suspect:
+        return "suspect_alone"
+    if demand_class.preferred == grant.backend_server:
+        return "prefix_cached"
+    return "place_free"
 
 
 def check_server(state, pool, grant):
--- a/catkinfork/routing/_state.py
+++ b/catkinfork/routing/_state.py
@@ -47,6 +47,7 @@
         self.settings = settings
         self.identity = identity
         self.view = None
+        self.n_servers = {}
         self.is_draining = False
         self.open = {}
         self.deadlines = []
@@ -60,6 +61,23 @@
         self.budget = RetryBudget(settings.routing.retry_ratio)
         self.counters = RouterCounters()
 
+    def set_view(self, view, now):
+        """Use a document from now on.
+
+        :param view: :class:`DocumentView`.
+        """
+        self.view = view
+        self.n_servers = {}
+        names = {pool: [] for pool in view.pools}
+        for server in view.document.backend_servers:
+            names[server.pool].append(server.name)
+            for target in server.serves:
+                n_in_service = self.n_servers.get(target, 0)
+                n_in_service += view.is_in_service(server.name)
+                self.n_servers[target] = n_in_service
+        for pool in set(self.pools) | set(names):
+            self.get_pool(pool).set_servers(names.get(pool, []), now)
+
     def get_pool(self, pool):
         """Return the state of a pool, empty if it is new."""
         if pool not in self.pools:
@@ -76,7 +94,7 @@
         """Return the demand class of a request under the document in force.
 
         :param entry: :class:`OpenRequest` with a target in the document.
-        :returns: :class:`DemandClass`, or None if a key has no owner in service.
+        :returns: :class:`DemandClass`.
         """
         request = entry.request
         pool = self.view.pool_of_target[request.target]
@@ -86,8 +104,6 @@
             required = entry.redirect or find_acting_owner(
                 self.view, request.workspace, request.key, pool, request.target
             )
-            if not required:
-                return None
         else:
             preferred = self.prefixes.find(request)
             if not self.view.is_in_service(preferred):
@@ -97,9 +113,8 @@
             pool, request.workspace, request.target, required, preferred, suspect
         )
 
-    def enqueue(self, entry, demand_class, now, is_first=False):
+    def enqueue(self, entry, demand_class, is_first=False):
         """Let a request wait and mark the demand as changed."""
-        entry.waiting_since = now
         self.queues.add(entry, demand_class, is_first)
         self.get_demand(demand_class.pool).is_changed = True
 
--- a/catkinfork/routing/_timers.py
+++ b/catkinfork/routing/_timers.py
@@ -5,15 +5,13 @@
 from catkinfork.routing._admission import check_blocked, check_placement, compare_wait
 from catkinfork.routing._attempts import MAX_SILENCES, SILENCE_TIMEOUT_S
 from catkinfork.routing._events import REQUEST_SUSPECTED
-from catkinfork.routing._pools import SUMMARY_LIFETIME_S
 from catkinfork.routing._refusals import (
-    AGENT_LOST,
     DEADLINE_EXCEEDED,
     FIRST_BYTE_TIMEOUT,
     OWNER_UNREACHABLE,
     make_refusal,
 )
-from catkinfork.routing._responses import lose_attempt, resume_attempt
+from catkinfork.routing._responses import give_up_attempt, resume_attempt
 
 
 def refuse_expired(state, now, actions):
@@ -32,7 +30,7 @@
             detail = f"{now - attempt.started_at:.1f} s of {timeout_s:.1f} s"
             refusal = make_refusal(FIRST_BYTE_TIMEOUT, attempt.entry.outcome, detail)
             state.refuse(attempt.entry, refusal, now, actions)
-        elif now - attempt.heard_at >= SILENCE_TIMEOUT_S:
+        elif now - attempt.checked_at >= SILENCE_TIMEOUT_S:
             note_silence(state, attempt, now, actions)
         elif attempt.is_ack_due(now):
             actions.append(Send(attempt.agent, attempt.make_ack(now)))
@@ -41,15 +39,15 @@
 def note_silence(state, attempt, now, actions):
     """Resume a silent attempt, or end it after several tries."""
     attempt.n_silences += 1
-    attempt.heard_at = now
+    attempt.checked_at = now
     if attempt.n_silences > MAX_SILENCES:
-        lose_attempt(state, attempt, AGENT_LOST.code, False, now, actions)
+        give_up_attempt(state, attempt, now, actions)
         return
     resume_attempt(state, attempt, "silence", now, actions)
 
 
 def refuse_unowned(state, now, actions):
-    """End keyed requests whose owner has not reported for a while."""
+    """End keyed requests whose owner has not been in a summary for a while."""
     for pool in list(state.queues.groups):
         pool_state = state.get_pool(pool)
         missing = [
@@ -59,8 +57,6 @@
             and pool_state.is_missing(demand_class.required, now)
         ]
         for entry in [entry for queue in missing for entry in queue.values()]:
-            if now - entry.waiting_since < SUMMARY_LIFETIME_S:
-                continue
             refusal = make_refusal(
                 OWNER_UNREACHABLE, entry.outcome, entry.demand_class.required
             )
@@ -90,9 +86,8 @@
     )
     actions.append(event)
     demand_class = entry.demand_class._replace(suspect=entry.fingerprint)
-    since = entry.waiting_since
     state.dequeue(entry)
-    state.enqueue(entry, demand_class, since)
+    state.enqueue(entry, demand_class)
 
 
 def refuse_slow(state, pool, now, actions):
@@ -116,7 +111,6 @@
 def reclassify_waiting(state, now, actions):
     """Queue all waiting requests anew after a document has been adopted."""
     for entry in state.queues.list_waiting():
-        since = entry.waiting_since
         entry.redirect = ""
         entry.n_redirects = 0
         refusal = check_placement(state, entry, now)
@@ -124,4 +118,4 @@
             state.refuse(entry, refusal, now, actions)
             continue
         state.dequeue(entry)
-        state.enqueue(entry, state.classify(entry), since)
+        state.enqueue(entry, state.classify(entry))
--- /dev/null
+++ b/catkinfork/routing/tests/test_demand.py
@@ -0,0 +1,173 @@
+"""Demand, grants and the tickets that are given back."""
+
+import msgspec
+import pytest
+
+from catkinfork.document import OUT
+from catkinfork.protocol import Start, TicketReturn
+from catkinfork.routing import compute_fingerprint
+from catkinfork.routing._demand import MAX_ENTRIES_BYTES, make_entries
+from catkinfork.routing._queues import RequestQueues
+from catkinfork.routing._requests import DemandClass, OpenRequest
+from catkinfork.routing.tests.fixtures import (
+    AGENTS,
+    DISPATCHERS,
+    list_demands,
+    list_messages,
+    make_grant,
+    make_request,
+    make_router,
+    make_summary,
+    make_view,
+)
+
+FIRST, SECOND = DISPATCHERS
+
+
+def grant(core, now, number, **changes):
+    """Return the numbers of starts and of returned tickets after a grant."""
+    sender = changes.pop("sender", FIRST)
+    actions = core.handle(sender, make_grant(number, **changes), now)
+    n_returned = sum(len(item.tickets) for item in list_messages(actions, TicketReturn))
+    return len(list_messages(actions, Start)), n_returned
+
+
+def test_demand_is_level_triggered():
+    """Guards against demand that is lost with one message, and against a flood."""
+    core = make_router()
+    sent = []
+    for step in range(2000):
+        now = 0.1 + step / 1000
+        actions = core.submit(make_request(f"r{step}"), now) if step < 10 else []
+        actions += core.tick(now)
+        sent += [(now, demand) for demand in list_demands(actions)]
+    early = [demand for now, demand in sent if now < 0.12]
+    late = [demand for now, demand in sent if now >= 0.12]
+    assert 4 <= len(early) <= 8
+    assert early[-1].entries[0].n_waiting == 10
+    assert 6 <= len(late) <= 8
+    assert all(demand.entries[0].n_waiting == 10 for demand in late)
+
+
+def test_dropped_dispatcher_is_told():
+    """Guards against a dispatcher that goes on granting to a router that has left."""
+    core = make_router()
+    core.submit(make_request("a"), 0.1)
+    actions = core.set_dispatchers("assistant", [SECOND.name, "10.0.0.4:7000"], 0.2)
+    n_entries = {}
+    for action in actions:
+        if hasattr(action, "destination"):
+            n_entries[action.destination] = len(action.message.entries)
+    assert n_entries == {FIRST.name: 0, SECOND.name: 1, "10.0.0.4:7000": 1}
+
+
+BAD_GRANTS = {
+    "no_request": {"workspace": "brokers"},
+    "other_target": {"target": "poem"},
+    "unknown_server": {"backend_server": "runner-9"},
+    "other_agent": {"agent": "10.9.9.9:7100"},
+    "out_of_service": {"server": "runner-2"},
+}
+
+
+@pytest.mark.parametrize("changes", BAD_GRANTS.values(), ids=BAD_GRANTS)
+def test_unusable_ticket_is_returned(changes):
+    """Guards against places that stay idle, and starts where nothing may start."""
+    core = make_router()
+    core.adopt(make_view(2, states=[("runner-2", OUT)]), 0.0)
+    core.submit(make_request("a"), 0.0)
+    assert grant(core, 0.1, 1, **changes) == (0, 1)
+    assert grant(core, 0.2, 2) == (1, 0)
+
+
+GRANT_SERIES = {
+    "doubled": ([(1, 1), (1, 1)], 1, 0),
+    "same ticket again": ([(1, 1), (2, 1)], 1, 0),
+    "crossed": ([(2, 2), (1, 1)], 1, 1),
+    "gap": ([(1, 1), (5, 5)], 2, 0),
+    "more than waits": ([(1, 1), (2, 2), (3, 3), (4, 4)], 3, 1),
+}
+
+
+@pytest.mark.parametrize("name", GRANT_SERIES)
+def test_grants_are_used_in_order(name):
+    """Guards against a ticket that is used twice or kept without use."""
+    series, n_started, n_returned = GRANT_SERIES[name]
+    core = make_router()
+    for number in range(3):
+        core.submit(make_request(f"r{number}"), 0.0)
+    results = [grant(core, 0.1, number, ticket=ticket) for number, ticket in series]
+    assert sum(result[0] for result in results) == n_started
+    assert sum(result[1] for result in results) == n_returned
+
+
+def test_two_dispatchers_start_nothing_twice():
+    """Guards against two starts of one request in a change of dispatcher."""
+    core = make_router()
+    core.submit(make_request("a"), 0.0)
+    assert grant(core, 0.1, 1, ticket=1) == (1, 0)
+    assert grant(core, 0.1, 1, ticket=1, sender=SECOND) == (0, 0)
+    assert grant(core, 0.1, 2, ticket=2, sender=SECOND) == (0, 1)
+    [first, second] = list_demands(core.tick(0.2))
+    assert (first.grants_seen, first.grantor) == (1, FIRST.incarnation)
+    assert (second.grants_seen, second.grantor) == (2, SECOND.incarnation)
+
+
+def test_restarted_dispatcher_counts_anew():
+    """Guards against grants of a new dispatcher that look like old ones."""
+    core = make_router()
+    for number in range(3):
+        core.submit(make_request(f"r{number}"), 0.0)
+    assert grant(core, 0.1, 7) == (1, 0)
+    newer = FIRST._replace(incarnation=2001)
+    assert grant(core, 0.2, 1, ticket=11, sender=newer) == (1, 0)
+    assert grant(core, 0.3, 8, ticket=12) == (0, 1)
+    [demand, _] = list_demands(core.tick(1.0))
+    assert (demand.grants_seen, demand.grantor) == (1, 2001)
+
+
+def test_prefix_is_preferred_but_not_required():
+    """Guards against a request that waits for the server with its prefix."""
+    core = make_router()
+    core.submit(make_request("a", prefix="p"), 0.0)
+    grant(core, 0.1, 1, server="runner-2")
+    [demand, _] = list_demands(core.submit(make_request("b", prefix="p"), 0.2))
+    assert (demand.entries[0].preferred, demand.entries[0].required) == ("runner-2", "")
+    assert grant(core, 0.3, 2) == (1, 0)
+
+
+def test_suspect_starts_only_on_its_own_grant():
+    """Guards against two suspects on one backend server."""
+    core = make_router()
+    core.submit(make_request("a"), 0.0)
+    suspect = compute_fingerprint("dealers", b"a")
+    core.handle(FIRST, make_summary(1, suspects=[suspect]), 0.1)
+    [demand, _] = list_demands(core.tick(1.0))
+    assert demand.entries[0].suspect == suspect
+    assert grant(core, 1.1, 1) == (0, 1)
+    assert grant(core, 1.2, 2, suspect=suspect) == (1, 0)
+
+
+def test_demand_fits_into_a_frame():
+    """Guards against a demand that the transport refuses, which stops the pool."""
+    queues = RequestQueues()
+    for number in range(3000):
+        workspace = f"workspace-{number % 300}"
+        request = make_request(f"r{number}", workspace=workspace)
+        preferred = f"runner-{number % 50}"
+        target = f"target-{number % 7}"
+        entry = OpenRequest(request, number, number / 1000)
+        key = DemandClass("assistant", workspace, target, "", preferred, b"")
+        queues.add(entry, key)
+    entries = make_entries(queues.list_classes("assistant"), 5.0)
+    assert len(msgspec.msgpack.encode(entries)) <= MAX_ENTRIES_BYTES
+    assert len({entry.workspace for entry in entries}) == 300
+
+
+def test_stale_incarnation_of_agent_is_known_from_the_grant():
+    """Guards against a start that carries another incarnation than its ticket."""
+    core = make_router()
+    core.submit(make_request("a"), 0.0)
+    actions = core.handle(FIRST, make_grant(1, agent_incarnation=6000), 0.1)
+    [start] = list_messages(actions, Start)
+    assert start.agent_incarnation == 6000 != AGENTS["runner-1"].incarnation
