Read, check and propagate the environment document

Cause: the processes need the document in force, a client of the configuration service and of the host list, and stand-ins to run against.

parse_document checks the decoded JSON by a table of rules for each record and then the references between records, so that every fault is listed at once. msgspec.convert was ruled out for this, because it stops at the first fault.

--- /dev/null
+++ b/catkinfork/configuration/_events.py
@@ -0,0 +1,74 @@
+"""Log events of configuration."""
+
+from catkinfork.observability import Event
+
+DOCUMENT_ADOPTED = Event(
+    500,
+    "info",
+    "document_adopted",
+    "a document is in force from now on",
+    ("version", "digest", "previous_version", "source"),
+)
+DOCUMENT_REJECTED = Event(
+    501,
+    "error",
+    "document_rejected",
+    "a document has faults and is not adopted",
+    ("digest", "source", "n_faults", "first_fault"),
+)
+DOCUMENT_OLDER = Event(
+    502,
+    "info",
+    "document_older",
+    "a document older than the one in force is ignored",
+    ("version", "digest", "in_force", "source"),
+)
+DOCUMENT_CONFLICT = Event(
+    503,
+    "error",
+    "document_conflict",
+    "two documents have the same version; the greater digest wins",
+    ("version", "in_force", "other", "source"),
+)
+DOCUMENT_REQUESTED = Event(
+    504,
+    "debug",
+    "document_requested",
+    "a peer has a newer document and is asked for it",
+    ("peer", "version", "digest"),
+)
+SOURCE_FAILED = Event(
+    510,
+    "warning",
+    "configuration_source_failed",
+    "the configuration service does not answer as expected; the document stays",
+    ("url", "reason", "detail"),
+)
+SOURCE_RECOVERED = Event(
+    511,
+    "info",
+    "configuration_source_recovered",
+    "the configuration service answers again",
+    ("url", "failed_s"),
+)
+HOST_LIST_FAILED = Event(
+    520,
+    "warning",
+    "host_list_failed",
+    "the host list does not answer as expected; the last list stays",
+    ("url", "reason", "detail"),
+)
+HOST_LIST_RECOVERED = Event(
+    521,
+    "info",
+    "host_list_recovered",
+    "the host list answers again",
+    ("url", "failed_s"),
+)
+HOST_ENTRY_IGNORED = Event(
+    522,
+    "warning",
+    "host_entry_ignored",
+    "an entry of the host list has a wrong form and is passed over",
+    ("url", "position", "detail"),
+)
--- /dev/null
+++ b/catkinfork/configuration/_http.py
@@ -0,0 +1,113 @@
+"""HTTP GET with bounds on time and size, for the platform's services."""
+
+from typing import NamedTuple
+
+import anyio
+import httpx
+from result import Err, Ok
+
+from catkinfork.configuration._errors import (
+    SourceSilent,
+    SourceUnreachable,
+    UnexpectedAnswer,
+)
+
+# A connection that has gone silent must be replaced within 2 s. The services answer in
+# milliseconds, so that 0.8 s without a byte beyond the requested wait is silence.
+SILENCE_S = 0.8
+# Bound on a whole answer that trickles in.
+ANSWER_TIMEOUT_S = 5.0
+BACKOFF_MIN_S = 0.1
+# A service that is back is noticed within this time, well under the 6 s in which a
+# document must be in force.
+BACKOFF_MAX_S = 2.0
+
+
+class Answer(NamedTuple):
+    """A complete answer.
+
+    :param status: HTTP status.
+    :param headers: ``httpx.Headers``.
+    :param content: bytes of the body.
+    """
+
+    status: int
+    headers: httpx.Headers
+    content: bytes
+
+
+class Backoff:
+    """Growing pauses between attempts, with jitter.
+
+    :param rng: ``random.Random``.
+    """
+
+    def __init__(self, rng):
+        self.rng = rng
+        self.n_failures = 0
+
+    def reset(self):
+        """Note a success."""
+        self.n_failures = 0
+
+    def next_pause(self):
+        """Note a failure and return the pause before the next attempt, seconds."""
+        longest = min(BACKOFF_MAX_S, BACKOFF_MIN_S * 2**self.n_failures)
+        self.n_failures = min(self.n_failures + 1, 16)
+        return longest * self.rng.uniform(0.5, 1.0)
+
+
+class HttpReader:
+    """Reads from one service over HTTP.
+
+    :param max_bytes: largest body.
+    :param is_keeping: whether connections stay open between calls. Where calls are
+        seconds apart, a kept connection may have gone silent in between.
+    """
+
+    def __init__(self, max_bytes, is_keeping):
+        self.max_bytes = max_bytes
+        self.is_keeping = is_keeping
+        self.client = None
+
+    async def __aenter__(self):
+        limits = httpx.Limits(max_keepalive_connections=1 if self.is_keeping else 0)
+        # Addresses come from the settings only, not from proxy variables.
+        self.client = httpx.AsyncClient(limits=limits, trust_env=False)
+        return self
+
+    async def __aexit__(self, *exception):
+        await self.client.aclose()
+
+    async def get(self, url, params=None, wait_s=0.0):
+        """Send a GET request.
+
+        :param url: absolute URL.
+        :param params: query parameters.
+        :param wait_s: time for which the service may hold the answer back.
+        :returns: ``Ok(Answer)`` or ``Err(SourceError)``. After an error the connection
+            is closed, and the next call opens a new one.
+        """
+        timeout = httpx.Timeout(SILENCE_S, read=wait_s + SILENCE_S)
+        try:
+            with anyio.fail_after(wait_s + ANSWER_TIMEOUT_S):
+                return await self.receive(url, params, timeout)
+        except (httpx.TimeoutException, TimeoutError) as error:
+            detail = f"{type(error).__name__} after {wait_s + SILENCE_S:.1f} s"
+            return Err(SourceSilent(url, detail))
+        except httpx.TransportError as error:
+            return Err(SourceUnreachable(url, f"{type(error).__name__}: {error}"))
+        except httpx.HTTPError as error:
+            return Err(UnexpectedAnswer(url, f"{type(error).__name__}: {error}"))
+
+    async def receive(self, url, params, timeout):
+        """Send a GET request and receive its answer up to the largest size."""
+        content = bytearray()
+        request = self.client.stream("GET", url, params=params, timeout=timeout)
+        async with request as response:
+            async for chunk in response.aiter_bytes():
+                content += chunk
+                if len(content) > self.max_bytes:
+                    detail = f"body over {self.max_bytes} bytes"
+                    return Err(UnexpectedAnswer(url, detail))
+        return Ok(Answer(response.status_code, response.headers, bytes(content)))
--- a/catkinfork/document/__init__.py
+++ b/catkinfork/document/__init__.py
@@ -1,10 +1,8 @@
 """The environment document that operators publish."""
 
-from catkinfork.document._parse import (
-    MAX_DOCUMENT_BYTES,
-    DocumentFault,
-    parse_document,
-)
+from catkinfork.document._convert import DocumentFault
+from catkinfork.document._diff import diff_documents
+from catkinfork.document._parse import MAX_DOCUMENT_BYTES, parse_document
 from catkinfork.document._types import (
     ENGINE,
     IN_SERVICE,
@@ -33,5 +31,6 @@
     "DocumentView",
     "Pool",
     "Workspace",
+    "diff_documents",
     "parse_document",
 ]
--- a/catkinfork/document/_parse.py
+++ b/catkinfork/document/_parse.py
@@ -1,38 +1,33 @@
 """Parsing of the environment document."""
 
-from typing import NamedTuple
-
 import msgspec
 from result import Err, Ok
 
+from catkinfork.document._convert import DocumentFault, convert_record
+from catkinfork.document._references import check_references
 from catkinfork.document._types import Document
 from catkinfork.document._view import DocumentView
 
 MAX_DOCUMENT_BYTES = 1024 * 1024
 
 
-class DocumentFault(NamedTuple):
-    """One fault of a document.
-
-    :param place: where it is, for example ``backend_servers[3].pool``.
-    :param detail: the value and what is allowed.
-    """
-
-    place: str
-    detail: str
-
-
 def parse_document(content):
-    """Parse and check an environment document.
+    """Parse and check an environment document; every fault is reported.
 
     :param content: bytes of the JSON text, at most 1 MB.
     :returns: ``Ok(DocumentView)`` or ``Err`` with a list of :class:`DocumentFault`.
     """
     if len(content) > MAX_DOCUMENT_BYTES:
-        detail = f"{len(content)} bytes, expected <= {MAX_DOCUMENT_BYTES}"
+        detail = f"{len(content)} bytes, expected at most {MAX_DOCUMENT_BYTES}"
         return Err([DocumentFault("", detail)])
     try:
-        document = msgspec.convert(msgspec.json.decode(content), Document)
-    except (msgspec.DecodeError, msgspec.ValidationError) as error:
-        return Err([DocumentFault("", str(error))])
+        raw = msgspec.json.decode(content)
+    except (msgspec.DecodeError, RecursionError, ValueError) as error:
+        return Err([DocumentFault("", f"not JSON: {error}")])
+    faults = []
+    document = convert_record(raw, "", Document, faults)
+    if document is not None:
+        check_references(document, faults)
+    if faults:
+        return Err(faults)
     return Ok(DocumentView(document, content))
