--- a/catkinfork/backends/__init__.py
+++ b/catkinfork/backends/__init__.py
@@ -0,0 +1,25 @@
+"""Clients to model engines and plain services."""
+
+from catkinfork.backends._base import BaseBackend
+from catkinfork.backends._engine import EngineBackend
+from catkinfork.backends._errors import BackendError
+from catkinfork.backends._events import (
+    BackendData,
+    BackendEnd,
+    BackendFailure,
+    BackendHead,
+    BackendHealth,
+)
+from catkinfork.backends._service import ServiceBackend
+
+__all__ = [
+    "BackendData",
+    "BackendEnd",
+    "BackendError",
+    "BackendFailure",
+    "BackendHead",
+    "BackendHealth",
+    "BaseBackend",
+    "EngineBackend",
+    "ServiceBackend",
+]
--- /dev/null
+++ b/standins/ledger.py
@@ -0,0 +1,387 @@
+"""Stand-in for a plain service, with the HTTP server that stand-ins of backends share.
+
+Start it by hand with
+``python -m standins.ledger --bind 127.0.0.1:9200 --name ledger-1``.
+"""
+
+import asyncio
+import json
+import signal
+from typing import NamedTuple
+from urllib.parse import parse_qs
+
+import typer
+from hypercorn.asyncio.tcp_server import TCPServer
+from hypercorn.asyncio.worker_context import WorkerContext
+from hypercorn.config import Config
+from hypercorn.utils import wrap_app
+
+MAX_BODY_BYTES = 4 * 1024 * 1024
+
+
+class Exchange:
+    """One HTTP request and its response.
+
+    :param server: the :class:`FaultyServer` that received it.
+    :param scope: ASGI scope.
+    :param receive: ASGI callable.
+    :param send: ASGI callable.
+    """
+
+    def __init__(self, server, scope, receive, send):
+        self.server = server
+        self.client = scope["client"]
+        self.method = scope["method"]
+        self.path = scope["path"]
+        self.query = parse_qs(scope["query_string"].decode())
+        self.headers = {
+            name.decode("latin-1").lower(): value.decode("latin-1")
+            for name, value in scope["headers"]
+        }
+        self.receive = receive
+        self.send = send
+        self.body = b""
+        self.closed = asyncio.Event()
+
+    async def read_body(self):
+        """Read the whole request body."""
+        while True:
+            message = await self.receive()
+            if message["type"] == "http.disconnect":
+                self.closed.set()
+                return
+            self.body += message["body"]
+            if not message["more_body"] or len(self.body) > MAX_BODY_BYTES:
+                return
+
+    async def watch_connection(self):
+        """Set ``closed`` when the client disconnects."""
+        while not self.closed.is_set():
+            message = await self.receive()
+            if message["type"] == "http.disconnect":
+                self.closed.set()
+
+    def read_json(self):
+        """Return the body as a JSON object; an empty body is an empty object."""
+        return json.loads(self.body) if self.body else {}
+
+    async def start(self, status, headers):
+        """Send status and headers."""
+        await self.pass_on(
+            {"type": "http.response.start", "status": status, "headers": headers}
+        )
+
+    async def write(self, data, is_last=False):
+        """Send a part of the body."""
+        await self.pass_on(
+            {"type": "http.response.body", "body": data, "more_body": not is_last}
+        )
+
+    async def send_json(self, status, value, headers=()):
+        """Send a whole JSON response."""
+        data = json.dumps(value).encode()
+        head = [
+            (b"content-type", b"application/json"),
+            (b"content-length", str(len(data)).encode()),
+        ]
+        await self.start(status, [*head, *headers])
+        await self.write(data, is_last=True)
+
+    async def pass_on(self, message):
+        """Send a message unless the connection is silent or closed."""
+        if self.client not in self.server.silent and not self.closed.is_set():
+            await self.send(message)
+
+    def break_connection(self):
+        """Reset the connection without a response."""
+        self.server.break_connection(self.client)
+
+
+class FaultyServer:
+    """Serves an application with hypercorn and can fail as a process does.
+
+    hypercorn answers 500 when an application stops without a response, so faults act on
+    the transports of the connections that this class accepts itself.
+
+    :param app: object with ``async answer(exchange)``.
+    :param bind: ``host:port``; port 0 takes a free one, which ``bind`` then holds.
+    """
+
+    def __init__(self, app, bind):
+        self.app = app
+        self.bind = bind
+        self.config = Config()
+        self.config.errorlog = None
+        self.writers = {}
+        self.silent = set()
+        self.listener = None
+        self.tasks = set()
+        app.server = self
+
+    @property
+    def url(self):
+        """Base URL."""
+        return f"http://{self.bind}"
+
+    async def __aenter__(self):
+        await self.open()
+        return self
+
+    async def __aexit__(self, *details):
+        self.listener.close()
+        self.break_all()
+        tasks = [*self.tasks]
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+        while self.writers:
+            await asyncio.sleep(0.001)
+
+    async def open(self):
+        """Start to accept connections."""
+        host, port = self.bind.rsplit(":", 1)
+        self.listener = await asyncio.start_server(
+            self.serve_connection, host, int(port), backlog=1024
+        )
+        port = self.listener.sockets[0].getsockname()[1]
+        self.bind = f"{host}:{port}"
+
+    async def serve_connection(self, reader, writer):
+        """Serve one connection until it closes."""
+        client = writer.get_extra_info("peername")[:2]
+        self.writers[client] = writer
+        app = wrap_app(self.serve_request, self.config.wsgi_max_body_size, "asgi")
+        loop = asyncio.get_running_loop()
+        context = WorkerContext(None)
+        try:
+            await TCPServer(app, loop, self.config, context, {}, reader, writer)
+        except* OSError:
+            pass
+        finally:
+            self.writers.pop(client, None)
+            self.silent.discard(client)
+
+    async def serve_request(self, scope, receive, send):
+        """ASGI application."""
+        exchange = Exchange(self, scope, receive, send)
+        if exchange.client not in self.silent:
+            await exchange.read_body()
+            watcher = asyncio.create_task(exchange.watch_connection())
+            try:
+                await self.app.answer(exchange)
+            finally:
+                watcher.cancel()
+        if exchange.client in self.silent:
+            await exchange.watch_connection()
+
+    def start_task(self, coroutine):
+        """Run a coroutine in the background until the server closes."""
+        task = asyncio.create_task(coroutine)
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+        return task
+
+    def silence_all(self):
+        """Answer nothing more on the connections that are open now."""
+        self.silent.update(self.writers)
+
+    def break_connection(self, client):
+        """Reset one connection."""
+        writer = self.writers.get(client)
+        if writer is not None:
+            writer.transport.abort()
+
+    def break_all(self):
+        """Reset all connections."""
+        for client in list(self.writers):
+            self.break_connection(client)
+
+    def crash(self, down_s):
+        """Reset all connections and refuse new ones for a time.
+
+        :param down_s: seconds until connections are accepted again.
+        """
+        if self.listener.is_serving():
+            self.listener.close()
+            self.start_task(self.reopen(down_s))
+        self.break_all()
+
+    async def reopen(self, down_s):
+        """Accept connections again after a time."""
+        await asyncio.sleep(down_s)
+        await self.open()
+
+
+async def wait_first(*events):
+    """Wait until one of the events is set."""
+    tasks = [asyncio.ensure_future(event.wait()) for event in events]
+    try:
+        await asyncio.wait(tasks, return_when=asyncio.FIRST_COMPLETED)
+    finally:
+        for task in tasks:
+            task.cancel()
+
+
+class Fence:
+    """Highest fencing token seen.
+
+    :param checks_fence: whether older tokens are refused.
+    """
+
+    def __init__(self, checks_fence):
+        self.checks_fence = checks_fence
+        self.token = 0
+
+    def accepts(self, exchange):
+        """Return whether a request's token is acceptable, and remember it."""
+        token = int(exchange.headers.get("x-fencing-token", 0))
+        if self.checks_fence and token < self.token:
+            return False
+        self.token = max(self.token, token)
+        return True
+
+
+async def serve_until_stopped(app, bind):
+    """Serve an application until SIGTERM or SIGINT."""
+    stopped = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stopped.set)
+    async with FaultyServer(app, bind):
+        await stopped.wait()
+
+
+class LedgerSettings(NamedTuple):
+    """Settings of the stand-in.
+
+    :param name: name in responses.
+    :param execute_ms: duration of one execution.
+    :param places: executions at once; more wait.
+    :param checks_fence: whether an old fencing token is refused with 409.
+    """
+
+    name: str = "ledger-1"
+    execute_ms: float = 20.0
+    places: int = 4
+    checks_fence: bool = False
+
+
+class Ledger:
+    """Reserves items and keeps a record of every execution in memory.
+
+    ``POST /control/faults`` sets the faults of the next requests:
+    ``{"count": 1, "delay_s": 0.5, "status": 503, "break": "before"}``; ``break`` is
+    ``before`` or ``after`` the execution.
+
+    :param settings: :class:`LedgerSettings`.
+    """
+
+    def __init__(self, settings):
+        self.settings = settings
+        self.server = None
+        self.fence = Fence(settings.checks_fence)
+        self.places = asyncio.Semaphore(settings.places)
+        self.executions = []
+        self.reserved = {}
+        self.faults = {}
+        self.n_faults = 0
+
+    async def answer(self, exchange):
+        """Answer one request."""
+        route = (exchange.method, "/" + exchange.path.split("/")[1])
+        if route[1] == "/control":
+            await self.control(exchange)
+        elif route == ("GET", "/health"):
+            await exchange.send_json(200, {"name": self.settings.name})
+        elif route == ("GET", "/stock"):
+            await self.run(exchange, self.read_stock)
+        elif route == ("POST", "/reservations"):
+            await self.run(exchange, self.reserve)
+        else:
+            await exchange.send_json(404, {"error": "unknown path"})
+
+    async def run(self, exchange, execute):
+        """Execute one request, with the fault that is set for it."""
+        fault = self.take_fault()
+        await asyncio.sleep(fault.get("delay_s", 0))
+        if "status" in fault:
+            await exchange.send_json(fault["status"], {"error": "fault"})
+            return
+        if fault.get("break") == "before":
+            exchange.break_connection()
+            return
+        if not self.fence.accepts(exchange):
+            await exchange.send_json(409, {"error": "fencing token is old"})
+            return
+        async with self.places:
+            await asyncio.sleep(self.settings.execute_ms / 1000)
+        status, value = execute(exchange)
+        if fault.get("break") == "after":
+            exchange.break_connection()
+            return
+        await exchange.send_json(status, value)
+
+    def take_fault(self):
+        """Return the fault of the next request, empty for none."""
+        if self.n_faults == 0:
+            return {}
+        self.n_faults -= 1
+        return self.faults
+
+    def read_stock(self, exchange):
+        """Return how much of an item is reserved."""
+        item = exchange.path.removeprefix("/stock/")
+        return 200, {"item": item, "reserved": self.reserved.get(item, 0)}
+
+    def reserve(self, exchange):
+        """Reserve an item."""
+        body = exchange.read_json()
+        item = body["item"]
+        quantity = body.get("quantity", 1)
+        self.reserved[item] = self.reserved.get(item, 0) + quantity
+        self.executions.append(
+            {
+                "request_id": exchange.headers.get("x-request-id", ""),
+                "key": exchange.headers.get("idempotency-key", ""),
+                "token": int(exchange.headers.get("x-fencing-token", 0)),
+                "timeout_s": float(exchange.headers.get("x-request-timeout", 0)),
+                "body": exchange.body.decode(),
+            }
+        )
+        reservation = f"{self.settings.name}-{len(self.executions)}"
+        return 201, {"reservation": reservation, "item": item, "quantity": quantity}
+
+    async def control(self, exchange):
+        """Carry out an order of a test."""
+        body = exchange.read_json()
+        if exchange.path == "/control/executions":
+            await exchange.send_json(200, {"executions": self.executions})
+            return
+        if exchange.path == "/control/faults":
+            self.n_faults = body.pop("count", 1)
+            self.faults = body
+        await exchange.send_json(200, {})
+        if exchange.path == "/control/crash":
+            self.server.crash(body.get("down_s", 1.0))
+        if exchange.path == "/control/silent":
+            self.server.silence_all()
+
+
+def main(
+    bind: str = "127.0.0.1:9200",
+    name: str = "ledger-1",
+    execute_ms: float = 20.0,
+    places: int = 4,
+    checks_fence: bool = False,
+):
+    """Serve a plain service on a TCP port."""
+    settings = LedgerSettings(name, execute_ms, places, checks_fence)
+
+    async def serve():
+        await serve_until_stopped(Ledger(settings), bind)
+
+    asyncio.run(serve())
+
+
+if __name__ == "__main__":
+    typer.run(main)
