--- /dev/null
+++ b/catkinfork/dispatch/_charges.py
@@ -0,0 +1,60 @@
+"""Charges of the grants and of the service that agents report."""
+
+
+class Charges:
+    """Keeps the service counters in step with grants and reports.
+
+    :param counters: :class:`ServiceCounters`.
+    :param estimates: :class:`CostEstimates`.
+    """
+
+    def __init__(self, counters, estimates):
+        self.counters = counters
+        self.estimates = estimates
+        self.n_units = 0
+
+    def open_grant(self, agent, workspace, ticket):
+        """Charge the estimate of a grant.
+
+        :returns: the estimate in service units.
+        """
+        estimate = self.estimates.estimate(workspace)
+        account = agent.account_of(workspace)
+        agent.busy.add(workspace)
+        self.counters.charge(workspace, account.open_grant(ticket, estimate))
+        return estimate
+
+    def take_report(self, agent, now):
+        """Correct the charges by an agent's newest report."""
+        report = agent.report
+        listed = agent.issued_at
+        for workspace in agent.busy:
+            agent.accounts[workspace].note_tickets(listed, now)
+        for entry in report.delivered:
+            self.take_delivered(agent, entry)
+        agent.has_whole = agent.has_whole or report.is_whole
+        has_free_place = report.n_running < report.n_places
+        for workspace in list(agent.busy):
+            account = agent.accounts[workspace]
+            account.drop_unused(now, has_free_place)
+            self.counters.charge(workspace, account.settle())
+            if not account.grants:
+                agent.busy.discard(workspace)
+
+    def take_delivered(self, agent, entry):
+        """Take the totals of one workspace at one agent."""
+        account = agent.account_of(entry.workspace)
+        units_before = max(account.units, account.base_units)
+        had_base = account.has_base
+        units, n_ended = account.note_delivered(entry)
+        if had_base:
+            self.n_units += account.units - units_before
+        if n_ended > 0:
+            self.estimates.observe(entry.workspace, units, n_ended)
+        self.counters.charge(entry.workspace, account.settle())
+
+    def close_agent(self, agent):
+        """Withdraw what was charged for work that an agent will not report."""
+        for workspace in agent.busy:
+            self.counters.charge(workspace, agent.accounts[workspace].close())
+        agent.busy.clear()
--- /dev/null
+++ b/catkinfork/dispatch/_summary.py
@@ -0,0 +1,116 @@
+"""Summary of a pool for its routers."""
+
+from catkinfork.protocol import PoolSummary, WorkspaceSummary
+
+SUMMARY_INTERVAL_S = 0.5
+# Routers that have sent a demand within this time receive the summary.
+ROUTER_HEARD_TIMEOUT_S = 3.0
+# A workspace stays in the summary for this long after its last grant.
+RECENT_S = 5.0
+# Weight of the newest interval in the measured rates.
+NEWEST_WEIGHT = 0.2
+MAX_WAIT_MS = 3600 * 1000
+
+
+class RateMeter:
+    """Grants of each workspace and units of the pool per second."""
+
+    def __init__(self):
+        self.n_grants = {}
+        self.grant_rates = {}
+        self.granted_at = {}
+        self.unit_rate = 0.0
+        self.n_units = 0
+
+    def note_grant(self, workspace, now):
+        """Count a grant."""
+        self.n_grants[workspace] = self.n_grants.get(workspace, 0) + 1
+        self.granted_at[workspace] = now
+
+    def update(self, n_units, interval_s, now):
+        """Take the counts of an interval into the rates.
+
+        :param n_units: units that the pool has delivered so far.
+        """
+        for workspace, granted_at in list(self.granted_at.items()):
+            rate = self.n_grants.get(workspace, 0) / interval_s
+            old = self.grant_rates.get(workspace, rate)
+            self.grant_rates[workspace] = old + NEWEST_WEIGHT * (rate - old)
+            if now - granted_at > RECENT_S:
+                del self.granted_at[workspace]
+                del self.grant_rates[workspace]
+        self.n_grants.clear()
+        rate = (n_units - self.n_units) / interval_s
+        self.unit_rate += NEWEST_WEIGHT * (rate - self.unit_rate)
+        self.n_units = n_units
+
+
+def estimate_wait_ms(n_waiting, rate, oldest_wait_s):
+    """Return the expected wait of a request that arrives now, milliseconds.
+
+    :param n_waiting: requests of the workspace that wait now.
+    :param rate: requests of the workspace that start per second.
+    :param oldest_wait_s: age of its oldest waiting request, used without a rate.
+    """
+    if n_waiting == 0:
+        return 0
+    wait_s = n_waiting / rate if rate > 0 else oldest_wait_s
+    return min(MAX_WAIT_MS, round(wait_s * 1000))
+
+
+class SummaryBuilder:
+    """Builds the summaries of one pool.
+
+    :param pool: pool name.
+    :param rates: :class:`RateMeter`.
+    :param counters: :class:`ServiceCounters`.
+    :param estimates: :class:`CostEstimates`.
+    """
+
+    def __init__(self, pool, rates, counters, estimates):
+        self.pool = pool
+        self.rates = rates
+        self.counters = counters
+        self.estimates = estimates
+        self.sequence = 0
+
+    def build(self, demand, agents, suspects, now):
+        """Return the next :class:`PoolSummary`.
+
+        :param demand: :class:`DemandTable`.
+        :param agents: live :class:`AgentState` objects.
+        :param suspects: :class:`SuspectTable`.
+        """
+        self.sequence += 1
+        names = sorted(set(demand.by_workspace) | set(self.rates.granted_at))
+        lowest = min(map(self.counters.value_of, names), default=0.0)
+        backlogged = demand.list_backlogged()
+        n_shares = sum(map(self.counters.share_of, backlogged))
+        workspaces = [
+            self.summarise(name, demand, lowest, n_shares, now) for name in names
+        ]
+        return PoolSummary(
+            self.pool,
+            self.sequence,
+            workspaces,
+            suspects.list_all(now),
+            suspects.list_blocked(now),
+            sum(agent.report.n_places for agent in agents),
+            sorted(agent.name for agent in agents),
+        )
+
+    def summarise(self, workspace, demand, lowest, n_shares, now):
+        """Return the :class:`WorkspaceSummary` of a workspace."""
+        n_waiting = demand.count_open(workspace)
+        share = self.counters.share_of(workspace)
+        estimate = max(1.0, self.estimates.estimate(workspace))
+        fair_rate = self.rates.unit_rate * share / max(share, n_shares) / estimate
+        rate = max(fair_rate, self.rates.grant_rates.get(workspace, 0.0))
+        waits = [item.estimate_wait(now) for item in demand.list_open(workspace)]
+        oldest_wait_s = max(waits, default=0.0)
+        return WorkspaceSummary(
+            workspace,
+            round(self.counters.value_of(workspace) - lowest, 1),
+            n_waiting,
+            estimate_wait_ms(n_waiting, rate, oldest_wait_s),
+        )
--- /dev/null
+++ b/catkinfork/fairness/_accounts.py
@@ -0,0 +1,144 @@
+"""Charges for the work of one workspace at one agent."""
+
+# A grant whose ticket is gone may wait at the agent for a place for this long before it
+# counts as unused.
+START_TIMEOUT_S = 2.0
+
+
+class OpenGrant:
+    """A grant that has not ended.
+
+    :param estimate: units charged at the grant.
+    """
+
+    __slots__ = ("estimate", "gone_at", "has_started")
+
+    def __init__(self, estimate):
+        self.estimate = estimate
+        self.gone_at = None
+        self.has_started = False
+
+
+class Account:
+    """What a workspace has been charged for one incarnation of an agent.
+
+    The charge is ``finished + max(units in flight, estimates of open grants)``. It is
+    computed from totals, so a lost or doubled report changes nothing in the end.
+
+    :param has_base: whether service from the first report on is charged. Otherwise the
+        first totals are the base: what was delivered before this dispatcher took the
+        agent over is in the counters that it took over.
+    """
+
+    __slots__ = (
+        "base_units",
+        "charged",
+        "grants",
+        "has_base",
+        "n_finished",
+        "n_started",
+        "units",
+        "units_in_flight",
+    )
+
+    def __init__(self, has_base):
+        self.has_base = has_base
+        self.base_units = 0
+        self.units = 0
+        self.units_in_flight = 0
+        self.n_started = 0
+        self.n_finished = 0
+        self.grants = {}
+        self.charged = 0.0
+
+    def open_grant(self, ticket, estimate):
+        """Add a grant.
+
+        :returns: change of the charge in service units.
+        """
+        self.grants[ticket] = OpenGrant(estimate)
+        return self.settle()
+
+    def note_delivered(self, entry):
+        """Take the totals of a report.
+
+        :param entry: :class:`Delivered`.
+        :returns: pair of units and number of the requests that ended since the last.
+        """
+        if not self.has_base:
+            self.set_base(entry)
+        finished_before = self.units - self.units_in_flight
+        self.units = max(self.units, entry.units)
+        self.units_in_flight = min(entry.units_in_flight, self.units)
+        n_started = entry.n_finished + entry.n_in_flight
+        self.mark_started(n_started - self.n_started)
+        self.n_started = max(self.n_started, n_started)
+        n_ended = max(0, entry.n_finished - self.n_finished)
+        self.drop_ended(n_ended)
+        self.n_finished += n_ended
+        finished = self.units - self.units_in_flight
+        return max(0, finished - finished_before), n_ended
+
+    def set_base(self, entry):
+        """Take the totals of a first report as already charged."""
+        self.has_base = True
+        self.base_units = self.units = entry.units
+        self.units_in_flight = min(entry.units_in_flight, entry.units)
+        self.n_started = entry.n_finished + entry.n_in_flight
+        self.n_finished = entry.n_finished
+
+    def note_tickets(self, listed, now):
+        """Note which granted tickets the agent no longer lists.
+
+        :param listed: set of the ticket numbers in the report.
+        """
+        for ticket, grant in self.grants.items():
+            if grant.gone_at is None and ticket not in listed:
+                grant.gone_at = now
+
+    def drop_unused(self, now, has_free_place):
+        """Drop grants whose ticket is gone without a start.
+
+        :param has_free_place: whether the agent has a free place, so that no started
+            request can be waiting there.
+        """
+        for ticket, grant in list(self.grants.items()):
+            if grant.gone_at is None or grant.has_started:
+                continue
+            if has_free_place or now - grant.gone_at > START_TIMEOUT_S:
+                del self.grants[ticket]
+
+    def mark_started(self, n_started):
+        """Mark the oldest grants whose ticket is gone as started."""
+        for grant in self.grants.values():
+            if n_started <= 0:
+                return
+            if grant.gone_at is not None and not grant.has_started:
+                grant.has_started = True
+                n_started -= 1
+
+    def drop_ended(self, n_ended):
+        """Drop the oldest started grants."""
+        for ticket, grant in list(self.grants.items()):
+            if n_ended <= 0:
+                return
+            if grant.has_started:
+                del self.grants[ticket]
+                n_ended -= 1
+
+    def close(self):
+        """Drop all grants: the agent has restarted or is lost.
+
+        :returns: change of the charge in service units.
+        """
+        self.grants.clear()
+        return self.settle()
+
+    def settle(self):
+        """Return the change of the charge since the last call, in service units."""
+        expected = sum(grant.estimate for grant in self.grants.values())
+        finished = self.units - self.units_in_flight - self.base_units
+        charge = finished + max(self.units_in_flight, expected)
+        change = charge - self.charged
+        self.charged = charge
+        return change
