Add the agent's decision object

The package issues tickets, reports to the dispatcher, starts requests, sends answers in numbered parts, keeps records of keys and learns the concurrency limit. Start gets a field is_suspect with a default, because an agent cannot otherwise know that a request was in flight at a crash elsewhere.

Ruled out: leaving the enforcement of one running suspect to the dispatcher alone; its view of what runs is a hint.

--- a/catkinfork/execution/__init__.py
+++ b/catkinfork/execution/__init__.py
@@ -0,0 +1,31 @@
+"""Execution at one backend server: tickets, limit, records of keys, answers."""
+
+from catkinfork.execution._actions import (
+    BackendData,
+    BackendEnd,
+    BackendEvent,
+    BackendFailure,
+    BackendHead,
+    BackendHealth,
+    CancelRequest,
+    RunRequest,
+)
+from catkinfork.execution._agent import AgentCore
+from catkinfork.execution._errors import InvariantError
+from catkinfork.execution._keys import find_acting_owner, rank_owners, read_key_time
+
+__all__ = [
+    "AgentCore",
+    "BackendData",
+    "BackendEnd",
+    "BackendEvent",
+    "BackendFailure",
+    "BackendHead",
+    "BackendHealth",
+    "CancelRequest",
+    "InvariantError",
+    "RunRequest",
+    "find_acting_owner",
+    "rank_owners",
+    "read_key_time",
+]
--- /dev/null
+++ b/catkinfork/execution/_records.py
@@ -0,0 +1,212 @@
+"""Records of keyed requests: what ran here, and what will never run here."""
+
+from collections import OrderedDict
+
+from catkinfork.execution._codes import (
+    KEY_IN_FUTURE,
+    KEY_QUIET_TIME,
+    KEY_TOO_OLD,
+)
+from catkinfork.execution._errors import check_invariant
+from catkinfork.execution._keys import read_key_time
+
+PENDING = "pending"
+RUNNING = "running"
+ANSWERED = "answered"
+UNCERTAIN = "uncertain"
+RELEASED = "released"
+CLOSED = "closed"
+
+ACTIVE = (PENDING, RUNNING)
+# With at most 256 KiB for each answer, keeps the recorded answers far below the memory
+# of 256 MB that a node may use.
+MAX_ANSWER_BYTES = 32 * 1024 * 1024
+
+
+class KeyRecord:
+    """What is known of one key.
+
+    :param name: pair of workspace and key.
+    :param fingerprint: digest of workspace and body of the first submission.
+    :param state: ``pending`` (has not run yet), ``running``, ``answered``,
+        ``uncertain`` (ran without a complete answer), ``released`` or ``closed`` (never
+        runs here).
+    :param key_ms: creation time of a time-ordered key, None for an opaque one.
+    :param now: monotonic time in seconds.
+    """
+
+    __slots__ = (
+        "answer",
+        "created_at",
+        "execution",
+        "fingerprint",
+        "key_ms",
+        "name",
+        "released_to",
+        "state",
+    )
+
+    def __init__(self, name, fingerprint, state, key_ms, now):
+        self.name = name
+        self.fingerprint = fingerprint
+        self.state = state
+        self.key_ms = key_ms
+        self.created_at = now
+        self.answer = None
+        self.execution = None
+        self.released_to = ""
+
+
+class KeyRecords:
+    """Bounded table of key records, with the floor below which a key is unknown.
+
+    :param settings: :class:`ExecutionSettings`.
+    :param wall_offset_s: wall-clock time minus monotonic time.
+    """
+
+    def __init__(self, settings, wall_offset_s):
+        self.settings = settings
+        self.wall_offset_s = wall_offset_s
+        self.ordered = OrderedDict()
+        self.opaque = OrderedDict()
+        self.answers = OrderedDict()
+        self.n_answer_bytes = 0
+        self.floor_ms = 0
+        self.quiet_until = float("-inf")
+
+    def read_wall_ms(self, now):
+        """Return the wall-clock time in milliseconds."""
+        return int((now + self.wall_offset_s) * 1000)
+
+    def raise_floor(self, now, spread_s=0.0):
+        """Treat every key that may be older than now as one that may have run.
+
+        :param now: monotonic time in seconds.
+        :param spread_s: time for which other processes may still run keys.
+        """
+        margin_ms = int((self.settings.key_margin_s + spread_s) * 1000)
+        self.floor_ms = max(self.floor_ms, self.read_wall_ms(now) + margin_ms)
+        quiet_until = now + spread_s + self.settings.quiet_time_s
+        self.quiet_until = max(self.quiet_until, quiet_until)
+
+    def find(self, workspace, key):
+        """Return the record of a key, or None."""
+        name = (workspace, key)
+        return self.ordered.get(name) or self.opaque.get(name)
+
+    def check_new(self, key, now):
+        """Decide whether a key without a record is known not to have run.
+
+        :returns: a refusal code, empty if the key may run or be released.
+        """
+        key_ms = read_key_time(key)
+        if key_ms is None:
+            return KEY_QUIET_TIME if now < self.quiet_until else ""
+        if key_ms <= self.floor_ms:
+            return KEY_TOO_OLD
+        # After a restart, a key dated in the future would count as newer than the
+        # start although it may have run before.
+        margin_ms = self.settings.key_margin_s * 1000
+        return KEY_IN_FUTURE if key_ms > self.read_wall_ms(now) + margin_ms else ""
+
+    def add(self, workspace, key, fingerprint, state, now):
+        """Add a record for a key that passed :meth:`check_new`.
+
+        :returns: the record, or None if there is no room for it.
+        """
+        if not self.make_room(now):
+            return None
+        key_ms = read_key_time(key)
+        # Making room may have raised the floor above this key.
+        if key_ms is not None and key_ms <= self.floor_ms:
+            return None
+        record = KeyRecord((workspace, key), fingerprint, state, key_ms, now)
+        self.choose_table(record)[record.name] = record
+        return record
+
+    def choose_table(self, record):
+        """Return the table that holds a record."""
+        return self.opaque if record.key_ms is None else self.ordered
+
+    def make_room(self, now):
+        """Evict the oldest record if the bound is reached.
+
+        :returns: whether there is room for one more.
+        """
+        if len(self.ordered) + len(self.opaque) < self.settings.max_key_records:
+            return True
+        oldest = now - self.settings.quiet_time_s
+        for record in self.opaque.values():
+            if record.created_at > oldest:
+                break
+            if record.state not in ACTIVE:
+                self.remove(record)
+                return True
+        for record in self.ordered.values():
+            if record.state not in ACTIVE:
+                self.floor_ms = max(self.floor_ms, record.key_ms)
+                self.remove(record)
+                return True
+        return False
+
+    def remove(self, record):
+        """Remove a record, either evicted or of a key that has not run."""
+        self.drop_answer(record)
+        del self.choose_table(record)[record.name]
+
+    def note_start(self, record):
+        """Note that a key is about to run.
+
+        :raises InvariantError: if it has run or was given up here.
+        """
+        is_held = self.find(*record.name) is record
+        detail = f"key of {record.name[0]} in state {record.state}, held {is_held}"
+        check_invariant(is_held and record.state == PENDING, "key_runs_once", detail)
+        record.state = RUNNING
+
+    def note_answer(self, record):
+        """Note that a key has run to its end, and keep its answer if it fits."""
+        record.state = ANSWERED
+        record.execution = None
+        if record.answer is None or not record.answer.is_complete_copy:
+            record.answer = None
+            return
+        self.answers[record.name] = record
+        self.n_answer_bytes += record.answer.n_bytes
+        while self.n_answer_bytes > MAX_ANSWER_BYTES:
+            self.drop_answer(next(iter(self.answers.values())))
+
+    def drop_answer(self, record):
+        """Drop a recorded answer; the key is then ``unknown``."""
+        if self.answers.pop(record.name, None) is not None:
+            self.n_answer_bytes -= record.answer.n_bytes
+        record.answer = None
+
+    def settle(self, record, state):
+        """Note a final state without an answer."""
+        record.state = state
+        record.execution = None
+        record.answer = None
+
+    def release(self, workspace, key, claimant, now):
+        """Record that a key will never run here because another server may run it.
+
+        :returns: ``released``, or ``unknown`` if the key may have run here.
+        """
+        if self.check_new(key, now):
+            return "unknown"
+        record = self.add(workspace, key, b"", RELEASED, now)
+        if record is None:
+            return "unknown"
+        record.released_to = claimant
+        return RELEASED
+
+    def check_invariants(self):
+        """Check the bound on records.
+
+        :raises InvariantError: if there are too many.
+        """
+        n_records = len(self.ordered) + len(self.opaque)
+        n_max = self.settings.max_key_records
+        detail = f"{n_records} records, expected <= {n_max}"
+        check_invariant(n_records <= n_max, "key_records_bounded", detail)
--- /dev/null
+++ b/catkinfork/execution/_suspects.py
@@ -0,0 +1,70 @@
+"""Requests that were in flight when the backend server crashed."""
+
+from collections import OrderedDict
+
+from catkinfork.protocol import Suspect
+
+# Bounds the report; more requests than this are never in flight on one server.
+MAX_REPORTED = 64
+MAX_SUSPECTS = 4096
+
+
+class SuspectBook:
+    """Crash suspects of this server, and fingerprints that no server may start.
+
+    :param settings: :class:`ExecutionSettings`.
+    """
+
+    def __init__(self, settings):
+        self.settings = settings
+        self.suspects = OrderedDict()
+        self.fleet_blocked = {}
+
+    def note_crash(self, fingerprints, now):
+        """Count a crash for every fingerprint in flight."""
+        n_neighbours = max(len(fingerprints) - 1, 0)
+        for fingerprint in dict.fromkeys(fingerprints):
+            n_crashes, _, _ = self.suspects.pop(fingerprint, (0, 0, 0.0))
+            self.suspects[fingerprint] = (n_crashes + 1, n_neighbours, now)
+        while len(self.suspects) > MAX_SUSPECTS:
+            self.suspects.popitem(last=False)
+
+    def note_success(self, fingerprint):
+        """Clear a suspect that has run without a crash."""
+        self.suspects.pop(fingerprint, None)
+
+    def note_blocked(self, fingerprints, now):
+        """Take the fingerprints that the dispatcher has blocked."""
+        for fingerprint in fingerprints:
+            self.fleet_blocked[fingerprint] = now
+
+    def forget_old(self, now):
+        """Forget suspects and blocks after the block time."""
+        oldest = now - self.settings.block_time_s
+        while self.suspects:
+            fingerprint, (_, _, seen_at) = next(iter(self.suspects.items()))
+            if seen_at > oldest:
+                break
+            del self.suspects[fingerprint]
+        for fingerprint, heard_at in list(self.fleet_blocked.items()):
+            if heard_at <= oldest:
+                del self.fleet_blocked[fingerprint]
+
+    def is_suspect(self, fingerprint):
+        """Return whether a fingerprint was in flight at a crash."""
+        return fingerprint in self.suspects
+
+    def is_blocked(self, fingerprint):
+        """Return whether no new attempt of a fingerprint may start."""
+        if fingerprint in self.fleet_blocked:
+            return True
+        n_crashes = self.suspects.get(fingerprint, (0, 0, 0.0))[0]
+        return n_crashes >= self.settings.max_crashes
+
+    def list_suspects(self, now):
+        """Return the latest suspects for the report, oldest first."""
+        latest = list(self.suspects.items())[-MAX_REPORTED:]
+        return [
+            Suspect(fingerprint, n_crashes, n_neighbours, now - seen_at)
+            for fingerprint, (n_crashes, n_neighbours, seen_at) in latest
+        ]
--- a/catkinfork/protocol/_messages.py
+++ b/catkinfork/protocol/_messages.py
@@ -285,6 +285,8 @@
     :param is_idempotent: whether the request may run more than once.
     :param fingerprint: digest of workspace and body.
     :param version: version of the document that the router used.
+    :param is_suspect: whether the request was in flight at a crash, as the dispatcher
+        or an agent has told the router.
     """
 
     attempt: AttemptId
@@ -302,6 +304,7 @@
     is_idempotent: bool
     fingerprint: bytes
     version: int
+    is_suspect: bool = False
 
 
 class StartRefused(NamedTuple):
