Join the packages: a request is served end to end by separate processes

Cause: routers and agents ranked the servers of a key with different texts, so an agent refused keys that a router sent it; backend events existed twice. Ruled out: two copies kept equal by a test; one ranking in the document package serves both. Before: a keyed request ended as key_too_old or not owned.

--- a/catkinfork/backends/__init__.py
+++ b/catkinfork/backends/__init__.py
@@ -3,14 +3,14 @@
 from catkinfork.backends._base import BaseBackend
 from catkinfork.backends._engine import EngineBackend
 from catkinfork.backends._errors import BackendError
-from catkinfork.backends._events import (
+from catkinfork.backends._service import ServiceBackend
+from catkinfork.execution import (
     BackendData,
     BackendEnd,
     BackendFailure,
     BackendHead,
     BackendHealth,
 )
-from catkinfork.backends._service import ServiceBackend
 
 __all__ = [
     "BackendData",
--- a/catkinfork/backends/_base.py
+++ b/catkinfork/backends/_base.py
@@ -13,8 +13,8 @@
     describe,
     translate_errors,
 )
-from catkinfork.backends._events import BackendEnd, BackendFailure, BackendHealth
 from catkinfork.backends._headers import build_request_headers, encode_headers
+from catkinfork.execution import BackendEnd, BackendFailure, BackendHealth
 
 MAX_RESPONSE_BYTES = 64 * 1024 * 1024
 HEALTH_INTERVAL_S = 0.5
--- a/catkinfork/backends/_engine.py
+++ b/catkinfork/backends/_engine.py
@@ -14,7 +14,6 @@
     BackendSilentError,
     ResponseTooLargeError,
 )
-from catkinfork.backends._events import BackendData, BackendHead
 from catkinfork.backends._headers import read_response_headers
 from catkinfork.backends._sse import (
     DONE,
@@ -26,6 +25,7 @@
     request_usage,
     split_events,
 )
+from catkinfork.execution import BackendData, BackendHead
 
 OVERLOADED = (httpx.codes.SERVICE_UNAVAILABLE, httpx.codes.TOO_MANY_REQUESTS)
 # Bounds the requests for a plain response at an engine that answers 202 at once.
--- a/catkinfork/backends/_service.py
+++ b/catkinfork/backends/_service.py
@@ -5,8 +5,8 @@
 import anyio
 
 from catkinfork.backends._base import BaseBackend
-from catkinfork.backends._events import BackendData, BackendHead
 from catkinfork.backends._headers import read_response_headers
+from catkinfork.execution import BackendData, BackendHead
 
 
 class ServiceBackend(BaseBackend):
--- a/catkinfork/execution/__init__.py
+++ b/catkinfork/execution/__init__.py
@@ -12,7 +12,7 @@
 )
 from catkinfork.execution._agent import AgentCore
 from catkinfork.execution._errors import InvariantError
-from catkinfork.execution._keys import find_acting_owner, rank_owners, read_key_time
+from catkinfork.execution._keys import read_key_time
 
 __all__ = [
     "AgentCore",
@@ -25,7 +25,5 @@
     "CancelRequest",
     "InvariantError",
     "RunRequest",
-    "find_acting_owner",
-    "rank_owners",
     "read_key_time",
 ]
--- a/catkinfork/execution/_keyed.py
+++ b/catkinfork/execution/_keyed.py
@@ -2,9 +2,8 @@
 
 from typing import NamedTuple
 
-from catkinfork.document import LOST
+from catkinfork.document import LOST, find_acting_owner, rank_key_servers
 from catkinfork.execution import _codes as codes
-from catkinfork.execution._keys import find_acting_owner, rank_owners
 from catkinfork.execution._records import (
     ANSWERED,
     CLOSED,
@@ -116,7 +115,7 @@
         record = self.records.find(start.workspace, start.key)
         if record is not None:
             return self.decide_known(record, start)
-        owners = rank_owners(self.view, start.workspace, start.key, start.target)
+        owners = rank_key_servers(self.view, start.workspace, start.key, start.target)
         owner = find_acting_owner(self.view, owners)
         if owner != self.backend_server:
             return KeyRefusal(codes.NOT_OWNER, codes.NOT_RUN, True, owner or "")
@@ -163,7 +162,7 @@
         """
         if self.records.check_new(start.key, now):
             return codes.OUTCOME_UNKNOWN
-        owners = rank_owners(self.view, start.workspace, start.key, start.target)
+        owners = rank_key_servers(self.view, start.workspace, start.key, start.target)
         if not owners or owners[0] != self.backend_server:
             return codes.OUTCOME_UNKNOWN
         record = self.add(start, CLOSED, now)
--- a/catkinfork/gateway/_application.py
+++ b/catkinfork/gateway/_application.py
@@ -58,7 +58,7 @@
         """Note that the caller of a request has gone."""
 
     @abstractmethod
-    def log(self, action):
+    def write_log(self, action):
         """Write a :class:`LogEvent`."""
 
 
@@ -193,7 +193,7 @@
 
     def break_off(self, request, code):
         """Log that a response broke off, and raise."""
-        self.handler.log(
+        self.handler.write_log(
             log_event(
                 RESPONSE_BROKEN,
                 request_id=request.request_id,
@@ -205,7 +205,7 @@
 
     def note_slow_caller(self, request, exchange):
         """Log that a caller reads too slowly."""
-        self.handler.log(
+        self.handler.write_log(
             log_event(
                 SLOW_CALLER,
                 request_id=request.request_id,
@@ -216,7 +216,7 @@
 
     def note_caller_gone(self, request_id, workspace, stage):
         """Log that a caller has gone."""
-        self.handler.log(
+        self.handler.write_log(
             log_event(
                 CALLER_GONE, request_id=request_id, workspace=workspace, stage=stage
             )
@@ -224,7 +224,7 @@
 
     async def refuse(self, send, refusal, request_id, workspace):
         """Send a refusal and log it."""
-        self.handler.log(
+        self.handler.write_log(
             log_event(
                 REQUEST_REFUSED,
                 request_id=request_id,
--- a/catkinfork/processes/_base.py
+++ b/catkinfork/processes/_base.py
@@ -1,5 +1,6 @@
 """What the router and the agent have in common: the shell around the decisions."""
 
+import random
 import signal
 import time
 from abc import ABC, abstractmethod
@@ -69,6 +70,7 @@
         self.fleet = settings.fleet
         self.incarnation = int(time.time() * 1000)
         self.started_at = time.monotonic()
+        self.rng = random.Random(self.incarnation)
         self.keys = KeyRing(self.fleet.key_file)
         self.log = EventLog(settings.log, self.fleet.address)
         self.peers = PeerTable(self.role, self.fleet.data_centre)
@@ -180,6 +182,7 @@
         self.apply(self.configuration.hear(sender, now), now)
         if isinstance(message, Heartbeat | HeartbeatAck):
             self.apply(self.peers.handle(sender, message, now), now)
+            self.apply(self.note_incarnation(sender, message, now), now)
             return
         self.peers.hear(sender, now)
         if isinstance(message, DocumentRequest | DocumentReply):
@@ -191,6 +194,10 @@
         else:
             self.receive_for_role(sender, message, now)
 
+    def note_incarnation(self, sender, message, now):
+        """Return the actions for the incarnation that a heartbeat shows."""
+        return []
+
     def receive_for_role(self, sender, message, now):
         """Hand a message to the decisions of the role."""
         actions = self.handle(sender, message, now)
@@ -420,13 +427,14 @@
     async def read_documents(self):
         """Read the configuration service."""
         source = HttpConfigurationSource(
-            self.settings.platform, watches=self.role == "router"
+            self.settings.platform, self.role == "router", self.rng, self.log.write
         )
-        await source.run(self.take_document, self.log.write)
+        await source.run(self.take_document)
 
     async def read_hosts(self):
         """Read the host list."""
-        await HttpHostList(self.settings.platform).run(self.take_hosts, self.log.write)
+        host_list = HttpHostList(self.settings.platform, self.rng, self.log.write)
+        await host_list.run(self.take_hosts)
 
     async def watch_signals(self, scope):
         """Drain and end on SIGTERM or SIGINT."""
--- a/catkinfork/processes/_router.py
+++ b/catkinfork/processes/_router.py
@@ -1,6 +1,5 @@
 """The router process."""
 
-import random
 import time
 
 import anyio
@@ -42,7 +41,6 @@
 
     def __init__(self, settings):
         super().__init__(settings)
-        self.rng = random.Random(self.incarnation)
         identity = Sender(self.fleet.address, self.incarnation)
         self.core = RouterCore(settings, identity, self.rng)
         self.pool_dispatchers = {}
@@ -69,6 +67,9 @@
         self.apply(self.core.abandon(request_id, now), now)
         self.work.set()
 
+    def write_log(self, action):
+        self.log.write(action)
+
     # The process's decisions.
 
     def list_cores(self):
@@ -86,6 +87,9 @@
             return self.core.handle(sender, message, now)
         return None
 
+    def note_incarnation(self, sender, message, now):
+        return self.core.handle(sender, message, now)
+
     def perform(self, action, now):
         if isinstance(action, Respond):
             self.pass_on(action)
--- a/catkinfork/routing/__init__.py
+++ b/catkinfork/routing/__init__.py
@@ -3,7 +3,6 @@
 from catkinfork.routing._core import RouterCore
 from catkinfork.routing._errors import InvariantError
 from catkinfork.routing._events import EVENTS
-from catkinfork.routing._owners import rank_key_servers
 from catkinfork.routing._refusals import (
     NOT_RUN,
     ROUTER_CODES,
@@ -33,5 +32,4 @@
     "RouterCounters",
     "RouterRequest",
     "compute_fingerprint",
-    "rank_key_servers",
 ]
--- a/catkinfork/routing/_state.py
+++ b/catkinfork/routing/_state.py
@@ -2,6 +2,7 @@
 
 from heapq import heapify, heappop, heappush
 
+from catkinfork.document import find_acting_owner, rank_key_servers
 from catkinfork.observability import log_event
 from catkinfork.protocol import Cancel, Send
 from catkinfork.routing._attempts import AttemptTable
@@ -9,7 +10,6 @@
 from catkinfork.routing._demand import PoolDemand, make_entries
 from catkinfork.routing._errors import check_invariant
 from catkinfork.routing._events import REQUEST_REFUSED
-from catkinfork.routing._owners import find_acting_owner
 from catkinfork.routing._pools import PoolState
 from catkinfork.routing._prefixes import PrefixTable
 from catkinfork.routing._queues import RequestQueues
@@ -83,9 +83,7 @@
         required = ""
         preferred = ""
         if request.key:
-            required = entry.redirect or find_acting_owner(
-                self.view, request.workspace, request.key, pool, request.target
-            )
+            required = entry.redirect or self.find_owner(request)
             if not required:
                 return None
         else:
@@ -97,6 +95,13 @@
             pool, request.workspace, request.target, required, preferred, suspect
         )
 
+    def find_owner(self, request):
+        """Return the acting owner of a request's key, or None."""
+        ranked = rank_key_servers(
+            self.view, request.workspace, request.key, request.target
+        )
+        return find_acting_owner(self.view, ranked)
+
     def enqueue(self, entry, demand_class, now, is_first=False):
         """Let a request wait and mark the demand as changed."""
         entry.waiting_since = now
--- a/examples/demo.py
+++ b/examples/demo.py
@@ -79,7 +79,7 @@
 def send_twice(fleet):
     """Send one reservation twice, through both routers."""
     key = make_key()
-    body = {"item": "peg", "count": 40}
+    body = {"item": "peg", "quantity": 40}
     answers = []
     for router in ("router-1", "router-2"):
         with fleet.connect(router, "depots") as client:
@@ -87,7 +87,8 @@
             answer = client.post(
                 "/services/ledger/reservations", json=body, headers=headers
             )
-            expect(answer.status_code < 300, f"keyed: {answer.status_code} {answer.text}")
+            detail = f"keyed: {answer.status_code} {answer.text}"
+            expect(answer.status_code < 300, detail)
             answers.append(answer.json())
     expect(answers[0] == answers[1], "the second answer differs from the first")
     n_executions = count_executions(fleet, key)
@@ -98,7 +99,7 @@
 def count_executions(fleet, key):
     """Return how often the ledgers have executed a key."""
     return sum(
-        execution["idempotency_key"] == key
+        execution["key"] == key
         for server in fleet.layout.servers
         if server.pool == "ledger"
         for execution in list_executions(fleet, server.name)
--- a/standins/local_fleet.py
+++ b/standins/local_fleet.py
@@ -15,6 +15,7 @@
 import httpx
 
 START_TIMEOUT_S = 20.0
+KEY_MARGIN_WAIT_S = 0.3
 STOP_TIMEOUT_S = 15.0
 ENVIRONMENT = "production"
 
@@ -246,7 +247,8 @@
         name = f"agent-{server.name}"
         sections = self.build_common(name, server.data_centre)
         sections["backend"] = {"name": server.name, "url": self.find_url(server.name)}
-        sections["execution"] = {"quiet_time_s": 1.0}
+        # All processes share one clock, so that a small margin is enough.
+        sections["execution"] = {"quiet_time_s": 1.0, "key_margin_s": 0.2}
         path = self.write_settings(name, sections)
         self.commands[name] = [*self.program, "agent", "--settings", str(path)]
 
@@ -305,6 +307,7 @@
             self.launch(name)
         for name in self.list_members():
             self.wait_ready(name)
+        time.sleep(KEY_MARGIN_WAIT_S)
 
     def launch(self, name):
         """Start one process; its output goes to a file of its own."""
