--- a/catkinfork/gateway/__init__.py
+++ b/catkinfork/gateway/__init__.py
@@ -3,6 +3,7 @@
 from catkinfork.gateway._application import (
     BaseRequestHandler,
     Gateway,
+    ResponseBrokenError,
     answer_lifespan,
     send_whole,
 )
@@ -13,6 +14,7 @@
     "BaseRequestHandler",
     "Exchange",
     "Gateway",
+    "ResponseBrokenError",
     "ResponseData",
     "ResponseHead",
     "answer_lifespan",
--- a/catkinfork/gateway/_application.py
+++ b/catkinfork/gateway/_application.py
@@ -19,6 +19,7 @@
     UNAUTHORIZED,
     encode_refusal,
     refuse_large_body,
+    refuse_large_header,
 )
 from catkinfork.gateway._requests import (
     MODELS_PATH,
@@ -83,6 +84,10 @@
         """Answer one HTTP request."""
         request_id = uuid.uuid4().hex
         headers = decode_headers(scope["headers"])
+        if count_header_bytes(scope) > self.settings.max_header_bytes:
+            refusal = refuse_large_header(self.settings.max_header_bytes)
+            await self.refuse(send, refusal, request_id, "")
+            return
         view = self.handler.find_view()
         if view is None:
             await self.refuse(send, NOT_READY, request_id, "")
@@ -102,7 +107,7 @@
             request_id,
             workspace,
             scope["method"],
-            scope["path"],
+            read_raw_path(scope),
             scope["query_string"].decode("latin-1"),
             headers,
             body,
@@ -244,6 +249,18 @@
         await send_whole(send, refusal.status, headers, body)
 
 
+def count_header_bytes(scope):
+    """Return the size of path, query and headers of a request."""
+    n_bytes = len(scope["path"]) + len(scope["query_string"])
+    return n_bytes + sum(len(name) + len(value) for name, value in scope["headers"])
+
+
+def read_raw_path(scope):
+    """Return the path as the caller sent it, with its percent signs."""
+    raw_path = scope.get("raw_path") or scope["path"].encode()
+    return raw_path.partition(b"?")[0].decode("latin-1")
+
+
 def decode_headers(raw):
     """Return lower-case header names and values as text."""
     return [
--- a/catkinfork/gateway/_refusals.py
+++ b/catkinfork/gateway/_refusals.py
@@ -41,6 +41,15 @@
     return Refusal("body_too_large", 413, NOT_RUN, 0.0, message)
 
 
+def refuse_large_header(max_header_bytes):
+    """Return the refusal of a request head over the bound.
+
+    :param max_header_bytes: the bound in bytes.
+    """
+    message = f"path and headers are larger than {max_header_bytes} bytes"
+    return Refusal("header_too_large", 431, NOT_RUN, 0.0, message)
+
+
 def encode_refusal(refusal, request_id):
     """Return the JSON body of a refusal.
 
--- a/catkinfork/processes/_base.py
+++ b/catkinfork/processes/_base.py
@@ -18,9 +18,6 @@
 from catkinfork.observability import EventLog, LogEvent, log_event
 from catkinfork.processes._admin import AdminApplication
 from catkinfork.processes._events import (
-    DISPATCHERS_CHANGED,
-    DRAIN_ENDED,
-    DRAIN_STARTED,
     FRAME_REJECTED,
     FRAME_UNSENDABLE,
     KEY_FILE_FAILED,
@@ -28,9 +25,15 @@
     LINK_REPLACED,
     PROCESS_READY,
     PROCESS_STARTED,
+    PROCESS_STOPPED,
+    STOP_REQUESTED,
     WRONG_RECEIVER,
 )
-from catkinfork.processes._server import bind_port, serve_application
+from catkinfork.processes._server import (
+    GuardedApplication,
+    bind_port,
+    serve_application,
+)
 from catkinfork.processes._status import StatusCollector
 from catkinfork.protocol import (
     DocumentReply,
@@ -303,11 +306,6 @@
             wanted.update(ranked[: max(N_CANDIDATES, last + 1)])
             if chosen != self.dispatchers.get(pool):
                 self.dispatchers[pool] = chosen
-                self.log.write(
-                    log_event(
-                        DISPATCHERS_CHANGED, pool=pool, dispatchers=",".join(chosen)
-                    )
-                )
                 self.apply(self.set_dispatchers(pool, chosen, now), now)
         if self.configuration.view is None:
             wanted.update(routers)
@@ -422,7 +420,10 @@
 
     async def serve_admin(self):
         """Serve metrics, health and status."""
-        await serve_application(AdminApplication(self), self.admin_port, self.stop)
+        application = GuardedApplication(
+            AdminApplication(self), "admin", self.log.write
+        )
+        await serve_application(application, self.admin_port, self.stop)
 
     async def read_documents(self):
         """Read the configuration service."""
@@ -450,7 +451,7 @@
         self.is_draining = True
         self.peers.is_leaving = True
         self.log.write(
-            log_event(DRAIN_STARTED, role=self.role, n_open=self.count_open())
+            log_event(STOP_REQUESTED, role=self.role, n_open=self.count_open())
         )
         await anyio.sleep(READINESS_DELAY_S)
         now = time.monotonic()
@@ -462,7 +463,7 @@
         self.stop.set()
         self.log.write(
             log_event(
-                DRAIN_ENDED,
+                PROCESS_STOPPED,
                 role=self.role,
                 n_left=self.count_open(),
                 waited_s=time.monotonic() - started_at,
--- a/catkinfork/processes/_events.py
+++ b/catkinfork/processes/_events.py
@@ -16,17 +16,17 @@
     "a process has a document in force and takes work",
     ("role", "version", "digest", "waited_s"),
 )
-DRAIN_STARTED = Event(
+STOP_REQUESTED = Event(
     103,
     "info",
-    "drain_started",
+    "stop_requested",
     "a process was asked to stop; readiness fails from now on",
     ("role", "n_open"),
 )
-DRAIN_ENDED = Event(
+PROCESS_STOPPED = Event(
     104,
     "info",
-    "drain_ended",
+    "process_stopped",
     "a process stops",
     ("role", "n_left", "waited_s"),
 )
@@ -65,31 +65,31 @@
     "a message was not sent because it is too large",
     ("peer", "detail"),
 )
-DISPATCHERS_CHANGED = Event(
-    110,
-    "info",
-    "dispatchers_changed",
-    "another router is first in the order of a pool",
-    ("pool", "dispatchers"),
-)
 WRONG_RECEIVER = Event(
-    111,
+    110,
     "warning",
     "message_for_another_role",
     "a message came that this role does not handle",
     ("peer", "message"),
 )
+HANDLER_FAILED = Event(
+    111,
+    "error",
+    "http_handler_failed",
+    "an HTTP request ended with an unexpected failure in this process",
+    ("port", "path", "failure", "detail"),
+)
 
 EVENTS = (
     PROCESS_STARTED,
     PROCESS_READY,
-    DRAIN_STARTED,
-    DRAIN_ENDED,
+    STOP_REQUESTED,
+    PROCESS_STOPPED,
     FRAME_REJECTED,
     KEYS_CHANGED,
     KEY_FILE_FAILED,
     LINK_REPLACED,
     FRAME_UNSENDABLE,
-    DISPATCHERS_CHANGED,
     WRONG_RECEIVER,
+    HANDLER_FAILED,
 )
--- a/catkinfork/processes/_router.py
+++ b/catkinfork/processes/_router.py
@@ -14,6 +14,7 @@
 from catkinfork.processes._base import BaseProcess
 from catkinfork.processes._server import (
     GRACEFUL_TIMEOUT_S,
+    GuardedApplication,
     bind_port,
     serve_application,
 )
@@ -163,7 +164,7 @@
         """Serve the port for callers."""
         gateway = Gateway(self.settings.gateway, self)
         await serve_application(
-            gateway,
+            GuardedApplication(gateway, "callers", self.log.write),
             self.gateway_port,
             self.stop,
             self.settings.gateway.max_header_bytes,
@@ -184,8 +185,8 @@
         )
         for pool, dispatcher in sorted(self.pool_dispatchers.items()):
             yield (
-                "catkinfork_dispatcher_agents",
-                "Agents that report to this dispatcher",
+                "catkinfork_dispatcher_active",
+                "Whether this router is the dispatcher of the pool",
                 {"pool": pool},
-                len(dispatcher.agents),
+                int(dispatcher.is_active),
             )
--- a/catkinfork/processes/_server.py
+++ b/catkinfork/processes/_server.py
@@ -5,6 +5,10 @@
 from hypercorn.asyncio import serve
 from hypercorn.config import Config
 
+from catkinfork.gateway import ResponseBrokenError
+from catkinfork.observability import log_event
+from catkinfork.processes._events import HANDLER_FAILED
+
 LISTEN_BACKLOG = 1024
 GRACEFUL_TIMEOUT_S = 5.0
 KEEP_ALIVE_S = 75.0
@@ -28,6 +32,43 @@
         return f"{self.bind} cannot be bound: {self.detail}"
 
 
+class GuardedApplication:
+    """Logs failures of an ASGI application, which the server does not show.
+
+    :param application: ASGI application.
+    :param port: name of the port in the log.
+    :param write_log: callable that takes a :class:`LogEvent`.
+    """
+
+    def __init__(self, application, port, write_log):
+        self.application = application
+        self.port = port
+        self.write_log = write_log
+
+    async def __call__(self, scope, receive, send):
+        try:
+            await self.application(scope, receive, send)
+        except* ResponseBrokenError:
+            # Already logged; the server closes the connection without an end mark.
+            raise
+        except* Exception as group:
+            for error in group.exceptions:
+                self.log_failure(scope, error)
+            raise
+
+    def log_failure(self, scope, error):
+        """Log one failure."""
+        self.write_log(
+            log_event(
+                HANDLER_FAILED,
+                port=self.port,
+                path=scope.get("path", ""),
+                failure=type(error).__name__,
+                detail=str(error),
+            )
+        )
+
+
 def bind_port(bind):
     """Bind a TCP port.
 
--- a/catkinfork/protocol/_errors.py
+++ b/catkinfork/protocol/_errors.py
@@ -59,3 +59,6 @@
     """The key file cannot be read or has a line that is not ``id:hex``."""
 
     reason = "key_file"
+
+    def __str__(self):
+        return f"key file {self.peer}: {self.detail}"
