--- a/catkinfork/execution/_answers.py
+++ b/catkinfork/execution/_answers.py
@@ -62,6 +62,11 @@
         """Whether every part so far is still held."""
         return self.first == 0
 
+    @property
+    def is_recordable(self):
+        """Whether the whole answer is held and small enough to be kept."""
+        return self.is_complete_copy and self.n_bytes <= MAX_RECORDED_BYTES
+
     def listen(self, attempt, deadline, now):
         """Add an attempt and return the parts that it has missed."""
         self.listeners[attempt] = Listener(attempt, deadline, now)
--- a/catkinfork/execution/_capacity.py
+++ b/catkinfork/execution/_capacity.py
@@ -60,6 +60,10 @@
         """Requests that may run at once."""
         return self.limiter.limit if self.is_open else 0
 
+    def count_startable(self, now):
+        """Return how many requests may run, none just after a refused connection."""
+        return self.n_places if now >= self.paused_until else 0
+
     def note_health(self, is_up, is_cold, now):
         """Take the result of a health check."""
         if is_up and is_cold and not self.is_reported_cold:
--- a/catkinfork/execution/_claims.py
+++ b/catkinfork/execution/_claims.py
@@ -74,6 +74,8 @@
 
     def drop(self, execution):
         """Drop the claim of an execution that no longer waits."""
+        if not execution.is_claiming:
+            return
         self.open = {
             number: claim
             for number, claim in self.open.items()
--- a/catkinfork/execution/_keyed.py
+++ b/catkinfork/execution/_keyed.py
@@ -90,6 +90,10 @@
         self.records.raise_floor(now, 0.0 if is_stopped else DOCUMENT_SPREAD_S)
         return "key_servers_changed"
 
+    def find_server(self):
+        """Return the entry of this backend server in the document in force."""
+        return self.view.backend_servers[self.backend_server]
+
     def only_lost(self, former):
         """Return whether the key servers changed only by servers marked lost.
 
--- a/catkinfork/execution/_meter.py
+++ b/catkinfork/execution/_meter.py
@@ -2,6 +2,11 @@
 
 from catkinfork.protocol import Delivered
 
+# A report must fit into a control frame of 64 KiB, with room for tickets and suspects.
+MAX_DELIVERED_BYTES = 48 * 1024
+# Array header and five integers of at most 9 bytes; the name comes on top.
+ENTRY_BYTES = 50
+
 
 class ServiceMeter:
     """Grow-only totals of one incarnation of the agent.
@@ -17,7 +22,7 @@
 
     def change(self, workspace, units=0, n_in_flight=0, n_finished=0, units_open=0):
         """Add to the totals of a workspace."""
-        total = self.totals.get(workspace)
+        total = self.totals.pop(workspace, None)
         if total is None:
             total = Delivered(workspace, 0, 0, 0, 0)
         self.totals[workspace] = Delivered(
@@ -27,6 +32,8 @@
             total.n_finished + n_finished,
             total.units_in_flight + units_open,
         )
+        # Moved to the end, so that the oldest changes are reported first.
+        self.changed_in.pop(workspace, None)
         self.changed_in[workspace] = self.next_report
 
     def note_start(self, workspace):
@@ -59,7 +66,28 @@
                 del self.changed_in[workspace]
 
     def list_delivered(self, is_whole):
-        """Return the totals that changed, or all of them."""
+        """Return the totals that changed, or all of them.
+
+        Changes that do not fit into the report stay for the next one. A whole list
+        that does not fit loses the entries that were unchanged for longest.
+        """
         if is_whole:
-            return list(self.totals.values())
-        return [self.totals[workspace] for workspace in self.changed_in]
+            return self.list_whole()
+        delivered, n_bytes = [], 0
+        for workspace in list(self.changed_in):
+            n_bytes += ENTRY_BYTES + len(workspace)
+            if n_bytes > MAX_DELIVERED_BYTES:
+                self.changed_in[workspace] = self.next_report + 1
+            else:
+                delivered.append(self.totals[workspace])
+        return delivered
+
+    def list_whole(self):
+        """Return all totals, the latest changes first, as far as they fit."""
+        delivered, n_bytes = [], 0
+        for workspace in reversed(self.totals):
+            n_bytes += ENTRY_BYTES + len(workspace)
+            if n_bytes > MAX_DELIVERED_BYTES:
+                break
+            delivered.append(self.totals[workspace])
+        return delivered
--- a/catkinfork/execution/_records.py
+++ b/catkinfork/execution/_records.py
@@ -168,7 +168,7 @@
         """Note that a key has run to its end, and keep its answer if it fits."""
         record.state = ANSWERED
         record.execution = None
-        if record.answer is None or not record.answer.is_complete_copy:
+        if not record.answer.is_recordable:
             record.answer = None
             return
         self.answers[record.name] = record
--- a/catkinfork/execution/_reporter.py
+++ b/catkinfork/execution/_reporter.py
@@ -17,6 +17,7 @@
         self.dispatcher = ""
         self.dispatcher_incarnation = 0
         self.sequence = 0
+        self.acked = 0
         self.needs_whole = True
         self.first_whole = 0
         self.sent_at = float("-inf")
@@ -31,6 +32,7 @@
             return False
         self.dispatcher = address
         self.dispatcher_incarnation = 0
+        self.sent_at = float("-inf")
         self.ask_whole()
         return True
 
@@ -38,7 +40,6 @@
         """Send whole reports from now on until one is acknowledged."""
         self.needs_whole = True
         self.first_whole = self.sequence + 1
-        self.sent_at = float("-inf")
 
     def is_due(self, view, now):
         """Return whether a report is to be sent.
@@ -71,19 +72,22 @@
         )
         return Send(self.dispatcher, report)
 
+    def is_from_dispatcher(self, sender, ack):
+        """Return whether an acknowledgement is the dispatcher's own and not late."""
+        return sender.name == self.dispatcher and (
+            self.acked <= ack.sequence <= self.sequence
+        )
+
     def take_ack(self, sender, ack):
-        """Take an acknowledgement.
+        """Take an acknowledgement that passed :meth:`is_from_dispatcher`.
 
         :returns: whether the dispatcher process is another one than before, so that
             it does not know which tickets were granted.
         """
-        if sender.name != self.dispatcher or ack.sequence > self.sequence:
-            return False
-        if sender.incarnation < self.dispatcher_incarnation:
-            return False
-        is_other = 0 < self.dispatcher_incarnation < sender.incarnation
+        known = self.dispatcher_incarnation
         self.dispatcher_incarnation = sender.incarnation
-        if is_other:
+        self.acked = ack.sequence
+        if known not in (0, sender.incarnation):
             self.ask_whole()
             return True
         if self.needs_whole and ack.sequence < self.first_whole:
--- a/catkinfork/execution/_runner.py
+++ b/catkinfork/execution/_runner.py
@@ -17,10 +17,12 @@
 
     :param key_records: :class:`KeyRecords`.
     :param suspects: :class:`SuspectBook`.
+    :param claims: :class:`ClaimBook`.
     """
 
-    def __init__(self, key_records, suspects):
+    def __init__(self, key_records, suspects, claims):
         self.key_records = key_records
+        self.claims = claims
         self.suspects = suspects
         self.attempts = AttemptTable()
         self.meter = ServiceMeter()
@@ -35,12 +37,14 @@
         log = log_event(events.REFUSAL, code=code, outcome=outcome, **values)
         return [log, Send(start.attempt.router, refusal)]
 
-    def refuse_listeners(self, execution, code, outcome, is_retryable, now):
+    def refuse_listeners(
+        self, execution, code, outcome, is_retryable, now, redirect=""
+    ):
         """Refuse every attempt that waits for an execution."""
         actions = []
         for attempt in list(execution.answer.listeners):
             start = execution.start._replace(attempt=attempt)
-            actions += self.refuse(start, code, outcome, is_retryable, now)
+            actions += self.refuse(start, code, outcome, is_retryable, now, redirect)
         return actions
 
     def listen(self, attempt, answer, execution, deadline, now):
@@ -115,13 +119,35 @@
     def discard(self, execution):
         """Drop a waiting execution that never ran; its key is free again."""
         self.pending.remove(execution)
+        self.claims.drop(execution)
         if execution.record is not None:
             self.key_records.remove(execution.record)
 
-    def give_back(self, execution, code, now):
+    def give_back(self, execution, code, now, redirect=""):
         """Return a waiting request to its routers, which may send it elsewhere."""
         self.discard(execution)
-        return self.refuse_listeners(execution, code, codes.NOT_RUN, True, now)
+        outcome = codes.NOT_RUN
+        return self.refuse_listeners(execution, code, outcome, True, now, redirect)
+
+    def give_back_all(self, now):
+        """Return all waiting requests to their routers."""
+        actions = []
+        for execution in list(self.pending):
+            actions += self.give_back(execution, codes.GIVEN_BACK, now)
+        return actions
+
+    def end_overdue(self, now):
+        """End waiting requests, and running ones that may stop, at their deadline."""
+        actions = []
+        code = codes.DEADLINE_EXCEEDED
+        for execution in list(self.pending):
+            if execution.deadline <= now:
+                actions += self.close_key(execution, code, now)
+        for execution in self.running.values():
+            deadline = execution.deadline
+            if execution.is_stoppable and deadline is not None and deadline <= now:
+                actions += self.cancel(execution, code)
+        return actions
 
     def close_key(self, execution, code, now):
         """Refuse a waiting request for good; its key never runs.
--- a/catkinfork/execution/_suspects.py
+++ b/catkinfork/execution/_suspects.py
@@ -18,7 +18,7 @@
     def __init__(self, settings):
         self.settings = settings
         self.suspects = OrderedDict()
-        self.fleet_blocked = {}
+        self.fleet_blocked = frozenset()
 
     def note_crash(self, fingerprints, now):
         """Count a crash for every fingerprint in flight."""
@@ -33,22 +33,18 @@
         """Clear a suspect that has run without a crash."""
         self.suspects.pop(fingerprint, None)
 
-    def note_blocked(self, fingerprints, now):
-        """Take the fingerprints that the dispatcher has blocked."""
-        for fingerprint in fingerprints:
-            self.fleet_blocked[fingerprint] = now
+    def set_blocked(self, fingerprints):
+        """Set the fingerprints that the dispatcher blocks now."""
+        self.fleet_blocked = frozenset(fingerprints)
 
     def forget_old(self, now):
-        """Forget suspects and blocks after the block time."""
+        """Forget suspects after the block time."""
         oldest = now - self.settings.block_time_s
         while self.suspects:
             fingerprint, (_, _, seen_at) = next(iter(self.suspects.items()))
             if seen_at > oldest:
                 break
             del self.suspects[fingerprint]
-        for fingerprint, heard_at in list(self.fleet_blocked.items()):
-            if heard_at <= oldest:
-                del self.fleet_blocked[fingerprint]
 
     def is_suspect(self, fingerprint):
         """Return whether a fingerprint was in flight at a crash."""
