--- a/catkinfork/dispatch/_agents.py
+++ b/catkinfork/dispatch/_agents.py
@@ -3,8 +3,10 @@
 from catkinfork.fairness import Account
 
 TICKET_LIFETIME_S = 1.0
-# Time for the report, the grant and the start to arrive, with pauses of the processes.
-TICKET_MARGIN_S = 0.1
+# Time for the report, the grant and the start to arrive. A ticket lies idle for this
+# time at the end of its life, so the margin is short. A start that arrives too late is
+# refused and sent again.
+TICKET_MARGIN_S = 0.05
 AGENT_SILENCE_TIMEOUT_S = 1.5
 FORGET_AGENT_AFTER_S = 10.0
 WORKING_STATES = frozenset({"cold", "warm"})
@@ -55,16 +57,20 @@
         }
 
     def list_open(self, now):
-        """Return the tickets that can be granted, youngest first."""
+        """Return the tickets that can be granted, oldest first."""
         if self.is_void or self.report.state not in WORKING_STATES:
             return []
+        if len(self.granted) == len(self.issued_at):
+            return []
+        if now - self.heard_at >= AGENT_SILENCE_TIMEOUT_S:
+            return []
         oldest = now - TICKET_LIFETIME_S + TICKET_MARGIN_S
         numbers = [
             number
             for number, issued_at in self.issued_at.items()
             if number not in self.granted and issued_at > oldest
         ]
-        numbers.sort(key=lambda number: (self.issued_at[number], number), reverse=True)
+        numbers.sort(key=lambda number: (self.issued_at[number], number))
         return numbers
 
     def grant(self, number, suspect):
--- a/catkinfork/dispatch/_demand.py
+++ b/catkinfork/dispatch/_demand.py
@@ -4,8 +4,9 @@
 
 # A grant that no demand has confirmed by then is lost: its ticket has expired.
 GRANT_LIFETIME_S = 1.5
-# A router that is silent for longer gets no grants.
-ROUTER_SILENCE_TIMEOUT_S = 1.5
+# Routers send their demand at least every 0.5 s. A router that has missed two of them
+# gets no grants, because places granted to a dead router stay empty for a second.
+ROUTER_SILENCE_TIMEOUT_S = 1.2
 FORGET_ROUTER_AFTER_S = 30.0
 
 
@@ -37,6 +38,15 @@
     :param arrived_at: time of the router's message.
     """
 
+    __slots__ = (
+        "arrived_at",
+        "demand_class",
+        "n_unseen",
+        "n_waiting",
+        "oldest_wait_s",
+        "router",
+    )
+
     def __init__(self, router, demand_class, n_waiting, oldest_wait_s, arrived_at):
         self.router = router
         self.demand_class = demand_class
@@ -59,6 +69,31 @@
         return age * self.n_open / self.n_waiting
 
 
+class WorkspaceDemand:
+    """Waiting requests of one workspace at all routers."""
+
+    def __init__(self):
+        self.classes = {}
+        self.n_open = 0
+        self.n_open_of_kind = {}
+
+    def count(self, demand, n_open):
+        """Add to the number of requests without a grant."""
+        if n_open == 0:
+            return
+        kind = (demand.demand_class.target, demand.demand_class.required)
+        n_total = self.n_open_of_kind.get(kind, 0) + n_open
+        if n_total > 0:
+            self.n_open_of_kind[kind] = n_total
+        else:
+            del self.n_open_of_kind[kind]
+        self.n_open += n_open
+
+    def list_open(self):
+        """Return the classes that have requests without a grant."""
+        return [demand for demand in self.classes.values() if demand.n_open > 0]
+
+
 class RouterDemand:
     """Demand of one router.
 
@@ -67,7 +102,7 @@
     :param last_number: number of the last grant to this router.
     """
 
-    def __init__(self, address, incarnation, last_number=0):
+    def __init__(self, address, incarnation, last_number):
         self.address = address
         self.incarnation = incarnation
         self.last_number = last_number
@@ -77,71 +112,20 @@
         self.unseen = []
         self.n_granted = {}
 
-    def replace(self, message, grantor, now):
-        """Take a newer demand.
-
-        :param message: :class:`Demand`.
-        :param grantor: incarnation of this dispatcher.
-        """
-        self.sequence = message.sequence
-        self.heard_at = now
-        if message.grantor == grantor:
-            seen = message.grants_seen
-            self.unseen = [grant for grant in self.unseen if grant.number > seen]
-        self.classes = {}
-        for entry in message.entries:
-            if entry.n_waiting > 0:
-                key = DemandClass(*entry[:5])
-                wait_s = entry.oldest_wait_ms / 1000
-                demand = ClassDemand(self.address, key, entry.n_waiting, wait_s, now)
-                self.classes[key] = demand
-        self.count_unseen()
-
-    def count_unseen(self):
-        """Set the number of unseen grants of each class."""
-        for demand in self.classes.values():
-            demand.n_unseen = 0
-        for grant in self.unseen:
-            demand = self.classes.get(grant.demand_class)
-            if demand is not None:
-                demand.n_unseen += 1
-
-    def add_grant(self, demand_class, now):
-        """Number a grant and subtract it.
-
-        :returns: number of the grant.
-        """
-        self.last_number += 1
-        self.unseen.append(SentGrant(self.last_number, demand_class, now))
-        self.classes[demand_class].n_unseen += 1
-        workspace = demand_class.workspace
-        self.n_granted[workspace] = self.n_granted.get(workspace, 0) + 1
-        return self.last_number
-
-    def drop_lost(self, now):
-        """Drop grants that were not confirmed in time.
-
-        :returns: list of the grants.
-        """
-        lost = [
-            grant for grant in self.unseen if now - grant.sent_at >= GRANT_LIFETIME_S
-        ]
-        if lost:
-            self.unseen = self.unseen[len(lost) :]
-            self.count_unseen()
-        return lost
-
 
 class DemandTable:
     """Demand of all routers for one pool.
 
+    ``changed`` holds the workspaces whose demand has changed since it was last emptied.
+
     :param grantor: incarnation of this dispatcher.
     """
 
     def __init__(self, grantor):
         self.grantor = grantor
         self.routers = {}
-        self.by_workspace = {}
+        self.workspaces = {}
+        self.changed = set()
 
     def take(self, sender, message, now):
         """Take a demand unless a newer one of that router is known.
@@ -149,8 +133,6 @@
         :returns: whether it was taken.
         """
         router = self.routers.get(sender.name)
-        if router is not None and sender.incarnation < router.incarnation:
-            return False
         if router is None:
             # This process may have forgotten the router, but not the other way round.
             seen = message.grants_seen if message.grantor == self.grantor else 0
@@ -158,32 +140,98 @@
         elif sender.incarnation > router.incarnation:
             # Numbers go on, so that a late grant to the old process is not confirmed
             # in place of a new one.
-            last_number = router.last_number
             self.remove_classes(router)
-            router = RouterDemand(sender.name, sender.incarnation, last_number)
-        elif message.sequence <= router.sequence:
+            router = RouterDemand(sender.name, sender.incarnation, router.last_number)
+        elif (sender.incarnation, message.sequence) <= (
+            router.incarnation,
+            router.sequence,
+        ):
             return False
-        self.remove_classes(router)
         self.routers[sender.name] = router
-        router.replace(message, self.grantor, now)
-        for key, demand in router.classes.items():
-            self.by_workspace.setdefault(key.workspace, {})[router.address, key] = (
-                demand
-            )
+        self.replace(router, message, now)
         return True
 
+    def replace(self, router, message, now):
+        """Replace a router's classes by those of a message."""
+        router.sequence = message.sequence
+        router.heard_at = now
+        if message.grantor == self.grantor:
+            seen = message.grants_seen
+            router.unseen = [grant for grant in router.unseen if grant.number > seen]
+        self.remove_classes(router)
+        for entry in message.entries:
+            if entry.n_waiting > 0:
+                key = DemandClass(*entry[:5])
+                wait_s = entry.oldest_wait_ms / 1000
+                demand = ClassDemand(router.address, key, entry.n_waiting, wait_s, now)
+                router.classes[key] = demand
+        for grant in router.unseen:
+            if grant.demand_class in router.classes:
+                router.classes[grant.demand_class].n_unseen += 1
+        for key, demand in router.classes.items():
+            workspace = self.workspaces.setdefault(key.workspace, WorkspaceDemand())
+            workspace.classes[router.address, key] = demand
+            workspace.count(demand, demand.n_open)
+            self.changed.add(key.workspace)
+
     def remove_classes(self, router):
-        """Remove a router's classes from the index."""
-        for key in router.classes:
-            classes = self.by_workspace[key.workspace]
-            del classes[router.address, key]
-            if not classes:
-                del self.by_workspace[key.workspace]
+        """Remove all classes of a router."""
+        for key, demand in router.classes.items():
+            workspace = self.workspaces[key.workspace]
+            workspace.count(demand, -demand.n_open)
+            del workspace.classes[router.address, key]
+            if not workspace.classes:
+                del self.workspaces[key.workspace]
+            self.changed.add(key.workspace)
+        router.classes = {}
+
+    def add_grant(self, demand, now):
+        """Number a grant for a class and subtract it.
+
+        :param demand: :class:`ClassDemand` with a request without a grant.
+        :returns: number of the grant.
+        """
+        key = demand.demand_class
+        router = self.routers[demand.router]
+        router.last_number += 1
+        router.unseen.append(SentGrant(router.last_number, key, now))
+        router.n_granted[key.workspace] = router.n_granted.get(key.workspace, 0) + 1
+        demand.n_unseen += 1
+        self.workspaces[key.workspace].count(demand, -1)
+        self.changed.add(key.workspace)
+        return router.last_number
+
+    def drop_lost(self, now):
+        """Drop grants that their router has not confirmed in time.
+
+        :returns: list of pairs of router and list of :class:`SentGrant`.
+        """
+        lost = []
+        for router in self.routers.values():
+            oldest = now - GRANT_LIFETIME_S
+            grants = [grant for grant in router.unseen if grant.sent_at <= oldest]
+            if grants:
+                router.unseen = router.unseen[len(grants) :]
+                self.restore(router, grants)
+                lost.append((router, grants))
+        return lost
+
+    def restore(self, router, grants):
+        """Count the requests of lost grants as waiting again."""
+        for grant in grants:
+            demand = router.classes.get(grant.demand_class)
+            if demand is None:
+                continue
+            n_open = demand.n_open
+            demand.n_unseen -= 1
+            workspace = self.workspaces[grant.demand_class.workspace]
+            workspace.count(demand, demand.n_open - n_open)
+            self.changed.add(grant.demand_class.workspace)
 
     def drop_silent(self, now):
         """Drop the demand of silent routers.
 
-        :returns: list of pairs of router and its waiting requests.
+        :returns: list of pairs of router and its number of waiting requests.
         """
         silent = []
         for address, router in list(self.routers.items()):
@@ -192,36 +240,35 @@
                 n_waiting = sum(item.n_waiting for item in router.classes.values())
                 silent.append((router, n_waiting))
                 self.remove_classes(router)
-                router.classes = {}
             if age >= FORGET_ROUTER_AFTER_S:
                 del self.routers[address]
         return silent
 
-    def drop_lost(self, now):
-        """Drop lost grants of all routers.
-
-        :returns: list of pairs of router and list of :class:`SentGrant`.
-        """
-        lost = [(router, router.drop_lost(now)) for router in self.routers.values()]
-        return [(router, grants) for router, grants in lost if grants]
+    def find(self, router, demand_class):
+        """Return the demand of a class at a router, or None."""
+        workspace = self.workspaces.get(demand_class.workspace)
+        if workspace is None:
+            return None
+        return workspace.classes.get((router, demand_class))
 
     def list_open(self, workspace):
         """Return the classes of a workspace that have requests without a grant."""
-        classes = self.by_workspace.get(workspace, {})
-        return [demand for demand in classes.values() if demand.n_open > 0]
-
-    def list_backlogged(self):
-        """Return the workspaces that have requests without a grant."""
-        return [
-            workspace
-            for workspace, classes in self.by_workspace.items()
-            if any(demand.n_open > 0 for demand in classes.values())
-        ]
+        demand = self.workspaces.get(workspace)
+        return demand.list_open() if demand else []
 
     def count_open(self, workspace):
         """Return the number of requests of a workspace without a grant."""
-        classes = self.by_workspace.get(workspace, {})
-        return sum(demand.n_open for demand in classes.values())
+        demand = self.workspaces.get(workspace)
+        return demand.n_open if demand else 0
+
+    def list_kinds(self, workspace):
+        """Return pairs of target and required server with requests without a grant."""
+        demand = self.workspaces.get(workspace)
+        return demand.n_open_of_kind.keys() if demand else ()
+
+    def list_backlogged(self):
+        """Return the workspaces that have requests without a grant."""
+        return [name for name, demand in self.workspaces.items() if demand.n_open > 0]
 
     def list_heard(self, now, timeout_s):
         """Return addresses of the routers heard within a time, sorted."""
--- a/catkinfork/dispatch/_dispatcher.py
+++ b/catkinfork/dispatch/_dispatcher.py
@@ -15,6 +15,7 @@
 )
 from catkinfork.dispatch._order import FairOrder
 from catkinfork.dispatch._round import GrantRound
+from catkinfork.dispatch._servers import OpenServers, PoolServers
 from catkinfork.dispatch._summary import (
     ROUTER_HEARD_TIMEOUT_S,
     SUMMARY_INTERVAL_S,
@@ -22,19 +23,15 @@
     SummaryBuilder,
 )
 from catkinfork.dispatch._suspects import SuspectTable
-from catkinfork.fairness import (
-    BoundTerms,
-    CostEstimates,
-    ServiceCounters,
-)
+from catkinfork.fairness import BoundTerms, CostEstimates, ServiceCounters
 from catkinfork.observability import log_event
-from catkinfork.protocol import (
-    AgentReport,
-    BaseCore,
-    Demand,
-    ReportAck,
-    Send,
-)
+from catkinfork.protocol import AgentReport, BaseCore, Demand, ReportAck, Send
+
+# Timeouts are 1 s and longer, so a scan on every tick would cost more than it gains.
+SCAN_INTERVAL_S = 0.05
+# For this long after a change of dispatcher, a workspace that waited there and whose
+# demand arrives late counts as backlogged all the time.
+TAKEOVER_S = 1.5
 
 
 class Dispatcher(BaseCore):
@@ -52,17 +49,22 @@
         self.pool = pool
         self.identity = identity
         self.rng = rng
-        self.view = None
+        self.servers = None
         self.is_active = False
+        self.active_at = 0.0
         self.summary = None
-        self.summary_at = None
+        self.summary_at = 0.0
+        self.waited_before = frozenset()
+        self.next_scan_at = 0.0
         self.next_summary_at = 0.0
-        self.updated_at = None
+        self.summarised_at = 0.0
+        self.has_rest = False
+        self.largest_cost = 0
         self.n_places_seen = 0
         self.n_violations = 0
         self.overtaken = {}
         self.counters = ServiceCounters()
-        self.estimates = CostEstimates(1)
+        self.estimates = CostEstimates(0)
         self.charges = Charges(self.counters, self.estimates)
         self.order = FairOrder(self.counters)
         self.demand = DemandTable(identity.incarnation)
@@ -77,16 +79,17 @@
         :param view: :class:`DocumentView`.
         :returns: list of actions.
         """
-        self.view = view
+        self.servers = PoolServers(self.pool, view)
         if self.pool in view.pools:
             self.estimates.max_cost = view.pools[self.pool].max_cost
+            self.largest_cost = max(self.largest_cost, self.estimates.max_cost)
         shares = {name: entry.share for name, entry in view.workspaces.items()}
         self.counters.set_shares(shares)
-        kept = set(shares) | set(self.demand.by_workspace)
         for workspace in list(self.counters.values):
-            if workspace not in kept:
+            if workspace not in shares and workspace not in self.demand.workspaces:
                 self.counters.forget(workspace)
                 self.estimates.forget(workspace)
+        self.demand.changed.update(self.demand.workspaces)
         return self.match(now)
 
     def seed(self, summary, now):
@@ -94,10 +97,9 @@
 
         :param summary: :class:`PoolSummary` that this process heard as a router.
         """
-        if self.is_active or summary.pool != self.pool:
-            return
-        self.summary = summary
-        self.summary_at = now
+        if not self.is_active and summary.pool == self.pool:
+            self.summary = summary
+            self.summary_at = now
 
     def handle(self, sender, message, now):
         if isinstance(message, Demand) and message.pool == self.pool:
@@ -108,8 +110,12 @@
         return []
 
     def tick(self, now):
-        actions = self.drop_silent(now)
+        if now < self.next_scan_at and not self.has_rest:
+            return []
+        self.next_scan_at = now + SCAN_INTERVAL_S
+        actions = self.drop_silent(now) + self.drop_lost_grants(now)
         self.suspects.drop_old(now)
+        self.drop_overtaken()
         actions += self.match(now)
         if self.is_active and now >= self.next_summary_at:
             self.next_summary_at = now + SUMMARY_INTERVAL_S
@@ -123,22 +129,19 @@
             if not self.is_active:
                 actions += self.activate(sender, now)
             agent, restarted = self.find_agent(sender, report)
-            actions += restarted
             agent.take(report, now)
             self.charges.take_report(agent, now)
-            actions += self.take_suspects(sender, report, now)
-        agent = self.agents.agents[sender.name]
-        wants_whole = not agent.has_whole
-        blocked = self.suspects.list_blocked(now)
-        ack = ReportAck(report.sequence, wants_whole, blocked)
+            actions += restarted + self.take_suspects(sender, report, now)
+        wants_whole = not self.agents.agents[sender.name].has_whole
+        ack = ReportAck(report.sequence, wants_whole, self.suspects.list_blocked())
         return [Send(sender.name, ack), *actions, *self.match(now)]
 
     def find_agent(self, sender, report):
-        """Return the state of an agent and actions; a new incarnation starts empty."""
-        actions = []
+        """Return the state of an agent and log events; a new process starts empty."""
         agent = self.agents.agents.get(sender.name)
         if agent is not None and agent.incarnation == sender.incarnation:
-            return agent, actions
+            return agent, []
+        events = []
         if agent is not None:
             self.charges.close_agent(agent)
             event = log_event(
@@ -149,10 +152,10 @@
                 old_incarnation=agent.incarnation,
                 incarnation=sender.incarnation,
             )
-            actions.append(event)
+            events.append(event)
         agent = AgentState(sender.name, sender.incarnation)
         self.agents.agents[sender.name] = agent
-        return agent, actions
+        return agent, events
 
     def take_suspects(self, sender, report, now):
         """Take the crash suspects of a report and log those that are blocked now."""
@@ -170,11 +173,12 @@
         ]
 
     def activate(self, sender, now):
-        """Become the dispatcher, from the last summary if there is a newer one."""
+        """Become the dispatcher, from the last summary if one was heard since."""
         self.is_active = True
+        self.active_at = now
         self.next_summary_at = now
-        self.updated_at = now
-        age_s = -1.0
+        self.summarised_at = now
+        age_s = None
         if self.summary is not None:
             age_s = now - self.summary_at
             self.load_summary(now)
@@ -190,19 +194,20 @@
     def load_summary(self, now):
         """Start from the counters of the previous dispatcher.
 
-        What agents delivered until now is in these counters, so the agents' accounts
-        start anew.
+        What agents delivered until now is in these counters, so the accounts of the
+        agents start anew.
         """
         summary = self.summary
         self.summary = None
-        self.counters.load(
-            {item.workspace: item.counter for item in summary.workspaces}
-        )
+        entries = summary.workspaces
+        self.counters.load({entry.workspace: entry.counter for entry in entries})
+        self.waited_before = {
+            entry.workspace for entry in entries if entry.n_waiting > 0
+        }
         self.suspects.inherit(summary.suspects, summary.blocked, now)
         self.agents.agents.clear()
-        waited = {item.workspace for item in summary.workspaces if item.n_waiting > 0}
         self.order.restart()
-        self.order.update(self.find_usable(), exempt=waited)
+        self.demand.changed.update(self.demand.workspaces)
 
     def drop_silent(self, now):
         """Drop what silent routers and agents have sent."""
@@ -246,25 +251,38 @@
             for router, grants in self.demand.drop_lost(now)
         ]
 
+    def drop_overtaken(self):
+        """Forget classes that no longer wait."""
+        for router, key in list(self.overtaken):
+            if self.demand.find(router, key) is None:
+                del self.overtaken[router, key]
+
     def match(self, now):
         """Grant every open ticket that can serve a waiting request.
 
         :returns: list of actions, with at most one :class:`Grant` for each router.
         """
-        if self.view is None:
+        self.has_rest = False
+        if self.servers is None or not self.is_active:
             return []
-        actions = self.drop_lost_grants(now)
-        if not self.is_active:
-            return actions
-        actions += self.update_order()
-        round_ = GrantRound(self, now)
-        round_.run()
-        self.order.update(self.find_usable())
-        return actions + round_.list_actions()
+        actions = self.update_order(now)
+        servers = self.list_open_servers(now)
+        if servers.tickets and self.order.usable:
+            round_ = GrantRound(self, servers, self.compute_terms(), now)
+            actions += round_.run()
+            self.has_rest = round_.has_rest
+            actions += self.update_order(now)
+        return actions
 
-    def update_order(self):
+    def update_order(self, now):
         """Lift workspaces that have returned from idle."""
-        lifts = self.order.update(self.find_usable())
+        if not self.demand.changed:
+            return []
+        changes = {name: self.find_usable(name) for name in self.demand.changed}
+        self.demand.changed.clear()
+        is_takeover = now - self.active_at < TAKEOVER_S
+        exempt = self.waited_before if is_takeover else frozenset()
+        lifts = self.order.update(changes, exempt)
         return [
             log_event(
                 WORKSPACE_LIFTED,
@@ -276,49 +294,29 @@
             for workspace, lift in lifts
         ]
 
-    def find_usable(self):
-        """Return the servers that each backlogged workspace can use."""
-        if self.view is None:
-            return {}
-        by_target = {}
-        for entry in self.view.list_pool(self.pool):
-            if self.view.is_in_service(entry.name):
-                for target in entry.serves:
-                    by_target.setdefault(target, set()).add(entry.name)
-        usable = {}
-        for workspace in self.demand.list_backlogged():
-            servers = set()
-            for demand in self.demand.list_open(workspace):
-                names = by_target.get(demand.demand_class.target, set())
-                required = demand.demand_class.required
-                servers |= names & {required} if required else names
-            usable[workspace] = frozenset(servers)
-        return usable
+    def find_usable(self, workspace):
+        """Return the servers that a workspace can use, None if it does not wait."""
+        kinds = self.demand.list_kinds(workspace)
+        return self.servers.find_usable(kinds) if kinds else None
 
-    def list_granting(self, now):
-        """Return live agents whose backend server is in service in the document."""
-        granting = []
-        for agent in self.agents.list_live():
-            entry = self.view.backend_servers.get(agent.name)
-            if entry is None or entry.agent != agent.address:
-                continue
-            is_silent = now - agent.heard_at >= AGENT_SILENCE_TIMEOUT_S
-            if is_silent or entry.pool != self.pool:
-                continue
-            if self.view.is_in_service(agent.name):
-                granting.append(agent)
-        return granting
+    def list_open_servers(self, now):
+        """Return the :class:`OpenServers` whose tickets may be granted now."""
+        suspects = set(self.suspects.blocked)
+        for agent in self.agents.agents.values():
+            suspects.update(agent.list_suspects())
+        servers = OpenServers(self.servers, suspects, self.rng)
+        for agent in self.agents.agents.values():
+            numbers = agent.list_open(now)
+            if numbers and self.servers.may_receive(agent):
+                servers.add(agent, numbers)
+        return servers
 
     def compute_terms(self):
         """Return the :class:`BoundTerms` of the pool."""
-        agents = {agent.name: agent.n_capacity for agent in self.agents.agents.values()}
-        n_places = sum(
-            max(entry.max_places, agents.get(entry.name, 0))
-            for entry in self.view.list_pool(self.pool)
-        )
+        n_places = self.servers.count_places(self.agents.agents.values())
         self.n_places_seen = max(self.n_places_seen, n_places)
         return BoundTerms(
-            self.estimates.max_cost,
+            self.largest_cost,
             self.n_places_seen,
             self.rates.unit_rate,
             AGENT_SILENCE_TIMEOUT_S,
@@ -326,8 +324,8 @@
 
     def send_summary(self, now):
         """Return the summary for all routers heard lately."""
-        interval_s = max(SUMMARY_INTERVAL_S, now - self.updated_at)
-        self.updated_at = now
+        interval_s = max(SUMMARY_INTERVAL_S, now - self.summarised_at)
+        self.summarised_at = now
         self.rates.update(self.charges.n_units, interval_s, now)
         agents = self.agents.list_live()
         summary = self.summaries.build(self.demand, agents, self.suspects, now)
--- a/catkinfork/dispatch/_matching.py
+++ b/catkinfork/dispatch/_matching.py
@@ -6,6 +6,13 @@
 # A class that others of its workspace have overtaken this often takes the next ticket
 # that it can use, within one largest request of the fair order.
 MAX_OVERTAKEN = 8
+# A grant entry takes some 150 bytes and a control frame holds 64 KiB. The rest of a
+# larger round follows with the next message or tick.
+MAX_GRANTS_PER_MESSAGE = 200
+
+SMALLEST_COUNTER = "smallest_counter"
+ONLY_CANDIDATE = "only_candidate"
+OVERTAKEN = "overtaken"
 
 
 class Match(NamedTuple):
@@ -16,9 +23,9 @@
     :param ticket: ticket number.
     :param reason: ``smallest_counter``, ``only_candidate`` or ``overtaken``.
     :param placement: ``required``, ``preferred``, ``free`` or ``staged``.
-    :param counter: counter of the workspace before the charge.
-    :param next_counter: smallest counter of the other candidates, else the same.
-    :param n_candidates: workspaces that were considered.
+    :param next_counter: smallest counter of the other workspaces that wait, None if
+        there is no other.
+    :param n_candidates: workspaces that wait.
     """
 
     demand: object
@@ -26,87 +33,10 @@
     ticket: int
     reason: str
     placement: str
-    counter: float
-    next_counter: float
+    next_counter: float | None
     n_candidates: int
 
 
-class OpenServers:
-    """Backend servers with open tickets.
-
-    :param agents: the :class:`AgentState` of live agents that may receive work.
-    :param view: :class:`DocumentView` in force.
-    :param suspects: fingerprints that must not start now: in flight or blocked.
-    :param rng: random generator that chooses among equal servers.
-    :param now: monotonic time in seconds.
-    """
-
-    def __init__(self, agents, view, suspects, rng, now):
-        self.suspects = set(suspects)
-        self.rng = rng
-        self.agents = {}
-        self.tickets = {}
-        self.serves = {}
-        self.by_target = {}
-        for agent in agents:
-            numbers = agent.list_open(now)
-            if numbers:
-                self.add(agent, numbers, view.backend_servers[agent.name].serves)
-
-    def add(self, agent, numbers, serves):
-        """Add an agent with its open tickets, youngest first."""
-        self.agents[agent.name] = agent
-        self.tickets[agent.name] = numbers
-        self.serves[agent.name] = serves
-        for target in serves:
-            self.by_target.setdefault(target, set()).add(agent.name)
-
-    def list_servers(self, demand_class):
-        """Return names of servers that can take a request of a class now."""
-        names = self.by_target.get(demand_class.target)
-        if not names:
-            return ()
-        if demand_class.required:
-            names = {demand_class.required} & names
-        if demand_class.suspect:
-            if demand_class.suspect in self.suspects:
-                return ()
-            return [name for name in names if not self.agents[name].list_suspects()]
-        return names
-
-    def choose(self, names, preferred):
-        """Choose a server: a free place first, then the preferred one.
-
-        Of the rest, a server that serves few targets goes first, so that the others
-        stay open for requests that need them; then the one with most free places.
-        """
-        free = [name for name in names if self.agents[name].n_free > 0]
-        candidates = free or names
-        if preferred in candidates:
-            return preferred
-        return min(sorted(candidates), key=self.rank)
-
-    def rank(self, name):
-        """Return the sort key of a server; the smallest is chosen."""
-        n_free = self.agents[name].n_free
-        return (len(self.serves[name]), -n_free, self.rng.random())
-
-    def take(self, name, suspect):
-        """Take the youngest ticket of a server.
-
-        :returns: ticket number.
-        """
-        numbers = self.tickets[name]
-        number = numbers.pop(0)
-        if suspect:
-            self.suspects.add(suspect)
-        if not numbers:
-            del self.tickets[name]
-            for target in self.serves[name]:
-                self.by_target[target].discard(name)
-        return number
-
-
 class Matcher:
     """One round of matching.
 
@@ -127,6 +57,8 @@
         self.max_cost = max_cost
         self.now = now
         self.heap = []
+        self.n_grants = {}
+        self.has_rest = False
 
     def run(self, commit):
         """Match until no open ticket can serve any waiting request.
@@ -134,44 +66,49 @@
         :param commit: function that takes a :class:`Match`, charges it and subtracts
             it from the demand.
         """
-        if not self.servers.tickets:
-            return
-        self.heap = [
-            (self.counters.value_of(workspace), workspace)
-            for workspace in self.demand.list_backlogged()
-        ]
+        value_of = self.counters.value_of
+        names = self.demand.list_backlogged()
+        self.heap = [(value_of(workspace), workspace) for workspace in names]
         heapify(self.heap)
         while self.heap and self.servers.tickets:
             found = self.find_overtaken()
             if found is not None:
-                self.match(found, "overtaken", commit)
+                self.match(found, OVERTAKEN, commit)
                 continue
             counter, workspace = heappop(self.heap)
-            if counter != self.counters.value_of(workspace):
-                heappush(self.heap, (self.counters.value_of(workspace), workspace))
+            if counter != value_of(workspace):
+                heappush(self.heap, (value_of(workspace), workspace))
                 continue
             found = self.find_class(workspace)
             if found is not None:
-                reason = "smallest_counter" if self.heap else "only_candidate"
-                self.match(found, reason, commit)
-                heappush(self.heap, (self.counters.value_of(workspace), workspace))
+                self.match(found, SMALLEST_COUNTER, commit)
+                heappush(self.heap, (value_of(workspace), workspace))
+
+    def list_classes(self, workspace):
+        """Return the classes of a workspace that may get a grant in this round."""
+        return [
+            demand
+            for demand in self.demand.list_open(workspace)
+            if not self.is_full(demand.router)
+        ]
+
+    def is_full(self, router):
+        """Return whether the message to a router holds no further grant."""
+        if self.n_grants.get(router, 0) < MAX_GRANTS_PER_MESSAGE:
+            return False
+        self.has_rest = True
+        return True
 
     def find_class(self, workspace):
         """Return the class of a workspace that goes next, or None."""
-        best = oldest = None
-        best_key = oldest_key = None
-        for demand in self.demand.list_open(workspace):
-            key = self.rank(demand)
-            if oldest is None or key < oldest_key:
-                oldest, oldest_key = demand, key
-            if best is not None and key > best_key:
-                continue
+        ranked = sorted(self.list_classes(workspace), key=self.rank)
+        for demand in ranked:
             if self.servers.list_servers(demand.demand_class):
-                best, best_key = demand, key
-        if best is not None and best is not oldest:
-            entry = (oldest.router, oldest.demand_class)
-            self.overtaken[entry] = self.overtaken.get(entry, 0) + 1
-        return best
+                if demand is not ranked[0]:
+                    entry = (ranked[0].router, ranked[0].demand_class)
+                    self.overtaken[entry] = self.overtaken.get(entry, 0) + 1
+                return demand
+        return None
 
     def rank(self, demand):
         """Return the sort key of a class within its workspace.
@@ -180,19 +117,18 @@
         """
         router = self.demand.routers[demand.router]
         n_granted = router.n_granted.get(demand.demand_class.workspace, 0)
-        wait = -demand.estimate_wait(self.now)
-        return (wait, n_granted, demand.router, demand.demand_class)
+        wait_s = demand.estimate_wait(self.now)
+        return (-wait_s, n_granted, demand.router, demand.demand_class)
 
     def find_overtaken(self):
         """Return a class that was overtaken too often and can be served, or None."""
-        for entry, n_overtaken in self.overtaken.items():
-            if n_overtaken < MAX_OVERTAKEN:
+        for (router, key), n_overtaken in self.overtaken.items():
+            if n_overtaken < MAX_OVERTAKEN or self.is_full(router):
                 continue
-            workspace = entry[1].workspace
-            demand = self.demand.by_workspace.get(workspace, {}).get(entry)
+            demand = self.demand.find(router, key)
             if demand is None or demand.n_open == 0:
                 continue
-            if self.servers.list_servers(entry[1]) and self.is_near(workspace):
+            if self.servers.list_servers(key) and self.is_near(key.workspace):
                 return demand
         return None
 
@@ -204,29 +140,30 @@
 
     def match(self, demand, reason, commit):
         """Choose a server for a class and commit the match."""
-        demand_class = demand.demand_class
-        names = self.servers.list_servers(demand_class)
-        name = self.servers.choose(names, demand_class.preferred)
+        key = demand.demand_class
+        names = self.servers.list_servers(key)
+        name = self.servers.choose(names, key.preferred)
+        others = [value for value, other in self.heap[:3] if other != key.workspace]
+        if reason == SMALLEST_COUNTER and not others:
+            reason = ONLY_CANDIDATE
         agent = self.servers.agents[name]
-        counter = self.counters.value_of(demand_class.workspace)
+        ticket = self.servers.tickets[name][-1]
+        placement = describe_placement(key, agent)
+        next_counter = min(others, default=None)
+        n_candidates = 1 + len(self.heap) - (reason == OVERTAKEN)
         match = Match(
-            demand,
-            agent,
-            self.servers.tickets[name][0],
-            reason,
-            self.describe_placement(demand_class, agent),
-            counter,
-            self.heap[0][0] if self.heap else counter,
-            len(self.heap) + 1,
+            demand, agent, ticket, reason, placement, next_counter, n_candidates
         )
         commit(match)
-        self.servers.take(name, demand_class.suspect)
-        self.overtaken.pop((demand.router, demand_class), None)
-
-    def describe_placement(self, demand_class, agent):
-        """Return why this server was chosen."""
-        if demand_class.required:
-            return "required"
-        if agent.n_free <= 0:
-            return "staged"
-        return "preferred" if demand_class.preferred == agent.name else "free"
+        self.servers.take(name, key.suspect)
+        self.overtaken.pop((demand.router, key), None)
+        self.n_grants[demand.router] = self.n_grants.get(demand.router, 0) + 1
+
+
+def describe_placement(demand_class, agent):
+    """Return why a class received a place of this agent's server."""
+    if demand_class.required:
+        return "required"
+    if agent.n_free <= 0:
+        return "staged"
+    return "preferred" if demand_class.preferred == agent.name else "free"
--- a/catkinfork/dispatch/_order.py
+++ b/catkinfork/dispatch/_order.py
@@ -11,44 +11,65 @@
 
     def __init__(self, counters):
         self.counters = counters
+        # Servers that each backlogged workspace can use.
         self.usable = {}
         self.granted_at_server = {}
-        # Workspaces that have won a place against the others since they returned.
-        # Only their counters are within the bound of the others by construction.
+        # Workspaces that have won a place since the last workspace that came without
+        # a lift. Only their counters are within the bound of the others.
         self.level = set()
 
-    def update(self, usable, exempt=frozenset()):
-        """Take the present backlog and lift the workspaces that are new in it.
-
-        :param usable: mapping from backlogged workspace to the names of the backend
-            servers that can serve some of its requests.
-        :param exempt: workspaces that were backlogged at the previous dispatcher.
-        :returns: list of pairs of workspace and lift.
-        """
-        returned = [name for name in usable if name not in self.usable]
-        lifts = []
-        if returned:
-            floors = self.compute_floors()
-            for workspace in returned:
-                if workspace in exempt:
-                    continue
-                floor = self.find_floor(usable[workspace], floors)
-                lift = 0.0 if floor is None else self.counters.lift(workspace, floor)
-                if lift > 0:
-                    lifts.append((workspace, lift))
-        self.level.intersection_update(usable)
-        self.level = {
-            name for name in self.level if usable[name] == self.usable.get(name)
-        }
-        self.usable = usable
-        return lifts
-
     def restart(self):
         """Forget the backlog: the counters are those of another dispatcher."""
         self.usable = {}
         self.granted_at_server = {}
         self.level = set()
 
+    def update(self, changes, exempt=frozenset()):
+        """Take changes of the backlog and lift the workspaces that are new in it.
+
+        :param changes: mapping from workspace to the names of the backend servers that
+            can serve some of its requests, None if it has no waiting request.
+        :param exempt: workspaces that were backlogged at the previous dispatcher, which
+            keep the counter that they had there.
+        :returns: list of pairs of workspace and lift.
+        """
+        returned = []
+        for workspace, servers in changes.items():
+            before = self.usable.get(workspace)
+            if servers == before:
+                continue
+            self.level.discard(workspace)
+            if servers is None:
+                del self.usable[workspace]
+            elif before is None and workspace not in exempt:
+                returned.append(workspace)
+            else:
+                self.enter(workspace, servers)
+        lifts = self.lift(returned, changes)
+        self.usable.update((name, changes[name]) for name in returned)
+        return lifts
+
+    def enter(self, workspace, servers):
+        """Let a workspace compete for servers with the counter that it has.
+
+        The others are level with it only when they have won against it.
+        """
+        self.usable[workspace] = servers
+        self.level = {name for name in self.level if self.usable[name] != servers}
+
+    def lift(self, returned, changes):
+        """Lift workspaces that return from idle to those that are backlogged."""
+        lifts = []
+        if not returned:
+            return lifts
+        floors = self.compute_floors()
+        for workspace in returned:
+            floor = self.find_floor(changes[workspace], floors)
+            lift = 0.0 if floor is None else self.counters.lift(workspace, floor)
+            if lift > 0:
+                lifts.append((workspace, lift))
+        return lifts
+
     def compute_floors(self):
         """Return the smallest counter for each distinct set of usable servers."""
         floors = {}
@@ -74,16 +95,15 @@
 
     def note_grant(self, workspace, server):
         """Note a grant before its charge."""
-        self.counters.note_grant(workspace)
         self.granted_at_server[server] = self.counters.value_of(workspace)
         self.level.add(workspace)
 
-    def check_grant(self, workspace, server, allowed, can_use):
+    def check_grant(self, workspace, allowed, can_use):
         """Check that a grant keeps the fair order.
 
         :param allowed: largest excess over a passed counter.
         :param can_use: function of a workspace that returns whether it has a request
-            that the server could serve now.
+            that the granted server could serve now.
         :raises FairOrderError: if a workspace with a smaller counter is passed over.
         """
         counter = self.counters.value_of(workspace)
@@ -100,8 +120,9 @@
         """
         counter = self.counters.value_of(workspace)
         share = self.counters.share_of(workspace)
+        servers = self.usable[workspace]
         for other in self.level:
-            if self.usable[other] == self.usable.get(workspace):
-                smaller = min(share, self.counters.share_of(other))
+            if self.usable[other] == servers:
+                bound = terms.compute(min(share, self.counters.share_of(other)))
                 value = self.counters.value_of(other)
-                check_gap(other, value, workspace, counter, terms.compute(smaller))
+                check_gap(other, value, workspace, counter, bound)
--- a/catkinfork/dispatch/_round.py
+++ b/catkinfork/dispatch/_round.py
@@ -1,79 +1,83 @@
 """Grants that follow from one message or tick."""
 
 from catkinfork.dispatch._events import BOUND_EXCEEDED, GRANT_SENT
-from catkinfork.dispatch._matching import Matcher, OpenServers
+from catkinfork.dispatch._matching import OVERTAKEN, Matcher
 from catkinfork.fairness import FairnessError
 from catkinfork.observability import log_event
 from catkinfork.protocol import Grant, GrantEntry, Send
 
 
 class GrantRound:
-    """The grants that follow from one message or tick.
+    """Matches, charges and subtracts, and collects the messages.
 
     :param dispatcher: :class:`Dispatcher`.
+    :param servers: :class:`OpenServers` with the tickets that may be granted.
+    :param terms: :class:`BoundTerms`.
     :param now: monotonic time in seconds.
     """
 
-    def __init__(self, dispatcher, now):
+    def __init__(self, dispatcher, servers, terms, now):
         self.dispatcher = dispatcher
+        self.servers = servers
+        self.terms = terms
         self.now = now
-        self.servers = None
+        self.matcher = Matcher(
+            dispatcher.demand,
+            servers,
+            dispatcher.counters,
+            dispatcher.overtaken,
+            terms.max_cost,
+            now,
+        )
         self.entries = {}
         self.events = []
 
+    @property
+    def has_rest(self):
+        """Whether grants were left for the next round."""
+        return self.matcher.has_rest
+
     def run(self):
-        """Match, charge and subtract."""
-        owner = self.dispatcher
-        suspects = owner.suspects.list_blocked(self.now)
-        for agent in owner.agents.agents.values():
-            suspects += agent.list_suspects()
-        agents = owner.list_granting(self.now)
-        self.servers = OpenServers(agents, owner.view, suspects, owner.rng, self.now)
-        max_cost = owner.estimates.max_cost
-        matcher = Matcher(
-            owner.demand,
-            self.servers,
-            owner.counters,
-            owner.overtaken,
-            max_cost,
-            self.now,
-        )
-        matcher.run(self.commit)
+        """Grant every open ticket that can serve a waiting request.
+
+        :returns: list of actions: one :class:`Grant` for each router, then the log.
+        """
+        self.matcher.run(self.commit)
+        grants = [
+            Send(router, Grant(self.dispatcher.pool, entries))
+            for router, entries in self.entries.items()
+        ]
+        return [*grants, *self.events]
 
     def commit(self, match):
         """Charge a match, subtract it from the demand and note the grant."""
         owner = self.dispatcher
-        demand_class = match.demand.demand_class
-        workspace = demand_class.workspace
+        agent = match.agent
+        key = match.demand.demand_class
         self.check(match)
+        counter = owner.counters.value_of(key.workspace)
         wait_ms = round(match.demand.estimate_wait(self.now) * 1000)
-        owner.order.note_grant(workspace, match.agent.name)
-        owner.rates.note_grant(workspace, self.now)
-        estimate = owner.charges.open_grant(match.agent, workspace, match.ticket)
-        match.agent.grant(match.ticket, demand_class.suspect)
-        router = owner.demand.routers[match.demand.router]
-        number = router.add_grant(demand_class, self.now)
+        owner.order.note_grant(key.workspace, agent.name)
+        owner.rates.note_grant(key.workspace, self.now)
+        estimate = owner.charges.open_grant(agent, key.workspace, match.ticket)
+        agent.grant(match.ticket, key.suspect)
+        number = owner.demand.add_grant(match.demand, self.now)
         entry = GrantEntry(
-            number,
-            match.ticket,
-            match.agent.name,
-            match.agent.address,
-            match.agent.incarnation,
-            *demand_class,
+            number, match.ticket, agent.name, agent.address, agent.incarnation, *key
         )
-        self.entries.setdefault(router.address, []).append(entry)
+        self.entries.setdefault(match.demand.router, []).append(entry)
         event = log_event(
             GRANT_SENT,
             pool=owner.pool,
-            workspace=workspace,
-            target=demand_class.target,
-            backend_server=match.agent.name,
-            router=router.address,
+            workspace=key.workspace,
+            target=key.target,
+            backend_server=agent.name,
+            router=match.demand.router,
             number=number,
             ticket=match.ticket,
             reason=match.reason,
             placement=match.placement,
-            counter=match.counter,
+            counter=counter,
             next_counter=match.next_counter,
             estimate=estimate,
             wait_ms=wait_ms,
@@ -85,26 +89,25 @@
     def check(self, match):
         """Check the fair order and the bound before a grant.
 
-        A violation is logged and does not stop the service.
+        A violation is logged as an error. It does not stop the service, because no
+        workspace is better off without a dispatcher.
         """
-        owner = self.dispatcher
+        order = self.dispatcher.order
         workspace = match.demand.demand_class.workspace
         allowed = 0.0
-        if match.reason == "overtaken":
-            allowed = owner.estimates.max_cost / owner.counters.share_of(workspace)
+        if match.reason == OVERTAKEN:
+            share = self.dispatcher.counters.share_of(workspace)
+            allowed = self.terms.max_cost / share
         try:
-            owner.order.check_grant(
-                workspace,
-                match.agent.name,
-                allowed,
-                lambda other: self.can_use(other, match.agent.name),
+            order.check_grant(
+                workspace, allowed, lambda other: self.can_use(other, match.agent.name)
             )
-            owner.order.check_bound(workspace, owner.compute_terms())
+            order.check_bound(workspace, self.terms)
         except FairnessError as error:
-            owner.n_violations += 1
+            self.dispatcher.n_violations += 1
             event = log_event(
                 BOUND_EXCEEDED,
-                pool=owner.pool,
+                pool=self.dispatcher.pool,
                 error=type(error).__name__,
                 detail=str(error),
             )
@@ -114,14 +117,5 @@
         """Return whether a workspace has a request that a server could take now."""
         return any(
             server in self.servers.list_servers(demand.demand_class)
-            for demand in self.dispatcher.demand.list_open(workspace)
+            for demand in self.matcher.list_classes(workspace)
         )
-
-    def list_actions(self):
-        """Return the log events and one :class:`Grant` for each router."""
-        pool = self.dispatcher.pool
-        grants = [
-            Send(router, Grant(pool, entries))
-            for router, entries in self.entries.items()
-        ]
-        return [*grants, *self.events]
--- /dev/null
+++ b/catkinfork/dispatch/_servers.py
@@ -0,0 +1,123 @@
+"""Backend servers of a pool: what the document says, and which have open tickets."""
+
+
+class PoolServers:
+    """Servers of a pool in the document in force.
+
+    :param pool: pool name.
+    :param view: :class:`DocumentView`.
+    """
+
+    def __init__(self, pool, view):
+        self.entries = {entry.name: entry for entry in view.list_pool(pool)}
+        self.in_service = {name for name in self.entries if view.is_in_service(name)}
+        self.by_target = {}
+        for name in self.in_service:
+            for target in self.entries[name].serves:
+                self.by_target.setdefault(target, set()).add(name)
+
+    def find_usable(self, kinds):
+        """Return names of the servers in service that can serve some requests.
+
+        :param kinds: pairs of target and required server, empty for any.
+        """
+        usable = set()
+        for target, required in kinds:
+            names = self.by_target.get(target, frozenset())
+            usable |= names & {required} if required else names
+        return frozenset(usable)
+
+    def may_receive(self, agent):
+        """Return whether an agent's backend server is in service here.
+
+        The document also says which address speaks for a server.
+        """
+        entry = self.entries.get(agent.name)
+        if entry is None or entry.agent != agent.address:
+            return False
+        return agent.name in self.in_service
+
+    def count_places(self, agents):
+        """Return the places and staged requests that the pool may have.
+
+        :param agents: iterable of :class:`AgentState`.
+        """
+        n_reported = {agent.name: agent.n_capacity for agent in agents}
+        return sum(
+            max(entry.max_places, n_reported.get(name, 0))
+            for name, entry in self.entries.items()
+        )
+
+
+class OpenServers:
+    """Backend servers with open tickets.
+
+    :param servers: :class:`PoolServers`.
+    :param suspects: fingerprints that must not start now: in flight or blocked.
+    :param rng: random generator that chooses among equal servers.
+    """
+
+    def __init__(self, servers, suspects, rng):
+        self.servers = servers
+        self.suspects = suspects
+        self.rng = rng
+        self.agents = {}
+        self.tickets = {}
+        self.by_target = {}
+
+    def add(self, agent, numbers):
+        """Add an agent with its open tickets, the one to use first at the end."""
+        self.agents[agent.name] = agent
+        self.tickets[agent.name] = numbers
+        for target in self.get_targets(agent.name):
+            self.by_target.setdefault(target, set()).add(agent.name)
+
+    def get_targets(self, name):
+        """Return the targets that a server serves."""
+        return self.servers.entries[name].serves
+
+    def list_servers(self, demand_class):
+        """Return names of servers that can take a request of a class now."""
+        names = self.by_target.get(demand_class.target)
+        if not names:
+            return ()
+        if demand_class.required:
+            names = names & {demand_class.required}
+        if not demand_class.suspect:
+            return names
+        # One suspect for each server, and one server for each suspect: a caller may
+        # send the crashing request many times at once.
+        if demand_class.suspect in self.suspects:
+            return ()
+        return [name for name in names if not self.agents[name].list_suspects()]
+
+    def choose(self, names, preferred):
+        """Choose a server: a free place first, then the preferred one.
+
+        Of the rest, a server that serves few targets goes first, so that the others
+        stay open for requests that need them; then the one with most free places.
+        """
+        free = [name for name in names if self.agents[name].n_free > 0]
+        candidates = free or names
+        if preferred in candidates:
+            return preferred
+        return min(sorted(candidates), key=self.rank)
+
+    def rank(self, name):
+        """Return the sort key of a server; the smallest is chosen."""
+        n_free = self.agents[name].n_free
+        return (len(self.get_targets(name)), -n_free, self.rng.random())
+
+    def take(self, name, suspect):
+        """Take the next ticket of a server.
+
+        :returns: ticket number.
+        """
+        number = self.tickets[name].pop()
+        if suspect:
+            self.suspects.add(suspect)
+        if not self.tickets[name]:
+            del self.tickets[name]
+            for target in self.get_targets(name):
+                self.by_target[target].discard(name)
+        return number
--- a/catkinfork/dispatch/_summary.py
+++ b/catkinfork/dispatch/_summary.py
@@ -9,6 +9,8 @@
 RECENT_S = 5.0
 # Weight of the newest interval in the measured rates.
 NEWEST_WEIGHT = 0.2
+# An entry takes some 40 bytes and a control frame holds 64 KiB.
+MAX_WORKSPACES = 1000
 MAX_WAIT_MS = 3600 * 1000
 
 
@@ -82,7 +84,7 @@
         :param suspects: :class:`SuspectTable`.
         """
         self.sequence += 1
-        names = sorted(set(demand.by_workspace) | set(self.rates.granted_at))
+        names = self.list_names(demand)
         lowest = min(map(self.counters.value_of, names), default=0.0)
         backlogged = demand.list_backlogged()
         n_shares = sum(map(self.counters.share_of, backlogged))
@@ -93,12 +95,22 @@
             self.pool,
             self.sequence,
             workspaces,
-            suspects.list_all(now),
-            suspects.list_blocked(now),
+            suspects.list_suspects(now),
+            suspects.list_blocked(),
             sum(agent.report.n_places for agent in agents),
             sorted(agent.name for agent in agents),
         )
 
+    def list_names(self, demand):
+        """Return the workspaces to list: those that wait first, then recent ones."""
+        granted_at = self.rates.granted_at
+        waiting = sorted(demand.workspaces)
+        recent = sorted(
+            (name for name in granted_at if name not in demand.workspaces),
+            key=lambda name: (-granted_at[name], name),
+        )
+        return (waiting + recent)[:MAX_WORKSPACES]
+
     def summarise(self, workspace, demand, lowest, n_shares, now):
         """Return the :class:`WorkspaceSummary` of a workspace."""
         n_waiting = demand.count_open(workspace)
--- a/catkinfork/dispatch/_suspects.py
+++ b/catkinfork/dispatch/_suspects.py
@@ -4,6 +4,11 @@
 
 MAX_CRASHES = 2
 BLOCK_TIME_S = 600.0
+# An agent reports its latest suspects only, up to this many; from there on a
+# missing one may have been left out.
+MAX_REPORTED = 64
+# Entries of a summary or an acknowledgement, whose frames are limited to 64 KiB.
+MAX_LISTED = 256
 
 
 class Crashes(NamedTuple):
@@ -21,29 +26,50 @@
     """Crash counts of fingerprints, and which fingerprints are blocked.
 
     Crashes are summed over agents and their incarnations: an agent that restarts
-    forgets its own count, but not the crash.
+    forgets its own count, but the crash has happened. ``blocked`` holds the blocked
+    fingerprints, the one that was blocked first at the front.
     """
 
     def __init__(self):
         self.crashes = {}
         self.inherited = {}
+        self.blocked = {}
 
     def take(self, agent, incarnation, suspects, now):
         """Take the suspects of a report.
 
+        A suspect that the same process no longer reports has run without a crash
+        there, or its crash is too old.
+
         :returns: list of fingerprints that are blocked from now on.
         """
-        blocked = []
+        source = (agent, incarnation)
+        self.drop_cleared(source, suspects, now)
+        newly_blocked = []
         for suspect in suspects:
-            latest_at = now - suspect.age_s
-            if now - latest_at >= BLOCK_TIME_S:
-                continue
-            was_blocked = self.is_blocked(suspect.fingerprint, now)
-            by_agent = self.crashes.setdefault(suspect.fingerprint, {})
-            by_agent[agent, incarnation] = Crashes(suspect.n_crashes, latest_at)
-            if not was_blocked and self.is_blocked(suspect.fingerprint, now):
-                blocked.append(suspect.fingerprint)
-        return blocked
+            fingerprint = suspect.fingerprint
+            item = Crashes(suspect.n_crashes, now - suspect.age_s)
+            if is_recent(item, now):
+                self.crashes.setdefault(fingerprint, {})[source] = item
+                if self.refresh(fingerprint, now):
+                    newly_blocked.append(fingerprint)
+        return newly_blocked
+
+    def drop_cleared(self, source, suspects, now):
+        """Drop what an agent reported before and does not report now."""
+        if len(suspects) >= MAX_REPORTED:
+            return
+        listed = {suspect.fingerprint for suspect in suspects}
+        cleared = [
+            fingerprint
+            for fingerprint, by_agent in self.crashes.items()
+            if source in by_agent and fingerprint not in listed
+        ]
+        for fingerprint in cleared:
+            del self.crashes[fingerprint][source]
+            if not self.crashes[fingerprint]:
+                del self.crashes[fingerprint]
+            self.refresh(fingerprint, now)
 
     def inherit(self, suspects, blocked, now):
         """Take suspects and blocked fingerprints from another dispatcher's summary.
@@ -55,6 +81,21 @@
             fingerprint: Crashes(n_crashes, now)
             for fingerprint, n_crashes in counts.items()
         }
+        for fingerprint in set(self.inherited) | set(self.blocked):
+            self.refresh(fingerprint, now)
+
+    def refresh(self, fingerprint, now):
+        """Decide anew whether a fingerprint is blocked.
+
+        :returns: whether it was not blocked before and is now.
+        """
+        is_blocked = self.count_crashes(fingerprint, now) >= MAX_CRASHES
+        was_blocked = fingerprint in self.blocked
+        if is_blocked and not was_blocked:
+            self.blocked[fingerprint] = now
+        elif was_blocked and not is_blocked:
+            del self.blocked[fingerprint]
+        return is_blocked and not was_blocked
 
     def count_crashes(self, fingerprint, now):
         """Return the number of crashes within the block time."""
@@ -65,19 +106,15 @@
             return n_known
         return max(n_known, inherited.n_crashes)
 
-    def is_blocked(self, fingerprint, now):
-        """Return whether a fingerprint is refused."""
-        return self.count_crashes(fingerprint, now) >= MAX_CRASHES
-
-    def list_all(self, now):
-        """Return the fingerprints with a crash within the block time, sorted."""
+    def list_suspects(self, now):
+        """Return fingerprints with a recent crash, at most ``MAX_LISTED``, sorted."""
         known = set(self.crashes) | set(self.inherited)
-        return sorted(key for key in known if self.count_crashes(key, now) > 0)
+        found = sorted(key for key in known if self.count_crashes(key, now) > 0)
+        return found[:MAX_LISTED]
 
-    def list_blocked(self, now):
-        """Return the blocked fingerprints, sorted."""
-        known = set(self.crashes) | set(self.inherited)
-        return sorted(key for key in known if self.is_blocked(key, now))
+    def list_blocked(self):
+        """Return the fingerprints that were blocked last, at most ``MAX_LISTED``."""
+        return list(self.blocked)[-MAX_LISTED:]
 
     def drop_old(self, now):
         """Drop crashes that are older than the block time."""
@@ -90,6 +127,8 @@
         for fingerprint, item in list(self.inherited.items()):
             if not is_recent(item, now):
                 del self.inherited[fingerprint]
+        for fingerprint in list(self.blocked):
+            self.refresh(fingerprint, now)
 
 
 def is_recent(crashes, now):
--- /dev/null
+++ b/catkinfork/dispatch/tests/test_matching.py
@@ -0,0 +1,286 @@
+"""Which request receives which place, and in which order."""
+
+import pytest
+
+from catkinfork.dispatch.tests.builders import (
+    OTHER_ROUTER,
+    ROUTER,
+    agent_of,
+    demand,
+    get_ack,
+    get_summary,
+    list_events,
+    list_grants,
+    list_workspaces,
+    make_dispatcher,
+    make_view,
+    report,
+    want,
+)
+from catkinfork.protocol import PoolSummary, Sender, WorkspaceSummary
+
+TWO = make_view({"s1": ["m"], "s2": ["m", "n"]})
+
+
+def offer(dispatcher, server, sequence, tickets, now=0.0, **fields):
+    """Report open tickets and return the grants."""
+    message = report(server, sequence, tickets, **fields)
+    return dispatcher.handle(agent_of(server), message, now)
+
+
+@pytest.mark.parametrize(
+    ("shares", "n_tickets", "expected"),
+    [
+        ({"a": 1.0, "b": 1.0}, 6, {"a": 3, "b": 3}),
+        ({"a": 1.0, "b": 2.0}, 6, {"a": 2, "b": 4}),
+        ({"a": 0.5, "b": 2.5}, 12, {"a": 2, "b": 10}),
+    ],
+    ids=["equal", "double", "small share"],
+)
+def test_places_follow_shares(shares, n_tickets, expected):
+    """Guards against places that ignore the shares (R1)."""
+    dispatcher = make_dispatcher(make_view({"s1": ["m"]}, shares))
+    dispatcher.handle(ROUTER, demand(1, want("a", 50), want("b", 50)), 0.0)
+    granted = list_workspaces(offer(dispatcher, "s1", 1, range(n_tickets)))
+    assert {name: granted.count(name) for name in shares} == expected
+
+
+PLACEMENTS = {
+    "preferred among the free": ({"preferred": "s2"}, (0, 0), "s2", "preferred"),
+    "preferred is full": ({"preferred": "s2"}, (0, 4), "s1", "free"),
+    "all full": ({"preferred": "s2"}, (4, 4), "s2", "staged"),
+    "required": ({"required": "s2"}, (0, 0), "s2", "required"),
+    "target": ({"target": "n"}, (0, 0), "s2", "free"),
+    "server for few targets first": ({}, (2, 0), "s1", "free"),
+}
+
+
+@pytest.mark.parametrize(
+    ("fields", "n_running", "server", "placement"), PLACEMENTS.values(), ids=PLACEMENTS
+)
+def test_placement(fields, n_running, server, placement):
+    """Guards against waiting for a preferred server and against wrong servers."""
+    dispatcher = make_dispatcher(TWO)
+    for name, n in zip(("s1", "s2"), n_running, strict=True):
+        offer(dispatcher, name, 1, [1], n_running=n)
+    actions = dispatcher.handle(ROUTER, demand(1, want("a", **fields)), 0.0)
+    [(_, entry)] = list_grants(actions)
+    assert entry.backend_server == server
+    [event] = [item for item in actions if getattr(item, "event", None)]
+    values = dict(zip(event.event.fields, event.values, strict=True))
+    assert (event.event.number, values["placement"]) == (300, placement)
+    assert (values["workspace"], values["router"]) == ("a", ROUTER.name)
+
+
+def test_oldest_class_first_then_router_with_fewest_grants():
+    """Guards against starvation between classes and between routers."""
+    dispatcher = make_dispatcher(TWO)
+    young = want("a", 4, wait_ms=100)
+    old = want("a", 2, wait_ms=9000, preferred="s1")
+    dispatcher.handle(ROUTER, demand(1, young, old), 0.0)
+    dispatcher.handle(OTHER_ROUTER, demand(1, young), 0.0)
+    grants = list_grants(offer(dispatcher, "s1", 1, range(6)))
+    assert [entry.preferred for _, entry in grants[:2]] == ["s1", "s1"]
+    routers = [router for router, _ in grants[2:]]
+    assert routers.count(ROUTER.name) == routers.count(OTHER_ROUTER.name) == 2
+
+
+@pytest.mark.parametrize("required", ["s1", "s2"])
+def test_required_class_is_reached(required):
+    """Guards against a keyed request whose workspace always wins other servers.
+
+    Tickets of the two servers alternate in step with the turns of two workspaces.
+    """
+    dispatcher = make_dispatcher(TWO)
+    keyed = want("a", 1, wait_ms=5000, required=required)
+    seen = 0
+    for turn in range(60):
+        now = turn * 0.02
+        entries = [want("a", 9, wait_ms=10), want("b", 9, wait_ms=10), keyed]
+        message = demand(turn + 1, *entries, seen=seen)
+        actions = dispatcher.handle(ROUTER, message, now)
+        server = ("s1", "s2")[turn % 2]
+        actions += offer(dispatcher, server, turn + 1, [turn], now)
+        grants = list_grants(actions)
+        seen += len(grants)
+        if any(entry.required for _, entry in grants):
+            break
+    assert turn < 20
+    assert dispatcher.n_violations == 0
+
+
+DONE = {"delivered": [("a", 2000, 0, 20, 0)]}
+
+
+def test_return_from_idle_earns_no_credit():
+    """Guards against a workspace that saves up its idle time."""
+    dispatcher = make_dispatcher(make_view({"s1": ["m"]}))
+    dispatcher.handle(ROUTER, demand(1, want("a", 50)), 0.0)
+    offer(dispatcher, "s1", 1, range(20))
+    message = demand(2, want("a", 50), want("b", 50), seen=20)
+    assert 308 in list_events(dispatcher.handle(ROUTER, message, 0.1))
+    granted = list_workspaces(offer(dispatcher, "s1", 2, range(20, 30), 0.2, **DONE))
+    assert granted.count("b") == 5
+
+
+def test_return_after_all_were_idle_earns_no_credit():
+    """Guards against credit when no workspace is backlogged at the return."""
+    dispatcher = make_dispatcher(make_view({"s1": ["m"]}))
+    dispatcher.handle(ROUTER, demand(1, want("a", 20)), 0.0)
+    offer(dispatcher, "s1", 1, range(20))
+    dispatcher.handle(ROUTER, demand(2, seen=20), 0.05)
+    dispatcher.handle(ROUTER, demand(3, want("b", 50), seen=20), 0.1)
+    dispatcher.handle(ROUTER, demand(4, want("a", 50), want("b", 50), seen=20), 0.1)
+    granted = list_workspaces(offer(dispatcher, "s1", 2, range(20, 30), 0.2, **DONE))
+    assert abs(granted.count("b") - granted.count("a")) <= 2
+
+
+SUSPECT = {"suspect": b"x"}
+SUSPECT_CASES = {
+    "one suspect on a server": (
+        [want("a", **SUSPECT), want("b", suspect=b"y")],
+        {"s1": {}},
+        1,
+    ),
+    "two servers": (
+        [want("a", **SUSPECT), want("b", suspect=b"y")],
+        {"s1": {}, "s2": {}},
+        2,
+    ),
+    "same suspect on one server only": (
+        [want("a", 2, **SUSPECT)],
+        {"s1": {}, "s2": {}},
+        1,
+    ),
+    "suspect runs already": (
+        [want("b", suspect=b"y")],
+        {"s1": {"running_suspect": b"x", "n_running": 1}},
+        0,
+    ),
+    "same suspect runs elsewhere": (
+        [want("a", **SUSPECT)],
+        {"s1": {"running_suspect": b"x", "n_running": 1}, "s2": {}},
+        0,
+    ),
+    "crashes at two agents": (
+        [want("a", **SUSPECT)],
+        {"s1": {"suspects": [(b"x", 1, 0, 5)]}, "s2": {"suspects": [(b"x", 1, 0, 1)]}},
+        0,
+    ),
+    "crashes too old": (
+        [want("a", **SUSPECT)],
+        {"s1": {"suspects": [(b"x", 2, 0, 601.0)]}},
+        1,
+    ),
+    "others are not held up": (
+        [want("a", **SUSPECT), want("b", suspect=b"y"), want("c", 2)],
+        {"s1": {}},
+        3,
+    ),
+}
+
+
+@pytest.mark.parametrize(
+    ("entries", "servers", "n_granted"), SUSPECT_CASES.values(), ids=SUSPECT_CASES
+)
+def test_suspects(entries, servers, n_granted):
+    """Guards against two suspects on one server, and more crashes than needed (R13)."""
+    dispatcher = make_dispatcher(TWO)
+    for name, fields in servers.items():
+        offer(dispatcher, name, 1, range(4), **fields)
+    actions = dispatcher.handle(ROUTER, demand(1, *entries), 0.0)
+    assert len(list_grants(actions)) == n_granted
+
+
+def test_granted_suspect_holds_its_server_until_it_has_ended():
+    """Guards against a second suspect while the first is on its way or runs."""
+    dispatcher = make_dispatcher(make_view({"s1": ["m"]}))
+    entries = [want("a", suspect=b"x"), want("b", suspect=b"y")]
+    dispatcher.handle(ROUTER, demand(1, *entries), 0.0)
+    assert len(list_grants(offer(dispatcher, "s1", 1, [1, 2]))) == 1
+    assert list_grants(offer(dispatcher, "s1", 2, [1, 2], 0.1)) == []
+    running = {"running_suspect": b"x", "n_running": 1}
+    assert list_grants(offer(dispatcher, "s1", 3, [1], 0.2, **running)) == []
+    assert len(list_grants(offer(dispatcher, "s1", 4, [1], 0.3))) == 1
+
+
+def test_blocked_fingerprints_survive_an_agent_restart():
+    """Guards against a crash that is forgotten with the agent that saw it (R13)."""
+    dispatcher = make_dispatcher(TWO)
+    crash = [(b"x", 1, 2, 0.0)]
+    assert get_ack(offer(dispatcher, "s1", 1, [], suspects=crash)).blocked == []
+    again = report("s1", 1, suspects=crash)
+    actions = dispatcher.handle(agent_of("s1", 2), again, 1.0)
+    assert get_ack(actions).blocked == [b"x"]
+    assert 305 in list_events(actions)
+    offer(dispatcher, "s2", 1, [], now=601.5)
+    assert get_ack(offer(dispatcher, "s2", 2, [], now=602.0)).blocked == [b"x"]
+    dispatcher.tick(602.0)
+    assert get_ack(offer(dispatcher, "s2", 3, [], now=602.0)).blocked == []
+
+
+def test_suspect_that_ran_well_is_cleared():
+    """Guards against blocking a request that only ran beside a crashing one."""
+    dispatcher = make_dispatcher(TWO)
+    offer(dispatcher, "s1", 1, [], suspects=[(b"x", 1, 2, 0.0)])
+    offer(dispatcher, "s1", 2, [])
+    actions = offer(dispatcher, "s2", 1, [], suspects=[(b"x", 1, 2, 0.0)])
+    assert get_ack(actions).blocked == []
+
+
+def make_summary(counters, n_waiting=5, blocked=()):
+    """Return the summary of another dispatcher."""
+    entries = [WorkspaceSummary(*item, n_waiting, 0) for item in counters.items()]
+    return PoolSummary("assistant", 3, entries, [], list(blocked), 4, ["s1"])
+
+
+def test_takeover_continues_from_the_summary():
+    """Guards against a change of dispatcher that forgives the gap or the blocks."""
+    dispatcher = make_dispatcher(make_view({"s1": ["m"]}))
+    summary = make_summary({"a": 500.0, "b": 0.0}, blocked=[b"x"])
+    dispatcher.seed(summary, 0.0)
+    message = demand(1, want("a", 50, wait_ms=9000), grantor=0)
+    dispatcher.handle(OTHER_ROUTER, message, 0.0)
+    actions = offer(dispatcher, "s1", 1, [], delivered=[("a", 9000, 0, 9, 0)])
+    assert get_ack(actions).blocked == [b"x"]
+    late = demand(1, want("b", 50), want("c", 50, suspect=b"x"), grantor=0)
+    dispatcher.handle(ROUTER, late, 0.1)
+    granted = list_workspaces(offer(dispatcher, "s1", 2, range(4), 0.1))
+    assert granted == ["b"] * 4
+
+
+def test_active_dispatcher_ignores_summaries():
+    """Guards against two dispatchers that reset each other's counters."""
+    dispatcher = make_dispatcher(make_view({"s1": ["m"]}))
+    offer(dispatcher, "s1", 1, [])
+    dispatcher.seed(make_summary({"a": 9e9}, blocked=[b"x"]), 0.1)
+    for step in range(4):
+        dispatcher.tick(2.0 + step)
+    dispatcher.handle(ROUTER, demand(1, want("a", 9), want("b", 9)), 6.0)
+    actions = dispatcher.handle(agent_of("s1", 2), report("s1", 1, range(4)), 6.0)
+    assert list_workspaces(actions).count("a") == 2
+
+
+def test_summary_orders_workspaces_and_estimates_the_wait():
+    """Guards against summaries without the figures that admission needs."""
+    dispatcher = make_dispatcher(make_view({"s1": ["m"]}))
+    dispatcher.handle(ROUTER, demand(1, want("a", 50), want("b", 9)), 0.0)
+    offer(dispatcher, "s1", 1, range(5))
+    summary = get_summary(dispatcher.tick(0.1))
+    by_name = {entry.workspace: entry for entry in summary.workspaces}
+    assert min(entry.counter for entry in summary.workspaces) == 0.0
+    assert by_name["a"].n_waiting + by_name["b"].n_waiting == 54
+    assert by_name["a"].wait_ms > by_name["b"].wait_ms > 0
+    assert summary.n_places == 4
+
+
+def test_violations_are_logged_and_do_not_stop_the_service():
+    """Guards against an assertion that turns a fairness fault into an outage."""
+    dispatcher = make_dispatcher(make_view({"s1": ["m"]}))
+    message = demand(1, want("a", 50), want("b", 50))
+    dispatcher.handle(Sender("r", 1), message, 0.0)
+    offer(dispatcher, "s1", 1, range(2))
+    dispatcher.counters.charge("a", 1e6)
+    actions = offer(dispatcher, "s1", 2, [7])
+    assert list_workspaces(actions) == ["b"]
+    assert 390 in list_events(actions)
--- a/catkinfork/fairness/_counters.py
+++ b/catkinfork/fairness/_counters.py
@@ -13,7 +13,6 @@
     def __init__(self):
         self.values = {}
         self.shares = {}
-        self.last_granted = 0.0
 
     def set_shares(self, shares):
         """Set the shares, a mapping from workspace to a number greater than 0."""
@@ -32,10 +31,6 @@
         change = units / self.share_of(workspace)
         self.values[workspace] = self.value_of(workspace) + change
 
-    def note_grant(self, workspace):
-        """Store the counter at a grant, before the charge."""
-        self.last_granted = self.value_of(workspace)
-
     def lift(self, workspace, floor):
         """Raise the counter of a workspace that returns from idle.
 
@@ -52,7 +47,6 @@
         :param values: mapping from workspace to its counter.
         """
         self.values = dict(values)
-        self.last_granted = min(values.values(), default=0.0)
 
     def forget(self, workspace):
         """Drop the counter of a workspace that has been idle for long."""
