Tell a promotion's changes in words; test the document's checks

Cause: operators need to see what a promotion does before they make it, and a fault that is missed stops the fleet from adopting anything.

The diff now names effects besides fields: targets left without a backend server in service, and pools whose set of key servers changes. A key that appears twice in one JSON object is a fault; decoders keep the last one, so that a second "state" would win in silence.

Ruled out: finding twice-used keys with msgspec, which has no hook for it; the standard library's decoder makes a second pass.

--- a/catkinfork/document/_diff.py
+++ b/catkinfork/document/_diff.py
@@ -1,8 +1,12 @@
 """Differences between two documents, in words for operators."""
 
-from catkinfork.document._types import IN_SERVICE, LOST, OUT
+from catkinfork.document._types import IN_SERVICE, LOST, OUT, DataCentre
 
 _STATES = {IN_SERVICE: "in service", OUT: "out of service", LOST: "lost"}
+_REMOVALS = {
+    "workspace": "; its callers are refused",
+    "backend server": "; it receives no new work",
+}
 
 
 def diff_documents(old, new):
@@ -10,76 +14,71 @@
 
     :param old: :class:`DocumentView` in force.
     :param new: :class:`DocumentView` to promote.
-    :returns: list of lines, empty if both have the same content.
+    :returns: list of lines, empty if both are the same bytes.
     """
     if old.digest == new.digest:
         return []
     lines = diff_heads(old, new)
-    lines += diff_named("data centre", old.data_centres, new.data_centres, old, new)
-    lines += diff_named("pool", old.pools, new.pools, old, new)
-    lines += diff_named("workspace", old.workspaces, new.workspaces, old, new)
-    lines += diff_named(
-        "backend server", old.backend_servers, new.backend_servers, old, new
-    )
-    return lines + diff_key_servers(old, new)
+    lines += diff_entries("data centre", old.data_centres, new.data_centres, old)
+    lines += diff_entries("pool", old.pools, new.pools, old)
+    lines += diff_entries("workspace", old.workspaces, new.workspaces, old)
+    servers = (old.backend_servers, new.backend_servers)
+    lines += diff_entries("backend server", *servers, old)
+    return lines + diff_targets(old, new) + diff_key_servers(old, new)
 
 
 def diff_heads(old, new):
     """Compare environment, version and region, and say what the fleet would do."""
     lines = []
-    if old.document.environment != new.document.environment:
+    before, after = old.document, new.document
+    if before.environment != after.environment:
         lines.append(
-            f"environment: {old.document.environment} -> {new.document.environment}; "
-            f"the fleet of {old.document.environment} refuses it"
+            f"environment: {before.environment} -> {after.environment}; "
+            f"the fleet of {before.environment} refuses it"
         )
     if new.version > old.version:
         lines.append(f"version: {old.version} -> {new.version}")
-    elif new.version == old.version:
-        winner = "new" if new.identity > old.identity else "old"
+    elif new.version < old.version:
         lines.append(
-            f"version: {old.version} in both, a conflict; the fleet keeps the {winner} "
-            "document, whose digest is greater"
+            f"version: {old.version} -> {new.version}; the fleet ignores an older one"
         )
     else:
+        winner = "new" if new.identity > old.identity else "old"
         lines.append(
-            f"version: {old.version} -> {new.version}, which is older; the fleet "
-            "ignores it"
+            f"version: {old.version} in both, which is a conflict; the {winner} "
+            "document wins, because its digest is greater"
         )
-    if old.document.region != new.document.region:
-        lines.append(f"region: {old.document.region} -> {new.document.region}")
+    if before.region != after.region:
+        lines.append(f"region: {before.region} -> {after.region}")
     return lines
 
 
-def diff_named(noun, old_entries, new_entries, old, new):
-    """Compare records by name: removed, added, changed."""
+def diff_entries(noun, old_entries, new_entries, old):
+    """Compare records by name: removed, added, changed.
+
+    :param noun: what the records are.
+    :param old_entries: records of the document in force by name.
+    :param new_entries: records of the new document by name.
+    :param old: :class:`DocumentView` in force.
+    """
     lines = []
     for name in sorted(old_entries.keys() - new_entries.keys()):
-        effect = describe_removal(noun)
-        lines.append(f"{noun} {name}: removed{effect}")
+        lines.append(f"{noun} {name}: removed{_REMOVALS.get(noun, '')}")
     for name in sorted(new_entries.keys() - old_entries.keys()):
         lines.append(f"{noun} {name}: added, {describe_entry(new_entries[name])}")
     for name in sorted(old_entries.keys() & new_entries.keys()):
-        if old_entries[name] != new_entries[name]:
-            changes = list_changes(old_entries[name], new_entries[name], old, new)
-            lines += [f"{noun} {name}: {change}" for change in changes]
+        changes = list_changes(old_entries[name], new_entries[name], old)
+        lines += [f"{noun} {name}: {change}" for change in changes]
     return lines
 
 
-def describe_removal(noun):
-    """Return what the removal of a record means."""
-    if noun == "workspace":
-        return "; its callers are refused"
-    if noun == "backend server":
-        return "; it receives no new work"
-    return ""
-
-
 def describe_entry(entry):
     """Return the fields of an added record, without its name."""
-    parts = []
-    for field, value in zip(entry._fields[1:], entry[1:], strict=True):
-        parts.append(f"{field.replace('_', ' ')} {describe_field(field, value)}")
-    return ", ".join(parts)
+    return ", ".join(
+        f"{field.replace('_', ' ')} {describe_field(field, getattr(entry, field))}"
+        for field in entry._fields
+        if field != "name"
+    )
 
 
 def describe_field(field, value):
@@ -92,72 +91,87 @@
         return "yes" if value else "no"
     if isinstance(value, list):
         return " and ".join(value)
-    if isinstance(value, float):
-        return f"{value:g}"
-    return str(value)
+    return f"{value:g}" if isinstance(value, float) else str(value)
 
 
-def list_changes(old_entry, new_entry, old, new):
+def list_changes(before, after, old):
     """Return one text for each changed field of a record."""
     changes = []
-    for field in old_entry._fields:
-        before, after = getattr(old_entry, field), getattr(new_entry, field)
-        if before == after:
+    for field in before._fields:
+        was, is_now = getattr(before, field), getattr(after, field)
+        if was == is_now:
             continue
         if field == "state":
-            changes.append(describe_state_change(new_entry, before, after, old))
-        elif isinstance(before, list):
-            changes += list_item_changes(field, before, after)
+            changes.append(describe_state_change(before, after, old))
+        elif isinstance(was, list):
+            changes += list_item_changes(field, was, is_now)
         else:
-            before_text = describe_field(field, before)
-            after_text = describe_field(field, after)
             label = field.replace("_", " ")
-            changes.append(f"{label} {before_text} -> {after_text}")
+            texts = (describe_field(field, was), describe_field(field, is_now))
+            changes.append(f"{label} {texts[0]} -> {texts[1]}")
     return changes
 
 
-def describe_state_change(entry, before, after, old):
+def describe_state_change(before, after, old):
     """Return a change of state with its effect."""
-    text = f"{_STATES[before]} -> {_STATES[after]}"
-    if entry.name in old.data_centres and not hasattr(entry, "pool"):
+    text = f"{_STATES[before.state]} -> {_STATES[after.state]}"
+    if isinstance(after, DataCentre):
         servers = old.document.backend_servers
-        n_servers = sum(server.data_centre == entry.name for server in servers)
-        effect = "receive no new work" if after == OUT else "return gradually"
-        return f"{text}; its {n_servers} backend servers {effect}"
-    if after == LOST:
-        return f"{text}; its process must have stopped for good"
-    if before == LOST:
-        return f"{text}; keys that another server took over may run again on it"
-    if after == OUT:
+        n_servers = sum(server.data_centre == after.name for server in servers)
+        noun = "backend server" if n_servers == 1 else "backend servers"
+        effect = "no new work for" if after.state == OUT else "gradual return of"
+        return f"{text}; {effect} its {n_servers} {noun}"
+    if after.state == LOST:
+        return f"{text}; only if its process has stopped for good"
+    if before.state == LOST:
+        return f"{text}; it may own keys again"
+    if after.state == OUT:
         return f"{text}; it receives no new work"
     return f"{text}; it starts at one place"
 
 
-def list_item_changes(field, before, after):
+def list_item_changes(field, was, is_now):
     """Return the items added to and removed from a list."""
-    added = [item for item in after if item not in before]
-    removed = [item for item in before if item not in after]
+    added = sorted(set(is_now) - set(was))
+    removed = sorted(set(was) - set(is_now))
     if field == "key_digests":
-        changes = []
-        if added:
-            changes.append(f"{len(added)} caller keys added")
+        changes = [f"caller keys added: {len(added)}"] if added else []
         if removed:
-            changes.append(f"{len(removed)} caller keys removed; they are refused")
+            changes.append(f"caller keys removed, to be refused: {len(removed)}")
         return changes or ["caller keys in another order"]
     changes = [f"{field} {item} as well" for item in added]
     changes += [f"{field} {item} no longer" for item in removed]
     return changes or [f"{field} in another order"]
 
 
+def list_served(view):
+    """Return the targets that some backend server in service serves."""
+    return {
+        target
+        for entry in view.document.backend_servers
+        if view.is_in_service(entry.name)
+        for target in entry.serves
+    }
+
+
+def diff_targets(old, new):
+    """Tell which targets are left without a backend server in service."""
+    return [
+        f"target {target}: no backend server in service is left; its requests wait or "
+        "are refused"
+        for target in sorted(list_served(old) - list_served(new))
+    ]
+
+
 def diff_key_servers(old, new):
-    """Tell for which pools the servers that may own keys change."""
+    """Tell in which pools other servers than before may own keys."""
     lines = []
     for pool in sorted(old.pools.keys() & new.pools.keys()):
         before = {entry.name for entry in old.list_pool(pool) if entry.state != LOST}
         after = {entry.name for entry in new.list_pool(pool) if entry.state != LOST}
-        if before and before != after:
+        if before != after:
             lines.append(
-                f"pool {pool}: other servers own keys; older keys are answered unknown "
-                "and opaque keys for the quiet time"
+                f"pool {pool}: the set of servers that own keys changes; keys from "
+                "before are answered unknown, opaque ones for the quiet time"
             )
     return lines
--- a/catkinfork/document/_parse.py
+++ b/catkinfork/document/_parse.py
@@ -4,6 +4,7 @@
 from result import Err, Ok
 
 from catkinfork.document._convert import DocumentFault, convert_record
+from catkinfork.document._duplicates import check_duplicate_keys
 from catkinfork.document._references import check_references
 from catkinfork.document._types import Document
 from catkinfork.document._view import DocumentView
@@ -20,11 +21,12 @@
     if len(content) > MAX_DOCUMENT_BYTES:
         detail = f"{len(content)} bytes, expected at most {MAX_DOCUMENT_BYTES}"
         return Err([DocumentFault("", detail)])
+    faults = []
     try:
         raw = msgspec.json.decode(content)
+        check_duplicate_keys(content, faults)
     except (msgspec.DecodeError, RecursionError, ValueError) as error:
         return Err([DocumentFault("", f"not JSON: {error}")])
-    faults = []
     document = convert_record(raw, "", Document, faults)
     if document is not None:
         check_references(document, faults)
--- a/catkinfork/document/_references.py
+++ b/catkinfork/document/_references.py
@@ -67,7 +67,7 @@
     for field, target_field in (("data_centre", "data_centres"), ("pool", "pools")):
         if getattr(document, target_field) is None:
             continue
-        defined = [entry.name for _, entry in list_entries(document, target_field)]
+        defined = {entry.name for _, entry in list_entries(document, target_field)}
         for index, entry in servers:
             name = getattr(entry, field)
             if name is not None and name not in defined:
