Shorten the engine stand-in and count its sequences by their tasks

Ruled out: a counter raised before the task starts (it stays raised if the task is cancelled before its first step). Conclusion: the cold limit counts tasks that are not done.

--- a/standins/engine.py
+++ b/standins/engine.py
@@ -7,7 +7,6 @@
 import json
 import random
 import time
-from collections import deque
 from contextlib import contextmanager, suppress
 from hashlib import sha256
 from typing import NamedTuple
@@ -69,12 +68,6 @@
     return [*tokens, f"end-{n_tokens}"]
 
 
-def draw_length(prompt, max_tokens, seed):
-    """Return the number of tokens of a response, at least half of ``max_tokens``."""
-    rng = random.Random(f"{seed}:{max_tokens}:{prompt}")
-    return rng.randint(max(1, max_tokens // 2), max(1, max_tokens))
-
-
 def is_whole_answer(messages, text):
     """Return whether a text is a complete response to a conversation.
 
@@ -98,10 +91,17 @@
     def __init__(self, request_id, request, seed):
         prompt = join_prompt(request["messages"])
         max_tokens = request.get("max_tokens", DEFAULT_MAX_TOKENS)
+        rng = random.Random(f"{seed}:{max_tokens}:{prompt}")
+        n_tokens = rng.randint(max(1, max_tokens // 2), max(1, max_tokens))
         self.request_id = request_id
         self.model = request["model"]
-        self.tokens = make_tokens(prompt, draw_length(prompt, max_tokens, seed))
+        self.tokens = make_tokens(prompt, n_tokens)
         self.n_prompt = max(1, len(prompt.split()))
+        self.usage = {
+            "prompt_tokens": self.n_prompt,
+            "completion_tokens": n_tokens,
+            "total_tokens": self.n_prompt + n_tokens,
+        }
         self.is_streamed = bool(request.get("stream"))
         options = request.get("stream_options") or {}
         self.wants_usage = bool(options.get("include_usage"))
@@ -113,15 +113,16 @@
         self.changed = asyncio.Event()
         self.task = None
 
-    def notify(self):
-        """Wake the readers."""
+    def add_event(self, payload):
+        """Append one server-sent event and wake the readers."""
+        self.events.append(b"data: " + payload + b"\n\n")
         self.changed.set()
         self.changed = asyncio.Event()
 
-    def add_event(self, payload):
-        """Append one server-sent event."""
-        self.events.append(b"data: " + payload + b"\n\n")
-        self.notify()
+    def add_token(self, token):
+        """Append one generated token."""
+        delta = {"role": "assistant", "content": token}
+        self.add_chunk([{"index": 0, "delta": delta, "finish_reason": None}])
 
     def add_chunk(self, choices, **more):
         """Append one chunk of the response."""
@@ -142,26 +143,15 @@
         """Append the last events."""
         self.add_chunk([{"index": 0, "delta": {}, "finish_reason": "stop"}])
         if self.wants_usage:
-            self.add_chunk([], usage=self.count_usage())
+            self.add_chunk([], usage=self.usage)
         self.is_done = True
         self.add_event(b"[DONE]")
 
-    def count_usage(self):
-        """Return the usage of a finished sequence."""
-        n_tokens = len(self.tokens)
-        return {
-            "prompt_tokens": self.n_prompt,
-            "completion_tokens": n_tokens,
-            "total_tokens": self.n_prompt + n_tokens,
-        }
-
     def build_answer(self):
         """Return the whole response."""
         message = {"role": "assistant", "content": "".join(self.tokens)}
         choice = {"index": 0, "message": message, "finish_reason": "stop"}
-        return self.describe("chat.completion", [choice]) | {
-            "usage": self.count_usage()
-        }
+        return self.describe("chat.completion", [choice]) | {"usage": self.usage}
 
 
 class Engine:
@@ -183,33 +173,24 @@
         self.overloaded_at = 0.0
         self.places = asyncio.Semaphore(settings.max_batch)
         self.n_running = 0
-        self.n_waiting = 0
-        self.loads = deque(maxlen=1000)
-        self.note_load()
+        self.load = (0, 0, self.cold_until)
 
-    @property
-    def is_cold(self):
-        """Whether the engine is in its cold start."""
-        return time.monotonic() < self.cold_until
-
-    @property
-    def is_full(self):
-        """Whether the engine bears no further sequence because it is cold."""
-        n_present = self.n_running + self.n_waiting
-        return self.is_cold and n_present >= self.settings.cold_batch
+    def count_present(self):
+        """Return the number of running and waiting sequences."""
+        return sum(not stream.task.done() for stream in self.streams.values())
 
     def note_load(self):
-        """Record the load for later reports."""
-        entry = (time.monotonic(), self.n_running, self.n_waiting, self.cold_until)
-        self.loads.append(entry)
+        """Let the load report show the present load after a lag."""
+        n_waiting = max(0, self.count_present() - self.n_running)
+        load = (self.n_running, n_waiting, self.cold_until)
+        loop = asyncio.get_running_loop()
+        loop.call_later(LOAD_LAG_S, setattr, self, "load", load)
 
     def report_load(self):
-        """Return the load as it was ``LOAD_LAG_S`` ago."""
-        moment = time.monotonic() - LOAD_LAG_S
-        known = [entry for entry in self.loads if entry[0] <= moment]
-        entry = known[-1] if known else self.loads[0]
-        is_cold = moment < entry[3]
-        return {"running": entry[1], "waiting": entry[2], "is_cold": is_cold}
+        """Return the load report."""
+        n_running, n_waiting, cold_until = self.load
+        is_cold = time.monotonic() - LOAD_LAG_S < cold_until
+        return {"running": n_running, "waiting": n_waiting, "is_cold": is_cold}
 
     async def answer(self, exchange):
         """Answer one request."""
@@ -218,14 +199,15 @@
             await self.control(exchange)
         elif exchange.path.startswith("/v1/streams/"):
             await self.answer_stream(exchange)
+        elif exchange.method == "POST" and not self.fence.accepts(exchange):
+            await exchange.send_json(409, {"error": "fencing token is old"})
         elif route == "POST /v1/chat/completions":
             await self.complete(exchange)
         elif route == "POST /v1/orders":
-            await self.take_order(exchange)
+            self.orders.append(exchange.read_json())
+            await exchange.send_json(200, {"orders": self.orders})
         elif route == "GET /v1/models":
-            models = [
-                {"id": model, "object": "model"} for model in self.settings.models
-            ]
+            models = [{"id": name, "object": "model"} for name in self.settings.models]
             await exchange.send_json(200, {"object": "list", "data": models})
         elif route == "GET /v1/load":
             await exchange.send_json(200, self.report_load())
@@ -237,11 +219,10 @@
     async def complete(self, exchange):
         """Run one chat completion."""
         request = exchange.read_json()
+        is_cold = time.monotonic() < self.cold_until
         if request.get("model") not in self.settings.models:
             await exchange.send_json(404, {"error": "unknown model"})
-        elif not self.fence.accepts(exchange):
-            await exchange.send_json(409, {"error": "fencing token is old"})
-        elif self.is_full:
+        elif is_cold and self.count_present() >= self.settings.cold_batch:
             await self.reject(exchange)
         else:
             await self.execute(exchange, request)
@@ -277,26 +258,22 @@
     async def generate(self, stream):
         """Generate the tokens of one sequence as a member of the batch."""
         token_s = self.settings.token_ms / 1000
-        self.n_waiting += 1
         self.note_load()
-        try:
-            await self.places.acquire()
-        finally:
-            self.n_waiting -= 1
-        self.n_running += 1
-        self.note_load()
-        try:
-            await asyncio.sleep(stream.n_prompt * token_s * PREFILL_SHARE)
-            for token in stream.tokens:
-                growth = BATCH_GROWTH * (self.n_running - 1)
-                await asyncio.sleep(token_s * (1 + growth))
-                delta = {"role": "assistant", "content": token}
-                choice = {"index": 0, "delta": delta, "finish_reason": None}
-                stream.add_chunk([choice])
-        finally:
-            self.n_running -= 1
-            self.places.release()
+        async with self.places:
+            self.n_running += 1
             self.note_load()
+            try:
+                await asyncio.sleep(stream.n_prompt * token_s * PREFILL_SHARE)
+                for token in stream.tokens:
+                    growth = 1 + BATCH_GROWTH * (self.n_running - 1)
+                    await asyncio.sleep(token_s * growth)
+                    stream.add_token(token)
+                    idle_s = time.monotonic() - stream.read_at
+                    if stream.n_readers == 0 and idle_s > LINGER_S:
+                        self.cancel(stream)
+            finally:
+                self.n_running -= 1
+                self.note_load()
         stream.finish()
 
     async def send_events(self, exchange, stream, n_sent):
@@ -308,7 +285,8 @@
                     await exchange.write(stream.events[n_sent])
                     n_sent += 1
                     if self.faults.get("after_events") == n_sent:
-                        self.fail_connection(exchange)
+                        exchange.fail(self.faults.pop("kind"))
+                        self.faults = {}
                 elif stream.is_done:
                     await exchange.write(b"", is_last=True)
                     break
@@ -325,30 +303,13 @@
 
     @contextmanager
     def hold(self, stream):
-        """Keep a stream while it has a reader and for ``LINGER_S`` after that."""
+        """Mark that a stream has a reader."""
         stream.n_readers += 1
         try:
             yield
         finally:
             stream.n_readers -= 1
             stream.read_at = time.monotonic()
-            if not stream.is_done and stream.n_readers == 0:
-                self.server.start_task(self.expire(stream))
-
-    async def expire(self, stream):
-        """Stop a stream that nobody has resumed in time."""
-        await asyncio.sleep(LINGER_S)
-        if stream.n_readers == 0 and time.monotonic() - stream.read_at >= LINGER_S:
-            self.cancel(stream)
-
-    def fail_connection(self, exchange):
-        """Carry out the fault that a test has set for the next stream."""
-        if self.faults.pop("kind") == "silent":
-            self.server.silent.add(exchange.client)
-        else:
-            exchange.break_connection()
-            exchange.closed.set()
-        self.faults = {}
 
     def cancel(self, stream):
         """Stop a stream and forget it."""
@@ -378,28 +339,20 @@
             if not stream.is_done:
                 await exchange.send_json(202, {"running": True})
 
-    async def take_order(self, exchange):
-        """Record an order, such as one to load a model."""
-        if self.fence.accepts(exchange):
-            self.orders.append(exchange.read_json())
-            await exchange.send_json(200, {"orders": len(self.orders)})
-        else:
-            await exchange.send_json(409, {"error": "fencing token is old"})
-
     def crash(self, down_s):
         """Break all streams, refuse connections for a time and start cold."""
         for stream in list(self.streams.values()):
             self.cancel(stream)
         self.cold_until = time.monotonic() + down_s + self.settings.cold_s
-        self.overloaded_at = self.rejected_at = 0.0
         self.note_load()
         self.server.crash(down_s)
 
     async def control(self, exchange):
         """Carry out an order of a test.
 
-        ``break`` and ``silent`` accept ``{"after_events": n}``, which lets the next
-        stream fail after that many events.
+        ``break`` and ``silent`` take ``{"after_events": n}``, which lets the next
+        stream fail after that many events; ``silent`` without it concerns all
+        connections that are open.
         """
         body = exchange.read_json()
         kind = exchange.path.removeprefix("/control/")
@@ -417,8 +370,6 @@
             self.faults = {"kind": kind, "after_events": body["after_events"]}
         elif kind == "silent":
             self.server.silence_all()
-        elif kind == "break":
-            self.server.break_all()
 
 
 def main(
--- a/standins/ledger.py
+++ b/standins/ledger.py
@@ -92,9 +92,13 @@
         if self.client not in self.server.silent and not self.closed.is_set():
             await self.send(message)
 
-    def break_connection(self):
-        """Reset the connection without a response."""
-        self.server.break_connection(self.client)
+    def fail(self, kind):
+        """Send nothing more: ``silent``, or ``break`` to reset the connection."""
+        if kind == "silent":
+            self.server.silent.add(self.client)
+        else:
+            self.server.break_connection(self.client)
+            self.closed.set()
 
 
 class FaultyServer:
@@ -128,8 +132,7 @@
         return self
 
     async def __aexit__(self, *details):
-        self.listener.close()
-        self.break_all()
+        self.crash(0)
         tasks = [*self.tasks]
         for task in tasks:
             task.cancel()
@@ -191,11 +194,6 @@
         if writer is not None:
             writer.transport.abort()
 
-    def break_all(self):
-        """Reset all connections."""
-        for client in list(self.writers):
-            self.break_connection(client)
-
     def crash(self, down_s):
         """Reset all connections and refuse new ones for a time.
 
@@ -204,7 +202,8 @@
         if self.listener.is_serving():
             self.listener.close()
             self.start_task(self.reopen(down_s))
-        self.break_all()
+        for client in list(self.writers):
+            self.break_connection(client)
 
     async def reopen(self, down_s):
         """Accept connections again after a time."""
@@ -308,7 +307,7 @@
             await exchange.send_json(fault["status"], {"error": "fault"})
             return
         if fault.get("break") == "before":
-            exchange.break_connection()
+            exchange.fail("break")
             return
         if not self.fence.accepts(exchange):
             await exchange.send_json(409, {"error": "fencing token is old"})
@@ -317,7 +316,7 @@
             await asyncio.sleep(self.settings.execute_ms / 1000)
         status, value = execute(exchange)
         if fault.get("break") == "after":
-            exchange.break_connection()
+            exchange.fail("break")
             return
         await exchange.send_json(status, value)
 
