Merge the packages of the decisions

Cause: routing, dispatch, execution, configuration and backends were written in parallel. Ruled out: a second ranking of key servers in routing; its tests use the shared one.

--- a/catkinfork/routing/tests/test_admission.py
+++ b/catkinfork/routing/tests/test_admission.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from catkinfork.document import OUT
+from catkinfork.document import OUT, rank_key_servers
 from catkinfork.protocol import Start
 from catkinfork.routing import (
     NOT_RUN,
@@ -10,7 +10,6 @@
     UNKNOWN,
     Refuse,
     compute_fingerprint,
-    rank_key_servers,
 )
 from catkinfork.routing.tests.fixtures import (
     DISPATCHERS,
@@ -148,7 +147,7 @@
     """Guards against a key that runs on a server other than its owner."""
     core = make_router()
     request = make_request("a", key="k")
-    [owner, other] = rank_key_servers(make_view(), "dealers", "k", "assistant", "draft")
+    [owner, other] = rank_key_servers(make_view(), "dealers", "k", "draft")
     [demand, _] = list_demands(core.submit(request, 0.1))
     assert demand.entries[0].required == owner
     refused = core.handle(DISPATCHERS[0], make_grant(1, server=other), 0.2)
@@ -161,7 +160,7 @@
 def test_key_whose_owner_is_unreachable_ends_early():
     """Guards against a keyed request that waits until its deadline."""
     core = make_router()
-    ranked = rank_key_servers(make_view(), "dealers", "k", "assistant", "draft")
+    ranked = rank_key_servers(make_view(), "dealers", "k", "draft")
     core.submit(make_request("a", key="k"), 0.0)
     answers = []
     for step in range(100):
--- a/catkinfork/routing/tests/test_attempts.py
+++ b/catkinfork/routing/tests/test_attempts.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from catkinfork.document import rank_key_servers
 from catkinfork.membership import ReplaceLink
 from catkinfork.protocol import (
     Cancel,
@@ -11,7 +12,7 @@
     Start,
     StartRefused,
 )
-from catkinfork.routing import NOT_RUN, UNKNOWN, Refuse, rank_key_servers
+from catkinfork.routing import NOT_RUN, UNKNOWN, Refuse
 from catkinfork.routing.tests.fixtures import (
     AGENTS,
     DISPATCHERS,
@@ -31,8 +32,7 @@
 OWNED_KEY = next(
     key
     for key in "abcdefgh"
-    if rank_key_servers(make_view(), "dealers", key, "assistant", "draft")[0]
-    == "runner-1"
+    if rank_key_servers(make_view(), "dealers", key, "draft")[0] == "runner-1"
 )
 IDEMPOTENT = {}
 UNSAFE = {"is_idempotent": False}
