--- a/Makefile
+++ b/Makefile
@@ -32,6 +32,12 @@
 	$(BIN)/ruff format --check .
 	$(BIN)/ruff check .
 
+# --venv and --sh-boot: the file unpacks once and then replaces itself by the
+# interpreter, so that it stays one process.
+binary: $(VENV)/installed
+	$(BIN)/pex . --constraints requirements.lock -c catkinfork --venv prepend \
+		--sh-boot --python $(BIN)/python -o dist/catkinfork
+
 format: $(VENV)/installed
 	$(BIN)/ruff format .
 	$(BIN)/ruff check --fix .
