Refuse a start that a paused agent would make late

Cause: between the decision to start a request and the send lies a task switch; a process frozen there would start old work when it wakes, even in a data centre taken out since. Ruled out: checking only the ticket's age, which is done before this point. Before: the send had no check. After: a start later than a ticket's lifetime is reported as refused by the backend server and never sent.

--- a/catkinfork/execution/__init__.py
+++ b/catkinfork/execution/__init__.py
@@ -1,6 +1,7 @@
 """Execution at one backend server: tickets, limit, records of keys, answers."""
 
 from catkinfork.execution._actions import (
+    REFUSED,
     BackendData,
     BackendEnd,
     BackendEvent,
@@ -15,6 +16,7 @@
 from catkinfork.execution._keys import read_key_time
 
 __all__ = [
+    "REFUSED",
     "AgentCore",
     "BackendData",
     "BackendEnd",
--- a/catkinfork/processes/_agent.py
+++ b/catkinfork/processes/_agent.py
@@ -6,7 +6,13 @@
 
 from catkinfork.backends import EngineBackend, ServiceBackend
 from catkinfork.document import ENGINE
-from catkinfork.execution import AgentCore, CancelRequest, RunRequest
+from catkinfork.execution import (
+    REFUSED,
+    AgentCore,
+    BackendFailure,
+    CancelRequest,
+    RunRequest,
+)
 from catkinfork.processes._base import BaseProcess
 from catkinfork.protocol import (
     Cancel,
@@ -61,14 +67,23 @@
 
     def perform(self, action, now):
         if isinstance(action, RunRequest):
-            self.tasks.start_soon(self.run_request, action.start)
+            self.tasks.start_soon(self.run_request, action.start, now)
         elif isinstance(action, CancelRequest):
             scope = self.scopes.get(action.attempt)
             if scope is not None:
                 scope.cancel()
 
-    async def run_request(self, start):
-        """Run one request on the backend server."""
+    async def run_request(self, start, decided_at):
+        """Run one request on the backend server.
+
+        A process that was paused between the decision and this point must not start
+        work that may be out of date, for example in a data centre taken out since.
+        """
+        late_s = time.monotonic() - decided_at
+        if late_s > self.settings.execution.ticket_lifetime_s:
+            detail = f"the process was paused for {late_s:.1f} s before the start"
+            self.observe(BackendFailure(start.attempt, REFUSED, detail))
+            return
         with anyio.CancelScope() as scope:
             self.scopes[start.attempt] = scope
             try:
