--- a/catkinfork/processes/_agent.py
+++ b/catkinfork/processes/_agent.py
@@ -167,3 +167,10 @@
             labels,
             status.n_running,
         )
+        for workspace, total in self.core.runner.meter.totals.items():
+            yield (
+                "catkinfork_delivered_service_units",
+                "Service units delivered since the start",
+                {"workspace": workspace, **labels},
+                total.units,
+            )
--- a/catkinfork/processes/_base.py
+++ b/catkinfork/processes/_base.py
@@ -481,36 +481,25 @@
 
     def count_metrics(self):
         """Yield the metrics that every process has."""
-        sent = self.transport.count()
-        yield (
-            "catkinfork_messages_sent",
-            "Inner messages sent since the start",
-            {},
-            sent.n_sent,
-        )
-        yield (
-            "catkinfork_messages_received",
-            "Inner messages received since the start",
-            {},
-            sent.n_received,
-        )
-        yield (
-            "catkinfork_sent_bytes",
-            "Bytes of inner messages sent since the start",
-            {},
-            sent.bytes_sent,
-        )
-        yield (
-            "catkinfork_received_bytes",
-            "Bytes of inner messages received since the start",
-            {},
-            sent.bytes_received,
-        )
+        for entry in self.transport.list_traffic():
+            labels = {"message": entry.message, "direction": entry.direction}
+            yield (
+                "catkinfork_messages",
+                "Inner messages since the start, by type",
+                labels,
+                entry.n_messages,
+            )
+            yield (
+                "catkinfork_messages_bytes",
+                "Bytes of inner messages since the start, by type",
+                labels,
+                entry.n_bytes,
+            )
         yield (
             "catkinfork_messages_dropped",
             "Inner messages dropped at the sender since the start",
             {},
-            sent.n_dropped,
+            self.transport.n_dropped,
         )
         identity = self.identify()
         yield (
--- a/catkinfork/protocol/__init__.py
+++ b/catkinfork/protocol/__init__.py
@@ -53,7 +53,7 @@
     TicketReturn,
     WorkspaceSummary,
 )
-from catkinfork.protocol._transport import Transport, TransportCounters
+from catkinfork.protocol._transport import Traffic, Transport
 
 __all__ = [
     "MAX_CONTROL_FRAME_BYTES",
@@ -99,8 +99,8 @@
     "Suspect",
     "Ticket",
     "TicketReturn",
+    "Traffic",
     "Transport",
-    "TransportCounters",
     "UnknownKeyError",
     "UnknownMessageError",
     "WorkspaceSummary",
--- a/catkinfork/protocol/_transport.py
+++ b/catkinfork/protocol/_transport.py
@@ -18,14 +18,19 @@
 IDLE_LINK_S = 60.0
 
 
-class TransportCounters(NamedTuple):
-    """Traffic of a process since its start."""
+class Traffic(NamedTuple):
+    """Messages of one type in one direction since the start.
 
-    n_sent: int
-    n_received: int
-    bytes_sent: int
-    bytes_received: int
-    n_dropped: int
+    :param message: name of the message type.
+    :param direction: ``sent`` or ``received``.
+    :param n_messages: number of messages.
+    :param n_bytes: bytes of their frames.
+    """
+
+    message: str
+    direction: str
+    n_messages: int
+    n_bytes: int
 
 
 class Link:
@@ -61,10 +66,7 @@
         self.links = {}
         self.tasks = None
         self.socket = None
-        self.n_sent = 0
-        self.n_received = 0
-        self.bytes_sent = 0
-        self.bytes_received = 0
+        self.traffic = {}
         self.n_dropped = 0
 
     def listen(self):
@@ -91,15 +93,20 @@
         """Hand every valid message to ``on_message``."""
         while True:
             frame = await self.socket.arecv()
-            self.bytes_received += len(frame)
-            self.n_received += 1
             try:
                 sender, message = decode_frame(self.keys, frame)
             except ProtocolError as error:
                 self.on_reject(error)
                 continue
+            self.note_traffic(message, "received", len(frame))
             self.on_message(sender, message)
 
+    def note_traffic(self, message, direction, n_bytes):
+        """Count a message."""
+        key = (type(message).__name__, direction)
+        n_before, bytes_before = self.traffic.get(key, (0, 0))
+        self.traffic[key] = (n_before + 1, bytes_before + n_bytes)
+
     def send(self, destination, message):
         """Queue a message; a message to this process itself is handed over directly.
 
@@ -118,6 +125,7 @@
         if len(link.outbox) >= OUTBOX_MESSAGES:
             link.outbox.popleft()
             self.n_dropped += 1
+        self.note_traffic(message, "sent", len(frame))
         link.outbox.append(frame)
         link.wake.set()
 
@@ -165,15 +173,7 @@
             except pynng.exceptions.NNGException:
                 self.n_dropped += 1
                 continue
-            self.n_sent += 1
-            self.bytes_sent += len(frame)
-
-    def count(self):
-        """Return the traffic since the start as :class:`TransportCounters`."""
-        return TransportCounters(
-            self.n_sent,
-            self.n_received,
-            self.bytes_sent,
-            self.bytes_received,
-            self.n_dropped,
-        )
+
+    def list_traffic(self):
+        """Return the traffic since the start, a :class:`Traffic` for each type."""
+        return [Traffic(*key, *counts) for key, counts in sorted(self.traffic.items())]
--- a/standins/local_fleet.py
+++ b/standins/local_fleet.py
@@ -51,6 +51,7 @@
     :param router_data_centres: data centre of each router.
     :param workspaces: share of each workspace by its name.
     :param pools: kind of each pool by its name.
+    :param max_cost: ``max_cost`` of each pool in the document.
     """
 
     data_centres: tuple[str, ...]
@@ -58,6 +59,7 @@
     router_data_centres: tuple[str, ...]
     workspaces: dict[str, float]
     pools: dict[str, str]
+    max_cost: int = 20000
 
 
 SMALL_LAYOUT = FleetLayout(
@@ -159,7 +161,7 @@
                 for name in self.layout.data_centres
             ],
             "pools": [
-                {"name": name, "kind": kind, "max_cost": 20000}
+                {"name": name, "kind": kind, "max_cost": self.layout.max_cost}
                 for name, kind in self.layout.pools.items()
             ],
             "backend_servers": [
