--- a/catkinfork/configuration/_http.py
+++ b/catkinfork/configuration/_http.py
@@ -13,8 +13,8 @@
 )
 
 # A connection that has gone silent must be replaced within 2 s. The services answer in
-# milliseconds, so that 0.8 s without a byte beyond the requested wait is silence.
-SILENCE_S = 0.8
+# milliseconds, so that 0.6 s without a byte beyond the requested wait is silence.
+SILENCE_S = 0.6
 # Bound on a whole answer that trickles in.
 ANSWER_TIMEOUT_S = 5.0
 BACKOFF_MIN_S = 0.1
--- a/catkinfork/configuration/_source.py
+++ b/catkinfork/configuration/_source.py
@@ -13,7 +13,7 @@
 from catkinfork.observability import log_event
 
 # Longest time for which a watch is held back. A pending watch gives no sign of life, so
-# that its length adds to the time in which a silent connection is noticed: 1 s + 0.8 s
+# that its length adds to the time in which a silent connection is noticed: 1 s + 0.6 s
 # stay under the 2 s allowed. A pending watch counts as a call for as long as it lasts,
 # so that shorter ones cost the service's call limit little.
 WATCH_WAIT_S = 1.0
