--- a/catkinfork/execution/__init__.py
+++ b/catkinfork/execution/__init__.py
@@ -0,0 +1,29 @@
+"""Execution at one backend server: tickets, limit, records of keys, answers."""
+
+from catkinfork.execution._actions import (
+    BackendData,
+    BackendEnd,
+    BackendEvent,
+    BackendFailure,
+    BackendHead,
+    BackendHealth,
+    CancelRequest,
+    RunRequest,
+)
+from catkinfork.execution._agent import AgentCore
+from catkinfork.execution._errors import InvariantError
+from catkinfork.execution._keys import read_key_time
+
+__all__ = [
+    "AgentCore",
+    "BackendData",
+    "BackendEnd",
+    "BackendEvent",
+    "BackendFailure",
+    "BackendHead",
+    "BackendHealth",
+    "CancelRequest",
+    "InvariantError",
+    "RunRequest",
+    "read_key_time",
+]
