--- a/catkinfork/configuration/__init__.py
+++ b/catkinfork/configuration/__init__.py
@@ -7,6 +7,7 @@
     SourceUnreachable,
     UnexpectedAnswer,
 )
+from catkinfork.configuration._events import EVENTS
 from catkinfork.configuration._hosts import (
     AGENT,
     LEAVING,
@@ -25,6 +26,7 @@
 
 __all__ = [
     "AGENT",
+    "EVENTS",
     "LEAVING",
     "LIVE",
     "ROUTER",
--- a/catkinfork/configuration/_events.py
+++ b/catkinfork/configuration/_events.py
@@ -1,4 +1,4 @@
-"""Log events of configuration."""
+"""Log events of configuration, 500 to 599."""
 
 from catkinfork.observability import Event
 
@@ -72,3 +72,16 @@
     "an entry of the host list has a wrong form and is passed over",
     ("url", "position", "detail"),
 )
+
+EVENTS = (
+    DOCUMENT_ADOPTED,
+    DOCUMENT_REJECTED,
+    DOCUMENT_OLDER,
+    DOCUMENT_CONFLICT,
+    DOCUMENT_REQUESTED,
+    SOURCE_FAILED,
+    SOURCE_RECOVERED,
+    HOST_LIST_FAILED,
+    HOST_LIST_RECOVERED,
+    HOST_ENTRY_IGNORED,
+)
--- a/catkinfork/configuration/_http.py
+++ b/catkinfork/configuration/_http.py
@@ -1,5 +1,6 @@
 """HTTP GET with bounds on time and size, for the platform's services."""
 
+from functools import cache
 from typing import NamedTuple
 
 import anyio
@@ -57,6 +58,15 @@
         return longest * self.rng.uniform(0.5, 1.0)
 
 
+@cache
+def load_tls_context():
+    """Return the TLS context of all readers; loading it takes tens of milliseconds.
+
+    The trusted authorities are those of certifi, or of the file ``SSL_CERT_FILE``.
+    """
+    return httpx.create_ssl_context()
+
+
 class HttpReader:
     """Reads from one service over HTTP.
 
@@ -73,7 +83,9 @@
     async def __aenter__(self):
         limits = httpx.Limits(max_keepalive_connections=1 if self.is_keeping else 0)
         # Addresses come from the settings only, not from proxy variables.
-        self.client = httpx.AsyncClient(limits=limits, trust_env=False)
+        self.client = httpx.AsyncClient(
+            limits=limits, trust_env=False, verify=load_tls_context()
+        )
         return self
 
     async def __aexit__(self, *exception):
