--- a/catkinfork/document/_rules.py
+++ b/catkinfork/document/_rules.py
@@ -52,7 +52,7 @@
 
     @property
     def allowed(self):
-        return f"number from {self.minimum:g} to {self.maximum:g}"
+        return f"number from {self.minimum} to {self.maximum}"
 
     def accepts(self, value):
         is_number = isinstance(value, (int, float)) and not isinstance(value, bool)
--- a/catkinfork/document/tests/test_parse.py
+++ b/catkinfork/document/tests/test_parse.py
@@ -30,7 +30,7 @@
     (("workspaces", 0), [], "workspaces[0]", "a list of 0 is not allowed"),
     (("extra",), 1, "extra", "unknown key, expected one of environment, version"),
     ((*WORKSPACE, "shares"), 1, "workspaces[0].shares", "unknown key"),
-    ((*WORKSPACE, "share"), 0, "workspaces[0].share", "number from 0.001 to 1e+06"),
+    ((*WORKSPACE, "share"), 0, "workspaces[0].share", "from 0.001 to 1000000"),
     ((*WORKSPACE, "max_waiting"), 0, "workspaces[0].max_waiting", "from 1 to 100000"),
     ((*WORKSPACE, "name"), "tours", "workspaces[1].name", "used twice, first in"),
     (
