Test the clients and the stand-ins of backend servers

Cause: the clients decide whether a request has run, so each fault needs a test. Ruled out: a shared test server for all cases (faults of one case would reach others); cancelling only transports at a crash (requests went on executing, and a test waited 60 s for one). Conclusion: a crash that also refuses the resume is a reset, never refused.

--- /dev/null
+++ b/catkinfork/backends/tests/conftest.py
@@ -0,0 +1,6 @@
+import pytest
+
+
+@pytest.fixture
+def anyio_backend():
+    return "asyncio"
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -168,7 +168,8 @@
         self.executions = {}
         self.orders = []
         self.faults = {}
-        self.cold_until = time.monotonic() + settings.cold_s
+        # Without a cold start the lagging load report must not show one.
+        self.cold_until = time.monotonic() + settings.cold_s if settings.cold_s else 0.0
         self.rejected_at = 0.0
         self.overloaded_at = 0.0
         self.places = asyncio.Semaphore(settings.max_batch)
--- a/standins/ledger.py
+++ b/standins/ledger.py
@@ -119,6 +119,7 @@
         self.writers = {}
         self.silent = set()
         self.listener = None
+        self.connections = set()
         self.tasks = set()
         app.server = self
 
@@ -133,12 +134,10 @@
 
     async def __aexit__(self, *details):
         self.crash(0)
-        tasks = [*self.tasks]
-        for task in tasks:
+        for task in self.tasks:
             task.cancel()
+        tasks = [*self.tasks, *self.connections]
         await asyncio.gather(*tasks, return_exceptions=True)
-        while self.writers:
-            await asyncio.sleep(0.001)
 
     async def open(self):
         """Start to accept connections."""
@@ -153,14 +152,17 @@
         """Serve one connection until it closes."""
         client = writer.get_extra_info("peername")[:2]
         self.writers[client] = writer
+        self.connections.add(asyncio.current_task())
         app = wrap_app(self.serve_request, self.config.wsgi_max_body_size, "asgi")
         loop = asyncio.get_running_loop()
         context = WorkerContext(None)
         try:
             await TCPServer(app, loop, self.config, context, {}, reader, writer)
-        except* OSError:
+        except* (OSError, asyncio.CancelledError):
+            # The connection has been reset or the server crashes; the task ends here.
             pass
         finally:
+            self.connections.discard(asyncio.current_task())
             self.writers.pop(client, None)
             self.silent.discard(client)
 
@@ -195,7 +197,7 @@
             writer.transport.abort()
 
     def crash(self, down_s):
-        """Reset all connections and refuse new ones for a time.
+        """End all requests, reset their connections and refuse new ones for a time.
 
         :param down_s: seconds until connections are accepted again.
         """
@@ -204,6 +206,8 @@
             self.start_task(self.reopen(down_s))
         for client in list(self.writers):
             self.break_connection(client)
+        for task in self.connections:
+            task.cancel()
 
     async def reopen(self, down_s):
         """Accept connections again after a time."""
