--- /dev/null
+++ b/catkinfork/dispatch/_dispatcher.py
@@ -0,0 +1,333 @@
+"""Dispatcher of a pool: which waiting request receives which free place."""
+
+from catkinfork.dispatch._agents import AGENT_SILENCE_TIMEOUT_S, AgentState, AgentTable
+from catkinfork.dispatch._charges import Charges
+from catkinfork.dispatch._demand import DemandTable
+from catkinfork.dispatch._events import (
+    AGENT_RESTARTED,
+    AGENT_SILENT,
+    DISPATCHER_ACTIVE,
+    DISPATCHER_PASSIVE,
+    FINGERPRINT_BLOCKED,
+    GRANTS_UNSEEN,
+    ROUTER_SILENT,
+    WORKSPACE_LIFTED,
+)
+from catkinfork.dispatch._order import FairOrder
+from catkinfork.dispatch._round import GrantRound
+from catkinfork.dispatch._servers import OpenServers, PoolServers
+from catkinfork.dispatch._summary import (
+    ROUTER_HEARD_TIMEOUT_S,
+    SUMMARY_INTERVAL_S,
+    RateMeter,
+    SummaryBuilder,
+)
+from catkinfork.dispatch._suspects import SuspectTable
+from catkinfork.fairness import BoundTerms, CostEstimates, ServiceCounters
+from catkinfork.observability import log_event
+from catkinfork.protocol import AgentReport, BaseCore, Demand, ReportAck, Send
+
+# Timeouts are 1 s and longer, so a scan on every tick would cost more than it gains.
+SCAN_INTERVAL_S = 0.05
+# For this long after a change of dispatcher, a workspace that waited there and whose
+# demand arrives late counts as backlogged all the time.
+TAKEOVER_S = 1.5
+
+
+class Dispatcher(BaseCore):
+    """Matches the waiting requests of a pool with its free places in fair order.
+
+    It is passive until agents report to it. All of its state can be lost: routers and
+    agents send theirs again.
+
+    :param pool: pool name.
+    :param identity: :class:`Sender` of this process.
+    :param rng: ``random.Random`` that chooses among equal servers.
+    """
+
+    def __init__(self, pool, identity, rng):
+        self.pool = pool
+        self.identity = identity
+        self.rng = rng
+        self.servers = None
+        self.is_active = False
+        self.active_at = 0.0
+        self.summary = None
+        self.summary_at = 0.0
+        self.waited_before = frozenset()
+        self.next_scan_at = 0.0
+        self.next_summary_at = 0.0
+        self.summarised_at = 0.0
+        self.has_rest = False
+        self.largest_cost = 0
+        self.n_places_seen = 0
+        self.n_violations = 0
+        self.overtaken = {}
+        self.counters = ServiceCounters()
+        self.estimates = CostEstimates(0)
+        self.charges = Charges(self.counters, self.estimates)
+        self.order = FairOrder(self.counters)
+        self.demand = DemandTable(identity.incarnation)
+        self.agents = AgentTable()
+        self.suspects = SuspectTable()
+        self.rates = RateMeter()
+        self.summaries = SummaryBuilder(pool, self.rates, self.counters, self.estimates)
+
+    def adopt(self, view, now):
+        """Put a document in force.
+
+        :param view: :class:`DocumentView`.
+        :returns: list of actions.
+        """
+        self.servers = PoolServers(self.pool, view)
+        if self.pool in view.pools:
+            self.estimates.max_cost = view.pools[self.pool].max_cost
+            self.largest_cost = max(self.largest_cost, self.estimates.max_cost)
+        shares = {name: entry.share for name, entry in view.workspaces.items()}
+        self.counters.set_shares(shares)
+        for workspace in list(self.counters.values):
+            if workspace not in shares and workspace not in self.demand.workspaces:
+                self.counters.forget(workspace)
+                self.estimates.forget(workspace)
+        self.demand.changed.update(self.demand.workspaces)
+        return self.match(now)
+
+    def seed(self, summary, now):
+        """Keep a summary to start from if this process becomes the dispatcher.
+
+        :param summary: :class:`PoolSummary` that this process heard as a router.
+        """
+        if not self.is_active and summary.pool == self.pool:
+            self.summary = summary
+            self.summary_at = now
+
+    def handle(self, sender, message, now):
+        if isinstance(message, Demand) and message.pool == self.pool:
+            if self.demand.take(sender, message, now):
+                return self.match(now)
+        elif isinstance(message, AgentReport) and message.pool == self.pool:
+            return self.take_report(sender, message, now)
+        return []
+
+    def tick(self, now):
+        if now < self.next_scan_at and not self.has_rest:
+            return []
+        self.next_scan_at = now + SCAN_INTERVAL_S
+        actions = self.drop_silent(now) + self.drop_lost_grants(now)
+        self.suspects.drop_old(now)
+        self.drop_overtaken()
+        actions += self.match(now)
+        if self.is_active and now >= self.next_summary_at:
+            self.next_summary_at = now + SUMMARY_INTERVAL_S
+            actions += self.send_summary(now)
+        return actions
+
+    def take_report(self, sender, report, now):
+        """Take a report, acknowledge it and grant what it makes possible."""
+        actions = []
+        if self.agents.is_newer(sender, report):
+            if not self.is_active:
+                actions += self.activate(sender, now)
+            agent, restarted = self.find_agent(sender, report)
+            agent.take(report, now)
+            self.charges.take_report(agent, now)
+            actions += restarted + self.take_suspects(sender, report, now)
+        wants_whole = not self.agents.agents[sender.name].has_whole
+        ack = ReportAck(report.sequence, wants_whole, self.suspects.list_blocked())
+        return [Send(sender.name, ack), *actions, *self.match(now)]
+
+    def find_agent(self, sender, report):
+        """Return the state of an agent and log events; a new process starts empty."""
+        agent = self.agents.agents.get(sender.name)
+        if agent is not None and agent.incarnation == sender.incarnation:
+            return agent, []
+        events = []
+        if agent is not None:
+            self.charges.close_agent(agent)
+            event = log_event(
+                AGENT_RESTARTED,
+                pool=self.pool,
+                backend_server=report.backend_server,
+                agent=sender.name,
+                old_incarnation=agent.incarnation,
+                incarnation=sender.incarnation,
+            )
+            events.append(event)
+        agent = AgentState(sender.name, sender.incarnation)
+        self.agents.agents[sender.name] = agent
+        return agent, events
+
+    def take_suspects(self, sender, report, now):
+        """Take the crash suspects of a report and log those that are blocked now."""
+        blocked = self.suspects.take(
+            sender.name, sender.incarnation, report.suspects, now
+        )
+        return [
+            log_event(
+                FINGERPRINT_BLOCKED,
+                pool=self.pool,
+                fingerprint=fingerprint,
+                n_crashes=self.suspects.count_crashes(fingerprint, now),
+            )
+            for fingerprint in blocked
+        ]
+
+    def activate(self, sender, now):
+        """Become the dispatcher, from the last summary if one was heard since."""
+        self.is_active = True
+        self.active_at = now
+        self.next_summary_at = now
+        self.summarised_at = now
+        age_s = None
+        if self.summary is not None:
+            age_s = now - self.summary_at
+            self.load_summary(now)
+        event = log_event(
+            DISPATCHER_ACTIVE,
+            pool=self.pool,
+            agent=sender.name,
+            n_counters=len(self.counters.values),
+            summary_age_s=age_s,
+        )
+        return [event]
+
+    def load_summary(self, now):
+        """Start from the counters of the previous dispatcher.
+
+        What agents delivered until now is in these counters, so the accounts of the
+        agents start anew.
+        """
+        summary = self.summary
+        self.summary = None
+        entries = summary.workspaces
+        self.counters.load({entry.workspace: entry.counter for entry in entries})
+        self.waited_before = {
+            entry.workspace for entry in entries if entry.n_waiting > 0
+        }
+        self.suspects.inherit(summary.suspects, summary.blocked, now)
+        self.agents.agents.clear()
+        self.order.restart()
+        self.demand.changed.update(self.demand.workspaces)
+
+    def drop_silent(self, now):
+        """Drop what silent routers and agents have sent."""
+        actions = []
+        for agent in self.agents.find_silent(now):
+            event = log_event(
+                AGENT_SILENT,
+                pool=self.pool,
+                backend_server=agent.name,
+                agent=agent.address,
+                silent_s=now - agent.heard_at,
+                n_tickets=len(agent.issued_at),
+            )
+            actions.append(event)
+        for agent in self.agents.pop_forgotten(now):
+            self.charges.close_agent(agent)
+        if self.is_active and not self.agents.list_live():
+            self.is_active = False
+            actions.append(log_event(DISPATCHER_PASSIVE, pool=self.pool))
+        for router, n_waiting in self.demand.drop_silent(now):
+            event = log_event(
+                ROUTER_SILENT,
+                pool=self.pool,
+                router=router.address,
+                silent_s=now - router.heard_at,
+                n_waiting=n_waiting,
+            )
+            actions.append(event)
+        return actions
+
+    def drop_lost_grants(self, now):
+        """Count grants that a router has not confirmed in time as lost."""
+        return [
+            log_event(
+                GRANTS_UNSEEN,
+                pool=self.pool,
+                router=router.address,
+                first_number=grants[0].number,
+                n_grants=len(grants),
+            )
+            for router, grants in self.demand.drop_lost(now)
+        ]
+
+    def drop_overtaken(self):
+        """Forget classes that no longer wait."""
+        for router, key in list(self.overtaken):
+            if self.demand.find(router, key) is None:
+                del self.overtaken[router, key]
+
+    def match(self, now):
+        """Grant every open ticket that can serve a waiting request.
+
+        :returns: list of actions, with at most one :class:`Grant` for each router.
+        """
+        self.has_rest = False
+        if self.servers is None or not self.is_active:
+            return []
+        actions = self.update_order(now)
+        servers = self.list_open_servers(now)
+        if servers.tickets and self.order.usable:
+            round_ = GrantRound(self, servers, self.compute_terms(), now)
+            actions += round_.run()
+            self.has_rest = round_.has_rest
+            actions += self.update_order(now)
+        return actions
+
+    def update_order(self, now):
+        """Lift workspaces that have returned from idle."""
+        if not self.demand.changed:
+            return []
+        changes = {name: self.find_usable(name) for name in self.demand.changed}
+        self.demand.changed.clear()
+        is_takeover = now - self.active_at < TAKEOVER_S
+        exempt = self.waited_before if is_takeover else frozenset()
+        lifts = self.order.update(changes, exempt)
+        return [
+            log_event(
+                WORKSPACE_LIFTED,
+                pool=self.pool,
+                workspace=workspace,
+                counter=self.counters.value_of(workspace),
+                lift=lift,
+            )
+            for workspace, lift in lifts
+        ]
+
+    def find_usable(self, workspace):
+        """Return the servers that a workspace can use, None if it does not wait."""
+        kinds = self.demand.list_kinds(workspace)
+        return self.servers.find_usable(kinds) if kinds else None
+
+    def list_open_servers(self, now):
+        """Return the :class:`OpenServers` whose tickets may be granted now."""
+        suspects = set(self.suspects.blocked)
+        for agent in self.agents.agents.values():
+            suspects.update(agent.list_suspects())
+        servers = OpenServers(self.servers, suspects, self.rng)
+        for agent in self.agents.agents.values():
+            numbers = agent.list_open(now)
+            if numbers and self.servers.may_receive(agent):
+                servers.add(agent, numbers)
+        return servers
+
+    def compute_terms(self):
+        """Return the :class:`BoundTerms` of the pool."""
+        n_places = self.servers.count_places(self.agents.agents.values())
+        self.n_places_seen = max(self.n_places_seen, n_places)
+        return BoundTerms(
+            self.largest_cost,
+            self.n_places_seen,
+            self.rates.unit_rate,
+            AGENT_SILENCE_TIMEOUT_S,
+        )
+
+    def send_summary(self, now):
+        """Return the summary for all routers heard lately."""
+        interval_s = max(SUMMARY_INTERVAL_S, now - self.summarised_at)
+        self.summarised_at = now
+        self.rates.update(self.charges.n_units, interval_s, now)
+        agents = self.agents.list_live()
+        summary = self.summaries.build(self.demand, agents, self.suspects, now)
+        routers = self.demand.list_heard(now, ROUTER_HEARD_TIMEOUT_S)
+        return [Send(address, summary) for address in routers]
--- /dev/null
+++ b/catkinfork/dispatch/_matching.py
@@ -0,0 +1,169 @@
+"""Matching of waiting requests with open tickets in fair order."""
+
+from heapq import heapify, heappop, heappush
+from typing import NamedTuple
+
+# A class that others of its workspace have overtaken this often takes the next ticket
+# that it can use, within one largest request of the fair order.
+MAX_OVERTAKEN = 8
+# A grant entry takes some 150 bytes and a control frame holds 64 KiB. The rest of a
+# larger round follows with the next message or tick.
+MAX_GRANTS_PER_MESSAGE = 200
+
+SMALLEST_COUNTER = "smallest_counter"
+ONLY_CANDIDATE = "only_candidate"
+OVERTAKEN = "overtaken"
+
+
+class Match(NamedTuple):
+    """A ticket for a class.
+
+    :param demand: :class:`ClassDemand`.
+    :param agent: :class:`AgentState`.
+    :param ticket: ticket number.
+    :param reason: ``smallest_counter``, ``only_candidate`` or ``overtaken``.
+    :param placement: ``required``, ``preferred``, ``free`` or ``staged``.
+    :param next_counter: smallest counter of the other workspaces that wait, None if
+        there is no other.
+    :param n_candidates: workspaces that wait.
+    """
+
+    demand: object
+    agent: object
+    ticket: int
+    reason: str
+    placement: str
+    next_counter: float | None
+    n_candidates: int
+
+
+class Matcher:
+    """One round of matching.
+
+    :param demand: :class:`DemandTable`.
+    :param servers: :class:`OpenServers`.
+    :param counters: :class:`ServiceCounters`.
+    :param overtaken: mapping from (router, class) to the number of times that another
+        class of its workspace has overtaken it; changed in place.
+    :param max_cost: largest cost of a request in service units.
+    :param now: monotonic time in seconds.
+    """
+
+    def __init__(self, demand, servers, counters, overtaken, max_cost, now):
+        self.demand = demand
+        self.servers = servers
+        self.counters = counters
+        self.overtaken = overtaken
+        self.max_cost = max_cost
+        self.now = now
+        self.heap = []
+        self.n_grants = {}
+        self.has_rest = False
+
+    def run(self, commit):
+        """Match until no open ticket can serve any waiting request.
+
+        :param commit: function that takes a :class:`Match`, charges it and subtracts
+            it from the demand.
+        """
+        value_of = self.counters.value_of
+        names = self.demand.list_backlogged()
+        self.heap = [(value_of(workspace), workspace) for workspace in names]
+        heapify(self.heap)
+        while self.heap and self.servers.tickets:
+            found = self.find_overtaken()
+            if found is not None:
+                self.match(found, OVERTAKEN, commit)
+                continue
+            counter, workspace = heappop(self.heap)
+            if counter != value_of(workspace):
+                heappush(self.heap, (value_of(workspace), workspace))
+                continue
+            found = self.find_class(workspace)
+            if found is not None:
+                self.match(found, SMALLEST_COUNTER, commit)
+                heappush(self.heap, (value_of(workspace), workspace))
+
+    def list_classes(self, workspace):
+        """Return the classes of a workspace that may get a grant in this round."""
+        return [
+            demand
+            for demand in self.demand.list_open(workspace)
+            if not self.is_full(demand.router)
+        ]
+
+    def is_full(self, router):
+        """Return whether the message to a router holds no further grant."""
+        if self.n_grants.get(router, 0) < MAX_GRANTS_PER_MESSAGE:
+            return False
+        self.has_rest = True
+        return True
+
+    def find_class(self, workspace):
+        """Return the class of a workspace that goes next, or None."""
+        ranked = sorted(self.list_classes(workspace), key=self.rank)
+        for demand in ranked:
+            if self.servers.list_servers(demand.demand_class):
+                if demand is not ranked[0]:
+                    entry = (ranked[0].router, ranked[0].demand_class)
+                    self.overtaken[entry] = self.overtaken.get(entry, 0) + 1
+                return demand
+        return None
+
+    def rank(self, demand):
+        """Return the sort key of a class within its workspace.
+
+        The oldest goes first, then the router with the fewest grants.
+        """
+        router = self.demand.routers[demand.router]
+        n_granted = router.n_granted.get(demand.demand_class.workspace, 0)
+        wait_s = demand.estimate_wait(self.now)
+        return (-wait_s, n_granted, demand.router, demand.demand_class)
+
+    def find_overtaken(self):
+        """Return a class that was overtaken too often and can be served, or None."""
+        for (router, key), n_overtaken in self.overtaken.items():
+            if n_overtaken < MAX_OVERTAKEN or self.is_full(router):
+                continue
+            demand = self.demand.find(router, key)
+            if demand is None or demand.n_open == 0:
+                continue
+            if self.servers.list_servers(key) and self.is_near(key.workspace):
+                return demand
+        return None
+
+    def is_near(self, workspace):
+        """Return whether a workspace is within a largest request of the smallest."""
+        smallest = min(self.counters.value_of(name) for _, name in self.heap)
+        slack = self.max_cost / self.counters.share_of(workspace)
+        return self.counters.value_of(workspace) <= smallest + slack
+
+    def match(self, demand, reason, commit):
+        """Choose a server for a class and commit the match."""
+        key = demand.demand_class
+        names = self.servers.list_servers(key)
+        name = self.servers.choose(names, key.preferred)
+        others = [value for value, other in self.heap[:3] if other != key.workspace]
+        if reason == SMALLEST_COUNTER and not others:
+            reason = ONLY_CANDIDATE
+        agent = self.servers.agents[name]
+        ticket = self.servers.tickets[name][-1]
+        placement = describe_placement(key, agent)
+        next_counter = min(others, default=None)
+        n_candidates = 1 + len(self.heap) - (reason == OVERTAKEN)
+        match = Match(
+            demand, agent, ticket, reason, placement, next_counter, n_candidates
+        )
+        commit(match)
+        self.servers.take(name, key.suspect)
+        self.overtaken.pop((demand.router, key), None)
+        self.n_grants[demand.router] = self.n_grants.get(demand.router, 0) + 1
+
+
+def describe_placement(demand_class, agent):
+    """Return why a class received a place of this agent's server."""
+    if demand_class.required:
+        return "required"
+    if agent.n_free <= 0:
+        return "staged"
+    return "preferred" if demand_class.preferred == agent.name else "free"
--- a/catkinfork/document/__init__.py
+++ b/catkinfork/document/__init__.py
@@ -1,10 +1,9 @@
 """The environment document that operators publish."""
 
-from catkinfork.document._parse import (
-    MAX_DOCUMENT_BYTES,
-    DocumentFault,
-    parse_document,
-)
+from catkinfork.document._convert import DocumentFault
+from catkinfork.document._diff import diff_documents
+from catkinfork.document._owners import find_acting_owner, rank_key_servers
+from catkinfork.document._parse import MAX_DOCUMENT_BYTES, parse_document
 from catkinfork.document._types import (
     ENGINE,
     IN_SERVICE,
@@ -33,5 +32,8 @@
     "DocumentView",
     "Pool",
     "Workspace",
+    "diff_documents",
+    "find_acting_owner",
     "parse_document",
+    "rank_key_servers",
 ]
--- /dev/null
+++ b/catkinfork/document/_diff.py
@@ -0,0 +1,177 @@
+"""Differences between two documents, in words for operators."""
+
+from catkinfork.document._types import IN_SERVICE, LOST, OUT, DataCentre
+
+_STATES = {IN_SERVICE: "in service", OUT: "out of service", LOST: "lost"}
+_REMOVALS = {
+    "workspace": "; its callers are refused",
+    "backend server": "; it receives no new work",
+}
+
+
+def diff_documents(old, new):
+    """Tell what the promotion of a document would change.
+
+    :param old: :class:`DocumentView` in force.
+    :param new: :class:`DocumentView` to promote.
+    :returns: list of lines, empty if both are the same bytes.
+    """
+    if old.digest == new.digest:
+        return []
+    lines = diff_heads(old, new)
+    lines += diff_entries("data centre", old.data_centres, new.data_centres, old)
+    lines += diff_entries("pool", old.pools, new.pools, old)
+    lines += diff_entries("workspace", old.workspaces, new.workspaces, old)
+    servers = (old.backend_servers, new.backend_servers)
+    lines += diff_entries("backend server", *servers, old)
+    return lines + diff_targets(old, new) + diff_key_servers(old, new)
+
+
+def diff_heads(old, new):
+    """Compare environment, version and region, and say what the fleet would do."""
+    lines = []
+    before, after = old.document, new.document
+    if before.environment != after.environment:
+        lines.append(
+            f"environment: {before.environment} -> {after.environment}; "
+            f"the fleet of {before.environment} refuses it"
+        )
+    if new.version > old.version:
+        lines.append(f"version: {old.version} -> {new.version}")
+    elif new.version < old.version:
+        lines.append(
+            f"version: {old.version} -> {new.version}; the fleet ignores an older one"
+        )
+    else:
+        winner = "new" if new.identity > old.identity else "old"
+        lines.append(
+            f"version: {old.version} in both, which is a conflict; the {winner} "
+            "document wins, because its digest is greater"
+        )
+    if before.region != after.region:
+        lines.append(f"region: {before.region} -> {after.region}")
+    return lines
+
+
+def diff_entries(noun, old_entries, new_entries, old):
+    """Compare records by name: removed, added, changed.
+
+    :param noun: what the records are.
+    :param old_entries: records of the document in force by name.
+    :param new_entries: records of the new document by name.
+    :param old: :class:`DocumentView` in force.
+    """
+    lines = []
+    for name in sorted(old_entries.keys() - new_entries.keys()):
+        lines.append(f"{noun} {name}: removed{_REMOVALS.get(noun, '')}")
+    for name in sorted(new_entries.keys() - old_entries.keys()):
+        lines.append(f"{noun} {name}: added, {describe_entry(new_entries[name])}")
+    for name in sorted(old_entries.keys() & new_entries.keys()):
+        changes = list_changes(old_entries[name], new_entries[name], old)
+        lines += [f"{noun} {name}: {change}" for change in changes]
+    return lines
+
+
+def describe_entry(entry):
+    """Return the fields of an added record, without its name."""
+    return ", ".join(
+        f"{field.replace('_', ' ')} {describe_field(field, getattr(entry, field))}"
+        for field in entry._fields
+        if field != "name"
+    )
+
+
+def describe_field(field, value):
+    """Return a field's value in words."""
+    if field == "state":
+        return _STATES[value]
+    if field == "key_digests":
+        return str(len(value))
+    if isinstance(value, bool):
+        return "yes" if value else "no"
+    if isinstance(value, list):
+        return " and ".join(value)
+    return f"{value:g}" if isinstance(value, float) else str(value)
+
+
+def list_changes(before, after, old):
+    """Return one text for each changed field of a record."""
+    changes = []
+    for field in before._fields:
+        was, is_now = getattr(before, field), getattr(after, field)
+        if was == is_now:
+            continue
+        if field == "state":
+            changes.append(describe_state_change(before, after, old))
+        elif isinstance(was, list):
+            changes += list_item_changes(field, was, is_now)
+        else:
+            label = field.replace("_", " ")
+            texts = (describe_field(field, was), describe_field(field, is_now))
+            changes.append(f"{label} {texts[0]} -> {texts[1]}")
+    return changes
+
+
+def describe_state_change(before, after, old):
+    """Return a change of state with its effect."""
+    text = f"{_STATES[before.state]} -> {_STATES[after.state]}"
+    if isinstance(after, DataCentre):
+        servers = old.document.backend_servers
+        n_servers = sum(server.data_centre == after.name for server in servers)
+        noun = "backend server" if n_servers == 1 else "backend servers"
+        effect = "no new work for" if after.state == OUT else "gradual return of"
+        return f"{text}; {effect} its {n_servers} {noun}"
+    if after.state == LOST:
+        return f"{text}; only if its process has stopped for good"
+    if before.state == LOST:
+        return f"{text}; it may own keys again"
+    if after.state == OUT:
+        return f"{text}; it receives no new work"
+    return f"{text}; it starts at one place"
+
+
+def list_item_changes(field, was, is_now):
+    """Return the items added to and removed from a list."""
+    added = sorted(set(is_now) - set(was))
+    removed = sorted(set(was) - set(is_now))
+    if field == "key_digests":
+        changes = [f"caller keys added: {len(added)}"] if added else []
+        if removed:
+            changes.append(f"caller keys removed, to be refused: {len(removed)}")
+        return changes or ["caller keys in another order"]
+    changes = [f"{field} {item} as well" for item in added]
+    changes += [f"{field} {item} no longer" for item in removed]
+    return changes or [f"{field} in another order"]
+
+
+def list_served(view):
+    """Return the targets that some backend server in service serves."""
+    return {
+        target
+        for entry in view.document.backend_servers
+        if view.is_in_service(entry.name)
+        for target in entry.serves
+    }
+
+
+def diff_targets(old, new):
+    """Tell which targets are left without a backend server in service."""
+    return [
+        f"target {target}: no backend server in service is left; its requests wait or "
+        "are refused"
+        for target in sorted(list_served(old) - list_served(new))
+    ]
+
+
+def diff_key_servers(old, new):
+    """Tell in which pools other servers than before may own keys."""
+    lines = []
+    for pool in sorted(old.pools.keys() & new.pools.keys()):
+        before = {entry.name for entry in old.list_pool(pool) if entry.state != LOST}
+        after = {entry.name for entry in new.list_pool(pool) if entry.state != LOST}
+        if before != after:
+            lines.append(
+                f"pool {pool}: the set of servers that own keys changes; keys from "
+                "before are answered unknown, opaque ones for the quiet time"
+            )
+    return lines
--- a/catkinfork/protocol/_messages.py
+++ b/catkinfork/protocol/_messages.py
@@ -30,12 +30,15 @@
     :param role: ``router`` or ``agent``.
     :param data_centre: data centre of the sender.
     :param leaving: whether the sender is draining.
+    :param is_wanted: whether the sender needs the link itself. A probe that only
+        answers another probe does not keep the link in use.
     """
 
     sequence: int
     role: str
     data_centre: str
     leaving: bool = False
+    is_wanted: bool = True
 
 
 class HeartbeatAck(NamedTuple):
@@ -285,6 +288,8 @@
     :param is_idempotent: whether the request may run more than once.
     :param fingerprint: digest of workspace and body.
     :param version: version of the document that the router used.
+    :param is_suspect: whether the request was in flight at a crash, as the dispatcher
+        or an agent has told the router.
     """
 
     attempt: AttemptId
@@ -302,6 +307,7 @@
     is_idempotent: bool
     fingerprint: bytes
     version: int
+    is_suspect: bool = False
 
 
 class StartRefused(NamedTuple):
--- /dev/null
+++ b/catkinfork/routing/_responses.py
@@ -0,0 +1,307 @@
+"""Responses of agents, and attempts that end without one."""
+
+from catkinfork.membership import ReplaceLink
+from catkinfork.observability import log_event
+from catkinfork.protocol import Cancel, ResponseAck, Send
+from catkinfork.routing._admission import check_blocked, check_placement
+from catkinfork.routing._events import (
+    ATTEMPT_LOST,
+    ATTEMPT_RESUMED,
+    REQUEST_ANSWERED,
+    REQUEST_REDIRECTED,
+    REQUEST_REQUEUED,
+)
+from catkinfork.routing._refusals import (
+    AGENT_LOST,
+    AGENT_RESTARTED,
+    NOT_RUN,
+    OWNER_UNREACHABLE,
+    REDIRECT_LOOP,
+    RETRIES_EXHAUSTED,
+    UNKNOWN,
+    make_agent_refusal,
+    make_refusal,
+)
+from catkinfork.routing._requests import Respond
+from catkinfork.routing._starts import compute_time_left
+
+# Ticket races end after a few rounds; a longer series is a fault.
+MAX_REFUSED_STARTS = 20
+MAX_REDIRECTS = 3
+# Failures that would occur again.
+FINAL_FAILURES = frozenset(
+    {"cancelled", "deadline_exceeded", "response_too_large", "too_expensive"}
+)
+# Failures that are no reason to suspect the request of a crash.
+HARMLESS_FAILURES = FINAL_FAILURES | {
+    "agent_lost",
+    "attempt_forgotten",
+    "attempt_unknown",
+    "backend_overloaded",
+    "router_silent",
+}
+
+
+def handle_part(state, sender, part, now, actions):
+    """Pass the next expected part of a live attempt on, and drop others."""
+    attempt = state.attempts.find(sender, part.attempt)
+    if attempt is None:
+        answer_stray_part(state, sender, part, actions)
+        return
+    attempt.note_sign(now)
+    if part.sequence > attempt.next_sequence:
+        if attempt.is_resume_due(now):
+            resume_attempt(state, attempt, "gap", now, actions)
+        return
+    if part.is_keepalive or part.sequence < attempt.next_sequence:
+        return
+    if part.failure:
+        attempt.next_sequence += 1
+        actions.append(Send(attempt.agent, attempt.make_ack(now)))
+        state.attempts.note_complete(attempt)
+        fail_attempt(state, attempt, part.failure, True, now, actions)
+        return
+    forward_part(state, attempt, part, now, actions)
+
+
+def forward_part(state, attempt, part, now, actions):
+    """Pass a part on to the caller and acknowledge it when due."""
+    entry = attempt.entry
+    attempt.next_sequence += 1
+    if entry.n_sent == 0:
+        attempt.start = None
+        entry.drop_content()
+    entry.n_sent += 1
+    if part.is_last:
+        finish_attempt(state, attempt, now, actions)
+    elif attempt.is_ack_due(now):
+        actions.append(Send(attempt.agent, attempt.make_ack(now)))
+    actions.append(
+        Respond(
+            entry.request.request_id,
+            part.status,
+            part.headers,
+            part.data,
+            part.is_last,
+        )
+    )
+
+
+def finish_attempt(state, attempt, now, actions):
+    """Close a request whose response is complete."""
+    entry = attempt.entry
+    actions.append(Send(attempt.agent, attempt.make_ack(now)))
+    state.attempts.note_complete(attempt)
+    state.attempts.remove(attempt)
+    state.close_request(entry)
+    state.counters.n_answered += 1
+    event = log_event(
+        REQUEST_ANSWERED,
+        workspace=entry.request.workspace,
+        request_id=entry.request.request_id,
+        backend_server=attempt.backend_server,
+        n_parts=attempt.next_sequence,
+        n_tries=entry.n_tries,
+        age_s=now - entry.submitted_at,
+    )
+    actions.append(event)
+
+
+def answer_stray_part(state, sender, part, actions):
+    """Let the agent end an attempt of this router that is not live.
+
+    Only a keepalive or a last part is answered, so that a burst of late parts does not
+    cause as many answers.
+    """
+    state.counters.n_stray_parts += 1
+    if (
+        part.attempt.router != state.identity.name
+        or part.attempt in state.attempts.live
+    ):
+        return
+    if not (part.is_keepalive or part.is_last or part.failure):
+        return
+    next_sequence = state.attempts.ended.get(part.attempt)
+    if next_sequence is None:
+        actions.append(Send(sender.name, Cancel(part.attempt)))
+    else:
+        actions.append(Send(sender.name, ResponseAck(part.attempt, next_sequence)))
+
+
+def resume_attempt(state, attempt, reason, now, actions):
+    """Replace the link to an agent and request the missing parts.
+
+    A start of which the agent has shown no sign may have been lost and is repeated
+    first, with the same attempt id and ticket, which the agent runs at most once.
+    """
+    entry = attempt.entry
+    state.counters.n_resumed += 1
+    if state.attempts.take_replacement(attempt.agent, now):
+        actions.append(ReplaceLink(attempt.agent))
+    if may_repeat_start(state, attempt):
+        time_left_ms = compute_time_left(entry.request, now)
+        start = attempt.start._replace(deadline_ms=time_left_ms)
+        actions.append(Send(attempt.agent, start))
+    actions.append(Send(attempt.agent, attempt.make_resume(now)))
+    event = log_event(
+        ATTEMPT_RESUMED,
+        workspace=entry.request.workspace,
+        request_id=entry.request.request_id,
+        backend_server=attempt.backend_server,
+        reason=reason,
+        next_sequence=attempt.next_sequence,
+        n_silences=attempt.n_silences,
+    )
+    actions.append(event)
+
+
+def may_repeat_start(state, attempt):
+    """Return whether a start of which there is no sign is sent once more."""
+    entry = attempt.entry
+    if attempt.is_heard or not state.view.is_in_service(attempt.backend_server):
+        return False
+    return entry.is_idempotent or entry.request.key != ""
+
+
+def handle_start_refused(state, sender, message, now, actions):
+    """Queue a request again that an agent did not run, or refuse it."""
+    attempt = state.attempts.find(sender, message.attempt)
+    if attempt is None:
+        return
+    entry = attempt.entry
+    has_run = message.outcome != NOT_RUN and not entry.request.key
+    if has_run or attempt.next_sequence > 0:
+        is_retryable = message.is_retryable
+        fail_attempt(state, attempt, message.code, is_retryable, now, actions)
+        return
+    state.attempts.remove(attempt)
+    entry.n_tries -= 1
+    entry.n_refused_starts += 1
+    if message.redirect and entry.request.key:
+        redirect_request(state, attempt, message, now, actions)
+        return
+    if message.is_retryable and may_start_again(entry):
+        requeue_request(state, attempt, message.code, now, actions)
+        return
+    is_not_run = message.outcome == NOT_RUN and not entry.may_have_run
+    outcome = NOT_RUN if is_not_run else UNKNOWN
+    refusal = make_agent_refusal(
+        message.code, outcome, f"the agent of {attempt.backend_server} refused it"
+    )
+    state.refuse(entry, refusal, now, actions)
+
+
+def may_start_again(entry):
+    """Return whether a request may be sent again after a refused start."""
+    if entry.n_refused_starts > MAX_REFUSED_STARTS:
+        return False
+    return entry.is_idempotent or not entry.may_have_run
+
+
+def redirect_request(state, attempt, message, now, actions):
+    """Queue a keyed request for the server that holds the record of its key."""
+    entry = attempt.entry
+    entry.redirect = message.redirect
+    entry.n_redirects += 1
+    event = log_event(
+        REQUEST_REDIRECTED,
+        workspace=entry.request.workspace,
+        request_id=entry.request.request_id,
+        backend_server=attempt.backend_server,
+        reason=message.code,
+        redirect=message.redirect,
+        n_redirects=entry.n_redirects,
+    )
+    actions.append(event)
+    refusal = None
+    if entry.n_redirects > MAX_REDIRECTS:
+        detail = f"{entry.n_redirects} redirects"
+        refusal = make_refusal(REDIRECT_LOOP, entry.outcome, detail)
+    elif not state.view.is_in_service(message.redirect):
+        detail = f"{message.redirect} is out of service"
+        refusal = make_refusal(OWNER_UNREACHABLE, entry.outcome, detail)
+    if refusal is not None:
+        state.refuse(entry, refusal, now, actions)
+        return
+    requeue_request(state, attempt, message.code, now, actions)
+
+
+def requeue_request(state, attempt, reason, now, actions):
+    """Put a request at the head of its queue, unless it can no longer run."""
+    entry = attempt.entry
+    refusal = check_placement(state, entry, now) or check_blocked(state, entry, now)
+    if refusal is not None:
+        state.refuse(entry, refusal, now, actions)
+        return
+    state.enqueue(entry, state.classify(entry), is_first=True)
+    state.counters.n_requeued += 1
+    event = log_event(
+        REQUEST_REQUEUED,
+        workspace=entry.request.workspace,
+        request_id=entry.request.request_id,
+        backend_server=attempt.backend_server,
+        reason=reason,
+        n_tries=entry.n_tries,
+        n_tokens=state.budget.n_tokens,
+        is_suspect=entry.is_suspect,
+    )
+    actions.append(event)
+
+
+def give_up_attempt(state, attempt, now, actions):
+    """End an attempt at an agent that is silent but may still run it."""
+    actions.append(Send(attempt.agent, Cancel(attempt.id)))
+    fail_attempt(state, attempt, AGENT_LOST.code, True, now, actions)
+
+
+def fail_attempt(state, attempt, code, is_retryable, now, actions):
+    """End an attempt that may have run, and retry the request if that is allowed.
+
+    :param code: code of the failure.
+    :param is_retryable: whether another attempt makes sense.
+    """
+    entry = attempt.entry
+    state.attempts.remove(attempt)
+    entry.may_have_run = True
+    event = log_event(
+        ATTEMPT_LOST,
+        workspace=entry.request.workspace,
+        request_id=entry.request.request_id,
+        backend_server=attempt.backend_server,
+        reason=code,
+        n_parts=attempt.next_sequence,
+        n_tries=entry.n_tries,
+    )
+    actions.append(event)
+    is_final = code in FINAL_FAILURES or not is_retryable
+    if is_final or entry.n_sent or not entry.is_idempotent:
+        detail = f"on {attempt.backend_server} after {entry.n_sent} parts"
+        state.refuse(entry, make_loss(code, detail), now, actions)
+        return
+    retry_request(state, attempt, code, now, actions)
+
+
+def make_loss(code, detail):
+    """Return the refusal of a request whose attempt was lost."""
+    for known in (AGENT_LOST, AGENT_RESTARTED):
+        if code == known.code:
+            return make_refusal(known, UNKNOWN, detail)
+    return make_agent_refusal(code, UNKNOWN, f"the response failed {detail}")
+
+
+def retry_request(state, attempt, code, now, actions):
+    """Queue an idempotent request again if the budget allows it."""
+    entry = attempt.entry
+    if code not in HARMLESS_FAILURES:
+        entry.is_suspect = True
+    max_attempts = state.settings.routing.max_attempts
+    if entry.n_tries >= max_attempts or not state.budget.take():
+        detail = (
+            f"{code}, {entry.n_tries} of {max_attempts} attempts, "
+            f"{state.budget.n_tokens:.1f} retries left"
+        )
+        refusal = make_refusal(RETRIES_EXHAUSTED, UNKNOWN, detail)
+        state.refuse(entry, refusal, now, actions)
+        return
+    state.counters.n_retries += 1
+    requeue_request(state, attempt, code, now, actions)
