--- a/catkinfork/configuration/_state.py
+++ b/catkinfork/configuration/_state.py
@@ -1,6 +1,5 @@
 """The document in force and its propagation between processes."""
 
-from hashlib import sha256
 from typing import NamedTuple
 
 from catkinfork.configuration._events import (
@@ -10,7 +9,12 @@
     DOCUMENT_REJECTED,
     DOCUMENT_REQUESTED,
 )
-from catkinfork.document import DocumentFault, DocumentView, parse_document
+from catkinfork.document import (
+    DocumentFault,
+    DocumentView,
+    compute_digest,
+    parse_document,
+)
 from catkinfork.observability import log_event
 from catkinfork.protocol import BaseCore, DocumentReply, DocumentRequest, Send
 
@@ -61,7 +65,7 @@
         :returns: list of actions, with :class:`AdoptDocument` if it is adopted.
         """
         self.is_answered = True
-        digest = sha256(content).hexdigest()
+        digest = compute_digest(content)
         if digest == self.identity[1] or digest in self.refused:
             return []
         parsed = parse_document(content)
--- a/catkinfork/document/__init__.py
+++ b/catkinfork/document/__init__.py
@@ -2,6 +2,7 @@
 
 from catkinfork.document._convert import DocumentFault
 from catkinfork.document._diff import diff_documents
+from catkinfork.document._digest import compute_digest
 from catkinfork.document._owners import find_acting_owner, rank_key_servers
 from catkinfork.document._parse import MAX_DOCUMENT_BYTES, parse_document
 from catkinfork.document._types import (
@@ -32,6 +33,7 @@
     "DocumentView",
     "Pool",
     "Workspace",
+    "compute_digest",
     "diff_documents",
     "find_acting_owner",
     "parse_document",
--- a/catkinfork/document/_view.py
+++ b/catkinfork/document/_view.py
@@ -2,6 +2,7 @@
 
 from hashlib import sha256
 
+from catkinfork.document._digest import compute_digest
 from catkinfork.document._types import IN_SERVICE, LOST
 
 
@@ -16,7 +17,7 @@
         self.document = document
         self.content = content
         self.version = document.version
-        self.digest = sha256(content).hexdigest()
+        self.digest = compute_digest(content)
         self.workspaces = {entry.name: entry for entry in document.workspaces}
         self.data_centres = {entry.name: entry for entry in document.data_centres}
         self.pools = {entry.name: entry for entry in document.pools}
--- a/catkinfork/membership/_peers.py
+++ b/catkinfork/membership/_peers.py
@@ -2,13 +2,18 @@
 
 from typing import NamedTuple
 
-from catkinfork.protocol import BaseCore, Heartbeat, HeartbeatAck, Send
+from catkinfork.protocol import BaseCore, Heartbeat, Send
 
 HEARTBEAT_INTERVAL_S = 0.5
 SILENCE_TIMEOUT_S = 1.5
+# An echo may be up to one interval old when the link goes silent, so that this and the
+# interval together stay under the 2 s in which a silent link is to be replaced.
+ECHO_TIMEOUT_S = 1.25
 FORGET_AFTER_S = 30.0
 ACTIVE_FOR_S = 5.0
 PAUSE_S = 0.75
+REVIEW_INTERVAL_S = 0.1
+PROBING_FOR_S = 1.5 * HEARTBEAT_INTERVAL_S
 
 
 class ReplaceLink(NamedTuple):
@@ -30,7 +35,9 @@
         self.heard_at = None
         self.active_at = None
         self.probed_at = None
+        self.acked = 0
         self.acked_at = None
+        self.echo = 0
         self.probing_since = None
         self.replaced_at = now
         self.role = ""
@@ -56,6 +63,7 @@
         self.wanted = set()
         self.sequence = 0
         self.next_heartbeat_at = 0.0
+        self.next_review_at = 0.0
         self.ticked_at = None
 
     def want(self, addresses, now):
@@ -78,6 +86,9 @@
         if peer is None:
             peer = self.peers[sender.name] = Peer(sender.name, now)
         peer.heard_at = now
+        if sender.incarnation != peer.incarnation:
+            # A new process numbers its probes from 1 and has seen none of this side's.
+            peer.echo = 0
         peer.incarnation = sender.incarnation
         peer.version = sender.version
         peer.digest = sender.digest
@@ -86,45 +97,50 @@
     def handle(self, sender, message, now):
         peer = self.note_sender(sender, now)
         if isinstance(message, Heartbeat):
-            self.note_state(peer, message)
-            if message.is_wanted:
-                peer.probed_at = now
-            ack = HeartbeatAck(
-                message.sequence, self.role, self.data_centre, self.is_leaving
-            )
-            return [Send(sender.name, ack)]
-        if isinstance(message, HeartbeatAck):
-            self.note_state(peer, message)
-            peer.acked_at = now
+            self.note_probe(peer, message, now)
         return []
 
-    def note_state(self, peer, message):
-        """Store role, data centre and draining state of a peer."""
+    def note_probe(self, peer, message, now):
+        """Take a probe, and what it acknowledges of this side's probes."""
         peer.role = message.role
         peer.data_centre = message.data_centre
         peer.is_leaving = message.leaving
+        peer.echo = max(peer.echo, message.sequence)
+        if message.is_wanted:
+            peer.probed_at = now
+        if message.echo > peer.acked:
+            peer.acked = message.echo
+            peer.acked_at = now
 
     def tick(self, now):
         self.skip_pause(now)
-        if now < self.next_heartbeat_at:
+        if now < self.next_review_at:
             return []
-        self.next_heartbeat_at = now + HEARTBEAT_INTERVAL_S
-        self.sequence += 1
+        self.next_review_at = now + REVIEW_INTERVAL_S
         needed = self.find_needed(now)
         probed = sorted(needed | self.find_probing(now))
         self.end_probes(set(probed))
-        actions = [ReplaceLink(address) for address in self.find_silent(probed, now)]
-        actions += [
-            Send(address, self.build_probe(address in needed)) for address in probed
-        ]
-        self.forget(now)
+        probing = {name for name in probed if self.is_probing(name, now)}
+        watched = sorted(needed | probing)
+        actions = [ReplaceLink(address) for address in self.find_silent(watched, now)]
+        if now >= self.next_heartbeat_at:
+            self.next_heartbeat_at = now + HEARTBEAT_INTERVAL_S
+            self.sequence += 1
+            actions += [self.build_probe(name, name in needed) for name in probed]
+            self.forget(now)
         return actions
 
-    def build_probe(self, is_wanted):
-        """Return the heartbeat of this tick."""
-        return Heartbeat(
-            self.sequence, self.role, self.data_centre, self.is_leaving, is_wanted
+    def build_probe(self, address, is_wanted):
+        """Return the action that probes a peer."""
+        probe = Heartbeat(
+            self.sequence,
+            self.role,
+            self.data_centre,
+            self.is_leaving,
+            is_wanted,
+            self.peers[address].echo,
         )
+        return Send(address, probe)
 
     def find_needed(self, now):
         """Return wanted peers and those that have sent real messages lately."""
@@ -147,15 +163,24 @@
             if peer.probed_at is not None and now - peer.probed_at < SILENCE_TIMEOUT_S
         }
 
-    def find_silent(self, probed, now):
-        """Return probed peers that have not answered within the silence timeout."""
+    def is_probing(self, address, now):
+        """Return whether a peer's latest probe is recent.
+
+        A peer that has just stopped probing sends no echo either; its link is not
+        silent.
+        """
+        probed_at = self.peers[address].probed_at
+        return probed_at is not None and now - probed_at < PROBING_FOR_S
+
+    def find_silent(self, watched, now):
+        """Return watched peers that have not answered within the silence timeout."""
         silent = []
-        for address in probed:
+        for address in watched:
             peer = self.peers[address]
             if peer.probing_since is None:
                 peer.probing_since = now
             last = max(peer.acked_at or 0.0, peer.probing_since, peer.replaced_at)
-            if now - last >= SILENCE_TIMEOUT_S:
+            if now - last >= ECHO_TIMEOUT_S:
                 peer.replaced_at = now
                 silent.append(address)
         return silent
--- a/catkinfork/processes/_base.py
+++ b/catkinfork/processes/_base.py
@@ -40,7 +40,6 @@
     DocumentRequest,
     FrameTooLargeError,
     Heartbeat,
-    HeartbeatAck,
     KeyFileError,
     KeyRing,
     Send,
@@ -183,7 +182,7 @@
         """Take a message from the transport."""
         now = time.monotonic()
         self.apply(self.configuration.hear(sender, now), now)
-        if isinstance(message, Heartbeat | HeartbeatAck):
+        if isinstance(message, Heartbeat):
             self.apply(self.peers.handle(sender, message, now), now)
             self.apply(self.note_incarnation(sender, message, now), now)
             return
--- a/catkinfork/protocol/_messages.py
+++ b/catkinfork/protocol/_messages.py
@@ -14,7 +14,7 @@
     :param name: inner address of the process, ``host:port``.
     :param incarnation: start time of the process in milliseconds since the epoch.
     :param version: version of the document in force at the sender, 0 for none.
-    :param digest: SHA-256 hex digest of that document, empty for none.
+    :param digest: digest of that document, empty for none.
     """
 
     name: str
@@ -24,14 +24,15 @@
 
 
 class Heartbeat(NamedTuple):
-    """Liveness probe.
+    """Liveness probe; each side's probes acknowledge those of the other.
 
-    :param sequence: number that the answer repeats.
+    :param sequence: number that the other side's next probe repeats.
     :param role: ``router`` or ``agent``.
     :param data_centre: data centre of the sender.
     :param leaving: whether the sender is draining.
     :param is_wanted: whether the sender needs the link itself. A probe that only
         answers another probe does not keep the link in use.
+    :param echo: greatest number received from the other side, 0 for none.
     """
 
     sequence: int
@@ -39,15 +40,7 @@
     data_centre: str
     leaving: bool = False
     is_wanted: bool = True
-
-
-class HeartbeatAck(NamedTuple):
-    """Answer to a heartbeat, with the sender's own role and state."""
-
-    sequence: int
-    role: str
-    data_centre: str
-    leaving: bool = False
+    echo: int = 0
 
 
 class DocumentRequest(NamedTuple):
@@ -445,7 +438,6 @@
 
 Message = (
     Heartbeat
-    | HeartbeatAck
     | DocumentRequest
     | DocumentReply
     | Demand
