--- a/catkinfork/execution/__init__.py
+++ b/catkinfork/execution/__init__.py
@@ -0,0 +1,31 @@
+"""Execution at one backend server: tickets, limit, records of keys, answers."""
+
+from catkinfork.execution._actions import (
+    REFUSED,
+    BackendData,
+    BackendEnd,
+    BackendEvent,
+    BackendFailure,
+    BackendHead,
+    BackendHealth,
+    CancelRequest,
+    RunRequest,
+)
+from catkinfork.execution._agent import AgentCore
+from catkinfork.execution._errors import InvariantError
+from catkinfork.execution._keys import read_key_time
+
+__all__ = [
+    "REFUSED",
+    "AgentCore",
+    "BackendData",
+    "BackendEnd",
+    "BackendEvent",
+    "BackendFailure",
+    "BackendHead",
+    "BackendHealth",
+    "CancelRequest",
+    "InvariantError",
+    "RunRequest",
+    "read_key_time",
+]
--- a/catkinfork/gateway/_application.py
+++ b/catkinfork/gateway/_application.py
@@ -19,6 +19,7 @@
     UNAUTHORIZED,
     encode_refusal,
     refuse_large_body,
+    refuse_large_header,
 )
 from catkinfork.gateway._requests import (
     MODELS_PATH,
@@ -58,7 +59,7 @@
         """Note that the caller of a request has gone."""
 
     @abstractmethod
-    def log(self, action):
+    def write_log(self, action):
         """Write a :class:`LogEvent`."""
 
 
@@ -83,6 +84,10 @@
         """Answer one HTTP request."""
         request_id = uuid.uuid4().hex
         headers = decode_headers(scope["headers"])
+        if count_header_bytes(scope) > self.settings.max_header_bytes:
+            refusal = refuse_large_header(self.settings.max_header_bytes)
+            await self.refuse(send, refusal, request_id, "")
+            return
         view = self.handler.find_view()
         if view is None:
             await self.refuse(send, NOT_READY, request_id, "")
@@ -102,7 +107,7 @@
             request_id,
             workspace,
             scope["method"],
-            scope["path"],
+            read_raw_path(scope),
             scope["query_string"].decode("latin-1"),
             headers,
             body,
@@ -193,7 +198,7 @@
 
     def break_off(self, request, code):
         """Log that a response broke off, and raise."""
-        self.handler.log(
+        self.handler.write_log(
             log_event(
                 RESPONSE_BROKEN,
                 request_id=request.request_id,
@@ -205,7 +210,7 @@
 
     def note_slow_caller(self, request, exchange):
         """Log that a caller reads too slowly."""
-        self.handler.log(
+        self.handler.write_log(
             log_event(
                 SLOW_CALLER,
                 request_id=request.request_id,
@@ -216,7 +221,7 @@
 
     def note_caller_gone(self, request_id, workspace, stage):
         """Log that a caller has gone."""
-        self.handler.log(
+        self.handler.write_log(
             log_event(
                 CALLER_GONE, request_id=request_id, workspace=workspace, stage=stage
             )
@@ -224,7 +229,7 @@
 
     async def refuse(self, send, refusal, request_id, workspace):
         """Send a refusal and log it."""
-        self.handler.log(
+        self.handler.write_log(
             log_event(
                 REQUEST_REFUSED,
                 request_id=request_id,
@@ -244,6 +249,18 @@
         await send_whole(send, refusal.status, headers, body)
 
 
+def count_header_bytes(scope):
+    """Return the size of path, query and headers of a request."""
+    n_bytes = len(scope["path"]) + len(scope["query_string"])
+    return n_bytes + sum(len(name) + len(value) for name, value in scope["headers"])
+
+
+def read_raw_path(scope):
+    """Return the path as the caller sent it, with its percent signs."""
+    raw_path = scope.get("raw_path") or scope["path"].encode()
+    return raw_path.partition(b"?")[0].decode("latin-1")
+
+
 def decode_headers(raw):
     """Return lower-case header names and values as text."""
     return [
--- a/catkinfork/processes/_base.py
+++ b/catkinfork/processes/_base.py
@@ -1,5 +1,6 @@
 """What the router and the agent have in common: the shell around the decisions."""
 
+import random
 import signal
 import time
 from abc import ABC, abstractmethod
@@ -17,9 +18,6 @@
 from catkinfork.observability import EventLog, LogEvent, log_event
 from catkinfork.processes._admin import AdminApplication
 from catkinfork.processes._events import (
-    DISPATCHERS_CHANGED,
-    DRAIN_ENDED,
-    DRAIN_STARTED,
     FRAME_REJECTED,
     FRAME_UNSENDABLE,
     KEY_FILE_FAILED,
@@ -27,16 +25,21 @@
     LINK_REPLACED,
     PROCESS_READY,
     PROCESS_STARTED,
+    PROCESS_STOPPED,
+    STOP_REQUESTED,
     WRONG_RECEIVER,
 )
-from catkinfork.processes._server import bind_port, serve_application
+from catkinfork.processes._server import (
+    GuardedApplication,
+    bind_port,
+    serve_application,
+)
 from catkinfork.processes._status import StatusCollector
 from catkinfork.protocol import (
     DocumentReply,
     DocumentRequest,
     FrameTooLargeError,
     Heartbeat,
-    HeartbeatAck,
     KeyFileError,
     KeyRing,
     Send,
@@ -69,6 +72,7 @@
         self.fleet = settings.fleet
         self.incarnation = int(time.time() * 1000)
         self.started_at = time.monotonic()
+        self.rng = random.Random(self.incarnation)
         self.keys = KeyRing(self.fleet.key_file)
         self.log = EventLog(settings.log, self.fleet.address)
         self.peers = PeerTable(self.role, self.fleet.data_centre)
@@ -178,8 +182,9 @@
         """Take a message from the transport."""
         now = time.monotonic()
         self.apply(self.configuration.hear(sender, now), now)
-        if isinstance(message, Heartbeat | HeartbeatAck):
+        if isinstance(message, Heartbeat):
             self.apply(self.peers.handle(sender, message, now), now)
+            self.apply(self.note_incarnation(sender, message, now), now)
             return
         self.peers.hear(sender, now)
         if isinstance(message, DocumentRequest | DocumentReply):
@@ -191,6 +196,10 @@
         else:
             self.receive_for_role(sender, message, now)
 
+    def note_incarnation(self, sender, message, now):
+        """Return the actions for the incarnation that a heartbeat shows."""
+        return []
+
     def receive_for_role(self, sender, message, now):
         """Hand a message to the decisions of the role."""
         actions = self.handle(sender, message, now)
@@ -296,11 +305,6 @@
             wanted.update(ranked[: max(N_CANDIDATES, last + 1)])
             if chosen != self.dispatchers.get(pool):
                 self.dispatchers[pool] = chosen
-                self.log.write(
-                    log_event(
-                        DISPATCHERS_CHANGED, pool=pool, dispatchers=",".join(chosen)
-                    )
-                )
                 self.apply(self.set_dispatchers(pool, chosen, now), now)
         if self.configuration.view is None:
             wanted.update(routers)
@@ -415,18 +419,22 @@
 
     async def serve_admin(self):
         """Serve metrics, health and status."""
-        await serve_application(AdminApplication(self), self.admin_port, self.stop)
+        application = GuardedApplication(
+            AdminApplication(self), "admin", self.log.write
+        )
+        await serve_application(application, self.admin_port, self.stop)
 
     async def read_documents(self):
         """Read the configuration service."""
         source = HttpConfigurationSource(
-            self.settings.platform, watches=self.role == "router"
+            self.settings.platform, self.role == "router", self.rng, self.log.write
         )
-        await source.run(self.take_document, self.log.write)
+        await source.run(self.take_document)
 
     async def read_hosts(self):
         """Read the host list."""
-        await HttpHostList(self.settings.platform).run(self.take_hosts, self.log.write)
+        host_list = HttpHostList(self.settings.platform, self.rng, self.log.write)
+        await host_list.run(self.take_hosts)
 
     async def watch_signals(self, scope):
         """Drain and end on SIGTERM or SIGINT."""
@@ -442,7 +450,7 @@
         self.is_draining = True
         self.peers.is_leaving = True
         self.log.write(
-            log_event(DRAIN_STARTED, role=self.role, n_open=self.count_open())
+            log_event(STOP_REQUESTED, role=self.role, n_open=self.count_open())
         )
         await anyio.sleep(READINESS_DELAY_S)
         now = time.monotonic()
@@ -454,7 +462,7 @@
         self.stop.set()
         self.log.write(
             log_event(
-                DRAIN_ENDED,
+                PROCESS_STOPPED,
                 role=self.role,
                 n_left=self.count_open(),
                 waited_s=time.monotonic() - started_at,
@@ -472,36 +480,25 @@
 
     def count_metrics(self):
         """Yield the metrics that every process has."""
-        sent = self.transport.count()
-        yield (
-            "catkinfork_messages_sent",
-            "Inner messages sent since the start",
-            {},
-            sent.n_sent,
-        )
-        yield (
-            "catkinfork_messages_received",
-            "Inner messages received since the start",
-            {},
-            sent.n_received,
-        )
-        yield (
-            "catkinfork_sent_bytes",
-            "Bytes of inner messages sent since the start",
-            {},
-            sent.bytes_sent,
-        )
-        yield (
-            "catkinfork_received_bytes",
-            "Bytes of inner messages received since the start",
-            {},
-            sent.bytes_received,
-        )
+        for entry in self.transport.list_traffic():
+            labels = {"message": entry.message, "direction": entry.direction}
+            yield (
+                "catkinfork_messages",
+                "Inner messages since the start, by type",
+                labels,
+                entry.n_messages,
+            )
+            yield (
+                "catkinfork_messages_bytes",
+                "Bytes of inner messages since the start, by type",
+                labels,
+                entry.n_bytes,
+            )
         yield (
             "catkinfork_messages_dropped",
             "Inner messages dropped at the sender since the start",
             {},
-            sent.n_dropped,
+            self.transport.n_dropped,
         )
         identity = self.identify()
         yield (
--- a/catkinfork/processes/_router.py
+++ b/catkinfork/processes/_router.py
@@ -1,6 +1,5 @@
 """The router process."""
 
-import random
 import time
 
 import anyio
@@ -15,6 +14,7 @@
 from catkinfork.processes._base import BaseProcess
 from catkinfork.processes._server import (
     GRACEFUL_TIMEOUT_S,
+    GuardedApplication,
     bind_port,
     serve_application,
 )
@@ -42,7 +42,6 @@
 
     def __init__(self, settings):
         super().__init__(settings)
-        self.rng = random.Random(self.incarnation)
         identity = Sender(self.fleet.address, self.incarnation)
         self.core = RouterCore(settings, identity, self.rng)
         self.pool_dispatchers = {}
@@ -69,6 +68,9 @@
         self.apply(self.core.abandon(request_id, now), now)
         self.work.set()
 
+    def write_log(self, action):
+        self.log.write(action)
+
     # The process's decisions.
 
     def list_cores(self):
@@ -86,6 +88,9 @@
             return self.core.handle(sender, message, now)
         return None
 
+    def note_incarnation(self, sender, message, now):
+        return self.core.handle(sender, message, now)
+
     def perform(self, action, now):
         if isinstance(action, Respond):
             self.pass_on(action)
@@ -159,7 +164,7 @@
         """Serve the port for callers."""
         gateway = Gateway(self.settings.gateway, self)
         await serve_application(
-            gateway,
+            GuardedApplication(gateway, "callers", self.log.write),
             self.gateway_port,
             self.stop,
             self.settings.gateway.max_header_bytes,
@@ -180,8 +185,8 @@
         )
         for pool, dispatcher in sorted(self.pool_dispatchers.items()):
             yield (
-                "catkinfork_dispatcher_agents",
-                "Agents that report to this dispatcher",
+                "catkinfork_dispatcher_active",
+                "Whether this router is the dispatcher of the pool",
                 {"pool": pool},
-                len(dispatcher.agents),
+                int(dispatcher.is_active),
             )
--- a/catkinfork/protocol/__init__.py
+++ b/catkinfork/protocol/__init__.py
@@ -35,7 +35,6 @@
     Grant,
     GrantEntry,
     Heartbeat,
-    HeartbeatAck,
     Message,
     PoolSummary,
     ReportAck,
@@ -53,7 +52,7 @@
     TicketReturn,
     WorkspaceSummary,
 )
-from catkinfork.protocol._transport import Transport, TransportCounters
+from catkinfork.protocol._transport import Traffic, Transport
 
 __all__ = [
     "MAX_CONTROL_FRAME_BYTES",
@@ -79,7 +78,6 @@
     "Grant",
     "GrantEntry",
     "Heartbeat",
-    "HeartbeatAck",
     "KeyFileError",
     "KeyRing",
     "MalformedMessageError",
@@ -99,8 +97,8 @@
     "Suspect",
     "Ticket",
     "TicketReturn",
+    "Traffic",
     "Transport",
-    "TransportCounters",
     "UnknownKeyError",
     "UnknownMessageError",
     "WorkspaceSummary",
--- a/standins/local_fleet.py
+++ b/standins/local_fleet.py
@@ -15,6 +15,7 @@
 import httpx
 
 START_TIMEOUT_S = 20.0
+KEY_MARGIN_WAIT_S = 0.3
 STOP_TIMEOUT_S = 15.0
 ENVIRONMENT = "production"
 
@@ -50,6 +51,7 @@
     :param router_data_centres: data centre of each router.
     :param workspaces: share of each workspace by its name.
     :param pools: kind of each pool by its name.
+    :param max_cost: ``max_cost`` of each pool in the document.
     """
 
     data_centres: tuple[str, ...]
@@ -57,6 +59,7 @@
     router_data_centres: tuple[str, ...]
     workspaces: dict[str, float]
     pools: dict[str, str]
+    max_cost: int = 20000
 
 
 SMALL_LAYOUT = FleetLayout(
@@ -158,7 +161,7 @@
                 for name in self.layout.data_centres
             ],
             "pools": [
-                {"name": name, "kind": kind, "max_cost": 20000}
+                {"name": name, "kind": kind, "max_cost": self.layout.max_cost}
                 for name, kind in self.layout.pools.items()
             ],
             "backend_servers": [
@@ -246,7 +249,8 @@
         name = f"agent-{server.name}"
         sections = self.build_common(name, server.data_centre)
         sections["backend"] = {"name": server.name, "url": self.find_url(server.name)}
-        sections["execution"] = {"quiet_time_s": 1.0}
+        # All processes share one clock, so that a small margin is enough.
+        sections["execution"] = {"quiet_time_s": 1.0, "key_margin_s": 0.2}
         path = self.write_settings(name, sections)
         self.commands[name] = [*self.program, "agent", "--settings", str(path)]
 
@@ -305,6 +309,7 @@
             self.launch(name)
         for name in self.list_members():
             self.wait_ready(name)
+        time.sleep(KEY_MARGIN_WAIT_S)
 
     def launch(self, name):
         """Start one process; its output goes to a file of its own."""
