--- a/Makefile
+++ b/Makefile
@@ -38,6 +38,9 @@
 	$(BIN)/pex . --constraints requirements.lock -c catkinfork --venv prepend \
 		--sh-boot --python $(BIN)/python -o dist/catkinfork
 
+soak: $(VENV)/installed
+	$(BIN)/python -m benchmarks.soak --seconds $(SECONDS) --seed $(SEED)
+
 format: $(VENV)/installed
 	$(BIN)/ruff format .
 	$(BIN)/ruff check --fix .
--- a/catkinfork/routing/_core.py
+++ b/catkinfork/routing/_core.py
@@ -41,8 +41,9 @@
 class RouterCore(BaseCore):
     """Admission, queues, attempts and retries of a router.
 
-    The shell calls :meth:`tick` every 5 ms while there are open requests and passes on
-    ``Grant``, ``PoolSummary``, ``ResponsePart`` and ``StartRefused``.
+    The shell calls :meth:`tick` every 5 ms while there are open requests. Besides
+    ``Grant``, ``PoolSummary``, ``ResponsePart`` and ``StartRefused`` it passes
+    heartbeats on, since any message of an agent shows the agent's incarnation.
 
     :param settings: :class:`RouterSettings`.
     :param identity: :class:`Sender` of this router.
--- a/catkinfork/routing/tests/test_attempts.py
+++ b/catkinfork/routing/tests/test_attempts.py
@@ -198,6 +198,15 @@
     assert core.n_open == 0
 
 
+def test_retried_request_that_does_not_start_again_may_have_run():
+    """Guards against ``not_run`` about a request whose first attempt ran."""
+    core = make_router()
+    start = start_one(core, make_request("a", deadline=5.0))
+    end_by_failure(core, start, 1.0)
+    [answer] = list_answers(core.tick(5.0))
+    assert answer.refusal.outcome == UNKNOWN
+
+
 def test_request_of_crashed_server_waits_as_suspect():
     """Guards against a crashing request that runs beside others again."""
     core = make_router()
