Halve control: fewer reports and acknowledgements, urgent demand only

Cause: control of the dispatching router was 302 messages and 42.8 KB a second. Reports went out at each start, each was acknowledged, every change of a demand went to two dispatchers, and idle pools sent empty demands for ever. Summaries held all workspaces for all routers, a product of two sizes. Ruled out: longer intervals for all demand (a free place would wait for it); the first waiting request of a class and one left behind a grant stay urgent. Tests that expected each change at both dispatchers now state the new rule, and four tests were added for the urgent cases.

--- a/catkinfork/dispatch/_agents.py
+++ b/catkinfork/dispatch/_agents.py
@@ -30,6 +30,8 @@
         self.granted = {}
         self.accounts = {}
         self.busy = set()
+        self.acked_at = float("-inf")
+        self.acked_blocked = []
 
     @property
     def name(self):
--- a/catkinfork/dispatch/_demand.py
+++ b/catkinfork/dispatch/_demand.py
@@ -270,6 +270,12 @@
         """Return the workspaces that have requests without a grant."""
         return [name for name, demand in self.workspaces.items() if demand.n_open > 0]
 
+    def list_workspaces_of(self, address):
+        """Return the workspaces that wait at a router or were just granted."""
+        router = self.routers[address]
+        waiting = {key.workspace for key in router.classes}
+        return waiting | {grant.demand_class.workspace for grant in router.unseen}
+
     def list_heard(self, now, timeout_s):
         """Return addresses of the routers heard within a time, sorted."""
         return sorted(
--- a/catkinfork/dispatch/_dispatcher.py
+++ b/catkinfork/dispatch/_dispatcher.py
@@ -21,6 +21,7 @@
     SUMMARY_INTERVAL_S,
     RateMeter,
     SummaryBuilder,
+    filter_summary,
 )
 from catkinfork.dispatch._suspects import SuspectTable
 from catkinfork.fairness import BoundTerms, CostEstimates, ServiceCounters
@@ -29,6 +30,8 @@
 
 # Timeouts are 1 s and longer, so a scan on every tick would cost more than it gains.
 SCAN_INTERVAL_S = 0.05
+# An agent gives a dispatcher up after 1.5 s without a sign of life.
+ACK_INTERVAL_S = 0.25
 # For this long after a change of dispatcher, a workspace that waited there and whose
 # demand arrives late counts as backlogged all the time.
 TAKEOVER_S = 1.5
@@ -57,6 +60,7 @@
         self.waited_before = frozenset()
         self.next_scan_at = 0.0
         self.next_summary_at = 0.0
+        self.standbys = ()
         self.summarised_at = 0.0
         self.has_rest = False
         self.largest_cost = 0
@@ -133,8 +137,30 @@
             self.charges.take_report(agent, now)
             actions += restarted + self.take_suspects(sender, report, now)
         wants_whole = not self.agents.agents[sender.name].has_whole
-        ack = ReportAck(report.sequence, wants_whole, self.suspects.list_blocked())
-        return [Send(sender.name, ack), *actions, *self.match(now)]
+        acks = self.acknowledge(sender, report, wants_whole, now)
+        return [*acks, *actions, *self.match(now)]
+
+    def acknowledge(self, sender, report, wants_whole, now):
+        """Return the answer to a report if the agent needs one now.
+
+        Agents repeat totals until they are acknowledged, so that a few answers a
+        second do; a whole report, or news for the agent, is answered at once.
+        """
+        agent = self.agents.agents[sender.name]
+        blocked = self.suspects.list_blocked()
+        has_news = wants_whole or report.is_whole or blocked != agent.acked_blocked
+        if not has_news and now - agent.acked_at < ACK_INTERVAL_S:
+            return []
+        agent.acked_at = now
+        agent.acked_blocked = blocked
+        return [Send(sender.name, ReportAck(report.sequence, wants_whole, blocked))]
+
+    def set_standbys(self, addresses):
+        """Set the routers that would be dispatcher next; they get whole summaries.
+
+        :param addresses: inner addresses.
+        """
+        self.standbys = tuple(addresses)
 
     def find_agent(self, sender, report):
         """Return the state of an agent and log events; a new process starts empty."""
@@ -329,5 +355,10 @@
         self.rates.update(self.charges.n_units, interval_s, now)
         agents = self.agents.list_live()
         summary = self.summaries.build(self.demand, agents, self.suspects, now)
-        routers = self.demand.list_heard(now, ROUTER_HEARD_TIMEOUT_S)
-        return [Send(address, summary) for address in routers]
+        heard = self.demand.list_heard(now, ROUTER_HEARD_TIMEOUT_S)
+        sends = [Send(address, summary) for address in self.standbys]
+        for address in heard:
+            if address not in self.standbys:
+                names = self.demand.list_workspaces_of(address)
+                sends.append(Send(address, filter_summary(summary, names)))
+        return sends
--- a/catkinfork/dispatch/_summary.py
+++ b/catkinfork/dispatch/_summary.py
@@ -60,6 +60,19 @@
     return min(MAX_WAIT_MS, round(wait_s * 1000))
 
 
+def filter_summary(summary, names):
+    """Return a summary with some workspaces only.
+
+    A router needs the expected wait of its own workspaces; whole summaries for all
+    routers would grow with the product of routers and workspaces.
+
+    :param summary: :class:`PoolSummary`.
+    :param names: names of the workspaces to keep.
+    """
+    kept = [entry for entry in summary.workspaces if entry.workspace in names]
+    return summary._replace(workspaces=kept)
+
+
 class SummaryBuilder:
     """Builds the summaries of one pool.
 
--- a/catkinfork/execution/_agent.py
+++ b/catkinfork/execution/_agent.py
@@ -233,8 +233,9 @@
             return []
         capacity = self.capacity
         state, n_places = capacity.state, capacity.n_places
-        numbers = tuple(capacity.tickets.issued_at)
-        view = (state, n_places, self.n_running, numbers)
+        # A used ticket can wait for the next report, since the dispatcher granted it.
+        suspect = self.runner.find_running_suspect()
+        view = (state, n_places, capacity.tickets.n_issued, suspect)
         if not self.reporter.is_due(view, now):
             return []
         send = self.reporter.report(
@@ -245,7 +246,7 @@
             state=state,
             n_places=n_places,
             n_running=self.n_running,
-            running_suspect=self.runner.find_running_suspect(),
+            running_suspect=suspect,
             tickets=capacity.tickets.list_open(now),
             suspects=self.suspects.list_suspects(now),
         )
--- a/catkinfork/processes/_router.py
+++ b/catkinfork/processes/_router.py
@@ -122,6 +122,8 @@
         return actions + self.core.adopt(view, now)
 
     def set_dispatchers(self, pool, addresses, now):
+        others = [name for name in addresses if name != self.fleet.address]
+        self.pool_dispatchers[pool].set_standbys(others)
         return self.core.set_dispatchers(pool, addresses, now)
 
     def review(self, now):
--- a/catkinfork/routing/_demand.py
+++ b/catkinfork/routing/_demand.py
@@ -3,7 +3,14 @@
 from catkinfork.protocol import Demand, DemandEntry
 
 MIN_INTERVAL_S = 0.005
+# A change that leaves the dispatcher with a waiting request of each class can wait.
+CHANGED_INTERVAL_S = 0.05
 MAX_INTERVAL_S = 0.5
+# An empty demand is repeated in case one is lost, and then no more: most routers have
+# nothing waiting for most pools.
+N_EMPTY_REPEATS = 3
+# A dispatcher that has granted within this time gets every change.
+GRANTING_FOR_S = 2.0
 # Two, so that processes whose rankings differ by one still share a dispatcher.
 N_DISPATCHERS = 2
 # Grants of dispatchers that have left the ranking may still arrive for a while.
@@ -24,7 +31,12 @@
         self.dispatchers = []
         self.sequence = 0
         self.is_changed = False
+        self.is_urgent = False
         self.sent_at = None
+        self.sent_to_all_at = float("-inf")
+        self.n_empty_sent = 0
+        self.known = {}
+        self.granted_at = {}
         self.grantors = {}
 
     def set_dispatchers(self, addresses):
@@ -34,7 +46,11 @@
         """
         chosen = list(addresses[:N_DISPATCHERS])
         dropped = [name for name in self.dispatchers if name not in chosen]
-        self.is_changed = self.is_changed or chosen != self.dispatchers
+        if chosen != self.dispatchers:
+            self.is_changed = True
+            self.is_urgent = True
+            self.sent_to_all_at = float("-inf")
+            self.n_empty_sent = 0
         self.dispatchers = chosen
         return dropped
 
@@ -45,7 +61,54 @@
         if self.sent_at is None:
             return True
         age_s = now - self.sent_at
-        return age_s >= (MIN_INTERVAL_S if self.is_changed else MAX_INTERVAL_S)
+        if self.is_urgent:
+            return age_s >= MIN_INTERVAL_S
+        if self.is_changed:
+            return age_s >= CHANGED_INTERVAL_S
+        return age_s >= MAX_INTERVAL_S and self.n_empty_sent < N_EMPTY_REPEATS
+
+    def note_waiting(self, demand_class):
+        """Note that a request waits; it is urgent if the dispatcher knows of none."""
+        self.is_changed = True
+        if self.known.get(demand_class, 0) <= 0:
+            self.is_urgent = True
+
+    def note_used(self, demand_class, n_left):
+        """Note that a grant used up one waiting request of a class.
+
+        :param n_left: requests of the class that still wait.
+        """
+        self.is_changed = True
+        self.known[demand_class] = self.known.get(demand_class, 0) - 1
+        if n_left and self.known[demand_class] <= 0:
+            self.is_urgent = True
+
+    def choose_receivers(self, now):
+        """Return the dispatchers to send to now, and note the time.
+
+        A second one gets tickets only if agents take it for the first. Until it
+        grants, a demand that is half a second old will do there.
+        """
+        if now - self.sent_to_all_at >= MAX_INTERVAL_S:
+            self.sent_to_all_at = now
+            return self.dispatchers
+        oldest = now - GRANTING_FOR_S
+        return [
+            name
+            for position, name in enumerate(self.dispatchers)
+            if position == 0 or self.granted_at.get(name, oldest) > oldest
+        ]
+
+    def note_sent(self, sizes, now):
+        """Note what the first dispatcher knows from now on.
+
+        :param sizes: number of waiting requests by class.
+        """
+        self.is_changed = False
+        self.is_urgent = False
+        self.sent_at = now
+        self.known = sizes
+        self.n_empty_sent = 0 if sizes else self.n_empty_sent + 1
 
     def make_message(self, dispatcher, entries):
         """Return the demand for a dispatcher.
@@ -79,13 +142,17 @@
             if name not in self.dispatchers:
                 del self.grantors[name]
 
-    def accept_grant(self, sender, number):
+    def accept_grant(self, sender, number, now):
         """Count a grant as seen if it is newer than those seen before.
 
         :returns: whether it is in order and of the latest incarnation.
         """
         if not self.note_grantor(sender):
             return False
+        self.granted_at = {
+            name: at for name, at in self.granted_at.items() if name in self.dispatchers
+        }
+        self.granted_at[sender.name] = now
         incarnation, n_seen = self.grantors[sender.name]
         if number <= n_seen:
             return False
--- a/catkinfork/routing/_queues.py
+++ b/catkinfork/routing/_queues.py
@@ -93,6 +93,12 @@
             )
             del self.sizes[workspace]
 
+    def count_class(self, demand_class):
+        """Return the number of waiting requests of a class."""
+        classes = self.groups.get(demand_class.pool, {})
+        queue = classes.get(demand_class.workspace, {}).get(demand_class)
+        return len(queue) if queue else 0
+
     def list_classes(self, pool):
         """Return pairs of demand class and queue of a pool."""
         return [
--- a/catkinfork/routing/_starts.py
+++ b/catkinfork/routing/_starts.py
@@ -5,6 +5,7 @@
 from catkinfork.routing._attempts import Attempt
 from catkinfork.routing._errors import check_invariant
 from catkinfork.routing._events import REQUEST_STARTED, TICKET_RETURNED
+from catkinfork.routing._requests import DemandClass
 
 
 def handle_grant(state, sender, grant, now, actions):
@@ -17,12 +18,23 @@
     demand = state.get_demand(grant.pool)
     returned = {}
     for entry in sorted(grant.entries, key=lambda entry: entry.number):
-        is_in_order = demand.accept_grant(sender, entry.number)
+        is_in_order = demand.accept_grant(sender, entry.number, now)
         if not state.tickets.note(entry, now):
             continue
         request, reason = choose_request(state, grant.pool, entry, is_in_order)
         if request is not None:
             start_request(state, request, entry, reason, now, actions)
+        # The dispatcher counts the grant against the class that it names.
+        granted = DemandClass(
+            grant.pool,
+            entry.workspace,
+            entry.target,
+            entry.required,
+            entry.preferred,
+            entry.suspect,
+        )
+        demand.note_used(granted, state.queues.count_class(granted))
+        if request is not None:
             continue
         key = (entry.agent, entry.agent_incarnation)
         returned.setdefault(key, []).append(entry.ticket)
@@ -30,7 +42,6 @@
         actions.append(log_return(sender, entry, reason))
     for (agent, incarnation), tickets in returned.items():
         actions.append(Send(agent, TicketReturn(tickets, incarnation)))
-    demand.is_changed = True
 
 
 def log_return(sender, grant, reason):
--- a/catkinfork/routing/_state.py
+++ b/catkinfork/routing/_state.py
@@ -124,7 +124,7 @@
     def enqueue(self, entry, demand_class, is_first=False):
         """Let a request wait and mark the demand as changed."""
         self.queues.add(entry, demand_class, is_first)
-        self.get_demand(demand_class.pool).is_changed = True
+        self.get_demand(demand_class.pool).note_waiting(demand_class)
 
     def dequeue(self, entry):
         """Take a request out of its queue and mark the demand as changed."""
@@ -219,9 +219,9 @@
         for pool, demand in self.demands.items():
             if not demand.is_due(now):
                 continue
-            entries = make_entries(self.queues.list_classes(pool), now)
-            for dispatcher in demand.dispatchers:
+            classes = list(self.queues.list_classes(pool))
+            entries = make_entries(classes, now)
+            for dispatcher in demand.choose_receivers(now):
                 message = demand.make_message(dispatcher, entries)
                 actions.append(Send(dispatcher, message))
-            demand.is_changed = False
-            demand.sent_at = now
+            demand.note_sent({name: len(queue) for name, queue in classes}, now)
