--- a/catkinfork/cli/_diff.py
+++ b/catkinfork/cli/_diff.py
@@ -24,9 +24,9 @@
 def show_diff(old: OldArgument, new: NewArgument):
     """Tell in words what the promotion of a document changes.
 
-    Exit codes: 0 if a fleet that has OLD in force adopts NEW or both are the same, 1 if
-    a document has faults or the fleet would not adopt NEW, 2 for wrong usage or a file
-    that cannot be read.
+    Exit codes: 0 if the documents could be compared, 1 if a document has faults, or if
+    both are for one environment and its fleet, with OLD in force, would not adopt NEW,
+    2 for wrong usage or a file that cannot be read.
     """
     if old == new == STANDARD_INPUT:
         print_line("only one document can come from standard input", "red", err=True)
@@ -40,12 +40,12 @@
     lines = diff_documents(old_view, new_view)
     for line in lines or ["no difference"]:
         print_line(line)
-    if lines and not is_adopted(old_view, new_view):
+    if is_ignored(old_view, new_view):
         print_line(f"{new}: the fleet would not adopt it", "red", err=True)
         raise typer.Exit(EXIT_FAULTS)
 
 
-def is_adopted(old, new):
-    """Return whether a fleet that has a document in force adopts another one."""
+def is_ignored(old, new):
+    """Return whether a fleet ignores a document because of the one in force."""
     is_same_environment = old.document.environment == new.document.environment
-    return is_same_environment and new.identity > old.identity
+    return is_same_environment and new.identity < old.identity
--- a/catkinfork/cli/tests/test_commands.py
+++ b/catkinfork/cli/tests/test_commands.py
@@ -25,6 +25,7 @@
     monkeypatch.chdir(tmp_path)
     document = make_document()
     write_document("valid.json", document)
+    write_document("trial.json", document | {"environment": "trial", "version": 20})
     change_document(document, ("version",), 13)
     change_document(document, ("data_centres", 0, "state"), "out")
     write_document("next.json", document)
@@ -60,6 +61,7 @@
         (["diff", "valid.json", "valid.json"], 0),
         (["diff", "valid.json", "next.json"], 0),
         (["diff", "next.json", "valid.json"], 1),
+        (["diff", "trial.json", "valid.json"], 0),
         (["diff", "valid.json", "faults.json"], 1),
         (["diff", "valid.json", "missing.json"], 2),
         (["diff", "-", "-"], 2),
--- a/catkinfork/document/_diff.py
+++ b/catkinfork/document/_diff.py
@@ -33,10 +33,10 @@
     before, after = old.document, new.document
     if before.environment != after.environment:
         lines.append(
-            f"environment: {before.environment} -> {after.environment}; "
-            f"the fleet of {before.environment} refuses it"
+            f"environment: {before.environment} -> {after.environment}; a fleet "
+            "accepts only documents of its own"
         )
-    if new.version > old.version:
+    if new.version > old.version or before.environment != after.environment:
         lines.append(f"version: {old.version} -> {new.version}")
     elif new.version < old.version:
         lines.append(
@@ -124,7 +124,7 @@
     if after.state == LOST:
         return f"{text}; only if its process has stopped for good"
     if before.state == LOST:
-        return f"{text}; it may own keys again"
+        return f"{text}; its agent refuses keys until it is started anew"
     if after.state == OUT:
         return f"{text}; it receives no new work"
     return f"{text}; it starts at one place"
@@ -163,15 +163,20 @@
     ]
 
 
+def list_key_servers(view, pool):
+    """Return the set of servers that may own keys for each target of a pool."""
+    targets = {target for entry in view.list_pool(pool) for target in entry.serves}
+    return {target: set(view.list_key_servers(pool, target)) for target in targets}
+
+
 def diff_key_servers(old, new):
-    """Tell in which pools other servers than before may own keys."""
-    lines = []
-    for pool in sorted(old.pools.keys() & new.pools.keys()):
-        before = {entry.name for entry in old.list_pool(pool) if entry.state != LOST}
-        after = {entry.name for entry in new.list_pool(pool) if entry.state != LOST}
-        if before != after:
-            lines.append(
-                f"pool {pool}: the set of servers that own keys changes; keys from "
-                "before are answered unknown, opaque ones for the quiet time"
-            )
-    return lines
+    """Tell in which pools other servers than before may own keys.
+
+    The agents of such a pool raise the floor of the keys that they accept.
+    """
+    return [
+        f"pool {pool}: other servers than before may own keys; keys from before are "
+        "answered unknown, opaque ones for the quiet time"
+        for pool in sorted(old.pools.keys() & new.pools.keys())
+        if list_key_servers(old, pool) != list_key_servers(new, pool)
+    ]
