--- a/catkinfork/execution/tests/_support.py
+++ b/catkinfork/execution/tests/_support.py
@@ -48,7 +48,10 @@
         version,
         "tz-coast",
         [Workspace("w", 1, [])],
-        [DataCentre(f"dc-{name}", centres.get(name, "in_service")) for name in SERVERS],
+        [
+            DataCentre(f"dc-{name}", centres.get(f"dc-{name}", "in_service"))
+            for name in SERVERS
+        ],
         [Pool("ledger", kind, 1000)],
         servers,
     )
--- /dev/null
+++ b/catkinfork/execution/tests/_world.py
@@ -0,0 +1,362 @@
+"""Three agents, two routers, a lossy network and a ledger that counts executions."""
+
+from typing import NamedTuple
+
+from catkinfork.execution import (
+    AgentCore,
+    BackendData,
+    BackendEnd,
+    BackendFailure,
+    BackendHead,
+    BackendHealth,
+    RunRequest,
+    find_acting_owner,
+    rank_owners,
+)
+from catkinfork.execution.tests._support import (
+    OTHER_ROUTER,
+    ROUTER,
+    SERVERS,
+    WALL_OFFSET_S,
+    address_of,
+    make_key,
+    make_settings,
+    make_start,
+    make_view,
+)
+from catkinfork.protocol import (
+    AgentReport,
+    AttemptId,
+    ResponseAck,
+    ResponsePart,
+    Resume,
+    Send,
+    Sender,
+    StartRefused,
+)
+
+QUIET_TIME_S = 3.0
+KEY_MARGIN_S = 0.5
+MAX_ATTEMPTS = 4
+
+
+class Frame(NamedTuple):
+    """A message on its way."""
+
+    number: int
+    sender: Sender
+    destination: str
+    message: object
+
+
+class Request:
+    """A caller's request, which may be submitted several times if it has a key."""
+
+    def __init__(self, number, key, now):
+        self.number = number
+        self.key = key
+        self.created_at = now
+        self.n_runs = 0
+        self.is_closed = False
+
+    @property
+    def body(self):
+        """The answer that the ledger gives."""
+        return b"answer %d " % self.number * 3
+
+
+class Submission:
+    """One attempt at a router."""
+
+    def __init__(self, request, n_left, start, server):
+        self.request = request
+        self.n_left = n_left
+        self.start = start
+        self.server = server
+        self.data = b""
+        self.n_parts = 0
+
+
+class RouterModel:
+    """A router; both share the tickets that agents have reported to either."""
+
+    def __init__(self, world, address):
+        self.world = world
+        self.address = address
+        self.incarnation = 1
+        self.n_attempts = 0
+        self.view = world.view
+        self.open = {}
+
+    @property
+    def identity(self):
+        return Sender(self.address, self.incarnation)
+
+    def submit(self, request, n_left=MAX_ATTEMPTS, server=None):
+        """Send a start with a ticket of the acting owner, if one is known."""
+        if request.key:
+            owners = rank_owners(self.view, "w", request.key, "entry")
+            server = server or find_acting_owner(self.view, owners)
+        incarnation, tickets = self.world.reports.get(server, (0, []))
+        if not tickets or n_left == 0:
+            return
+        self.n_attempts += 1
+        attempt = AttemptId(self.address, self.incarnation, self.n_attempts)
+        start = make_start(
+            self.n_attempts,
+            tickets.pop(0).number,
+            incarnation,
+            attempt=attempt,
+            key=request.key,
+            is_idempotent=False,
+            fingerprint=b"r%d" % request.number,
+            deadline_ms=3000,
+        )
+        self.world.requests_of[attempt] = request
+        self.open[attempt] = Submission(request, n_left, start, server)
+        self.world.send(self.identity, address_of(server), start)
+
+    def handle(self, sender, message):
+        """Take a message of an agent."""
+        if isinstance(message, AgentReport):
+            name = message.backend_server
+            self.world.reports[name] = (sender.incarnation, list(message.tickets))
+        elif isinstance(message, StartRefused):
+            self.take_refusal(message)
+        elif isinstance(message, ResponsePart):
+            self.take_part(message)
+
+    def take_refusal(self, refusal):
+        """Retry a request that has not run; note a key that is closed."""
+        submission = self.open.pop(refusal.attempt, None)
+        if submission is None:
+            return
+        if refusal.outcome == "not_run":
+            self.world.note_not_run(refusal.attempt)
+        if refusal.outcome == "not_run" and not refusal.is_retryable:
+            submission.request.is_closed = True
+        if refusal.is_retryable:
+            server = refusal.redirect or submission.server
+            self.submit(submission.request, submission.n_left - 1, server)
+
+    def take_part(self, part):
+        """Forward the next expected part of a live attempt."""
+        submission = self.open.get(part.attempt)
+        if submission is None or part.is_keepalive:
+            return
+        if part.sequence != submission.n_parts:
+            return
+        submission.n_parts += 1
+        submission.data += part.data
+        ack = ResponseAck(part.attempt, submission.n_parts)
+        self.world.send(self.identity, address_of(submission.server), ack)
+        if part.is_last or part.failure:
+            del self.open[part.attempt]
+        if part.is_last:
+            self.world.n_answers += 1
+            assert submission.data == submission.request.body
+
+    def resume(self):
+        """Ask for the parts of all open attempts again."""
+        for attempt, submission in self.open.items():
+            incarnation = submission.start.agent_incarnation
+            resume = Resume(attempt, submission.n_parts, incarnation)
+            self.world.send(self.identity, address_of(submission.server), resume)
+
+
+class Host:
+    """A backend server and the process of its agent, None while it is stopped."""
+
+    def __init__(self, world, name):
+        self.world = world
+        self.name = name
+        self.address = address_of(name)
+        self.is_paused = False
+        self.is_refusing = False
+        self.start_process()
+
+    def start_process(self):
+        """Start an agent with empty state and the newest document."""
+        self.incarnation = int((self.world.now + WALL_OFFSET_S) * 1000)
+        self.identity = Sender(self.address, self.incarnation)
+        settings = make_settings(
+            self.name, quiet_time_s=QUIET_TIME_S, key_margin_s=KEY_MARGIN_S
+        )
+        self.core = AgentCore(settings, self.identity, WALL_OFFSET_S)
+        self.running = {}
+        self.view = None
+        self.is_paused = False
+        self.adopt()
+        self.do(self.core.observe, BackendHealth(True, False))
+        # The learning of the limit is not under test here; more places let more
+        # requests meet.
+        self.core.capacity.limiter.limit = 4
+        self.do(self.core.set_dispatchers, [ROUTER])
+
+    @property
+    def is_active(self):
+        """Whether the process exists and is not paused."""
+        return self.core is not None and not self.is_paused
+
+    def adopt(self):
+        """Adopt the newest document."""
+        if self.view is not self.world.view:
+            self.view = self.world.view
+            self.do(self.core.adopt, self.view)
+
+    def do(self, method, *arguments):
+        """Call the agent and carry out its actions."""
+        actions = method(*arguments, self.world.now)
+        for action in actions:
+            if isinstance(action, Send):
+                self.world.send(self.identity, action.destination, action.message)
+            elif isinstance(action, RunRequest):
+                self.run(action.start)
+
+    def run(self, start):
+        """Run a request; the ledger counts it unless it refuses the connection."""
+        status = self.core.list_status()
+        assert status.n_running <= status.n_places
+        assert self.view.is_in_service(self.name)
+        self.running[start.attempt] = self.is_refusing
+        if not self.is_refusing:
+            self.world.note_run(start)
+
+    def end_one(self, kind):
+        """End the oldest request, completely if ``kind`` is empty."""
+        if not self.running or not self.is_active:
+            return
+        attempt = next(iter(self.running))
+        is_refused = self.running.pop(attempt)
+        if is_refused or kind:
+            kind = "refused" if is_refused else kind
+            self.do(self.core.observe, BackendFailure(attempt, kind, ""))
+            return
+        body = self.world.requests_of[attempt].body
+        self.do(self.core.observe, BackendHead(attempt, 200, []))
+        self.do(self.core.observe, BackendData(attempt, body[:5], 1))
+        self.do(self.core.observe, BackendData(attempt, body[5:], 1))
+        self.do(self.core.observe, BackendEnd(attempt, 2))
+
+
+class World:
+    """The fleet, its network and its clock."""
+
+    def __init__(self):
+        self.now = 1000.0
+        self.version = 1
+        self.states = {}
+        self.centres = {}
+        self.view = make_view()
+        self.frames = []
+        self.delivered = set()
+        self.n_frames = 0
+        self.n_answers = 0
+        self.reports = {}
+        self.requests = []
+        self.requests_of = {}
+        self.ran = set()
+        self.not_run = set()
+        self.routers = {a: RouterModel(self, a) for a in (ROUTER, OTHER_ROUTER)}
+        self.hosts = {name: Host(self, name) for name in SERVERS}
+
+    def send(self, sender, destination, message):
+        """Put a message on its way."""
+        self.n_frames += 1
+        self.frames.append(Frame(self.n_frames, sender, destination, message))
+
+    def deliver(self, position):
+        """Deliver the message at a position, unless its receiver is paused."""
+        frame = self.frames.pop(position)
+        router = self.routers.get(frame.destination)
+        if router is not None:
+            router.handle(frame.sender, frame.message)
+            return
+        host = next(h for h in self.hosts.values() if frame.destination == h.address)
+        if host.core is None:
+            return
+        if host.is_paused:
+            self.frames.append(frame)
+            return
+        self.delivered.add(frame.number)
+        host.do(host.core.handle, frame.sender, frame.message)
+
+    def pass_time(self, seconds, is_ticking=True):
+        """Move the clock in steps of 0.05 s."""
+        for _ in range(round(seconds / 0.05)):
+            self.now += 0.05
+            for host in self.hosts.values():
+                if is_ticking and host.is_active:
+                    host.do(host.core.tick)
+
+    def heal(self):
+        """End pauses and failures of backend servers."""
+        for host in self.hosts.values():
+            host.is_refusing = host.is_paused = False
+            if host.is_active:
+                host.do(host.core.observe, BackendHealth(True, False))
+
+    def flow(self, seconds):
+        """Move the clock while the network and the backend servers work."""
+        if seconds >= 0.5:
+            self.heal()
+        for _ in range(round(seconds / 0.05)):
+            for host in self.hosts.values():
+                host.end_one("")
+            self.pass_time(0.05)
+            for _ in range(len(self.frames)):
+                self.deliver(0)
+
+    def restart(self, host):
+        """Replace the agent's process; its backend server goes on."""
+        self.now += 0.01
+        self.break_links(host.address)
+        host.start_process()
+
+    def adopt_at_all(self):
+        """Let every process adopt the newest document."""
+        for host in self.hosts.values():
+            if host.core is not None:
+                host.is_paused = False
+                host.adopt()
+        for router in self.routers.values():
+            router.view = self.view
+
+    def break_links(self, address):
+        """Lose the copies of what a process has already received, as TCP does."""
+        self.frames = [
+            frame
+            for frame in self.frames
+            if frame.destination != address or frame.number not in self.delivered
+        ]
+
+    def publish(self):
+        """Publish a document with the current states."""
+        self.version += 1
+        self.view = make_view(self.version, dict(self.states), dict(self.centres))
+
+    def toggle_centre(self, centre):
+        """Take a data centre out, or return the one that is out."""
+        self.centres = {} if self.centres else {centre: "out"}
+        self.publish()
+
+    def add_request(self, key):
+        """Add a request: ``time`` or ``opaque`` key, or none."""
+        number = len(self.requests)
+        text = {"time": self.make_time_key(number), "opaque": f"order-{number}"}
+        request = Request(number, text.get(key, ""), self.now)
+        self.requests.append(request)
+        return request
+
+    def make_time_key(self, number):
+        """Return a key of this moment."""
+        return make_key(int((self.now + WALL_OFFSET_S) * 1000), number)
+
+    def note_run(self, start):
+        """Count an execution."""
+        self.requests_of[start.attempt].n_runs += 1
+        self.ran.add(start.attempt)
+
+    def note_not_run(self, attempt):
+        """Note that an agent said that an attempt did not run."""
+        self.not_run.add(attempt)
