--- a/catkinfork/dispatch/_events.py
+++ b/catkinfork/dispatch/_events.py
@@ -88,3 +88,16 @@
     "the fair order or the bound on the gap was violated",
     ("pool", "error", "detail"),
 )
+
+EVENTS = (
+    GRANT_SENT,
+    DISPATCHER_ACTIVE,
+    DISPATCHER_PASSIVE,
+    AGENT_SILENT,
+    AGENT_RESTARTED,
+    FINGERPRINT_BLOCKED,
+    GRANTS_UNSEEN,
+    ROUTER_SILENT,
+    WORKSPACE_LIFTED,
+    BOUND_EXCEEDED,
+)
