Add the bench with baselines; test corrections of charges

Cause: two mechanisms could be switched off without a failing test: the correction of charges by reports, and the rule that an active dispatcher ignores summaries. Change: a test for each. The dispatcher skips its servers while nothing waits. The bench drives RouterCore, AgentCore and Dispatcher by timed events.

--- a/Makefile
+++ b/Makefile
@@ -28,6 +28,9 @@
 test: $(VENV)/installed
 	$(BIN)/python -m pytest
 
+bench: $(VENV)/installed
+	$(BIN)/python -m benchmarks.bench --seed $(SEED)
+
 lint: $(VENV)/installed
 	$(BIN)/ruff format --check .
 	$(BIN)/ruff check .
--- /dev/null
+++ b/benchmarks/bench.py
@@ -0,0 +1,288 @@
+"""Measures the policy against baselines: ``make bench``."""
+
+import argparse
+import json
+import random
+from pathlib import Path
+from time import perf_counter
+
+from benchmarks.baselines import LEAST_LOADED, PERFECT, RANDOM, Baseline
+from benchmarks.driver import Driver
+from benchmarks.results import SAMPLE_S, Results
+from benchmarks.shapes import (
+    ENGINE_POOL,
+    MAX_COST,
+    N_ENGINE_PLACES,
+    N_LARGE,
+    SHAPES,
+    list_workspaces,
+    make_view,
+)
+from benchmarks.workload import (
+    list_backlog_loads,
+    list_service_loads,
+    make_jobs,
+)
+from catkinfork.fairness import BoundTerms
+
+STARTS_AT_S = 3.0
+WARM_UP_S = 30.0
+BACKLOG_S = 600.0
+# The service run: a data centre leaves and returns.
+OUT_AT_S, IN_AT_S, SERVICE_S = 60.0, 105.0, 150.0
+OUT_GRACE_S = 3.0
+# The fault run.
+FAULT_S = 150.0
+FAULT_INTERVAL_S = 4.0
+UNITS_PER_S = 100
+REPORT_AGE_S = 0.25
+OUTPUT = Path("build/bench.json")
+POLICIES = (RANDOM, LEAST_LOADED, PERFECT)
+
+
+def get_shares():
+    """Return the share of each workspace."""
+    return {entry.name: entry.share for entry in list_workspaces()}
+
+
+def compute_bound(shape):
+    """Return the bound on the gap for the smallest share of the backlogged."""
+    n_places = shape.n_engines * N_ENGINE_PLACES
+    terms = BoundTerms(MAX_COST, n_places, n_places * UNITS_PER_S, REPORT_AGE_S)
+    shares = list(get_shares().values())[:N_LARGE]
+    return terms.compute(min(shares))
+
+
+def plan_samples(runner, results, begin, end):
+    """Take samples at regular times."""
+    for step in range(int((end - begin) / SAMPLE_S) + 1):
+        runner.at(begin + step * SAMPLE_S, results.sample)
+
+
+def run_backlog(shape, jobs, policy, seed):
+    """Run the backlog work under a policy.
+
+    :param policy: a baseline, or None for the fleet.
+    :returns: pair of the figures and the driver, None for a baseline.
+    """
+    results = Results(jobs, get_shares())
+    results.measured_from = WARM_UP_S
+    results.n_places = shape.n_engines * N_ENGINE_PLACES
+    end = WARM_UP_S + BACKLOG_S
+    if policy is None:
+        runner = Driver(shape, results, seed)
+        plan_samples(runner, results, WARM_UP_S, end)
+        for job in jobs:
+            runner.at(job.arrives_at, runner.submit, job)
+        runner.run_until(end)
+    else:
+        entries = make_view(shape).document.backend_servers
+        runner = Baseline(policy, entries, results, random.Random(seed))
+        plan_samples(runner, results, WARM_UP_S, end)
+        runner.run(end)
+    results.integrate(end)
+    names = list(results.shares)[:N_LARGE]
+    bound = compute_bound(shape)
+    largest, p99, backlogged = results.measure_gap(names, bound)
+    figures = {
+        "gap_max": round(largest, 4),
+        "gap_p99": round(p99, 4),
+        "gap_max_units_per_share": round(largest * bound, 1),
+        "backlogged_share_of_time": round(backlogged, 4),
+        "utilisation_while_waiting": round(results.measure_utilisation(), 4),
+    }
+    return figures, runner if policy is None else None
+
+
+def run_service(shape, jobs, policy, seed):
+    """Run the service work while a data centre leaves and returns."""
+    results = Results(jobs, get_shares())
+    end = SERVICE_S + 20.0
+    if policy is None:
+        runner = Driver(shape, results, seed)
+        for job in jobs:
+            runner.at(job.arrives_at, runner.submit, job)
+    else:
+        entries = make_view(shape).document.backend_servers
+        runner = Baseline(policy, entries, results, random.Random(seed))
+    runner.at(OUT_AT_S, runner.set_out, shape.leaving)
+    runner.at(IN_AT_S, runner.set_out, "")
+    if policy is None:
+        runner.run_until(end)
+    else:
+        runner.run(end)
+    pools = [ENGINE_POOL, shape.service] if policy is None else [ENGINE_POOL]
+    # The first seconds show cold starts, not the data centre.
+    spans = {
+        "before": (WARM_UP_S, OUT_AT_S),
+        "while": (OUT_AT_S, IN_AT_S),
+        "after": (IN_AT_S, SERVICE_S),
+    }
+    figures = {
+        pool: {name: results.measure_phase(*span, pool) for name, span in spans.items()}
+        for pool in pools
+    }
+    late = results.count_late_starts(shape.leaving, OUT_AT_S + OUT_GRACE_S, IN_AT_S)
+    figures["late_starts"] = late
+    figures["doubled"] = results.count_doubled()
+    figures["false_not_run"] = results.count_false_not_run()
+    return figures
+
+
+def run_faults(shape, jobs, seed):
+    """Run the service work under cuts, crashes and a data centre that leaves."""
+    results = Results(jobs, get_shares())
+    driver = Driver(shape, results, seed)
+    rng = random.Random(seed)
+    for job in jobs:
+        driver.at(job.arrives_at, driver.submit, job)
+    moment = WARM_UP_S / 2
+    while moment < FAULT_S:
+        one = rng.choice(driver.routers).identity.name
+        other = rng.choice(driver.agents)
+        driver.at(moment, driver.cut, one, other.identity.name, rng.random() < 0.5)
+        end = moment + rng.uniform(0.5, 6.0)
+        driver.at(end, driver.restore, one, other.identity.name)
+        driver.at(moment + rng.random(), rng.choice(driver.agents).crash)
+        moment += FAULT_INTERVAL_S
+    for number in range(4):
+        begin = WARM_UP_S + number * 30.0
+        driver.at(begin, driver.set_out, rng.choice(shape.data_centres))
+        driver.at(begin + 12.0, driver.set_out, "")
+    driver.run_until(FAULT_S + 90.0)
+    n_open = len(jobs) - len(set(results.answered_at) | set(results.refusals))
+    return {
+        "requests": len(jobs),
+        "answered": len(results.answered_at),
+        "refused_or_broken": len(results.refusals),
+        "without_final_answer": n_open,
+        "doubled": results.count_doubled(),
+        "false_not_run": results.count_false_not_run(),
+        "bound_violations": driver.n_violations,
+    }
+
+
+def measure_nodes(driver, duration_s):
+    """Return control traffic and processor time of the nodes."""
+    figures = {}
+    for node in driver.nodes.values():
+        figures[node.identity.name] = {
+            "messages_per_s": round(node.n_messages / duration_s, 1),
+            "bytes_per_s": round(node.n_bytes / duration_s),
+            "received_bytes_per_s": round(node.n_bytes_received / duration_s),
+            "decisions_core_percent": round(100 * node.decision_s / duration_s, 3),
+            "encoding_core_percent": round(100 * node.encoding_s / duration_s, 3),
+        }
+    return figures
+
+
+def measure_shape(shape, seed):
+    """Return all figures of a shape."""
+    rng = random.Random(seed)
+    end = WARM_UP_S + BACKLOG_S
+    backlog = make_jobs(shape, list_backlog_loads(), end, STARTS_AT_S, rng)
+    figures = {"requests": len(backlog), "bound_units_per_share": compute_bound(shape)}
+    figures["backlog"] = {
+        policy: run_backlog(shape, backlog, policy, seed)[0] for policy in POLICIES
+    }
+    begin = perf_counter()
+    own, driver = run_backlog(shape, backlog, None, seed)
+    figures["backlog"]["catkinfork"] = own
+    figures["bound_violations"] = driver.n_violations
+    figures["run_s"] = round(perf_counter() - begin, 1)
+    figures["nodes"] = measure_nodes(driver, end)
+    loads = list_service_loads()
+    service = make_jobs(shape, loads, SERVICE_S, STARTS_AT_S, rng)
+    figures["service"] = {
+        policy: run_service(shape, service, policy, seed) for policy in POLICIES
+    }
+    figures["service"]["catkinfork"] = run_service(shape, service, None, seed)
+    faults = make_jobs(shape, loads, FAULT_S, STARTS_AT_S, rng)
+    figures["faults"] = run_faults(shape, faults, seed)
+    return figures
+
+
+def list_targets(figures):
+    """Return rows of target, measured value, bound and whether it is met."""
+    backlog = figures["backlog"]
+    own = backlog["catkinfork"]
+    engines = figures["service"]["catkinfork"][ENGINE_POOL]
+    limit = figures["service"][PERFECT][ENGINE_POOL]
+    nodes = figures["nodes"].values()
+    service = figures["service"]["catkinfork"]
+    pools = [item for item in service.values() if isinstance(item, dict)]
+    n_broken = sum(phase["broken"] for pool in pools for phase in pool.values())
+    n_wrong = sum(
+        figures[part]["doubled"] + figures[part]["false_not_run"]
+        for part in ("faults",)
+    )
+    ratio = own["utilisation_while_waiting"]
+    ratio /= backlog[PERFECT]["utilisation_while_waiting"]
+    percent = max(
+        node["decisions_core_percent"] + node["encoding_core_percent"] for node in nodes
+    )
+    n_bytes = max(node["bytes_per_s"] for node in nodes)
+    wait_s, best_s = engines["while"]["wait_p95_s"], limit["while"]["wait_p95_s"]
+    rows = [
+        ("gap / bound", own["gap_max"], 1.0),
+        ("gap / gap of least-loaded", own["gap_max"] / backlog[LEAST_LOADED]["gap_max"],
+         0.1),
+        ("1 - utilisation / perfect queue", 1 - ratio, 0.03),
+        ("starts in the data centre after 3 s", service["late_starts"], 0),
+        ("requests broken while it leaves and returns", n_broken, 0),
+        (f"wait p95 while it leaves, s (perfect {best_s})", wait_s, 1.2 * best_s),
+        ("doubled or false not_run under faults", n_wrong, 0),
+        ("largest core share of a node, %", percent, 4.6),
+        ("largest control traffic of a node, bytes/s", n_bytes, 20_000),
+    ]  # fmt: skip
+    return [(name, value, most, value <= most) for name, value, most in rows]
+
+
+def print_table(name, figures):
+    """Print the figures of a shape."""
+    print(f"\n## {name}: {figures['requests']} requests in the backlog run\n")
+    print("| policy | gap max / bound | gap p99 / bound | utilisation while waiting |")
+    print("|---|---|---|---|")
+    for policy, row in figures["backlog"].items():
+        cells = (row["gap_max"], row["gap_p99"], row["utilisation_while_waiting"])
+        print(f"| {policy} | " + " | ".join(f"{cell:.4f}" for cell in cells) + " |")
+    print("\n| policy | pool | phase | requests | answered | lost | wait p95 s |")
+    print("|---|---|---|---|---|---|---|")
+    for policy, row in figures["service"].items():
+        for pool, phases in row.items():
+            if not isinstance(phases, dict):
+                continue
+            for phase, item in phases.items():
+                cells = (item["requests"], item["answered"], item["lost_share"])
+                text = " | ".join(map(str, cells))
+                wait = item["wait_p95_s"]
+                print(f"| {policy} | {pool} | {phase} | {text} | {wait} |")
+    print("\n| node | sent/s | bytes sent/s | received/s | decisions % | encoding % |")
+    print("|---|---|---|---|---|---|")
+    for node, row in figures["nodes"].items():
+        print(f"| {node} | " + " | ".join(map(str, row.values())) + " |")
+    print(f"\nfaults: {figures['faults']}")
+    print(f"bound violations logged: {figures['bound_violations']}\n")
+    print("| target | measured | at most | |")
+    print("|---|---|---|---|")
+    for target, value, most, is_met in list_targets(figures):
+        verdict = "met" if is_met else "MISSED"
+        print(f"| {target} | {value:.4g} | {most:.4g} | {verdict} |")
+
+
+def main():
+    """Measure both shapes, print the tables and write the figures."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--seed", type=int, default=1)
+    seed = parser.parse_args().seed
+    output = {"seed": seed, "shapes": {}}
+    for shape in SHAPES:
+        output["shapes"][shape.name] = measure_shape(shape, seed)
+        print_table(shape.name, output["shapes"][shape.name])
+    OUTPUT.parent.mkdir(exist_ok=True)
+    OUTPUT.write_text(json.dumps(output, indent=1) + "\n")
+    print(f"\nseed {seed}, figures in {OUTPUT}")
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/benchmarks/workload.py
@@ -0,0 +1,127 @@
+"""Work that is offered to the fleet, the same for every policy."""
+
+from typing import NamedTuple
+from uuid import UUID
+
+from benchmarks.shapes import (
+    ENGINE_POOL,
+    MODEL,
+    N_ENGINE_PLACES,
+    N_LARGE,
+    N_ROUTERS,
+    N_WORKSPACES,
+)
+
+# Kind: cost in units from and to, seconds of service for a unit, share of the arrivals.
+# An engine gives some 50 tokens a second, a token is two units.
+DRAFT = ("draft", 300, 1800, 0.01, 0.25)
+QUERY = ("query", 40, 160, 0.01, 0.75)
+ORDER = ("order", 20, 80, 0.001, 0.3)
+LOOKUP = ("lookup", 3, 15, 0.001, 0.7)
+SERVICE_REQUESTS_PER_S = 20.0
+DEADLINE_S = 60.0
+# Part of the engines' capacity that each large workspace asks for in the backlog run.
+# Each is above its share, so that all of them stay backlogged.
+BACKLOG_LOADS = (0.9, 0.5, 0.6, 0.45)
+SMALL_LOAD = 0.012
+# Load of the service run: the rest of the fleet can handle it while a data centre is
+# out of service.
+SERVICE_LOAD = 0.45
+WALL_OFFSET_S = 1.7e9
+
+
+class Job(NamedTuple):
+    """One request.
+
+    :param number: position in the order of arrival.
+    :param arrives_at: seconds since the start of the run.
+    :param workspace: workspace name.
+    :param router: position of the router that receives it.
+    :param pool: pool that serves it.
+    :param target: model or service.
+    :param kind: ``draft``, ``query``, ``order`` or ``lookup``.
+    :param cost: service units.
+    :param duration_s: time of service.
+    :param key: idempotency key of an order, else empty.
+    """
+
+    number: int
+    arrives_at: float
+    workspace: str
+    router: int
+    pool: str
+    target: str
+    kind: str
+    cost: int
+    duration_s: float
+    key: str
+
+    @property
+    def is_idempotent(self):
+        """Whether it may run more than once."""
+        return not self.key
+
+
+def make_jobs(shape, loads, duration_s, starts_at, rng):
+    """Return the jobs of a run in the order of arrival.
+
+    :param loads: load of each workspace as a part of the engines' capacity.
+    :param starts_at: time of the first arrivals.
+    """
+    jobs = []
+    names = [f"workspace-{number:02}" for number in range(N_WORKSPACES)]
+    mean_s = sum(
+        (low + high) / 2 * unit_s * share
+        for _, low, high, unit_s, share in (DRAFT, QUERY)
+    )
+    capacity = shape.n_engines * N_ENGINE_PLACES / mean_s
+    for position, name in enumerate(names):
+        # Tenants are spread unevenly: each workspace prefers one router.
+        weights = [1] * N_ROUTERS
+        weights[position % 2] = 6
+        rates = [
+            (loads[position] * capacity, (DRAFT, QUERY), ENGINE_POOL, MODEL),
+            (
+                SERVICE_REQUESTS_PER_S / N_WORKSPACES,
+                (ORDER, LOOKUP),
+                shape.service,
+                shape.service,
+            ),
+        ]
+        for rate, kinds, pool, target in rates:
+            moment = starts_at + rng.expovariate(rate)
+            while moment < duration_s:
+                kind = rng.choices(kinds, [item[4] for item in kinds])[0]
+                router = rng.choices(range(N_ROUTERS), weights)[0]
+                jobs.append(make_job(moment, name, router, pool, target, kind, rng))
+                moment += rng.expovariate(rate)
+    jobs.sort(key=lambda job: job.arrives_at)
+    return [job._replace(number=number) for number, job in enumerate(jobs)]
+
+
+def make_job(moment, workspace, router, pool, target, kind, rng):
+    """Return one job."""
+    name, low, high, unit_s, _ = kind
+    cost = rng.randint(low, high)
+    key = make_key(moment, rng) if name == "order" else ""
+    return Job(
+        0, moment, workspace, router, pool, target, name, cost, cost * unit_s, key
+    )
+
+
+def make_key(moment, rng):
+    """Return a UUID of version 7 that was created at a moment."""
+    milliseconds = int((WALL_OFFSET_S + moment) * 1000)
+    value = milliseconds << 80 | 0x7 << 76 | rng.getrandbits(12) << 64
+    return str(UUID(int=value | 0b10 << 62 | rng.getrandbits(62)))
+
+
+def list_backlog_loads():
+    """Return the loads of the backlog run."""
+    return [*BACKLOG_LOADS, *[SMALL_LOAD] * (N_WORKSPACES - N_LARGE)]
+
+
+def list_service_loads():
+    """Return the loads of the service run: uneven, and moderate in sum."""
+    weights = [6, 4, 4, 4] + [1] * (N_WORKSPACES - N_LARGE)
+    return [SERVICE_LOAD * weight / sum(weights) for weight in weights]
--- a/catkinfork/dispatch/_dispatcher.py
+++ b/catkinfork/dispatch/_dispatcher.py
@@ -266,8 +266,10 @@
         if self.servers is None or not self.is_active:
             return []
         actions = self.update_order(now)
+        if not self.order.usable:
+            return actions
         servers = self.list_open_servers(now)
-        if servers.tickets and self.order.usable:
+        if servers.tickets:
             round_ = GrantRound(self, servers, self.compute_terms(), now)
             actions += round_.run()
             self.has_rest = round_.has_rest
--- a/catkinfork/dispatch/tests/test_matching.py
+++ b/catkinfork/dispatch/tests/test_matching.py
@@ -135,6 +135,22 @@
     assert abs(granted.count("b") - granted.count("a")) <= 2
 
 
+@pytest.mark.parametrize("dear", ["a", "b"])
+@pytest.mark.parametrize("has_ended", [True, False])
+def test_reports_correct_the_charge(dear, has_ended):
+    """Guards against charges that stay at the estimate (R1)."""
+    dispatcher = make_dispatcher(make_view({"s1": ["m"]}))
+    dispatcher.handle(ROUTER, demand(1, want("a", 9), want("b", 9)), 0.0)
+    offer(dispatcher, "s1", 1, [1, 2])
+    costs = {name: 150 if name == dear else 100 for name in "ab"}
+    delivered = [
+        (name, cost, 0, 1, 0) if has_ended else (name, cost, 1, 0, cost)
+        for name, cost in costs.items()
+    ]
+    actions = offer(dispatcher, "s1", 2, [3], 0.1, delivered=delivered)
+    assert list_workspaces(actions) == ["b" if dear == "a" else "a"]
+
+
 SUSPECT = {"suspect": b"x"}
 SUSPECT_CASES = {
     "one suspect on a server": (
@@ -253,7 +269,7 @@
     """Guards against two dispatchers that reset each other's counters."""
     dispatcher = make_dispatcher(make_view({"s1": ["m"]}))
     offer(dispatcher, "s1", 1, [])
-    dispatcher.seed(make_summary({"a": 9e9}, blocked=[b"x"]), 0.1)
+    dispatcher.seed(make_summary({"a": 9e9, "b": 0.0}, blocked=[b"x"]), 0.1)
     for step in range(4):
         dispatcher.tick(2.0 + step)
     dispatcher.handle(ROUTER, demand(1, want("a", 9), want("b", 9)), 6.0)
