Make the simulated fleet harsher and check that answers are on time

Changes: an answer later than 0.05 s after its deadline is a fault, unless its router is paused; agents restart more often and keys are sent again more often. Pauses no longer become shorter.

--- a/benchmarks/joint_run.py
+++ b/benchmarks/joint_run.py
@@ -53,6 +53,7 @@
 QUIET_TIME_S = 20.0
 MAX_ADOPTION_S = 1.0
 OUT_LIMIT_S = 3.0
+LATE_S = 0.05
 MAX_ATTEMPTS = 3
 HEALING_S = 30.0
 # At each tick, about 15 requests a second.
@@ -116,7 +117,6 @@
     def __init__(self, fleet):
         self.fleet = fleet
         self.requests = {}
-        self.submitted_at = {}
         self.finals = {}
         self.data = {}
         self.lost = set()
@@ -147,6 +147,9 @@
         request_id = action.request_id
         if request_id in self.finals:
             self.fail(f"{request_id} has a second final answer")
+        due = max(self.requests[request_id].deadline, node.paused_until)
+        if now > due + LATE_S:
+            self.fail(f"{request_id} is answered {now - due:.2f} s after its deadline")
         if isinstance(action, Respond):
             self.data[request_id] = self.data.get(request_id, b"") + action.data
             if action.is_last:
@@ -230,13 +233,11 @@
             if self.rng.random() < SUBMIT_PROBABILITY:
                 self.submit()
             if self.now >= next_fault_at:
-                next_fault_at = self.now + self.rng.uniform(0.2, 1.5)
+                next_fault_at = self.now + self.rng.uniform(0.2, 1.0)
                 self.cause_fault()
             self.step()
         self.network.loss = 0.0
         self.network.cut.clear()
-        for node in self.nodes.values():
-            node.paused_until = min(node.paused_until, self.now)
         end = self.now + HEALING_S
         while self.now < end:
             self.step()
@@ -249,7 +250,7 @@
         while self.events and self.events[0][0] <= self.now:
             moment, number, node, call = heappop(self.events)
             if node.paused_until > moment:
-                # The old number keeps the order of messages that wait for a process.
+                # The number keeps the order of what waits for the process.
                 heappush(self.events, (node.paused_until, number, node, call))
             else:
                 call(moment)
@@ -267,7 +268,7 @@
         workspace = rng.choice(("dealers", "brokers"))
         key = ""
         body = request_id.encode()
-        if rng.random() < 0.4:
+        if rng.random() < 0.5:
             workspace, key = self.choose_key(workspace)
             body = key.encode()
         elif rng.random() < 0.003:
@@ -294,7 +295,7 @@
         """Return a new key, or one that was sent lately."""
         rng = self.rng
         self.keys = [item for item in self.keys if self.now - item[0] < RESEND_S]
-        if self.keys and rng.random() < 0.4:
+        if self.keys and rng.random() < 0.6:
             return rng.choice(self.keys)[1:]
         key = f"opaque-{len(self.placed)}"
         if rng.random() < 0.8:
@@ -310,7 +311,9 @@
                 self.cut_network,
                 self.heal_network,
                 self.silence_link,
-                self.restart_node,
+                self.restart_agent,
+                self.restart_agent,
+                self.restart_router,
                 self.pause_node,
                 self.crash_server,
                 self.change_service,
@@ -335,20 +338,29 @@
         source, destination = self.rng.sample(sorted(self.nodes), 2)
         self.network.silent.add((source, destination))
 
-    def restart_node(self):
-        node = self.nodes[self.rng.choice(sorted(self.nodes))]
+    def restart_agent(self):
+        node = self.rng.choice(self.list_agents())
         node.paused_until = 0.0
-        if node.role == "router":
-            self.checker.lose_router(node.address)
         node.restart(self.now)
 
+    def restart_router(self):
+        address = self.rng.choice(self.router_addresses)
+        self.checker.lose_router(address)
+        self.nodes[address].paused_until = 0.0
+        self.nodes[address].restart(self.now)
+
+    def list_agents(self):
+        """Return the agents in a fixed order."""
+        return [node for node in self.nodes.values() if node.role == "agent"]
+
     def pause_node(self):
         node = self.nodes[self.rng.choice(sorted(self.nodes))]
-        node.paused_until = self.now + self.rng.uniform(0.3, 6.0)
+        # A pause never becomes shorter: what waits for its end keeps its order.
+        end = self.now + self.rng.uniform(0.3, 6.0)
+        node.paused_until = max(node.paused_until, end)
 
     def crash_server(self):
-        agents = [node for node in self.nodes.values() if node.role == "agent"]
-        node = self.rng.choice(agents)
+        node = self.rng.choice(self.list_agents())
         node.plan(self.now, node.crash)
 
     def change_service(self):
