--- a/catkinfork/execution/tests/_support.py
+++ b/catkinfork/execution/tests/_support.py
@@ -7,8 +7,9 @@
     DocumentView,
     Pool,
     Workspace,
+    rank_key_servers,
 )
-from catkinfork.execution import AgentCore, BackendHealth, rank_owners
+from catkinfork.execution import AgentCore, BackendHealth
 from catkinfork.protocol import AgentReport, AttemptId, Send, Sender, Start
 from catkinfork.settings import (
     AdminSettings,
@@ -180,7 +181,7 @@
             self.n_attempts += 1
             key = make_key(wall_ms, self.n_attempts)
             if (
-                tuple(rank_owners(make_view(), "w", key, "entry"))[: len(order)]
+                tuple(rank_key_servers(make_view(), "w", key, "entry"))[: len(order)]
                 == order
             ):
                 return key
--- a/catkinfork/execution/tests/_world.py
+++ b/catkinfork/execution/tests/_world.py
@@ -2,6 +2,7 @@
 
 from typing import NamedTuple
 
+from catkinfork.document import find_acting_owner, rank_key_servers
 from catkinfork.execution import (
     AgentCore,
     BackendData,
@@ -10,8 +11,6 @@
     BackendHead,
     BackendHealth,
     RunRequest,
-    find_acting_owner,
-    rank_owners,
 )
 from catkinfork.execution.tests._support import (
     OTHER_ROUTER,
@@ -95,7 +94,7 @@
     def submit(self, request, n_left=MAX_ATTEMPTS, server=None):
         """Send a start with a ticket of the acting owner, if one is known."""
         if request.key:
-            owners = rank_owners(self.view, "w", request.key, "entry")
+            owners = rank_key_servers(self.view, "w", request.key, "entry")
             server = server or find_acting_owner(self.view, owners)
         incarnation, tickets = self.world.reports.get(server, (0, []))
         if not tickets or n_left == 0:
--- a/catkinfork/execution/tests/test_keys.py
+++ b/catkinfork/execution/tests/test_keys.py
@@ -2,12 +2,12 @@
 
 import pytest
 
+from catkinfork.document import rank_key_servers
 from catkinfork.execution import (
     BackendData,
     BackendEnd,
     BackendHead,
     RunRequest,
-    rank_owners,
 )
 from catkinfork.execution.tests._support import (
     OTHER_ROUTER,
@@ -87,7 +87,7 @@
 
 def is_owned(key):
     """Return whether ``ledger-1`` is the owner of a key."""
-    return rank_owners(make_view(), "w", key, "entry")[0] == "ledger-1"
+    return rank_key_servers(make_view(), "w", key, "entry")[0] == "ledger-1"
 
 
 def test_resent_key_attaches_and_then_gets_the_recorded_answer():
