Close a replaced link instead of cancelling its send

Cause: after a router had been frozen, every agent ended without an error. A cancelled send of pynng raises a plain CancelledError, which the scope that was cancelled does not take for its own; it ended the task group and the process. Ruled out: the replacement by itself (30 replacements between live transports passed). Conclusion: a link is closed by its socket, servers end before tasks are cancelled.

--- a/catkinfork/processes/_base.py
+++ b/catkinfork/processes/_base.py
@@ -6,7 +6,6 @@
 from abc import ABC, abstractmethod
 
 import anyio
-import anyio.lowlevel
 
 from catkinfork.configuration import (
     AdoptDocument,
@@ -30,6 +29,7 @@
     WRONG_RECEIVER,
 )
 from catkinfork.processes._server import (
+    GRACEFUL_TIMEOUT_S,
     GuardedApplication,
     bind_port,
     serve_application,
@@ -55,6 +55,9 @@
 KEY_FILE_INTERVAL_S = 2.0
 READINESS_DELAY_S = 1.0
 LAST_MESSAGES_S = 0.3
+# Cancelling the HTTP server in its shutdown raises; it takes GRACEFUL_TIMEOUT_S.
+SERVERS_END_S = GRACEFUL_TIMEOUT_S + 2.0
+MAX_ADMIN_HEADER_BYTES = 16384
 N_DISPATCHERS = 2
 N_CANDIDATES = 3
 
@@ -91,6 +94,7 @@
         self.is_draining = False
         self.stop = anyio.Event()
         self.work = anyio.Event()
+        self.n_servers = 0
 
     # Decisions of the role.
 
@@ -422,7 +426,13 @@
         application = GuardedApplication(
             AdminApplication(self), "admin", self.log.write
         )
-        await serve_application(application, self.admin_port, self.stop)
+        await self.serve(application, self.admin_port)
+
+    async def serve(self, application, bound, max_header_bytes=MAX_ADMIN_HEADER_BYTES):
+        """Serve an application until the process stops."""
+        self.n_servers += 1
+        await serve_application(application, bound, self.stop, max_header_bytes)
+        self.n_servers -= 1
 
     async def read_documents(self):
         """Read the configuration service."""
@@ -468,11 +478,9 @@
                 waited_s=time.monotonic() - started_at,
             )
         )
-        await self.end_servers()
-
-    async def end_servers(self):
-        """Give the HTTP servers time to close; overridden where callers connect."""
-        await anyio.lowlevel.checkpoint()
+        with anyio.move_on_after(SERVERS_END_S):
+            while self.n_servers:
+                await anyio.sleep(0.02)
 
     @abstractmethod
     def drain_timeout_s(self):
--- a/catkinfork/processes/_router.py
+++ b/catkinfork/processes/_router.py
@@ -2,8 +2,6 @@
 
 import time
 
-import anyio
-
 from catkinfork.dispatch import Dispatcher
 from catkinfork.gateway import (
     BaseRequestHandler,
@@ -13,10 +11,8 @@
 )
 from catkinfork.processes._base import BaseProcess
 from catkinfork.processes._server import (
-    GRACEFUL_TIMEOUT_S,
     GuardedApplication,
     bind_port,
-    serve_application,
 )
 from catkinfork.protocol import (
     AgentReport,
@@ -46,7 +42,6 @@
         self.core = RouterCore(settings, identity, self.rng)
         self.pool_dispatchers = {}
         self.exchanges = {}
-        self.callers = anyio.Event()
 
     # The gateway's view.
 
@@ -165,17 +160,11 @@
     async def serve_callers(self):
         """Serve the port for callers."""
         gateway = Gateway(self.settings.gateway, self)
-        await serve_application(
+        await self.serve(
             GuardedApplication(gateway, "callers", self.log.write),
             self.gateway_port,
-            self.stop,
             self.settings.gateway.max_header_bytes,
         )
-        self.callers.set()
-
-    async def end_servers(self):
-        with anyio.move_on_after(GRACEFUL_TIMEOUT_S):
-            await self.callers.wait()
 
     def list_metrics(self):
         yield from self.count_metrics()
--- a/catkinfork/processes/_server.py
+++ b/catkinfork/processes/_server.py
@@ -10,7 +10,7 @@
 from catkinfork.processes._events import HANDLER_FAILED
 
 LISTEN_BACKLOG = 1024
-GRACEFUL_TIMEOUT_S = 5.0
+GRACEFUL_TIMEOUT_S = 2.0
 KEEP_ALIVE_S = 75.0
 KEEP_ALIVE_REQUESTS = 1_000_000
 MAX_STREAMS = 1000
@@ -91,7 +91,7 @@
     return bound
 
 
-async def serve_application(application, bound, stop, max_header_bytes=16384):
+async def serve_application(application, bound, stop, max_header_bytes):
     """Serve an ASGI application over HTTP/1.1 and HTTP/2 until told to stop.
 
     :param application: ASGI application.
--- a/catkinfork/protocol/_transport.py
+++ b/catkinfork/protocol/_transport.py
@@ -43,9 +43,20 @@
         self.destination = destination
         self.outbox = deque()
         self.wake = anyio.Event()
-        self.scope = anyio.CancelScope()
+        self.socket = None
         self.is_closed = False
 
+    def close(self):
+        """End the link; a send that is blocked fails as closed.
+
+        The task is not cancelled, because a cancelled send of pynng raises a plain
+        ``CancelledError``, which ends the surrounding task group.
+        """
+        self.is_closed = True
+        self.wake.set()
+        if self.socket is not None:
+            self.socket.close()
+
 
 class Transport:
     """Sends and receives the messages of one process.
@@ -137,8 +148,7 @@
         """Close the connection to a peer; the next message opens a new one."""
         link = self.links.pop(destination, None)
         if link is not None:
-            link.is_closed = True
-            link.scope.cancel()
+            link.close()
 
     async def run_link(self, link):
         """Send what is queued for one peer until the link is replaced or idle."""
@@ -147,7 +157,8 @@
             reconnect_time_min=RECONNECT_MIN_MS,
             reconnect_time_max=RECONNECT_MAX_MS,
         )
-        with closing(socket), link.scope:
+        link.socket = socket
+        with closing(socket):
             socket.tcp_nodelay = True
             socket.dial(f"tcp://{link.destination}", block=False)
             while not link.is_closed:
@@ -162,7 +173,7 @@
 
     async def flush(self, link, socket):
         """Send the queued frames of a link; drop them if the peer takes none."""
-        while link.outbox:
+        while link.outbox and not link.is_closed:
             frame = link.outbox.popleft()
             try:
                 await socket.asend(frame)
--- /dev/null
+++ b/catkinfork/protocol/tests/test_transport.py
@@ -0,0 +1,164 @@
+"""Links between real sockets: replacement, restarts, and frames to be dropped."""
+
+import socket
+
+import anyio
+import pynng
+import pytest
+
+from catkinfork.protocol import (
+    MAX_FRAME_BYTES,
+    BadSignatureError,
+    Heartbeat,
+    KeyRing,
+    Sender,
+    Transport,
+)
+
+WAIT_S = 10.0
+N_REPLACEMENTS = 30
+
+
+def find_port():
+    """Return a free loopback port."""
+    with socket.socket() as held:
+        held.bind(("127.0.0.1", 0))
+        return held.getsockname()[1]
+
+
+class Node:
+    """A transport and what it has received.
+
+    :param keys: :class:`KeyRing`.
+    """
+
+    def __init__(self, keys):
+        self.address = f"127.0.0.1:{find_port()}"
+        self.received = []
+        self.rejected = []
+        self.transport = Transport(
+            self.address,
+            keys,
+            lambda: Sender(self.address, 1),
+            lambda sender, message: self.received.append(message.sequence),
+            self.rejected.append,
+        )
+
+    def send(self, other, sequence):
+        """Send a numbered message to another node."""
+        message = Heartbeat(sequence, "router", "gasabo")
+        self.transport.send(other.address, message)
+
+
+@pytest.fixture
+def keys(tmp_path):
+    path = tmp_path / "fleet.keys"
+    path.write_text("00000001:" + "11" * 32)
+    ring = KeyRing(path)
+    ring.load()
+    return ring
+
+
+async def wait_for(check):
+    """Wait for a condition."""
+    with anyio.fail_after(WAIT_S):
+        while not check():
+            await anyio.sleep(0.005)
+
+
+def run_nodes(nodes, scenario):
+    """Run a scenario while the transports of all nodes run."""
+
+    async def run():
+        async with anyio.create_task_group() as tasks:
+            for node in nodes:
+                node.transport.listen()
+                await tasks.start(node.transport.run)
+            await scenario()
+            tasks.cancel_scope.cancel()
+
+    anyio.run(run)
+
+
+def test_replaced_link_carries_on(keys):
+    """Guards against a replacement that ends the receiver or other links."""
+    first, second, third = Node(keys), Node(keys), Node(keys)
+
+    async def scenario():
+        for sequence in range(N_REPLACEMENTS):
+            first.send(second, sequence)
+            first.send(third, sequence)
+            if sequence % 3:
+                await anyio.sleep(0.002 * (sequence % 5))
+            first.transport.replace(second.address)
+            first.send(second, 1000 + sequence)
+            await wait_for(lambda wanted=1000 + sequence: wanted in second.received)
+        await wait_for(lambda: len(third.received) == N_REPLACEMENTS)
+        second.send(first, 1)
+        await wait_for(lambda: first.received == [1])
+
+    run_nodes([first, second, third], scenario)
+    assert third.received == list(range(N_REPLACEMENTS))
+
+
+def test_link_to_a_dead_peer_can_be_replaced(keys):
+    """Guards against a send that blocks for ever and cannot be given up."""
+    first, second = Node(keys), Node(keys)
+    dead = f"127.0.0.1:{find_port()}"
+
+    async def scenario():
+        for sequence in range(N_REPLACEMENTS):
+            message = Heartbeat(sequence, "router", "gasabo")
+            first.transport.send(dead, message)
+            await anyio.sleep(0.001 * (sequence % 4))
+            first.transport.replace(dead)
+        first.send(second, 7)
+        second.send(first, 8)
+        await wait_for(lambda: second.received == [7] and first.received == [8])
+
+    run_nodes([first, second], scenario)
+
+
+def test_message_to_oneself_is_handed_over(keys):
+    """Guards against a dispatcher that cannot reach its own router."""
+    node = Node(keys)
+
+    async def scenario():
+        node.send(node, 5)
+        await wait_for(lambda: node.received == [5])
+
+    run_nodes([node], scenario)
+
+
+def test_frames_of_strangers_are_dropped(keys, tmp_path):
+    """Guards against a stranger that stops the receiver or is believed."""
+    path = tmp_path / "other.keys"
+    path.write_text("00000001:" + "22" * 32)
+    other_keys = KeyRing(path)
+    other_keys.load()
+    node, stranger, friend = Node(keys), Node(other_keys), Node(keys)
+
+    async def scenario():
+        stranger.send(node, 1)
+        await wait_for(lambda: node.rejected)
+        friend.send(node, 2)
+        await wait_for(lambda: node.received)
+
+    run_nodes([node, stranger, friend], scenario)
+    assert isinstance(node.rejected[0], BadSignatureError)
+    assert node.received == [2]
+
+
+def test_frame_over_the_bound_does_not_reach_the_receiver(keys):
+    """Guards against a frame that fills the memory of a process."""
+    node, friend = Node(keys), Node(keys)
+
+    async def scenario():
+        with pynng.Push0(send_timeout=2000) as raw:
+            raw.dial(f"tcp://{node.address}", block=True)
+            await raw.asend(b"x" * (MAX_FRAME_BYTES + 1))
+        friend.send(node, 2)
+        await wait_for(lambda: node.received == [2])
+
+    run_nodes([node, friend], scenario)
+    assert node.rejected == []
