--- a/catkinfork/dispatch/tests/test_stateful.py
+++ b/catkinfork/dispatch/tests/test_stateful.py
@@ -70,6 +70,12 @@
         self.world.report_to[f"{server}:7100"] = name
         self.baselines.clear()
 
+    @rule(out=st.sets(st.sampled_from(sorted(SERVERS))))
+    def change_document(self, out):
+        """Take servers out of service, or return them."""
+        self.world.adopt(make_view(SERVERS, SHARES, out))
+        self.baselines.clear()
+
     @rule(n_steps=st.sampled_from([1, 10, 60, 120]))
     def run_steps(self, n_steps):
         """Let time pass."""
@@ -108,6 +114,7 @@
                 (agent.address, number)
                 for agent in dispatcher.agents.agents.values()
                 if now - agent.heard_at < 1.5
+                and self.world.view.is_in_service(agent.name)
                 for number, issued_at in agent.issued_at.items()
                 if number not in agent.granted and now - issued_at < 0.95
             ]
@@ -122,6 +129,7 @@
         """No ticket is granted twice, and the dispatcher's own checks hold."""
         if hasattr(self, "world"):
             assert self.world.n_twice == 0
+            assert self.world.n_out == 0
             assert self.world.count_violations() == 0
 
 
--- a/catkinfork/dispatch/tests/world.py
+++ b/catkinfork/dispatch/tests/world.py
@@ -122,7 +122,7 @@
         self.faults |= faults
         self.costs = {}
         self.arrivals = Counter()
-        self.now, self.n_incarnations, self.n_twice = 0.0, 0, 0
+        self.now, self.n_incarnations, self.n_twice, self.n_out = 0.0, 0, 0, 0
         self.net, self.granted, self.delivered = deque(), set(), Counter()
         self.busy_steps = self.n_steps = 0
         self.dispatchers, self.agents, self.routers = {}, {}, {}
@@ -150,6 +150,12 @@
         self.dispatchers[name] = Dispatcher(POOL, identity, self.rng)
         self.dispatchers[name].adopt(self.view, self.now)
 
+    def adopt(self, view):
+        """Put a document in force at all dispatchers."""
+        self.view = view
+        for name, dispatcher in self.dispatchers.items():
+            self.perform(self.routers[name].sender, dispatcher.adopt(view, self.now))
+
     def send(self, sender, destination, message):
         """Put a message on the net, unless it is lost."""
         n_copies = 1 + (self.rng.random() < self.faults["doubling"])
@@ -212,6 +218,7 @@
         for _, entry in list_grants(actions):
             key = (identity, entry.agent, entry.agent_incarnation, entry.ticket)
             self.n_twice += key in self.granted
+            self.n_out += not self.view.is_in_service(entry.backend_server)
             self.granted.add(key)
         for action in actions:
             if isinstance(action, Send) and action.destination in self.routers:
