Pin the plotting library apart from the others

Cause: docs/CAPACITY.md needs plots, and nothing else does. Ruled out: a plotting library among the product's dependencies. Before and after: no change of behaviour. Conclusion: make capacity installs requirements-plots.lock.

--- a/Makefile
+++ b/Makefile
@@ -5,13 +5,14 @@
 SEED ?= 1
 SECONDS ?= 60
 
-.PHONY: help demo test lint format bench capacity soak binary clean
+.PHONY: help demo test lint format bench bench-processes capacity soak binary clean
 
 help:
 	@echo "make demo      set up and run the whole path on loopback"
 	@echo "make test      set up and run the tests"
 	@echo "make lint      run the formatter check and the linter"
 	@echo "make bench     measure the policy against baselines (SEED=$(SEED))"
+	@echo "make bench-processes  the same figures from real processes"
 	@echo "make capacity  measure the slopes behind docs/CAPACITY.md"
 	@echo "make soak      long randomised runs (SECONDS=$(SECONDS) SEED=$(SEED))"
 	@echo "make binary    build dist/catkinfork"
@@ -28,6 +29,17 @@
 test: $(VENV)/installed
 	$(BIN)/python -m pytest
 
+# The plotting library is used by this target only.
+$(VENV)/plots: $(VENV)/installed requirements-plots.lock
+	$(BIN)/python -m pip install --quiet -r requirements-plots.lock
+	touch $@
+
+capacity: $(VENV)/plots
+	$(BIN)/python -m benchmarks.capacity
+
+bench-processes: $(VENV)/installed
+	$(BIN)/python -m benchmarks.process_run $(SEED)
+
 bench: $(VENV)/installed
 	$(BIN)/python -m benchmarks.bench --seed $(SEED)
 
