Follow the heartbeat without acknowledgements in the bench

Cause: the bench's nodes still named the removed message. Ruled out: nothing else. Before: its tests failed to import. Conclusion: the bench runs on the current protocol.

--- a/benchmarks/nodes.py
+++ b/benchmarks/nodes.py
@@ -19,7 +19,6 @@
     AgentReport,
     Demand,
     Heartbeat,
-    HeartbeatAck,
     PoolSummary,
     Send,
     Sender,
@@ -100,7 +99,7 @@
 
     def handle(self, sender, message):
         """Hand a message to the decision object that it is for."""
-        if isinstance(message, Heartbeat | HeartbeatAck):
+        if isinstance(message, Heartbeat):
             self.run(self.peers.handle, sender, message)
             return
         self.peers.hear(sender, self.driver.now)
