Use lists of suspects only while they are recent

Cause: a router without demand hears no summaries, so a block of a crashing request would hold there for as long as the router is idle, in place of 10 minutes. Before: a request is refused as blocked 199 s after the last summary. After: lists older than 60 s are not used; agents refuse blocked requests in any case. Ruled out: the 2 s that hold for waits, because a change of dispatcher takes longer.

--- a/catkinfork/routing/_admission.py
+++ b/catkinfork/routing/_admission.py
@@ -85,7 +85,7 @@
 def check_blocked(state, entry, now):
     """Check that the request has not crashed backend servers."""
     pool = state.view.pool_of_target[entry.request.target]
-    if entry.fingerprint not in state.get_pool(pool).blocked:
+    if not state.get_pool(pool).is_blocked(entry.fingerprint, now):
         return None
     fingerprint = entry.fingerprint.hex()
     return make_refusal(
--- a/catkinfork/routing/_core.py
+++ b/catkinfork/routing/_core.py
@@ -148,7 +148,7 @@
             state.reject(entry, refusal, now, actions)
             return actions
         pool = state.view.pool_of_target[request.target]
-        entry.is_suspect = entry.fingerprint in state.get_pool(pool).suspects
+        entry.is_suspect = state.get_pool(pool).is_suspect(entry.fingerprint, now)
         state.open_request(entry)
         state.enqueue(entry, state.classify(entry))
         return self.finish(actions, now)
--- a/catkinfork/routing/_pools.py
+++ b/catkinfork/routing/_pools.py
@@ -7,6 +7,11 @@
 OWNER_TIMEOUT_S = 4.0
 
 
+# A router without demand receives no summaries; an old list must not refuse requests
+# whose block has ended. Short against the block time of 10 minutes.
+SUSPICION_LIFETIME_S = 60.0
+
+
 class PoolState:
     """Last summary of a pool.
 
@@ -51,6 +56,18 @@
         """Return whether a summary has arrived lately."""
         return self.heard_at is not None and now - self.heard_at < SUMMARY_LIFETIME_S
 
+    def is_suspect(self, fingerprint, now):
+        """Return whether a request was in flight at a crash."""
+        return fingerprint in self.suspects and self.is_suspicion_known(now)
+
+    def is_blocked(self, fingerprint, now):
+        """Return whether a request is refused because of crashes."""
+        return fingerprint in self.blocked and self.is_suspicion_known(now)
+
+    def is_suspicion_known(self, now):
+        """Return whether the lists of suspects are recent enough to be used."""
+        return now - self.heard_at < SUSPICION_LIFETIME_S
+
     def get_wait(self, workspace, now):
         """Return the expected wait of a new request in seconds, 0 if not known."""
         return self.waits_s.get(workspace, 0.0) if self.is_fresh(now) else 0.0
--- a/catkinfork/routing/_timers.py
+++ b/catkinfork/routing/_timers.py
@@ -71,7 +71,7 @@
         refusal = check_blocked(state, entry, now)
         if refusal is not None:
             state.refuse(entry, refusal, now, actions)
-        elif entry.fingerprint in pool_state.suspects and not entry.is_suspect:
+        elif not entry.is_suspect and pool_state.is_suspect(entry.fingerprint, now):
             mark_suspect(state, entry, now, actions)
     refuse_slow(state, pool, now, actions)
 
--- a/catkinfork/routing/tests/test_admission.py
+++ b/catkinfork/routing/tests/test_admission.py
@@ -143,6 +143,16 @@
     assert list_answers(core.submit(make_request("late"), 3.1)) == []
 
 
+def test_stale_block_is_not_used():
+    """Guards against a block that outlives its time at a router that was idle."""
+    core = make_router()
+    block(core)
+    request = make_request("late", body=b"new", deadline=300.0)
+    [answer] = list_answers(core.submit(request, 30.0))
+    assert answer.refusal.code == "request_blocked"
+    assert list_answers(core.submit(request, 200.0)) == []
+
+
 def test_keyed_request_waits_for_its_owner_only():
     """Guards against a key that runs on a server other than its owner."""
     core = make_router()
