--- a/benchmarks/joint_run.py
+++ b/benchmarks/joint_run.py
@@ -5,74 +5,31 @@
 
 import random
 import sys
-from collections import Counter
 from heapq import heappop, heappush
-from uuid import UUID
-
-from benchmarks.joint_nodes import (
-    CRASH_BODY,
-    N_PARTS,
-    WALL_OFFSET_S,
-    AgentNode,
-    RouterNode,
-    make_data,
-)
-from catkinfork.document import (
-    IN_SERVICE,
-    OUT,
-    SERVICE,
-    BackendServer,
-    DataCentre,
-    Document,
-    DocumentView,
-    Pool,
-    Workspace,
-)
-from catkinfork.routing import NOT_RUN, Respond, RouterRequest
-from catkinfork.settings import (
-    AdminSettings,
-    AgentSettings,
-    BackendSettings,
-    ExecutionSettings,
-    FleetSettings,
-    GatewaySettings,
-    LogSettings,
-    PlatformSettings,
-    RouterSettings,
-    RoutingSettings,
+
+from benchmarks.joint_checks import Checker
+from benchmarks.joint_nodes import CRASH_BODY, WALL_OFFSET_S, AgentNode, RouterNode
+from benchmarks.joint_setup import (
+    DATA_CENTRES,
+    LONGEST_DEADLINE_S,
+    RESEND_S,
+    make_agent_settings,
+    make_key,
+    make_router_settings,
+    make_view,
 )
+from catkinfork.document import IN_SERVICE, OUT
+from catkinfork.routing import RouterRequest
 
 TICK_S = 0.01
 N_ROUTERS = 4
 # The others are idle, longer than summaries and their lifetimes.
 N_BUSY_ROUTERS = 2
 BUSY_S = 6.0
-DATA_CENTRES = ("dsm-kariakoo", "dsm-mbezi", "tanga-port")
-N_SERVERS = 4
-LONGEST_DEADLINE_S = 8.0
-# Callers send a key again for no longer than this; the quiet time must exceed it and
-# the deadline together.
-RESEND_S = 6.0
-QUIET_TIME_S = 20.0
 MAX_ADOPTION_S = 1.0
-OUT_LIMIT_S = 3.0
-LATE_S = 0.05
-MAX_ATTEMPTS = 3
 HEALING_S = 30.0
 # At each tick, about 15 requests a second.
 SUBMIT_PROBABILITY = 0.15
-PLATFORM = PlatformSettings("http://127.0.0.1:1", "joint", "http://127.0.0.1:2")
-
-
-class JointFault(AssertionError):
-    """A property of the fleet that does not hold.
-
-    :param seed: seed of the run.
-    :param detail: what was seen.
-    """
-
-    def __init__(self, seed, detail):
-        super().__init__(f"seed {seed}: {detail}")
 
 
 class Network:
@@ -114,81 +71,6 @@
         self.silent.discard((source, destination))
 
 
-class Checker:
-    """Ground truth of executions and answers, and the properties to hold."""
-
-    def __init__(self, fleet):
-        self.fleet = fleet
-        self.requests = {}
-        self.finals = {}
-        self.data = {}
-        self.lost = set()
-        self.runs = Counter()
-        self.out_since = {}
-        self.counts = Counter()
-
-    def fail(self, detail):
-        """Raise the fault with the seed of the run."""
-        raise JointFault(self.fleet.seed, detail)
-
-    def note_run(self, node, start, now):
-        """Note that a backend server begins to execute a request."""
-        name = start.key or start.request_id
-        self.runs[start.workspace, name] += 1
-        self.counts["runs"] += 1
-        most = MAX_ATTEMPTS if start.is_idempotent else 1
-        n_runs = self.runs[start.workspace, name]
-        if n_runs > most:
-            self.fail(f"{start.request_id} {start.key} ran {n_runs} times")
-        out_since = self.out_since.get(node.data_centre)
-        if out_since is not None and now - out_since >= OUT_LIMIT_S:
-            late_s = now - out_since
-            self.fail(f"start in {node.data_centre} {late_s:.2f} s after out")
-
-    def note_answer(self, node, action, now):
-        """Note what a caller receives."""
-        request_id = action.request_id
-        if request_id in self.finals:
-            self.fail(f"{request_id} has a second final answer")
-        due = max(self.requests[request_id].deadline, node.paused_until)
-        if now > due + LATE_S:
-            self.fail(f"{request_id} is answered {now - due:.2f} s after its deadline")
-        if isinstance(action, Respond):
-            self.data[request_id] = self.data.get(request_id, b"") + action.data
-            if action.is_last:
-                self.check_complete(request_id)
-                self.finals[request_id] = "complete"
-                self.counts["complete"] += 1
-            return
-        self.finals[request_id] = action.refusal.outcome
-        self.counts[action.refusal.outcome] += 1
-        self.counts["refused " + action.refusal.code] += 1
-
-    def check_complete(self, request_id):
-        """Check that a response is whole and belongs to its request."""
-        request = self.requests[request_id]
-        expected = b"".join(make_data(request, number) for number in range(N_PARTS))
-        if self.data[request_id] != expected:
-            self.fail(f"{request_id} received {self.data[request_id]!r}")
-
-    def lose_router(self, address):
-        """Callers of a router that restarts lose their connections."""
-        for request_id, router in self.fleet.placed.items():
-            if router == address and request_id not in self.finals:
-                self.lost.add(request_id)
-
-    def check_end(self):
-        """Check what holds once all deadlines have passed."""
-        missing = set(self.requests) - set(self.finals) - self.lost
-        if missing:
-            self.fail(f"no final answer: {sorted(missing)[:5]}")
-        for request_id, outcome in self.finals.items():
-            request = self.requests[request_id]
-            name = request.key or request_id
-            if outcome == NOT_RUN and self.runs[request.workspace, name]:
-                self.fail(f"{request_id} was refused as not_run, but it ran")
-
-
 class JointRun:
     """A fleet in virtual time, its traffic and its faults, all from one seed.
 
@@ -393,62 +275,6 @@
             self.plan(moment, node, lambda at, node=node: node.adopt(view, at))
 
 
-def make_view(version, states):
-    """Return a document with one pool over the data centres."""
-    servers = [
-        BackendServer(
-            f"ledger-{number}",
-            DATA_CENTRES[number % len(DATA_CENTRES)],
-            "ledger",
-            f"10.0.1.{number}:7100",
-            ["entry"],
-            4,
-        )
-        for number in range(N_SERVERS)
-    ]
-    document = Document(
-        "joint",
-        version,
-        "tz-coast",
-        [Workspace("dealers", 3, []), Workspace("brokers", 1, [])],
-        [DataCentre(name, state) for name, state in states.items()],
-        [Pool("ledger", SERVICE, 1000)],
-        servers,
-    )
-    return DocumentView(document, b"%d" % version)
-
-
-def make_router_settings(address, data_centre):
-    """Return the settings of a router."""
-    return RouterSettings(
-        FleetSettings(address, data_centre, "keys"),
-        PLATFORM,
-        AdminSettings("127.0.0.1:0"),
-        GatewaySettings("127.0.0.1:0"),
-        RoutingSettings(max_attempts=MAX_ATTEMPTS),
-        LogSettings(),
-    )
-
-
-def make_agent_settings(server):
-    """Return the settings of the agent beside a backend server."""
-    return AgentSettings(
-        FleetSettings(server.agent, server.data_centre, "keys"),
-        PLATFORM,
-        AdminSettings("127.0.0.1:0"),
-        BackendSettings(server.name, "http://127.0.0.1:3"),
-        ExecutionSettings(quiet_time_s=QUIET_TIME_S),
-        LogSettings(),
-    )
-
-
-def make_key(wall_s, rng):
-    """Return a UUID version 7 with a creation time in seconds since the epoch."""
-    value = int(wall_s * 1000) << 80 | 7 << 76 | rng.getrandbits(12) << 64
-    value |= 2 << 62 | rng.getrandbits(62)
-    return str(UUID(int=value))
-
-
 def main():
     """Run one seed and print the counts."""
     seed, duration_s = int(sys.argv[1]), float(sys.argv[2])
