Count executions of the engines in the tests of callers

Cause: count_answers took the length of the whole reply, which is 1 for any record, so test_body_cut_half_way_runs_nothing could not fail. Ruled out: another form of the reply; examples/demo.py reads it as documented. Conclusion: the test now compares executions.

--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -111,11 +111,12 @@
 
 def count_answers(fleet):
     """Return how many requests the engines have executed."""
-    return sum(
-        len(httpx.get(f"{fleet.find_url(server.name)}/control/executions").json())
+    records = [
+        httpx.get(f"{fleet.find_url(server.name)}/control/executions").json()
         for server in fleet.layout.servers
         if server.pool == "assistant"
-    )
+    ]
+    return sum(sum(record["executions"].values()) for record in records)
 
 
 def test_caller_that_goes_away_frees_the_place(fleet):
