Send requests to backend servers without a shared cookie store

Cause: httpx.AsyncClient stores the cookies of every response, for all callers and without a bound. A resume at a silent engine also took a whole idle timeout more. Ruled out: clearing the cookies after each response (another attempt may run meanwhile). Before and after: the cookies were stored, not sent; now there is no store. A silent engine is reported after the idle timeout and at most 1 s, before after twice the idle timeout. 62 tests of the clients and stand-ins pass in 15.06 s. Conclusion: the clients use the transport of httpx directly.

--- a/catkinfork/backends/_base.py
+++ b/catkinfork/backends/_base.py
@@ -38,14 +38,15 @@
         self.settings = settings
         self.incarnation = incarnation
         self.max_response_bytes = max_response_bytes
-        self.client = httpx.AsyncClient(
+        # A client of httpx on top of it would keep the cookies of all callers.
+        self.transport = httpx.AsyncHTTPTransport(
             trust_env=False,
             limits=httpx.Limits(max_connections=None, max_keepalive_connections=0),
         )
 
     async def close(self):
         """Close all connections."""
-        await self.client.aclose()
+        await self.transport.aclose()
 
     async def run(self, start, emit):
         """Run one request.
@@ -148,13 +149,15 @@
         return self.build_request(start.method, start.path, headers, content)
 
     @asynccontextmanager
-    async def open(self, request):
+    async def open(self, request, head_timeout_s=None):
         """Send a request and yield the response, of which only the head has arrived.
 
+        :param request: request of httpx.
+        :param head_timeout_s: time for the head, beside the idle timeout.
         :raises BackendError: if there is no response.
         """
-        with translate_errors():
-            response = await self.client.send(request, stream=True)
+        with translate_errors(), anyio.fail_after(head_timeout_s):
+            response = await self.transport.handle_async_request(request)
         try:
             yield response
         finally:
--- a/catkinfork/backends/_engine.py
+++ b/catkinfork/backends/_engine.py
@@ -28,6 +28,8 @@
 from catkinfork.execution import BackendData, BackendHead
 
 OVERLOADED = (httpx.codes.SERVICE_UNAVAILABLE, httpx.codes.TOO_MANY_REQUESTS)
+# An engine answers a resume at once, so that silence is confirmed sooner than detected.
+RESUME_TIMEOUT_S = 1.0
 # Bounds the requests for a plain response at an engine that answers 202 at once.
 POLL_PAUSE_S = 0.05
 
@@ -201,7 +203,7 @@
         :returns: whether the response is complete. A plain one that still runs is not;
             the engine has then waited a moment, so the next request may follow at once.
         """
-        async with self.open(request) as response:
+        async with self.open(request, RESUME_TIMEOUT_S) as response:
             if not is_streamed and response.status_code == httpx.codes.ACCEPTED:
                 await anyio.sleep(POLL_PAUSE_S)
                 return False
--- a/catkinfork/backends/_errors.py
+++ b/catkinfork/backends/_errors.py
@@ -50,12 +50,12 @@
 
 @contextmanager
 def translate_errors():
-    """Raise the failures of httpx as :class:`BackendError`."""
+    """Raise the failures of httpx and timeouts as :class:`BackendError`."""
     try:
         yield
     except (httpx.ConnectError, httpx.ConnectTimeout, httpx.LocalProtocolError) as e:
         raise BackendRefusedError(describe(e)) from e
-    except (httpx.ReadTimeout, httpx.WriteTimeout) as e:
+    except (httpx.ReadTimeout, httpx.WriteTimeout, TimeoutError) as e:
         raise BackendSilentError(describe(e)) from e
     except httpx.TransportError as e:
         raise BackendResetError(describe(e)) from e
