--- a/benchmarks/joint_run.py
+++ b/benchmarks/joint_run.py
@@ -43,7 +43,10 @@
 )
 
 TICK_S = 0.01
-N_ROUTERS = 3
+N_ROUTERS = 4
+# The others are idle, longer than summaries and their lifetimes.
+N_BUSY_ROUTERS = 2
+BUSY_S = 6.0
 DATA_CENTRES = ("dsm-kariakoo", "dsm-mbezi", "tanga-port")
 N_SERVERS = 4
 LONGEST_DEADLINE_S = 8.0
@@ -53,6 +56,7 @@
 QUIET_TIME_S = 20.0
 MAX_ADOPTION_S = 1.0
 OUT_LIMIT_S = 3.0
+LATE_S = 0.05
 MAX_ATTEMPTS = 3
 HEALING_S = 30.0
 # At each tick, about 15 requests a second.
@@ -116,7 +120,6 @@
     def __init__(self, fleet):
         self.fleet = fleet
         self.requests = {}
-        self.submitted_at = {}
         self.finals = {}
         self.data = {}
         self.lost = set()
@@ -147,6 +150,9 @@
         request_id = action.request_id
         if request_id in self.finals:
             self.fail(f"{request_id} has a second final answer")
+        due = max(self.requests[request_id].deadline, node.paused_until)
+        if now > due + LATE_S:
+            self.fail(f"{request_id} is answered {now - due:.2f} s after its deadline")
         if isinstance(action, Respond):
             self.data[request_id] = self.data.get(request_id, b"") + action.data
             if action.is_last:
@@ -187,10 +193,12 @@
     """A fleet in virtual time, its traffic and its faults, all from one seed.
 
     :param seed: seed of the random generator.
+    :param has_faults: whether faults occur.
     """
 
-    def __init__(self, seed):
+    def __init__(self, seed, has_faults=True):
         self.seed = seed
+        self.has_faults = has_faults
         self.rng = random.Random(seed)
         self.now = 0.0
         self.events = []
@@ -198,6 +206,8 @@
         self.nodes = {}
         self.placed = {}
         self.keys = []
+        self.busy = []
+        self.busy_until = 0.0
         self.states = dict.fromkeys(DATA_CENTRES, IN_SERVICE)
         self.version = 1
         self.view = make_view(self.version, self.states)
@@ -229,14 +239,12 @@
         while self.now < duration_s:
             if self.rng.random() < SUBMIT_PROBABILITY:
                 self.submit()
-            if self.now >= next_fault_at:
-                next_fault_at = self.now + self.rng.uniform(0.2, 1.5)
+            if self.has_faults and self.now >= next_fault_at:
+                next_fault_at = self.now + self.rng.uniform(0.2, 1.0)
                 self.cause_fault()
             self.step()
         self.network.loss = 0.0
         self.network.cut.clear()
-        for node in self.nodes.values():
-            node.paused_until = min(node.paused_until, self.now)
         end = self.now + HEALING_S
         while self.now < end:
             self.step()
@@ -249,7 +257,7 @@
         while self.events and self.events[0][0] <= self.now:
             moment, number, node, call = heappop(self.events)
             if node.paused_until > moment:
-                # The old number keeps the order of messages that wait for a process.
+                # The number keeps the order of what waits for the process.
                 heappush(self.events, (node.paused_until, number, node, call))
             else:
                 call(moment)
@@ -260,17 +268,20 @@
     def submit(self):
         """Send one random request to a random router."""
         rng = self.rng
-        router = self.nodes[rng.choice(self.router_addresses)]
+        if self.now >= self.busy_until:
+            self.busy_until = self.now + BUSY_S
+            self.busy = rng.sample(self.router_addresses, N_BUSY_ROUTERS)
+        router = self.nodes[rng.choice(self.busy)]
         if router.paused_until > self.now:
             return
         request_id = f"r{len(self.placed)}"
         workspace = rng.choice(("dealers", "brokers"))
         key = ""
         body = request_id.encode()
-        if rng.random() < 0.4:
+        if rng.random() < 0.5:
             workspace, key = self.choose_key(workspace)
             body = key.encode()
-        elif rng.random() < 0.003:
+        elif self.has_faults and rng.random() < 0.003:
             body = CRASH_BODY
         deadline = self.now + rng.choice((1.0, 4.0, LONGEST_DEADLINE_S))
         is_idempotent = rng.random() < 0.5 and not key
@@ -294,7 +305,7 @@
         """Return a new key, or one that was sent lately."""
         rng = self.rng
         self.keys = [item for item in self.keys if self.now - item[0] < RESEND_S]
-        if self.keys and rng.random() < 0.4:
+        if self.keys and rng.random() < 0.6:
             return rng.choice(self.keys)[1:]
         key = f"opaque-{len(self.placed)}"
         if rng.random() < 0.8:
@@ -310,7 +321,9 @@
                 self.cut_network,
                 self.heal_network,
                 self.silence_link,
-                self.restart_node,
+                self.restart_agent,
+                self.restart_agent,
+                self.restart_router,
                 self.pause_node,
                 self.crash_server,
                 self.change_service,
@@ -323,7 +336,11 @@
         self.network.loss = self.rng.choice((0.0, 0.02, 0.1))
 
     def cut_network(self):
-        side = {name for name in self.nodes if self.rng.random() < 0.5}
+        """Cut off one data centre, or any set of processes."""
+        centre = self.rng.choice((*DATA_CENTRES, ""))
+        side = {name for name, n in self.nodes.items() if n.data_centre == centre}
+        if not centre:
+            side = {name for name in self.nodes if self.rng.random() < 0.5}
         self.network.cut = {
             (a, b) for a in self.nodes for b in self.nodes if (a in side) != (b in side)
         }
@@ -335,20 +352,29 @@
         source, destination = self.rng.sample(sorted(self.nodes), 2)
         self.network.silent.add((source, destination))
 
-    def restart_node(self):
-        node = self.nodes[self.rng.choice(sorted(self.nodes))]
+    def restart_agent(self):
+        node = self.rng.choice(self.list_agents())
         node.paused_until = 0.0
-        if node.role == "router":
-            self.checker.lose_router(node.address)
         node.restart(self.now)
 
+    def restart_router(self):
+        address = self.rng.choice(self.router_addresses)
+        self.checker.lose_router(address)
+        self.nodes[address].paused_until = 0.0
+        self.nodes[address].restart(self.now)
+
+    def list_agents(self):
+        """Return the agents in a fixed order."""
+        return [node for node in self.nodes.values() if node.role == "agent"]
+
     def pause_node(self):
         node = self.nodes[self.rng.choice(sorted(self.nodes))]
-        node.paused_until = self.now + self.rng.uniform(0.3, 6.0)
+        # A pause never becomes shorter: what waits for its end keeps its order.
+        end = self.now + self.rng.uniform(0.3, 6.0)
+        node.paused_until = max(node.paused_until, end)
 
     def crash_server(self):
-        agents = [node for node in self.nodes.values() if node.role == "agent"]
-        node = self.rng.choice(agents)
+        node = self.rng.choice(self.list_agents())
         node.plan(self.now, node.crash)
 
     def change_service(self):
--- a/catkinfork/routing/_timers.py
+++ b/catkinfork/routing/_timers.py
@@ -51,12 +51,13 @@
     for pool in list(state.queues.groups):
         pool_state = state.get_pool(pool)
         missing = [
-            queue
+            entry
             for demand_class, queue in state.queues.list_classes(pool)
+            for entry in queue.values()
             if demand_class.required
-            and pool_state.is_missing(demand_class.required, now)
+            and pool_state.is_missing(demand_class.required, entry.submitted_at, now)
         ]
-        for entry in [entry for queue in missing for entry in queue.values()]:
+        for entry in missing:
             refusal = make_refusal(
                 OWNER_UNREACHABLE, entry.outcome, entry.demand_class.required
             )
@@ -70,7 +71,7 @@
         refusal = check_blocked(state, entry, now)
         if refusal is not None:
             state.refuse(entry, refusal, now, actions)
-        elif entry.fingerprint in pool_state.suspects and not entry.is_suspect:
+        elif not entry.is_suspect and pool_state.is_suspect(entry.fingerprint, now):
             mark_suspect(state, entry, now, actions)
     refuse_slow(state, pool, now, actions)
 
