Do not refuse work by rates that were measured while the pool was cold

Ruled out: a fault of admission, which compares the summary's wait with the deadline. Change: a workspace whose oldest request has waited for w seconds is taken to start at least one request in w. Test test_expected_wait failed before the change by its cases 'cold pool' and 'nothing starts'.

--- a/catkinfork/dispatch/_summary.py
+++ b/catkinfork/dispatch/_summary.py
@@ -50,14 +50,16 @@
 def estimate_wait_ms(n_waiting, rate, oldest_wait_s):
     """Return the expected wait of a request that arrives now, milliseconds.
 
+    A workspace whose oldest request has waited for a second is taken to start at least
+    one request a second. Rates that were measured while the pool was cold or idle would
+    otherwise refuse work that could be served at once.
+
     :param n_waiting: requests of the workspace that wait now.
     :param rate: requests of the workspace that start per second.
-    :param oldest_wait_s: age of its oldest waiting request, used without a rate.
+    :param oldest_wait_s: age of its oldest waiting request.
     """
-    if n_waiting == 0:
-        return 0
-    wait_s = n_waiting / rate if rate > 0 else oldest_wait_s
-    return min(MAX_WAIT_MS, round(wait_s * 1000))
+    rate = max(rate, 1 / max(oldest_wait_s, SUMMARY_INTERVAL_S))
+    return min(MAX_WAIT_MS, round(n_waiting / rate * 1000))
 
 
 class SummaryBuilder:
--- a/catkinfork/dispatch/tests/test_matching.py
+++ b/catkinfork/dispatch/tests/test_matching.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from catkinfork.dispatch._summary import estimate_wait_ms
 from catkinfork.dispatch.tests.builders import (
     OTHER_ROUTER,
     ROUTER,
@@ -296,6 +297,20 @@
     assert summary.n_places == 4
 
 
+WAITS = {
+    "nothing waits": ((0, 0.0, 0.0), 0),
+    "rate known": ((50, 5.0, 9.0), 10_000),
+    "cold pool": ((1, 0.001, 0.1), 500),
+    "nothing starts": ((3, 0.0, 20.0), 60_000),
+}
+
+
+@pytest.mark.parametrize(("figures", "wait_ms"), WAITS.values(), ids=WAITS)
+def test_expected_wait(figures, wait_ms):
+    """Guards against refusals by rates that were measured while the pool was cold."""
+    assert estimate_wait_ms(*figures) == wait_ms
+
+
 def test_violations_are_logged_and_do_not_stop_the_service():
     """Guards against an assertion that turns a fairness fault into an outage."""
     dispatcher = make_dispatcher(make_view({"s1": ["m"]}))
