--- a/benchmarks/bench.py
+++ b/benchmarks/bench.py
@@ -31,7 +31,7 @@
 WARM_UP_S = 30.0
 BACKLOG_S = 600.0
 # The service run: a data centre leaves and returns.
-OUT_AT_S, IN_AT_S, SERVICE_S = 60.0, 105.0, 150.0
+OUT_AT_S, IN_AT_S, SERVICE_S = 60.0, 180.0, 240.0
 OUT_GRACE_S = 3.0
 # The fault run.
 FAULT_S = 210.0
