--- a/benchmarks/nodes.py
+++ b/benchmarks/nodes.py
@@ -40,6 +40,7 @@
 FIRST_BYTE_S = 0.02
 DATA_INTERVAL_S = 0.5
 SILENCE_S = 3.0
+N_CANDIDATES = 3
 BOUND_EXCEEDED = 390
 
 
@@ -130,8 +131,11 @@
 
     def review(self):
         """Follow which peers are live."""
-        for pool in self.dispatchers:
-            self.run(self.router.set_dispatchers, pool, self.rank_live(pool))
+        for pool, dispatcher in self.dispatchers.items():
+            ranked = self.rank_live(pool)
+            own = self.identity.name
+            dispatcher.set_standbys([name for name in ranked if name != own])
+            self.run(self.router.set_dispatchers, pool, ranked)
         agents = [agent.identity.name for agent in self.driver.agents]
         for address in self.find_silent(agents):
             self.run(self.router.drop_agent, address)
@@ -176,7 +180,7 @@
         """Follow which peers are live."""
         ranked = self.rank_live(self.entry.pool)
         self.run(self.agent.set_dispatchers, ranked)
-        self.peers.want(ranked[:2], self.driver.now)
+        self.peers.want(ranked[:N_CANDIDATES], self.driver.now)
         routers = [router.identity.name for router in self.driver.routers]
         for address in self.find_silent(routers):
             self.run(self.agent.drop_router, address)
