--- a/benchmarks/nodes.py
+++ b/benchmarks/nodes.py
@@ -40,6 +40,7 @@
 FIRST_BYTE_S = 0.02
 DATA_INTERVAL_S = 0.5
 SILENCE_S = 3.0
+N_DISPATCHERS = 2
 N_CANDIDATES = 3
 BOUND_EXCEEDED = 390
 
@@ -132,7 +133,7 @@
     def review(self):
         """Follow which peers are live."""
         for pool, dispatcher in self.dispatchers.items():
-            ranked = self.rank_live(pool)
+            ranked = self.rank_live(pool)[:N_DISPATCHERS]
             own = self.identity.name
             dispatcher.set_standbys([name for name in ranked if name != own])
             self.run(self.router.set_dispatchers, pool, ranked)
