Stop a crashing request at the router, ramp up faster, hold cold servers

Ruled out: doubling the limit (it overshoots what a cold server bears by half); one more exchange with the dispatcher before each retry. Conclusion: the router itself stops after two crashes; the limit grows by one a second while all running requests produce output; a server that reports a cold start stays at its limit.

--- a/catkinfork/execution/_capacity.py
+++ b/catkinfork/execution/_capacity.py
@@ -14,6 +14,7 @@
 # After a refused connection the next requests would be refused as well and use up
 # their retries; health checks are at least this frequent.
 REFUSED_PAUSE_S = 0.5
+COLD_HOLD_S = 120.0
 
 
 class Capacity:
@@ -33,6 +34,7 @@
         self.is_leaving = False
         self.is_up = False
         self.is_reported_cold = False
+        self.cold_since = float("-inf")
         self.was_open = False
         self.paused_until = float("-inf")
         self.n_staged = 0
@@ -64,10 +66,26 @@
         """Return how many requests may run, none just after a refused connection."""
         return self.n_places if now >= self.paused_until else 0
 
+    def note_success(self, started_at, now):
+        """Count a success; a server that reports a cold start stays at its limit.
+
+        Growth would probe for the load that makes it fall over. A server that never
+        stops reporting it is probed after a while all the same.
+        """
+        if self.is_reported_cold and now - self.cold_since < COLD_HOLD_S:
+            return
+        self.limiter.note_success(started_at)
+
+    def note_all_producing(self, n_running, now):
+        """Note that all running requests produce; see :class:`Limiter`."""
+        if not self.is_reported_cold:
+            self.limiter.note_all_producing(n_running, now)
+
     def note_health(self, is_up, is_cold, now):
         """Take the result of a health check."""
         if is_up and is_cold and not self.is_reported_cold:
             self.limiter.reset(now)
+            self.cold_since = now
         self.is_up = is_up
         self.is_reported_cold = is_up and is_cold
 
--- a/catkinfork/execution/_limiter.py
+++ b/catkinfork/execution/_limiter.py
@@ -4,6 +4,7 @@
 # Below this time to first byte, scheduling noise alone exceeds the factor of three.
 MIN_SLOW_S = 0.05
 BEST_WINDOW_S = 30.0
+GROW_INTERVAL_S = 1.0
 
 
 class Limiter:
@@ -21,6 +22,7 @@
         self.n_successes = 0
         self.has_held = False
         self.fell_at = float("-inf")
+        self.grown_at = float("-inf")
         self.fastest_s = None
         self.n_timed = 0
         self.best_s = None
@@ -43,6 +45,7 @@
         self.n_successes = 0
         self.has_held = False
         self.fell_at = now
+        self.grown_at = now
         self.fastest_s = None
         self.n_timed = 0
 
@@ -77,6 +80,22 @@
         if self.limit >= self.n_max:
             self.is_cold = False
 
+    def note_all_producing(self, n_running, now):
+        """Grow by one if as many requests as there are places produce output.
+
+        Long requests would otherwise hold the limit down for minutes after a start:
+        their first output already shows that the server bears this many. At most one
+        step a second, and none after a signal, so that a server that shows overload
+        late is not loaded much past what it bears.
+        """
+        if n_running < self.limit or self.failed_limit or self.limit >= self.n_max:
+            return
+        if now - self.grown_at < GROW_INTERVAL_S:
+            return
+        self.grown_at = now
+        self.limit += 1
+        self.n_successes = 0
+
     def note_first_byte(self, started_at, now):
         """Note a time to first byte.
 
--- a/catkinfork/execution/_outcomes.py
+++ b/catkinfork/execution/_outcomes.py
@@ -48,15 +48,24 @@
 
     def take_data(self, execution, event, now):
         """Send body bytes and stop a request that has become too expensive."""
+        is_first = execution.units == 0
         self.runner.note_units(execution, event.units)
+        if is_first and execution.units > 0:
+            self.note_progress(now)
         actions = self.runner.add_data(execution, event.data, now)
         if self.pool is not None and execution.units > self.pool.max_cost:
             actions += self.runner.cancel(execution, codes.TOO_EXPENSIVE)
         return actions
 
+    def note_progress(self, now):
+        """Let the limit grow if every running request has produced something."""
+        running = self.runner.running.values()
+        if all(execution.units > 0 for execution in running):
+            self.capacity.note_all_producing(len(running), now)
+
     def take_end(self, execution, event, now):
         """Complete an answer."""
-        self.capacity.limiter.note_success(execution.started_at)
+        self.capacity.note_success(execution.started_at, now)
         self.capacity.handover.note_completion(now)
         self.suspects.note_success(execution.start.fingerprint)
         return self.runner.complete(execution, event.units, now)
--- a/catkinfork/execution/tests/test_capacity.py
+++ b/catkinfork/execution/tests/test_capacity.py
@@ -58,6 +58,36 @@
     assert succeed(limiter, 6, 3.0) == [4, 5, 5, 6, 7, 8]
 
 
+def test_limit_grows_while_long_requests_produce():
+    """Guards against minutes at one place when every request is long."""
+    limiter = Limiter()
+    limiter.set_maximum(8)
+    limits = []
+    for step in range(40):
+        limiter.note_all_producing(limiter.limit, 10.0 + step / 4)
+        limits.append(limiter.limit)
+    assert limits[:9] == [2, 2, 2, 2, 3, 3, 3, 3, 4]
+    assert limits[-1] == 8
+    limiter.note_overload(30.0, 30.0)
+    limiter.note_all_producing(4, 40.0)
+    assert limiter.limit == 4
+
+
+def test_reported_cold_start_holds_the_limit():
+    """Guards against growth that probes a cold server for its overload."""
+    bench = Bench()
+    bench.observe(BackendHealth(True, True))
+    for _ in range(6):
+        bench.run_for(0.3)
+        serve_one(bench, "w")
+    assert bench.report.n_places == 1
+    bench.observe(BackendHealth(True, False))
+    for _ in range(6):
+        bench.run_for(0.3)
+        serve_one(bench, "w")
+    assert bench.report.n_places > 1
+
+
 @pytest.mark.parametrize(
     ("usual_s", "slow_s", "expected"),
     [(0.1, 0.29, 8), (0.1, 0.31, 4), (0.001, 0.04, 8)],
--- a/catkinfork/gateway/_exchange.py
+++ b/catkinfork/gateway/_exchange.py
@@ -36,6 +36,7 @@
         self.changed = anyio.Event()
         self.n_buffered_bytes = 0
         self.is_over_buffer = False
+        self.is_ending = False
 
     def push(self, item):
         """Append a head, data or a refusal.
--- a/catkinfork/routing/_requests.py
+++ b/catkinfork/routing/_requests.py
@@ -109,6 +109,7 @@
         self.n_tries = 0
         self.n_refused_starts = 0
         self.n_redirects = 0
+        self.n_crashes = 0
         self.n_sent = 0
         self.n_bytes = len(request.body) + sum(
             len(name) + len(value) for name, value in request.headers
--- a/catkinfork/routing/_responses.py
+++ b/catkinfork/routing/_responses.py
@@ -17,6 +17,7 @@
     NOT_RUN,
     OWNER_UNREACHABLE,
     REDIRECT_LOOP,
+    REQUEST_BLOCKED,
     RETRIES_EXHAUSTED,
     UNKNOWN,
     make_agent_refusal,
@@ -32,6 +33,9 @@
 FINAL_FAILURES = frozenset(
     {"cancelled", "deadline_exceeded", "response_too_large", "too_expensive"}
 )
+BACKEND_CRASHED = "backend_crashed"
+# Crashes after which this router does not send a request again by itself.
+MAX_CRASHES = 2
 # Failures that are no reason to suspect the request of a crash.
 HARMLESS_FAILURES = FINAL_FAILURES | {
     "agent_lost",
@@ -294,6 +298,14 @@
     entry = attempt.entry
     if code not in HARMLESS_FAILURES:
         entry.is_suspect = True
+    if code == BACKEND_CRASHED:
+        entry.n_crashes += 1
+    if entry.n_crashes >= MAX_CRASHES:
+        # The dispatcher blocks it as well, but a grant may be on its way already.
+        detail = f"{entry.n_crashes} crashes"
+        refusal = make_refusal(REQUEST_BLOCKED, UNKNOWN, detail)
+        state.refuse(entry, refusal, now, actions)
+        return
     max_attempts = state.settings.routing.max_attempts
     if entry.n_tries >= max_attempts or not state.budget.take():
         detail = (
