Do not log a caller with a whole response as gone

Cause: the server reports a disconnect once a response is complete, and the watcher of the connection took it for a caller that went away. Ruled out: cancelling the watcher earlier (the report may come during the last send). After: none in the new test, which fails without the change. Conclusion: a disconnect after the last part is ignored.

--- a/catkinfork/gateway/_application.py
+++ b/catkinfork/gateway/_application.py
@@ -151,7 +151,8 @@
         self.handler.submit(request, exchange)
         is_complete = False
         async with anyio.create_task_group() as tasks:
-            tasks.start_soon(self.watch_caller, request, receive, tasks.cancel_scope)
+            scope = tasks.cancel_scope
+            tasks.start_soon(self.watch_caller, request, exchange, receive, scope)
             try:
                 await self.pass_response(request, exchange, send)
                 is_complete = True
@@ -160,11 +161,16 @@
                     self.handler.abandon(request.request_id)
             tasks.cancel_scope.cancel()
 
-    async def watch_caller(self, request, receive, scope):
-        """Cancel the exchange when the caller closes the connection."""
+    async def watch_caller(self, request, exchange, receive, scope):
+        """Cancel the exchange when the caller closes the connection.
+
+        The server also reports a disconnect once the response is complete.
+        """
         while True:
             message = await receive()
             if message["type"] == "http.disconnect":
+                if exchange.is_ending:
+                    return
                 self.note_caller_gone(request.request_id, request.workspace, "response")
                 scope.cancel()
                 return
@@ -176,6 +182,7 @@
         """
         first = await exchange.pull()
         if is_refusal(first):
+            exchange.is_ending = True
             await self.refuse(send, first, request.request_id, request.workspace)
             return
         await send_head(send, first, request.request_id)
@@ -187,7 +194,7 @@
             if exchange.is_over_buffer:
                 self.note_slow_caller(request, exchange)
                 self.break_off(request, "slow_caller")
-            is_last = item.is_last
+            is_last = exchange.is_ending = item.is_last
             await send(
                 {
                     "type": "http.response.body",
--- a/catkinfork/gateway/tests/test_application.py
+++ b/catkinfork/gateway/tests/test_application.py
@@ -326,6 +326,36 @@
     assert handler.abandoned == [handler.requests[0].request_id]
 
 
+def test_disconnect_after_the_end_is_not_a_caller_that_has_gone():
+    """Guards against log lines on callers that have their whole response."""
+    handler = FakeHandler([ResponseHead(200, []), ResponseData(b"whole", True)])
+    messages = [{"type": "http.request", "body": msgspec.json.encode(DRAFT)}]
+    headers = [(b"authorization", f"Bearer {API_KEY}".encode())]
+    scope = {"type": "http", "method": "POST", "path": CHAT, "query_string": b""}
+    sent = []
+
+    async def receive():
+        while not messages:
+            await anyio.sleep(0)
+        return messages.pop(0)
+
+    async def collect(message):
+        sent.append(message)
+        if not message.get("more_body", True):
+            messages.append({"type": "http.disconnect"})
+            await anyio.sleep(0.01)
+
+    async def run():
+        with anyio.fail_after(5.0):
+            application = Gateway(SETTINGS, handler)
+            await application({**scope, "headers": headers}, receive, collect)
+
+    anyio.run(run)
+    assert sent[-1]["body"] == b"whole"
+    assert handler.actions == []
+    assert handler.abandoned == []
+
+
 def test_models_are_listed():
     """Guards against plain services in the list of models."""
     answer = send(FakeHandler(), "GET", "/v1/models", headers=AUTHORIZED)
