Find live dispatchers behind dead ones; split the process base

Ruled out: probing all routers (390 at the target size). Before: with a prefix of three, the new test with five dead routers fails, and so does the table with three and more. After: both pass; a process probes up to three routers that are not known dead.

--- a/catkinfork/membership/tests/test_peers.py
+++ b/catkinfork/membership/tests/test_peers.py
@@ -2,7 +2,12 @@
 
 import pytest
 
-from catkinfork.membership import PeerTable, ReplaceLink, rank_candidates
+from catkinfork.membership import (
+    PeerTable,
+    ReplaceLink,
+    choose_dispatchers,
+    rank_candidates,
+)
 from catkinfork.protocol import Heartbeat, Sender
 
 A = Sender("10.0.0.1:7000", 1)
@@ -180,3 +185,30 @@
     counts = [first.count(name) for name in names]
     assert min(counts) > 120
     assert max(counts) < 290
+
+
+@pytest.mark.parametrize("n_dead", [0, 1, 2, 5, 9, 10])
+def test_dispatchers_are_the_first_live_routers(n_dead):
+    """Guards against a dead dispatcher, and probes that grow with the routers."""
+    names = [f"10.0.0.{n}:7000" for n in range(10)]
+    ranked = rank_candidates("assistant", names)
+    live, dead = set(ranked[n_dead:]), set(ranked[:n_dead])
+    choice = choose_dispatchers("assistant", names, live, dead)
+    assert choice.chosen == ranked[n_dead:][:2]
+    assert choice.probed == ranked[: n_dead + 3]
+
+
+def test_routers_behind_dead_ones_are_found():
+    """Guards against a pool without dispatcher because only dead routers are probed."""
+    names = [f"10.0.0.{n}:7000" for n in range(10)]
+    ranked = rank_candidates("assistant", names)
+    network = Network(ranked[5:])
+    table = network.tables["me"] = PeerTable("agent", "gasabo")
+    chosen = []
+    for _ in range(60):
+        live = {name for name in names if table.is_live(name, network.now)}
+        dead = {name for name in names if name in table.peers} - live
+        chosen, probed = choose_dispatchers("assistant", names, live, dead)
+        table.want(probed, network.now)
+        network.run(0.1)
+    assert chosen == ranked[5:7]
--- a/catkinfork/processes/_base.py
+++ b/catkinfork/processes/_base.py
@@ -3,7 +3,7 @@
 import random
 import signal
 import time
-from abc import ABC, abstractmethod
+from functools import partial
 
 import anyio
 
@@ -13,34 +13,33 @@
     HttpConfigurationSource,
     HttpHostList,
 )
-from catkinfork.membership import PeerTable, ReplaceLink, rank_candidates
+from catkinfork.membership import PeerTable, ReplaceLink, choose_dispatchers
 from catkinfork.observability import EventLog, LogEvent, log_event
 from catkinfork.processes._admin import AdminApplication
 from catkinfork.processes._events import (
     FRAME_REJECTED,
     FRAME_UNSENDABLE,
-    KEY_FILE_FAILED,
-    KEYS_CHANGED,
     LINK_REPLACED,
-    PROCESS_READY,
     PROCESS_STARTED,
     PROCESS_STOPPED,
     STOP_REQUESTED,
     WRONG_RECEIVER,
 )
+from catkinfork.processes._metrics import list_common_metrics
+from catkinfork.processes._role import BaseRole
 from catkinfork.processes._server import (
     GRACEFUL_TIMEOUT_S,
     GuardedApplication,
     bind_port,
     serve_application,
 )
+from catkinfork.processes._startup import become_ready, watch_keys
 from catkinfork.processes._status import StatusCollector
 from catkinfork.protocol import (
     DocumentReply,
     DocumentRequest,
     FrameTooLargeError,
     Heartbeat,
-    KeyFileError,
     KeyRing,
     Send,
     Sender,
@@ -52,17 +51,14 @@
 TICK_INTERVAL_S = 0.005
 IDLE_TICK_INTERVAL_S = 0.05
 REVIEW_INTERVAL_S = 0.1
-KEY_FILE_INTERVAL_S = 2.0
 READINESS_DELAY_S = 1.0
 LAST_MESSAGES_S = 0.3
 # Cancelling the HTTP server in its shutdown raises; it takes GRACEFUL_TIMEOUT_S.
 SERVERS_END_S = GRACEFUL_TIMEOUT_S + 2.0
 MAX_ADMIN_HEADER_BYTES = 16384
-N_DISPATCHERS = 2
-N_CANDIDATES = 3
 
 
-class BaseProcess(ABC):
+class BaseProcess(BaseRole):
     """A process of the fleet: I/O and clock around the decision objects.
 
     :param settings: :class:`RouterSettings` or :class:`AgentSettings`.
@@ -96,52 +92,6 @@
         self.work = anyio.Event()
         self.n_servers = 0
 
-    # Decisions of the role.
-
-    @abstractmethod
-    def list_cores(self):
-        """Return the decision objects that tick."""
-
-    @abstractmethod
-    def handle(self, sender, message, now):
-        """Return the actions for a message of the role, or None if it has none."""
-
-    @abstractmethod
-    def perform(self, action, now):
-        """Carry out an action of the role."""
-
-    @abstractmethod
-    def adopt(self, view, now):
-        """Return the actions for a new document in force."""
-
-    @abstractmethod
-    def set_dispatchers(self, pool, addresses, now):
-        """Return the actions for the live dispatchers of a pool, first choice first."""
-
-    @abstractmethod
-    def review(self, now):
-        """Return the actions of the regular review of peers and hosts."""
-
-    @abstractmethod
-    def list_pools(self):
-        """Return the names of the pools in which this process takes part."""
-
-    @abstractmethod
-    def count_open(self):
-        """Return the number of requests that a stop would cut."""
-
-    @abstractmethod
-    def start_drain(self, now):
-        """Return the actions that stop the taking of new work."""
-
-    @abstractmethod
-    def list_backend_servers(self):
-        """Return the :class:`BackendServerStatus` of this process."""
-
-    @abstractmethod
-    def list_metrics(self):
-        """Yield ``(name, help, labels, value)`` for each metric."""
-
     # State that others ask for.
 
     def identify(self):
@@ -300,13 +250,12 @@
     def review_dispatchers(self, now):
         """Choose the live dispatchers of each pool and the peers to probe."""
         routers = set(self.list_routers())
+        live = {name for name in routers if self.can_dispatch(name, now)}
+        dead = {name for name in routers - live if name in self.peers.peers}
         wanted = set()
         for pool in self.list_pools():
-            ranked = rank_candidates(pool, routers)
-            live = [address for address in ranked if self.can_dispatch(address, now)]
-            chosen = live[:N_DISPATCHERS]
-            last = ranked.index(chosen[-1]) if chosen else 0
-            wanted.update(ranked[: max(N_CANDIDATES, last + 1)])
+            chosen, probed = choose_dispatchers(pool, routers, live, dead)
+            wanted.update(probed)
             if chosen != self.dispatchers.get(pool):
                 self.dispatchers[pool] = chosen
                 self.apply(self.set_dispatchers(pool, chosen, now), now)
@@ -324,22 +273,6 @@
             return False
         return self.peers.is_live(address, now)
 
-    async def watch_keys(self):
-        """Read the key file again when it changes."""
-        while True:
-            await anyio.sleep(KEY_FILE_INTERVAL_S)
-            try:
-                if self.keys.load():
-                    key_id = self.keys.keys[0].key_id.hex()
-                    event = log_event(
-                        KEYS_CHANGED,
-                        signing_key_id=key_id,
-                        n_keys=len(self.keys.keys),
-                    )
-                    self.log.write(event)
-            except KeyFileError as error:
-                self.log.write(log_event(KEY_FILE_FAILED, detail=str(error)))
-
     def take_document(self, content):
         """Offer a value of the configuration service."""
         now = time.monotonic()
@@ -350,31 +283,6 @@
         self.hosts = hosts
         self.review_dispatchers(time.monotonic())
 
-    async def become_ready(self):
-        """Ask service and peers for a document, then take work."""
-        asked = set()
-        while self.configuration.view is None or self.wait_left() > 0:
-            for address in set(self.list_routers()) - asked - {self.fleet.address}:
-                asked.add(address)
-                self.transport.send(address, DocumentRequest(0, ""))
-            await anyio.sleep(min(0.05, max(self.wait_left(), 0.01)))
-        self.has_started = True
-        view = self.configuration.view
-        self.log.write(
-            log_event(
-                PROCESS_READY,
-                role=self.role,
-                version=view.version,
-                digest=view.digest[:12],
-                waited_s=time.monotonic() - self.started_at,
-            )
-        )
-
-    def wait_left(self):
-        """Return the rest of the start-up wait, in seconds."""
-        waited = time.monotonic() - self.started_at
-        return self.settings.platform.startup_wait_s - waited
-
     # Start and stop.
 
     async def run(self):
@@ -414,8 +322,8 @@
         return [
             self.tick,
             self.review_regularly,
-            self.watch_keys,
-            self.become_ready,
+            partial(watch_keys, self),
+            partial(become_ready, self),
             self.read_documents,
             self.read_hosts,
             self.serve_admin,
@@ -482,55 +390,6 @@
             while self.n_servers:
                 await anyio.sleep(0.02)
 
-    @abstractmethod
-    def drain_timeout_s(self):
-        """Return the longest drain in seconds."""
-
     def count_metrics(self):
         """Yield the metrics that every process has."""
-        for entry in self.transport.list_traffic():
-            labels = {"message": entry.message, "direction": entry.direction}
-            yield (
-                "catkinfork_messages",
-                "Inner messages since the start, by type",
-                labels,
-                entry.n_messages,
-            )
-            yield (
-                "catkinfork_messages_bytes",
-                "Bytes of inner messages since the start, by type",
-                labels,
-                entry.n_bytes,
-            )
-        yield (
-            "catkinfork_messages_dropped",
-            "Inner messages dropped at the sender since the start",
-            {},
-            self.transport.n_dropped,
-        )
-        identity = self.identify()
-        yield (
-            "catkinfork_document_version",
-            "Version of the document in force",
-            {"digest": identity.digest[:12]},
-            identity.version,
-        )
-        yield (
-            "catkinfork_ready",
-            "Whether the process takes work",
-            {},
-            int(self.is_ready()),
-        )
-        yield (
-            "catkinfork_processor_seconds",
-            "Processor time since the start in seconds",
-            {},
-            time.process_time(),
-        )
-        for number, count in sorted(self.log.n_events.items()):
-            yield (
-                "catkinfork_events",
-                "Log events since the start, by number",
-                {"event": str(number)},
-                count,
-            )
+        yield from list_common_metrics(self)
