Split the message types and the local fleet by concern

Ruled out: one file for each message, which scatters what belongs together. Conclusion: messages about processes, waiting work and attempts stand apart.

--- a/benchmarks/process_run.py
+++ b/benchmarks/process_run.py
@@ -18,7 +18,8 @@
 import anyio
 import httpx
 
-from standins.local_fleet import FleetLayout, LocalFleet, ServerLayout
+from standins.fleet_layout import FleetLayout, ServerLayout
+from standins.local_fleet import LocalFleet
 
 WARM_UP_S = 6.0
 BACKLOG_S = 15.0
--- a/catkinfork/protocol/__init__.py
+++ b/catkinfork/protocol/__init__.py
@@ -7,7 +7,30 @@
     decode_frame,
     encode_frame,
 )
+from catkinfork.protocol._control_messages import (
+    BackendServerStatus,
+    DocumentReply,
+    DocumentRequest,
+    Heartbeat,
+    Sender,
+    StatusReply,
+    StatusRequest,
+)
 from catkinfork.protocol._core import BaseCore
+from catkinfork.protocol._dispatch_messages import (
+    AgentReport,
+    Delivered,
+    Demand,
+    DemandEntry,
+    Grant,
+    GrantEntry,
+    PoolSummary,
+    ReportAck,
+    Suspect,
+    Ticket,
+    TicketReturn,
+    WorkspaceSummary,
+)
 from catkinfork.protocol._errors import (
     BadSignatureError,
     FrameTooLargeError,
@@ -18,39 +41,22 @@
     UnknownKeyError,
     UnknownMessageError,
 )
-from catkinfork.protocol._keys import FleetKey, KeyRing, parse_keys
-from catkinfork.protocol._messages import (
-    MESSAGE_TYPES,
-    AgentReport,
+from catkinfork.protocol._execution_messages import (
     AttemptId,
-    BackendServerStatus,
     Cancel,
     Claim,
     ClaimReply,
-    Delivered,
-    Demand,
-    DemandEntry,
-    DocumentReply,
-    DocumentRequest,
-    Grant,
-    GrantEntry,
-    Heartbeat,
-    Message,
-    PoolSummary,
-    ReportAck,
     ResponseAck,
     ResponsePart,
     Resume,
-    Send,
-    Sender,
     Start,
     StartRefused,
-    StatusReply,
-    StatusRequest,
-    Suspect,
-    Ticket,
-    TicketReturn,
-    WorkspaceSummary,
+)
+from catkinfork.protocol._keys import FleetKey, KeyRing, parse_keys
+from catkinfork.protocol._messages import (
+    MESSAGE_TYPES,
+    Message,
+    Send,
 )
 from catkinfork.protocol._transport import Traffic, Transport
 
--- a/catkinfork/protocol/_codec.py
+++ b/catkinfork/protocol/_codec.py
@@ -9,6 +9,10 @@
 
 import msgspec
 
+from catkinfork.protocol._control_messages import (
+    DocumentReply,
+    Sender,
+)
 from catkinfork.protocol._errors import (
     BadSignatureError,
     FrameTooLargeError,
@@ -17,13 +21,13 @@
     UnknownKeyError,
     UnknownMessageError,
 )
+from catkinfork.protocol._execution_messages import (
+    ResponsePart,
+    Start,
+)
 from catkinfork.protocol._keys import KEY_ID_BYTES, SIGNATURE_BYTES
 from catkinfork.protocol._messages import (
     MESSAGE_TYPES,
-    DocumentReply,
-    ResponsePart,
-    Sender,
-    Start,
 )
 
 PROTOCOL_VERSION = 1
--- a/tests/test_binary.py
+++ b/tests/test_binary.py
@@ -6,7 +6,8 @@
 
 import pytest
 
-from standins.local_fleet import FleetLayout, LocalFleet, ServerLayout
+from standins.fleet_layout import FleetLayout, ServerLayout
+from standins.local_fleet import LocalFleet
 
 pytestmark = [pytest.mark.processes, pytest.mark.binary]
 
