--- a/benchmarks/bench.py
+++ b/benchmarks/bench.py
@@ -239,6 +239,11 @@
         ("false not_run under faults", faults["false_not_run"], 0),
         ("largest core share of a node, %", percent, 4.6),
         ("control bytes/s sent, largest", max(n["bytes_per_s"] for n in nodes), 20_000),
+        (
+            "control bytes/s received, largest",
+            max(node["received_bytes_per_s"] for node in nodes),
+            20_000,
+        ),
     ]
     return [(name, value, most, value <= most) for name, value, most in rows]
 
