Add the catalogue of log events and the command that prints it

Cause: docs/events.md did not exist, execution exported no EVENTS, and its names request_started and request_ended could be taken for events of routing. Its field was called request where the other packages say request_id.

Ruled out: a page written by hand, which no test would keep complete; a list of events kept by observability, which would import every package.

Change: execution's events are execution_started, execution_refused and execution_ended with request_id; the demo and the process benchmark read the new names. catkinfork events prints the page.

--- a/benchmarks/process_run.py
+++ b/benchmarks/process_run.py
@@ -254,7 +254,7 @@
             continue
         for event in fleet.read_events(f"agent-{server.name}"):
             moment = read_time(event["time"]) - offset_s
-            is_start = event["name"] in ("execution_started", "request_started")
+            is_start = event["name"] == "execution_started"
             if is_start and marks["out"] + OUT_GRACE_S < moment < marks["return"]:
                 n_late += 1
     return n_late
--- a/catkinfork/cli/_main.py
+++ b/catkinfork/cli/_main.py
@@ -5,6 +5,7 @@
 from catkinfork.cli._check import check_document
 from catkinfork.cli._diff import show_diff
 from catkinfork.cli._digest import print_digest
+from catkinfork.cli._events import print_events
 from catkinfork.cli._run import run_agent, run_router
 from catkinfork.cli._status import show_status
 
@@ -22,6 +23,7 @@
 app.command("check")(check_document)
 app.command("diff")(show_diff)
 app.command("digest")(print_digest)
+app.command("events")(print_events)
 
 
 def main():
--- a/catkinfork/execution/__init__.py
+++ b/catkinfork/execution/__init__.py
@@ -13,9 +13,11 @@
 )
 from catkinfork.execution._agent import AgentCore
 from catkinfork.execution._errors import InvariantError
+from catkinfork.execution._events import EVENTS
 from catkinfork.execution._keys import read_key_time
 
 __all__ = [
+    "EVENTS",
     "REFUSED",
     "AgentCore",
     "BackendData",
--- a/catkinfork/execution/_runner.py
+++ b/catkinfork/execution/_runner.py
@@ -33,7 +33,7 @@
         """Refuse the attempt of a start, now and whenever it is repeated."""
         refusal = StartRefused(start.attempt, code, outcome, is_retryable, redirect)
         self.attempts.refuse(refusal, now)
-        values = {"request": start.request_id, "workspace": start.workspace}
+        values = {"request_id": start.request_id, "workspace": start.workspace}
         log = log_event(events.REFUSAL, code=code, outcome=outcome, **values)
         return [log, Send(start.attempt.router, refusal)]
 
@@ -108,7 +108,7 @@
         self.meter.note_start(start.workspace)
         log = log_event(
             events.START,
-            request=start.request_id,
+            request_id=start.request_id,
             workspace=start.workspace,
             target=start.target,
             n_running=len(self.running),
@@ -195,7 +195,7 @@
         self.meter.note_end(start.workspace, execution.units, total)
         return log_event(
             events.END,
-            request=start.request_id,
+            request_id=start.request_id,
             workspace=start.workspace,
             failure=failure,
             units=total,
--- a/catkinfork/execution/_starts.py
+++ b/catkinfork/execution/_starts.py
@@ -135,5 +135,5 @@
 def log_claim(execution, verdict):
     """Return the log event of a decided claim."""
     start = execution.start
-    values = {"request": start.request_id, "workspace": start.workspace}
+    values = {"request_id": start.request_id, "workspace": start.workspace}
     return log_event(events.CLAIM, verdict=verdict, **values)
--- a/catkinfork/observability/__init__.py
+++ b/catkinfork/observability/__init__.py
@@ -2,11 +2,13 @@
 
 from catkinfork.observability._events import Event, LogEvent, log_event
 from catkinfork.observability._log import EventLog, format_json, format_plain
+from catkinfork.observability._reference import format_catalogue
 
 __all__ = [
     "Event",
     "EventLog",
     "LogEvent",
+    "format_catalogue",
     "format_json",
     "format_plain",
     "log_event",
--- /dev/null
+++ b/catkinfork/observability/_reference.py
@@ -0,0 +1,41 @@
+"""Catalogue of the log events as Markdown."""
+
+_HEAD = """\
+# Log events
+
+A process writes each event as one line to standard error, as plain text or as JSON
+(setting `format` of `[log]`; `level` sets the lowest level that is written). A JSON
+line holds `time` (UTC), `level`, `event` (the number), `name`, `process` (inner
+address) and the fields below. A plain line begins with time, level, `E` and number,
+name and process.
+The metric `catkinfork_events` counts the events by number, whether written or not.
+
+Numbers and names are stable; the hundreds of the number name the package. Fields that
+end in `_s` are seconds, in `_ms` milliseconds, in `_bytes` bytes, and those that begin
+with `n_` are counts.
+
+`catkinfork events` prints this page.
+"""
+
+
+def format_catalogue(packages):
+    """Return the catalogue of all events as Markdown.
+
+    :param packages: maps the name of a package to its events.
+    """
+    return "\n".join([_HEAD, *map(format_package, packages, packages.values())])
+
+
+def format_package(name, events):
+    """Return the events of a package as a heading and a table.
+
+    :param name: name of the package.
+    :param events: the package's :class:`Event` entries.
+    """
+    lines = [f"## {name}", "", "| number | level | name | meaning | fields |"]
+    lines.append("|---|---|---|---|---|")
+    for event in sorted(events):
+        fields = ", ".join(f"`{field}`" for field in event.fields)
+        cells = (event.number, event.level, f"`{event.name}`", event.text, fields)
+        lines.append(f"| {' | '.join(map(str, cells))} |")
+    return "\n".join([*lines, ""])
--- a/catkinfork/processes/__init__.py
+++ b/catkinfork/processes/__init__.py
@@ -2,6 +2,8 @@
 
 from catkinfork.processes._agent import AgentProcess
 from catkinfork.processes._base import BaseProcess
+from catkinfork.processes._catalogue import list_events
+from catkinfork.processes._events import EVENTS
 from catkinfork.processes._router import RouterProcess
 from catkinfork.processes._server import PortInUseError
 from catkinfork.processes._status import (
@@ -12,6 +14,7 @@
 )
 
 __all__ = [
+    "EVENTS",
     "AgentProcess",
     "BackendServerState",
     "BaseProcess",
@@ -20,4 +23,5 @@
     "PortInUseError",
     "ProcessState",
     "RouterProcess",
+    "list_events",
 ]
--- a/examples/demo.py
+++ b/examples/demo.py
@@ -146,7 +146,7 @@
 def count_starts(fleet, data_centre):
     """Return how many requests the agents of a data centre have started."""
     return sum(
-        event["name"] == "request_started"
+        event["name"] == "execution_started"
         for server in fleet.layout.servers
         if server.data_centre == data_centre
         for event in fleet.read_events(f"agent-{server.name}")
