--- /dev/null
+++ b/benchmarks/capacity/rows.py
@@ -0,0 +1,454 @@
+"""Rows of the page: which slope, at which size, against which budget."""
+
+from math import hypot
+from typing import NamedTuple
+
+from benchmarks.capacity import targets
+
+CHANGES_PER_S = targets.CHANGES_PER_DAY / targets.DAY_S
+RESTARTS_PER_S = targets.RESTARTS_PER_DAY / targets.DAY_S
+PROCESSOR = "processor"
+TRAFFIC = "traffic"
+MEMORY = "memory"
+MESSAGES = "messages"
+BUDGETS = {
+    PROCESSOR: targets.BUDGET_CORE_PERCENT,
+    TRAFFIC: targets.BUDGET_TRAFFIC_KB_PER_S,
+    MEMORY: targets.BUDGET_MEMORY_MB,
+}
+UNITS = {PROCESSOR: "% of a core", TRAFFIC: "KB/s", MEMORY: "MB"}
+# From the unit of a measure to the unit of the budget.
+SCALES = {PROCESSOR: 0.1, TRAFFIC: 1e-3, MEMORY: 1e-6, MESSAGES: 1.0}
+CONTROL = {
+    PROCESSOR: ("processor",),
+    TRAFFIC: ("sent_bytes", "received_bytes"),
+    MEMORY: ("memory",),
+    MESSAGES: ("sent_messages", "received_messages"),
+}
+DATA = {
+    PROCESSOR: ("data_processor",),
+    TRAFFIC: ("data_sent_bytes", "data_received_bytes"),
+    MESSAGES: ("data_sent_messages", "data_received_messages"),
+}
+
+
+class Row(NamedTuple):
+    """One quantity of one role.
+
+    :param role: ``router``, ``dispatcher`` or ``agent``.
+    :param probe: name of the probe with its slopes.
+    :param sizes: size in cells, and size with whole pools as built.
+    :param growth: how the quantity grows.
+    :param mechanism: what carries it, or is to bring it under the budget.
+    :param measures: measures by kind of cost.
+    :param factor: times a second that the cost occurs.
+    :param times: factors for the two sizes, of a cost that grows with a product.
+    :param has_fixed: whether the intercept belongs to the row.
+    :param is_summed: whether the row is in the sum of its role.
+    :param label: name of the row, empty for the quantity of the probe.
+    """
+
+    role: str
+    probe: str
+    sizes: tuple[float, float]
+    growth: str
+    mechanism: str
+    measures: dict[str, tuple[str, ...]] = CONTROL
+    factor: float = 1.0
+    times: tuple[float, float] = (1.0, 1.0)
+    has_fixed: bool = False
+    is_summed: bool = True
+    label: str = ""
+
+
+class Line(NamedTuple):
+    """One cost of one row.
+
+    :param slope: sum of the slopes of its measures, in their own unit.
+    :param slope_error: standard error of ``slope``.
+    :param r2: smallest of the measures that grow.
+    :param values: cost in the unit of the budget, in cells and as built.
+    """
+
+    row: Row
+    quantity: str
+    kind: str
+    unit: str
+    slope: float
+    slope_error: float
+    r2: float
+    n_messages: tuple[float, float]
+    values: tuple[float, float]
+
+
+PER_CHANGE_ROUTER = {
+    PROCESSOR: ("receive", "parse", "adopt_router"),
+    TRAFFIC: ("reply",),
+    MEMORY: ("memory",),
+}
+PER_CHANGE_AGENT = {**PER_CHANGE_ROUTER, PROCESSOR: ("receive", "parse", "adopt_agent")}
+CELLS = "cells of one pool in one data centre (designed, not built)"
+LIVENESS = (
+    "is to fall by taking parts and acknowledgements as signs of life, so that only "
+    "quiet links are probed (not built)"
+)
+HOSTS = (
+    "is to fall by a conditional read, 304 while the list is unchanged; the platform's "
+    "contract has none yet (not built)"
+)
+DOCUMENT = "version hints; the document is sent once for each change"
+RANKING = (
+    "one ranking for each change of hosts, document or liveness in place of ten a "
+    "second (not built)"
+)
+TICKS = "one tick of 5 ms while requests are open, of 50 ms otherwise"
+
+
+def list_shared_rows(role, peers, links, per_change):
+    """Return the rows that routers and agents have alike."""
+    every = (200, 200)
+    return [
+        Row(role, "loop_ticks", every, "constant", TICKS, has_fixed=True),
+        Row(role, "peers", peers, "peers with traffic, and candidates", LIVENESS),
+        Row(
+            role,
+            "loop_links",
+            links,
+            "as the peers",
+            "one connection for each direction, closed after 60 s without use",
+            {MEMORY: ("resident",)},
+        ),
+        Row(
+            role,
+            "loop_hosts",
+            (targets.N_HOSTS, targets.N_HOSTS),
+            "routers and agents",
+            HOSTS,
+            has_fixed=True,
+        ),
+        Row(
+            role,
+            "document_workspaces",
+            (targets.N_WORKSPACES, targets.N_WORKSPACES),
+            "workspaces, changes a day",
+            DOCUMENT,
+            per_change,
+            factor=CHANGES_PER_S,
+            has_fixed=True,
+        ),
+    ]
+
+
+ROUTER_ROWS = [
+    Row(
+        "router",
+        "router_pools",
+        (targets.N_MODELS, targets.N_MODELS),
+        "pools with waiting requests",
+        "whole demand of a pool every 0.5 s to two dispatchers, less often when empty",
+    ),
+    Row(
+        "router",
+        "router_requests",
+        (targets.REQUESTS_PER_ROUTER, targets.REQUESTS_PER_ROUTER),
+        "requests/s over routers",
+        "demand on change, at most every 50 ms once the dispatcher knows the class",
+    ),
+    Row(
+        "router",
+        "router_waiting",
+        (targets.WAITING_PER_ROUTER, targets.WAITING_PER_ROUTER),
+        "backlog over routers",
+        "one bounded queue for each workspace; demand holds classes, not requests",
+    ),
+    Row(
+        "router",
+        "router_in_flight",
+        (targets.IN_FLIGHT_PER_ROUTER, targets.IN_FLIGHT_PER_ROUTER),
+        "tokens/s × time between tokens / routers",
+        "attempts are scanned every 50 ms, not on every tick",
+    ),
+    Row(
+        "router",
+        "router_dispatchers",
+        (targets.N_CELLS, targets.N_MODELS),
+        "pools, or cells",
+        "passive dispatchers scan every 50 ms",
+        {PROCESSOR: ("processor",), MEMORY: ("memory",)},
+    ),
+    Row(
+        "router",
+        "router_reviews",
+        (targets.ROUTERS_PER_CELL, targets.N_ROUTERS),
+        "routers × pools, ten times a second",
+        RANKING,
+        has_fixed=True,
+    ),
+    *list_shared_rows(
+        "router",
+        (targets.ROUTER_PEERS_IN_CELLS, targets.ROUTER_PEERS),
+        (targets.ROUTER_PEERS_IN_CELLS, targets.ROUTER_PEERS),
+        PER_CHANGE_ROUTER,
+    ),
+]
+DISPATCHER_ROWS = [
+    Row(
+        "dispatcher",
+        "dispatcher_routers",
+        (targets.ROUTERS_PER_CELL, targets.N_ROUTERS),
+        "routers with waiting requests",
+        CELLS,
+    ),
+    Row(
+        "dispatcher",
+        "dispatcher_agents",
+        (targets.AGENTS_PER_CELL, targets.AGENTS_PER_POOL),
+        "backend servers of the unit",
+        CELLS + "; answers at most every 0.25 s",
+    ),
+    Row(
+        "dispatcher",
+        "dispatcher_backlogged",
+        (
+            targets.BACKLOGGED_PER_CELL,
+            targets.BACKLOGGED_PER_CELL * targets.N_DATA_CENTRES,
+        ),
+        "workspaces × routers at which each waits",
+        CELLS + "; demand by difference in place of the whole every 0.5 s (not built)",
+    ),
+    Row(
+        "dispatcher",
+        "dispatcher_backlogged",
+        (targets.N_BACKLOGGED, targets.N_BACKLOGGED * targets.N_DATA_CENTRES),
+        "the same if all 280 wait in one unit",
+        "demand by difference (not built)",
+        is_summed=False,
+        label="all 280 backlogged workspaces in one unit",
+    ),
+    Row(
+        "dispatcher",
+        "dispatcher_requests",
+        (targets.REQUESTS_PER_CELL, targets.REQUESTS_PER_POOL),
+        "requests/s of the unit",
+        CELLS,
+    ),
+    Row(
+        "dispatcher",
+        "peers",
+        (targets.DISPATCHER_PEERS_IN_CELLS, targets.DISPATCHER_PEERS),
+        "routers and agents that probe a candidate",
+        CELLS + "; " + LIVENESS,
+    ),
+    Row(
+        "dispatcher",
+        "document_workspaces",
+        (targets.N_WORKSPACES, targets.N_WORKSPACES),
+        "agents of the unit × document × changes a day",
+        CELLS + "; the average of a day, the burst is worked out below",
+        {PROCESSOR: ("send",), TRAFFIC: ("reply",)},
+        factor=CHANGES_PER_S,
+        times=(targets.AGENTS_PER_CELL, targets.AGENTS_PER_POOL),
+        has_fixed=True,
+        label="agents that ask for each new document",
+    ),
+    Row(
+        "dispatcher",
+        "dispatcher_served",
+        (targets.SERVED_PER_AGENT, targets.SERVED_PER_AGENT),
+        "agents of the unit × workspaces, at a takeover",
+        "whole reports only after a change of dispatcher",
+        factor=RESTARTS_PER_S,
+        times=(targets.AGENTS_PER_CELL, targets.AGENTS_PER_POOL),
+        label="whole reports after a takeover, one for each of 120 restarts a day",
+    ),
+]
+AGENT_ROWS = [
+    Row(
+        "agent",
+        "agent_requests",
+        (targets.REQUESTS_PER_AGENT, targets.REQUESTS_PER_AGENT),
+        "requests/s over agents",
+        "reports on change, at most every 5 ms",
+    ),
+    Row(
+        "agent",
+        "agent_in_flight",
+        (targets.IN_FLIGHT_PER_AGENT, targets.IN_FLIGHT_PER_AGENT),
+        "tokens/s × time between tokens / agents",
+        "is to fall by scanning deadlines and keepalives every 50 ms, as routers do, "
+        "in place of every tick (not built)",
+    ),
+    Row(
+        "agent",
+        "agent_free_places",
+        (targets.IN_FLIGHT_PER_AGENT, targets.IN_FLIGHT_PER_AGENT),
+        "free places, nearly with the square",
+        "is to fall by renewing all open tickets together, once a lifetime (not built)",
+        is_summed=False,
+        label="free places when no work waits (at most all 54)",
+    ),
+    Row(
+        "agent",
+        "agent_keys",
+        (targets.KEY_RECORDS, targets.KEY_RECORDS),
+        "keyed requests, up to the bound",
+        "max_key_records; the oldest are evicted and raise the floor",
+        {MEMORY: ("memory",)},
+    ),
+    Row(
+        "agent",
+        "agent_served",
+        (targets.SERVED_PER_AGENT, targets.SERVED_PER_AGENT),
+        "workspaces that use the model",
+        "totals that changed; whole reports only after a change of dispatcher",
+        factor=RESTARTS_PER_S,
+    ),
+    Row(
+        "agent",
+        "agent_reviews",
+        (targets.ROUTERS_PER_CELL, targets.N_ROUTERS),
+        "routers, ten times a second",
+        RANKING,
+        has_fixed=True,
+    ),
+    *list_shared_rows(
+        "agent",
+        (targets.AGENT_PEERS_IN_CELLS, targets.AGENT_PEERS),
+        (targets.AGENT_PEERS_IN_CELLS, targets.AGENT_PEERS),
+        PER_CHANGE_AGENT,
+    ),
+]
+CARRIED = "data, outside the control budget; {} routers and {} agents share it"
+DATA_ROWS = [
+    Row(role, probe, (size, size), growth, mechanism, DATA)
+    for role, probe, size, growth, mechanism in (
+        (
+            "router",
+            "router_parts",
+            targets.PARTS_PER_ROUTER,
+            "tokens/s over routers",
+            "one part for each token; a batch of parts in a frame is not built",
+        ),
+        (
+            "router",
+            "router_in_flight",
+            targets.IN_FLIGHT_PER_ROUTER,
+            "keepalives and acknowledgements of requests without parts",
+            "one keepalive and one acknowledgement every 0.5 s",
+        ),
+        (
+            "router",
+            "router_requests",
+            targets.REQUESTS_PER_ROUTER,
+            "requests/s over routers",
+            "Start with the body",
+        ),
+        (
+            "agent",
+            "agent_parts",
+            targets.PARTS_PER_AGENT,
+            "tokens/s over agents",
+            "one part for each token; a batch of parts in a frame is not built",
+        ),
+        (
+            "agent",
+            "agent_in_flight",
+            targets.IN_FLIGHT_PER_AGENT,
+            "keepalives and acknowledgements of requests without parts",
+            "one keepalive and one acknowledgement every 0.5 s",
+        ),
+        (
+            "agent",
+            "agent_requests",
+            targets.REQUESTS_PER_AGENT,
+            "requests/s over agents",
+            "Start with the body",
+        ),
+    )
+]
+ROLE_ROWS = {
+    "router": ROUTER_ROWS,
+    "dispatcher": DISPATCHER_ROWS,
+    "agent": AGENT_ROWS,
+}
+
+
+def find_message_cost(probes):
+    """Return the processor time of the loop and pynng at one end of a message, ms.
+
+    Both ends are in one process in the run, so half of the sum counts for each.
+    """
+    fits = probes["loop_messages"]["fits"]
+    return (fits["loop"]["slope"] + fits["pynng"]["slope"]) / 2
+
+
+def list_lines(row, probes):
+    """Return the :class:`Line` of each cost of a row that its probe has measured."""
+    probe = probes[row.probe]
+    lines = []
+    messages = combine(row, probe, row.measures.get(MESSAGES, ()))
+    for kind in BUDGETS:
+        names = [name for name in row.measures.get(kind, ()) if name in probe["fits"]]
+        if not names:
+            continue
+        # Memory is held all the time, not for each change.
+        factor = 1.0 if kind == MEMORY else row.factor
+        cost = combine(row, probe, names)
+        values = [value * factor * SCALES[kind] for value in cost.values]
+        n_messages = tuple(value * row.factor for value in messages.values)
+        if kind == PROCESSOR:
+            for position, count in enumerate(n_messages):
+                ms = count * find_message_cost(probes)
+                values[position] += ms * SCALES[PROCESSOR]
+        unit = probe["units"][names[0]]
+        line = Line(
+            row,
+            row.label or probe["quantity"],
+            kind,
+            unit,
+            cost.slope,
+            cost.slope_error,
+            cost.r2,
+            n_messages,
+            tuple(values),
+        )
+        lines.append(line)
+    return lines
+
+
+class Cost(NamedTuple):
+    """Sum of some measures of a probe, at the sizes of a row."""
+
+    slope: float
+    slope_error: float
+    r2: float
+    values: tuple[float, ...]
+
+
+def combine(row, probe, names):
+    """Return the :class:`Cost` of some measures; those that were not seen are 0."""
+    fits = [probe["fits"][name] for name in names if name in probe["fits"]]
+    slope = sum(fit["slope"] for fit in fits)
+    fixed = sum(fit["intercept"] for fit in fits) if row.has_fixed else 0.0
+    error = hypot(*(fit["slope_error"] for fit in fits)) if fits else 0.0
+    growing = [fit["r2"] for fit in fits if fit["slope"] != 0]
+    values = tuple(
+        (fixed + slope * size) * times
+        for size, times in zip(row.sizes, row.times, strict=True)
+    )
+    return Cost(slope, error, min(growing, default=1.0), values)
+
+
+def sum_role(role, probes, constants):
+    """Return the sums of a role: mapping from kind to values in cells and as built."""
+    sums = {kind: [0.0, 0.0] for kind in BUDGETS}
+    for row in ROLE_ROWS[role]:
+        if not row.is_summed:
+            continue
+        for line in list_lines(row, probes):
+            for position in range(2):
+                sums[line.kind][position] += line.values[position]
+    if role != "dispatcher":
+        base = constants["base_bytes"] * 1e-6 + targets.UNPACKED_MB
+        sums[MEMORY] = [value + base for value in sums[MEMORY]]
+    return sums
