--- a/benchmarks/capacity/tests/test_probes.py
+++ b/benchmarks/capacity/tests/test_probes.py
@@ -43,9 +43,7 @@
     first, second = (run_once(probe, size, 1) for _ in range(2))
     counted = [key for key in first if "bytes" in key or "messages" in key]
     assert counted
-    assert {key: first[key] for key in counted} == {
-        key: second[key] for key in counted
-    }
+    assert {key: first[key] for key in counted} == {key: second[key] for key in counted}
 
 
 def test_peers_take_memory():
--- a/benchmarks/capacity/words.py
+++ b/benchmarks/capacity/words.py
@@ -149,8 +149,8 @@
 ({t.AGENTS_PER_POOL} of a pool) send one whole report of {whole / 1000:.1f} KB each,
 {t.AGENTS_PER_CELL * whole / 1000:.0f} KB ({t.AGENTS_PER_POOL * whole / 1000:.0f} KB),
 and each router of the unit one demand. An agent that restarts sends its totals from
-zero, opens tickets with its new incarnation, and opens one connection to each router that
-uses it. Keys that are not newer than its start are answered `unknown`; that costs no
+zero, opens tickets with its new incarnation, and opens one connection to each router
+that uses it. Keys that are not newer than its start are answered `unknown`; that costs no
 message. Averaged over a day all of this is under 0.1 KB/s for a node."""
 
 
@@ -194,8 +194,8 @@
         f"After the loss of a data centre {moved:.0f} requests/s go to the others,"
         f" {100 / (t.N_DATA_CENTRES - 1):.0f}% more for each, so the rows that grow"
         f" with requests grow by as much. In cells, its {t.N_MODELS} cells are gone"
-        " together with the routers and agents that used them; no other cell changes its"
-        " dispatcher. Heartbeats to lost peers go on until the host list or the ranking"
+        " together with the routers and agents that used them; no other cell changes"
+        " its dispatcher. Heartbeats to lost peers go on until the host list or the ranking"
         f" drops them, at most 30 s: {rest} routers × {candidates} candidates ×"
         f" {routers}/{t.N_ROUTERS} × {HEARTBEATS_PER_S}/s ×"
         f" {beat:.0f} bytes = "
@@ -236,7 +236,8 @@
 {batch:.0f}). A part costs a router {parts * 1000:.0f} µs to verify, decode, decide and
 acknowledge, and {cost * 1000:.0f} µs in pynng and the event loop:
 {t.PARTS_PER_ROUTER} × ({parts * 1000:.0f} + {cost * 1000:.0f}) µs = {router:.0f}% of
-a core. At an agent it is {t.PARTS_PER_AGENT} × ({sent * 1000:.0f} + {cost * 1000:.0f}) µs = {agent:.0f}%. A part
+a core. At an agent it is {t.PARTS_PER_AGENT} ×
+({sent * 1000:.0f} + {cost * 1000:.0f}) µs = {agent:.0f}%. A part
 takes {size:.0f} bytes, {mega:.2f} MB/s at a router. Over the fleet this is
 {n_cores:.0f} cores of {t.N_ROUTERS + t.N_AGENTS} hosts. One event loop carries it as
 measured, and pynng with the loop is {100 * cost / (cost + parts):.0f}% of a router's
