Wait for an agent with a former document instead of refusing a key

Ruled out: letting the agent run the key (only the acting owner may). Before: the new test ends with a refusal. After: the request is queued again, and the start has told the agent of the newer version; after five redirects it is refused. Conclusion: documents of different age cost a round trip, not the request.

--- a/catkinfork/routing/_responses.py
+++ b/catkinfork/routing/_responses.py
@@ -28,7 +28,7 @@
 
 # Ticket races end after a few rounds; a longer series is a fault.
 MAX_REFUSED_STARTS = 20
-MAX_REDIRECTS = 3
+MAX_REDIRECTS = 5
 # Failures that would occur again.
 FINAL_FAILURES = frozenset(
     {"cancelled", "deadline_exceeded", "response_too_large", "too_expensive"}
@@ -217,16 +217,17 @@
         n_redirects=entry.n_redirects,
     )
     actions.append(event)
-    refusal = None
+    is_out = not state.view.is_in_service(message.redirect)
     if entry.n_redirects > MAX_REDIRECTS:
-        detail = f"{entry.n_redirects} redirects"
-        refusal = make_refusal(REDIRECT_LOOP, entry.outcome, detail)
-    elif not state.view.is_in_service(message.redirect):
-        detail = f"{message.redirect} is out of service"
-        refusal = make_refusal(OWNER_UNREACHABLE, entry.outcome, detail)
-    if refusal is not None:
+        code = OWNER_UNREACHABLE if is_out else REDIRECT_LOOP
+        detail = f"{entry.n_redirects} redirects, the last to {message.redirect}"
+        refusal = make_refusal(code, entry.outcome, detail)
         state.refuse(entry, refusal, now, actions)
         return
+    if is_out:
+        # The agent may not have the router's document yet; the start has told it of
+        # the version, and it asks for the document at once.
+        entry.redirect = ""
     requeue_request(state, attempt, message.code, now, actions)
 
 
--- a/catkinfork/routing/tests/test_attempts.py
+++ b/catkinfork/routing/tests/test_attempts.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from catkinfork.document import rank_key_servers
+from catkinfork.document import OUT, rank_key_servers
 from catkinfork.membership import ReplaceLink
 from catkinfork.protocol import (
     Cancel,
@@ -360,3 +360,14 @@
     start = start_one(core, make_request("a"))
     sender = Sender(AGENT.name, AGENT.incarnation, 7, "digest")
     assert len(list_answers(core.handle(sender, make_part(start, 0), 0.1))) == 1
+
+
+def test_redirect_to_a_server_that_is_out_waits_for_the_agent_to_catch_up():
+    """Guards against a refusal while an agent still has the former document."""
+    core = make_router()
+    core.adopt(make_view(2, states=[("runner-2", OUT)]), 0.0)
+    start = start_one(core, make_request("a", **KEYED))
+    redirect = StartRefused(start.attempt, "not_owner", NOT_RUN, True, "runner-2")
+    assert list_answers(core.handle(AGENT, redirect, 0.1)) == []
+    [again] = list_messages(core.handle(DISPATCHERS[0], make_grant(2), 0.2), Start)
+    assert again.request_id == "a"
