Stop copies of a crashing request, and never call an open key not run

Cause: a second submission of a crashing request through another router reached a third engine 10 ms after its fingerprint was blocked (trace: blocked at .062, started at .073): agents heard of blocks only with their next report, and since reports were cut, a crash at a limit of one place waited for the next regular report. Two more faults were found by reading: the gateway, and the router after 20 refused starts, said not_run about keys that an earlier submission may have run. Ruled out: sending blocks to all routers (idle ones do not listen); only agents can refuse for sure. Conclusion: a block reaches every agent of the pool at once.

--- a/catkinfork/dispatch/_dispatcher.py
+++ b/catkinfork/dispatch/_dispatcher.py
@@ -188,7 +188,7 @@
         blocked = self.suspects.take(
             sender.name, sender.incarnation, report.suspects, now
         )
-        return [
+        events = [
             log_event(
                 FINGERPRINT_BLOCKED,
                 pool=self.pool,
@@ -197,6 +197,22 @@
             )
             for fingerprint in blocked
         ]
+        return events + (self.tell_blocked(sender.name) if blocked else [])
+
+    def tell_blocked(self, reporter):
+        """Return the list of blocked fingerprints for all agents but the reporter.
+
+        A copy of the request may come through another router within milliseconds, and
+        only the agents can refuse it for sure.
+        """
+        blocked = self.suspects.list_blocked()
+        sends = []
+        for agent in self.agents.list_live():
+            if agent.address != reporter:
+                agent.acked_blocked = blocked
+                ack = ReportAck(agent.report.sequence, not agent.has_whole, blocked)
+                sends.append(Send(agent.address, ack))
+        return sends
 
     def activate(self, sender, now):
         """Become the dispatcher, from the last summary if one was heard since."""
--- a/catkinfork/dispatch/tests/test_matching.py
+++ b/catkinfork/dispatch/tests/test_matching.py
@@ -8,6 +8,7 @@
     ROUTER,
     agent_of,
     demand,
+    find_sent,
     get_ack,
     get_summary,
     list_events,
@@ -18,7 +19,7 @@
     report,
     want,
 )
-from catkinfork.protocol import PoolSummary, Sender, WorkspaceSummary
+from catkinfork.protocol import PoolSummary, ReportAck, Sender, WorkspaceSummary
 
 TWO = make_view({"s1": ["m"], "s2": ["m", "n"]})
 
@@ -227,6 +228,18 @@
     assert len(list_grants(offer(dispatcher, "s1", 4, [1], 0.3))) == 1
 
 
+def test_all_agents_hear_of_a_block_at_once():
+    """Guards against a third crash by a copy of the request through another router."""
+    dispatcher = make_dispatcher(make_view({"s1": ["m"], "s2": ["m"], "s3": ["m"]}))
+    crash = [(b"x", 1, 0, 0.0)]
+    for name in ("s1", "s2", "s3"):
+        offer(dispatcher, name, 1, [], now=0.0)
+    offer(dispatcher, "s1", 2, [], suspects=crash, now=0.1)
+    actions = offer(dispatcher, "s2", 2, [], suspects=crash, now=0.11)
+    told = {address: ack.blocked for address, ack in find_sent(actions, ReportAck)}
+    assert sorted(told.values()) == [[b"x"]] * 3
+
+
 def test_blocked_fingerprints_survive_an_agent_restart():
     """Guards against a crash that is forgotten with the agent that saw it (R13)."""
     dispatcher = make_dispatcher(TWO)
--- a/catkinfork/execution/_agent.py
+++ b/catkinfork/execution/_agent.py
@@ -235,7 +235,8 @@
         state, n_places = capacity.state, capacity.n_places
         # A used ticket can wait for the next report, since the dispatcher granted it.
         suspect = self.runner.find_running_suspect()
-        view = (state, n_places, capacity.tickets.n_issued, suspect)
+        n_crashes = self.suspects.n_crashes
+        view = (state, n_places, capacity.tickets.n_issued, suspect, n_crashes)
         if not self.reporter.is_due(view, now):
             return []
         send = self.reporter.report(
--- a/catkinfork/execution/_suspects.py
+++ b/catkinfork/execution/_suspects.py
@@ -19,9 +19,11 @@
         self.settings = settings
         self.suspects = OrderedDict()
         self.fleet_blocked = frozenset()
+        self.n_crashes = 0
 
     def note_crash(self, fingerprints, now):
         """Count a crash for every fingerprint in flight."""
+        self.n_crashes += 1
         n_neighbours = max(len(fingerprints) - 1, 0)
         for fingerprint in dict.fromkeys(fingerprints):
             n_crashes, _, _ = self.suspects.pop(fingerprint, (0, 0, 0.0))
--- a/catkinfork/execution/tests/test_capacity.py
+++ b/catkinfork/execution/tests/test_capacity.py
@@ -187,6 +187,18 @@
     assert list_kind(actions, RunRequest)
 
 
+def test_crash_is_reported_at_once():
+    """Guards against a crashing request that is granted again before its report."""
+    bench = Bench()
+    bench.run_for(2.0)
+    start, _ = bench.start(body=b"x")
+    bench.run_for(0.02, 0.01)
+    actions = bench.observe(BackendFailure(start.attempt, "reset", "connection reset"))
+    actions += bench.run_for(0.01, 0.005)
+    [report, *_] = list_sent(actions, AgentReport)
+    assert [suspect.n_crashes for suspect in report.suspects] == [1]
+
+
 def test_dispatcher_blocks_fingerprints():
     """Guards against a request that crashed two other servers."""
     bench = Bench()
--- a/catkinfork/gateway/_application.py
+++ b/catkinfork/gateway/_application.py
@@ -3,8 +3,10 @@
 import math
 import uuid
 from abc import ABC, abstractmethod
+from functools import partial
 
 import anyio
+from result import Err, Ok
 
 from catkinfork.gateway._events import (
     CALLER_GONE,
@@ -29,6 +31,7 @@
     list_models,
 )
 from catkinfork.observability import log_event
+from catkinfork.routing import UNKNOWN
 
 
 class CallerGoneError(Exception):
@@ -84,25 +87,47 @@
         """Answer one HTTP request."""
         request_id = uuid.uuid4().hex
         headers = decode_headers(scope["headers"])
-        if count_header_bytes(scope) > self.settings.max_header_bytes:
-            refusal = refuse_large_header(self.settings.max_header_bytes)
-            await self.refuse(send, refusal, request_id, "")
-            return
-        view = self.handler.find_view()
-        if view is None:
-            await self.refuse(send, NOT_READY, request_id, "")
-            return
-        workspace = view.find_workspace(read_api_key(headers))
-        if workspace is None:
-            await self.refuse(send, UNAUTHORIZED, request_id, "")
+        caller = self.check_caller(scope, headers)
+        if caller.is_err():
+            await self.refuse_early(send, caller.err_value, headers, request_id, "")
             return
+        view, workspace = caller.ok_value
         if scope["path"] == MODELS_PATH and scope["method"] == "GET":
             content_type = [("content-type", "application/json")]
             await send_whole(send, 200, content_type, list_models(view))
             return
-        body = await self.read_body(headers, receive, send, request_id, workspace)
-        if body is None:
+        try:
+            body = await self.read_body(headers, receive)
+        except CallerGoneError:
+            self.note_caller_gone(request_id, workspace, "request body")
+            return
+        request = body.and_then(
+            partial(self.convert, scope, headers, view, workspace, request_id)
+        )
+        if request.is_err():
+            refusal = request.err_value
+            await self.refuse_early(send, refusal, headers, request_id, workspace)
             return
+        await self.exchange(request.ok_value, receive, send)
+
+    def check_caller(self, scope, headers):
+        """Find the workspace of a caller.
+
+        :returns: ``Ok`` with document view and workspace, or ``Err`` with a
+            :class:`Refusal`.
+        """
+        if count_header_bytes(scope) > self.settings.max_header_bytes:
+            return Err(refuse_large_header(self.settings.max_header_bytes))
+        view = self.handler.find_view()
+        if view is None:
+            return Err(NOT_READY)
+        workspace = view.find_workspace(read_api_key(headers))
+        if workspace is None:
+            return Err(UNAUTHORIZED)
+        return Ok((view, workspace))
+
+    def convert(self, scope, headers, view, workspace, request_id, body):
+        """Convert an HTTP request; see :func:`convert_request`."""
         http = HttpRequest(
             request_id,
             workspace,
@@ -112,38 +137,32 @@
             headers,
             body,
         )
-        now = self.handler.read_clock()
-        converted = convert_request(http, view, self.settings, now)
-        if converted.is_err():
-            await self.refuse(send, converted.err_value, request_id, workspace)
-            return
-        await self.exchange(converted.ok_value, receive, send)
+        return convert_request(http, view, self.settings, self.handler.read_clock())
+
+    async def read_body(self, headers, receive):
+        """Read the whole body.
 
-    async def read_body(self, headers, receive, send, request_id, workspace):
-        """Return the whole body, or None if the request was refused or cut."""
+        :returns: ``Ok`` with the bytes, or ``Err`` with a :class:`Refusal`.
+        :raises CallerGoneError: if the caller closes the connection before its end.
+        """
         bound = self.settings.max_body_bytes
         length = find_header(headers, "content-length")
         if length.isdigit() and int(length) > bound:
-            await self.refuse(send, refuse_large_body(bound), request_id, workspace)
-            return None
+            return Err(refuse_large_body(bound))
         chunks = []
         n_bytes = 0
         with anyio.move_on_after(self.settings.body_timeout_s):
             while True:
                 message = await receive()
                 if message["type"] == "http.disconnect":
-                    self.note_caller_gone(request_id, workspace, "request body")
-                    return None
+                    raise CallerGoneError
                 chunks.append(message.get("body", b""))
                 n_bytes += len(chunks[-1])
                 if n_bytes > bound:
-                    refusal = refuse_large_body(bound)
-                    await self.refuse(send, refusal, request_id, workspace)
-                    return None
+                    return Err(refuse_large_body(bound))
                 if not message.get("more_body", False):
-                    return b"".join(chunks)
-        await self.refuse(send, BODY_TIMEOUT, request_id, workspace)
-        return None
+                    return Ok(b"".join(chunks))
+        return Err(BODY_TIMEOUT)
 
     async def exchange(self, request, receive, send):
         """Submit a request and pass its response on until either side ends."""
@@ -234,6 +253,16 @@
             )
         )
 
+    async def refuse_early(self, send, refusal, headers, request_id, workspace):
+        """Refuse a request that has not reached the router's decisions.
+
+        An earlier submission of a key may have run, so that only the owner of the
+        key may say that it has not.
+        """
+        if find_header(headers, "idempotency-key"):
+            refusal = refusal._replace(outcome=UNKNOWN)
+        await self.refuse(send, refusal, request_id, workspace)
+
     async def refuse(self, send, refusal, request_id, workspace):
         """Send a refusal and log it."""
         self.handler.write_log(
--- a/catkinfork/routing/_responses.py
+++ b/catkinfork/routing/_responses.py
@@ -187,7 +187,9 @@
     if message.is_retryable and may_start_again(entry):
         requeue_request(state, attempt, message.code, now, actions)
         return
-    is_not_run = message.outcome == NOT_RUN and not entry.may_have_run
+    # A retryable refusal leaves the key open, so that a copy of the request may run.
+    is_open_key = entry.request.key and message.is_retryable
+    is_not_run = message.outcome == NOT_RUN and not (entry.may_have_run or is_open_key)
     outcome = NOT_RUN if is_not_run else UNKNOWN
     refusal = make_agent_refusal(
         message.code, outcome, f"the agent of {attempt.backend_server} refused it"
--- a/catkinfork/routing/tests/test_attempts.py
+++ b/catkinfork/routing/tests/test_attempts.py
@@ -371,3 +371,16 @@
     assert list_answers(core.handle(AGENT, redirect, 0.1)) == []
     [again] = list_messages(core.handle(DISPATCHERS[0], make_grant(2), 0.2), Start)
     assert again.request_id == "a"
+
+
+def test_open_key_is_not_refused_as_not_run():
+    """Guards against a caller that books again while a copy of the key may run."""
+    core = make_router()
+    core.submit(make_request("a", **KEYED), 0.0)
+    answers = []
+    for number in range(1, 40):
+        granted = core.handle(DISPATCHERS[0], make_grant(number), 0.1)
+        for start in list_messages(granted, Start):
+            refused = StartRefused(start.attempt, "ticket_invalid", NOT_RUN, True)
+            answers += list_answers(core.handle(AGENT, refused, 0.1))
+    assert [answer.refusal.outcome for answer in answers] == [UNKNOWN]
