--- a/benchmarks/process_run.py
+++ b/benchmarks/process_run.py
@@ -18,7 +18,8 @@
 import anyio
 import httpx
 
-from standins.local_fleet import FleetLayout, LocalFleet, ServerLayout
+from standins.fleet_layout import FleetLayout, ServerLayout
+from standins.local_fleet import LocalFleet
 
 WARM_UP_S = 6.0
 BACKLOG_S = 15.0
@@ -254,7 +255,7 @@
             continue
         for event in fleet.read_events(f"agent-{server.name}"):
             moment = read_time(event["time"]) - offset_s
-            is_start = event["name"] in ("execution_started", "request_started")
+            is_start = event["name"] == "execution_started"
             if is_start and marks["out"] + OUT_GRACE_S < moment < marks["return"]:
                 n_late += 1
     return n_late
--- a/catkinfork/routing/_pools.py
+++ b/catkinfork/routing/_pools.py
@@ -7,6 +7,11 @@
 OWNER_TIMEOUT_S = 4.0
 
 
+# A router without demand receives no summaries; an old list must not refuse requests
+# whose block has ended. Short against the block time of 10 minutes.
+SUSPICION_LIFETIME_S = 60.0
+
+
 class PoolState:
     """Last summary of a pool.
 
@@ -18,6 +23,7 @@
         self.source = None
         self.sequence = 0
         self.heard_at = None
+        self.listening_since = None
         self.waits_s = {}
         self.suspects = frozenset()
         self.blocked = frozenset()
@@ -33,6 +39,8 @@
             return False
         self.source = source
         self.sequence = summary.sequence
+        if not self.is_fresh(now):
+            self.listening_since = now
         self.heard_at = now
         self.waits_s = {
             entry.workspace: entry.wait_ms / 1000 for entry in summary.workspaces
@@ -48,14 +56,35 @@
         """Return whether a summary has arrived lately."""
         return self.heard_at is not None and now - self.heard_at < SUMMARY_LIFETIME_S
 
+    def is_suspect(self, fingerprint, now):
+        """Return whether a request was in flight at a crash."""
+        return fingerprint in self.suspects and self.is_suspicion_known(now)
+
+    def is_blocked(self, fingerprint, now):
+        """Return whether a request is refused because of crashes."""
+        return fingerprint in self.blocked and self.is_suspicion_known(now)
+
+    def is_suspicion_known(self, now):
+        """Return whether the lists of suspects are recent enough to be used."""
+        return now - self.heard_at < SUSPICION_LIFETIME_S
+
     def get_wait(self, workspace, now):
         """Return the expected wait of a new request in seconds, 0 if not known."""
         return self.waits_s.get(workspace, 0.0) if self.is_fresh(now) else 0.0
 
-    def is_missing(self, backend_server, now):
-        """Return whether a backend server has not been in a summary for a while."""
+    def is_missing(self, backend_server, waiting_since, now):
+        """Return whether a backend server has not been in a summary for a while.
+
+        A router without demand receives no summaries. Only the time in which they
+        arrive counts, or without any the time in which a request waits.
+
+        :param waiting_since: monotonic time since which a request waits for it.
+        """
         listed_at = self.listed_at.get(backend_server)
-        return listed_at is None or now - listed_at >= OWNER_TIMEOUT_S
+        if listed_at is None:
+            return True
+        since = self.listening_since if self.is_fresh(now) else waiting_since
+        return now - max(listed_at, since) >= OWNER_TIMEOUT_S
 
     def set_servers(self, names, now):
         """Set the backend servers of the document; new ones count as just listed."""
--- a/catkinfork/routing/_responses.py
+++ b/catkinfork/routing/_responses.py
@@ -17,6 +17,7 @@
     NOT_RUN,
     OWNER_UNREACHABLE,
     REDIRECT_LOOP,
+    REQUEST_BLOCKED,
     RETRIES_EXHAUSTED,
     UNKNOWN,
     make_agent_refusal,
@@ -27,11 +28,14 @@
 
 # Ticket races end after a few rounds; a longer series is a fault.
 MAX_REFUSED_STARTS = 20
-MAX_REDIRECTS = 3
+MAX_REDIRECTS = 5
 # Failures that would occur again.
 FINAL_FAILURES = frozenset(
     {"cancelled", "deadline_exceeded", "response_too_large", "too_expensive"}
 )
+BACKEND_CRASHED = "backend_crashed"
+# Crashes after which this router does not send a request again by itself.
+MAX_CRASHES = 2
 # Failures that are no reason to suspect the request of a crash.
 HARMLESS_FAILURES = FINAL_FAILURES | {
     "agent_lost",
@@ -213,16 +217,17 @@
         n_redirects=entry.n_redirects,
     )
     actions.append(event)
-    refusal = None
+    is_out = not state.view.is_in_service(message.redirect)
     if entry.n_redirects > MAX_REDIRECTS:
-        detail = f"{entry.n_redirects} redirects"
-        refusal = make_refusal(REDIRECT_LOOP, entry.outcome, detail)
-    elif not state.view.is_in_service(message.redirect):
-        detail = f"{message.redirect} is out of service"
-        refusal = make_refusal(OWNER_UNREACHABLE, entry.outcome, detail)
-    if refusal is not None:
+        code = OWNER_UNREACHABLE if is_out else REDIRECT_LOOP
+        detail = f"{entry.n_redirects} redirects, the last to {message.redirect}"
+        refusal = make_refusal(code, entry.outcome, detail)
         state.refuse(entry, refusal, now, actions)
         return
+    if is_out:
+        # The agent may not have the router's document yet; the start has told it of
+        # the version, and it asks for the document at once.
+        entry.redirect = ""
     requeue_request(state, attempt, message.code, now, actions)
 
 
@@ -294,6 +299,14 @@
     entry = attempt.entry
     if code not in HARMLESS_FAILURES:
         entry.is_suspect = True
+    if code == BACKEND_CRASHED:
+        entry.n_crashes += 1
+    if entry.n_crashes >= MAX_CRASHES:
+        # The dispatcher blocks it as well, but a grant may be on its way already.
+        detail = f"{entry.n_crashes} crashes"
+        refusal = make_refusal(REQUEST_BLOCKED, UNKNOWN, detail)
+        state.refuse(entry, refusal, now, actions)
+        return
     max_attempts = state.settings.routing.max_attempts
     if entry.n_tries >= max_attempts or not state.budget.take():
         detail = (
