--- a/benchmarks/capacity/page.py
+++ b/benchmarks/capacity/page.py
@@ -3,6 +3,12 @@
 import re
 from textwrap import fill
 
+from benchmarks.capacity.costs import (
+    find_message_cost,
+    list_lines,
+    sum_rest,
+    sum_role,
+)
 from benchmarks.capacity.rows import (
     BUDGETS,
     DATA_ROWS,
@@ -11,10 +17,6 @@
     ROLE_ROWS,
     TRAFFIC,
     UNITS,
-    find_message_cost,
-    list_lines,
-    sum_rest,
-    sum_role,
 )
 from benchmarks.capacity.words import PARAGRAPHS
 
--- a/benchmarks/capacity/tests/test_page.py
+++ b/benchmarks/capacity/tests/test_page.py
@@ -3,9 +3,10 @@
 import pytest
 
 from benchmarks.capacity.__main__ import PAGE, make_results
+from benchmarks.capacity.costs import list_lines
 from benchmarks.capacity.page import MissingMarkerError, fill_page, fill_part
 from benchmarks.capacity.probes import PROBES
-from benchmarks.capacity.rows import Row, list_lines
+from benchmarks.capacity.rows import Row
 
 TEXT = "a\n<!-- capacity:run -->\nold\n<!-- /capacity:run -->\nb\n"
 RUN = {
