--- a/benchmarks/capacity/page.py
+++ b/benchmarks/capacity/page.py
@@ -212,7 +212,8 @@
             note = f"the rows that are not over alone make {left} {UNITS[kind]}"
             if kind == PROCESSOR:
                 note += (
-                    "; is to fall by one frame for all messages of a tick (not built)"
+                    "; is to fall by fewer probes and one frame for all messages of a "
+                    "tick to a peer (neither is built or measured)"
                 )
             items += describe_over(f"**{role}, sum**, {kind}", kind, values, note)
     return "\n".join(items) or "None."
--- a/benchmarks/capacity/rows.py
+++ b/benchmarks/capacity/rows.py
@@ -123,8 +123,8 @@
         "router_pools",
         (targets.N_MODELS, targets.N_MODELS),
         "pools with waiting requests",
-        "whole demand of a pool every 0.5 s to two dispatchers; is to fall by demand by "
-        "difference (not built)",
+        "whole demand of a pool every 0.5 s to two dispatchers; is to fall by demand "
+        "by difference (not built)",
     ),
     Row(
         "router",
--- a/benchmarks/capacity/words.py
+++ b/benchmarks/capacity/words.py
@@ -103,9 +103,11 @@
 {calls:.0f}, and in the second of a change each watch is answered and asked again:
 {burst:.0f} of the {t.PLATFORM_CALLS_PER_S} allowed. If the host list is counted against
 the same limit, its {hosts} reads a second make {calls + hosts:.0f}, and
-{burst + hosts:.0f} in the second of a change; that is within the limit. A second list that every
-process reads each second would not be: {burst + 2 * hosts:.0f}. Each read of the host list transfers {page / 1000:.0f} KB, so that the list costs
-its service {page * hosts / 1e6:.0f} MB/s; this is over the budget of each node, see the
+{burst + hosts:.0f} in the second of a change; that is within the limit. A
+second list that every process reads each second would not be:
+{burst + 2 * hosts:.0f}. Each read of the host list transfers {page / 1000:.0f} KB, so
+that the list costs its service {page * hosts / 1e6:.0f} MB/s; this is over the budget
+of each node, see the
 tables.
 
 *Bytes.* The document of {t.N_WORKSPACES:,} workspaces with {t.KEYS_PER_WORKSPACE} key
@@ -254,8 +256,9 @@
 ({sent * 1000:.0f} + {cost * 1000:.0f}) µs = {agent:.0f}%. A part
 takes {size:.0f} bytes, {mega:.2f} MB/s at a router. Over the fleet this is
 {n_cores:.0f} cores of {t.N_ROUTERS + t.N_AGENTS} hosts. One event loop carries it as
-measured; acknowledgements are in the row of the requests in flight. Pynng with the loop is {100 * cost / (cost + parts):.0f}% of a router's
-cost; frames that hold the parts of several requests of the same tick would divide that
+measured; acknowledgements are in the row of the requests in flight. Pynng
+with the loop is {100 * cost / (cost + parts):.0f}% of a router's cost; frames that
+hold the parts of several requests of the same tick would divide that
 part (not built). The gateway's HTTP side towards callers and the agent's HTTP side
 towards the engine are not in these figures: they were not measured."""
 
