--- a/benchmarks/capacity/harness.py
+++ b/benchmarks/capacity/harness.py
@@ -10,6 +10,7 @@
 import logbook
 
 from catkinfork.observability import EventLog, LogEvent
+from catkinfork.processes._base import TICK_INTERVAL_S as TICK_S
 from catkinfork.protocol import (
     KeyRing,
     ResponseAck,
@@ -23,7 +24,8 @@
 )
 from catkinfork.settings import LogSettings
 
-TICK_S = 0.005
+# Ticks of the probes are those of the processes while requests are open.
+TICKS_PER_S = round(1 / TICK_S)
 WALL_OFFSET_S = 1.7e9
 INCARNATION = round(WALL_OFFSET_S * 1000)
 DIGEST = "0123456789abcdef"
