--- a/benchmarks/capacity/targets.py
+++ b/benchmarks/capacity/targets.py
@@ -95,3 +95,6 @@
 DISPATCHER_PEERS_IN_CELLS = ROUTERS_PER_CELL + AGENTS_PER_CELL
 DISPATCHER_PEERS = N_ROUTERS + AGENTS_PER_POOL
 N_HOSTS = N_ROUTERS + N_AGENTS
+# A host leaves and its successor comes: two changes for each of 120 restarts or
+# replacements and 8 failures.
+HOST_CHANGES_PER_DAY = 2 * (120 + 8)
--- a/catkinfork/membership/_dispatchers.py
+++ b/catkinfork/membership/_dispatchers.py
@@ -2,8 +2,6 @@
 
 from typing import NamedTuple
 
-from catkinfork.membership._ranking import rank_candidates
-
 # The second takes over when the first dies, and meets processes whose views differ.
 N_DISPATCHERS = 2
 # One more than the dispatchers, so that the next one is known to be live or not.
@@ -22,16 +20,14 @@
     probed: list[str]
 
 
-def choose_dispatchers(pool, routers, live, dead):
+def choose_dispatchers(ranked, live, dead):
     """Choose the dispatchers of a pool.
 
-    :param pool: pool name.
-    :param routers: inner addresses of the listed routers.
+    :param ranked: inner addresses of the listed routers, in the pool's order.
     :param live: those of them that may act as dispatcher.
     :param dead: those of them that are known not to answer.
     :returns: :class:`DispatcherChoice`.
     """
-    ranked = rank_candidates(pool, routers)
     chosen = [address for address in ranked if address in live][:N_DISPATCHERS]
     return DispatcherChoice(chosen, list_probed(ranked, dead))
 
--- a/catkinfork/processes/_base.py
+++ b/catkinfork/processes/_base.py
@@ -13,7 +13,12 @@
     HttpConfigurationSource,
     HttpHostList,
 )
-from catkinfork.membership import PeerTable, ReplaceLink, choose_dispatchers
+from catkinfork.membership import (
+    PeerTable,
+    ReplaceLink,
+    choose_dispatchers,
+    rank_candidates,
+)
 from catkinfork.observability import EventLog, LogEvent, log_event
 from catkinfork.processes._admin import AdminApplication
 from catkinfork.processes._events import (
@@ -86,6 +91,8 @@
         self.status = StatusCollector(self)
         self.hosts = []
         self.dispatchers = {}
+        self.ranked_routers = set()
+        self.rankings = {}
         self.has_started = False
         self.is_draining = False
         self.stop = anyio.Event()
@@ -254,7 +261,8 @@
         dead = {name for name in routers - live if name in self.peers.peers}
         wanted = set()
         for pool in self.list_pools():
-            chosen, probed = choose_dispatchers(pool, routers, live, dead)
+            ranked = self.rank_routers(pool, routers)
+            chosen, probed = choose_dispatchers(ranked, live, dead)
             wanted.update(probed)
             if chosen != self.dispatchers.get(pool):
                 self.dispatchers[pool] = chosen
@@ -264,6 +272,15 @@
         wanted.discard(self.fleet.address)
         self.peers.want(wanted, now)
 
+    def rank_routers(self, pool, routers):
+        """Return the routers in the order of a pool, ranked once for each list."""
+        if routers != self.ranked_routers:
+            self.ranked_routers = routers
+            self.rankings = {}
+        if pool not in self.rankings:
+            self.rankings[pool] = rank_candidates(pool, routers)
+        return self.rankings[pool]
+
     def can_dispatch(self, address, now):
         """Return whether a router may act as dispatcher."""
         if address == self.fleet.address:
