Log outages of both platform clients in one place

Cause: the clients of the configuration service and of the host list held the same two methods. Ruled out: a common base class, as they share nothing else. Before: two copies. Conclusion: OutageLog serves both.

--- a/catkinfork/configuration/_hosts.py
+++ b/catkinfork/configuration/_hosts.py
@@ -13,7 +13,7 @@
     HOST_LIST_FAILED,
     HOST_LIST_RECOVERED,
 )
-from catkinfork.configuration._http import Backoff, HttpReader
+from catkinfork.configuration._http import Backoff, HttpReader, OutageLog
 from catkinfork.observability import log_event
 
 LIVE = "live"
@@ -79,7 +79,9 @@
         self.rng = rng
         self.on_event = on_event
         self.url = settings.hosts_url
-        self.failed_at = None
+        self.outages = OutageLog(
+            self.url, HOST_LIST_FAILED, HOST_LIST_RECOVERED, on_event
+        )
         self.content = None
         self.tag = ""
 
@@ -99,14 +101,14 @@
                 if result.is_err() or not self.is_same(result.ok()):
                     result = result.and_then(self.read_answer)
                     if result.is_err():
-                        self.note_failure(result.err())
+                        self.outages.note_failure(result.err())
                         await anyio.sleep(backoff.next_pause())
                         continue
                     if result.ok() != last:
                         last = result.ok()
                         on_hosts(last)
                 backoff.reset()
-                self.note_success()
+                self.outages.note_success()
                 jitter = self.rng.uniform(1.0 - INTERVAL_JITTER, 1.0 + INTERVAL_JITTER)
                 await anyio.sleep(self.settings.hosts_interval_s * jitter)
 
@@ -143,21 +145,3 @@
             )
             self.on_event(event)
             return None
-
-    def note_failure(self, error):
-        """Log the first failure of a row."""
-        if self.failed_at is not None:
-            return
-        self.failed_at = anyio.current_time()
-        event = log_event(
-            HOST_LIST_FAILED, url=self.url, reason=error.reason, detail=error.detail
-        )
-        self.on_event(event)
-
-    def note_success(self):
-        """Log the end of a row of failures."""
-        if self.failed_at is None:
-            return
-        failed_s = anyio.current_time() - self.failed_at
-        self.failed_at = None
-        self.on_event(log_event(HOST_LIST_RECOVERED, url=self.url, failed_s=failed_s))
--- a/catkinfork/configuration/_http.py
+++ b/catkinfork/configuration/_http.py
@@ -12,6 +12,7 @@
     SourceUnreachable,
     UnexpectedAnswer,
 )
+from catkinfork.observability import log_event
 
 # A connection that has gone silent must be replaced within 2 s. The services answer in
 # milliseconds, so that 0.6 s without a byte beyond the requested wait is silence.
@@ -67,6 +68,41 @@
     return httpx.create_ssl_context()
 
 
+class OutageLog:
+    """Logs the first failure of a row and the success that ends it.
+
+    :param url: URL of the service.
+    :param failed: event with ``url``, ``reason`` and ``detail``.
+    :param recovered: event with ``url`` and ``failed_s``.
+    :param on_event: called with each :class:`LogEvent`.
+    """
+
+    def __init__(self, url, failed, recovered, on_event):
+        self.url = url
+        self.failed = failed
+        self.recovered = recovered
+        self.on_event = on_event
+        self.failed_at = None
+
+    def note_failure(self, error):
+        """Note a :class:`SourceError`."""
+        if self.failed_at is not None:
+            return
+        self.failed_at = anyio.current_time()
+        event = log_event(
+            self.failed, url=self.url, reason=error.reason, detail=error.detail
+        )
+        self.on_event(event)
+
+    def note_success(self):
+        """Note a complete answer."""
+        if self.failed_at is None:
+            return
+        failed_s = anyio.current_time() - self.failed_at
+        self.failed_at = None
+        self.on_event(log_event(self.recovered, url=self.url, failed_s=failed_s))
+
+
 class HttpReader:
     """Reads from one service over HTTP.
 
--- a/catkinfork/configuration/_source.py
+++ b/catkinfork/configuration/_source.py
@@ -8,9 +8,8 @@
 
 from catkinfork.configuration._errors import NoSuchValue, UnexpectedAnswer
 from catkinfork.configuration._events import SOURCE_FAILED, SOURCE_RECOVERED
-from catkinfork.configuration._http import Backoff, HttpReader
+from catkinfork.configuration._http import Backoff, HttpReader, OutageLog
 from catkinfork.document import MAX_DOCUMENT_BYTES
-from catkinfork.observability import log_event
 
 # Longest time for which a watch is held back. A pending watch gives no sign of life, so
 # that its length adds to the time in which a silent connection is noticed: 1 s + 0.6 s
@@ -72,7 +71,7 @@
         base = settings.configuration_url.rstrip("/")
         self.url = f"{base}/v1/values/{settings.environment}"
         self.revision = None
-        self.failed_at = None
+        self.outages = OutageLog(self.url, SOURCE_FAILED, SOURCE_RECOVERED, on_event)
         self.full_read_at = 0.0
 
     async def read_once(self):
@@ -87,11 +86,12 @@
                 wait_s = WATCH_WAIT_S if self.is_watching else 0.0
                 result = await self.fetch(reader, self.choose_revision(), wait_s)
                 if result.is_err():
-                    self.note_failure(result.err())
+                    self.revision = None
+                    self.outages.note_failure(result.err())
                     await anyio.sleep(backoff.next_pause())
                     continue
                 backoff.reset()
-                self.note_success()
+                self.outages.note_success()
                 is_newer = self.take(result.ok(), on_value)
                 await self.pause(started_at, is_newer)
 
@@ -154,22 +154,3 @@
             return
         jitter = self.rng.uniform(1.0 - POLL_JITTER, 1.0 + POLL_JITTER)
         await anyio.sleep(self.settings.poll_interval_s * jitter)
-
-    def note_failure(self, error):
-        """Log the first failure of a row and read the value anew after it."""
-        self.revision = None
-        if self.failed_at is not None:
-            return
-        self.failed_at = anyio.current_time()
-        event = log_event(
-            SOURCE_FAILED, url=self.url, reason=error.reason, detail=error.detail
-        )
-        self.on_event(event)
-
-    def note_success(self):
-        """Log the end of a row of failures."""
-        if self.failed_at is None:
-            return
-        failed_s = anyio.current_time() - self.failed_at
-        self.failed_at = None
-        self.on_event(log_event(SOURCE_RECOVERED, url=self.url, failed_s=failed_s))
