--- a/catkinfork/dispatch/_summary.py
+++ b/catkinfork/dispatch/_summary.py
@@ -1,5 +1,6 @@
 """Summary of a pool for its routers."""
 
+from catkinfork.dispatch._agents import WORKING_STATES
 from catkinfork.protocol import PoolSummary, WorkspaceSummary
 
 SUMMARY_INTERVAL_S = 0.5
@@ -113,7 +114,9 @@
             suspects.list_suspects(now),
             suspects.list_blocked(),
             sum(agent.report.n_places for agent in agents),
-            sorted(agent.name for agent in agents),
+            sorted(
+                agent.name for agent in agents if agent.report.state in WORKING_STATES
+            ),
         )
 
     def list_names(self, demand):
--- a/catkinfork/dispatch/tests/test_messages.py
+++ b/catkinfork/dispatch/tests/test_messages.py
@@ -235,6 +235,15 @@
     assert 6 <= n_acks <= 8
 
 
+@pytest.mark.parametrize("state", ["down", "out", "leaving"])
+def test_server_that_takes_no_work_is_not_listed(state):
+    """Guards against a keyed request that waits for a server that is not working."""
+    dispatcher = make_dispatcher(VIEW)
+    dispatcher.handle(ROUTER, demand(1, want("a")), 0.0)
+    dispatcher.handle(S1, report("s1", 1, state=state), 0.1)
+    assert get_summary(dispatcher.tick(0.2)).backend_servers == []
+
+
 def test_passive_dispatcher_is_quiet():
     """Guards against two routers that send summaries of the same pool."""
     dispatcher = make_dispatcher(VIEW)
--- a/catkinfork/protocol/_dispatch_messages.py
+++ b/catkinfork/protocol/_dispatch_messages.py
@@ -178,7 +178,7 @@
     :param suspects: crash suspects.
     :param blocked: fingerprints that are refused.
     :param n_places: places over all agents that report.
-    :param backend_servers: names of the backend servers that report.
+    :param backend_servers: names of the backend servers that report and take work.
     """
 
     pool: str
