--- a/examples/demo.py
+++ b/examples/demo.py
@@ -13,7 +13,15 @@
 
 OUT_WAIT_S = 3.0
 SHOWN_DECISIONS = 12
-DECISION_EVENTS = range(200, 500)
+DECISIONS = frozenset(
+    {
+        "grant_sent",
+        "request_started",
+        "request_refused",
+        "execution_started",
+        "execution_refused",
+    }
+)
 
 
 class WrongAnswerError(Exception):
@@ -159,9 +167,7 @@
     decisions = []
     for name in fleet.list_members():
         decisions += [
-            event
-            for event in fleet.read_events(name)
-            if event["event"] in DECISION_EVENTS
+            event for event in fleet.read_events(name) if event["name"] in DECISIONS
         ]
     decisions.sort(key=lambda event: event["time"])
     for event in decisions[-SHOWN_DECISIONS:]:
