--- a/catkinfork/processes/_base.py
+++ b/catkinfork/processes/_base.py
@@ -1,7 +1,6 @@
 """What the router and the agent have in common: the shell around the decisions."""
 
 import random
-import signal
 import time
 from functools import partial
 
@@ -26,18 +25,16 @@
     FRAME_UNSENDABLE,
     LINK_REPLACED,
     PROCESS_STARTED,
-    PROCESS_STOPPED,
-    STOP_REQUESTED,
     WRONG_RECEIVER,
 )
 from catkinfork.processes._metrics import list_common_metrics
 from catkinfork.processes._role import BaseRole
 from catkinfork.processes._server import (
-    GRACEFUL_TIMEOUT_S,
     GuardedApplication,
     bind_port,
     serve_application,
 )
+from catkinfork.processes._shutdown import watch_signals
 from catkinfork.processes._startup import become_ready, watch_keys
 from catkinfork.processes._status import StatusCollector
 from catkinfork.protocol import (
@@ -56,10 +53,6 @@
 TICK_INTERVAL_S = 0.01
 IDLE_TICK_INTERVAL_S = 0.05
 REVIEW_INTERVAL_S = 0.1
-READINESS_DELAY_S = 1.0
-LAST_MESSAGES_S = 0.3
-# Cancelling the HTTP server in its shutdown raises; it takes GRACEFUL_TIMEOUT_S.
-SERVERS_END_S = GRACEFUL_TIMEOUT_S + 2.0
 MAX_ADMIN_HEADER_BYTES = 16384
 
 
@@ -313,7 +306,7 @@
         async with anyio.create_task_group() as tasks:
             await tasks.start(self.transport.run)
             self.log_start()
-            tasks.start_soon(self.watch_signals, tasks.cancel_scope)
+            tasks.start_soon(watch_signals, self, tasks.cancel_scope)
             for job in self.list_jobs():
                 tasks.start_soon(job)
 
@@ -371,42 +364,6 @@
         host_list = HttpHostList(self.settings.platform, self.rng, self.log.write)
         await host_list.run(self.take_hosts)
 
-    async def watch_signals(self, scope):
-        """Drain and end on SIGTERM or SIGINT."""
-        with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
-            async for _ in signals:
-                break
-        await self.drain()
-        scope.cancel()
-
-    async def drain(self):
-        """Stop taking work, wait for what is open, within the bound."""
-        started_at = time.monotonic()
-        self.is_draining = True
-        self.peers.is_leaving = True
-        self.log.write(
-            log_event(STOP_REQUESTED, role=self.role, n_open=self.count_open())
-        )
-        await anyio.sleep(READINESS_DELAY_S)
-        now = time.monotonic()
-        self.apply(self.start_drain(now), now)
-        with anyio.move_on_after(self.drain_timeout_s()):
-            while self.count_open():
-                await anyio.sleep(0.02)
-        await anyio.sleep(LAST_MESSAGES_S)
-        self.stop.set()
-        self.log.write(
-            log_event(
-                PROCESS_STOPPED,
-                role=self.role,
-                n_left=self.count_open(),
-                waited_s=time.monotonic() - started_at,
-            )
-        )
-        with anyio.move_on_after(SERVERS_END_S):
-            while self.n_servers:
-                await anyio.sleep(0.02)
-
     def count_metrics(self):
         """Yield the metrics that every process has."""
         yield from list_common_metrics(self)
