Enforce the bound on response sizes

Cause: the setting max_response_bytes was read and checked, but no code used it; a search for settings without a reader found this one only. Ruled out: leaving it to the agent, whose own bound is fixed at 64 MB. Before: a response of any size passed the gateway. After: a response over the bound is broken off (test). A response that arrives faster than its caller reads was broken off at 4 MiB, which an ordinary caller of a large response could reach; it is 16 MiB now. Conclusion: back pressure from caller to agent is missing and listed in docs/proofs.md.

--- a/catkinfork/gateway/_application.py
+++ b/catkinfork/gateway/_application.py
@@ -205,6 +205,7 @@
             await self.refuse(send, first, request.request_id, request.workspace)
             return
         await send_head(send, first, request.request_id)
+        n_bytes = 0
         is_last = False
         while not is_last:
             item = await exchange.pull()
@@ -213,6 +214,9 @@
             if exchange.is_over_buffer:
                 self.note_slow_caller(request, exchange)
                 self.break_off(request, "slow_caller")
+            n_bytes += len(item.data)
+            if n_bytes > self.settings.max_response_bytes:
+                self.break_off(request, "response_too_large")
             is_last = exchange.is_ending = item.is_last
             await send(
                 {
--- a/catkinfork/gateway/_exchange.py
+++ b/catkinfork/gateway/_exchange.py
@@ -7,7 +7,9 @@
 
 from catkinfork.routing import Refusal
 
-MAX_BUFFERED_BYTES = 4 * 1024 * 1024
+# The agent sends as fast as the router takes parts, so that a large response to an
+# ordinary caller is held here for a while.
+MAX_BUFFERED_BYTES = 16 * 1024 * 1024
 
 
 class ResponseHead(NamedTuple):
