Keep one check of invariants, one search for free ports, and no dead names

Ruled out: merging the shapes of events, message errors and capacity probes, which are alike in form and not in logic. The text of a routing InvariantError now reads as that of execution; nothing else changes.

--- a/benchmarks/capacity/loopback.py
+++ b/benchmarks/capacity/loopback.py
@@ -32,6 +32,7 @@
     encode_frame,
 )
 from catkinfork.settings import PlatformSettings
+from standins.local_fleet import find_free_ports
 
 RUN_S = 0.8
 # A busy machine may hold up messages; a run that loses some is no measurement.
@@ -39,13 +40,6 @@
 N_CODEC_RUNS = 2000
 
 
-def find_port():
-    """Return a free port of the loopback interface."""
-    with closing(socket.socket()) as probe:
-        probe.bind(("127.0.0.1", 0))
-        return probe.getsockname()[1]
-
-
 def make_part(number):
     """Return a part of a response with the data of one token."""
     attempt = AttemptId(name_router(0), 1700000000000, 1)
@@ -84,7 +78,7 @@
         process, seconds.
     """
     received = []
-    ports = [find_port(), find_port()]
+    ports = find_free_ports(2)
     sender, receiver = (make_transport(port, received) for port in ports)
     destination = receiver.address
     n_sent = 0
@@ -221,7 +215,7 @@
 
 def run_links(size, rng):
     """Open connections, both ends of each in this process."""
-    port = find_port()
+    [port] = find_free_ports(1)
     with closing(pynng.Pull0(recv_buffer_size=256)) as listener:
         listener.listen(f"tcp://127.0.0.1:{port}")
         before = read_resident_bytes()
--- a/benchmarks/capacity/rows.py
+++ b/benchmarks/capacity/rows.py
@@ -294,7 +294,6 @@
         PER_CHANGE_AGENT,
     ),
 ]
-CARRIED = "data, outside the control budget; {} routers and {} agents share it"
 DATA_ROWS = [
     Row(role, probe, (size, size), growth, mechanism, DATA)
     for role, probe, size, growth, mechanism in (
--- a/benchmarks/shapes.py
+++ b/benchmarks/shapes.py
@@ -61,7 +61,6 @@
     ),
 )
 N_ENGINE_PLACES = 8
-N_SERVICE_PLACES = 4
 
 
 def list_workspaces():
--- a/catkinfork/cli/_status.py
+++ b/catkinfork/cli/_status.py
@@ -8,7 +8,7 @@
 from rich.console import Console
 from rich.table import Table
 
-from catkinfork.cli._exit_codes import EXIT_UNREACHABLE
+from catkinfork.cli._exit_codes import EXIT_FAULTS, EXIT_OK, EXIT_UNREACHABLE
 
 REQUEST_TIMEOUT_S = 5.0
 TABLE_WIDTH = 110
@@ -36,7 +36,7 @@
         typer.echo(msgspec.json.format(answer.content, indent=2).decode())
     else:
         print_state(state)
-    raise typer.Exit(0 if is_settled(state) else 1)
+    raise typer.Exit(EXIT_OK if is_settled(state) else EXIT_FAULTS)
 
 
 def is_settled(state):
--- a/catkinfork/execution/__init__.py
+++ b/catkinfork/execution/__init__.py
@@ -12,9 +12,9 @@
     RunRequest,
 )
 from catkinfork.execution._agent import AgentCore
-from catkinfork.execution._errors import InvariantError
 from catkinfork.execution._events import EVENTS
 from catkinfork.execution._keys import read_key_time
+from catkinfork.protocol import InvariantError
 
 __all__ = [
     "EVENTS",
--- a/catkinfork/execution/_agent.py
+++ b/catkinfork/execution/_agent.py
@@ -5,7 +5,6 @@
 from catkinfork.execution._capacity import Capacity
 from catkinfork.execution._claims import ClaimBook
 from catkinfork.execution._deliveries import DeliveryDesk
-from catkinfork.execution._errors import check_invariant
 from catkinfork.execution._keyed import KeyDesk
 from catkinfork.execution._outcomes import OutcomeDesk
 from catkinfork.execution._reporter import Reporter
@@ -24,6 +23,7 @@
     Resume,
     Start,
     TicketReturn,
+    check_invariant,
 )
 
 
--- a/catkinfork/execution/_capacity.py
+++ b/catkinfork/execution/_capacity.py
@@ -1,9 +1,9 @@
 """How much work the backend server takes now, and the tickets for it."""
 
-from catkinfork.execution._errors import check_invariant
 from catkinfork.execution._handover import HandoverMeter
 from catkinfork.execution._limiter import Limiter
 from catkinfork.execution._tickets import TicketBook
+from catkinfork.protocol import check_invariant
 
 OUT = "out"
 LEAVING = "leaving"
--- a/catkinfork/execution/_records.py
+++ b/catkinfork/execution/_records.py
@@ -7,8 +7,8 @@
     KEY_QUIET_TIME,
     KEY_TOO_OLD,
 )
-from catkinfork.execution._errors import check_invariant
 from catkinfork.execution._keys import read_key_time
+from catkinfork.protocol import check_invariant
 
 PENDING = "pending"
 RUNNING = "running"
--- a/catkinfork/execution/_runner.py
+++ b/catkinfork/execution/_runner.py
@@ -6,10 +6,9 @@
 from catkinfork.execution._actions import CancelRequest, RunRequest
 from catkinfork.execution._answers import MAX_UNACKED_BYTES
 from catkinfork.execution._attempts import AttemptTable
-from catkinfork.execution._errors import check_invariant
 from catkinfork.execution._meter import ServiceMeter
 from catkinfork.observability import log_event
-from catkinfork.protocol import Send, StartRefused
+from catkinfork.protocol import Send, StartRefused, check_invariant
 
 
 class Runner:
--- a/catkinfork/protocol/__init__.py
+++ b/catkinfork/protocol/__init__.py
@@ -52,6 +52,7 @@
     Start,
     StartRefused,
 )
+from catkinfork.protocol._invariants import InvariantError, check_invariant
 from catkinfork.protocol._keys import FleetKey, KeyRing, parse_keys
 from catkinfork.protocol._messages import (
     MESSAGE_TYPES,
@@ -84,6 +85,7 @@
     "Grant",
     "GrantEntry",
     "Heartbeat",
+    "InvariantError",
     "KeyFileError",
     "KeyRing",
     "MalformedMessageError",
@@ -108,6 +110,7 @@
     "UnknownKeyError",
     "UnknownMessageError",
     "WorkspaceSummary",
+    "check_invariant",
     "decode_frame",
     "encode_frame",
     "parse_keys",
--- a/catkinfork/execution/_errors.py
+++ b/catkinfork/protocol/_invariants.py
@@ -1,14 +1,14 @@
-"""Failures of the execution package."""
+"""Checks of what a decision object must keep."""
 
 
 class InvariantError(Exception):
-    """A property that the agent must keep does not hold.
+    """A property that a decision object must keep does not hold.
 
-    :param invariant: short name of the property.
+    :param invariant: what must hold.
     :param detail: the values that contradict it.
     """
 
-    def __init__(self, invariant: str, detail: str):
+    def __init__(self, invariant, detail):
         super().__init__(invariant, detail)
         self.invariant = invariant
         self.detail = detail
@@ -21,8 +21,8 @@
     """Raise :class:`InvariantError` unless a condition holds.
 
     :param condition: whether the property holds.
-    :param invariant: short name of the property.
-    :param detail: the values that are compared.
+    :param invariant: what must hold.
+    :param detail: the values to report.
     :raises InvariantError: if the condition is false.
     """
     if not condition:
--- a/catkinfork/protocol/tests/test_transport.py
+++ b/catkinfork/protocol/tests/test_transport.py
@@ -1,7 +1,5 @@
 """Links between real sockets: replacement, restarts, and frames to be dropped."""
 
-import socket
-
 import anyio
 import pynng
 import pytest
@@ -14,18 +12,12 @@
     Sender,
     Transport,
 )
+from standins.local_fleet import find_free_ports
 
 WAIT_S = 10.0
 N_REPLACEMENTS = 30
 
 
-def find_port():
-    """Return a free loopback port."""
-    with socket.socket() as held:
-        held.bind(("127.0.0.1", 0))
-        return held.getsockname()[1]
-
-
 class Node:
     """A transport and what it has received.
 
@@ -33,7 +25,8 @@
     """
 
     def __init__(self, keys):
-        self.address = f"127.0.0.1:{find_port()}"
+        [port] = find_free_ports(1)
+        self.address = f"127.0.0.1:{port}"
         self.received = []
         self.rejected = []
         self.transport = Transport(
@@ -104,7 +97,8 @@
 def test_link_to_a_dead_peer_can_be_replaced(keys):
     """Guards against a send that blocks for ever and cannot be given up."""
     first, second = Node(keys), Node(keys)
-    dead = f"127.0.0.1:{find_port()}"
+    [port] = find_free_ports(1)
+    dead = f"127.0.0.1:{port}"
 
     async def scenario():
         for sequence in range(N_REPLACEMENTS):
--- a/catkinfork/routing/__init__.py
+++ b/catkinfork/routing/__init__.py
@@ -1,7 +1,7 @@
 """Router: admission, queues, attempts and retries, as a decision object."""
 
+from catkinfork.protocol import InvariantError
 from catkinfork.routing._core import RouterCore
-from catkinfork.routing._errors import InvariantError
 from catkinfork.routing._events import EVENTS
 from catkinfork.routing._refusals import (
     NOT_RUN,
--- a/catkinfork/routing/_attempts.py
+++ b/catkinfork/routing/_attempts.py
@@ -2,8 +2,7 @@
 
 from collections import OrderedDict
 
-from catkinfork.protocol import AttemptId, ResponseAck, Resume
-from catkinfork.routing._errors import check_invariant
+from catkinfork.protocol import AttemptId, ResponseAck, Resume, check_invariant
 
 ACK_PARTS = 32
 ACK_INTERVAL_S = 0.5
--- a/catkinfork/routing/_core.py
+++ b/catkinfork/routing/_core.py
@@ -8,9 +8,9 @@
     ResponsePart,
     Send,
     StartRefused,
+    check_invariant,
 )
 from catkinfork.routing._admission import check_admission
-from catkinfork.routing._errors import check_invariant
 from catkinfork.routing._events import (
     DISPATCHERS_CHANGED,
     DRAIN_STARTED,
--- a/catkinfork/routing/_queues.py
+++ b/catkinfork/routing/_queues.py
@@ -2,7 +2,7 @@
 
 from collections import OrderedDict
 
-from catkinfork.routing._errors import check_invariant
+from catkinfork.protocol import check_invariant
 
 
 class QueueSize:
--- a/catkinfork/routing/_starts.py
+++ b/catkinfork/routing/_starts.py
@@ -1,9 +1,8 @@
 """Grants of dispatchers, and the starts that use them."""
 
 from catkinfork.observability import log_event
-from catkinfork.protocol import Send, Start, TicketReturn
+from catkinfork.protocol import Send, Start, TicketReturn, check_invariant
 from catkinfork.routing._attempts import Attempt
-from catkinfork.routing._errors import check_invariant
 from catkinfork.routing._events import REQUEST_STARTED, TICKET_RETURNED
 from catkinfork.routing._requests import DemandClass
 
--- a/catkinfork/routing/_state.py
+++ b/catkinfork/routing/_state.py
@@ -4,11 +4,10 @@
 
 from catkinfork.document import find_acting_owner, rank_key_servers
 from catkinfork.observability import log_event
-from catkinfork.protocol import Cancel, Send
+from catkinfork.protocol import Cancel, Send, check_invariant
 from catkinfork.routing._attempts import AttemptTable
 from catkinfork.routing._budget import RetryBudget
 from catkinfork.routing._demand import PoolDemand, make_entries
-from catkinfork.routing._errors import check_invariant
 from catkinfork.routing._events import REQUEST_REFUSED
 from catkinfork.routing._pools import PoolState
 from catkinfork.routing._prefixes import PrefixTable
