--- /dev/null
+++ b/catkinfork/balancing/__init__.py
@@ -0,0 +1,48 @@
+"""Decisions of a forwarder: admission, placement, repeats, health and shares."""
+
+from catkinfork.balancing._balancer import Balancer
+from catkinfork.balancing._events import EVENTS
+from catkinfork.balancing._jobs import (
+    ABANDONED,
+    BROKEN,
+    EXPIRED,
+    FAILED,
+    NO_BACKEND,
+    NO_REPEAT,
+    OVERLOADED,
+    REJECTED,
+    SERVED,
+    SILENT,
+    SUSPECT,
+    UNREACHABLE,
+    Job,
+    Placement,
+    PromptPart,
+    Refusal,
+)
+from catkinfork.balancing._loads import LoadFigures
+from catkinfork.balancing._settings import BalancerSettings, RepeatSettings
+
+__all__ = [
+    "ABANDONED",
+    "BROKEN",
+    "EVENTS",
+    "EXPIRED",
+    "FAILED",
+    "NO_BACKEND",
+    "NO_REPEAT",
+    "OVERLOADED",
+    "REJECTED",
+    "SERVED",
+    "SILENT",
+    "SUSPECT",
+    "UNREACHABLE",
+    "Balancer",
+    "BalancerSettings",
+    "Job",
+    "LoadFigures",
+    "Placement",
+    "PromptPart",
+    "Refusal",
+    "RepeatSettings",
+]
--- /dev/null
+++ b/catkinfork/balancing/_balancer.py
@@ -0,0 +1,374 @@
+"""Admission and placement of the requests of one forwarder."""
+
+from catkinfork.balancing._changes import ChangeSet
+from catkinfork.balancing._events import (
+    BACKEND_LEFT_OUT,
+    REQUEST_BLOCKED,
+)
+from catkinfork.balancing._health import FAILURES
+from catkinfork.balancing._jobs import (
+    ABANDONED,
+    BROKEN,
+    EXPIRED,
+    NO_BACKEND,
+    NO_REPEAT,
+    OVERLOADED,
+    REJECTED,
+    SERVED,
+    SUSPECT,
+    UNREACHABLE,
+    Placement,
+    Refusal,
+)
+from catkinfork.balancing._pool import ServicePool
+from catkinfork.balancing._suspects import MAX_CRASHES, SuspectTable
+from catkinfork.observability import log_event
+
+# Waiting jobs that are considered for placement at one time.
+MAX_CONSIDERED = 16
+# Jobs that one forwarder holds for one service.
+MAX_WAITING = 2000
+# Backend servers to which one request is sent, those that reject it included.
+MAX_SENDS = 4
+# Times to come back, seconds: bounds, and where no backend server is known.
+MIN_RETRY_AFTER_S = 0.1
+MAX_RETRY_AFTER_S = 5.0
+NO_BACKEND_RETRY_AFTER_S = 0.5
+SUSPECT_RETRY_AFTER_S = 30.0
+# Spread of the times to come back, so that callers do not return together.
+RETRY_SPREAD = 0.5
+
+
+class Balancer:
+    """Decides which request goes to which backend server, waits or is refused.
+
+    :param registry: :class:`BackendRegistry`.
+    :param peers: object that counts forwarders: ``n_fresh``, ``n_forwarders`` and
+        ``news_age_s``, each called with the time.
+    :param settings: :class:`BalancerSettings`.
+    :param rng: ``random.Random``.
+    :param write_log: callable that takes a :class:`LogEvent`.
+    """
+
+    def __init__(self, registry, peers, settings, rng, write_log):
+        self.registry = registry
+        self.peers = peers
+        self.settings = settings
+        self.rng = rng
+        self.write_log = write_log
+        self.pools = {}
+        self.suspects = SuspectTable()
+        self.changes = ChangeSet()
+        self.tokens_per_s = 0.0
+        self.workspaces = ()
+
+    def configure(self, configuration):
+        """Take a configuration.
+
+        :param configuration: :class:`Configuration`.
+        """
+        self.tokens_per_s = configuration.limits.tokens_per_s
+        self.workspaces = [workspace.name for workspace in configuration.workspaces]
+        for name, service in configuration.services.items():
+            if name in self.pools:
+                self.pools[name].update(service, self.settings)
+            else:
+                self.pools[name] = ServicePool(service, self.settings)
+
+    def find_pool(self, service_name):
+        """Return the pool of a service that the configuration lists."""
+        return self.pools[service_name]
+
+    def submit(self, job, now):
+        """Take a new request.
+
+        :param job: :class:`Job`.
+        :returns: :class:`Placement`, :class:`Refusal`, or None if the job waits.
+        """
+        pool = self.pools[job.service]
+        pool.repeats.note_request(now)
+        self.changes.services.add(job.service)
+        pool.shares.note_asked(job.workspace, job.n_service_tokens, now)
+        self.changes.workspaces.add((job.service, job.workspace))
+        if self.suspects.is_blocked(job.fingerprint, now):
+            return self.block(job)
+        return self.admit(pool, job, now)
+
+    def block(self, job):
+        """Refuse a request that has crashed backend servers."""
+        self.write_log(
+            log_event(
+                REQUEST_BLOCKED,
+                request_id=job.request_id,
+                workspace=job.workspace,
+                fingerprint=f"{job.fingerprint:016x}",
+                max_crashes=MAX_CRASHES,
+            )
+        )
+        return Refusal(SUSPECT, SUSPECT_RETRY_AFTER_S)
+
+    def submit_again(self, job, now):
+        """Take a request whose attempt ended without a response.
+
+        :returns: as :meth:`submit`.
+        """
+        pool = self.pools[job.service]
+        if self.suspects.is_blocked(job.fingerprint, now):
+            return self.block(job)
+        n_fresh = self.peers.n_fresh(now)
+        n_forwarders = self.peers.n_forwarders(now)
+        if not pool.repeats.allows(n_fresh, n_forwarders, now):
+            return Refusal(NO_REPEAT, self.spread(MIN_RETRY_AFTER_S * 5))
+        return self.admit(pool, job, now)
+
+    def admit(self, pool, job, now):
+        """Place a job, let it wait, or refuse it."""
+        if not self.list_usable(pool, job, now):
+            return Refusal(NO_BACKEND, self.spread(NO_BACKEND_RETRY_AFTER_S))
+        if not pool.queue.n_jobs:
+            placement = self.place(pool, job, now)
+            if placement is not None:
+                return placement
+        refusal = self.check_wait(pool, job, now)
+        if refusal is None:
+            pool.queue.add(job)
+        return refusal
+
+    def check_wait(self, pool, job, now):
+        """Return a refusal if a job cannot be served in time behind those waiting."""
+        pool.shares.review(self.tokens_per_s, now)
+        queue = pool.queue
+        if queue.n_jobs >= MAX_WAITING:
+            return Refusal(OVERLOADED, self.spread(1.0), f"n_waiting={queue.n_jobs}")
+        wait_s = pool.estimate_wait(self.count_ahead(pool, job, now), now)
+        needed_s = wait_s + pool.expect_duration(job.route)
+        if now + needed_s <= job.deadline_at:
+            return None
+        detail = f"wait_s={wait_s:.3f} n_waiting={queue.n_jobs}"
+        return Refusal(OVERLOADED, self.spread(wait_s), detail)
+
+    def count_ahead(self, pool, job, now):
+        """Return the service tokens of the jobs that go before a new one."""
+        queue = pool.queue
+        if not pool.shares.is_over(job.workspace, now):
+            jobs = queue.by_workspace.get(job.workspace, ())
+            own = sum(max(1, waiting.n_service_tokens) for waiting in jobs)
+            n_others = len(queue.by_workspace) - (1 if jobs else 0)
+            # Workspaces take turns, so that each of the others gets as much meanwhile.
+            return min(own * (n_others + 1), max(queue.n_tokens, queue.n_jobs))
+        return max(queue.n_tokens, queue.n_jobs)
+
+    def spread(self, seconds):
+        """Return a time to come back, spread at random."""
+        bounded = min(MAX_RETRY_AFTER_S, max(MIN_RETRY_AFTER_S, seconds))
+        return bounded * (1.0 + RETRY_SPREAD * self.rng.random())
+
+    def list_usable(self, pool, job, now):
+        """Return the backend servers that may run a job, full ones included."""
+        ready = [
+            backend
+            for backend in self.registry.list_ready(pool.service.name)
+            if backend.name not in job.tried
+        ]
+        sound = [
+            backend
+            for backend in ready
+            if not pool.find(backend.name).health.is_left_out(now)
+        ]
+        if sound:
+            return sound
+        return [
+            backend
+            for backend in ready
+            if pool.find(backend.name).health.unreachable_at is None
+        ]
+
+    def place(self, pool, job, now):
+        """Place a job at the backend server with the least cost that has room.
+
+        :returns: :class:`Placement`, or None if none has room.
+        """
+        best = None
+        best_cost = float("inf")
+        best_missing = 0
+        usable = self.list_usable(pool, job, now)
+        for backend in usable:
+            state = pool.find(backend.name)
+            missing = pool.model.estimate_missing(job, state.load)
+            if not pool.model.has_room(job, backend, state.load, missing):
+                continue
+            if backend.is_cold(now) and not state.limiter.allows(now):
+                continue
+            cost = pool.model.estimate_cost(job, backend, state.load, missing)
+            if cost < best_cost:
+                best, best_cost, best_missing = backend, cost, missing
+        if best is None:
+            return None
+        placement = Placement(job, best, best_missing, now)
+        placement.cost = best_cost
+        placement.n_candidates = len(usable)
+        placement.news_age_s = self.peers.news_age_s(now)
+        self.open(pool, placement, now)
+        return placement
+
+    def open(self, pool, placement, now):
+        """Account for a new attempt."""
+        job = placement.job
+        backend = placement.backend
+        state = pool.find(backend.name)
+        state.load.open(job, placement.n_missing_tokens)
+        if backend.is_cold(now):
+            n_forwarders = self.peers.n_forwarders(now)
+            state.limiter.note_sent(pool.service.cold_rate, n_forwarders, now)
+        if job.tried:
+            job.n_repeats += 1
+            pool.repeats.note_repeat(now)
+            self.changes.services.add(job.service)
+        else:
+            pool.shares.note_received(job.workspace, job.n_service_tokens, now)
+            self.changes.workspaces.add((job.service, job.workspace))
+        job.tried.append(backend.name)
+        self.changes.backends.add((job.service, backend.name))
+        if job.parts:
+            self.changes.parts.append((job.service, backend.name, job.parts))
+
+    def pump(self, now):
+        """Place waiting jobs and refuse those that cannot be served in time any more.
+
+        :returns: list of pairs of :class:`Job` and its :class:`Placement` or
+            :class:`Refusal`.
+        """
+        decisions = []
+        for pool in self.pools.values():
+            if pool.queue.n_jobs:
+                pool.shares.review(self.tokens_per_s, now)
+                decisions += self.drop_expired(pool, now)
+                decisions += self.place_waiting(pool, now)
+        return decisions
+
+    def drop_expired(self, pool, now):
+        """Refuse waiting jobs whose deadline is out of reach."""
+        decisions = []
+        for job in pool.queue.list_jobs():
+            needed_s = 0.5 * pool.expect_duration(job.route)
+            if now + needed_s < job.deadline_at:
+                continue
+            pool.queue.remove(job)
+            waited_s = now - job.arrived_at
+            refusal = Refusal(
+                EXPIRED, self.spread(waited_s), f"waited_s={waited_s:.3f}"
+            )
+            decisions.append((job, refusal))
+        return decisions
+
+    def place_waiting(self, pool, now):
+        """Place the waiting jobs that go first."""
+        decisions = []
+        for job in pool.queue.list_ranked(now)[:MAX_CONSIDERED]:
+            placement = self.place(pool, job, now)
+            if placement is None:
+                continue
+            pool.queue.remove(job)
+            pool.note_drained(job, now)
+            decisions.append((job, placement))
+        return decisions
+
+    def has_waiting(self):
+        """Return whether any job waits."""
+        return any(pool.queue.n_jobs for pool in self.pools.values())
+
+    def withdraw(self, job):
+        """Remove a waiting job whose caller has left."""
+        self.pools[job.service].queue.remove(job)
+
+    def note_begun(self, placement):
+        """Note the first event of an attempt."""
+        if placement.has_begun:
+            return
+        pool = self.pools[placement.job.service]
+        pool.find(placement.backend.name).load.begin(placement)
+        self.changes.backends.add((placement.job.service, placement.backend.name))
+
+    def finish(self, placement, outcome, now):
+        """Account for the end of an attempt.
+
+        :param outcome: one of the outcomes of attempts.
+        """
+        if placement.has_ended:
+            return
+        placement.has_ended = True
+        job = placement.job
+        pool = self.pools[job.service]
+        state = pool.find(placement.backend.name)
+        state.load.close(placement)
+        self.changes.backends.add((job.service, placement.backend.name))
+        if outcome == ABANDONED:
+            return
+        self.learn(pool, placement, outcome, now)
+
+    def learn(self, pool, placement, outcome, now):
+        """Learn from the outcome of an attempt."""
+        job = placement.job
+        backend = placement.backend
+        if outcome == SERVED:
+            pool.note_duration(job.route, now - placement.placed_at)
+            if self.suspects.clear(job.fingerprint):
+                self.changes.suspects[job.fingerprint] = 0
+        if outcome == BROKEN:
+            n_crashes = self.suspects.note_crash(job.fingerprint, now)
+            self.changes.suspects[job.fingerprint] = n_crashes
+        if outcome not in (REJECTED, UNREACHABLE):
+            job.n_runs += 1
+        pool.health.note(outcome)
+        state = pool.find(backend.name)
+        if state.health.note(outcome, pool.health.failure_rate, now):
+            self.write_log(
+                log_event(
+                    BACKEND_LEFT_OUT,
+                    backend_server=backend.name,
+                    service=job.service,
+                    outcome=outcome,
+                    failure_rate=state.health.failure_rate,
+                    service_rate=pool.health.failure_rate,
+                    pause_s=state.health.left_out_until - now,
+                    request_id=job.request_id,
+                )
+            )
+
+    def may_repeat(self, placement, outcome, now):
+        """Return whether a job may go to another backend server after an attempt.
+
+        :param outcome: how the attempt has ended.
+        """
+        job = placement.job
+        return allows_repeat(job, outcome, job.n_runs, now)
+
+    def can_repeat(self, placement, outcome, now):
+        """Return whether a job would go to another backend server now.
+
+        :param placement: attempt that has not ended.
+        :param outcome: how it would end.
+        """
+        job = placement.job
+        if not allows_repeat(job, outcome, job.n_runs + 1, now):
+            return False
+        pool = self.pools[job.service]
+        n_fresh = self.peers.n_fresh(now)
+        n_forwarders = self.peers.n_forwarders(now)
+        if not pool.repeats.allows(n_fresh, n_forwarders, now):
+            return False
+        return bool(self.list_usable(pool, job, now))
+
+
+def allows_repeat(job, outcome, n_runs, now):
+    """Return whether the kind of a request allows another attempt.
+
+    :param outcome: how the last attempt has ended.
+    :param n_runs: attempts that may have run.
+    """
+    if outcome not in FAILURES or now >= job.deadline_at:
+        return False
+    if outcome in (REJECTED, UNREACHABLE):
+        # The backend server says, or never got the request: it has not run.
+        return job.n_repeats + 1 < MAX_SENDS
+    return job.route.is_repeatable and n_runs < job.route.max_attempts
--- /dev/null
+++ b/catkinfork/balancing/_events.py
@@ -0,0 +1,28 @@
+"""Log events of the balancer, 820 to 829."""
+
+from catkinfork.observability import Event
+
+BACKEND_LEFT_OUT = Event(
+    820,
+    "warning",
+    "backend_left_out",
+    "a backend server fails more often than its service and pauses",
+    (
+        "backend_server",
+        "service",
+        "outcome",
+        "failure_rate",
+        "service_rate",
+        "pause_s",
+        "request_id",
+    ),
+)
+REQUEST_BLOCKED = Event(
+    821,
+    "warning",
+    "request_blocked",
+    "a request is refused because its like has crashed backend servers",
+    ("request_id", "workspace", "fingerprint", "max_crashes"),
+)
+
+EVENTS = (BACKEND_LEFT_OUT, REQUEST_BLOCKED)
--- /dev/null
+++ b/catkinfork/balancing/_jobs.py
@@ -0,0 +1,129 @@
+"""Requests and attempts as the balancer sees them."""
+
+from typing import NamedTuple
+
+
+class PromptPart(NamedTuple):
+    """A part of a prompt that requests may share.
+
+    :param name: id of the part.
+    :param n_tokens: its length.
+    """
+
+    name: int
+    n_tokens: int
+
+
+class Job:
+    """A request that needs a backend server.
+
+    :param request_id: id of the request.
+    :param route: :class:`Route`.
+    :param service: name of the service that serves it.
+    :param workspace: name of the workspace, empty for public routes.
+    :param arrived_at: monotonic seconds.
+    :param deadline_at: monotonic time after which nobody waits for the response.
+    """
+
+    __slots__ = (
+        "aim_at",
+        "arrived_at",
+        "deadline_at",
+        "fingerprint",
+        "n_output_tokens",
+        "n_prompt_tokens",
+        "n_repeats",
+        "n_runs",
+        "parts",
+        "request_id",
+        "route",
+        "service",
+        "tried",
+        "workspace",
+    )
+
+    def __init__(self, request_id, route, service, workspace, arrived_at, deadline_at):
+        self.request_id = request_id
+        self.route = route
+        self.service = service
+        self.workspace = workspace
+        self.arrived_at = arrived_at
+        self.deadline_at = deadline_at
+        self.aim_at = arrived_at + route.aim_s
+        self.n_prompt_tokens = 0
+        self.n_output_tokens = 0
+        self.parts = ()
+        self.fingerprint = 0
+        self.tried = []
+        self.n_runs = 0
+        self.n_repeats = 0
+
+    @property
+    def n_service_tokens(self):
+        """Return the service that the job asks for; a generated token counts twice."""
+        return self.n_prompt_tokens + 2 * self.n_output_tokens
+
+
+class Placement:
+    """One attempt of a job at a backend server.
+
+    :param job: :class:`Job`.
+    :param backend: :class:`Backend`.
+    :param n_missing_tokens: prompt tokens that the engine has to read.
+    :param placed_at: monotonic seconds.
+    :param reason: what decided, for the log.
+    """
+
+    __slots__ = (
+        "backend",
+        "cost",
+        "has_begun",
+        "has_ended",
+        "job",
+        "n_candidates",
+        "n_missing_tokens",
+        "news_age_s",
+        "placed_at",
+    )
+
+    def __init__(self, job, backend, n_missing_tokens, placed_at):
+        self.job = job
+        self.backend = backend
+        self.n_missing_tokens = n_missing_tokens
+        self.placed_at = placed_at
+        self.has_begun = False
+        self.has_ended = False
+        self.cost = 0.0
+        self.n_candidates = 0
+        self.news_age_s = 0.0
+
+
+class Refusal(NamedTuple):
+    """A job that gets no (further) backend server.
+
+    :param reason: short code.
+    :param retry_after_s: when it is worth coming back.
+    :param detail: the figures that decided, for the log.
+    """
+
+    reason: str
+    retry_after_s: float
+    detail: str = ""
+
+
+# Reasons of refusals.
+NO_BACKEND = "no_backend_server"
+OVERLOADED = "overloaded"
+OVER_SHARE = "over_share"
+EXPIRED = "cannot_meet_deadline"
+SUSPECT = "crashed_backend_servers"
+NO_REPEAT = "no_repeat_left"
+
+# Outcomes of attempts.
+SERVED = "served"
+FAILED = "failed"
+REJECTED = "rejected"
+UNREACHABLE = "unreachable"
+BROKEN = "broken"
+SILENT = "silent"
+ABANDONED = "abandoned"
--- /dev/null
+++ b/catkinfork/balancing/_models.py
@@ -0,0 +1,107 @@
+"""What a job costs at a backend server, and whether it has room."""
+
+from abc import ABC, abstractmethod
+
+# The weight covers the delay that reading tokens causes to all requests that run there.
+MISSING_TOKEN_WEIGHT = 3.0
+# Cost of one request in flight, in prompt tokens: each one slows every step a little.
+TOKENS_PER_REQUEST = 100.0
+# Cost of another data centre, in prompt tokens; the bytes between them are not free.
+REMOTE_TOKENS = 150.0
+# Prompt tokens that may be pending at an engine. It covers the time in which news of
+# the first events reach all forwarders, so that no engine runs dry; the rest waits here.
+MAX_PENDING_TOKENS = 16_000
+# A prompt of any length may join so few pending tokens.
+MIN_PENDING_TOKENS = 4_000
+# Share of an engine's memory that requests may hold; above it, the engine interrupts
+# requests to make room.
+MAX_MEMORY_SHARE = 0.95
+# Requests beyond the slots of a plain backend server that keep it busy between two.
+EXTRA_REQUESTS = 2
+# Cost of another data centre for a plain service, in requests.
+REMOTE_REQUESTS = 0.25
+
+
+class BaseLoadModel(ABC):
+    """Costs of one kind of service.
+
+    :param data_centre: data centre of this forwarder.
+    """
+
+    def __init__(self, data_centre):
+        self.data_centre = data_centre
+
+    @abstractmethod
+    def estimate_missing(self, job, load):
+        """Return the prompt tokens that the backend server would have to read."""
+
+    @abstractmethod
+    def estimate_cost(self, job, backend, load, n_missing):
+        """Return the cost of the job at a backend server; the least one wins."""
+
+    @abstractmethod
+    def has_room(self, job, backend, load, n_missing):
+        """Return whether the backend server takes the job now."""
+
+
+class EngineLoadModel(BaseLoadModel):
+    """Costs in prompt tokens at a model engine.
+
+    :param engine: :class:`Engine`.
+    """
+
+    def __init__(self, data_centre, engine):
+        super().__init__(data_centre)
+        self.engine = engine
+
+    def estimate_missing(self, job, load):
+        return max(0, job.n_prompt_tokens - load.prefixes.count_kept(job.parts))
+
+    def estimate_cost(self, job, backend, load, n_missing):
+        cost = (
+            load.n_all_pending
+            + MISSING_TOKEN_WEIGHT * n_missing
+            + TOKENS_PER_REQUEST * load.n_all_in_flight
+        )
+        if backend.data_centre != self.data_centre:
+            cost += REMOTE_TOKENS
+        return cost
+
+    def has_room(self, job, backend, load, n_missing):
+        if load.n_all_in_flight >= backend.entry.n_slots:
+            return False
+        n_pending = load.n_all_pending
+        if n_pending > MIN_PENDING_TOKENS and n_pending + n_missing > (
+            MAX_PENDING_TOKENS
+        ):
+            return False
+        n_memory = load.n_all_memory + job.n_prompt_tokens + job.n_output_tokens
+        limit = MAX_MEMORY_SHARE * self.engine.n_memory_tokens
+        return n_memory <= limit or not load.n_all_in_flight
+
+
+class PlainLoadModel(BaseLoadModel):
+    """Costs in requests at a plain backend server."""
+
+    def estimate_missing(self, job, load):
+        return 0
+
+    def estimate_cost(self, job, backend, load, n_missing):
+        cost = float(load.n_all_in_flight)
+        if backend.data_centre != self.data_centre:
+            cost += REMOTE_REQUESTS
+        return cost
+
+    def has_room(self, job, backend, load, n_missing):
+        return load.n_all_in_flight < backend.entry.n_slots + EXTRA_REQUESTS
+
+
+def build_load_model(service, data_centre):
+    """Return the load model of a service.
+
+    :param service: :class:`Service`.
+    :param data_centre: data centre of this forwarder.
+    """
+    if service.engine is None:
+        return PlainLoadModel(data_centre)
+    return EngineLoadModel(data_centre, service.engine)
--- /dev/null
+++ b/catkinfork/balancing/_pool.py
@@ -0,0 +1,89 @@
+"""State of one service in the balancer."""
+
+from catkinfork.balancing._cold import StartLimiter
+from catkinfork.balancing._health import BackendHealth, ServiceHealth
+from catkinfork.balancing._loads import BackendLoad
+from catkinfork.balancing._models import build_load_model
+from catkinfork.balancing._queue import WaitingQueue
+from catkinfork.balancing._repeats import RepeatBudget
+from catkinfork.balancing._shares import FairShares
+from catkinfork.balancing._windows import DecayingSum
+
+# Time over which the rate at which jobs leave the queue is measured.
+DRAIN_WINDOW_S = 1.0
+# Weight of the latest request in the mean duration of a route.
+DURATION_WEIGHT = 0.05
+
+
+class BackendState:
+    """What the balancer knows of one backend server."""
+
+    __slots__ = ("health", "limiter", "load")
+
+    def __init__(self, service):
+        engine = service.engine
+        self.load = BackendLoad(engine.n_memory_tokens if engine else 0)
+        self.health = BackendHealth()
+        self.limiter = StartLimiter()
+
+
+class ServicePool:
+    """Loads, queue, shares and budgets of one service.
+
+    :param service: :class:`Service`.
+    :param settings: :class:`BalancerSettings`.
+    """
+
+    def __init__(self, service, settings):
+        self.service = service
+        self.model = build_load_model(service, settings.data_centre)
+        self.states = {}
+        self.shares = FairShares(settings.share_window_s)
+        self.queue = WaitingQueue(self.shares)
+        self.repeats = RepeatBudget(settings.repeats)
+        self.health = ServiceHealth()
+        self.drained = DecayingSum(DRAIN_WINDOW_S)
+        self.durations = {}
+
+    def update(self, service, settings):
+        """Take a changed service; loads and queue stay."""
+        self.service = service
+        self.model = build_load_model(service, settings.data_centre)
+
+    def find(self, backend_name):
+        """Return the state of a backend server."""
+        state = self.states.get(backend_name)
+        if state is None:
+            state = self.states[backend_name] = BackendState(self.service)
+        return state
+
+    def keep_only(self, backend_names):
+        """Forget backend servers that are gone and have nothing in flight here."""
+        for name in self.states.keys() - backend_names:
+            if not self.states[name].load.n_in_flight:
+                del self.states[name]
+
+    def note_drained(self, job, now):
+        """Note that a job has left the queue for a backend server."""
+        self.drained.add(max(1, job.n_service_tokens), now)
+
+    def estimate_wait(self, n_tokens_ahead, now):
+        """Return how long a job waits behind others, from the recent drain rate.
+
+        :param n_tokens_ahead: service tokens of the jobs that go first.
+        :returns: seconds, 0 while nothing is known.
+        """
+        rate = self.drained.read(now) / DRAIN_WINDOW_S
+        if rate <= 0:
+            return 0.0
+        return n_tokens_ahead / rate
+
+    def note_duration(self, route, duration_s):
+        """Learn how long a served request of a route takes from its placement."""
+        known = self.durations.get(route.name, duration_s)
+        known += DURATION_WEIGHT * (duration_s - known)
+        self.durations[route.name] = known
+
+    def expect_duration(self, route):
+        """Return how long a request of a route takes from its placement, seconds."""
+        return self.durations.get(route.name, 0.0)
--- a/catkinfork/cli/__init__.py
+++ b/catkinfork/cli/__init__.py
@@ -1,5 +1,5 @@
 """Command line of catkinfork."""
 
-from catkinfork.cli._main import app, main
+from catkinfork.cli._main import build_app, main
 
-__all__ = ["app", "main"]
+__all__ = ["build_app", "main"]
--- /dev/null
+++ b/catkinfork/cli/_forwarder.py
@@ -0,0 +1,38 @@
+"""Command that runs a forwarder.
+
+The libraries of the other roles are not imported: a forwarder starts often, on small
+hosts.
+"""
+
+from typing import Annotated
+
+import anyio
+import typer
+
+from catkinfork.cli._exit_codes import EXIT_PORT, EXIT_USAGE
+from catkinfork.settings import ForwarderSettings, read_settings
+
+
+def run_forwarder(
+    settings: Annotated[
+        str, typer.Option("--settings", help="Path of the INI settings file.")
+    ],
+):
+    """Run a forwarder on an entry host.
+
+    Exit codes: 0 after a drain, 2 for faults in the settings file, 3 if a port is in
+    use.
+    """
+    from catkinfork.forwarder import ForwarderProcess
+
+    read = read_settings(settings, ForwarderSettings)
+    if read.is_err():
+        for fault in read.err_value:
+            typer.echo(f"{settings}: {fault.describe()}", err=True)
+        raise typer.Exit(EXIT_USAGE)
+    process = ForwarderProcess(read.ok_value, settings)
+    try:
+        anyio.run(process.run, backend_options={"use_uvloop": True})
+    except* OSError as group:
+        typer.echo(f"{settings}: {group.exceptions[0]}", err=True)
+        raise typer.Exit(EXIT_PORT) from None
--- a/catkinfork/cli/tests/test_commands.py
+++ b/catkinfork/cli/tests/test_commands.py
@@ -8,7 +8,7 @@
 import pytest
 from typer.testing import CliRunner
 
-from catkinfork.cli import app
+from catkinfork.cli import build_app
 from catkinfork.document.tests.samples import (
     change_document,
     encode_document,
@@ -43,7 +43,7 @@
 
 
 def invoke(*arguments, **options):
-    return CliRunner().invoke(app, arguments, **options)
+    return CliRunner().invoke(build_app(), arguments, **options)
 
 
 @pytest.mark.parametrize(
--- a/catkinfork/cli/tests/test_events.py
+++ b/catkinfork/cli/tests/test_events.py
@@ -5,7 +5,7 @@
 
 from typer.testing import CliRunner
 
-from catkinfork.cli import app
+from catkinfork.cli import build_app
 from catkinfork.observability import Event
 from catkinfork.processes import list_events
 
@@ -23,7 +23,7 @@
 
 def test_page_is_up_to_date():
     """Guards against an event that is missing or described wrongly on the page."""
-    result = CliRunner().invoke(app, ["events"])
+    result = CliRunner().invoke(build_app(), ["events"])
     assert result.exit_code == 0
     assert result.output == PAGE.read_text()
 
--- /dev/null
+++ b/catkinfork/forwarder/_status.py
@@ -0,0 +1,134 @@
+"""What a forwarder tells operators on its control and metrics ports."""
+
+import time
+
+import msgspec
+
+from catkinfork.forwarding import AdminResponse
+
+JSON = b"application/json"
+
+
+def answer_ready(process):
+    """Return whether the balancer may send connections."""
+    if process.is_ready():
+        return AdminResponse(200, JSON, b'{"ready":true}')
+    return AdminResponse(503, JSON, b'{"ready":false}')
+
+
+def answer_status(process):
+    """Return what the process believes, as JSON."""
+    now = process.loop.time()
+    state = process.topology
+    status = {
+        "name": process.settings.forwarder.name,
+        "incarnation": process.incarnation,
+        "is_ready": process.is_ready(),
+        "version": process.server.version,
+        "revision": state.revision,
+        "store_failing_s": process.count_store_failing(),
+        "n_requests": len(process.server.exchanges),
+        "peers": [
+            {
+                "address": peer.address,
+                "is_fresh": peer.is_counted,
+                "silent_s": round(now - peer.heard_at, 3) if peer.heard_at else None,
+                "version": peer.version,
+                "is_leaving": peer.is_leaving,
+            }
+            for peer in process.directory.peers.values()
+        ],
+        "backend_servers": list_backends(process, now),
+        "evacuated": sorted(state.registry.evacuated),
+    }
+    return AdminResponse(200, JSON, msgspec.json.encode(status))
+
+
+def list_backends(process, now):
+    """Return what is known of each backend server."""
+    backends = []
+    for backend in process.topology.registry.backends.values():
+        pool = process.balancer.pools.get(backend.service)
+        if pool is None:
+            continue
+        state = pool.find(backend.name)
+        backends.append(
+            {
+                "name": backend.name,
+                "service": backend.service,
+                "address": backend.entry.address,
+                "data_centre": backend.data_centre,
+                "is_ready": backend.is_ready,
+                "is_left_out": state.health.is_left_out(now),
+                "failure_rate": round(state.health.failure_rate, 3),
+                "n_in_flight": state.load.n_in_flight,
+                "n_all_in_flight": state.load.n_all_in_flight,
+                "n_all_pending_tokens": state.load.n_all_pending,
+            }
+        )
+    return backends
+
+
+def answer_metrics(process):
+    """Return the metrics in the text format."""
+    metrics = process.server.metrics
+    for name, text, labels, value in list_gauges(process):
+        metrics.set_gauge(name, text, labels, value)
+    body, headers = metrics.render(["text/plain"])
+    content_type = dict(headers).get("Content-Type", "text/plain")
+    return AdminResponse(200, content_type.encode(), body)
+
+
+def list_gauges(process):
+    """Yield ``(name, help, labels, value)`` of what is measured at the scrape."""
+    server = process.server
+    yield "requests_open", "Requests in progress", {}, len(server.exchanges)
+    yield "callers_open", "Open connections of callers", {}, len(server.callers)
+    yield (
+        "configuration_version",
+        "Version of the configuration in force",
+        {},
+        server.version,
+    )
+    yield (
+        "store_failing_seconds",
+        "Time since the store stopped answering, 0 if it answers",
+        {},
+        process.count_store_failing(),
+    )
+    yield (
+        "store_reads",
+        "Calls to the store since the start",
+        {},
+        process.watcher.n_reads,
+    )
+    yield "ready", "Whether the process takes connections", {}, int(process.is_ready())
+    yield (
+        "processor_seconds",
+        "Processor time since the start",
+        {},
+        time.process_time(),
+    )
+    now = process.loop.time()
+    yield (
+        "peers_fresh",
+        "Forwarders whose load is counted, this one included",
+        {},
+        process.directory.n_fresh(now),
+    )
+    for name, pool in process.balancer.pools.items():
+        labels = {"service": name}
+        yield "waiting", "Requests that wait for room", labels, pool.queue.n_jobs
+        yield (
+            "repeats_sent",
+            "Attempts after the first since the start",
+            labels,
+            pool.repeats.n_repeats,
+        )
+    for number, count in sorted(process.log.n_events.items()):
+        yield (
+            "events",
+            "Log events since the start, by number",
+            {"event": str(number)},
+            count,
+        )
--- /dev/null
+++ b/catkinfork/forwarding/__init__.py
@@ -0,0 +1,34 @@
+"""HTTP/1.1 between callers and backend servers, relayed as it arrives."""
+
+from catkinfork.forwarding._admin import AdminResponse, AdminServer
+from catkinfork.forwarding._client import FetchError, HttpClient
+from catkinfork.forwarding._events import (
+    CALLBACK_FAILED,
+    DRAIN_STARTED,
+    EVENTS,
+    FORWARDER_STARTED,
+    FORWARDER_STOPPED,
+    LOG_LINES_DROPPED,
+    READINESS_CHANGED,
+    SETTINGS_RELOADED,
+)
+from catkinfork.forwarding._names import HeaderNames
+from catkinfork.forwarding._server import SWEEP_INTERVAL_S, ForwardingServer
+
+__all__ = [
+    "CALLBACK_FAILED",
+    "DRAIN_STARTED",
+    "EVENTS",
+    "FORWARDER_STARTED",
+    "FORWARDER_STOPPED",
+    "LOG_LINES_DROPPED",
+    "READINESS_CHANGED",
+    "SETTINGS_RELOADED",
+    "SWEEP_INTERVAL_S",
+    "AdminResponse",
+    "AdminServer",
+    "FetchError",
+    "ForwardingServer",
+    "HeaderNames",
+    "HttpClient",
+]
--- /dev/null
+++ b/catkinfork/forwarding/_client.py
@@ -0,0 +1,103 @@
+"""HTTP client for the store and for peers, over the connections of the byte path."""
+
+from typing import NamedTuple
+
+import anyio
+
+from catkinfork.forwarding._backend import BaseResponseListener
+from catkinfork.forwarding._names import HeaderNames
+from catkinfork.forwarding._pool import ConnectionPool
+
+MAX_RESPONSE_BYTES = 16 << 20
+
+
+class FetchError(Exception):
+    """A request got no complete response.
+
+    :param detail: what went wrong.
+    """
+
+    def __init__(self, detail):
+        super().__init__(detail)
+        self.detail = detail
+
+
+class FetchedResponse(NamedTuple):
+    """A complete response."""
+
+    status: int
+    body: bytes
+
+
+class Collector(BaseResponseListener):
+    """Collects one response."""
+
+    def __init__(self):
+        self.done = anyio.Event()
+        self.status = 0
+        self.pieces = []
+        self.n_bytes = 0
+        self.failure = ""
+
+    def on_head(self, head):
+        self.status = head.status
+
+    def on_data(self, data):
+        self.n_bytes += len(data)
+        if self.n_bytes > MAX_RESPONSE_BYTES:
+            self.failure = f"response over {MAX_RESPONSE_BYTES} bytes"
+            self.done.set()
+            return
+        self.pieces.append(data)
+
+    def on_end(self):
+        self.done.set()
+
+    def on_broken(self, detail):
+        self.failure = detail
+        self.done.set()
+
+
+class HttpClient:
+    """Sends GET requests to one address and keeps connections open.
+
+    :param address: ``host:port``.
+    :param loop: event loop.
+    """
+
+    def __init__(self, address, loop):
+        self.address = address
+        self.pool = ConnectionPool(address, HeaderNames(), loop)
+
+    async def fetch(self, target, timeout_s):
+        """Return the response to a GET request.
+
+        :param target: path and query.
+        :raises FetchError: if there is no complete response in time.
+        """
+        connection = None
+        try:
+            with anyio.fail_after(timeout_s):
+                connection = self.pool.acquire() or await self.pool.open()
+                return await self.fetch_on(connection, target)
+        except TimeoutError:
+            raise FetchError(f"no response in {timeout_s:g} s") from None
+        except OSError as error:
+            raise FetchError(str(error) or type(error).__name__) from None
+        finally:
+            if connection is not None and connection.listener is not None:
+                connection.abort()
+
+    async def fetch_on(self, connection, target):
+        """Send a request on a connection and return the response."""
+        collector = Collector()
+        request = f"GET {target} HTTP/1.1\r\nhost: {self.address}\r\n\r\n"
+        connection.send(collector, b"", request.encode())
+        await collector.done.wait()
+        if collector.failure:
+            raise FetchError(collector.failure)
+        return FetchedResponse(collector.status, b"".join(collector.pieces))
+
+    def close(self):
+        """Close the connections."""
+        self.pool.close()
--- a/catkinfork/observability/_log.py
+++ b/catkinfork/observability/_log.py
@@ -6,6 +6,8 @@
 import logbook
 import msgspec
 
+from catkinfork.observability._buffer import build_stdout_handler
+
 _LEVELS = {
     "debug": logbook.DEBUG,
     "info": logbook.INFO,
@@ -54,18 +56,19 @@
 
 
 class EventLog:
-    """Writes log events to standard error.
+    """Writes log events, to standard error unless a handler is given.
 
     :param settings: :class:`LogSettings`.
     :param process: name of the process in each line.
+    :param handler: ``logbook.Handler`` that writes the lines.
     """
 
-    def __init__(self, settings, process):
+    def __init__(self, settings, process, handler=None):
         self.settings = settings
         self.process = process
         self.logger = logbook.Logger("catkinfork")
         self.format = format_json if settings.format == "json" else format_plain
-        self.handler = logbook.StreamHandler(
+        self.handler = handler or logbook.StreamHandler(
             sys.stderr,
             level=_LEVELS[settings.level],
             format_string="{record.message}",
@@ -85,3 +88,13 @@
         with self.handler.applicationbound():
             line = self.format(action, self.process)
             self.logger.log(_LEVELS[event.level], "{}", line)
+
+
+def build_buffered_log(settings, process):
+    """Return an event log that writes to standard output without blocking.
+
+    :param settings: :class:`LogSettings`.
+    :param process: name of the process in each line.
+    """
+    handler = build_stdout_handler(_LEVELS[settings.level])
+    return EventLog(settings, process, handler)
--- /dev/null
+++ b/catkinfork/peering/_socket.py
@@ -0,0 +1,38 @@
+"""Datagram socket between forwarders."""
+
+import asyncio
+
+from catkinfork.peering._frames import decode_frame
+
+
+class PeerSocket(asyncio.DatagramProtocol):
+    """Receives frames and sends datagrams.
+
+    :param on_frame: callable that takes a :class:`Frame`.
+    :param port: port of all forwarders.
+    """
+
+    def __init__(self, on_frame, port):
+        self.on_frame = on_frame
+        self.port = port
+        self.transport = None
+        self.n_unreadable = 0
+        self.n_errors = 0
+
+    def connection_made(self, transport):
+        self.transport = transport
+
+    def datagram_received(self, data, addr):
+        frame = decode_frame(data)
+        if frame is None:
+            self.n_unreadable += 1
+        else:
+            self.on_frame(frame)
+
+    def error_received(self, exc):
+        # A peer that is down refuses datagrams; its silence is noticed elsewhere.
+        self.n_errors += 1
+
+    def send(self, address, data):
+        """Send a datagram to a forwarder."""
+        self.transport.sendto(data, (address, self.port))
--- /dev/null
+++ b/catkinfork/peering/_state.py
@@ -0,0 +1,239 @@
+"""Exchange of totals between the balancers of the forwarders."""
+
+from catkinfork.balancing import LoadFigures, PromptPart
+from catkinfork.observability import log_event
+from catkinfork.peering._events import PEER_LOST, PEER_REGAINED
+from catkinfork.peering._frames import (
+    MAX_FRAME_BYTES,
+    Frame,
+    LoadEntry,
+    PartEntry,
+    RepeatEntry,
+    SuspectEntry,
+    UseEntry,
+    encode_frame,
+    hash_name,
+)
+
+# Datagrams that one forwarder sends each second, all peers together.
+MAX_FRAMES_PER_S = 400.0
+MIN_INTERVAL_S = 0.01
+# Time after which a frame is sent although nothing has changed.
+HEARTBEAT_INTERVAL_S = 0.1
+# Time after which all totals are sent again, as datagrams may be lost.
+REFRESH_INTERVAL_S = 1.0
+MAX_PARTS = 40
+MAX_PEERS_LISTED = 24
+
+
+class PeerExchange:
+    """Builds frames from the changes of a balancer, and applies those of peers.
+
+    :param balancer: :class:`Balancer`.
+    :param directory: :class:`PeerDirectory`.
+    :param incarnation: Unix milliseconds of this process's start.
+    :param rng: ``random.Random``.
+    :param write_log: callable that takes a :class:`LogEvent`.
+    """
+
+    def __init__(self, balancer, directory, incarnation, rng, write_log):
+        self.balancer = balancer
+        self.directory = directory
+        self.incarnation = incarnation
+        self.rng = rng
+        self.write_log = write_log
+        self.sequence = 0
+        self.is_leaving = False
+        self.version = 0
+        self.revision = 0
+        self.next_frame_at = 0.0
+        self.next_heartbeat_at = 0.0
+        self.next_refresh_at = 0.0
+        self.names = {}
+        self.n_sent = 0
+        self.n_received = 0
+
+    def find_hash(self, name):
+        """Return the 32 bits of a name."""
+        known = self.names.get(name)
+        if known is None:
+            known = self.names[name] = hash_name(name)
+        return known
+
+    def tick(self, now):
+        """Return what is to be sent now.
+
+        :returns: pairs of IP number and datagram.
+        """
+        self.drop_silent(now)
+        is_due = now >= self.next_frame_at and not self.balancer.changes.is_empty
+        if not is_due and now < self.next_heartbeat_at:
+            return []
+        addresses = self.directory.list_known()
+        interval_s = max(MIN_INTERVAL_S, len(addresses) / MAX_FRAMES_PER_S)
+        self.next_frame_at = now + interval_s
+        self.next_heartbeat_at = now + max(HEARTBEAT_INTERVAL_S, interval_s)
+        is_full = now >= self.next_refresh_at
+        if is_full:
+            self.next_refresh_at = now + REFRESH_INTERVAL_S
+        data = self.build(is_full)
+        self.n_sent += len(addresses)
+        return [(address, data) for address in addresses]
+
+    def build(self, is_full):
+        """Return a datagram with all totals, or with those that have changed."""
+        self.sequence += 1
+        frame = Frame(
+            sender=self.directory.own_address,
+            incarnation=self.incarnation,
+            sequence=self.sequence,
+            is_leaving=self.is_leaving,
+            version=self.version,
+            revision=self.revision,
+        )
+        self.fill(frame, is_full)
+        self.balancer.changes.clear()
+        data = encode_frame(frame)
+        while len(data) > MAX_FRAME_BYTES and (frame.parts or frame.uses):
+            frame.parts = frame.parts[: len(frame.parts) // 2]
+            frame.uses = frame.uses[: len(frame.uses) // 2]
+            data = encode_frame(frame)
+        return data
+
+    def fill(self, frame, is_full):
+        """Put totals into a frame."""
+        changes = self.balancer.changes
+        backends = changes.backends
+        services = changes.services
+        workspaces = changes.workspaces
+        if is_full:
+            frame.peers = self.directory.list_known()[:MAX_PEERS_LISTED]
+            backends = self.list_loaded()
+            services = self.balancer.pools.keys()
+        frame.loads = [self.build_load(*pair) for pair in backends]
+        frame.uses = [self.build_use(*pair) for pair in workspaces]
+        frame.repeats = [self.build_repeat(service) for service in services]
+        frame.suspects = [SuspectEntry(*pair) for pair in changes.suspects.items()]
+        for _, backend, parts in changes.parts[-MAX_PARTS:]:
+            name = self.find_hash(backend)
+            frame.parts += [PartEntry(name, part, n) for part, n in parts]
+
+    def list_loaded(self):
+        """Return pairs of service and backend server that requests are in flight at."""
+        return [
+            (service, name)
+            for service, pool in self.balancer.pools.items()
+            for name, state in pool.states.items()
+            if state.load.n_in_flight or (service, name) in self.balancer.changes.backends
+        ]
+
+    def build_load(self, service, backend):
+        """Return the entry for a backend server."""
+        load = self.balancer.pools[service].find(backend).load
+        return LoadEntry(self.find_hash(backend), *load.own)
+
+    def build_use(self, service, workspace):
+        """Return the entry for a workspace."""
+        use = self.balancer.pools[service].shares.find(workspace)
+        return UseEntry(
+            self.find_hash(service),
+            self.find_hash(workspace),
+            use.n_asked,
+            use.n_received,
+        )
+
+    def build_repeat(self, service):
+        """Return the entry for the repeats of a service."""
+        budget = self.balancer.pools[service].repeats
+        return RepeatEntry(self.find_hash(service), budget.n_requests, budget.n_repeats)
+
+    def apply(self, frame, now):
+        """Take a frame of a peer.
+
+        :returns: whether it told of anything that may let a waiting request go.
+        """
+        peer = self.directory.hear(frame, now)
+        if peer is None:
+            return False
+        self.n_received += 1
+        if not peer.is_counted:
+            peer.is_counted = True
+            self.log_peer(PEER_REGAINED, peer, now)
+        self.directory.add(frame.peers, now)
+        pools = {self.find_hash(name): pool for name, pool in self.balancer.pools.items()}
+        self.apply_repeats(peer, frame, pools, now)
+        self.apply_uses(peer, frame, pools, now)
+        self.apply_loads(peer, frame, pools)
+        for fingerprint, n_crashes in frame.suspects:
+            self.balancer.suspects.note_peer(peer.address, fingerprint, n_crashes, now)
+        return bool(frame.loads)
+
+    def apply_repeats(self, peer, frame, pools, now):
+        """Count the requests and repeats that a peer has sent since its last frame."""
+        for service, n_requests, n_repeats in frame.repeats:
+            before = peer.repeats.get(service)
+            peer.repeats[service] = (n_requests, n_repeats)
+            if before is None or service not in pools:
+                continue
+            pools[service].repeats.note_peer(
+                n_requests - before[0], n_repeats - before[1], now
+            )
+
+    def apply_uses(self, peer, frame, pools, now):
+        """Count the service that workspaces got at a peer since its last frame."""
+        for service, workspace, n_asked, n_received in frame.uses:
+            key = (service, workspace)
+            before = peer.uses.get(key)
+            peer.uses[key] = (n_asked, n_received)
+            if before is None or service not in pools:
+                continue
+            name = self.find_workspace(workspace)
+            if name is not None:
+                pools[service].shares.note_peer(
+                    name, n_asked - before[0], n_received - before[1], now
+                )
+
+    def find_workspace(self, hashed):
+        """Return the name of a workspace that this forwarder knows, or None."""
+        for name in self.balancer.workspaces:
+            if self.find_hash(name) == hashed:
+                return name
+        return None
+
+    def apply_loads(self, peer, frame, pools):
+        """Set what a peer has in flight, and the prompt parts that it has placed."""
+        states = {
+            self.find_hash(name): state
+            for pool in pools.values()
+            for name, state in pool.states.items()
+        }
+        for backend, n_in_flight, n_pending, n_memory in frame.loads:
+            if backend in states:
+                figures = LoadFigures(n_in_flight, n_pending, n_memory)
+                states[backend].load.set_peer(peer.address, figures)
+        for backend, part, n_tokens in frame.parts:
+            if backend in states:
+                load = states[backend].load
+                parts = (PromptPart(part, n_tokens),)
+                load.prefixes.touch(parts, load.n_all_memory)
+
+    def drop_silent(self, now):
+        """Drop the load of peers that have been silent for too long."""
+        for peer in self.directory.expire(now):
+            self.log_peer(PEER_LOST, peer, now)
+            for pool in self.balancer.pools.values():
+                for state in pool.states.values():
+                    state.load.set_peer(peer.address, LoadFigures())
+
+    def log_peer(self, event, peer, now):
+        """Log that a peer is heard again or silent."""
+        silent_s = now - peer.heard_at if peer.heard_at is not None else 0.0
+        self.write_log(
+            log_event(
+                event,
+                peer=peer.address,
+                incarnation=peer.incarnation,
+                silent_s=round(silent_s, 3),
+                is_leaving=peer.is_leaving,
+            )
+        )
--- /dev/null
+++ b/catkinfork/platform/__init__.py
@@ -0,0 +1,7 @@
+"""Translation between the forwarder and the platform of the new machines."""
+
+from catkinfork.platform._documents import PlatformDecoder
+from catkinfork.platform._names import HEADERS, READY_PATH
+from catkinfork.platform._store import StoreSource
+
+__all__ = ["HEADERS", "READY_PATH", "PlatformDecoder", "StoreSource"]
--- /dev/null
+++ b/catkinfork/platform/_documents.py
@@ -0,0 +1,234 @@
+"""Decoding of the operator's documents and the backend servers' entries."""
+
+from typing import Literal
+
+import msgspec
+
+from catkinfork.topology import (
+    BackendEntry,
+    BaseDecoder,
+    CallerLimits,
+    Configuration,
+    ConfigurationItem,
+    Engine,
+    EntryItem,
+    EvacuationItem,
+    Route,
+    Service,
+    TrafficShare,
+    UnreadableItem,
+    Workspace,
+)
+
+CONFIGURATION_KEY = "op/config"
+EVACUATION_PREFIX = "op/evacuate/"
+ENTRY_PREFIX = "servers/"
+
+
+class SplitDocument(msgspec.Struct):
+    """One target of a route."""
+
+    service: str
+    weight: float
+
+
+class RouteDocument(msgspec.Struct):
+    """A route. ``sticky`` marks routes whose requests tell the parts of their prompt."""
+
+    name: str
+    host: str
+    prefix: str
+    kind: Literal["safe", "unsafe", "streaming"]
+    timeout_ms: float
+    aim_ms: float
+    service: str | None = None
+    traffic_split: list[SplitDocument] = []
+    max_attempts: int = 1
+    public: bool = False
+    sticky: bool = False
+    resumable: bool = False
+    gap_target_ms: float = 0.0
+
+
+class EngineDocument(msgspec.Struct):
+    """Limits of a model engine. ``kv_capacity`` is its memory in tokens."""
+
+    slots: int
+    kv_capacity: int
+
+
+class ServiceDocument(msgspec.Struct):
+    """A service. ``cold_per_s`` is what a cold backend server bears."""
+
+    name: str
+    health_path: str = "/"
+    max_connections: int = 64
+    cold_s: float = 0.0
+    cold_per_s: float = 0.0
+    engine: EngineDocument | None = None
+
+
+class LimitsDocument(msgspec.Struct):
+    """Limits of callers; ``tokens_per_s`` is what all engines produce."""
+
+    max_header_bytes: int
+    max_body_bytes: int
+    header_timeout_ms: float
+    idle_timeout_ms: float
+    tokens_per_s: float = 0.0
+
+
+class TenantDocument(msgspec.Struct):
+    """A workspace and its keys."""
+
+    name: str
+    api_keys: list[str] = []
+
+
+class ConfigurationDocument(msgspec.Struct):
+    """The operator's configuration."""
+
+    version: int
+    routes: list[RouteDocument]
+    services: list[ServiceDocument]
+    limits: LimitsDocument
+    tenants: list[TenantDocument] = []
+
+
+class EntryDocument(msgspec.Struct):
+    """Entry of a backend server. ``born`` is the Unix millisecond of its start."""
+
+    service: str
+    address: str
+    zone: str
+    slots: int
+    state: Literal["ready", "draining"]
+    cold_remaining_ms: float
+    sequence: int
+    version: str
+    born: int = 0
+
+
+_CONFIGURATION = msgspec.json.Decoder(ConfigurationDocument)
+_ENTRY = msgspec.json.Decoder(EntryDocument)
+
+
+class PlatformDecoder(BaseDecoder):
+    """Translates the store's items."""
+
+    def __init__(self):
+        self.services = set()
+
+    def decode(self, item):
+        key = item.key
+        try:
+            if key == CONFIGURATION_KEY:
+                return self.decode_configuration(item)
+            if key.startswith(ENTRY_PREFIX):
+                return self.decode_entry(key[len(ENTRY_PREFIX) :], item)
+        except (msgspec.DecodeError, ValueError) as error:
+            name = key[len(ENTRY_PREFIX) :] if key.startswith(ENTRY_PREFIX) else ""
+            return UnreadableItem(name, str(error))
+        if key.startswith(EVACUATION_PREFIX):
+            is_evacuated = item.value is not None
+            return EvacuationItem(key[len(EVACUATION_PREFIX) :], is_evacuated)
+        return None
+
+    def decode_configuration(self, item):
+        """Return the configuration, or None if the item has been removed."""
+        if item.value is None:
+            return None
+        document = _CONFIGURATION.decode(item.value)
+        configuration = convert_configuration(document)
+        self.services = set(configuration.services)
+        return ConfigurationItem(configuration)
+
+    def decode_entry(self, name, item):
+        """Return the entry of a backend server, or its removal."""
+        if item.value is None:
+            return EntryItem(name, None)
+        document = _ENTRY.decode(item.value)
+        if self.services and document.service not in self.services:
+            raise ValueError(f"service {document.service!r} is not configured")
+        check_address(document.address)
+        entry = BackendEntry(
+            name=name,
+            service=document.service,
+            address=document.address,
+            data_centre=document.zone,
+            n_slots=document.slots,
+            state=document.state,
+            cold_s=document.cold_remaining_ms / 1000,
+            sequence=document.sequence,
+            started_ms=document.born,
+        )
+        return EntryItem(name, entry)
+
+
+def check_address(address):
+    """Check an address.
+
+    :raises ValueError: if it is not ``host:port`` with a numeric port.
+    """
+    host, _, port = address.rpartition(":")
+    if not host or not port.isdigit() or not 0 < int(port) < 65536:
+        raise ValueError(f"address {address!r} is not allowed, expected host:port")
+
+
+def convert_configuration(document):
+    """Return a configuration in the product's types."""
+    limits = document.limits
+    return Configuration(
+        version=document.version,
+        routes=tuple(convert_route(route) for route in document.routes),
+        services={
+            service.name: convert_service(service) for service in document.services
+        },
+        limits=CallerLimits(
+            max_header_bytes=limits.max_header_bytes,
+            max_body_bytes=limits.max_body_bytes,
+            header_timeout_s=limits.header_timeout_ms / 1000,
+            idle_timeout_s=limits.idle_timeout_ms / 1000,
+            tokens_per_s=limits.tokens_per_s,
+        ),
+        workspaces=tuple(
+            Workspace(tenant.name, tuple(tenant.api_keys))
+            for tenant in document.tenants
+        ),
+    )
+
+
+def convert_route(route):
+    """Return a route in the product's type."""
+    targets = [TrafficShare(part.service, part.weight) for part in route.traffic_split]
+    if not targets:
+        if route.service is None:
+            raise ValueError(f"route {route.name!r} has no service")
+        targets = [TrafficShare(route.service, 1.0)]
+    return Route(
+        name=route.name,
+        host=route.host,
+        prefix=route.prefix,
+        kind=route.kind,
+        targets=tuple(targets),
+        timeout_s=route.timeout_ms / 1000,
+        aim_s=route.aim_ms / 1000,
+        max_attempts=route.max_attempts,
+        is_public=route.public,
+        is_resumable=route.resumable,
+        has_prompt=route.sticky,
+        max_pause_s=route.gap_target_ms / 1000,
+    )
+
+
+def convert_service(service):
+    """Return a service in the product's type."""
+    engine = service.engine
+    return Service(
+        name=service.name,
+        health_path=service.health_path,
+        max_connections=service.max_connections,
+        cold_s=service.cold_s,
+        cold_rate=service.cold_per_s,
+        engine=Engine(engine.slots, engine.kv_capacity) if engine else None,
+    )
--- /dev/null
+++ b/catkinfork/platform/_names.py
@@ -0,0 +1,28 @@
+"""Names of the platform's headers and paths."""
+
+from catkinfork.forwarding import HeaderNames
+
+HEADERS = HeaderNames(
+    request_id=b"x-catkinfork-request-id",
+    deadline_ms=b"x-catkinfork-deadline-ms",
+    workspace=b"x-catkinfork-tenant-id",
+    expected_backend=b"x-catkinfork-expect-instance",
+    seal=b"x-catkinfork-response-seal",
+    not_run=b"x-catkinfork-not-executed",
+    prompt_parts=b"x-catkinfork-prefix-hash",
+    token_counts=b"x-catkinfork-token-usage",
+    length_hint=b"x-catkinfork-length-hint",
+    last_event_id=b"last-event-id",
+    reserved=frozenset(
+        {
+            b"x-catkinfork-kv-hold",
+            b"x-catkinfork-pin-ms",
+            b"x-catkinfork-kv-backup",
+            b"kv-from",
+            b"kv-fetch",
+        }
+    ),
+)
+
+# Path on which the balancer asks whether a host takes connections.
+READY_PATH = "/readyz"
--- a/catkinfork/settings/_reference.py
+++ b/catkinfork/settings/_reference.py
@@ -5,13 +5,24 @@
 from inspect import cleandoc
 
 from catkinfork.settings._ranges import RANGES, Number
-from catkinfork.settings._types import AgentSettings, RouterSettings
+from catkinfork.settings._types import (
+    AgentSettings,
+    ForwarderSettings,
+    RouterSettings,
+)
+
+# Role that reads each kind of settings.
+ROLES = (
+    ("router", RouterSettings),
+    ("agent", AgentSettings),
+    ("forwarder", ForwarderSettings),
+)
 
 _HEAD = """\
 # Settings
 
-A process reads its settings from an INI file: `catkinfork router --settings FILE` or
-`catkinfork agent --settings FILE`. Unknown, missing and wrong settings are all listed
+A process reads its settings from an INI file: `catkinfork ROLE --settings FILE`,
+where the role is `router`, `agent` or `forwarder`. Unknown, missing and wrong settings are all listed
 at the start, which then fails with exit code 2. Names that end in `_s` are seconds,
 those in `_bytes` bytes. A setting without a default is required.
 
@@ -22,7 +33,9 @@
 
 def format_reference():
     """Return the reference of all settings as Markdown."""
-    sections = RouterSettings.__annotations__ | AgentSettings.__annotations__
+    sections = {}
+    for _, settings_type in ROLES:
+        sections |= settings_type.__annotations__
     return "\n".join([_HEAD, *map(format_section, sections, sections.values())])
 
 
@@ -34,14 +47,11 @@
     """
     users = [
         role
-        for role, settings_type in (
-            ("router", RouterSettings),
-            ("agent", AgentSettings),
-        )
+        for role, settings_type in ROLES
         if name in settings_type.__annotations__
     ]
     texts = read_descriptions(section_type)
-    lines = [f"## [{name}]", "", f"Read by: {' and '.join(users)}.", ""]
+    lines = [f"## [{name}]", "", f"Read by: {', '.join(users)}.", ""]
     lines += ["| setting | default | allowed | meaning |", "|---|---|---|---|"]
     for key in section_type._fields:
         allowed = format_allowed(RANGES[(name, key)])
--- a/catkinfork/settings/_types.py
+++ b/catkinfork/settings/_types.py
@@ -153,3 +153,69 @@
     backend: BackendSettings
     execution: ExecutionSettings
     log: LogSettings
+
+
+class ForwarderSection(NamedTuple):
+    """Section ``[forwarder]``: the ports of a forwarder and its stop.
+
+    :param name: name of the host in logs.
+    :param address: ``host:port`` for callers.
+    :param ready_address: ``host:port`` on which the balancer asks for readiness.
+    :param control_address: ``host:port`` for status and for peers.
+    :param metrics_port: port of the metrics, on the host of ``control_address``.
+    :param data_centre: data centre of this host.
+    :param grace_s: time from SIGTERM to the forced end.
+    """
+
+    name: str
+    address: str
+    ready_address: str
+    control_address: str
+    metrics_port: int
+    data_centre: str
+    grace_s: float = 8.0
+
+
+class PeersSection(NamedTuple):
+    """Section ``[peers]``: the other forwarders.
+
+    :param port: UDP port of all forwarders.
+    :param seeds: control addresses of forwarders to begin with.
+    """
+
+    port: int
+    seeds: tuple[str, ...] = ()
+
+
+class StoreSection(NamedTuple):
+    """Section ``[store]``: where configuration and backend servers are published.
+
+    :param address: ``host:port`` of the store.
+    """
+
+    address: str
+
+
+class BalancingSection(NamedTuple):
+    """Section ``[balancing]``: bounds over all forwarders.
+
+    :param share_window_s: time over which the service of workspaces is compared.
+    :param repeat_ratio: repeats allowed for each request within the window.
+    :param n_repeat_slack: repeats allowed besides.
+    :param repeat_window_s: window of the repeats.
+    """
+
+    share_window_s: float = 4.0
+    repeat_ratio: float = 0.1
+    n_repeat_slack: int = 10
+    repeat_window_s: float = 10.0
+
+
+class ForwarderSettings(NamedTuple):
+    """All settings of a forwarder."""
+
+    forwarder: ForwarderSection
+    peers: PeersSection
+    store: StoreSection
+    balancing: BalancingSection
+    log: LogSettings
--- a/catkinfork/topology/__init__.py
+++ b/catkinfork/topology/__init__.py
@@ -7,6 +7,19 @@
 )
 from catkinfork.topology._registry import Backend, BackendRegistry
 from catkinfork.topology._routes import RouteTable, choose_target
+from catkinfork.topology._source import (
+    BaseDecoder,
+    BaseSource,
+    Changes,
+    ConfigurationItem,
+    EntryItem,
+    EvacuationItem,
+    HistoryLostError,
+    Item,
+    SourceError,
+    UnreadableItem,
+)
+from catkinfork.topology._state import TopologyState
 from catkinfork.topology._types import (
     DRAINING,
     READY,
@@ -22,26 +35,39 @@
     TrafficShare,
     Workspace,
 )
+from catkinfork.topology._watcher import Watcher
 
 __all__ = [
-    "CONFIGURATION_ADOPTED",
-    "CONFIGURATION_REJECTED",
-    "DRAINING",
-    "EVENTS",
-    "READY",
-    "SAFE",
-    "STREAMING",
-    "UNSAFE",
     "Backend",
     "BackendEntry",
     "BackendRegistry",
+    "BaseDecoder",
+    "BaseSource",
+    "CONFIGURATION_ADOPTED",
+    "CONFIGURATION_REJECTED",
     "CallerLimits",
+    "Changes",
     "Configuration",
+    "ConfigurationItem",
+    "DRAINING",
+    "EVENTS",
     "Engine",
+    "EntryItem",
+    "EvacuationItem",
+    "HistoryLostError",
+    "Item",
+    "READY",
     "Route",
     "RouteTable",
+    "SAFE",
+    "STREAMING",
     "Service",
+    "SourceError",
+    "TopologyState",
     "TrafficShare",
+    "UNSAFE",
+    "UnreadableItem",
+    "Watcher",
     "Workspace",
     "choose_target",
 ]
--- a/catkinfork/topology/_events.py
+++ b/catkinfork/topology/_events.py
@@ -44,6 +44,20 @@
     "a data centre is taken out of service or taken back",
     ("data_centre", "is_evacuated"),
 )
+SOURCE_LOST = Event(
+    806,
+    "warning",
+    "source_lost",
+    "the store does not answer as expected; what is known stays in force",
+    ("source", "detail", "revision"),
+)
+SOURCE_REGAINED = Event(
+    807,
+    "info",
+    "source_regained",
+    "the store answers again",
+    ("source", "failed_s", "revision"),
+)
 
 EVENTS = (
     CONFIGURATION_ADOPTED,
@@ -52,4 +66,6 @@
     BACKEND_LEAVING,
     ENTRY_IGNORED,
     EVACUATION_CHANGED,
+    SOURCE_LOST,
+    SOURCE_REGAINED,
 )
