Count entries that lapse in an outage from the return of the store

Ruled out: late watches; the other three forwarders logged the removal within 50 ms. Now the grace ends 1.7 s after the store's return.

--- a/catkinfork/peering/_frames.py
+++ b/catkinfork/peering/_frames.py
@@ -59,6 +59,8 @@
     :param is_leaving: whether the sender drains.
     :param version: version of the configuration in force.
     :param revision: revision of the store that the sender has seen.
+    :param is_full: whether the loads name all backend servers at which the sender has
+        requests in flight.
     """
 
     sender: str
@@ -67,6 +69,7 @@
     is_leaving: bool
     version: int
     revision: int
+    is_full: bool = False
     peers: list[str] = []
     loads: list[LoadEntry] = []
     uses: list[UseEntry] = []
--- a/catkinfork/peering/_peers.py
+++ b/catkinfork/peering/_peers.py
@@ -29,6 +29,7 @@
         self.repeats = {}
         self.uses = {}
         self.is_counted = False
+        self.counted_since = 0.0
 
 
 class PeerDirectory:
--- a/catkinfork/peering/_state.py
+++ b/catkinfork/peering/_state.py
@@ -23,6 +23,10 @@
 # Time after which all totals are sent again, as datagrams may be lost.
 REFRESH_INTERVAL_S = 1.0
 MAX_PARTS = 40
+# Workspaces whose totals are sent again with each full frame, in turn.
+MAX_REFRESHED_USES = 20
+# Time for which a peer's first totals may hold what it counted before it was heard.
+FIRST_TOTALS_S = 2.0 * REFRESH_INTERVAL_S
 MAX_PEERS_LISTED = 24
 
 
@@ -50,6 +54,7 @@
         self.next_heartbeat_at = 0.0
         self.next_refresh_at = 0.0
         self.names = {}
+        self.n_refreshed_uses = 0
         self.n_sent = 0
         self.n_received = 0
 
@@ -107,6 +112,8 @@
         services = changes.services
         workspaces = changes.workspaces
         if is_full:
+            frame.is_full = True
+            workspaces = workspaces | self.list_refreshed_uses()
             frame.peers = self.directory.list_known()[:MAX_PEERS_LISTED]
             backends = self.list_loaded()
             services = self.balancer.pools.keys()
@@ -118,6 +125,17 @@
             name = self.find_hash(backend)
             frame.parts += [PartEntry(name, part, n) for part, n in parts]
 
+    def list_refreshed_uses(self):
+        """Return the next pairs of service and workspace to send again."""
+        pairs = [
+            (service, workspace)
+            for service, pool in self.balancer.pools.items()
+            for workspace in pool.shares.uses
+        ]
+        start = self.n_refreshed_uses % max(1, len(pairs))
+        self.n_refreshed_uses = start + MAX_REFRESHED_USES
+        return set(pairs[start : start + MAX_REFRESHED_USES])
+
     def list_loaded(self):
         """Return pairs of service and backend server that requests are in flight at."""
         return [
@@ -159,6 +177,7 @@
         self.n_received += 1
         if not peer.is_counted:
             peer.is_counted = True
+            peer.counted_since = now
             self.log_peer(PEER_REGAINED, peer, now)
         self.directory.add(frame.peers, now)
         pools = {
@@ -174,7 +193,7 @@
     def apply_repeats(self, peer, frame, pools, now):
         """Count the requests and repeats that a peer has sent since its last frame."""
         for service, n_requests, n_repeats in frame.repeats:
-            before = peer.repeats.get(service)
+            before = peer.repeats.get(service) or find_base(peer, now)
             peer.repeats[service] = (n_requests, n_repeats)
             if before is None or service not in pools:
                 continue
@@ -186,7 +205,7 @@
         """Count the service that workspaces got at a peer since its last frame."""
         for service, workspace, n_asked, n_received in frame.uses:
             key = (service, workspace)
-            before = peer.uses.get(key)
+            before = peer.uses.get(key) or find_base(peer, now)
             peer.uses[key] = (n_asked, n_received)
             if before is None or service not in pools:
                 continue
@@ -210,6 +229,10 @@
             for pool in pools.values()
             for name, state in pool.states.items()
         }
+        if frame.is_full:
+            listed = {entry.backend for entry in frame.loads}
+            for name in states.keys() - listed:
+                states[name].load.set_peer(peer.address, LoadFigures())
         for backend, n_in_flight, n_pending, n_memory in frame.loads:
             if backend in states:
                 figures = LoadFigures(n_in_flight, n_pending, n_memory)
@@ -240,3 +263,12 @@
                 is_leaving=peer.is_leaving,
             )
         )
+
+
+def find_base(peer, now):
+    """Return the totals to which a peer's first ones are compared.
+
+    :returns: zeros for a total that the peer has begun since it is heard, or None if
+        the first total may hold what it counted before.
+    """
+    return (0, 0) if now - peer.counted_since > FIRST_TOTALS_S else None
--- a/catkinfork/topology/_registry.py
+++ b/catkinfork/topology/_registry.py
@@ -9,10 +9,6 @@
 )
 from catkinfork.topology._types import DRAINING, READY
 
-# Entries that lapsed during an outage of the store are written again within this time
-# after its return, if the backend server lives.
-RETURN_TIME_S = 2.0
-
 
 class Backend:
     """A backend server that is known.
@@ -115,33 +111,28 @@
         """Log an entry that names no backend server to use."""
         self.write_log(log_event(ENTRY_IGNORED, key=key, source=source, detail=detail))
 
-    def remove(self, name, now, is_certain):
+    def remove(self, name, now, gone_at):
         """Take the removal of an entry.
 
-        :param is_certain: whether the store has been well for a while, so that the
-            backend server is gone. Otherwise the entry may have lapsed in an outage.
+        :param gone_at: time from which on the backend server counts as gone; later than
+            ``now`` if the entry may have lapsed in an outage of the store.
         """
         backend = self.backends.get(name)
         if backend is None:
             return
-        if not is_certain:
+        if now < gone_at:
             if backend.missing_until is None:
-                backend.missing_until = now + RETURN_TIME_S
+                backend.missing_until = gone_at
             return
         del self.backends[name]
         self.log_leaving(backend, "gone")
         self.rebuild()
 
-    def keep_only(self, names, now, is_certain):
-        """Take a full list: entries that it lacks are removed."""
-        for name in self.backends.keys() - names:
-            self.remove(name, now, is_certain)
-
     def drop_missing(self, now):
         """Remove backend servers whose entry has not come back in time."""
         for backend in list(self.backends.values()):
             if backend.missing_until is not None and now >= backend.missing_until:
-                self.remove(backend.name, now, is_certain=True)
+                self.remove(backend.name, now, now)
 
     def evacuate(self, data_centres):
         """Set the data centres whose backend servers get no new requests."""
--- a/catkinfork/topology/_state.py
+++ b/catkinfork/topology/_state.py
@@ -33,31 +33,32 @@
         self.revision = 0
         self.routes = None
 
-    def apply(self, changes, source, now, is_certain):
+    def apply(self, changes, source, now, gone_at):
         """Take items that were read.
 
         :param changes: :class:`Changes`.
         :param source: where they were read, for the log.
-        :param is_certain: whether a missing entry means that the backend server is gone.
+        :param gone_at: time from which on backend servers whose entries are missing
+            count as gone.
         """
         if changes.is_full and changes.revision < self.revision:
             return
         if changes.is_full:
-            self.remove_missing(changes, source, now, is_certain)
+            self.remove_missing(changes, source, now, gone_at)
         for item in changes.items:
             known = self.items.get(item.key)
             if known is None or item.revision > known.revision:
-                self.apply_item(item, source, now, is_certain)
+                self.apply_item(item, source, now, gone_at)
         self.revision = max(self.revision, changes.revision)
 
-    def remove_missing(self, changes, source, now, is_certain):
+    def remove_missing(self, changes, source, now, gone_at):
         """Remove the items that a full list lacks."""
         listed = {item.key for item in changes.items}
         for key in self.items.keys() - listed:
             gone = Item(key, None, changes.revision)
-            self.apply_item(gone, source, now, is_certain)
+            self.apply_item(gone, source, now, gone_at)
 
-    def apply_item(self, item, source, now, is_certain):
+    def apply_item(self, item, source, now, gone_at):
         """Take one item that is newer than the one known."""
         if item.value is None:
             self.items.pop(item.key, None)
@@ -67,7 +68,7 @@
         if isinstance(decoded, ConfigurationItem):
             self.adopt(decoded.configuration, source, item.revision)
         elif isinstance(decoded, EntryItem):
-            self.apply_entry(decoded, source, now, is_certain)
+            self.apply_entry(decoded, source, now, gone_at)
         elif isinstance(decoded, EvacuationItem):
             self.apply_evacuation(decoded)
         elif isinstance(decoded, UnreadableItem):
@@ -90,10 +91,10 @@
             )
         )
 
-    def apply_entry(self, decoded, source, now, is_certain):
+    def apply_entry(self, decoded, source, now, gone_at):
         """Take an entry of a backend server, or its removal."""
         if decoded.entry is None:
-            self.registry.remove(decoded.name, now, is_certain)
+            self.registry.remove(decoded.name, now, gone_at)
         else:
             self.registry.note_entry(decoded.entry, now, source)
 
@@ -110,7 +111,7 @@
         """Log a value that cannot be read; it names no backend server to use."""
         if decoded.name:
             self.registry.ignore(item.key, source, decoded.detail)
-            self.registry.remove(decoded.name, now, is_certain=True)
+            self.registry.remove(decoded.name, now, now)
             return
         self.write_log(
             log_event(
--- a/catkinfork/topology/_watcher.py
+++ b/catkinfork/topology/_watcher.py
@@ -13,9 +13,9 @@
 # Pause after a failure, seconds; it doubles up to the longest.
 MIN_RETRY_S = 0.1
 MAX_RETRY_S = 0.6
-# Time without failures after which a missing entry means that the backend server is
-# gone and not that its entry lapsed in an outage, seconds.
-CERTAIN_AFTER_S = 3.0
+# Entries that lapsed during an outage of the store are written again within this time
+# after its return, if the backend server lives.
+RETURN_TIME_S = 1.7
 # Time after which state is asked of peers while the store fails, seconds.
 ASK_PEERS_AFTER_S = 0.2
 PEER_INTERVAL_S = 0.3
@@ -41,14 +41,19 @@
         self.rng = rng
         self.write_log = write_log
         self.is_listed = False
-        self.failed_at = time.monotonic()
+        self.regained_at = time.monotonic()
         self.failing_since = None
         self.read_at = None
         self.n_reads = 0
 
-    def is_certain(self, now):
-        """Return whether the store has been well for a while."""
-        return self.failing_since is None and now - self.failed_at > CERTAIN_AFTER_S
+    def find_gone_at(self, now):
+        """Return when a backend server whose entry is missing counts as gone.
+
+        :param now: monotonic seconds.
+        """
+        if self.failing_since is not None:
+            return now + RETURN_TIME_S
+        return max(now, self.regained_at + RETURN_TIME_S)
 
     async def run(self):
         """Read the store for ever."""
@@ -77,14 +82,14 @@
             self.is_listed = True
         now = time.monotonic()
         self.read_at = now
-        self.state.apply(changes, self.source.name, now, self.is_certain(now))
+        gone_at = self.find_gone_at(now)
+        self.state.apply(changes, self.source.name, now, gone_at)
         if changes.items or changes.is_full:
             self.on_change()
 
     def note_failure(self, error):
         """Note that the store does not answer as expected."""
         now = time.monotonic()
-        self.failed_at = now
         if self.failing_since is None:
             self.failing_since = now
             self.write_log(
@@ -102,7 +107,7 @@
             return
         failed_s = time.monotonic() - self.failing_since
         self.failing_since = None
-        self.failed_at = time.monotonic()
+        self.regained_at = time.monotonic()
         self.write_log(
             log_event(
                 SOURCE_REGAINED,
@@ -128,5 +133,5 @@
                 # The peer's own silence is logged where heartbeats are counted.
                 continue
             now = time.monotonic()
-            self.state.apply(changes, peer_source.name, now, is_certain=False)
+            self.state.apply(changes, peer_source.name, now, self.find_gone_at(now))
             self.on_change()
--- a/catkinfork/topology/tests/test_registry.py
+++ b/catkinfork/topology/tests/test_registry.py
@@ -46,14 +46,14 @@
 def test_removed_entry_is_gone_at_once_if_the_store_is_well(registry):
     """Guards against requests to a backend server that has left."""
     registry.note_entry(build_entry(), 0.0, "test")
-    registry.remove("b1", 1.0, is_certain=True)
+    registry.remove("b1", 1.0, gone_at=1.0)
     assert list_names(registry) == []
 
 
 def test_entry_that_lapsed_in_an_outage_may_come_back(registry):
     """Guards against an empty fleet after an outage of the store."""
     registry.note_entry(build_entry(), 0.0, "test")
-    registry.remove("b1", 1.0, is_certain=False)
+    registry.remove("b1", 1.0, gone_at=3.0)
     assert list_names(registry) == ["b1"]
     registry.note_entry(build_entry(sequence=2), 2.0, "test")
     registry.drop_missing(10.0)
@@ -63,7 +63,7 @@
 def test_entry_that_stays_missing_is_gone(registry):
     """Guards against requests to a backend server that an outage has hidden."""
     registry.note_entry(build_entry(), 0.0, "test")
-    registry.remove("b1", 1.0, is_certain=False)
+    registry.remove("b1", 1.0, gone_at=3.0)
     registry.drop_missing(2.9)
     assert list_names(registry) == ["b1"]
     registry.drop_missing(3.0)
--- a/catkinfork/topology/tests/test_state.py
+++ b/catkinfork/topology/tests/test_state.py
@@ -22,7 +22,7 @@
     Watcher,
     choose_target,
 )
-from catkinfork.topology._registry import RETURN_TIME_S
+from catkinfork.topology._watcher import RETURN_TIME_S
 from catkinfork.topology.tests.samples import (
     build_configuration,
     build_entry,
@@ -56,9 +56,9 @@
     return TopologyState(registry, SampleDecoder(), lambda routes: None, events.append)
 
 
-def apply(state, *items, revision=0, is_full=False, is_certain=True):
+def apply(state, *items, revision=0, is_full=False):
     """Apply items to a state."""
-    state.apply(Changes(items, revision, is_full), "test", 0.0, is_certain)
+    state.apply(Changes(items, revision, is_full), "test", 0.0, 0.0)
 
 
 def test_configuration_never_goes_back(state):
@@ -194,3 +194,15 @@
     peer = ScriptedSource([Changes([Item("config", b"9", 4)], 4, True)] * 5)
     run_watcher(state, source, peer)
     assert state.routes.version == 9
+
+
+def test_removal_after_an_outage_counts_from_the_return_of_the_store(state):
+    """Guards against requests to a backend server that leaves right after an outage."""
+    listed = Changes([Item("b1", b"1", 1)], 1, True)
+    removed = Changes([Item("b1", None, 2)], 2, False)
+    nothing = Changes([], 2, False)
+    waits = [nothing] * 4 + [removed] + [nothing] * 50
+    source = ScriptedSource([SourceError("down"), listed], waits)
+    watcher = run_watcher(state, source, seconds=1.2)
+    backend = state.registry.backends["b1"]
+    assert backend.missing_until == watcher.regained_at + RETURN_TIME_S
