Estimate waits from all placements, not only from those that waited

Cause: the rate behind the estimate counted placements from the queue only, so that the first requests of a burst saw a rate near zero and were refused at once although they would have been served. Ruled out: the even share, which bounds only workspaces above it.

--- a/catkinfork/balancing/_balancer.py
+++ b/catkinfork/balancing/_balancer.py
@@ -225,6 +225,7 @@
             pool.repeats.note_repeat(now)
             self.changes.services.add(job.service)
         else:
+            pool.note_placed(job, now)
             pool.shares.note_received(job.workspace, job.n_service_tokens, now)
             self.changes.workspaces.add((job.service, job.workspace))
         job.tried.append(backend.name)
@@ -269,7 +270,6 @@
             if placement is None:
                 continue
             pool.queue.remove(job)
-            pool.note_drained(job, now)
             decisions.append((job, placement))
         return decisions
 
--- a/catkinfork/balancing/_pool.py
+++ b/catkinfork/balancing/_pool.py
@@ -9,8 +9,8 @@
 from catkinfork.balancing._shares import FairShares
 from catkinfork.balancing._windows import DecayingSum
 
-# Time over which the rate at which jobs leave the queue is measured.
-DRAIN_WINDOW_S = 1.0
+# Time over which the rate at which jobs are placed is measured.
+PLACED_WINDOW_S = 1.0
 # Weight of the latest request in the mean duration of a route.
 DURATION_WEIGHT = 0.05
 
@@ -42,7 +42,7 @@
         self.queue = WaitingQueue(self.shares)
         self.repeats = RepeatBudget(settings.repeats)
         self.health = ServiceHealth()
-        self.drained = DecayingSum(DRAIN_WINDOW_S)
+        self.placed = DecayingSum(PLACED_WINDOW_S)
         self.durations = {}
 
     def update(self, service, settings):
@@ -63,17 +63,17 @@
             if not self.states[name].load.n_in_flight:
                 del self.states[name]
 
-    def note_drained(self, job, now):
-        """Note that a job has left the queue for a backend server."""
-        self.drained.add(max(1, job.n_service_tokens), now)
+    def note_placed(self, job, now):
+        """Note that a job has gone to a backend server, waiting or not."""
+        self.placed.add(max(1, job.n_service_tokens), now)
 
     def estimate_wait(self, n_tokens_ahead, now):
-        """Return how long a job waits behind others, from the recent drain rate.
+        """Return how long a job waits behind others, from the recent rate of placements.
 
         :param n_tokens_ahead: service tokens of the jobs that go first.
         :returns: seconds, 0 while nothing is known.
         """
-        rate = self.drained.read(now) / DRAIN_WINDOW_S
+        rate = self.placed.read(now) / PLACED_WINDOW_S
         if rate <= 0:
             return 0.0
         return n_tokens_ahead / rate
--- a/catkinfork/balancing/tests/test_admission.py
+++ b/catkinfork/balancing/tests/test_admission.py
@@ -192,3 +192,21 @@
         budget.note_repeat(1.0)
         n_allowed += 1
     assert n_allowed == 7
+
+
+def test_first_request_that_waits_is_not_refused():
+    """Guards against a wait that is estimated from the requests of the queue alone."""
+    balancer = build_balancer(n_backends=1, n_slots=4)
+    route = build_route(timeout_s=3.0)
+    now = 0.0
+    for _ in range(40):
+        now += 0.05
+        placements = [submit(balancer, now, route=route) for _ in range(4)]
+        for placement in placements:
+            serve(balancer, placement, now + 0.04)
+    running = [submit(balancer, now, route=route) for _ in range(4)]
+    submit(balancer, now, route=route)
+    serve(balancer, running[0], now)
+    balancer.pump(now)
+    for _ in range(20):
+        assert submit(balancer, now, route=route) is None
