Let a request wait for the engine that keeps its prompt

Now the engine with the least cost is chosen whether it has room or not, and waiting requests count at the engine that they wait for.

--- a/catkinfork/balancing/_balancer.py
+++ b/catkinfork/balancing/_balancer.py
@@ -1,5 +1,7 @@
 """Admission and placement of the requests of one forwarder."""
 
+from typing import NamedTuple
+
 from catkinfork.balancing._changes import ChangeSet
 from catkinfork.balancing._events import (
     BACKEND_LEFT_OUT,
@@ -23,9 +25,10 @@
 from catkinfork.balancing._pool import ServicePool
 from catkinfork.balancing._suspects import MAX_CRASHES, SuspectTable
 from catkinfork.observability import log_event
+from catkinfork.topology import Backend
 
 # Waiting jobs that are considered for placement at one time.
-MAX_CONSIDERED = 16
+MAX_CONSIDERED = 64
 # Jobs that one forwarder holds for one service.
 MAX_WAITING = 2000
 # Backend servers to which one request is sent, those that reject it included.
@@ -39,6 +42,20 @@
 RETRY_SPREAD = 0.5
 
 
+class Candidate(NamedTuple):
+    """A backend server that may run a job.
+
+    :param n_missing_tokens: prompt tokens that it would have to read.
+    :param cost: cost of the job there.
+    :param has_room: whether it takes the job now.
+    """
+
+    backend: Backend
+    n_missing_tokens: int
+    cost: float
+    has_room: bool
+
+
 class Balancer:
     """Decides which request goes to which backend server, waits or is refused.
 
@@ -183,34 +200,47 @@
             if pool.find(backend.name).health.unreachable_at is None
         ]
 
-    def place(self, pool, job, now):
-        """Place a job at the backend server with the least cost that has room.
+    def place(self, pool, job, now, reserved=None):
+        """Place a job at the backend server with the least cost.
 
-        :returns: :class:`Placement`, or None if none has room.
+        A job waits for that backend server although another one has room, as long as
+        this costs less than to read its prompt there.
+
+        :param reserved: tokens that other waiting jobs will add, by backend server; a
+            job that waits adds its own.
+        :returns: :class:`Placement`, or None if the job waits.
         """
-        best = None
-        best_cost = float("inf")
-        best_missing = 0
         usable = self.list_usable(pool, job, now)
-        for backend in usable:
-            state = pool.find(backend.name)
-            missing = pool.model.estimate_missing(job, state.load)
-            if not pool.model.has_room(job, backend, state.load, missing):
-                continue
-            if backend.is_cold(now) and not state.limiter.allows(now):
-                continue
-            cost = pool.model.estimate_cost(job, backend, state.load, missing)
-            if cost < best_cost:
-                best, best_cost, best_missing = backend, cost, missing
+        best = self.choose(pool, job, usable, reserved or {}, now)
         if best is None:
             return None
-        placement = Placement(job, best, best_missing, now)
-        placement.cost = best_cost
+        if not best.has_room:
+            if reserved is not None:
+                name = best.backend.name
+                reserved[name] = reserved.get(name, 0) + best.n_missing_tokens
+            return None
+        placement = Placement(job, best.backend, best.n_missing_tokens, now)
+        placement.cost = best.cost
         placement.n_candidates = len(usable)
         placement.news_age_s = self.peers.news_age_s(now)
         self.open(pool, placement, now)
         return placement
 
+    def choose(self, pool, job, usable, reserved, now):
+        """Return the :class:`Candidate` with the least cost, or None."""
+        best = None
+        for backend in usable:
+            state = pool.find(backend.name)
+            if backend.is_cold(now) and not state.limiter.allows(now):
+                continue
+            n_missing = pool.model.estimate_missing(job, state.load)
+            cost = pool.model.estimate_cost(job, backend, state.load, n_missing)
+            cost += reserved.get(backend.name, 0)
+            if best is None or cost < best.cost:
+                has_room = pool.model.has_room(job, backend, state.load, n_missing)
+                best = Candidate(backend, n_missing, cost, has_room)
+        return best
+
     def open(self, pool, placement, now):
         """Account for a new attempt."""
         job = placement.job
@@ -265,8 +295,9 @@
     def place_waiting(self, pool, now):
         """Place the waiting jobs that go first."""
         decisions = []
+        reserved = {}
         for job in pool.queue.list_ranked(now)[:MAX_CONSIDERED]:
-            placement = self.place(pool, job, now)
+            placement = self.place(pool, job, now, reserved)
             if placement is None:
                 continue
             pool.queue.remove(job)
--- a/catkinfork/balancing/tests/test_placement.py
+++ b/catkinfork/balancing/tests/test_placement.py
@@ -180,3 +180,18 @@
     ((placed, decision),) = balancer.pump(0.1)
     assert placed is job
     assert isinstance(decision, Placement)
+
+
+def test_request_waits_for_the_backend_that_keeps_its_prompt():
+    """Guards against a long shared prompt that is read again at each busy moment."""
+    balancer = build_balancer(n_backends=2)
+    first = submit(balancer, 0.0, n_prompt=20_000, parts=((1, 20_000),))
+    serve(balancer, first, 0.1)
+    submit(balancer, 0.2, n_prompt=36_000, parts=((1, 20_000), (5, 16_000)))
+    job = build_job(0.2, n_prompt=20_500, parts=((1, 20_000), (6, 500)))
+    assert balancer.submit(job, 0.2) is None
+    small = build_job(0.2, n_prompt=500)
+    balancer.submit(small, 0.2)
+    ((placed, placement),) = balancer.pump(0.2)
+    assert placed is small
+    assert placement.backend.name != first.backend.name
--- a/catkinfork/forwarding/_exchange.py
+++ b/catkinfork/forwarding/_exchange.py
@@ -92,6 +92,9 @@
             self.attempt(decision)
         elif isinstance(decision, Refusal):
             self.refuse(decision)
+        else:
+            # The job may go to a backend server that those ahead of it do not want.
+            self.server.pump_soon()
 
     def refuse(self, refusal):
         """Give the request up, with the time to come back if it has not run."""
