Leave a share of the room to jobs that go first at another forwarder

Cause: room at an engine becomes known first to the forwarder whose request has begun, which refilled it with its own next request. Forwarders now tell the turn of their first waiting job, and two fifths of the pending prompt tokens are left to the job that goes first. Ruled out: the refusals, which follow from the low rate.

--- a/catkinfork/balancing/__init__.py
+++ b/catkinfork/balancing/__init__.py
@@ -21,6 +21,7 @@
     Refusal,
 )
 from catkinfork.balancing._loads import LoadFigures
+from catkinfork.balancing._queue import Turn
 from catkinfork.balancing._settings import BalancerSettings, RepeatSettings
 
 __all__ = [
@@ -45,4 +46,5 @@
     "PromptPart",
     "Refusal",
     "RepeatSettings",
+    "Turn",
 ]
--- a/catkinfork/balancing/_balancer.py
+++ b/catkinfork/balancing/_balancer.py
@@ -143,7 +143,8 @@
         if not self.list_usable(pool, job, now):
             return Refusal(NO_BACKEND, self.spread(NO_BACKEND_RETRY_AFTER_S))
         if not pool.queue.n_jobs:
-            placement = self.place(pool, job, now)
+            turn = pool.queue.find_turn(job, now)
+            placement = self.place(pool, job, turn, now)
             if placement is not None:
                 return placement
         refusal = self.check_wait(pool, job, now)
@@ -200,18 +201,20 @@
             if pool.find(backend.name).health.unreachable_at is None
         ]
 
-    def place(self, pool, job, now, reserved=None):
+    def place(self, pool, job, turn, now, reserved=None):
         """Place a job at the backend server with the least cost.
 
         A job waits for that backend server although another one has room, as long as
         this costs less than to read its prompt there.
 
+        :param turn: :class:`Turn` of the job.
         :param reserved: tokens that other waiting jobs will add, by backend server; a
             job that waits adds its own.
         :returns: :class:`Placement`, or None if the job waits.
         """
         usable = self.list_usable(pool, job, now)
-        best = self.choose(pool, job, usable, reserved or {}, now)
+        is_first = pool.is_first(turn)
+        best = self.choose(pool, job, usable, reserved or {}, is_first, now)
         if best is None:
             return None
         if not best.has_room:
@@ -226,7 +229,7 @@
         self.open(pool, placement, now)
         return placement
 
-    def choose(self, pool, job, usable, reserved, now):
+    def choose(self, pool, job, usable, reserved, is_first, now):
         """Return the :class:`Candidate` with the least cost, or None."""
         best = None
         for backend in usable:
@@ -237,7 +240,9 @@
             cost = pool.model.estimate_cost(job, backend, state.load, n_missing)
             cost += reserved.get(backend.name, 0)
             if best is None or cost < best.cost:
-                has_room = pool.model.has_room(job, backend, state.load, n_missing)
+                has_room = pool.model.has_room(
+                    job, backend, state.load, n_missing, is_first
+                )
                 best = Candidate(backend, n_missing, cost, has_room)
         return best
 
@@ -296,9 +301,11 @@
         """Place the waiting jobs that go first."""
         decisions = []
         reserved = {}
-        for job in pool.queue.list_ranked(now)[:MAX_CONSIDERED]:
-            placement = self.place(pool, job, now, reserved)
+        pool.turn = None
+        for turn, job in pool.queue.list_ranked(now)[:MAX_CONSIDERED]:
+            placement = self.place(pool, job, turn, now, reserved)
             if placement is None:
+                pool.turn = pool.turn or turn
                 continue
             pool.queue.remove(job)
             decisions.append((job, placement))
--- a/catkinfork/balancing/_models.py
+++ b/catkinfork/balancing/_models.py
@@ -9,7 +9,8 @@
 # Cost of another data centre, in prompt tokens; the bytes between them are not free.
 REMOTE_TOKENS = 150.0
 # Prompt tokens that may be pending at an engine. It covers the time in which news of
-# the first events reach all forwarders, so that no engine runs dry; the rest waits here.
+# the first events reach all forwarders, so that no engine runs dry; the rest waits at
+# the forwarders.
 MAX_PENDING_TOKENS = 16_000
 # A prompt of any length may join so few pending tokens.
 MIN_PENDING_TOKENS = 4_000
@@ -18,6 +19,9 @@
 MAX_MEMORY_SHARE = 0.95
 # Requests beyond the slots of a plain backend server that keep it busy between two.
 EXTRA_REQUESTS = 2
+# Share of the room that is left to jobs that go first while another forwarder holds
+# them. What lies below it is used by any job, so that nothing idles while it waits.
+FIRST_SHARE = 0.4
 # Cost of another data centre for a plain service, in requests.
 REMOTE_REQUESTS = 0.25
 
@@ -40,8 +44,12 @@
         """Return the cost of the job at a backend server; the least one wins."""
 
     @abstractmethod
-    def has_room(self, job, backend, load, n_missing):
-        """Return whether the backend server takes the job now."""
+    def has_room(self, job, backend, load, n_missing, is_first):
+        """Return whether the backend server takes the job now.
+
+        :param is_first: whether no other forwarder holds a job that goes before this
+            one; otherwise a share of the room is left to it.
+        """
 
 
 class EngineLoadModel(BaseLoadModel):
@@ -67,13 +75,16 @@
             cost += REMOTE_TOKENS
         return cost
 
-    def has_room(self, job, backend, load, n_missing):
-        if load.n_all_in_flight >= backend.entry.n_slots:
+    def has_room(self, job, backend, load, n_missing, is_first):
+        n_slots = backend.entry.n_slots
+        n_pending_limit = MAX_PENDING_TOKENS
+        if not is_first:
+            n_slots -= int(FIRST_SHARE * n_slots / 4)
+            n_pending_limit *= 1.0 - FIRST_SHARE
+        if load.n_all_in_flight >= n_slots:
             return False
         n_pending = load.n_all_pending
-        if n_pending > MIN_PENDING_TOKENS and n_pending + n_missing > (
-            MAX_PENDING_TOKENS
-        ):
+        if n_pending > MIN_PENDING_TOKENS and n_pending + n_missing > n_pending_limit:
             return False
         n_memory = load.n_all_memory + job.n_prompt_tokens + job.n_output_tokens
         limit = MAX_MEMORY_SHARE * self.engine.n_memory_tokens
@@ -92,8 +103,9 @@
             cost += REMOTE_REQUESTS
         return cost
 
-    def has_room(self, job, backend, load, n_missing):
-        return load.n_all_in_flight < backend.entry.n_slots + EXTRA_REQUESTS
+    def has_room(self, job, backend, load, n_missing, is_first):
+        n_extra = EXTRA_REQUESTS if is_first else 0
+        return load.n_all_in_flight < backend.entry.n_slots + n_extra
 
 
 def build_load_model(service, data_centre):
--- a/catkinfork/balancing/_pool.py
+++ b/catkinfork/balancing/_pool.py
@@ -44,6 +44,8 @@
         self.health = ServiceHealth()
         self.placed = DecayingSum(PLACED_WINDOW_S)
         self.durations = {}
+        self.turn = None
+        self.peer_turns = {}
 
     def update(self, service, settings):
         """Take a changed service; loads and queue stay."""
@@ -78,6 +80,17 @@
             return 0.0
         return n_tokens_ahead / rate
 
+    def set_peer_turn(self, peer, turn):
+        """Set the turn of the first job that waits at a peer, or None if none does."""
+        if turn is None:
+            self.peer_turns.pop(peer, None)
+        else:
+            self.peer_turns[peer] = turn
+
+    def is_first(self, turn):
+        """Return whether no job that waits at a peer goes before this turn."""
+        return all(turn <= other for other in self.peer_turns.values())
+
     def note_duration(self, route, duration_s):
         """Learn how long a served request of a route takes from its placement."""
         known = self.durations.get(route.name, duration_s)
--- a/catkinfork/balancing/_queue.py
+++ b/catkinfork/balancing/_queue.py
@@ -1,11 +1,24 @@
 """Jobs of one service that wait for room, in the order in which they are served."""
 
+from typing import NamedTuple
+
 # Under overload, a job that would be late goes after those that can still be on time.
 ON_TIME = 0
 LATE = 1
 OVER_SHARE = 2
 
 
+class Turn(NamedTuple):
+    """When a job goes; lower turns go first, over all forwarders.
+
+    :param rank: one of the ranks above.
+    :param n_received: recent service of its workspace in tokens.
+    """
+
+    rank: int
+    n_received: float
+
+
 class WaitingQueue:
     """Waiting jobs by workspace.
 
@@ -48,16 +61,22 @@
         return [job for jobs in self.by_workspace.values() for job in jobs]
 
     def list_ranked(self, now):
-        """Return all waiting jobs, the next one first."""
+        """Return pairs of turn and waiting job, the next one first."""
         ranked = []
         for workspace, jobs in self.by_workspace.items():
             is_over = self.shares.is_over(workspace, now)
             received = self.shares.read_received(workspace, now)
             for job in jobs:
-                rank = self.rank_job(job, is_over, now)
-                ranked.append(((rank, received, job.aim_at), job))
-        ranked.sort(key=lambda pair: pair[0])
-        return [job for _, job in ranked]
+                turn = Turn(self.rank_job(job, is_over, now), received)
+                ranked.append((turn, job))
+        ranked.sort(key=lambda pair: (*pair[0], pair[1].aim_at))
+        return ranked
+
+    def find_turn(self, job, now):
+        """Return the turn of a job."""
+        is_over = self.shares.is_over(job.workspace, now)
+        received = self.shares.read_received(job.workspace, now)
+        return Turn(self.rank_job(job, is_over, now), received)
 
     def rank_job(self, job, is_over, now):
         """Return the rank of a job; lower goes first."""
--- a/catkinfork/peering/_frames.py
+++ b/catkinfork/peering/_frames.py
@@ -43,6 +43,14 @@
     n_tokens: int
 
 
+class TurnEntry(NamedTuple):
+    """Turn of the first job of a service that waits at the sender."""
+
+    service: int
+    rank: int
+    n_received: float
+
+
 class SuspectEntry(NamedTuple):
     """Crashes that the sender has seen for a request; 0 once it has succeeded."""
 
@@ -76,6 +84,7 @@
     repeats: list[RepeatEntry] = []
     parts: list[PartEntry] = []
     suspects: list[SuspectEntry] = []
+    turns: list[TurnEntry] = []
 
 
 _ENCODER = msgspec.msgpack.Encoder()
--- a/catkinfork/peering/_state.py
+++ b/catkinfork/peering/_state.py
@@ -1,6 +1,6 @@
 """Exchange of totals between the balancers of the forwarders."""
 
-from catkinfork.balancing import LoadFigures, PromptPart
+from catkinfork.balancing import LoadFigures, PromptPart, Turn
 from catkinfork.observability import log_event
 from catkinfork.peering._events import PEER_LOST, PEER_REGAINED
 from catkinfork.peering._frames import (
@@ -10,6 +10,7 @@
     PartEntry,
     RepeatEntry,
     SuspectEntry,
+    TurnEntry,
     UseEntry,
     encode_frame,
     hash_name,
@@ -120,6 +121,11 @@
         frame.loads = [self.build_load(*pair) for pair in backends]
         frame.uses = [self.build_use(*pair) for pair in workspaces]
         frame.repeats = [self.build_repeat(service) for service in services]
+        frame.turns = [
+            TurnEntry(self.find_hash(name), *pool.turn)
+            for name, pool in self.balancer.pools.items()
+            if pool.turn is not None and pool.queue.n_jobs
+        ]
         frame.suspects = [SuspectEntry(*pair) for pair in changes.suspects.items()]
         for _, backend, parts in changes.parts[-MAX_PARTS:]:
             name = self.find_hash(backend)
@@ -186,6 +192,9 @@
         self.apply_repeats(peer, frame, pools, now)
         self.apply_uses(peer, frame, pools, now)
         self.apply_loads(peer, frame, pools)
+        turns = {service: Turn(rank, n) for service, rank, n in frame.turns}
+        for service, pool in pools.items():
+            pool.set_peer_turn(peer.address, turns.get(service))
         for fingerprint, n_crashes in frame.suspects:
             self.balancer.suspects.note_peer(peer.address, fingerprint, n_crashes, now)
         return bool(frame.loads)
@@ -248,6 +257,7 @@
         for peer in self.directory.expire(now):
             self.log_peer(PEER_LOST, peer, now)
             for pool in self.balancer.pools.values():
+                pool.set_peer_turn(peer.address, None)
                 for state in pool.states.values():
                     state.load.set_peer(peer.address, LoadFigures())
 
--- a/catkinfork/peering/tests/test_exchange.py
+++ b/catkinfork/peering/tests/test_exchange.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from catkinfork.balancing import BROKEN, SERVED
+from catkinfork.balancing import BROKEN, SERVED, Placement
 from catkinfork.balancing.tests.support import PLAIN, build_balancer, build_job
 from catkinfork.peering import PeerDirectory, PeerExchange, decode_frame
 
@@ -180,3 +180,32 @@
             assert len(data) <= 1400
             n_sent += 1
     assert n_sent <= 5.0 * 420 + n_peers
+
+
+def test_floods_at_different_forwarders_get_even_shares():
+    """Guards against a forwarder that refills the room of its own requests for ever."""
+    nodes = build_nodes(2)
+    first, second = nodes.values()
+    for node in nodes.values():
+        node.balancer.registry.remove("b1", 0.0, 0.0)
+    now = run(nodes, 0.0, 3.0)
+    n_served = {"a": 0, "b": 0}
+    running = []
+    for step in range(600):
+        # Workspace b comes first and holds all room when workspace a begins.
+        for node, workspace in ((second, "b"), (first, "a")):
+            if step >= 100 or node is second:
+                job = build_job(now, workspace=workspace, n_prompt=2000)
+                running.append((node, node.balancer.submit(job, now)))
+        if step % 2:
+            node, placement = running.pop(0)
+            node.balancer.note_begun(placement)
+            node.balancer.finish(placement, SERVED, now)
+            if step >= 200:
+                n_served[placement.job.workspace] += 1
+            running += [(node, one) for _, one in node.balancer.pump(now)]
+        now = run(nodes, now, now + 0.01)
+        for node in (first, second):
+            running += [(node, one) for _, one in node.balancer.pump(now)]
+        running = [pair for pair in running if isinstance(pair[1], Placement)]
+    assert n_served["a"] > 0.7 * n_served["b"]
