Test the processes between stand-ins of store, runners and callers

The stand-ins speak the platform's published protocol on loopback. A failure found: the event forwarder_started had a field named like the event's own name, which replaced it in the JSON line; a test now checks all events.

--- a/catkinfork/forwarder/_process.py
+++ b/catkinfork/forwarder/_process.py
@@ -123,7 +123,7 @@
         self.log.write(
             log_event(
                 FORWARDER_STARTED,
-                name=forwarder.name,
+                host=forwarder.name,
                 address=forwarder.address,
                 data_centre=forwarder.data_centre,
                 incarnation=self.incarnation,
--- a/catkinfork/forwarding/_events.py
+++ b/catkinfork/forwarding/_events.py
@@ -69,7 +69,7 @@
     "info",
     "forwarder_started",
     "the process serves callers from now on",
-    ("name", "address", "data_centre", "incarnation"),
+    ("host", "address", "data_centre", "incarnation"),
 )
 SETTINGS_RELOADED = Event(
     836,
--- a/catkinfork/forwarding/_names.py
+++ b/catkinfork/forwarding/_names.py
@@ -4,7 +4,7 @@
 
 
 class HeaderNames(NamedTuple):
-    """Header names in lowercase, as the callers and backend servers of a fleet use them.
+    """Header names in lowercase, as callers and backend servers use them.
 
     :param request_id: id of a request, unique for each attempt of a caller.
     :param deadline_ms: milliseconds that the caller, or the forwarder, still waits.
--- /dev/null
+++ b/catkinfork/observability/tests/test_log.py
@@ -0,0 +1,73 @@
+"""Log lines: names, volume and readers that do not read."""
+
+import os
+
+import logbook
+
+from catkinfork.observability import EventLog, log_event
+from catkinfork.observability._buffer import MAX_LINES_PER_S, BufferedHandler
+from catkinfork.processes import list_events
+from catkinfork.settings import LogSettings
+
+RESERVED = {"time", "level", "event", "name", "process"}
+
+
+def list_all_events():
+    """Return all events of the catalogue."""
+    return [event for events in list_events().values() for event in events]
+
+
+def test_fields_do_not_hide_what_every_line_has():
+    """Guards against an event whose own field replaces its name in the JSON line."""
+    assert not [event for event in list_all_events() if RESERVED & set(event.fields)]
+
+
+def test_numbers_are_unique():
+    """Guards against two events under one number."""
+    numbers = [event.number for event in list_all_events()]
+    assert len(numbers) == len(set(numbers))
+
+
+def build_log():
+    """Return a log that writes to a pipe, its handler and the pipe's reading end."""
+    reader, writer = os.pipe()
+    handler = BufferedHandler(writer, logbook.INFO)
+    return EventLog(LogSettings("json", "info"), "p", handler), handler, reader
+
+
+def write_lines(log, n_lines):
+    """Write events."""
+    event = next(event for event in list_all_events() if event.level == "info")
+    values = dict.fromkeys(event.fields, "x" * 200)
+    for _ in range(n_lines):
+        log.write(log_event(event, **values))
+
+
+def test_lines_are_written_together():
+    """Guards against one system call for each line."""
+    log, handler, reader = build_log()
+    write_lines(log, 3)
+    handler.flush()
+    assert os.read(reader, 100_000).count(b"\n") == 3
+
+
+def test_volume_is_bounded_and_the_rest_is_counted():
+    """Guards against a log that costs more than the requests it tells of."""
+    log, handler, _ = build_log()
+    write_lines(log, MAX_LINES_PER_S + 50)
+    assert handler.start_second() == 50
+    write_lines(log, 1)
+    assert handler.start_second() == 0
+
+
+def test_reader_that_does_not_read_blocks_nothing():
+    """Guards against a process that stops when nobody takes its output."""
+    log, handler, reader = build_log()
+    n_dropped = 0
+    for _ in range(30):
+        write_lines(log, MAX_LINES_PER_S)
+        handler.flush()
+        n_dropped += handler.start_second()
+    assert len(handler.held) < 3_000_000
+    assert n_dropped > 0
+    assert os.read(reader, 100_000)
--- a/catkinfork/platform/_documents.py
+++ b/catkinfork/platform/_documents.py
@@ -33,7 +33,7 @@
 
 
 class RouteDocument(msgspec.Struct):
-    """A route. ``sticky`` marks routes whose requests tell the parts of their prompt."""
+    """A route. ``sticky`` marks requests that tell the parts of their prompt."""
 
     name: str
     host: str
--- /dev/null
+++ b/catkinfork/platform/tests/standins.py
@@ -0,0 +1,389 @@
+"""Stand-ins for the platform on loopback: store, runners and forwarder processes."""
+
+import asyncio
+import base64
+import json
+import signal
+import socket
+import sys
+import time
+from pathlib import Path
+from urllib.parse import parse_qs, urlsplit
+
+import anyio
+
+ROOT = Path(__file__).parents[3]
+KEY = "key-of-a"
+# Ends a test that hangs.
+TEST_TIMEOUT_S = 40.0
+SETTINGS = """
+[forwarder]
+name = {name}
+address = {ip}:{ports[0]}
+ready_address = {ip}:{ports[1]}
+control_address = {ip}:{ports[2]}
+metrics_port = {ports[3]}
+data_centre = gasabo
+grace_s = 4
+[peers]
+port = {peer_port}
+seeds = {seeds}
+[store]
+address = 127.0.0.1:{store_port}
+[balancing]
+repeat_ratio = 0.2
+n_repeat_slack = 20
+[log]
+format = json
+"""
+
+
+def find_ports(n_ports):
+    """Return free ports."""
+    sockets = [socket.socket() for _ in range(n_ports)]
+    for sock in sockets:
+        sock.bind(("127.0.0.1", 0))
+    ports = [sock.getsockname()[1] for sock in sockets]
+    for sock in sockets:
+        sock.close()
+    return ports
+
+
+async def read_head(reader):
+    """Return the first line and the headers of a message."""
+    head = await reader.readuntil(b"\r\n\r\n")
+    first, *lines = head.decode("latin-1").split("\r\n")[:-2]
+    pairs = [line.split(": ", 1) for line in lines]
+    return first, {name.lower(): value for name, value in pairs}
+
+
+async def serve_port(handler, port=0):
+    """Serve a coroutine function; a caller that leaves ends it quietly."""
+
+    async def guarded(reader, writer):
+        try:
+            await handler(reader, writer)
+        except (asyncio.IncompleteReadError, ConnectionError):
+            pass
+        finally:
+            writer.close()
+
+    return await asyncio.start_server(guarded, "127.0.0.1", port)
+
+
+class Store:
+    """The platform's store: items with revisions, ranges and watches."""
+
+    def __init__(self):
+        self.items = {}
+        self.events = []
+        self.revision = 1
+        self.refused_ports = set()
+        self.servers = {}
+
+    async def open(self):
+        """Serve on one more port and return it."""
+        server = await serve_port(self.serve)
+        port = server.sockets[0].getsockname()[1]
+        self.servers[port] = server
+        return port
+
+    def put(self, key, value):
+        """Write an item as JSON, or remove it for None."""
+        self.revision += 1
+        item = {"key": key, "revision": self.revision}
+        if value is None:
+            self.items.pop(key, None)
+            item["removed"] = True
+        else:
+            data = value if isinstance(value, bytes) else json.dumps(value).encode()
+            item |= {"value": base64.b64encode(data).decode(), "lease": 0}
+            self.items[key] = item
+        self.events.append(item)
+
+    async def serve(self, reader, writer):
+        """Serve one connection."""
+        port = writer.get_extra_info("sockname")[1]
+        while True:
+            first, _ = await read_head(reader)
+            target = urlsplit(first.split(" ")[1])
+            query = {name: one[0] for name, one in parse_qs(target.query).items()}
+            if port in self.refused_ports:
+                status, body = 503, {}
+            elif target.path == "/kv-range":
+                status, body = 200, self.list_range(query)
+            else:
+                status, body = await self.watch(query, port)
+            data = json.dumps(body).encode()
+            writer.write(
+                b"HTTP/1.1 %d X\r\nContent-Length: %d\r\n\r\n" % (status, len(data))
+                + data
+            )
+
+    def list_range(self, query):
+        """Return a page of two items."""
+        after = query.get("after", "")
+        keys = sorted(
+            key for key in self.items if key.startswith(query["prefix"]) and key > after
+        )
+        return {
+            "items": [self.items[key] for key in keys[:2]],
+            "more_pages": len(keys) > 2,
+            "current_rev": self.revision,
+        }
+
+    async def watch(self, query, port):
+        """Return the events after a revision."""
+        after = int(query["after"])
+        ends_at = time.monotonic() + int(query["wait_ms"]) / 1000
+        while time.monotonic() < ends_at and port not in self.refused_ports:
+            found = [event for event in self.events if event["revision"] > after]
+            if found:
+                return 200, {"events": found, "current_rev": self.revision}
+            await asyncio.sleep(0.01)
+        if port in self.refused_ports:
+            return 503, {}
+        return 200, {"events": [], "current_rev": self.revision}
+
+
+class Runner:
+    """A runner that answers with its id.
+
+    :param name: its id in the store.
+    :param delay_s: time that each request takes.
+    """
+
+    def __init__(self, name, delay_s=0.0):
+        self.name = name
+        self.delay_s = delay_s
+        self.requests = []
+        self.server = None
+        self.sequence = 0
+
+    async def open(self):
+        """Accept connections."""
+        self.server = await serve_port(self.serve)
+
+    async def serve(self, reader, writer):
+        """Serve one connection."""
+        while True:
+            first, headers = await read_head(reader)
+            await reader.readexactly(int(headers.get("content-length", 0)))
+            self.requests.append((first, headers))
+            await asyncio.sleep(self.delay_s)
+            request_id = headers["x-catkinfork-request-id"]
+            body = self.name.encode()
+            writer.write(
+                b"HTTP/1.1 200 OK\r\nX-Catkinfork-Request-Id: %s\r\n"
+                b"X-Catkinfork-Response-Seal: seal\r\nContent-Length: %d\r\n\r\n%s"
+                % (request_id.encode(), len(body), body)
+            )
+
+    def build_entry(self, state="ready", **options):
+        """Return the entry for the store."""
+        self.sequence += 1
+        host, port = self.server.sockets[0].getsockname()
+        return {
+            "service": "ledger",
+            "address": f"{host}:{port}",
+            "zone": "gasabo",
+            "version": "v1",
+            "slots": 6,
+            "state": state,
+            "cold_remaining_ms": 0,
+            "sequence": self.sequence,
+            "born": 1000,
+        } | options
+
+
+def build_config(version=1, prefixes=("/read/",), keys=(KEY,), kind="unsafe"):
+    """Return the operator's configuration."""
+    return {
+        "version": version,
+        "routes": [
+            {
+                "name": f"r{prefix}",
+                "host": "site.example",
+                "prefix": prefix,
+                "kind": kind,
+                "timeout_ms": 3000,
+                "aim_ms": 300,
+                "priority": 1,
+                "service": "ledger",
+                "max_attempts": 1,
+                "public": False,
+            }
+            for prefix in prefixes
+        ],
+        "services": [
+            {
+                "name": "ledger",
+                "health_path": "/healthz",
+                "max_connections": 96,
+                "protocol": "h1",
+                "tls": False,
+                "cold_s": 0.0,
+                "cold_per_s": 0.0,
+            }
+        ],
+        "limits": {
+            "max_header_bytes": 16384,
+            "max_body_bytes": 100000,
+            "header_timeout_ms": 3000,
+            "idle_timeout_ms": 15000,
+            "tokens_per_s": 1000,
+        },
+        "tenants": [{"name": "a", "api_keys": list(keys), "priority": 1}],
+    }
+
+
+class Forwarder:
+    """A forwarder process.
+
+    :param folder: folder of the settings file.
+    :param ip: loopback address of its own.
+    """
+
+    def __init__(self, folder, ip, ports, peer_port, store_port, seeds):
+        self.name = f"edge-{ip}"
+        self.ip = ip
+        self.ports = ports
+        self.path = folder / f"{ip}.ini"
+        self.output = folder / f"{ip}.log"
+        self.path.write_text(
+            SETTINGS.format(
+                name=self.name,
+                ip=ip,
+                ports=ports,
+                peer_port=peer_port,
+                store_port=store_port,
+                seeds=", ".join(seeds),
+            )
+        )
+        self.process = None
+
+    async def start(self):
+        """Start the process and wait until its ports are open."""
+        arguments = ["-m", "catkinfork", "forwarder", "--settings", str(self.path)]
+        with self.output.open("ab") as output:
+            self.process = await asyncio.create_subprocess_exec(
+                sys.executable, *arguments, cwd=ROOT, stdout=output, stderr=output
+            )
+        await wait_until(lambda: "forwarder_started" in self.read_log())
+
+    def read_log(self):
+        """Return the output of the process."""
+        return self.output.read_text()
+
+    def list_events(self, name):
+        """Return the log lines of one event."""
+        lines = [line for line in self.read_log().splitlines() if line[:1] == "{"]
+        events = [json.loads(line) for line in lines]
+        return [event for event in events if event["name"] == name]
+
+    async def get(self, path, port_index=2):
+        """Return status and body of an admin path."""
+        return await request(self.ip, self.ports[port_index], f"GET {path}", [])
+
+    async def call(self, path="/read/", key=KEY, request_id="r1"):
+        """Return status and body of a caller's request."""
+        headers = [
+            f"X-Catkinfork-Request-Id: {request_id}",
+            f"Authorization: Bearer {key}",
+            "X-Catkinfork-Deadline-Ms: 3000",
+        ]
+        return await request(self.ip, self.ports[0], f"GET {path}", headers)
+
+    async def is_ready(self):
+        """Return whether it takes connections."""
+        status, _ = await self.get("/readyz", port_index=1)
+        return status == 200
+
+    def signal(self, number):
+        """Send a signal."""
+        self.process.send_signal(number)
+
+    async def end(self):
+        """Kill the process if it still runs."""
+        if self.process is not None and self.process.returncode is None:
+            self.signal(signal.SIGKILL)
+            await self.process.wait()
+
+
+async def request(host, port, first, headers):
+    """Send a request on a new connection and return status and body."""
+    reader, writer = await asyncio.open_connection(host, port)
+    try:
+        lines = [f"{first} HTTP/1.1", "Host: site.example", *headers, "", ""]
+        writer.write("\r\n".join(lines).encode())
+        status_line, fields = await read_head(reader)
+        body = await reader.readexactly(int(fields.get("content-length", 0)))
+        return int(status_line.split(" ")[1]), body
+    finally:
+        writer.close()
+
+
+async def wait_until(check, timeout_s=10.0):
+    """Wait for a condition, plain or a coroutine, and return the seconds it took."""
+    began = time.monotonic()
+    while True:
+        result = check()
+        if asyncio.iscoroutine(result):
+            result = await result
+        if result:
+            return time.monotonic() - began
+        assert time.monotonic() - began < timeout_s, "condition not met in time"
+        await asyncio.sleep(0.02)
+
+
+class Platform:
+    """Store, runners and forwarders of one test."""
+
+    def __init__(self, folder):
+        self.folder = folder
+        self.store = Store()
+        self.runners = []
+        self.forwarders = []
+
+    async def add_runner(self, name, delay_s=0.0):
+        """Start a runner and write its entry."""
+        runner = Runner(name, delay_s)
+        await runner.open()
+        self.runners.append(runner)
+        self.store.put(f"servers/{name}", runner.build_entry())
+        return runner
+
+    async def add_forwarders(self, n_forwarders=1):
+        """Start forwarders, each with a port of the store of its own."""
+        ports = find_ports(5)
+        ips = [f"127.0.0.{2 + number}" for number in range(n_forwarders)]
+        seeds = [f"{ip}:{ports[2]}" for ip in ips[:2]]
+        for ip in ips:
+            store_port = await self.store.open()
+            forwarder = Forwarder(
+                self.folder, ip, ports[:4], ports[4], store_port, seeds
+            )
+            forwarder.store_port = store_port
+            self.forwarders.append(forwarder)
+            await forwarder.start()
+        return self.forwarders
+
+    async def wait_ready(self):
+        """Wait until all forwarders take connections."""
+        for forwarder in self.forwarders:
+            await wait_until(forwarder.is_ready)
+
+
+def run_platform(test, folder):
+    """Run a coroutine function that takes a :class:`Platform`."""
+
+    async def main():
+        platform = Platform(folder)
+        try:
+            with anyio.fail_after(TEST_TIMEOUT_S):
+                await test(platform)
+        finally:
+            for forwarder in platform.forwarders:
+                await forwarder.end()
+
+    anyio.run(main)
--- /dev/null
+++ b/catkinfork/platform/tests/test_documents.py
@@ -0,0 +1,175 @@
+"""Decoding of the store's items."""
+
+import base64
+import json
+
+import anyio
+import pytest
+
+from catkinfork.forwarding import FetchError
+from catkinfork.platform import PlatformDecoder, StoreSource
+from catkinfork.platform.tests.standins import build_config
+from catkinfork.topology import (
+    ConfigurationItem,
+    EntryItem,
+    EvacuationItem,
+    HistoryLostError,
+    Item,
+    SourceError,
+    UnreadableItem,
+)
+
+ENTRY = {
+    "service": "ledger",
+    "address": "10.0.0.1:8000",
+    "zone": "gasabo",
+    "version": "v1",
+    "slots": 6,
+    "state": "ready",
+    "cold_remaining_ms": 1500,
+    "sequence": 3,
+    "born": 1700000000000,
+}
+
+
+def decode(key, value):
+    """Decode one item."""
+    data = value if isinstance(value, bytes) or value is None else json.dumps(value)
+    data = data.encode() if isinstance(data, str) else data
+    return PlatformDecoder().decode(Item(key, data, 1))
+
+
+def test_entry():
+    """Guards against a field that is read wrongly."""
+    decoded = decode("servers/i-1", ENTRY | {"new_field": [1]})
+    assert isinstance(decoded, EntryItem)
+    entry = decoded.entry
+    assert (entry.name, entry.data_centre, entry.cold_s) == ("i-1", "gasabo", 1.5)
+    assert (entry.sequence, entry.started_ms) == (3, 1700000000000)
+
+
+@pytest.mark.parametrize(
+    "change",
+    [
+        {"state": "resting"},
+        {"slots": "6"},
+        {"sequence": 1.5},
+        {"address": "nowhere"},
+        {"address": "10.0.0.1:99999"},
+        {"service": 7},
+        {"born": "today"},
+    ],
+)
+def test_entry_that_cannot_be_read_names_no_backend(change):
+    """Guards against requests to what somebody else has written."""
+    decoded = decode("servers/i-1", ENTRY | change)
+    assert isinstance(decoded, UnreadableItem)
+    assert decoded.name == "i-1"
+
+
+@pytest.mark.parametrize("key", ["service", "address", "zone", "slots", "state"])
+def test_entry_without_a_field_names_no_backend(key):
+    """Guards against requests to a backend server that is half known."""
+    entry = {name: value for name, value in ENTRY.items() if name != key}
+    assert isinstance(decode("servers/i-1", entry), UnreadableItem)
+
+
+def test_configuration():
+    """Guards against a route, service or key that is read wrongly."""
+    document = build_config(7)
+    document["routes"][0] |= {
+        "kind": "streaming",
+        "resumable": True,
+        "sticky": True,
+        "gap_target_ms": 250,
+        "traffic_split": [
+            {"service": "ledger", "weight": 90},
+            {"service": "other", "weight": 10},
+        ],
+    }
+    document["services"][0]["engine"] = {"slots": 64, "kv_capacity": 5000, "x": 1}
+    decoded = decode("op/config", document)
+    assert isinstance(decoded, ConfigurationItem)
+    configuration = decoded.configuration
+    (route,) = configuration.routes
+    assert configuration.version == 7
+    assert route.is_repeatable
+    assert route.max_pause_s == 0.25
+    assert [target.weight for target in route.targets] == [90, 10]
+    assert configuration.services["ledger"].engine.n_memory_tokens == 5000
+    assert configuration.workspaces[0].keys == ("key-of-a",)
+
+
+@pytest.mark.parametrize("value", [b"", b"{", b"[]", b'{"version": 3}', b"\xff\xfe"])
+def test_configuration_that_cannot_be_read(value):
+    """Guards against a broken configuration that replaces a good one."""
+    assert isinstance(decode("op/config", value), UnreadableItem)
+
+
+def test_evacuation():
+    """Guards against a data centre that stays out, or in."""
+    assert decode("op/evacuate/gasabo", {}) == EvacuationItem("gasabo", True)
+    assert decode("op/evacuate/gasabo", None) == EvacuationItem("gasabo", False)
+
+
+def test_other_keys_mean_nothing():
+    """Guards against a failure because of somebody else's items."""
+    assert decode("my/leader", b"anything") is None
+
+
+class Response:
+    """Response of a scripted client."""
+
+    def __init__(self, status, body):
+        self.status = status
+        self.body = body
+
+
+class Client:
+    """Gives out one response."""
+
+    def __init__(self, response):
+        self.response = response
+
+    async def fetch(self, target, timeout_s):
+        """Return or raise the response."""
+        if isinstance(self.response, Exception):
+            raise self.response
+        return self.response
+
+
+@pytest.mark.parametrize(
+    ("response", "error"),
+    [
+        (Response(410, b""), HistoryLostError),
+        (Response(503, b""), SourceError),
+        (Response(200, b"<html>"), SourceError),
+        (FetchError("silent"), SourceError),
+    ],
+)
+def test_store_failures_have_types(response, error):
+    """Guards against a failure of the store that ends the process."""
+    source = StoreSource(Client(response))
+    with pytest.raises(error):
+        anyio.run(source.wait, 1)
+
+
+def test_watch_events():
+    """Guards against events that are read wrongly."""
+    value = base64.b64encode(b"data").decode()
+    body = {
+        "events": [
+            {"key": "a", "value": value, "revision": 4, "created": 4, "lease": 0},
+            {"key": "b", "revision": 5, "removed": True},
+            {"key": "c", "value": "not base64!", "revision": 6},
+        ],
+        "current_rev": 9,
+    }
+    source = StoreSource(Client(Response(200, json.dumps(body).encode())))
+    changes = anyio.run(source.wait, 1)
+    assert changes.revision == 9
+    assert changes.items == [
+        Item("a", b"data", 4),
+        Item("b", None, 5),
+        Item("c", b"", 6),
+    ]
--- a/catkinfork/processes/_catalogue.py
+++ b/catkinfork/processes/_catalogue.py
@@ -1,6 +1,16 @@
 """The log events of all packages."""
 
-from catkinfork import configuration, dispatch, execution, gateway, routing
+from catkinfork import (
+    balancing,
+    configuration,
+    dispatch,
+    execution,
+    forwarding,
+    gateway,
+    peering,
+    routing,
+    topology,
+)
 from catkinfork.processes._events import EVENTS
 
 
@@ -13,4 +23,8 @@
         "execution": execution.EVENTS,
         "configuration": configuration.EVENTS,
         "gateway": gateway.EVENTS,
+        "topology": topology.EVENTS,
+        "balancing": balancing.EVENTS,
+        "forwarding": forwarding.EVENTS,
+        "peering": peering.EVENTS,
     }
--- a/catkinfork/settings/_reference.py
+++ b/catkinfork/settings/_reference.py
@@ -22,9 +22,9 @@
 # Settings
 
 A process reads its settings from an INI file: `catkinfork ROLE --settings FILE`,
-where the role is `router`, `agent` or `forwarder`. Unknown, missing and wrong settings are all listed
-at the start, which then fails with exit code 2. Names that end in `_s` are seconds,
-those in `_bytes` bytes. A setting without a default is required.
+where the role is `router`, `agent` or `forwarder`. Unknown, missing and wrong settings
+are all listed at the start, which then fails with exit code 2. Names that end in `_s`
+are seconds, those in `_bytes` bytes. A setting without a default is required.
 
 This page is made by `python -m catkinfork.settings._reference > docs/settings.md`.
 """
--- a/catkinfork/topology/_types.py
+++ b/catkinfork/topology/_types.py
@@ -2,8 +2,8 @@
 
 from typing import NamedTuple
 
-# What may be repeated: ``safe`` requests may run any number of times, ``unsafe`` ones at
-# most once, ``streaming`` ones are answered by a series of events.
+# What may be repeated: ``safe`` requests may run any number of times, ``unsafe`` ones
+# at most once, ``streaming`` ones are answered by a series of events.
 SAFE = "safe"
 UNSAFE = "unsafe"
 STREAMING = "streaming"
