--- a/catkinfork/balancing/_balancer.py
+++ b/catkinfork/balancing/_balancer.py
@@ -248,9 +248,9 @@
             candidate = Candidate(backend, n_missing, cost, has_room)
             if best is None or cost < best.cost:
                 best = candidate
-            if has_room and pool.model.is_idle(load):
-                if best_idle is None or cost < best_idle.cost:
-                    best_idle = candidate
+            is_idle = has_room and pool.model.is_idle(load)
+            if is_idle and (best_idle is None or cost < best_idle.cost):
+                best_idle = candidate
         if best is not None and not best.has_room and best_idle is not None:
             return best_idle
         return best
--- a/catkinfork/balancing/_events.py
+++ b/catkinfork/balancing/_events.py
@@ -1,9 +1,9 @@
-"""Log events of the balancer, 820 to 829."""
+"""Log events of the balancer, 900 to 999."""
 
 from catkinfork.observability import Event
 
 BACKEND_LEFT_OUT = Event(
-    820,
+    900,
     "warning",
     "backend_left_out",
     "a backend server fails more often than its service and pauses",
@@ -18,7 +18,7 @@
     ),
 )
 REQUEST_BLOCKED = Event(
-    821,
+    901,
     "warning",
     "request_blocked",
     "a request is refused because its like has crashed backend servers",
--- a/catkinfork/balancing/_pool.py
+++ b/catkinfork/balancing/_pool.py
@@ -70,7 +70,7 @@
         self.placed.add(max(1, job.n_service_tokens), now)
 
     def estimate_wait(self, n_tokens_ahead, now):
-        """Return how long a job waits behind others, from the recent rate of placements.
+        """Return how long a job waits, from the recent rate of placements.
 
         :param n_tokens_ahead: service tokens of the jobs that go first.
         :returns: seconds, 0 while nothing is known.
--- a/catkinfork/balancing/tests/support.py
+++ b/catkinfork/balancing/tests/support.py
@@ -56,7 +56,7 @@
     tokens_per_s=100_000.0,
     repeats=None,
 ):
-    """Return a balancer for one service, ``s``, and backend servers ``b0``, ``b1`` ..."""
+    """Return a balancer for the service ``s`` with backend servers ``b0`` and so on."""
     events = []
     registry = BackendRegistry(events.append)
     settings = BalancerSettings("gasabo", 4.0, repeats or RepeatSettings(0.2, 10, 10.0))
--- a/catkinfork/cli/tests/test_events.py
+++ b/catkinfork/cli/tests/test_events.py
@@ -18,6 +18,10 @@
     "execution": 4,
     "configuration": 5,
     "gateway": 7,
+    "topology": 8,
+    "balancing": 9,
+    "forwarding": 10,
+    "peering": 11,
 }
 
 
--- a/catkinfork/forwarding/_events.py
+++ b/catkinfork/forwarding/_events.py
@@ -1,9 +1,9 @@
-"""Log events of the forwarder, 830 to 859."""
+"""Log events of the forwarder, 1000 to 1099."""
 
 from catkinfork.observability import Event
 
 REQUEST_FINISHED = Event(
-    830,
+    1000,
     "info",
     "request_finished",
     "a request has got its final response, or its caller has left",
@@ -29,7 +29,7 @@
     ),
 )
 ATTEMPT_ENDED = Event(
-    831,
+    1001,
     "info",
     "attempt_ended",
     "an attempt ended without a response that was passed on",
@@ -44,56 +44,56 @@
     ),
 )
 REQUEST_REJECTED = Event(
-    832,
+    1002,
     "info",
     "request_rejected",
     "a request was refused before it was routed",
     ("peer", "status", "code", "request_id"),
 )
 DRAIN_STARTED = Event(
-    833,
+    1003,
     "info",
-    "drain_started",
+    "forwarder_draining",
     "the process takes no new connections soon and ends its requests",
     ("n_requests", "n_connections", "grace_s"),
 )
 FORWARDER_STOPPED = Event(
-    834,
+    1004,
     "info",
     "forwarder_stopped",
     "the process ends",
     ("n_requests_left", "waited_s"),
 )
 FORWARDER_STARTED = Event(
-    835,
+    1005,
     "info",
     "forwarder_started",
     "the process serves callers from now on",
     ("host", "address", "data_centre", "incarnation"),
 )
 SETTINGS_RELOADED = Event(
-    836,
+    1006,
     "info",
     "settings_reloaded",
     "a changed settings file has been read",
     ("n_faults", "first_fault", "changed"),
 )
 READINESS_CHANGED = Event(
-    837,
+    1007,
     "info",
     "readiness_changed",
     "the process tells the balancer whether it takes connections",
     ("is_ready", "reason"),
 )
 LOG_LINES_DROPPED = Event(
-    838,
+    1008,
     "warning",
     "log_lines_dropped",
     "log lines were left out to bound the volume",
     ("n_lines",),
 )
 CALLBACK_FAILED = Event(
-    839,
+    1009,
     "error",
     "callback_failed",
     "an exception reached the event loop",
--- a/catkinfork/peering/_events.py
+++ b/catkinfork/peering/_events.py
@@ -1,16 +1,16 @@
-"""Log events between forwarders, 860 to 869."""
+"""Log events between forwarders, 1100 to 1199."""
 
 from catkinfork.observability import Event
 
 PEER_REGAINED = Event(
-    860,
+    1100,
     "info",
     "peer_regained",
     "another forwarder is heard; its load is counted",
     ("peer", "incarnation", "silent_s", "is_leaving"),
 )
 PEER_LOST = Event(
-    861,
+    1101,
     "warning",
     "peer_lost",
     "another forwarder is silent; its load is no longer counted",
--- a/catkinfork/platform/tests/test_processes.py
+++ b/catkinfork/platform/tests/test_processes.py
@@ -171,7 +171,7 @@
 
 
 def test_planned_stop_cuts_no_request(tmp_path):
-    """Guards against requests that a SIGTERM cuts, and against an exit past its time."""
+    """Guards against requests that a SIGTERM cuts, and against a late exit."""
 
     async def test(platform):
         await start(platform, delay_s=0.4)
@@ -199,7 +199,7 @@
 
 
 def test_settings_are_taken_up_and_faults_are_not(tmp_path):
-    """Guards against a changed settings file that is missed, or that stops a process."""
+    """Guards against a changed settings file that is missed or stops a process."""
 
     async def test(platform):
         await start(platform)
--- a/catkinfork/topology/_events.py
+++ b/catkinfork/topology/_events.py
@@ -1,4 +1,4 @@
-"""Log events of the topology, 800 to 819."""
+"""Log events of the topology, 800 to 899."""
 
 from catkinfork.observability import Event
 
