--- a/catkinfork/observability/_reference.py
+++ b/catkinfork/observability/_reference.py
@@ -5,9 +5,10 @@
 
 A process writes each event as one line, as plain text or as JSON (setting `format` of
 `[log]`; `level` sets the lowest level that is written). A forwarder writes to standard
-output, a router and an agent to standard error. A JSON line holds `time` (UTC), `level`, `event` (the number), `name`, `process` (inner
-address) and the fields below. A plain line begins with time, level, `E` and number,
-name and process.
+output, a router and an agent to standard error. A JSON line holds `time` (UTC),
+`level`, `event` (the number), `name`, `process` (inner address, or host of a forwarder)
+and the fields below. A plain line begins with time, level, `E` and number, name and
+process.
 The metric `catkinfork_events` counts the events by number, whether written or not.
 
 Numbers and names are stable; the hundreds of the number name the package. Fields that
