--- a/catkinfork/balancing/_balancer.py
+++ b/catkinfork/balancing/_balancer.py
@@ -230,12 +230,8 @@
         return placement
 
     def choose(self, pool, job, usable, reserved, is_first, now):
-        """Return the :class:`Candidate` with the least cost, or None.
-
-        An idle one with room goes before a full one, whatever the cost.
-        """
+        """Return the :class:`Candidate` with the least cost, or None."""
         best = None
-        best_idle = None
         for backend in usable:
             state = pool.find(backend.name)
             if backend.is_cold(now) and not state.limiter.allows(now):
@@ -244,15 +240,9 @@
             n_missing = pool.model.estimate_missing(job, load)
             cost = pool.model.estimate_cost(job, backend, load, n_missing)
             cost += reserved.get(backend.name, 0)
-            has_room = pool.model.has_room(job, backend, load, n_missing, is_first)
-            candidate = Candidate(backend, n_missing, cost, has_room)
             if best is None or cost < best.cost:
-                best = candidate
-            is_idle = has_room and pool.model.is_idle(load)
-            if is_idle and (best_idle is None or cost < best_idle.cost):
-                best_idle = candidate
-        if best is not None and not best.has_room and best_idle is not None:
-            return best_idle
+                has_room = pool.model.has_room(job, backend, load, n_missing, is_first)
+                best = Candidate(backend, n_missing, cost, has_room)
         return best
 
     def open(self, pool, placement, now):
