--- a/catkinfork/balancing/_models.py
+++ b/catkinfork/balancing/_models.py
@@ -3,7 +3,7 @@
 from abc import ABC, abstractmethod
 
 # The weight covers the delay that reading tokens causes to all requests that run there.
-MISSING_TOKEN_WEIGHT = 4.0
+MISSING_TOKEN_WEIGHT = 3.0
 # Cost of one request in flight, in prompt tokens: each one slows every step a little.
 TOKENS_PER_REQUEST = 100.0
 # Cost of another data centre, in prompt tokens; the bytes between them are not free.
