--- a/catkinfork/balancing/_balancer.py
+++ b/catkinfork/balancing/_balancer.py
@@ -7,7 +7,6 @@
     BACKEND_LEFT_OUT,
     REQUEST_BLOCKED,
 )
-from catkinfork.balancing._health import FAILURES
 from catkinfork.balancing._jobs import (
     ABANDONED,
     BROKEN,
@@ -23,6 +22,7 @@
     Refusal,
 )
 from catkinfork.balancing._pool import ServicePool
+from catkinfork.balancing._repeats import allows_repeat
 from catkinfork.balancing._suspects import MAX_CRASHES, SuspectTable
 from catkinfork.observability import log_event
 from catkinfork.topology import Backend
@@ -31,8 +31,6 @@
 MAX_CONSIDERED = 64
 # Jobs that one forwarder holds for one service.
 MAX_WAITING = 2000
-# Backend servers to which one request is sent, those that reject it included.
-MAX_SENDS = 4
 # Times to come back, seconds: bounds, and where no backend server is known.
 MIN_RETRY_AFTER_S = 0.1
 MAX_RETRY_AFTER_S = 5.0
@@ -395,17 +393,3 @@
         if not pool.repeats.allows(n_fresh, n_forwarders, now):
             return False
         return bool(self.list_usable(pool, job, now))
-
-
-def allows_repeat(job, outcome, n_runs, now):
-    """Return whether the kind of a request allows another attempt.
-
-    :param outcome: how the last attempt has ended.
-    :param n_runs: attempts that may have run.
-    """
-    if outcome not in FAILURES or now >= job.deadline_at:
-        return False
-    if outcome in (REJECTED, UNREACHABLE):
-        # The backend server says, or never got the request: it has not run.
-        return job.n_repeats + 1 < MAX_SENDS
-    return job.route.is_repeatable and n_runs < job.route.max_attempts
--- a/catkinfork/balancing/_repeats.py
+++ b/catkinfork/balancing/_repeats.py
@@ -1,7 +1,12 @@
 """Budget of repeats of one service over all forwarders."""
 
+from catkinfork.balancing._health import FAILURES
+from catkinfork.balancing._jobs import REJECTED, UNREACHABLE
 from catkinfork.balancing._windows import WindowCounter
 
+# Backend servers to which one request is sent, those that reject it included.
+MAX_SENDS = 4
+
 # Share of the budget that is used; the rest covers repeats that peers have sent and not
 # yet told of.
 USED_SHARE = 0.7
@@ -56,3 +61,17 @@
         n_repeats += self.peer_repeats.sum(now)
         limit = settings.ratio * n_requests + settings.n_slack
         return n_repeats + 1 <= USED_SHARE * limit
+
+
+def allows_repeat(job, outcome, n_runs, now):
+    """Return whether the kind of a request allows another attempt.
+
+    :param outcome: how the last attempt has ended.
+    :param n_runs: attempts that may have run.
+    """
+    if outcome not in FAILURES or now >= job.deadline_at:
+        return False
+    if outcome in (REJECTED, UNREACHABLE):
+        # The backend server says, or never got the request: it has not run.
+        return job.n_repeats + 1 < MAX_SENDS
+    return job.route.is_repeatable and n_runs < job.route.max_attempts
--- a/catkinfork/forwarding/_exchange.py
+++ b/catkinfork/forwarding/_exchange.py
@@ -13,15 +13,13 @@
 )
 from catkinfork.forwarding._backend import BaseResponseListener
 from catkinfork.forwarding._caller import BadRequestError
-from catkinfork.forwarding._events import ATTEMPT_ENDED, REQUEST_FINISHED
 from catkinfork.forwarding._intake import build_job, write_request
 from catkinfork.forwarding._messages import write_own_response
-from catkinfork.forwarding._relay import PlainRelay, ResumableRelay, StreamRelay
-from catkinfork.observability import log_event
-from catkinfork.topology import STREAMING
+from catkinfork.forwarding._relay import ResumableRelay, build_relay
+from catkinfork.forwarding._report import report_attempt, report_request
+from catkinfork.topology import STREAMING, UNSAFE
 
 MISDIRECTED = 421
-EVENT_STREAM = b"text/event-stream"
 # Silence of a backend server, in aims of the route, after which a request that may be
 # repeated goes to another one; and the least silence, seconds.
 PATIENCE_AIMS = 3.0
@@ -192,24 +190,11 @@
     def begin_relay(self, head):
         """Choose how the response is passed on."""
         if self.relay is None:
-            self.relay = self.build_relay(head)
+            self.relay = build_relay(self, head)
         self.relay.begin(head)
         if self.job.route.kind != STREAMING:
             self.note_begun()
 
-    def build_relay(self, head):
-        """Return the relay for a response."""
-        is_chunked = self.request.version == "1.1"
-        is_closing = not self.is_keep_alive()
-        caller = self.caller
-        is_stream = EVENT_STREAM in (head.find(b"content-type") or b"")
-        if not is_stream or head.status >= 300:
-            return PlainRelay(caller, is_closing, is_chunked)
-        if not self.job.route.is_resumable:
-            return StreamRelay(caller, is_closing, is_chunked)
-        last_event_id = self.request.find(self.server.names.last_event_id) or b""
-        return ResumableRelay(caller, is_closing, is_chunked, last_event_id)
-
     def is_keep_alive(self):
         """Return whether the caller's connection takes another request."""
         if self.server.is_draining or self.request.version != "1.1":
@@ -283,7 +268,9 @@
         placement = self.finish_attempt(outcome, now)
         balancer = self.server.balancer
         is_repeated = self.may_go_on() and balancer.may_repeat(placement, outcome, now)
-        self.log_attempt(placement, outcome, detail, is_repeated, now)
+        self.server.write_log(
+            report_attempt(self, placement, outcome, detail, is_repeated, now)
+        )
         if is_repeated:
             self.apply(balancer.submit_again(self.job, now))
         else:
@@ -297,22 +284,6 @@
             return True
         return isinstance(self.relay, ResumableRelay)
 
-    def log_attempt(self, placement, outcome, detail, is_repeated, now):
-        """Log an attempt that ended without a response."""
-        last_event_id = getattr(self.relay, "last_event_id", b"")
-        self.server.write_log(
-            log_event(
-                ATTEMPT_ENDED,
-                request_id=self.job.request_id,
-                backend_server=placement.backend.name,
-                outcome=outcome,
-                detail=detail,
-                attempt_s=now - placement.placed_at,
-                is_repeated=is_repeated,
-                last_event_id=last_event_id.decode("latin-1"),
-            )
-        )
-
     def give_up(self, outcome, detail):
         """Give the final response after an attempt that is not repeated."""
         if self.relay is not None and self.relay.is_started:
@@ -353,35 +324,7 @@
         self.status = status
         now = self.server.loop.time()
         self.server.note_closed(self, outcome, now)
-        self.server.write_log(self.build_event(status, outcome, detail, now))
-
-    def build_event(self, status, outcome, detail, now):
-        """Return the log event that tells what happened to the request."""
-        job = self.job
-        request = self.request
-        first = self.first_placement
-        request_id = request.find(self.server.names.request_id) or b""
-        return log_event(
-            REQUEST_FINISHED,
-            request_id=request_id.decode("latin-1"),
-            workspace=job.workspace if job else "",
-            route=job.route.name if job else "",
-            service=job.service if job else "",
-            status=status,
-            outcome=outcome,
-            detail=detail,
-            backend_servers=",".join(job.tried) if job else "",
-            n_runs=job.n_runs if job else 0,
-            waited_s=round((self.placed_at or now) - request.received_at, 4),
-            first_s=round((self.first_at or now) - request.received_at, 4),
-            total_s=round(now - request.received_at, 4),
-            max_pause_s=round(self.max_pause_s, 4),
-            cost=round(first.cost, 1) if first else 0,
-            n_missing_tokens=first.n_missing_tokens if first else 0,
-            n_candidates=first.n_candidates if first else 0,
-            news_age_s=round(first.news_age_s, 4) if first else 0,
-            configuration=self.server.version,
-        )
+        self.server.write_log(report_request(self, outcome, detail, now))
 
     def on_caller_gone(self):
         """Stop the work for a caller that has left."""
@@ -405,7 +348,7 @@
         if connection is None or not self.is_listening:
             return
         self.is_listening = False
-        if self.job.route.kind == "unsafe":
+        if self.job.route.kind == UNSAFE:
             connection.detach()
         else:
             connection.abort()
--- a/catkinfork/forwarding/_relay.py
+++ b/catkinfork/forwarding/_relay.py
@@ -12,6 +12,7 @@
 # server that breaks off can be replaced; larger ones are passed on as they arrive.
 MAX_HELD_BYTES = 65536
 CHUNKED = b"transfer-encoding: chunked"
+EVENT_STREAM = b"text/event-stream"
 
 
 class BaseRelay(ABC):
@@ -183,6 +184,24 @@
         return True
 
 
+def build_relay(exchange, head):
+    """Return the relay for a response.
+
+    :param exchange: :class:`Exchange`.
+    :param head: :class:`ResponseHead`.
+    """
+    request = exchange.request
+    is_chunked = request.version == "1.1"
+    is_closing = not exchange.is_keep_alive()
+    is_stream = EVENT_STREAM in (head.find(b"content-type") or b"")
+    if not is_stream or head.status >= 300:
+        return PlainRelay(exchange.caller, is_closing, is_chunked)
+    if not exchange.job.route.is_resumable:
+        return StreamRelay(exchange.caller, is_closing, is_chunked)
+    last_event_id = request.find(exchange.server.names.last_event_id) or b""
+    return ResumableRelay(exchange.caller, is_closing, is_chunked, last_event_id)
+
+
 def find_events_end(data):
     """Return the position after the last whole event."""
     if data.endswith(b"\n\n"):
--- /dev/null
+++ b/catkinfork/forwarding/_report.py
@@ -0,0 +1,56 @@
+"""Log lines that explain a request."""
+
+from catkinfork.forwarding._events import ATTEMPT_ENDED, REQUEST_FINISHED
+from catkinfork.observability import log_event
+
+
+def report_request(exchange, outcome, detail, now):
+    """Return the log event that tells what happened to a request.
+
+    :param exchange: :class:`Exchange` that has ended.
+    :param outcome: short code.
+    :param now: monotonic seconds.
+    """
+    job = exchange.job
+    arrived_at = exchange.request.received_at
+    placement = exchange.first_placement
+    request_id = exchange.request.find(exchange.server.names.request_id) or b""
+    return log_event(
+        REQUEST_FINISHED,
+        request_id=request_id.decode("latin-1"),
+        workspace=job.workspace if job else "",
+        route=job.route.name if job else "",
+        service=job.service if job else "",
+        status=exchange.status,
+        outcome=outcome,
+        detail=detail,
+        backend_servers=",".join(job.tried) if job else "",
+        n_runs=job.n_runs if job else 0,
+        waited_s=round((exchange.placed_at or now) - arrived_at, 4),
+        first_s=round((exchange.first_at or now) - arrived_at, 4),
+        total_s=round(now - arrived_at, 4),
+        max_pause_s=round(exchange.max_pause_s, 4),
+        cost=round(placement.cost, 1) if placement else 0,
+        n_missing_tokens=placement.n_missing_tokens if placement else 0,
+        n_candidates=placement.n_candidates if placement else 0,
+        news_age_s=round(placement.news_age_s, 4) if placement else 0,
+        configuration=exchange.server.version,
+    )
+
+
+def report_attempt(exchange, placement, outcome, detail, is_repeated, now):
+    """Return the log event of an attempt that ended without a response.
+
+    :param is_repeated: whether the request goes to another backend server.
+    """
+    last_event_id = getattr(exchange.relay, "last_event_id", b"")
+    return log_event(
+        ATTEMPT_ENDED,
+        request_id=exchange.job.request_id,
+        backend_server=placement.backend.name,
+        outcome=outcome,
+        detail=detail,
+        attempt_s=round(now - placement.placed_at, 4),
+        is_repeated=is_repeated,
+        last_event_id=last_event_id.decode("latin-1"),
+    )
