--- a/catkinfork/balancing/_pool.py
+++ b/catkinfork/balancing/_pool.py
@@ -32,12 +32,15 @@
 
     :param service: :class:`Service`.
     :param settings: :class:`BalancerSettings`.
+
+    ``generation`` changes whenever ``states`` gains or loses a backend server.
     """
 
     def __init__(self, service, settings):
         self.service = service
         self.model = build_load_model(service, settings.data_centre)
         self.states = {}
+        self.generation = 0
         self.shares = FairShares(settings.share_window_s)
         self.queue = WaitingQueue(self.shares)
         self.repeats = RepeatBudget(settings.repeats)
@@ -57,6 +60,7 @@
         state = self.states.get(backend_name)
         if state is None:
             state = self.states[backend_name] = BackendState(self.service)
+            self.generation += 1
         return state
 
     def keep_only(self, backend_names):
@@ -64,6 +68,7 @@
         for name in self.states.keys() - backend_names:
             if not self.states[name].load.n_in_flight:
                 del self.states[name]
+                self.generation += 1
 
     def note_placed(self, job, now):
         """Note that a job has gone to a backend server, waiting or not."""
--- a/catkinfork/peering/_state.py
+++ b/catkinfork/peering/_state.py
@@ -56,6 +56,9 @@
         self.next_refresh_at = 0.0
         self.names = {}
         self.n_refreshed_uses = 0
+        self.indexed_generations = ()
+        self.pools = {}
+        self.states = {}
         self.n_sent = 0
         self.n_received = 0
 
@@ -186,12 +189,11 @@
             peer.counted_since = now
             self.log_peer(PEER_REGAINED, peer, now)
         self.directory.add(frame.peers, now)
-        pools = {
-            self.find_hash(name): pool for name, pool in self.balancer.pools.items()
-        }
+        self.index()
+        pools = self.pools
         self.apply_repeats(peer, frame, pools, now)
         self.apply_uses(peer, frame, pools, now)
-        self.apply_loads(peer, frame, pools)
+        self.apply_loads(peer, frame)
         turns = {service: Turn(rank, n) for service, rank, n in frame.turns}
         for service, pool in pools.items():
             pool.set_peer_turn(peer.address, turns.get(service))
@@ -199,6 +201,20 @@
             self.balancer.suspects.note_peer(peer.address, fingerprint, n_crashes, now)
         return bool(frame.loads)
 
+    def index(self):
+        """Index pools and backend servers by the 32 bits of their names."""
+        pools = self.balancer.pools
+        generations = tuple(pool.generation for pool in pools.values())
+        if generations == self.indexed_generations:
+            return
+        self.indexed_generations = generations
+        self.pools = {self.find_hash(name): pool for name, pool in pools.items()}
+        self.states = {
+            self.find_hash(name): state
+            for pool in pools.values()
+            for name, state in pool.states.items()
+        }
+
     def apply_repeats(self, peer, frame, pools, now):
         """Count the requests and repeats that a peer has sent since its last frame."""
         for service, n_requests, n_repeats in frame.repeats:
@@ -231,13 +247,9 @@
                 return name
         return None
 
-    def apply_loads(self, peer, frame, pools):
+    def apply_loads(self, peer, frame):
         """Set what a peer has in flight, and the prompt parts that it has placed."""
-        states = {
-            self.find_hash(name): state
-            for pool in pools.values()
-            for name, state in pool.states.items()
-        }
+        states = self.states
         if frame.is_full:
             listed = {entry.backend for entry in frame.loads}
             for name in states.keys() - listed:
