Bound requests by the connections of a backend server; count attempts

Cause: a service whose backend servers accept fewer connections than they have slots would have had connections reset; the counter of attempts was never counted; a reload did not change the bounds of repeats. Tests: the first two fail without the change.

--- a/catkinfork/balancing/_balancer.py
+++ b/catkinfork/balancing/_balancer.py
@@ -90,6 +90,15 @@
             else:
                 self.pools[name] = ServicePool(service, self.settings)
 
+    def take_settings(self, settings):
+        """Take changed bounds of the repeats.
+
+        :param settings: :class:`BalancerSettings`.
+        """
+        self.settings = settings
+        for pool in self.pools.values():
+            pool.repeats.settings = settings.repeats
+
     def find_pool(self, service_name):
         """Return the pool of a service that the configuration lists."""
         return self.pools[service_name]
--- a/catkinfork/balancing/_models.py
+++ b/catkinfork/balancing/_models.py
@@ -22,6 +22,9 @@
 # Share of the room that is left to jobs that go first while another forwarder holds
 # them. What lies below it is used by any job, so that nothing idles while it waits.
 FIRST_SHARE = 0.25
+# Share of a backend server's connections that requests use, as each one needs one; the
+# rest covers idle ones and those that peers have opened and not yet told of.
+CONNECTION_SHARE = 0.8
 # Cost of another data centre for a plain service, in requests.
 REMOTE_REQUESTS = 0.25
 
@@ -30,10 +33,13 @@
     """Costs of one kind of service.
 
     :param data_centre: data centre of this forwarder.
+    :param service: :class:`Service`.
     """
 
-    def __init__(self, data_centre):
+    def __init__(self, data_centre, service):
         self.data_centre = data_centre
+        self.engine = service.engine
+        self.n_connections = int(CONNECTION_SHARE * service.max_connections)
 
     @abstractmethod
     def estimate_missing(self, job, load):
@@ -53,14 +59,7 @@
 
 
 class EngineLoadModel(BaseLoadModel):
-    """Costs in prompt tokens at a model engine.
-
-    :param engine: :class:`Engine`.
-    """
-
-    def __init__(self, data_centre, engine):
-        super().__init__(data_centre)
-        self.engine = engine
+    """Costs in prompt tokens at a model engine."""
 
     def estimate_missing(self, job, load):
         return max(0, job.n_prompt_tokens - load.prefixes.count_kept(job.parts))
@@ -81,7 +80,7 @@
         if not is_first:
             n_slots -= int(FIRST_SHARE * n_slots / 4)
             n_pending_limit *= 1.0 - FIRST_SHARE
-        if load.n_all_in_flight >= n_slots:
+        if load.n_all_in_flight >= min(n_slots, self.n_connections):
             return False
         n_pending = load.n_all_pending
         if n_pending > MIN_PENDING_TOKENS and n_pending + n_missing > n_pending_limit:
@@ -105,7 +104,8 @@
 
     def has_room(self, job, backend, load, n_missing, is_first):
         n_extra = EXTRA_REQUESTS if is_first else 0
-        return load.n_all_in_flight < backend.entry.n_slots + n_extra
+        n_requests = min(backend.entry.n_slots + n_extra, self.n_connections)
+        return load.n_all_in_flight < n_requests
 
 
 def build_load_model(service, data_centre):
@@ -115,5 +115,5 @@
     :param data_centre: data centre of this forwarder.
     """
     if service.engine is None:
-        return PlainLoadModel(data_centre)
-    return EngineLoadModel(data_centre, service.engine)
+        return PlainLoadModel(data_centre, service)
+    return EngineLoadModel(data_centre, service)
--- a/catkinfork/balancing/tests/support.py
+++ b/catkinfork/balancing/tests/support.py
@@ -55,6 +55,7 @@
     cold_rate=0.0,
     tokens_per_s=100_000.0,
     repeats=None,
+    max_connections=1000,
 ):
     """Return a balancer for the service ``s`` with backend servers ``b0`` and so on."""
     events = []
@@ -64,7 +65,9 @@
         registry, peers or Peers(), settings, random.Random(1), events.append
     )
     limits = Engine(n_slots, 500_000) if engine else None
-    service = Service("s", cold_rate=cold_rate, engine=limits)
+    service = Service(
+        "s", max_connections=max_connections, cold_rate=cold_rate, engine=limits
+    )
     workspaces = tuple(Workspace(name, ()) for name in "abcdefgh")
     balancer.configure(
         Configuration(
--- a/catkinfork/balancing/tests/test_placement.py
+++ b/catkinfork/balancing/tests/test_placement.py
@@ -195,3 +195,11 @@
     ((placed, placement),) = balancer.pump(0.2)
     assert placed is small
     assert placement.backend.name != first.backend.name
+
+
+@pytest.mark.parametrize("engine", [False, True])
+def test_connections_of_a_backend_bound_its_requests(engine):
+    """Guards against connections that a backend server resets."""
+    balancer = build_balancer(n_backends=1, engine=engine, max_connections=10)
+    decisions = [submit(balancer, 0.0, n_prompt=10) for _ in range(12)]
+    assert sum(isinstance(one, Placement) for one in decisions) == 8
--- a/catkinfork/forwarder/_process.py
+++ b/catkinfork/forwarder/_process.py
@@ -168,6 +168,7 @@
     def take_settings(self, settings):
         """Take up changed settings."""
         self.settings = settings
+        self.balancer.take_settings(build_balancer_settings(settings))
         seeds = [find_host(seed) for seed in settings.peers.seeds]
         self.directory.seeds |= set(seeds)
         self.directory.add(seeds, self.loop.time())
--- a/catkinfork/forwarding/_exchange.py
+++ b/catkinfork/forwarding/_exchange.py
@@ -259,6 +259,7 @@
         self.silent_at = float("inf")
         if placement is not None:
             self.server.balancer.finish(placement, outcome, now)
+            self.server.metrics.note_attempt(placement.job.service, outcome)
             self.server.pump_soon()
         return placement
 
--- a/catkinfork/forwarding/_metrics.py
+++ b/catkinfork/forwarding/_metrics.py
@@ -40,6 +40,10 @@
             buckets=list(LATENCY_BUCKETS_S),
         )
 
+    def note_attempt(self, service, outcome):
+        """Count an attempt that has ended."""
+        self.attempts.inc({"service": service, "outcome": outcome})
+
     def note_request(self, exchange, outcome, now):
         """Count a request that has ended."""
         job = exchange.job
--- a/catkinfork/platform/tests/test_processes.py
+++ b/catkinfork/platform/tests/test_processes.py
@@ -231,6 +231,7 @@
         status, body = await first.get("/metrics", port_index=3)
         assert status == 200
         assert b"catkinfork_requests_total" in body
+        assert b'catkinfork_attempts_ended_total{outcome="served"' in body
         assert b"catkinfork_request_seconds_bucket" in body
         assert b"catkinfork_configuration_version 1" in body
 
