Remove doubled work and unused state of the forwarder

The candidates of a request and the budget of repeats were computed twice; pumping built a map of all requests each time; each read of a peer's state opened a connection of its own that nobody closed; the router, agent and forwarder commands each printed the faults of their settings. Counters that nothing reads and an unused random source are gone. Behaviour is unchanged; the tests keep their assertions.

--- a/catkinfork/balancing/_balancer.py
+++ b/catkinfork/balancing/_balancer.py
@@ -99,10 +99,6 @@
         for pool in self.pools.values():
             pool.repeats.settings = settings.repeats
 
-    def find_pool(self, service_name):
-        """Return the pool of a service that the configuration lists."""
-        return self.pools[service_name]
-
     def submit(self, job, now):
         """Take a new request.
 
@@ -139,19 +135,23 @@
         pool = self.pools[job.service]
         if self.suspects.is_blocked(job.fingerprint, now):
             return self.block(job)
-        n_fresh = self.peers.n_fresh(now)
-        n_forwarders = self.peers.n_forwarders(now)
-        if not pool.repeats.allows(n_fresh, n_forwarders, now):
+        if not self.has_repeat_left(pool, now):
             return Refusal(NO_REPEAT, self.spread(MIN_RETRY_AFTER_S * 5))
         return self.admit(pool, job, now)
 
+    def has_repeat_left(self, pool, now):
+        """Return whether the budget of a service allows one more repeat."""
+        n_fresh = self.peers.n_fresh(now)
+        return pool.repeats.allows(n_fresh, self.peers.n_forwarders(now), now)
+
     def admit(self, pool, job, now):
         """Place a job, let it wait, or refuse it."""
-        if not self.list_usable(pool, job, now):
+        usable = self.list_usable(pool, job, now)
+        if not usable:
             return Refusal(NO_BACKEND, self.spread(NO_BACKEND_RETRY_AFTER_S))
         if not pool.queue.n_jobs:
             turn = pool.queue.find_turn(job, now)
-            placement = self.place(pool, job, turn, now)
+            placement = self.place(pool, job, usable, turn, now)
             if placement is not None:
                 return placement
         refusal = self.check_wait(pool, job, now)
@@ -208,18 +208,18 @@
             if pool.find(backend.name).health.unreachable_at is None
         ]
 
-    def place(self, pool, job, turn, now, reserved=None):
+    def place(self, pool, job, usable, turn, now, reserved=None):
         """Place a job at the backend server with the least cost.
 
         A job waits for that backend server although another one has room, as long as
         this costs less than to read its prompt there.
 
+        :param usable: backend servers that may run the job.
         :param turn: :class:`Turn` of the job.
         :param reserved: tokens that other waiting jobs will add, by backend server; a
             job that waits adds its own.
         :returns: :class:`Placement`, or None if the job waits.
         """
-        usable = self.list_usable(pool, job, now)
         is_first = pool.is_first(turn)
         best = self.choose(pool, job, usable, reserved or {}, is_first, now)
         if best is None:
@@ -309,7 +309,8 @@
         reserved = {}
         pool.turn = None
         for turn, job in pool.queue.list_ranked(now)[:MAX_CONSIDERED]:
-            placement = self.place(pool, job, turn, now, reserved)
+            usable = self.list_usable(pool, job, now)
+            placement = self.place(pool, job, usable, turn, now, reserved)
             if placement is None:
                 pool.turn = pool.turn or turn
                 continue
@@ -397,8 +398,6 @@
         if not allows_repeat(job, outcome, job.n_runs + 1, now):
             return False
         pool = self.pools[job.service]
-        n_fresh = self.peers.n_fresh(now)
-        n_forwarders = self.peers.n_forwarders(now)
-        if not pool.repeats.allows(n_fresh, n_forwarders, now):
+        if not self.has_repeat_left(pool, now):
             return False
         return bool(self.list_usable(pool, job, now))
--- a/catkinfork/cli/_forwarder.py
+++ b/catkinfork/cli/_forwarder.py
@@ -9,8 +9,9 @@
 import anyio
 import typer
 
-from catkinfork.cli._exit_codes import EXIT_PORT, EXIT_USAGE
-from catkinfork.settings import ForwarderSettings, read_settings
+from catkinfork.cli._exit_codes import EXIT_PORT
+from catkinfork.cli._settings import read_or_exit
+from catkinfork.settings import ForwarderSettings
 
 
 def run_forwarder(
@@ -25,12 +26,7 @@
     """
     from catkinfork.forwarder import ForwarderProcess
 
-    read = read_settings(settings, ForwarderSettings)
-    if read.is_err():
-        for fault in read.err_value:
-            typer.echo(f"{settings}: {fault.describe()}", err=True)
-        raise typer.Exit(EXIT_USAGE)
-    process = ForwarderProcess(read.ok_value, settings)
+    process = ForwarderProcess(read_or_exit(settings, ForwarderSettings), settings)
     try:
         anyio.run(process.run, backend_options={"use_uvloop": True})
     except* OSError as group:
--- a/catkinfork/cli/_run.py
+++ b/catkinfork/cli/_run.py
@@ -7,9 +7,10 @@
 import typer
 
 from catkinfork.cli._exit_codes import EXIT_PORT, EXIT_USAGE
+from catkinfork.cli._settings import read_or_exit
 from catkinfork.processes import AgentProcess, PortInUseError, RouterProcess
 from catkinfork.protocol import KeyFileError
-from catkinfork.settings import AgentSettings, RouterSettings, read_settings
+from catkinfork.settings import AgentSettings, RouterSettings
 
 SettingsOption = Annotated[
     str, typer.Option("--settings", help="Path of the INI settings file.")
@@ -36,13 +37,9 @@
 
 def run_process(path, settings_type, process_type):
     """Read the settings and run a process until it is told to stop."""
-    read = read_settings(path, settings_type)
-    if read.is_err():
-        for fault in read.err_value:
-            typer.echo(f"{path}: {fault.describe()}", err=True)
-        raise typer.Exit(EXIT_USAGE)
+    settings = read_or_exit(path, settings_type)
     try:
-        anyio.run(start_process, process_type, read.ok_value)
+        anyio.run(start_process, process_type, settings)
     except* KeyFileError as group:
         typer.echo(f"{path}: {group.exceptions[0]}", err=True)
         raise typer.Exit(EXIT_USAGE) from None
@@ -50,7 +47,7 @@
         typer.echo(f"{path}: {group.exceptions[0]}", err=True)
         raise typer.Exit(EXIT_PORT) from None
     except* pynng.exceptions.AddressInUse:
-        address = read.ok_value.fleet.address
+        address = settings.fleet.address
         typer.echo(f"{path}: {address} is in use by another process", err=True)
         raise typer.Exit(EXIT_PORT) from None
 
--- a/catkinfork/forwarder/_process.py
+++ b/catkinfork/forwarder/_process.py
@@ -46,6 +46,7 @@
         self.loop = None
         self.tasks = None
         self.was_ready = None
+        self.peer_source = None
 
     async def run(self):
         """Serve until the process is told to stop."""
@@ -87,7 +88,7 @@
             self.tasks.start_soon,
         )
         self.exchange = PeerExchange(
-            self.balancer, self.directory, self.incarnation, self.rng, self.log.write
+            self.balancer, self.directory, self.incarnation, self.log.write
         )
         self.topology = TopologyState(
             self.registry, PlatformDecoder(), self.server.configure, self.log.write
@@ -151,7 +152,10 @@
             return None
         peer = max(newer, key=lambda known: known.revision)
         _, port = split_address(self.settings.forwarder.control_address)
-        return PeerSource(HttpClient(f"{peer.address}:{port}", self.loop))
+        address = f"{peer.address}:{port}"
+        if self.peer_source is None or self.peer_source.client.address != address:
+            self.peer_source = PeerSource(HttpClient(address, self.loop))
+        return self.peer_source
 
     def take_topology(self):
         """Take up a change of the topology."""
--- a/catkinfork/forwarding/_backend.py
+++ b/catkinfork/forwarding/_backend.py
@@ -69,7 +69,6 @@
         self.is_reusable = True
         self.idle_since = 0.0
         self.idle_timeout_s = None
-        self.n_requests = 0
 
     def connection_made(self, transport):
         self.transport = transport
@@ -99,7 +98,6 @@
         self.request_id = request_id
         self.has_head = False
         self.is_complete = False
-        self.n_requests += 1
         self.transport.write(data)
 
     def data_received(self, data):
--- a/catkinfork/forwarding/_caller.py
+++ b/catkinfork/forwarding/_caller.py
@@ -56,7 +56,6 @@
         self.is_lost = False
         self.is_paused = False
         self.active_at = 0.0
-        self.n_served = 0
 
     def connection_made(self, transport):
         self.transport = transport
@@ -188,7 +187,6 @@
         :param is_keep_alive: whether the connection takes another request.
         """
         self.exchange = None
-        self.n_served += 1
         self.active_at = self.loop.time()
         if self.is_discarding or not is_keep_alive:
             self.linger()
--- a/catkinfork/forwarding/_pool.py
+++ b/catkinfork/forwarding/_pool.py
@@ -28,15 +28,8 @@
         self.loop = loop
         self.idle = []
         self.connections = set()
-        self.n_opened = 0
-        self.n_connecting = 0
         self.is_closed = False
 
-    @property
-    def n_open(self):
-        """Return the open connections and those that are being opened."""
-        return len(self.connections) + self.n_connecting
-
     def acquire(self):
         """Return an idle connection, or None."""
         now = self.loop.time()
@@ -56,19 +49,14 @@
         :raises OSError: if the backend server does not accept it.
         :raises TimeoutError: if it does not answer in time.
         """
-        self.n_connecting += 1
-        try:
-            with fail_after(CONNECT_TIMEOUT_S):
-                _, connection = await self.loop.create_connection(
-                    lambda: BackendConnection(self), self.host, self.port
-                )
-        finally:
-            self.n_connecting -= 1
+        with fail_after(CONNECT_TIMEOUT_S):
+            _, connection = await self.loop.create_connection(
+                lambda: BackendConnection(self), self.host, self.port
+            )
         return connection
 
     def note_opened(self, connection):
-        """Count a new connection."""
-        self.n_opened += 1
+        """Keep a new connection."""
         self.connections.add(connection)
 
     def note_closed(self, connection):
--- a/catkinfork/forwarding/_server.py
+++ b/catkinfork/forwarding/_server.py
@@ -37,7 +37,7 @@
         self.routes = None
         self.limits = CallerLimits()
         self.callers = set()
-        self.exchanges = set()
+        self.exchanges = {}
         self.pools = {}
         self.listener = None
         self.is_draining = False
@@ -99,11 +99,11 @@
 
     def note_open(self, exchange):
         """Add an exchange to those whose times are checked."""
-        self.exchanges.add(exchange)
+        self.exchanges[exchange.job] = exchange
 
     def note_closed(self, exchange, outcome, now):
         """Count an exchange that has ended."""
-        self.exchanges.discard(exchange)
+        self.exchanges.pop(exchange.job, None)
         self.metrics.note_request(exchange, outcome, now)
 
     def note_rejected(self, caller, status, code):
@@ -149,14 +149,15 @@
     def pump(self):
         """Place waiting requests."""
         self.is_pump_due = False
-        by_job = {exchange.job: exchange for exchange in self.exchanges}
-        for job, decision in self.balancer.pump(self.loop.time()):
-            by_job[job].apply(decision)
+        decisions = self.balancer.pump(self.loop.time())
+        decided = [(self.exchanges[job], decision) for job, decision in decisions]
+        for exchange, decision in decided:
+            exchange.apply(decision)
 
     def sweep(self):
         """Act on passed times."""
         now = self.loop.time()
-        for exchange in list(self.exchanges):
+        for exchange in list(self.exchanges.values()):
             if now >= exchange.expires_at or now >= exchange.silent_at:
                 exchange.check(now)
         if self.balancer.has_waiting():
--- a/catkinfork/peering/_state.py
+++ b/catkinfork/peering/_state.py
@@ -37,15 +37,13 @@
     :param balancer: :class:`Balancer`.
     :param directory: :class:`PeerDirectory`.
     :param incarnation: Unix milliseconds of this process's start.
-    :param rng: ``random.Random``.
     :param write_log: callable that takes a :class:`LogEvent`.
     """
 
-    def __init__(self, balancer, directory, incarnation, rng, write_log):
+    def __init__(self, balancer, directory, incarnation, write_log):
         self.balancer = balancer
         self.directory = directory
         self.incarnation = incarnation
-        self.rng = rng
         self.write_log = write_log
         self.sequence = 0
         self.is_leaving = False
@@ -59,8 +57,6 @@
         self.indexed_generations = ()
         self.pools = {}
         self.states = {}
-        self.n_sent = 0
-        self.n_received = 0
 
     def find_hash(self, name):
         """Return the 32 bits of a name."""
@@ -86,7 +82,6 @@
         if is_full:
             self.next_refresh_at = now + REFRESH_INTERVAL_S
         data = self.build(is_full)
-        self.n_sent += len(addresses)
         return [(address, data) for address in addresses]
 
     def build(self, is_full):
@@ -183,7 +178,6 @@
         peer = self.directory.hear(frame, now)
         if peer is None:
             return False
-        self.n_received += 1
         if not peer.is_counted:
             peer.is_counted = True
             peer.counted_since = now
--- a/catkinfork/peering/tests/test_exchange.py
+++ b/catkinfork/peering/tests/test_exchange.py
@@ -23,7 +23,6 @@
             self.balancer,
             self.directory,
             incarnation,
-            random.Random(1),
             self.events.append,
         )
 
