Order workspaces by their service alone; lateness counts within one

A job that would be late went after every job that could still be on time, also between workspaces and between forwarders. A workspace whose flood arrives at one forwarder waits as a whole, so all its jobs are late; another one that arrives at all forwarders always has fresh jobs and took every turn.

--- a/catkinfork/balancing/_balancer.py
+++ b/catkinfork/balancing/_balancer.py
@@ -150,7 +150,7 @@
         if not usable:
             return Refusal(NO_BACKEND, self.spread(NO_BACKEND_RETRY_AFTER_S))
         if not pool.queue.n_jobs:
-            turn = pool.queue.find_turn(job, now)
+            turn = pool.queue.find_turn(job.workspace, now)
             placement = self.place(pool, job, usable, turn, now)
             if placement is not None:
                 return placement
--- a/catkinfork/balancing/_queue.py
+++ b/catkinfork/balancing/_queue.py
@@ -2,17 +2,15 @@
 
 from typing import NamedTuple
 
-# Under overload, a job that would be late goes after those that can still be on time.
-ON_TIME = 0
-LATE = 1
-OVER_SHARE = 2
+WITHIN_SHARE = 0
+OVER_SHARE = 1
 
 
 class Turn(NamedTuple):
-    """When a job goes; lower turns go first, over all forwarders.
+    """When the jobs of a workspace go; lower turns go first, over all forwarders.
 
     :param rank: one of the ranks above.
-    :param n_received: recent service of its workspace in tokens.
+    :param n_received: recent service of the workspace in tokens.
     """
 
     rank: int
@@ -22,9 +20,10 @@
 class WaitingQueue:
     """Waiting jobs by workspace.
 
-    The next job is the one of highest rank: within its workspace's share and able to be
-    on time, then late ones, then those beyond the share. Within a rank, the workspace
-    with the least recent service comes first, and within a workspace the earliest aim.
+    Workspaces within their share come first, and among them the one with the least
+    recent service. Within a workspace, jobs that can still be on time go before late
+    ones, and then the earliest aim. Lateness does not count between workspaces: one
+    that waits all through would stay behind those that always have fresh jobs.
 
     :param shares: :class:`FairShares`.
     """
@@ -64,22 +63,12 @@
         """Return pairs of turn and waiting job, the next one first."""
         ranked = []
         for workspace, jobs in self.by_workspace.items():
-            is_over = self.shares.is_over(workspace, now)
-            received = self.shares.read_received(workspace, now)
-            for job in jobs:
-                turn = Turn(self.rank_job(job, is_over, now), received)
-                ranked.append((turn, job))
-        ranked.sort(key=lambda pair: (*pair[0], pair[1].aim_at))
+            turn = self.find_turn(workspace, now)
+            ranked += [(turn, job) for job in jobs]
+        ranked.sort(key=lambda pair: (*pair[0], now >= pair[1].aim_at, pair[1].aim_at))
         return ranked
 
-    def find_turn(self, job, now):
-        """Return the turn of a job."""
-        is_over = self.shares.is_over(job.workspace, now)
-        received = self.shares.read_received(job.workspace, now)
-        return Turn(self.rank_job(job, is_over, now), received)
-
-    def rank_job(self, job, is_over, now):
-        """Return the rank of a job; lower goes first."""
-        if is_over:
-            return OVER_SHARE
-        return LATE if now >= job.aim_at else ON_TIME
+    def find_turn(self, workspace, now):
+        """Return the turn of a workspace's jobs."""
+        rank = OVER_SHARE if self.shares.is_over(workspace, now) else WITHIN_SHARE
+        return Turn(rank, self.shares.read_received(workspace, now))
--- /dev/null
+++ b/catkinfork/balancing/tests/test_fairness.py
@@ -0,0 +1,37 @@
+"""Order between workspaces that wait at the same time."""
+
+from catkinfork.balancing.tests.support import build_balancer, build_job, serve, submit
+
+
+def give_service(balancer, workspace, now, n_requests):
+    """Serve requests of a workspace."""
+    for _ in range(n_requests):
+        serve(balancer, submit(balancer, now, workspace=workspace), now)
+
+
+def test_late_request_goes_before_one_of_a_workspace_that_got_more():
+    """Guards against a workspace that waits all through while others stay on time.
+
+    A workspace whose requests all wait at one forwarder is late as a whole; another one
+    that arrives everywhere always has requests that can still be on time.
+    """
+    balancer = build_balancer(n_backends=1, n_slots=1)
+    give_service(balancer, "much", 0.0, 10)
+    running = submit(balancer, 0.0, workspace="much")
+    late = build_job(0.0, workspace="little")
+    balancer.submit(late, 0.0)
+    balancer.submit(build_job(1.0, workspace="much"), 1.0)
+    serve(balancer, running, 1.1)
+    ((job, _),) = balancer.pump(1.1)
+    assert job is late
+
+
+def test_turn_of_a_late_request_is_told_by_the_service_of_its_workspace():
+    """Guards against peers that place on-time requests before a late one for ever."""
+    balancer = build_balancer(n_backends=1, n_slots=1)
+    give_service(balancer, "much", 0.0, 10)
+    submit(balancer, 0.0, workspace="much")
+    balancer.submit(build_job(0.0, workspace="little"), 0.0)
+    balancer.pump(1.0)
+    pool = balancer.pools["s"]
+    assert pool.turn < pool.queue.find_turn("much", 1.0)
