Refuse what waits longer than its caller; estimate waits by even shares

Change: routes tell the patience of their callers; a job needs its next event within it. So the wait is the lower one of two estimates: by this forwarder's rate, and by the even share of the workspace over all forwarders. Jobs that wait are refused as soon as the same estimate leaves them no time.

--- a/catkinfork/balancing/_balancer.py
+++ b/catkinfork/balancing/_balancer.py
@@ -24,6 +24,7 @@
 from catkinfork.balancing._pool import ServicePool
 from catkinfork.balancing._repeats import allows_repeat
 from catkinfork.balancing._suspects import MAX_CRASHES, SuspectTable
+from catkinfork.balancing._waits import estimate_wait, list_hopeless
 from catkinfork.observability import log_event
 from catkinfork.topology import Backend
 
@@ -31,6 +32,9 @@
 MAX_CONSIDERED = 64
 # Jobs that one forwarder holds for one service.
 MAX_WAITING = 2000
+# Part of the expected wait and duration for which a waiting job needs the time. It is
+# under 1 as half of the requests are faster than expected.
+EXPIRY_SHARE = 0.5
 # Times to come back, seconds: bounds, and where no backend server is known.
 MIN_RETRY_AFTER_S = 0.1
 MAX_RETRY_AFTER_S = 5.0
@@ -165,24 +169,13 @@
         queue = pool.queue
         if queue.n_jobs >= MAX_WAITING:
             return Refusal(OVERLOADED, self.spread(1.0), f"n_waiting={queue.n_jobs}")
-        wait_s = pool.estimate_wait(self.count_ahead(pool, job, now), now)
-        needed_s = wait_s + pool.expect_duration(job.route)
-        if now + needed_s <= job.deadline_at:
+        wait = estimate_wait(pool, job.workspace, now)
+        wait_s = wait.compute(queue.count_ahead(job, now))
+        if pool.is_in_time(job, now + wait_s):
             return None
         detail = f"wait_s={wait_s:.3f} n_waiting={queue.n_jobs}"
         return Refusal(OVERLOADED, self.spread(wait_s), detail)
 
-    def count_ahead(self, pool, job, now):
-        """Return the service tokens of the jobs that go before a new one."""
-        queue = pool.queue
-        if not pool.shares.is_over(job.workspace, now):
-            jobs = queue.by_workspace.get(job.workspace, ())
-            own = sum(max(1, waiting.n_service_tokens) for waiting in jobs)
-            n_others = len(queue.by_workspace) - (1 if jobs else 0)
-            # Workspaces take turns, so that each of the others gets as much meanwhile.
-            return min(own * (n_others + 1), max(queue.n_tokens, queue.n_jobs))
-        return max(queue.n_tokens, queue.n_jobs)
-
     def spread(self, seconds):
         """Return a time to come back, spread at random."""
         bounded = min(MAX_RETRY_AFTER_S, max(MIN_RETRY_AFTER_S, seconds))
@@ -289,12 +282,9 @@
         return decisions
 
     def drop_expired(self, pool, now):
-        """Refuse waiting jobs whose deadline is out of reach."""
+        """Refuse waiting jobs that cannot be served in time any more."""
         decisions = []
-        for job in pool.queue.list_jobs():
-            needed_s = 0.5 * pool.expect_duration(job.route)
-            if now + needed_s < job.deadline_at:
-                continue
+        for job in list_hopeless(pool, now, EXPIRY_SHARE):
             pool.queue.remove(job)
             waited_s = now - job.arrived_at
             refusal = Refusal(
@@ -326,11 +316,12 @@
         """Remove a waiting job whose caller has left."""
         self.pools[job.service].queue.remove(job)
 
-    def note_begun(self, placement):
+    def note_begun(self, placement, now):
         """Note the first event of an attempt."""
         if placement.has_begun:
             return
         pool = self.pools[placement.job.service]
+        pool.first_events.note(placement.job.route, now - placement.placed_at)
         pool.find(placement.backend.name).load.begin(placement)
         self.changes.backends.add((placement.job.service, placement.backend.name))
 
@@ -356,7 +347,7 @@
         job = placement.job
         backend = placement.backend
         if outcome == SERVED:
-            pool.note_duration(job.route, now - placement.placed_at)
+            pool.durations.note(job.route, now - placement.placed_at)
             if self.suspects.clear(job.fingerprint):
                 self.changes.suspects[job.fingerprint] = 0
         if outcome == BROKEN:
--- a/catkinfork/balancing/_jobs.py
+++ b/catkinfork/balancing/_jobs.py
@@ -23,6 +23,9 @@
     :param workspace: name of the workspace, empty for public routes.
     :param arrived_at: monotonic seconds.
     :param deadline_at: monotonic time after which nobody waits for the response.
+
+    ``next_event_by`` is the time at which the caller of a stream leaves unless it gets
+    an event before.
     """
 
     __slots__ = (
@@ -34,6 +37,7 @@
         "n_prompt_tokens",
         "n_repeats",
         "n_runs",
+        "next_event_by",
         "parts",
         "request_id",
         "route",
@@ -50,6 +54,7 @@
         self.arrived_at = arrived_at
         self.deadline_at = deadline_at
         self.aim_at = arrived_at + route.aim_s
+        self.next_event_by = arrived_at + route.caller_patience_s
         self.n_prompt_tokens = 0
         self.n_output_tokens = 0
         self.parts = ()
--- a/catkinfork/balancing/_pool.py
+++ b/catkinfork/balancing/_pool.py
@@ -1,6 +1,7 @@
 """State of one service in the balancer."""
 
 from catkinfork.balancing._cold import StartLimiter
+from catkinfork.balancing._durations import RouteDurations
 from catkinfork.balancing._health import BackendHealth, ServiceHealth
 from catkinfork.balancing._loads import BackendLoad
 from catkinfork.balancing._models import build_load_model
@@ -11,8 +12,6 @@
 
 # Time over which the rate at which jobs are placed is measured.
 PLACED_WINDOW_S = 1.0
-# Weight of the latest request in the mean duration of a route.
-DURATION_WEIGHT = 0.05
 
 
 class BackendState:
@@ -46,7 +45,8 @@
         self.repeats = RepeatBudget(settings.repeats)
         self.health = ServiceHealth()
         self.placed = DecayingSum(PLACED_WINDOW_S)
-        self.durations = {}
+        self.first_events = RouteDurations()
+        self.durations = RouteDurations()
         self.turn = None
         self.peer_turns = {}
 
@@ -74,16 +74,13 @@
         """Note that a job has gone to a backend server, waiting or not."""
         self.placed.add(max(1, job.n_service_tokens), now)
 
-    def estimate_wait(self, n_tokens_ahead, now):
-        """Return how long a job waits, from the recent rate of placements.
+    def read_placing_time(self, now):
+        """Return the seconds for each service token that is placed here.
 
-        :param n_tokens_ahead: service tokens of the jobs that go first.
-        :returns: seconds, 0 while nothing is known.
+        It follows the recent rate of placements and is 0 while nothing is known.
         """
         rate = self.placed.read(now) / PLACED_WINDOW_S
-        if rate <= 0:
-            return 0.0
-        return n_tokens_ahead / rate
+        return 1.0 / rate if rate > 0 else 0.0
 
     def set_peer_turn(self, peer, turn):
         """Set the turn of the first job that waits at a peer, or None if none does."""
@@ -96,12 +93,11 @@
         """Return whether no job that waits at a peer goes before this turn."""
         return all(turn <= other for other in self.peer_turns.values())
 
-    def note_duration(self, route, duration_s):
-        """Learn how long a served request of a route takes from its placement."""
-        known = self.durations.get(route.name, duration_s)
-        known += DURATION_WEIGHT * (duration_s - known)
-        self.durations[route.name] = known
+    def is_in_time(self, job, placed_at, share=1.0):
+        """Return whether a job that is placed at a time can be served in time.
 
-    def expect_duration(self, route):
-        """Return how long a request of a route takes from its placement, seconds."""
-        return self.durations.get(route.name, 0.0)
+        :param share: part of the usual durations that is allowed for.
+        """
+        first_at = placed_at + share * self.first_events.expect(job.route)
+        end_at = placed_at + share * self.durations.expect(job.route)
+        return first_at <= job.next_event_by and end_at <= job.deadline_at
--- a/catkinfork/balancing/_queue.py
+++ b/catkinfork/balancing/_queue.py
@@ -55,18 +55,26 @@
         self.n_tokens -= job.n_service_tokens
         return True
 
-    def list_jobs(self):
-        """Return all waiting jobs."""
-        return [job for jobs in self.by_workspace.values() for job in jobs]
+    def count_ahead(self, job, now):
+        """Return the service tokens of its workspace that go before a new job."""
+        jobs = self.by_workspace.get(job.workspace, ())
+        return sum(max(1, one.n_service_tokens) for one in jobs if now < one.aim_at)
 
     def list_ranked(self, now):
         """Return pairs of turn and waiting job, the next one first."""
-        ranked = []
-        for workspace, jobs in self.by_workspace.items():
-            turn = self.find_turn(workspace, now)
-            ranked += [(turn, job) for job in jobs]
-        ranked.sort(key=lambda pair: (*pair[0], now >= pair[1].aim_at, pair[1].aim_at))
-        return ranked
+        turns = [
+            (self.find_turn(workspace, now), workspace)
+            for workspace in self.by_workspace
+        ]
+        return [
+            (turn, job)
+            for turn, workspace in sorted(turns)
+            for job in self.sort_jobs(self.by_workspace[workspace], now)
+        ]
+
+    def sort_jobs(self, jobs, now):
+        """Return the jobs of one workspace in the order in which they go."""
+        return sorted(jobs, key=lambda job: (now >= job.aim_at, job.aim_at))
 
     def find_turn(self, workspace, now):
         """Return the turn of a workspace's jobs."""
--- a/catkinfork/balancing/tests/support.py
+++ b/catkinfork/balancing/tests/support.py
@@ -125,5 +125,5 @@
 def serve(balancer, placement, now):
     """End an attempt with success."""
     assert isinstance(placement, Placement)
-    balancer.note_begun(placement)
+    balancer.note_begun(placement, now)
     balancer.finish(placement, SERVED, now)
--- a/catkinfork/balancing/tests/test_admission.py
+++ b/catkinfork/balancing/tests/test_admission.py
@@ -210,3 +210,49 @@
     balancer.pump(now)
     for _ in range(20):
         assert submit(balancer, now, route=route) is None
+
+
+def run_overload(balancer, route, end, interval_s=0.1, n_arrivals=3):
+    """Submit requests faster than they are served, one at a time.
+
+    :returns: how long each refused request has waited, seconds.
+    """
+    now = 0.0
+    running = submit(balancer, now, route=route)
+    waits = []
+    while now < end:
+        for _ in range(n_arrivals):
+            if isinstance(submit(balancer, now, route=route), Refusal):
+                waits.append(0.0)
+        now += interval_s
+        serve(balancer, running, now)
+        for job, decision in balancer.pump(now):
+            if isinstance(decision, Placement):
+                running = decision
+            else:
+                waits.append(now - job.arrived_at)
+    return waits
+
+
+def test_streams_are_refused_before_their_callers_leave():
+    """Guards against requests that wait for their deadline while callers leave."""
+    balancer = build_balancer(n_backends=1, n_slots=1)
+    route = build_route(timeout_s=12.0, caller_patience_s=2.0)
+    waits = run_overload(balancer, route, 6.0)
+    assert len(waits) > 80
+    assert max(waits) < 1.9
+    assert balancer.pools["s"].queue.n_jobs < 45
+
+
+def test_stream_that_waits_is_refused_before_its_caller_leaves():
+    """Guards against an attempt that begins when its caller has left."""
+    balancer = build_balancer(n_backends=1, n_slots=1)
+    route = build_route(timeout_s=12.0, caller_patience_s=2.0)
+    serve(balancer, submit(balancer, 0.0, route=route), 0.4)
+    submit(balancer, 0.5, route=route)
+    job = build_job(0.5, route=route)
+    balancer.submit(job, 0.5)
+    assert balancer.pump(2.2) == []
+    ((refused, refusal),) = balancer.pump(2.4)
+    assert refused is job
+    assert refusal.reason == EXPIRED
--- a/catkinfork/balancing/tests/test_fairness.py
+++ b/catkinfork/balancing/tests/test_fairness.py
@@ -1,6 +1,12 @@
 """Order between workspaces that wait at the same time."""
 
-from catkinfork.balancing.tests.support import build_balancer, build_job, serve, submit
+from catkinfork.balancing.tests.support import (
+    build_balancer,
+    build_job,
+    build_route,
+    serve,
+    submit,
+)
 
 
 def give_service(balancer, workspace, now, n_requests):
@@ -35,3 +41,20 @@
     balancer.pump(1.0)
     pool = balancer.pools["s"]
     assert pool.turn < pool.queue.find_turn("much", 1.0)
+
+
+def test_workspace_that_is_due_service_is_not_refused_for_a_slow_forwarder():
+    """Guards against a workspace at one forwarder that is refused by its low rate.
+
+    The room is held by the requests of another workspace at other forwarders, so that
+    this forwarder has placed little lately.
+    """
+    balancer = build_balancer(n_backends=1, n_slots=1, tokens_per_s=1000.0)
+    shares = balancer.pools["s"].shares
+    serve(balancer, submit(balancer, 0.0, workspace="a", n_prompt=10), 0.0)
+    for step in range(40):
+        shares.note_peer("b", 20_000, 10_000, 0.1 * step)
+    route = build_route(caller_patience_s=2.0)
+    submit(balancer, 4.0, workspace="a", route=route)
+    for _ in range(10):
+        assert submit(balancer, 4.0, workspace="a", route=route) is None
--- a/catkinfork/balancing/tests/test_placement.py
+++ b/catkinfork/balancing/tests/test_placement.py
@@ -80,7 +80,7 @@
         decision = submit(balancer, 0.0, n_prompt=40_000, n_output=100)
         if not isinstance(decision, Placement):
             break
-        balancer.note_begun(decision)
+        balancer.note_begun(decision, 0.0)
         n_placed += 1
     assert n_placed == 11
 
--- a/catkinfork/forwarding/_exchange.py
+++ b/catkinfork/forwarding/_exchange.py
@@ -221,7 +221,7 @@
     def note_begun(self):
         """Tell the balancer that the backend server works on the request."""
         if self.placement is not None and not self.placement.has_begun:
-            self.server.balancer.note_begun(self.placement)
+            self.server.balancer.note_begun(self.placement, self.server.loop.time())
             self.server.pump_soon()
 
     def on_end(self):
@@ -273,6 +273,9 @@
             report_attempt(self, placement, outcome, detail, is_repeated, now)
         )
         if is_repeated:
+            if self.last_data_at is not None:
+                patience_s = self.job.route.caller_patience_s
+                self.job.next_event_by = self.last_data_at + patience_s
             self.apply(balancer.submit_again(self.job, now))
         else:
             self.give_up(outcome, detail)
--- a/catkinfork/peering/tests/test_exchange.py
+++ b/catkinfork/peering/tests/test_exchange.py
@@ -198,7 +198,7 @@
                 running.append((node, node.balancer.submit(job, now)))
         if step % 2:
             node, placement = running.pop(0)
-            node.balancer.note_begun(placement)
+            node.balancer.note_begun(placement, now)
             node.balancer.finish(placement, SERVED, now)
             if step >= 200:
                 n_served[placement.job.workspace] += 1
--- a/catkinfork/platform/_documents.py
+++ b/catkinfork/platform/_documents.py
@@ -1,10 +1,12 @@
 """Decoding of the operator's documents and the backend servers' entries."""
 
+from math import inf
 from typing import Literal
 
 import msgspec
 
 from catkinfork.topology import (
+    STREAMING,
     BackendEntry,
     BaseDecoder,
     CallerLimits,
@@ -24,6 +26,12 @@
 EVACUATION_PREFIX = "op/evacuate/"
 ENTRY_PREFIX = "servers/"
 
+# Callers of a stream leave after the longest of these: so many seconds, so many times
+# the aim, so many times the longest pause.
+MIN_PATIENCE_S = 2.0
+PATIENCE_AIMS = 4.0
+PATIENCE_PAUSES = 8.0
+
 
 class SplitDocument(msgspec.Struct):
     """One target of a route."""
@@ -218,9 +226,19 @@
         is_resumable=route.resumable,
         has_prompt=route.sticky,
         max_pause_s=route.gap_target_ms / 1000,
+        caller_patience_s=find_caller_patience(route),
     )
 
 
+def find_caller_patience(route):
+    """Return the time without an event after which callers leave, seconds."""
+    if route.kind != STREAMING:
+        return inf
+    by_aim_s = PATIENCE_AIMS * route.aim_ms / 1000
+    by_pause_s = PATIENCE_PAUSES * route.gap_target_ms / 1000
+    return max(MIN_PATIENCE_S, by_aim_s, by_pause_s)
+
+
 def convert_service(service):
     """Return a service in the product's type."""
     engine = service.engine
--- a/catkinfork/platform/tests/test_documents.py
+++ b/catkinfork/platform/tests/test_documents.py
@@ -2,6 +2,7 @@
 
 import base64
 import json
+import math
 
 import anyio
 import pytest
@@ -95,6 +96,7 @@
     assert configuration.version == 7
     assert route.is_repeatable
     assert route.max_pause_s == 0.25
+    assert route.caller_patience_s == 2.0
     assert [target.weight for target in route.targets] == [90, 10]
     assert configuration.services["ledger"].engine.n_memory_tokens == 5000
     assert configuration.workspaces[0].keys == ("key-of-a",)
@@ -173,3 +175,24 @@
         Item("b", None, 5),
         Item("c", b"", 6),
     ]
+
+
+@pytest.mark.parametrize(
+    ("kind", "aim_ms", "gap_target_ms", "expected_s"),
+    [
+        ("streaming", 300, 250, 2.0),
+        ("streaming", 600, 250, 2.4),
+        ("streaming", 300, 300, 2.4),
+        ("safe", 900, 0, math.inf),
+    ],
+)
+def test_patience_of_callers(kind, aim_ms, gap_target_ms, expected_s):
+    """Guards against a request that waits longer than its caller does."""
+    document = build_config(1)
+    document["routes"][0] |= {
+        "kind": kind,
+        "aim_ms": aim_ms,
+        "gap_target_ms": gap_target_ms,
+    }
+    (route,) = decode("op/config", document).configuration.routes
+    assert math.isclose(route.caller_patience_s, expected_s)
--- a/catkinfork/topology/_types.py
+++ b/catkinfork/topology/_types.py
@@ -1,5 +1,6 @@
 """Types of the configuration that the forwarders serve."""
 
+from math import inf
 from typing import NamedTuple
 
 # What may be repeated: ``safe`` requests may run any number of times, ``unsafe`` ones
@@ -38,6 +39,8 @@
     :param is_resumable: whether a stream may go on at another backend server.
     :param has_prompt: whether requests tell the parts of their prompt.
     :param max_pause_s: longest pause between two events that are on time.
+    :param caller_patience_s: time without an event, also before the first one, after
+        which callers leave.
     """
 
     name: str
@@ -52,6 +55,7 @@
     is_resumable: bool = False
     has_prompt: bool = False
     max_pause_s: float = 0.0
+    caller_patience_s: float = inf
 
     @property
     def is_repeatable(self):
