Leave room by the number of forwarders whose jobs go first

A job left a fixed share of the room as soon as any other forwarder held one that goes first. A small workspace nearly always does, so two floods left the same room: mipu530 at one forwarder (least service of the two) got 2 to 10 requests placed a second, titi221 at three forwarders 61 to 86 (18 to 21 s).

Change: the share that is left grows with the number of forwarders that go first, up to three. Slots and pending tokens have shares of their own.

--- a/catkinfork/balancing/_balancer.py
+++ b/catkinfork/balancing/_balancer.py
@@ -213,8 +213,8 @@
             job that waits adds its own.
         :returns: :class:`Placement`, or None if the job waits.
         """
-        is_first = pool.is_first(turn)
-        best = self.choose(pool, job, usable, reserved or {}, is_first, now)
+        n_before = pool.count_peers_before(turn)
+        best = self.choose(pool, job, usable, reserved or {}, n_before, now)
         if best is None:
             return None
         if not best.has_room:
@@ -229,7 +229,7 @@
         self.open(pool, placement, now)
         return placement
 
-    def choose(self, pool, job, usable, reserved, is_first, now):
+    def choose(self, pool, job, usable, reserved, n_before, now):
         """Return the :class:`Candidate` with the least cost, or None."""
         best = None
         for backend in usable:
@@ -241,7 +241,7 @@
             cost = pool.model.estimate_cost(job, backend, load, n_missing)
             cost += reserved.get(backend.name, 0)
             if best is None or cost < best.cost:
-                has_room = pool.model.has_room(job, backend, load, n_missing, is_first)
+                has_room = pool.model.has_room(job, backend, load, n_missing, n_before)
                 best = Candidate(backend, n_missing, cost, has_room)
         return best
 
--- a/catkinfork/balancing/_models.py
+++ b/catkinfork/balancing/_models.py
@@ -19,9 +19,11 @@
 MAX_MEMORY_SHARE = 0.95
 # Requests beyond the slots of a plain backend server that keep it busy between two.
 EXTRA_REQUESTS = 2
-# Share of the room that is left to jobs that go first while another forwarder holds
-# them. What lies below it is used by any job, so that nothing idles while it waits.
-FIRST_SHARE = 0.25
+# Shares of the pending tokens and of the slots that a job leaves to those before it, by
+# the number of other forwarders at which such jobs wait. What lies below is used by any
+# job, so that nothing idles while the news of it travels.
+LEFT_TOKEN_SHARES = (0.0, 0.25, 0.3, 0.35)
+LEFT_SLOT_SHARES = (0.0, 0.0625, 0.1, 0.125)
 # Share of a backend server's connections that requests use, as each one needs one; the
 # rest covers idle ones and those that peers have opened and not yet told of.
 CONNECTION_SHARE = 0.8
@@ -50,11 +52,11 @@
         """Return the cost of the job at a backend server; the least one wins."""
 
     @abstractmethod
-    def has_room(self, job, backend, load, n_missing, is_first):
+    def has_room(self, job, backend, load, n_missing, n_before):
         """Return whether the backend server takes the job now.
 
-        :param is_first: whether no other forwarder holds a job that goes before this
-            one; otherwise a share of the room is left to it.
+        :param n_before: other forwarders that hold a job that goes before this one; a
+            share of the room is left to them.
         """
 
 
@@ -74,12 +76,11 @@
             cost += REMOTE_TOKENS
         return cost
 
-    def has_room(self, job, backend, load, n_missing, is_first):
+    def has_room(self, job, backend, load, n_missing, n_before):
+        n_before = min(n_before, len(LEFT_SLOT_SHARES) - 1)
         n_slots = backend.entry.n_slots
-        n_pending_limit = MAX_PENDING_TOKENS
-        if not is_first:
-            n_slots -= int(FIRST_SHARE * n_slots / 4)
-            n_pending_limit *= 1.0 - FIRST_SHARE
+        n_slots -= int(LEFT_SLOT_SHARES[n_before] * n_slots)
+        n_pending_limit = MAX_PENDING_TOKENS * (1.0 - LEFT_TOKEN_SHARES[n_before])
         if load.n_all_in_flight >= min(n_slots, self.n_connections):
             return False
         n_pending = load.n_all_pending
@@ -102,8 +103,8 @@
             cost += REMOTE_REQUESTS
         return cost
 
-    def has_room(self, job, backend, load, n_missing, is_first):
-        n_extra = EXTRA_REQUESTS if is_first else 0
+    def has_room(self, job, backend, load, n_missing, n_before):
+        n_extra = 0 if n_before else EXTRA_REQUESTS
         n_requests = min(backend.entry.n_slots + n_extra, self.n_connections)
         return load.n_all_in_flight < n_requests
 
--- a/catkinfork/balancing/_pool.py
+++ b/catkinfork/balancing/_pool.py
@@ -89,9 +89,9 @@
         else:
             self.peer_turns[peer] = turn
 
-    def is_first(self, turn):
-        """Return whether no job that waits at a peer goes before this turn."""
-        return all(turn <= other for other in self.peer_turns.values())
+    def count_peers_before(self, turn):
+        """Return the peers at which a job waits that goes before this turn."""
+        return sum(other < turn for other in self.peer_turns.values())
 
     def is_in_time(self, job, placed_at, share=1.0):
         """Return whether a job that is placed at a time can be served in time.
--- a/catkinfork/balancing/tests/test_placement.py
+++ b/catkinfork/balancing/tests/test_placement.py
@@ -11,6 +11,7 @@
     LoadFigures,
     Placement,
     Refusal,
+    Turn,
 )
 from catkinfork.balancing.tests.support import (
     PLAIN,
@@ -203,3 +204,21 @@
     balancer = build_balancer(n_backends=1, engine=engine, max_connections=10)
     decisions = [submit(balancer, 0.0, n_prompt=10) for _ in range(12)]
     assert sum(isinstance(one, Placement) for one in decisions) == 8
+
+
+def test_room_is_left_by_the_number_of_forwarders_that_go_before():
+    """Guards against a workspace that takes as much room as others with less service.
+
+    Which of several waiting workspaces has less service must count also where a third
+    one has least of all.
+    """
+    n_placed = []
+    for n_before in range(5):
+        balancer = build_balancer(n_backends=1)
+        for number in range(n_before):
+            balancer.pools["s"].set_peer_turn(f"10.0.0.{number}", Turn(0, -1.0))
+        decisions = [submit(balancer, 0.0, n_prompt=0) for _ in range(70)]
+        n_placed.append(sum(isinstance(one, Placement) for one in decisions))
+    assert n_placed[0] == 64
+    assert n_placed[0] > n_placed[1] > n_placed[2] > n_placed[3] >= 48
+    assert n_placed[4] == n_placed[3]
