Do not count the prompts of running requests twice in the kept parts

The estimate of what an engine keeps took the memory of running requests from the room for parts, although their prompts are made of these parts; with 60 requests in one batch half of the memory was thought to be gone, and prompts went to engines that had to read them again.

Conclusion: none is counted, as what requests generate is small beside the prompts.

--- a/catkinfork/balancing/_loads.py
+++ b/catkinfork/balancing/_loads.py
@@ -91,7 +91,7 @@
         self.n_pending_tokens += n_missing_tokens
         self.n_memory_tokens += job.n_prompt_tokens + job.n_output_tokens
         if job.parts:
-            self.prefixes.touch(job.parts, self.n_all_memory)
+            self.prefixes.touch(job.parts)
 
     def begin(self, placement):
         """Note that an attempt has begun, so that its prompt is no longer pending."""
--- a/catkinfork/balancing/_prefixes.py
+++ b/catkinfork/balancing/_prefixes.py
@@ -6,8 +6,9 @@
 class PrefixCache:
     """Prompt parts by recent use, as one engine keeps them.
 
-    The engine drops the least recently used parts when running requests need memory;
-    so does this estimate.
+    The engine drops the least recently used parts when it needs memory; so does this
+    estimate. The prompts of running requests are among the parts, and what requests
+    generate is small beside them.
 
     :param n_memory_tokens: tokens that fit into the engine's memory.
     """
@@ -29,11 +30,8 @@
             n_kept += n_tokens
         return n_kept
 
-    def touch(self, parts, n_running_tokens):
-        """Note that a request with these parts runs.
-
-        :param n_running_tokens: memory that running requests hold.
-        """
+    def touch(self, parts):
+        """Note that a request with these parts runs."""
         for name, n_tokens in parts:
             known = self.parts.pop(name, None)
             if known is None:
@@ -41,7 +39,6 @@
             else:
                 self.n_tokens += n_tokens - known
             self.parts[name] = n_tokens
-        room = max(0, self.n_memory_tokens - n_running_tokens)
-        while self.n_tokens > room and self.parts:
+        while self.n_tokens > self.n_memory_tokens:
             _, n_tokens = self.parts.popitem(last=False)
             self.n_tokens -= n_tokens
--- a/catkinfork/balancing/tests/test_placement.py
+++ b/catkinfork/balancing/tests/test_placement.py
@@ -222,3 +222,18 @@
     assert n_placed[0] == 64
     assert n_placed[0] > n_placed[1] > n_placed[2] > n_placed[3] >= 48
     assert n_placed[4] == n_placed[3]
+
+
+def test_prompt_of_a_running_request_does_not_displace_its_own_parts():
+    """Guards against kept parts that are forgotten while requests run.
+
+    The prompt of a running request is made of the parts that the engine keeps, so it
+    needs no memory beside them.
+    """
+    balancer = build_balancer(n_backends=1)
+    for number in range(5):
+        parts = ((number, 60_000), (100 + number, 1000))
+        placement = submit(balancer, 0.0, n_prompt=61_000, parts=parts)
+        balancer.note_begun(placement, 0.0)
+    placement = submit(balancer, 0.1, n_prompt=61_000, parts=((0, 60_000), (9, 1000)))
+    assert placement.n_missing_tokens == 1000
--- a/catkinfork/peering/_state.py
+++ b/catkinfork/peering/_state.py
@@ -255,8 +255,7 @@
         for backend, part, n_tokens in frame.parts:
             if backend in states:
                 load = states[backend].load
-                parts = (PromptPart(part, n_tokens),)
-                load.prefixes.touch(parts, load.n_all_memory)
+                load.prefixes.touch((PromptPart(part, n_tokens),))
 
     def drop_silent(self, now):
         """Drop the load of peers that have been silent for too long."""
