Order waiting jobs by one number, the service of their workspace

A workspace was over its share exactly if its service was at least the even share, so that the rank never changed the order by service. Rank, its type and its field in the frames are removed.

--- a/catkinfork/balancing/__init__.py
+++ b/catkinfork/balancing/__init__.py
@@ -21,7 +21,6 @@
     Refusal,
 )
 from catkinfork.balancing._loads import LoadFigures
-from catkinfork.balancing._queue import Turn
 from catkinfork.balancing._settings import BalancerSettings, RepeatSettings
 
 __all__ = [
@@ -46,5 +45,4 @@
     "PromptPart",
     "Refusal",
     "RepeatSettings",
-    "Turn",
 ]
--- a/catkinfork/balancing/_balancer.py
+++ b/catkinfork/balancing/_balancer.py
@@ -208,7 +208,7 @@
         this costs less than to read its prompt there.
 
         :param usable: backend servers that may run the job.
-        :param turn: :class:`Turn` of the job.
+        :param turn: turn of the job.
         :param reserved: tokens that other waiting jobs will add, by backend server; a
             job that waits adds its own.
         :returns: :class:`Placement`, or None if the job waits.
@@ -302,7 +302,8 @@
             usable = self.list_usable(pool, job, now)
             placement = self.place(pool, job, usable, turn, now, reserved)
             if placement is None:
-                pool.turn = pool.turn or turn
+                if pool.turn is None:
+                    pool.turn = turn
                 continue
             pool.queue.remove(job)
             decisions.append((job, placement))
--- a/catkinfork/balancing/_jobs.py
+++ b/catkinfork/balancing/_jobs.py
@@ -119,7 +119,6 @@
 # Reasons of refusals.
 NO_BACKEND = "no_backend_server"
 OVERLOADED = "overloaded"
-OVER_SHARE = "over_share"
 EXPIRED = "cannot_meet_deadline"
 SUSPECT = "crashed_backend_servers"
 NO_REPEAT = "no_repeat_left"
--- a/catkinfork/balancing/_queue.py
+++ b/catkinfork/balancing/_queue.py
@@ -1,29 +1,14 @@
 """Jobs of one service that wait for room, in the order in which they are served."""
 
-from typing import NamedTuple
-
-WITHIN_SHARE = 0
-OVER_SHARE = 1
-
-
-class Turn(NamedTuple):
-    """When the jobs of a workspace go; lower turns go first, over all forwarders.
-
-    :param rank: one of the ranks above.
-    :param n_received: recent service of the workspace in tokens.
-    """
-
-    rank: int
-    n_received: float
-
 
 class WaitingQueue:
     """Waiting jobs by workspace.
 
-    Workspaces within their share come first, and among them the one with the least
-    recent service. Within a workspace, jobs that can still be on time go before late
-    ones, and then the earliest aim. Lateness does not count between workspaces: one
-    that waits all through would stay behind those that always have fresh jobs.
+    The workspace with the least recent service comes first, over all forwarders; its
+    service in tokens is the turn of its jobs. Within a workspace, jobs that can still be
+    on time go before late ones, and then the earliest aim. Lateness does not count
+    between workspaces: one that waits all through would stay behind those that always
+    have fresh jobs.
 
     :param shares: :class:`FairShares`.
     """
@@ -77,6 +62,5 @@
         return sorted(jobs, key=lambda job: (now >= job.aim_at, job.aim_at))
 
     def find_turn(self, workspace, now):
-        """Return the turn of a workspace's jobs."""
-        rank = OVER_SHARE if self.shares.is_over(workspace, now) else WITHIN_SHARE
-        return Turn(rank, self.shares.read_received(workspace, now))
+        """Return the turn of a workspace's jobs; lower ones go first."""
+        return self.shares.read_received(workspace, now)
--- a/catkinfork/balancing/_shares.py
+++ b/catkinfork/balancing/_shares.py
@@ -90,10 +90,6 @@
         capacity = max(tokens_per_s * self.window_s, n_received)
         self.level = compute_level(demands, capacity)
 
-    def is_over(self, workspace, now):
-        """Return whether a workspace has received its even share and asks for more."""
-        return self.read_received(workspace, now) >= self.level
-
     def find_due(self, workspace, now):
         """Return what a workspace is due at this forwarder: :class:`Due`.
 
--- a/catkinfork/balancing/tests/test_placement.py
+++ b/catkinfork/balancing/tests/test_placement.py
@@ -11,7 +11,6 @@
     LoadFigures,
     Placement,
     Refusal,
-    Turn,
 )
 from catkinfork.balancing.tests.support import (
     PLAIN,
@@ -216,7 +215,7 @@
     for n_before in range(5):
         balancer = build_balancer(n_backends=1)
         for number in range(n_before):
-            balancer.pools["s"].set_peer_turn(f"10.0.0.{number}", Turn(0, -1.0))
+            balancer.pools["s"].set_peer_turn(f"10.0.0.{number}", -1.0)
         decisions = [submit(balancer, 0.0, n_prompt=0) for _ in range(70)]
         n_placed.append(sum(isinstance(one, Placement) for one in decisions))
     assert n_placed[0] == 64
--- a/catkinfork/peering/_frames.py
+++ b/catkinfork/peering/_frames.py
@@ -44,11 +44,13 @@
 
 
 class TurnEntry(NamedTuple):
-    """Turn of the first job of a service that waits at the sender."""
+    """Turn of the first job of a service that waits at the sender.
+
+    :param turn: recent service of its workspace in tokens; lower ones go first.
+    """
 
     service: int
-    rank: int
-    n_received: float
+    turn: float
 
 
 class SuspectEntry(NamedTuple):
--- a/catkinfork/peering/_state.py
+++ b/catkinfork/peering/_state.py
@@ -1,6 +1,6 @@
 """Exchange of totals between the balancers of the forwarders."""
 
-from catkinfork.balancing import LoadFigures, PromptPart, Turn
+from catkinfork.balancing import LoadFigures, PromptPart
 from catkinfork.observability import log_event
 from catkinfork.peering._events import PEER_LOST, PEER_REGAINED
 from catkinfork.peering._frames import (
@@ -120,7 +120,7 @@
         frame.uses = [self.build_use(*pair) for pair in workspaces]
         frame.repeats = [self.build_repeat(service) for service in services]
         frame.turns = [
-            TurnEntry(self.find_hash(name), *pool.turn)
+            TurnEntry(self.find_hash(name), pool.turn)
             for name, pool in self.balancer.pools.items()
             if pool.turn is not None and pool.queue.n_jobs
         ]
@@ -188,7 +188,7 @@
         self.apply_repeats(peer, frame, pools, now)
         self.apply_uses(peer, frame, pools, now)
         self.apply_loads(peer, frame)
-        turns = {service: Turn(rank, n) for service, rank, n in frame.turns}
+        turns = dict(frame.turns)
         for service, pool in pools.items():
             pool.set_peer_turn(peer.address, turns.get(service))
         for fingerprint, n_crashes in frame.suspects:
