--- a/catkinfork/balancing/_balancer.py
+++ b/catkinfork/balancing/_balancer.py
@@ -1,7 +1,6 @@
 """Admission and placement of the requests of one forwarder."""
 
-from typing import NamedTuple
-
+from catkinfork.balancing._candidates import choose_candidate, list_usable
 from catkinfork.balancing._changes import ChangeSet
 from catkinfork.balancing._events import (
     BACKEND_LEFT_OUT,
@@ -26,7 +25,6 @@
 from catkinfork.balancing._suspects import MAX_CRASHES, SuspectTable
 from catkinfork.balancing._waits import estimate_wait, list_hopeless
 from catkinfork.observability import log_event
-from catkinfork.topology import Backend
 
 # Waiting jobs that are considered for placement at one time.
 MAX_CONSIDERED = 64
@@ -44,20 +42,6 @@
 RETRY_SPREAD = 0.5
 
 
-class Candidate(NamedTuple):
-    """A backend server that may run a job.
-
-    :param n_missing_tokens: prompt tokens that it would have to read.
-    :param cost: cost of the job there.
-    :param has_room: whether it takes the job now.
-    """
-
-    backend: Backend
-    n_missing_tokens: int
-    cost: float
-    has_room: bool
-
-
 class Balancer:
     """Decides which request goes to which backend server, waits or is refused.
 
@@ -150,7 +134,7 @@
 
     def admit(self, pool, job, now):
         """Place a job, let it wait, or refuse it."""
-        usable = self.list_usable(pool, job, now)
+        usable = list_usable(self.registry, pool, job, now)
         if not usable:
             return Refusal(NO_BACKEND, self.spread(NO_BACKEND_RETRY_AFTER_S))
         if not pool.queue.n_jobs:
@@ -181,26 +165,6 @@
         bounded = min(MAX_RETRY_AFTER_S, max(MIN_RETRY_AFTER_S, seconds))
         return bounded * (1.0 + RETRY_SPREAD * self.rng.random())
 
-    def list_usable(self, pool, job, now):
-        """Return the backend servers that may run a job, full ones included."""
-        ready = [
-            backend
-            for backend in self.registry.list_ready(pool.service.name)
-            if backend.name not in job.tried
-        ]
-        sound = [
-            backend
-            for backend in ready
-            if not pool.find(backend.name).health.is_left_out(now)
-        ]
-        if sound:
-            return sound
-        return [
-            backend
-            for backend in ready
-            if pool.find(backend.name).health.unreachable_at is None
-        ]
-
     def place(self, pool, job, usable, turn, now, reserved=None):
         """Place a job at the backend server with the least cost.
 
@@ -214,7 +178,7 @@
         :returns: :class:`Placement`, or None if the job waits.
         """
         n_before = pool.count_peers_before(turn)
-        best = self.choose(pool, job, usable, reserved or {}, n_before, now)
+        best = choose_candidate(pool, job, usable, reserved or {}, n_before, now)
         if best is None:
             return None
         if not best.has_room:
@@ -229,22 +193,6 @@
         self.open(pool, placement, now)
         return placement
 
-    def choose(self, pool, job, usable, reserved, n_before, now):
-        """Return the :class:`Candidate` with the least cost, or None."""
-        best = None
-        for backend in usable:
-            state = pool.find(backend.name)
-            if backend.is_cold(now) and not state.limiter.allows(now):
-                continue
-            load = state.load
-            n_missing = pool.model.estimate_missing(job, load)
-            cost = pool.model.estimate_cost(job, backend, load, n_missing)
-            cost += reserved.get(backend.name, 0)
-            if best is None or cost < best.cost:
-                has_room = pool.model.has_room(job, backend, load, n_missing, n_before)
-                best = Candidate(backend, n_missing, cost, has_room)
-        return best
-
     def open(self, pool, placement, now):
         """Account for a new attempt."""
         job = placement.job
@@ -299,7 +247,7 @@
         reserved = {}
         pool.turn = None
         for turn, job in pool.queue.list_ranked(now)[:MAX_CONSIDERED]:
-            usable = self.list_usable(pool, job, now)
+            usable = list_usable(self.registry, pool, job, now)
             placement = self.place(pool, job, usable, turn, now, reserved)
             if placement is None:
                 if pool.turn is None:
@@ -392,4 +340,4 @@
         pool = self.pools[job.service]
         if not self.has_repeat_left(pool, now):
             return False
-        return bool(self.list_usable(pool, job, now))
+        return bool(list_usable(self.registry, pool, job, now))
--- a/catkinfork/balancing/_queue.py
+++ b/catkinfork/balancing/_queue.py
@@ -5,8 +5,8 @@
     """Waiting jobs by workspace.
 
     The workspace with the least recent service comes first, over all forwarders; its
-    service in tokens is the turn of its jobs. Within a workspace, jobs that can still be
-    on time go before late ones, and then the earliest aim. Lateness does not count
+    service in tokens is the turn of its jobs. Within a workspace, jobs that can still
+    be on time go before late ones, and then the earliest aim. Lateness does not count
     between workspaces: one that waits all through would stay behind those that always
     have fresh jobs.
 
