Split addresses in one place; drop the unused set of connections

Four modules split host and port each in their own way, only one of them with a check. split_address of the topology checks and is used by all. The set of open connections in ConnectionPool was only written.

--- a/catkinfork/forwarder/_process.py
+++ b/catkinfork/forwarder/_process.py
@@ -24,7 +24,12 @@
 from catkinfork.observability import build_buffered_log, log_event
 from catkinfork.peering import PeerDirectory, PeerExchange, PeerSocket
 from catkinfork.platform import HEADERS, READY_PATH, PlatformDecoder, StoreSource
-from catkinfork.topology import BackendRegistry, TopologyState, Watcher
+from catkinfork.topology import (
+    BackendRegistry,
+    TopologyState,
+    Watcher,
+    split_address,
+)
 
 PEER_TICK_S = 0.005
 LOG_FLUSH_S = 0.25
@@ -68,8 +73,8 @@
         """Build the parts of the process."""
         settings = self.settings
         now = self.loop.time()
-        host = find_host(settings.forwarder.control_address)
-        seeds = [find_host(seed) for seed in settings.peers.seeds]
+        host = split_address(settings.forwarder.control_address)[0]
+        seeds = [split_address(seed)[0] for seed in settings.peers.seeds]
         self.registry = BackendRegistry(self.log.write)
         self.directory = PeerDirectory(host, seeds, now)
         self.balancer = Balancer(
@@ -112,7 +117,7 @@
             "/metrics": lambda _: answer_metrics(self),
         }
         self.admin = AdminServer(handlers, self.loop)
-        control_host = find_host(forwarder.control_address)
+        control_host = split_address(forwarder.control_address)[0]
         await self.admin.listen(*split_address(forwarder.ready_address))
         await self.admin.listen(*split_address(forwarder.control_address))
         await self.admin.listen(control_host, forwarder.metrics_port)
@@ -173,7 +178,7 @@
         """Take up changed settings."""
         self.settings = settings
         self.balancer.take_settings(build_balancer_settings(settings))
-        seeds = [find_host(seed) for seed in settings.peers.seeds]
+        seeds = [split_address(seed)[0] for seed in settings.peers.seeds]
         self.directory.seeds |= set(seeds)
         self.directory.add(seeds, self.loop.time())
 
@@ -242,17 +247,6 @@
     return f"{error!r} at {place}"
 
 
-def split_address(address):
-    """Return host and port of an address."""
-    host, _, port = address.rpartition(":")
-    return host, int(port)
-
-
-def find_host(address):
-    """Return the host of an address."""
-    return address.rpartition(":")[0]
-
-
 def build_balancer_settings(settings):
     """Return the settings of the balancer.
 
--- a/catkinfork/forwarding/_backend.py
+++ b/catkinfork/forwarding/_backend.py
@@ -74,7 +74,6 @@
         self.transport = transport
         self.parser = httptools.HttpResponseParser(self)
         set_probes(transport.get_extra_info("socket"))
-        self.pool.note_opened(self)
 
     def connection_lost(self, exc):
         self.is_lost = True
--- a/catkinfork/forwarding/_pool.py
+++ b/catkinfork/forwarding/_pool.py
@@ -3,6 +3,7 @@
 from anyio import fail_after
 
 from catkinfork.forwarding._backend import BackendConnection
+from catkinfork.topology import split_address
 
 CONNECT_TIMEOUT_S = 0.4
 # Idle time after which a connection is not used again, where the backend server states
@@ -21,13 +22,10 @@
     """
 
     def __init__(self, address, names, loop):
-        host, _, port = address.rpartition(":")
-        self.host = host
-        self.port = int(port)
+        self.host, self.port = split_address(address)
         self.names = names
         self.loop = loop
         self.idle = []
-        self.connections = set()
         self.is_closed = False
 
     def acquire(self):
@@ -55,13 +53,8 @@
             )
         return connection
 
-    def note_opened(self, connection):
-        """Keep a new connection."""
-        self.connections.add(connection)
-
     def note_closed(self, connection):
         """Forget a closed connection."""
-        self.connections.discard(connection)
         if connection in self.idle:
             self.idle.remove(connection)
 
--- a/catkinfork/forwarding/_server.py
+++ b/catkinfork/forwarding/_server.py
@@ -6,7 +6,7 @@
 from catkinfork.forwarding._metrics import ForwarderMetrics
 from catkinfork.forwarding._pool import ConnectionPool
 from catkinfork.observability import log_event
-from catkinfork.topology import CallerLimits
+from catkinfork.topology import CallerLimits, split_address
 
 LISTEN_BACKLOG = 1024
 # Time between two checks of timeouts and waiting requests, seconds.
@@ -63,11 +63,11 @@
 
         :param address: ``host:port``.
         """
-        host, _, port = address.rpartition(":")
+        host, port = split_address(address, min_port=0)
         self.listener = await self.loop.create_server(
             lambda: CallerConnection(self),
             host,
-            int(port),
+            port,
             backlog=LISTEN_BACKLOG,
             reuse_address=True,
         )
--- a/catkinfork/platform/_documents.py
+++ b/catkinfork/platform/_documents.py
@@ -20,6 +20,7 @@
     TrafficShare,
     UnreadableItem,
     Workspace,
+    split_address,
 )
 
 CONFIGURATION_KEY = "op/config"
@@ -158,7 +159,7 @@
         document = _ENTRY.decode(item.value)
         if self.services and document.service not in self.services:
             raise ValueError(f"service {document.service!r} is not configured")
-        check_address(document.address)
+        split_address(document.address)
         entry = BackendEntry(
             name=name,
             service=document.service,
@@ -173,16 +174,6 @@
         return EntryItem(name, entry)
 
 
-def check_address(address):
-    """Check an address.
-
-    :raises ValueError: if it is not ``host:port`` with a numeric port.
-    """
-    host, _, port = address.rpartition(":")
-    if not host or not port.isdigit() or not 0 < int(port) < 65536:
-        raise ValueError(f"address {address!r} is not allowed, expected host:port")
-
-
 def convert_configuration(document):
     """Return a configuration in the product's types."""
     limits = document.limits
--- a/catkinfork/topology/__init__.py
+++ b/catkinfork/topology/__init__.py
@@ -1,5 +1,6 @@
 """Routes, services, workspaces and backend servers that the forwarders serve."""
 
+from catkinfork.topology._addresses import split_address
 from catkinfork.topology._events import (
     CONFIGURATION_ADOPTED,
     CONFIGURATION_REJECTED,
@@ -70,4 +71,5 @@
     "Watcher",
     "Workspace",
     "choose_target",
+    "split_address",
 ]
