--- a/catkinfork/balancing/_models.py
+++ b/catkinfork/balancing/_models.py
@@ -11,7 +11,7 @@
 # Prompt tokens that may be pending at an engine. It covers the time in which news of
 # the first events reach all forwarders, so that no engine runs dry; the rest waits at
 # the forwarders.
-MAX_PENDING_TOKENS = 20_000
+MAX_PENDING_TOKENS = 15_000
 # A prompt of any length may join so few pending tokens.
 MIN_PENDING_TOKENS = 4_000
 # Share of an engine's memory that requests may hold; above it, the engine interrupts
--- a/catkinfork/balancing/tests/test_placement.py
+++ b/catkinfork/balancing/tests/test_placement.py
@@ -236,3 +236,14 @@
         balancer.note_begun(placement, 0.0)
     placement = submit(balancer, 0.1, n_prompt=61_000, parts=((0, 60_000), (9, 1000)))
     assert placement.n_missing_tokens == 1000
+
+
+def test_requests_that_wait_for_one_engine_spill_to_an_idle_one():
+    """Guards against a long shared prompt whose requests all wait for one engine."""
+    balancer = build_balancer(n_backends=2)
+    for number in range(12):
+        parts = ((1, 5400), (100 + number, 6600))
+        submit(balancer, 0.0, n_prompt=12_000, parts=parts)
+    balancer.pump(0.0)
+    loads = [balancer.pools["s"].find(name).load for name in ("b0", "b1")]
+    assert min(load.n_in_flight for load in loads) >= 1
