--- /dev/null
+++ b/benchmarks/day_table.py
@@ -0,0 +1,96 @@
+"""Table of the standard days from score entries of the journal.
+
+``python -m benchmarks.day_table BASE LATEST`` prints one table of worth and prices for
+the site of both entries; an entry is named by its id.
+"""
+
+import json
+import sys
+from pathlib import Path
+from typing import NamedTuple
+
+JOURNAL = Path(__file__).parent.parent / "journal"
+
+# Names of days that were drawn for one score and have no earlier figure.
+DRAWN = "fresh-"
+# Prices of the journal, and their columns.
+PRICES = {
+    "machine-seconds": "machines",
+    "processor seconds": "processor",
+    "memory, GB x seconds": "memory",
+    "GB between zones": "bytes between data centres",
+    "new connections to servers": "connections",
+    "cloud calls": "store",
+    "1,000 tokens of shared parts read again": "parts read again",
+}
+
+
+class Day(NamedTuple):
+    """One standard day of a score.
+
+    :param mark: worth at which the day's score is 1.
+    :param prices: worth taken off, by name of the price.
+    :param processor_s: processor seconds of all processes.
+    """
+
+    name: str
+    worth: float
+    mark: float
+    served: float
+    prices: dict
+    processor_s: float
+
+
+def read_days(entry):
+    """Return the standard days of a journal entry by name.
+
+    :param entry: journal entry of a score.
+    """
+    days = {}
+    for item in entry["days"]:
+        if item["name"].startswith(DRAWN):
+            continue
+        prices = {name: worth for name, _, worth in item["prices"]}
+        amounts = {name: amount for name, amount, _ in item["prices"]}
+        days[item["name"]] = Day(
+            item["name"],
+            item["G"],
+            item["top"],
+            item["served"],
+            prices,
+            amounts["processor seconds"],
+        )
+    return days
+
+
+def write_table(base, latest):
+    """Return the table as Markdown.
+
+    :param base: days of the earlier entry by name.
+    :param latest: days of the later entry by name.
+    """
+    columns = ["day", "mark", "first", "now", "served", "processor s"]
+    columns += PRICES.values()
+    lines = ["| " + " | ".join(columns) + " |", "|---" * len(columns) + "|"]
+    for name, day in latest.items():
+        first = f"{base[name].worth:.3f}" if name in base else ""
+        cells = [name, f"{day.mark:.3f}", first, f"{day.worth:.3f}"]
+        cells += [f"{day.served:.3f}", f"{day.processor_s:.1f}"]
+        cells += [f"{day.prices.get(price, 0.0):.4f}" for price in PRICES]
+        lines.append("| " + " | ".join(cells) + " |")
+    return "\n".join(lines)
+
+
+def find_entry(entry_id):
+    """Return the journal entry with an id.
+
+    :raises SystemExit: if there is none.
+    """
+    for path in JOURNAL.glob(f"*-{entry_id}.json"):
+        return json.loads(path.read_text())
+    raise SystemExit(f"no journal entry {entry_id!r}")
+
+
+if __name__ == "__main__":
+    first_entry, latest_entry = (find_entry(name) for name in sys.argv[1:3])
+    print(write_table(read_days(first_entry), read_days(latest_entry)))
