--- a/benchmarks/byte_path.py
+++ b/benchmarks/byte_path.py
@@ -80,7 +80,9 @@
 
 async def run_forwarder(ports):
     """Serve by the forwarder of the product."""
-    from catkinfork.forwarding.tests.world import World
+    from catkinfork.forwarding.tests.world import (
+        World,
+    )
     from catkinfork.topology import READY, BackendEntry
 
     async with anyio.create_task_group() as tasks:
--- a/catkinfork/forwarding/tests/test_attempts.py
+++ b/catkinfork/forwarding/tests/test_attempts.py
@@ -5,13 +5,15 @@
 import anyio
 import pytest
 
-from catkinfork.forwarding.tests.world import (
+from catkinfork.forwarding.tests.scripted import (
     answer,
     in_turn,
     reset,
-    run_world,
     silence,
 )
+from catkinfork.forwarding.tests.world import (
+    run_world,
+)
 
 NOT_RUN = "x-not-run: 1\r\n"
 
--- a/catkinfork/forwarding/tests/test_requests.py
+++ b/catkinfork/forwarding/tests/test_requests.py
@@ -3,7 +3,14 @@
 import anyio
 import pytest
 
-from catkinfork.forwarding.tests.world import KEY, answer, run_world, silence
+from catkinfork.forwarding.tests.scripted import (
+    answer,
+    silence,
+)
+from catkinfork.forwarding.tests.world import (
+    KEY,
+    run_world,
+)
 from catkinfork.topology import CallerLimits
 
 
--- a/catkinfork/forwarding/tests/test_streams.py
+++ b/catkinfork/forwarding/tests/test_streams.py
@@ -5,15 +5,17 @@
 import anyio
 import pytest
 
-from catkinfork.forwarding.tests.world import (
+from catkinfork.forwarding.tests.scripted import (
     break_event,
     event,
     in_turn,
     reset,
-    run_world,
     silence,
     stream,
 )
+from catkinfork.forwarding.tests.world import (
+    run_world,
+)
 
 PROMPT = ["X-Token-Counts: 100,20", "X-Prompt-Parts: a1:60,b2:40"]
 
