Do not divide by an even share of nothing

Where the operator publishes no tokens_per_s and nothing has been served yet, the capacity is 0 and so is the even share; the wait by this share raised ZeroDivisionError for the first request that had to wait, also on plain services.

Change: the share is unlimited while the capacity is 0. The test fails without it.

--- a/catkinfork/balancing/_shares.py
+++ b/catkinfork/balancing/_shares.py
@@ -88,7 +88,8 @@
         demands = sorted(use.asked.read(now) for use in self.uses.values())
         n_received = sum(use.received.read(now) for use in self.uses.values())
         capacity = max(tokens_per_s * self.window_s, n_received)
-        self.level = compute_level(demands, capacity)
+        # Nothing is known before the first service where no throughput is published.
+        self.level = compute_level(demands, capacity) if capacity > 0 else inf
 
     def find_due(self, workspace, now):
         """Return what a workspace is due at this forwarder: :class:`Due`.
--- a/catkinfork/balancing/_waits.py
+++ b/catkinfork/balancing/_waits.py
@@ -1,5 +1,6 @@
 """How long the jobs of a workspace wait."""
 
+from math import inf
 from typing import NamedTuple
 
 
@@ -30,7 +31,7 @@
         """
         n_ahead = min(n_tokens_ahead * self.n_workspaces, self.n_all_tokens)
         by_rate_s = n_ahead * self.rate_s_per_token
-        if self.share_s_per_token == float("inf"):
+        if self.share_s_per_token == inf:
             return by_rate_s
         n_behind_share = max(0.0, n_tokens_ahead - self.n_due_tokens)
         return min(by_rate_s, n_behind_share * self.share_s_per_token)
--- a/catkinfork/balancing/tests/test_fairness.py
+++ b/catkinfork/balancing/tests/test_fairness.py
@@ -1,6 +1,10 @@
 """Order between workspaces that wait at the same time."""
 
+import pytest
+
+from catkinfork.balancing import LoadFigures
 from catkinfork.balancing.tests.support import (
+    PLAIN,
     build_balancer,
     build_job,
     build_route,
@@ -58,3 +62,14 @@
     submit(balancer, 4.0, workspace="a", route=route)
     for _ in range(10):
         assert submit(balancer, 4.0, workspace="a", route=route) is None
+
+
+@pytest.mark.parametrize("route", [build_route(), PLAIN])
+def test_requests_wait_where_no_throughput_is_published(route):
+    """Guards against an even share of nothing that stops admission."""
+    balancer = build_balancer(n_backends=1, n_slots=1, tokens_per_s=0.0)
+    load = balancer.pools["s"].find("b0").load
+    load.set_peer("10.0.0.2", LoadFigures(3, 0, 0))
+    assert submit(balancer, 0.0, route=route) is None
+    assert submit(balancer, 0.1, route=route) is None
+    assert balancer.pump(0.2) == []
