--- a/catkinfork/balancing/tests/test_admission.py
+++ b/catkinfork/balancing/tests/test_admission.py
@@ -2,6 +2,7 @@
 
 import math
 
+import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
@@ -81,16 +82,26 @@
     assert late.retry_after_s > 0
 
 
-def test_waiting_request_is_given_up_before_its_deadline():
+@pytest.mark.parametrize(
+    ("options", "waits_at", "refused_at"),
+    [
+        ({"timeout_s": 1.0}, 1.0, 1.35),
+        ({"timeout_s": 12.0, "caller_patience_s": 2.0}, 2.2, 2.4),
+    ],
+    ids=["deadline", "patience"],
+)
+def test_waiting_request_is_given_up_before_its_caller_leaves(
+    options, waits_at, refused_at
+):
     """Guards against a final answer that comes only when the caller has left."""
     balancer = build_balancer(n_backends=1, n_slots=1)
-    route = build_route(timeout_s=1.0)
+    route = build_route(**options)
     serve(balancer, submit(balancer, 0.0, route=route), 0.4)
     submit(balancer, 0.5, route=route)
     job = build_job(0.5, route=route)
     balancer.submit(job, 0.5)
-    assert balancer.pump(1.0) == []
-    ((refused, refusal),) = balancer.pump(1.35)
+    assert balancer.pump(waits_at) == []
+    ((refused, refusal),) = balancer.pump(refused_at)
     assert refused is job
     assert refusal.reason == EXPIRED
 
@@ -242,17 +253,3 @@
     assert len(waits) > 80
     assert max(waits) < 1.9
     assert balancer.pools["s"].queue.n_jobs < 45
-
-
-def test_stream_that_waits_is_refused_before_its_caller_leaves():
-    """Guards against an attempt that begins when its caller has left."""
-    balancer = build_balancer(n_backends=1, n_slots=1)
-    route = build_route(timeout_s=12.0, caller_patience_s=2.0)
-    serve(balancer, submit(balancer, 0.0, route=route), 0.4)
-    submit(balancer, 0.5, route=route)
-    job = build_job(0.5, route=route)
-    balancer.submit(job, 0.5)
-    assert balancer.pump(2.2) == []
-    ((refused, refusal),) = balancer.pump(2.4)
-    assert refused is job
-    assert refusal.reason == EXPIRED
