--- a/catkinfork/balancing/_settings.py
+++ b/catkinfork/balancing/_settings.py
@@ -12,7 +12,7 @@
     """
 
     ratio: float = 0.1
-    n_extra_retries: int = 10
+    n_extra_retries: float = 10.0
     window_s: float = 10.0
 
 
--- a/catkinfork/platform/_documents.py
+++ b/catkinfork/platform/_documents.py
@@ -61,10 +61,14 @@
 
 
 class EngineDocument(msgspec.Struct):
-    """Limits of a model engine. ``kv_capacity`` is its KV cache size in tokens."""
+    """Limits of a model engine. ``kv_capacity`` is its KV cache size in tokens.
 
-    slots: int
-    kv_capacity: int
+    A scaled deployment may publish fractions here and in the other limits; they are
+    rounded down.
+    """
+
+    slots: float
+    kv_capacity: float
 
 
 class ServiceDocument(msgspec.Struct):
@@ -72,7 +76,7 @@
 
     name: str
     health_path: str = "/"
-    max_connections: int = 64
+    max_connections: float = 64.0
     cold_s: float = 0.0
     cold_per_s: float = 0.0
     engine: EngineDocument | None = None
@@ -81,8 +85,8 @@
 class LimitsDocument(msgspec.Struct):
     """Limits of callers. ``tokens_per_s`` is the token rate of all engines."""
 
-    max_header_bytes: int
-    max_body_bytes: int
+    max_header_bytes: float
+    max_body_bytes: float
     header_timeout_ms: float
     idle_timeout_ms: float
     tokens_per_s: float = 0.0
@@ -188,8 +192,8 @@
             service.name: convert_service(service) for service in document.services
         },
         limits=CallerLimits(
-            max_header_bytes=limits.max_header_bytes,
-            max_body_bytes=limits.max_body_bytes,
+            max_header_bytes=int(limits.max_header_bytes),
+            max_body_bytes=int(limits.max_body_bytes),
             header_timeout_s=limits.header_timeout_ms / 1000,
             idle_timeout_s=limits.idle_timeout_ms / 1000,
             tokens_per_s=limits.tokens_per_s,
@@ -241,12 +245,18 @@
 
 def convert_service(service):
     """Convert a document to a :class:`Service`."""
-    engine = service.engine
     return Service(
         name=service.name,
         health_path=service.health_path,
-        max_connections=service.max_connections,
+        max_connections=max(1, int(service.max_connections)),
         cold_s=service.cold_s,
         cold_rate=service.cold_per_s,
-        engine=Engine(engine.slots, engine.kv_capacity) if engine else None,
+        engine=convert_engine(service.engine),
     )
+
+
+def convert_engine(engine):
+    """Convert a document to an :class:`Engine`, or None to None."""
+    if engine is None:
+        return None
+    return Engine(max(1, int(engine.slots)), max(1, int(engine.kv_capacity)))
--- a/catkinfork/platform/tests/test_documents.py
+++ b/catkinfork/platform/tests/test_documents.py
@@ -108,6 +108,18 @@
     assert isinstance(decode("op/config", value), UnreadableItem)
 
 
+def test_limits_of_scaled_deployment_are_decoded():
+    """Guards against a configuration that is ignored for a fraction in its limits."""
+    config = build_config()
+    config["limits"] |= {"max_header_bytes": 8192.5, "max_body_bytes": 1e6}
+    service = config["services"][0]
+    service |= {"max_connections": 47.8, "engine": {"slots": 12.5, "kv_capacity": 9.9}}
+    decoded = decode("op/config", config)
+    assert isinstance(decoded, ConfigurationItem), decoded
+    engine = decoded.configuration.services[service["name"]].engine
+    assert (engine.n_slots, engine.n_memory_tokens) == (12, 9)
+
+
 def test_evacuation_is_decoded():
     """Guards against an evacuation that does not begin or end."""
     assert decode("op/evacuate/gasabo", {}) == EvacuationItem("gasabo", True)
--- a/catkinfork/settings/_read.py
+++ b/catkinfork/settings/_read.py
@@ -95,11 +95,12 @@
     n_faults = len(faults)
     for key, value_type in section_type.__annotations__.items():
         constraint = CONSTRAINTS[(name, key)]
+        text = options[key].strip() if key in options else ""
+        if not text and key in section_type._field_defaults:
+            continue
         if key not in options:
-            if key not in section_type._field_defaults:
-                faults.append(SettingsFault(name, key, "", constraint.describe()))
+            faults.append(SettingsFault(name, key, "", constraint.describe()))
             continue
-        text = options[key].strip()
         value = parse_value(text, value_type)
         if value is None or not constraint.accepts(value):
             faults.append(SettingsFault(name, key, text, constraint.describe()))
--- a/catkinfork/settings/_types.py
+++ b/catkinfork/settings/_types.py
@@ -206,13 +206,14 @@
 
     :param share_window_s: window over which the service of workspaces is compared.
     :param repeat_ratio: retries allowed per request within the window.
-    :param n_repeat_slack: retries allowed within the window beyond ``repeat_ratio``.
+    :param n_repeat_slack: retries allowed within the window beyond ``repeat_ratio``;
+        may be a fraction, as a deployment may be scaled down from a larger one.
     :param repeat_window_s: length of the window over which retries are counted.
     """
 
     share_window_s: float = 4.0
     repeat_ratio: float = 0.1
-    n_repeat_slack: int = 10
+    n_repeat_slack: float = 10.0
     repeat_window_s: float = 10.0
 
 
