Bound what a backend server in trouble can send

Change: the relay is replaced until it has sent something; successes need the id; 256 KiB without a part of the response end an attempt; comments are no progress.

--- a/catkinfork/forwarding/_backend.py
+++ b/catkinfork/forwarding/_backend.py
@@ -15,6 +15,12 @@
 KEEP_ALIVE_IDLE_S = 1
 KEEP_ALIVE_INTERVAL_S = 1
 KEEP_ALIVE_COUNT = 2
+# Bytes that a backend server may send without delivering a part of the expected
+# response: heads, interim and unrelated responses, trailers and discarded bodies. A
+# faulty one may send such bytes without end.
+MAX_OVERHEAD_BYTES = 1 << 18
+# Time for which the rest of a discarded response is read, seconds.
+MAX_DISCARD_TIME_S = 30.0
 KEEP_ALIVE_TIMEOUT_PATTERN = re.compile(rb"timeout=(\d+)")
 NO_BODY_STATUSES = {204, 304}
 
@@ -67,6 +73,8 @@
         self.has_head = False
         self.is_complete = False
         self.is_reusable = True
+        self.n_overhead_bytes = 0
+        self.n_sent = 0
         self.idle_since = 0.0
         self.idle_timeout_s = None
 
@@ -97,6 +105,8 @@
         self.request_id = request_id
         self.has_head = False
         self.is_complete = False
+        self.n_overhead_bytes = 0
+        self.n_sent += 1
         self.transport.write(data)
 
     def data_received(self, data):
@@ -104,13 +114,8 @@
             # No request is in flight, so the data belongs to none.
             self.abort()
             return
-        detail = ""
-        try:
-            self.parser.feed_data(data)
-        except httptools.HttpParserError as error:
-            detail = f"malformed response: {error}"
-        except httptools.HttpParserUpgrade:
-            detail = "unexpected protocol upgrade"
+        self.n_overhead_bytes += len(data)
+        detail = self.parse(data)
         # A complete response remains valid if malformed data follows it.
         if detail:
             self.is_reusable = False
@@ -122,12 +127,32 @@
             self.fail(detail)
             self.abort()
 
+    def parse(self, data):
+        """Feed received data to the parser.
+
+        :returns: description of a violation of the protocol, empty if there is none.
+        """
+        try:
+            self.parser.feed_data(data)
+        except httptools.HttpParserError as error:
+            return f"malformed response: {error}"
+        except httptools.HttpParserUpgrade:
+            return "unexpected protocol upgrade"
+        if self.n_overhead_bytes > MAX_OVERHEAD_BYTES and not self.body_parts:
+            return (
+                f"more than {MAX_OVERHEAD_BYTES} bytes without a part of the response"
+            )
+        return ""
+
     def deliver_body(self):
         """Pass received parts of the body to the listener."""
-        if self.body_parts and self.listener is not None:
-            data = b"".join(self.body_parts)
-            self.body_parts = []
-            self.listener.on_data(data)
+        if not self.body_parts or self.listener is None:
+            return
+        data = b"".join(self.body_parts)
+        self.body_parts = []
+        if self.listener is not NULL_LISTENER:
+            self.n_overhead_bytes = 0
+        self.listener.on_data(data)
 
     def on_message_begin(self):
         """Reset the state for a new response."""
@@ -185,7 +210,7 @@
 
     def on_body(self, body):
         """Append a part of the body."""
-        if not self.is_skipping:
+        if not self.is_skipping and self.listener is not NULL_LISTENER:
             self.body_parts.append(body)
 
     def on_message_complete(self):
@@ -218,8 +243,17 @@
             listener.on_error(detail)
 
     def detach(self):
-        """Detach the listener; the response is read and discarded."""
+        """Detach the listener; the rest of the response is read and discarded."""
         self.listener = NULL_LISTENER
+        self.loop.call_later(MAX_DISCARD_TIME_S, self.abort_discarded, self.n_sent)
+
+    def abort_discarded(self, n_sent):
+        """Abort the connection if it still reads a discarded response.
+
+        :param n_sent: number of the request whose response is discarded.
+        """
+        if self.listener is NULL_LISTENER and self.n_sent == n_sent:
+            self.abort()
 
     def abort(self):
         """Abort the connection, which cancels the request at the backend server."""
--- a/catkinfork/forwarding/_exchange.py
+++ b/catkinfork/forwarding/_exchange.py
@@ -14,7 +14,11 @@
 from catkinfork.forwarding._backend import BaseResponseListener
 from catkinfork.forwarding._caller import BadRequestError
 from catkinfork.forwarding._messages import encode_local_response
-from catkinfork.forwarding._relay import ResumableStreamRelay, build_relay
+from catkinfork.forwarding._relay import (
+    OversizedEventError,
+    ResumableStreamRelay,
+    build_relay,
+)
 from catkinfork.forwarding._request_events import (
     build_attempt_event,
     build_request_event,
@@ -181,17 +185,25 @@
             self.drop_attempt(REJECTED, f"status {head.status}")
         elif head.status >= 500 and self.can_retry(FAILED):
             self.drop_attempt(FAILED, f"status {head.status}")
-        elif head.status < 300 and not self.is_signed(head):
-            self.drop_attempt(BROKEN, "response without signature")
+        elif head.status < 300 and not self.is_authentic(head):
+            self.drop_attempt(BROKEN, "response without signature or request id")
         elif self.relay is not None and self.relay.is_started and head.status >= 300:
             self.drop_attempt(FAILED, f"status {head.status} for a resumed stream")
         else:
             self.begin_relay(head)
 
-    def is_signed(self, head):
-        """Return whether a response is signed and has no content coding."""
-        seal = head.find_header(self.server.names.seal)
-        return seal is not None and head.find_header(b"content-encoding") is None
+    def is_authentic(self, head):
+        """Return whether a response is signed, has an id and has no content coding.
+
+        Without its id, a late copy of another response on a reused connection could not
+        be told from the response to this request.
+        """
+        names = self.server.names
+        return (
+            head.find_header(names.seal) is not None
+            and head.find_header(names.request_id) is not None
+            and head.find_header(b"content-encoding") is None
+        )
 
     def can_retry(self, outcome):
         """Return whether the request would be retried after this outcome."""
@@ -199,8 +211,12 @@
         return self.server.balancer.can_retry(self.placement, outcome, now)
 
     def begin_relay(self, head):
-        """Pass the head to the relay, which is built for the first response."""
-        if self.relay is None:
+        """Pass the head to the relay, which is built for the first response.
+
+        A relay that has sent nothing is replaced, so that the head and the body that
+        the caller receives are of the same response.
+        """
+        if self.relay is None or not self.relay.is_started:
             self.relay = build_relay(self, head)
         self.relay.handle_head(head)
         if self.job.route.kind != STREAMING:
@@ -214,7 +230,12 @@
 
     def on_data(self, data):
         now = self.server.loop.time()
-        if self.relay.handle_data(data):
+        try:
+            has_progress = self.relay.handle_data(data)
+        except OversizedEventError:
+            self.drop_attempt(BROKEN, "event without an end")
+            return
+        if has_progress:
             self.record_progress(now)
         if self.caller.is_paused:
             self.pause()
--- a/catkinfork/forwarding/_relay.py
+++ b/catkinfork/forwarding/_relay.py
@@ -11,10 +11,16 @@
 # Responses up to this size are buffered until complete, so that the request can be
 # retried if the backend server fails; larger ones are streamed.
 MAX_BUFFERED_BYTES = 65536
+# Largest event of a resumable stream: events are relayed whole.
+MAX_EVENT_BYTES = 1 << 18
 CHUNKED = b"transfer-encoding: chunked"
 EVENT_STREAM = b"text/event-stream"
 
 
+class OversizedEventError(Exception):
+    """An event exceeds :data:`MAX_EVENT_BYTES` without being complete."""
+
+
 class BaseRelay(ABC):
     """Relays one response, which may come from several backend servers in turn.
 
@@ -40,7 +46,8 @@
     def handle_data(self, data):
         """Process a part of the body.
 
-        :returns: whether anything was sent to the caller.
+        :returns: whether a part of the response was sent to the caller.
+        :raises OversizedEventError: if the body has an event without an end.
         """
 
     @abstractmethod
@@ -81,12 +88,6 @@
         self.buffered = []
         self.n_buffered_bytes = 0
 
-    def handle_head(self, head):
-        if not self.is_started:
-            self.head = head
-            self.buffered = []
-            self.n_buffered_bytes = 0
-
     def handle_data(self, data):
         if self.is_started:
             self.write(data)
@@ -154,6 +155,8 @@
             data = self.partial_event + data
         end = find_last_event_end(data)
         self.partial_event = data[end:]
+        if len(self.partial_event) > MAX_EVENT_BYTES:
+            raise OversizedEventError
         if not end:
             return False
         events = data[:end]
@@ -166,7 +169,7 @@
         if event_id is not None:
             self.last_event_id = event_id
         self.write(events)
-        return True
+        return event_id is not None or has_data(events)
 
     def drop_delivered(self, events):
         """Return the events without those that the caller has already received."""
@@ -232,3 +235,8 @@
         return None
     end = events.find(b"\n", start)
     return events[start:end].strip()
+
+
+def has_data(events):
+    """Return whether complete events carry data, and are not only comments."""
+    return events.startswith(b"data") or b"\ndata" in events
--- a/catkinfork/forwarding/tests/test_streams.py
+++ b/catkinfork/forwarding/tests/test_streams.py
@@ -6,6 +6,7 @@
 import pytest
 
 from catkinfork.forwarding.tests.scripted import (
+    answer,
     break_event,
     event,
     in_turn,
@@ -166,3 +167,37 @@
         assert sum(sent) < 20_000_000
 
     run_world(test)
+
+
+@pytest.mark.parametrize("then", [reset, break_event, silence])
+@pytest.mark.parametrize(
+    "second", [answer(500, b"failed"), answer(500, b""), answer(503, b"error\n\n")]
+)
+def test_failure_after_head_is_not_relayed_as_stream(then, second):
+    """Guards against an error body that is relayed under the head of the first attempt.
+
+    The first backend server fails after its head and before its first event.
+    """
+
+    async def test(world):
+        await world.start("engine", stream(1, 0, then=then), second)
+        reply = await world.call("/draft/", headers=PROMPT)
+        assert reply.status >= 500
+        assert reply.headers.get("content-type") != "text/event-stream"
+
+    run_world(test)
+
+
+@pytest.mark.parametrize(
+    "second", [answer(500), answer(503), reset, break_event, silence]
+)
+def test_failed_resumption_breaks_the_stream(second):
+    """Guards against a stream that ends as complete when its resumption fails."""
+
+    async def test(world):
+        await world.start("engine", stream(1, 4, then=reset), second)
+        reply = await world.call("/draft/", headers=PROMPT)
+        assert (reply.status, reply.is_whole) == (200, False)
+        assert reply.body == join(1, 4)
+
+    run_world(test)
