Keep the event loop of a flooded forwarder short

Change: one candidate list for a pass, sorted by base cost, with early termination; dispatches take at most a quarter of the loop; four listeners on the socket; the lag of the loop is measured, logged (event 1010) and shown; a request counts from the time at which it may have arrived; a caller that has left is seen before its request is sent; a host that stays behind reports itself as not ready.

--- a/catkinfork/balancing/_balancer.py
+++ b/catkinfork/balancing/_balancer.py
@@ -1,6 +1,6 @@
 """Admission control and placement of the requests of one forwarder."""
 
-from catkinfork.balancing._candidates import choose_candidate, list_eligible
+from catkinfork.balancing._candidates import CandidateList
 from catkinfork.balancing._changes import ChangeSet
 from catkinfork.balancing._events import (
     BACKEND_LEFT_OUT,
@@ -135,12 +135,12 @@
 
     def admit(self, pool, job, now):
         """Place, queue or refuse a job."""
-        eligible = list_eligible(self.registry, pool, job, now)
-        if not eligible:
+        candidates = CandidateList(self.registry, pool, now)
+        if not candidates.list_eligible(job):
             return Refusal(NO_BACKEND, self.add_jitter(NO_BACKEND_RETRY_AFTER_S))
         if not pool.queue.n_jobs:
             priority = pool.queue.compute_priority(job.workspace, now)
-            placement = self.place(pool, job, eligible, priority, now)
+            placement = self.place(pool, job, candidates, priority, now)
             if placement is not None:
                 return placement
         refusal = self.check_wait(pool, job, now)
@@ -168,30 +168,30 @@
         bounded = min(MAX_RETRY_AFTER_S, max(MIN_RETRY_AFTER_S, seconds))
         return bounded * (1.0 + RETRY_JITTER * self.rng.random())
 
-    def place(self, pool, job, eligible, priority, now, reserved=None):
+    def place(self, pool, job, candidates, priority, now):
         """Place a job at the backend server with the lowest cost.
 
         If that backend server is full, the job waits for it even if another one has
-        room, since processing the uncached prompt there would cost more.
+        room, since processing the uncached prompt there would cost more. Its tokens
+        then count there for the jobs behind it.
 
-        :param eligible: backend servers that may run the job.
+        :param candidates: :class:`CandidateList`.
         :param priority: queue priority of the job; lower values go first.
-        :param reserved: prompt tokens that queued jobs ahead of this one will add, by
-            backend server; a job that stays queued adds its own.
         :returns: :class:`Placement`, or None if the job has to wait.
         """
         n_peers_ahead = pool.count_peers_ahead(priority)
-        best = choose_candidate(pool, job, eligible, reserved or {}, n_peers_ahead, now)
+        best = candidates.choose(job, n_peers_ahead)
         if best is None:
             return None
         if not best.has_room:
-            if reserved is not None:
-                name = best.backend.name
-                reserved[name] = reserved.get(name, 0) + best.n_missing_tokens
+            candidates.add_cost(best.backend, best.n_missing_tokens)
             return None
+        candidates.add_cost(
+            best.backend, best.n_missing_tokens + pool.model.request_cost
+        )
         placement = Placement(job, best.backend, best.n_missing_tokens, now)
         placement.cost = best.cost
-        placement.n_candidates = len(eligible)
+        placement.n_candidates = len(candidates.healthy)
         placement.peer_state_age_s = self.peers.compute_state_age_s(now)
         self.record_placement(pool, placement, now)
         return placement
@@ -247,11 +247,10 @@
     def place_waiting(self, pool, now):
         """Place queued jobs in order of priority."""
         decisions = []
-        reserved = {}
+        candidates = CandidateList(self.registry, pool, now)
         pool.priority = None
         for priority, job in pool.queue.list_by_priority(now)[:MAX_JOBS_PER_PASS]:
-            eligible = list_eligible(self.registry, pool, job, now)
-            placement = self.place(pool, job, eligible, priority, now, reserved)
+            placement = self.place(pool, job, candidates, priority, now)
             if placement is None:
                 if pool.priority is None:
                     pool.priority = priority
@@ -345,4 +344,4 @@
         pool = self.pools[job.service]
         if not self.has_retry_budget(pool, now):
             return False
-        return bool(list_eligible(self.registry, pool, job, now))
+        return bool(CandidateList(self.registry, pool, now).list_eligible(job))
--- a/catkinfork/balancing/_candidates.py
+++ b/catkinfork/balancing/_candidates.py
@@ -1,9 +1,13 @@
 """Selection of the backend server for a job."""
 
+from math import inf
+from operator import attrgetter
 from typing import NamedTuple
 
 from catkinfork.topology import Backend
 
+BASE_COST = attrgetter("base_cost")
+
 
 class Candidate(NamedTuple):
     """A backend server that may run a job.
@@ -19,52 +23,96 @@
     has_room: bool
 
 
-def list_eligible(registry, pool, job, now):
-    """Return the backend servers that may run a job, including full ones.
+class CandidateEntry:
+    """A backend server in a :class:`CandidateList`.
+
+    :param backend: :class:`Backend`.
+    :param state: its :class:`BackendState`.
+    :param base_cost: cost of any job there, without its uncached prompt tokens.
+    """
+
+    __slots__ = ("backend", "base_cost", "state")
+
+    def __init__(self, backend, state, base_cost):
+        self.backend = backend
+        self.state = state
+        self.base_cost = base_cost
+
 
-    If all are ejected, those not marked as unreachable are returned.
+class CandidateList:
+    """Backend servers that may run the jobs of one service, by ascending base cost.
+
+    It is built once for a pass over the queue: under a flood, a pass considers many
+    jobs, and visiting every backend server for each of them would hold up the event
+    loop.
 
     :param registry: :class:`BackendRegistry`.
-    :param pool: :class:`ServicePool` of the job's service.
-    """
-    ready = [
-        backend
-        for backend in registry.list_ready(pool.service.name)
-        if backend.name not in job.tried_backends
-    ]
-    healthy = [
-        backend
-        for backend in ready
-        if not pool.find(backend.name).health.is_ejected(now)
-    ]
-    if healthy:
-        return healthy
-    return [
-        backend
-        for backend in ready
-        if pool.find(backend.name).health.unreachable_at is None
-    ]
-
-
-def choose_candidate(pool, job, eligible, reserved, n_peers_ahead, now):
-    """Return the :class:`Candidate` with the lowest cost, or None.
-
-    :param eligible: backend servers that may run the job.
-    :param reserved: prompt tokens that queued jobs will add, by backend server.
-    :param n_peers_ahead: peers with a queued job of higher priority.
+    :param pool: :class:`ServicePool`.
+    :param now: monotonic time, seconds.
     """
-    best = None
-    for backend in eligible:
-        state = pool.find(backend.name)
-        if backend.is_cold(now) and not state.limiter.allows(now):
-            continue
-        load = state.load
-        n_missing_tokens = pool.model.estimate_missing_tokens(job, load)
-        cost = pool.model.estimate_cost(job, backend, load, n_missing_tokens)
-        cost += reserved.get(backend.name, 0)
-        if best is None or cost < best.cost:
-            has_room = pool.model.has_room(
-                job, backend, load, n_missing_tokens, n_peers_ahead
-            )
-            best = Candidate(backend, n_missing_tokens, cost, has_room)
-    return best
+
+    def __init__(self, registry, pool, now):
+        self.pool = pool
+        self.now = now
+        self.healthy = []
+        self.ejected = []
+        for backend in registry.list_ready(pool.service.name):
+            state = pool.find(backend.name)
+            base_cost = pool.model.estimate_base_cost(backend, state.load)
+            entry = CandidateEntry(backend, state, base_cost)
+            if not state.health.is_ejected(now):
+                self.healthy.append(entry)
+            elif state.health.unreachable_at is None:
+                self.ejected.append(entry)
+        self.healthy.sort(key=BASE_COST)
+        self.ejected.sort(key=BASE_COST)
+
+    def list_eligible(self, job):
+        """Return the entries that may run a job, including full ones.
+
+        If all are ejected, those not marked as unreachable are returned.
+        """
+        tried = job.tried_backends
+        if not tried:
+            return self.healthy or self.ejected
+        healthy = [one for one in self.healthy if one.backend.name not in tried]
+        if healthy:
+            return healthy
+        return [one for one in self.ejected if one.backend.name not in tried]
+
+    def choose(self, job, n_peers_ahead):
+        """Return the :class:`Candidate` with the lowest cost, or None.
+
+        :param n_peers_ahead: peers with a queued job of higher priority.
+        """
+        model = self.pool.model
+        best = None
+        best_cost = inf
+        for entry in self.list_eligible(job):
+            if entry.base_cost >= best_cost:
+                break
+            state = entry.state
+            if entry.backend.is_cold(self.now) and not state.limiter.allows(self.now):
+                continue
+            n_missing_tokens = model.estimate_missing_tokens(job, state.load)
+            cost = entry.base_cost + model.missing_token_weight * n_missing_tokens
+            if cost < best_cost:
+                best, best_cost, best_n_missing = entry, cost, n_missing_tokens
+        if best is None:
+            return None
+        has_room = model.has_room(
+            job, best.backend, best.state.load, best_n_missing, n_peers_ahead
+        )
+        return Candidate(best.backend, best_n_missing, best_cost, has_room)
+
+    def add_cost(self, backend, cost):
+        """Raise the base cost of a backend server during the pass.
+
+        :param cost: cost added by a job that was placed, or that waits for it.
+        """
+        for entries in (self.healthy, self.ejected):
+            for entry in entries:
+                if entry.backend is backend:
+                    entry.base_cost += cost
+                    entries.sort(key=BASE_COST)
+                    return
--- a/catkinfork/balancing/_models.py
+++ b/catkinfork/balancing/_models.py
@@ -38,8 +38,14 @@
 
     :param data_centre: data centre of this forwarder.
     :param service: :class:`Service`.
+
+    ``missing_token_weight`` is the cost of an uncached prompt token, and
+    ``request_cost`` that of one request in flight.
     """
 
+    missing_token_weight = 0.0
+    request_cost = 1.0
+
     def __init__(self, data_centre, service):
         self.data_centre = data_centre
         self.engine = service.engine
@@ -50,8 +56,11 @@
         """Return the uncached prompt tokens of a job at a backend server."""
 
     @abstractmethod
-    def estimate_cost(self, job, backend, load, n_missing_tokens):
-        """Return the cost of a job at a backend server; the lowest cost wins."""
+    def estimate_base_cost(self, backend, load):
+        """Return the cost of any job at a backend server.
+
+        The uncached prompt tokens of a job are added to it; the lowest sum wins.
+        """
 
     @abstractmethod
     def has_room(self, job, backend, load, n_missing_tokens, n_peers_ahead):
@@ -65,17 +74,16 @@
 class EngineLoadModel(BaseLoadModel):
     """Load model of a model engine; costs are in prompt tokens."""
 
+    missing_token_weight = MISSING_TOKEN_WEIGHT
+    request_cost = IN_FLIGHT_COST_TOKENS
+
     def estimate_missing_tokens(self, job, load):
         return max(
             0, job.n_prompt_tokens - load.prefixes.count_cached_tokens(job.parts)
         )
 
-    def estimate_cost(self, job, backend, load, n_missing_tokens):
-        cost = (
-            load.n_all_pending_tokens
-            + MISSING_TOKEN_WEIGHT * n_missing_tokens
-            + IN_FLIGHT_COST_TOKENS * load.n_all_in_flight
-        )
+    def estimate_base_cost(self, backend, load):
+        cost = load.n_all_pending_tokens + IN_FLIGHT_COST_TOKENS * load.n_all_in_flight
         if backend.data_centre != self.data_centre:
             cost += REMOTE_COST_TOKENS
         return cost
@@ -106,7 +114,7 @@
     def estimate_missing_tokens(self, job, load):
         return 0
 
-    def estimate_cost(self, job, backend, load, n_missing_tokens):
+    def estimate_base_cost(self, backend, load):
         cost = float(load.n_all_in_flight)
         if backend.data_centre != self.data_centre:
             cost += REMOTE_COST_REQUESTS
--- a/catkinfork/forwarder/_process.py
+++ b/catkinfork/forwarder/_process.py
@@ -27,6 +27,7 @@
     CALLBACK_FAILED,
     FORWARDER_STARTED,
     LOG_LINES_DROPPED,
+    LOOP_LAG_CHANGED,
     READINESS_CHANGED,
     SWEEP_INTERVAL_S,
     AdminServer,
@@ -156,6 +157,8 @@
         """Return whether the load balancer may send connections."""
         if self.server.is_draining or self.server.routes is None:
             return False
+        if self.server.lag.is_behind:
+            return False
         return bool(self.registry.by_service)
 
     def compute_store_outage_s(self):
@@ -215,8 +218,10 @@
         """Run the periodic checks and flush the log."""
         next_flush_at = self.loop.time()
         next_second_at = next_flush_at
+        planned_at = next_flush_at
         while True:
             now = self.loop.time()
+            self.record_lag(planned_at, now)
             self.server.sweep()
             if now >= next_flush_at:
                 next_flush_at = now + LOG_FLUSH_INTERVAL_S
@@ -227,8 +232,24 @@
             if now >= next_second_at:
                 next_second_at = now + 1.0
                 self.log_dropped_lines()
+            planned_at = self.loop.time() + SWEEP_INTERVAL_S
             await anyio.sleep(SWEEP_INTERVAL_S)
 
+    def record_lag(self, planned_at, now):
+        """Record by how much a sweep is late, and log a change of state."""
+        change = self.server.lag.record(planned_at, now)
+        if change is None:
+            return
+        self.log.write(
+            log_event(
+                LOOP_LAG_CHANGED,
+                is_behind=change.is_behind,
+                lag_s=round(change.lag_s, 3),
+                n_requests=len(self.server.exchanges),
+                n_connections=len(self.server.callers),
+            )
+        )
+
     def log_readiness_change(self):
         """Log a change of readiness."""
         is_ready = self.is_ready()
@@ -238,6 +259,8 @@
         reason = "draining" if self.server.is_draining else ""
         if self.server.routes is None:
             reason = "no configuration"
+        if self.server.lag.is_behind:
+            reason = "event loop behind"
         self.log.write(log_event(READINESS_CHANGED, is_ready=is_ready, reason=reason))
 
     def log_dropped_lines(self):
--- a/catkinfork/forwarder/_status.py
+++ b/catkinfork/forwarder/_status.py
@@ -102,6 +102,7 @@
         {},
         process.watcher.n_reads,
     )
+    yield "loop_lag_seconds", "Delay of the event loop", {}, server.lag.lag_s
     yield "ready", "Whether the process takes connections", {}, int(process.is_ready())
     yield (
         "processor_seconds",
--- a/catkinfork/forwarding/_caller.py
+++ b/catkinfork/forwarding/_caller.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import re
+import select
 from collections import deque
 
 import httptools
@@ -73,6 +74,14 @@
         self.handle_disconnect()
         return False
 
+    def has_peer_closed(self):
+        """Return whether the peer has closed, even if this was not read yet."""
+        if self.is_lost or self.transport.is_closing():
+            return True
+        poll = select.poll()
+        poll.register(self.transport.get_extra_info("socket"), select.POLLRDHUP)
+        return bool(poll.poll(0))
+
     def handle_disconnect(self):
         """Cancel the requests of a caller that has disconnected."""
         exchange, self.exchange = self.exchange, None
--- a/catkinfork/forwarding/_events.py
+++ b/catkinfork/forwarding/_events.py
@@ -99,6 +99,13 @@
     "a callback raised an unhandled exception",
     ("message", "error"),
 )
+LOOP_LAG_CHANGED = Event(
+    1010,
+    "warning",
+    "loop_lag_changed",
+    "the event loop has fallen behind or caught up",
+    ("is_behind", "lag_s", "n_requests", "n_connections"),
+)
 
 EVENTS = (
     REQUEST_FINISHED,
@@ -111,4 +118,5 @@
     READINESS_CHANGED,
     LOG_LINES_DROPPED,
     CALLBACK_FAILED,
+    LOOP_LAG_CHANGED,
 )
--- a/catkinfork/forwarding/_exchange.py
+++ b/catkinfork/forwarding/_exchange.py
@@ -34,6 +34,9 @@
 MIN_STREAM_READ_TIMEOUT_S = 1.5
 # Read timeout within a response, as a multiple of the longest pause of the route.
 READ_TIMEOUT_PER_MAX_PAUSE = 4.0
+# Lag of the event loop above which the connection of a caller is checked before its
+# request is sent, seconds.
+CHECKED_LAG_S = 0.05
 # Retry-After of failures of requests that were not executed, seconds.
 FAILURE_RETRY_AFTER_S = 0.2
 NOT_READY_RETRY_AFTER_S = 0.5
@@ -74,6 +77,10 @@
         if server.routes is None:
             self.reply(503, "not_configured", NOT_READY_RETRY_AFTER_S)
             return
+        if self.has_caller_left():
+            self.close(0, "caller_gone", f"loop_lag_s={server.lag.lag_s:.3f}")
+            self.caller.abort()
+            return
         try:
             self.job = build_job(
                 server.routes, server.names, self.request, server.rng.random(), now
@@ -82,9 +89,18 @@
             self.reply(error.status, error.code, None)
             return
         self.expires_at = self.job.deadline_at
+        # The request may have waited in its socket for as long as the loop was behind.
+        self.job.deadline_at -= server.lag.lag_s
         server.add_exchange(self)
         self.handle_decision(server.balancer.submit(self.job, now))
 
+    def has_caller_left(self):
+        """Return whether the caller has closed its connection while the loop lagged.
+
+        A loop that keeps up has read the end of the connection already.
+        """
+        return self.server.lag.lag_s > CHECKED_LAG_S and self.caller.has_peer_closed()
+
     def handle_decision(self, decision):
         """Act on a decision of the balancer.
 
@@ -142,8 +158,12 @@
         self.send(connection)
 
     def send(self, connection):
-        """Send the request on a connection."""
+        """Send the request on a connection, unless nobody waits for it any more."""
         now = self.server.loop.time()
+        if now >= self.job.deadline_at or self.has_caller_left():
+            connection.pool.release(connection)
+            self.withdraw(now)
+            return
         self.connection = connection
         self.is_awaiting_response = True
         last_event_id = None
@@ -154,13 +174,25 @@
             self.job,
             self.placement.backend,
             self.server.names,
-            self.expires_at - now,
+            self.job.deadline_at - now,
             last_event_id,
         )
         self.read_timeout_at = now + self.compute_read_timeout()
         request_id = self.job.request_id.encode("latin-1")
         connection.send(self, request_id, data)
 
+    def withdraw(self, now):
+        """End the exchange before its attempt is sent.
+
+        Its deadline has passed, or its caller has left.
+        """
+        self.finish_attempt(ABANDONED, now)
+        if now >= self.job.deadline_at:
+            self.expire(now)
+            return
+        self.on_caller_disconnected()
+        self.caller.abort()
+
     def compute_read_timeout(self):
         """Return the read timeout of the current attempt, seconds."""
         route = self.job.route
--- a/catkinfork/forwarding/_server.py
+++ b/catkinfork/forwarding/_server.py
@@ -1,14 +1,24 @@
 """HTTP server for callers, with the connection pools of the backend servers."""
 
+import socket
+import time
+
 from catkinfork.forwarding._caller import CallerConnection
 from catkinfork.forwarding._events import REQUEST_REJECTED
 from catkinfork.forwarding._exchange import Exchange
+from catkinfork.forwarding._lag import LagMonitor
 from catkinfork.forwarding._metrics import ForwarderMetrics
 from catkinfork.forwarding._pool import ConnectionPool
 from catkinfork.observability import log_event
 from catkinfork.topology import CallerLimits, split_address
 
 LISTEN_BACKLOG = 1024
+# Listeners on the same socket: uvloop accepts one connection for each in an iteration
+# of the loop, so that with a single one new connections wait under load.
+N_LISTENERS = 4
+# Time between two dispatches of waiting requests, as a multiple of the duration of the
+# first one; it bounds the fraction of the loop that a long queue takes.
+DISPATCH_PAUSE_RATIO = 3.0
 # Interval between checks of timeouts and queued requests, seconds.
 SWEEP_INTERVAL_S = 0.025
 # Interval between checks of idle connections, seconds.
@@ -39,9 +49,11 @@
         self.callers = set()
         self.exchanges = {}
         self.pools = {}
-        self.listener = None
+        self.listeners = []
+        self.lag = LagMonitor()
         self.is_draining = False
         self.is_dispatch_scheduled = False
+        self.next_dispatch_at = 0.0
         self.next_idle_sweep_at = 0.0
 
     @property
@@ -64,19 +76,22 @@
         :param address: ``host:port``.
         """
         host, port = split_address(address, min_port=0)
-        self.listener = await self.loop.create_server(
-            lambda: CallerConnection(self),
-            host,
-            port,
-            backlog=LISTEN_BACKLOG,
-            reuse_address=True,
-        )
+        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        sock.bind((host, port))
+        for listener_socket in [sock, *(sock.dup() for _ in range(N_LISTENERS - 1))]:
+            listener = await self.loop.create_server(
+                lambda: CallerConnection(self),
+                sock=listener_socket,
+                backlog=LISTEN_BACKLOG,
+            )
+            self.listeners.append(listener)
 
     def close_listener(self):
         """Stop accepting connections."""
-        if self.listener is not None:
-            self.listener.close()
-            self.listener = None
+        for listener in self.listeners:
+            listener.close()
+        self.listeners.clear()
 
     def close_idle_callers(self):
         """Close connections without a request in progress."""
@@ -144,12 +159,16 @@
         """Schedule the dispatch of waiting requests after the current callback."""
         if not self.is_dispatch_scheduled and self.balancer.has_waiting():
             self.is_dispatch_scheduled = True
-            self.loop.call_soon(self.dispatch_waiting)
+            delay_s = self.next_dispatch_at - self.loop.time()
+            self.loop.call_later(max(0.0, delay_s), self.dispatch_waiting)
 
     def dispatch_waiting(self):
         """Dispatch waiting requests to backend servers."""
         self.is_dispatch_scheduled = False
-        decisions = self.balancer.dispatch_queued(self.loop.time())
+        started_at = self.loop.time()
+        decisions = self.balancer.dispatch_queued(started_at)
+        duration_s = time.monotonic() - started_at
+        self.next_dispatch_at = started_at + (1.0 + DISPATCH_PAUSE_RATIO) * duration_s
         decided = [(self.exchanges[job], decision) for job, decision in decisions]
         for exchange, decision in decided:
             exchange.handle_decision(decision)
@@ -160,8 +179,7 @@
         for exchange in list(self.exchanges.values()):
             if now >= exchange.expires_at or now >= exchange.read_timeout_at:
                 exchange.handle_timeouts(now)
-        if self.balancer.has_waiting():
-            self.dispatch_waiting()
+        self.schedule_dispatch()
         if now >= self.next_idle_sweep_at:
             self.next_idle_sweep_at = now + IDLE_SWEEP_INTERVAL_S
             for caller in list(self.callers):
--- /dev/null
+++ b/catkinfork/forwarding/tests/test_overload.py
@@ -0,0 +1,118 @@
+"""A forwarder whose event loop falls behind under a flood."""
+
+import socket
+import time
+
+import anyio
+import pytest
+
+from catkinfork.forwarding._lag import LagMonitor
+from catkinfork.forwarding.tests.scripted import answer
+from catkinfork.forwarding.tests.world import run_world
+
+SWEEP_S = 0.025
+
+
+def record_lags(monitor, lags, start=0.0):
+    """Record sweeps that are late by the given times; return the changes."""
+    changes = []
+    now = start
+    for lag_s in lags:
+        planned_at = now + SWEEP_S
+        now = planned_at + lag_s
+        changes.append(monitor.record(planned_at, now))
+    return [change for change in changes if change is not None]
+
+
+def test_short_stall_does_not_change_readiness():
+    """Guards against a host that leaves the rotation for one slow iteration."""
+    monitor = LagMonitor()
+    assert record_lags(monitor, [0.0] * 40 + [0.4] + [0.0] * 40) == []
+    assert not monitor.is_behind
+
+
+def test_lasting_lag_is_reported_once_and_ends_late():
+    """Guards against flapping while the load is close to what a host can bear."""
+    monitor = LagMonitor()
+    lags = [0.3, 0.1, 0.3, 0.3] * 10
+    changes = record_lags(monitor, lags)
+    assert [change.is_behind for change in changes] == [True]
+    assert record_lags(monitor, [0.1, 0.0] * 20, start=20.0) == []
+    changes = record_lags(monitor, [0.0] * 80, start=40.0)
+    assert [change.is_behind for change in changes] == [False]
+
+
+def test_connections_are_accepted_together():
+    """Guards against new connections that wait while iterations are long.
+
+    With a single listener, uvloop accepts one connection in each iteration.
+    """
+
+    async def test(world):
+        await world.start("plain", answer())
+        callers = []
+        for _ in range(24):
+            caller = socket.socket()
+            caller.setblocking(False)
+            with pytest.raises(BlockingIOError):
+                caller.connect(("127.0.0.1", world.port))
+            callers.append(caller)
+        n_iterations = 0
+        while len(world.server.callers) < len(callers):
+            time.sleep(0.01)
+            await anyio.sleep(0)
+            n_iterations += 1
+        assert n_iterations <= 12
+        for caller in callers:
+            caller.close()
+
+    run_world(test)
+
+
+@pytest.mark.parametrize("path", ["/read/", "/order/"])
+def test_request_of_departed_caller_is_not_sent_while_the_loop_lags(path):
+    """Guards against work for callers that left while their request was unread."""
+
+    async def test(world):
+        (backend,) = await world.start("plain", answer())
+        caller = await world.connect()
+        await anyio.sleep(0.05)
+        world.server.lag.lag_s = 0.3
+        await caller.send(path)
+        caller.close()
+        time.sleep(0.1)
+        await anyio.sleep(0.1)
+        assert backend.requests == []
+        (line,) = world.list_events("request_finished")
+        assert line["outcome"] == "caller_gone"
+
+    run_world(test)
+
+
+def test_request_is_not_sent_after_its_deadline():
+    """Guards against work that nobody waits for, after a connection took long to open.
+
+    The deadline counts from the time at which the request may have arrived.
+    """
+
+    async def test(world):
+        (backend,) = await world.start("plain", answer())
+        world.server.lag.lag_s = 0.4
+        reply = await world.call("/read/", headers=["X-Deadline-Ms: 300"])
+        assert reply.status == 503
+        assert float(reply.headers["retry-after"]) > 0
+        assert backend.requests == []
+
+    run_world(test)
+
+
+def test_deadline_of_sent_request_allows_for_lag():
+    """Guards against a backend server that is given more time than is left."""
+
+    async def test(world):
+        (backend,) = await world.start("plain", answer())
+        world.server.lag.lag_s = 0.6
+        await world.call("/read/", headers=["X-Deadline-Ms: 2000"])
+        assert int(backend.requests[0].headers["x-deadline-ms"]) <= 1400
+
+    run_world(test)
--- a/catkinfork/forwarding/tests/world.py
+++ b/catkinfork/forwarding/tests/world.py
@@ -127,7 +127,7 @@
             self.backends.append(backend)
         if not self.port:
             await self.server.listen("127.0.0.1:0")
-            self.port = self.server.listener.sockets[0].getsockname()[1]
+            self.port = self.server.listeners[0].sockets[0].getsockname()[1]
         return self.backends[-len(scripts) :]
 
     async def connect(self):
