Write log lines whole and until the pipe is full

Cause: a flush made one write of the whole buffer. A pipe took part of it, mostly 8,192 bytes, so that a line was cut in its middle and continued 0.25 s later, and lines of a busy host came late.

Change: blocks of whole lines of at most PIPE_BUF bytes, which a pipe takes whole or not at all, until it would block.

--- a/catkinfork/observability/_buffer.py
+++ b/catkinfork/observability/_buffer.py
@@ -2,6 +2,7 @@
 
 import os
 import sys
+from select import PIPE_BUF
 
 import logbook
 
@@ -53,13 +54,28 @@
                 self.buffer += text.encode()
             else:
                 self.n_dropped += text.count("\n")
-        if not self.buffer:
-            return
-        try:
-            n_written = os.write(self.file_descriptor, self.buffer)
-        except BlockingIOError:
-            return
-        self.buffer = self.buffer[n_written:]
+        while self.buffer:
+            block = take_lines(self.buffer, PIPE_BUF)
+            try:
+                n_written = os.write(self.file_descriptor, block)
+            except BlockingIOError:
+                return
+            self.buffer = self.buffer[n_written:]
+
+
+def take_lines(buffer, max_bytes):
+    """Return the leading whole lines of a buffer.
+
+    A pipe takes a write of up to ``PIPE_BUF`` bytes whole or not at all, so that no
+    line is cut off in its middle.
+
+    :param max_bytes: maximum size of the lines together; a longer line is returned
+        alone.
+    """
+    if len(buffer) <= max_bytes:
+        return buffer
+    end = buffer.rfind(b"\n", 0, max_bytes) + 1
+    return buffer[: end or buffer.index(b"\n") + 1]
 
 
 def build_stdout_handler(level):
--- a/catkinfork/observability/tests/test_log.py
+++ b/catkinfork/observability/tests/test_log.py
@@ -73,3 +73,43 @@
     assert len(handler.buffer) < 3_000_000
     assert n_dropped > 0
     assert os.read(reader, 100_000)
+
+
+def test_no_line_is_cut_when_the_pipe_is_full():
+    """Guards against a line that runs into a later one.
+
+    Another process reads the pipe while lines are flushed, and a write that fits only
+    in part must not be taken in part.
+    """
+    log, handler, reader = build_log()
+    for _ in range(40):
+        write_lines(log, 9)
+        handler.flush()
+        handler.start_second()
+    assert handler.buffer
+    received = b""
+    while len(received) < 100_000 and not received.endswith(b"}\n"):
+        received += os.read(reader, 100_000)
+    assert received.endswith(b"\n")
+    assert all(line.startswith(b"{") for line in received.splitlines())
+    assert all(line.endswith(b"}") for line in received.splitlines())
+    received += drain_pipe(handler, reader)
+    assert received.count(b"\n") == 360
+
+
+def drain_pipe(handler, reader):
+    """Flush the rest of a handler's buffer and return what was read meanwhile."""
+    received = b""
+    while handler.buffer:
+        handler.flush()
+        received += os.read(reader, 100_000)
+    return received
+
+
+def test_flush_writes_everything_that_the_pipe_takes():
+    """Guards against lines that are written seconds late though nothing blocks."""
+    log, handler, reader = build_log()
+    write_lines(log, 20)
+    handler.flush()
+    assert handler.buffer == b""
+    assert os.read(reader, 100_000).count(b"\n") == 20
