Reserve room for the job that waits, and keep usage in full frames

A job that waited for room did not hold it against those behind it, so that short prompts of workspaces with more service took the room as it became free. A frame that was too large dropped half of its usage entries, on which the order of the queues depends, with half of the parts.

Change: the uncached tokens of a waiting job count against the room of its engine for the rest of the pass; prompt parts are trimmed before usage.

--- a/catkinfork/balancing/_balancer.py
+++ b/catkinfork/balancing/_balancer.py
@@ -172,8 +172,8 @@
         """Place a job at the backend server with the lowest cost.
 
         If that backend server is full, the job waits for it even if another one has
-        room, since processing the uncached prompt there would cost more. Its tokens
-        then count there for the jobs behind it.
+        room, since processing the uncached prompt there would cost more. Its room is
+        then reserved against the jobs behind it.
 
         :param candidates: :class:`CandidateList`.
         :param priority: queue priority of the job; lower values go first.
@@ -184,12 +184,10 @@
         if best is None:
             return None
         if not best.has_room:
-            candidates.add_cost(best.backend, best.n_missing_tokens)
+            candidates.reserve(best)
             return None
-        candidates.add_cost(
-            best.backend, best.n_missing_tokens + pool.model.request_cost
-        )
-        placement = Placement(job, best.backend, best.n_missing_tokens, now)
+        candidates.record_placement(best)
+        placement = Placement(job, best.entry.backend, best.n_missing_tokens, now)
         placement.cost = best.cost
         placement.n_candidates = len(candidates.healthy)
         placement.peer_state_age_s = self.peers.compute_state_age_s(now)
--- a/catkinfork/balancing/_models.py
+++ b/catkinfork/balancing/_models.py
@@ -66,6 +66,9 @@
     def has_room(self, job, backend, load, n_missing_tokens, n_peers_ahead):
         """Return whether the backend server has capacity for a job now.
 
+        :param n_missing_tokens: uncached prompt tokens of the job, and of the jobs
+            ahead of it that wait for this backend server.
+
         :param n_peers_ahead: peers with a queued job of higher priority; a fraction of
             the capacity is reserved for them.
         """
--- a/catkinfork/balancing/tests/test_fairness.py
+++ b/catkinfork/balancing/tests/test_fairness.py
@@ -73,3 +73,25 @@
     assert submit(balancer, 0.0, route=route) is None
     assert submit(balancer, 0.1, route=route) is None
     assert balancer.dispatch_queued(0.2) == []
+
+
+def test_long_prompt_is_not_starved_by_short_ones():
+    """Guards against short prompts that take the room for which a long one waits.
+
+    Load pattern: one workspace sends long prompts, another one many short ones, and the
+    engine has just enough room for a short one at any time.
+    """
+    balancer = build_balancer(n_backends=1)
+    running = [submit(balancer, 0.0, workspace="b", n_prompt=5000) for _ in range(3)]
+    long_job = build_job(0.1, workspace="a", n_prompt=10_000)
+    assert balancer.submit(long_job, 0.1) is None
+    placed = []
+    for step in range(20):
+        now = 0.2 + 0.05 * step
+        balancer.submit(build_job(now, workspace="b", n_prompt=2000), now)
+        if running:
+            balancer.record_first_event(running.pop(0), now)
+        placed += [job.workspace for job, _ in balancer.dispatch_queued(now)]
+        if "a" in placed:
+            break
+    assert placed[0] == "a"
--- a/catkinfork/peering/_state.py
+++ b/catkinfork/peering/_state.py
@@ -88,7 +88,8 @@
     def build_datagram(self, is_full):
         """Return a datagram with all totals or with the changed ones.
 
-        Parts and usage entries are dropped until it fits into the maximum size.
+        Parts, then usage entries are dropped until it fits into the maximum size.
+        Usage orders the queues of all forwarders; a lost part only costs a prefill.
         """
         self.sequence += 1
         frame = Frame(
@@ -103,8 +104,10 @@
         self.balancer.changes.clear()
         data = encode_frame(frame)
         while len(data) > MAX_FRAME_BYTES and (frame.parts or frame.uses):
-            frame.parts = frame.parts[: len(frame.parts) // 2]
-            frame.uses = frame.uses[: len(frame.uses) // 2]
+            if frame.parts:
+                frame.parts = frame.parts[len(frame.parts) // 2 + 1 :]
+            else:
+                frame.uses = frame.uses[: len(frame.uses) // 2]
             data = encode_frame(frame)
         return data
 
