Give the first job room, and count waiting connections as lag

Change: only the first job of all queues needs no more room than a short prompt; the reservation is gone, its test stays. Eight listeners instead of four.

--- a/catkinfork/balancing/_balancer.py
+++ b/catkinfork/balancing/_balancer.py
@@ -20,6 +20,7 @@
     Placement,
     Refusal,
 )
+from catkinfork.balancing._models import QueueRank
 from catkinfork.balancing._pool import ServicePool
 from catkinfork.balancing._retries import is_retryable
 from catkinfork.balancing._suspects import MAX_CRASHES, SuspectTable
@@ -172,22 +173,25 @@
         """Place a job at the backend server with the lowest cost.
 
         If that backend server is full, the job waits for it even if another one has
-        room, since processing the uncached prompt there would cost more. Its room is
-        then reserved against the jobs behind it.
+        room, since processing the uncached prompt there would cost more. Its tokens
+        then count there for the jobs behind it.
 
         :param candidates: :class:`CandidateList`.
         :param priority: queue priority of the job; lower values go first.
         :returns: :class:`Placement`, or None if the job has to wait.
         """
         n_peers_ahead = pool.count_peers_ahead(priority)
-        best = candidates.choose(job, n_peers_ahead)
+        is_first = not n_peers_ahead and pool.priority in (None, priority)
+        best = candidates.choose(job, QueueRank(n_peers_ahead, is_first))
         if best is None:
             return None
         if not best.has_room:
-            candidates.reserve(best)
+            candidates.add_cost(best.backend, best.n_missing_tokens)
             return None
-        candidates.record_placement(best)
-        placement = Placement(job, best.entry.backend, best.n_missing_tokens, now)
+        candidates.add_cost(
+            best.backend, best.n_missing_tokens + pool.model.request_cost
+        )
+        placement = Placement(job, best.backend, best.n_missing_tokens, now)
         placement.cost = best.cost
         placement.n_candidates = len(candidates.healthy)
         placement.peer_state_age_s = self.peers.compute_state_age_s(now)
--- a/catkinfork/balancing/_candidates.py
+++ b/catkinfork/balancing/_candidates.py
@@ -4,42 +4,39 @@
 from operator import attrgetter
 from typing import NamedTuple
 
+from catkinfork.topology import Backend
+
 BASE_COST = attrgetter("base_cost")
 
 
+class Candidate(NamedTuple):
+    """A backend server that may run a job.
+
+    :param n_missing_tokens: uncached prompt tokens that it would have to process.
+    :param cost: cost of the job there, in the unit of the load model.
+    :param has_room: whether it has capacity for the job now.
+    """
+
+    backend: Backend
+    n_missing_tokens: int
+    cost: float
+    has_room: bool
+
+
 class CandidateEntry:
     """A backend server in a :class:`CandidateList`.
 
     :param backend: :class:`Backend`.
     :param state: its :class:`BackendState`.
     :param base_cost: cost of any job there, without its uncached prompt tokens.
-
-    ``n_reserved_tokens`` are the uncached prompt tokens of the jobs of this pass that
-    wait for room there.
     """
 
-    __slots__ = ("backend", "base_cost", "n_reserved_tokens", "state")
+    __slots__ = ("backend", "base_cost", "state")
 
     def __init__(self, backend, state, base_cost):
         self.backend = backend
         self.state = state
         self.base_cost = base_cost
-        self.n_reserved_tokens = 0
-
-
-class Candidate(NamedTuple):
-    """The backend server with the lowest cost for a job.
-
-    :param entry: :class:`CandidateEntry`.
-    :param n_missing_tokens: uncached prompt tokens that it would have to process.
-    :param cost: cost of the job there, in the unit of the load model.
-    :param has_room: whether it has capacity for the job now.
-    """
-
-    entry: CandidateEntry
-    n_missing_tokens: int
-    cost: float
-    has_room: bool
 
 
 class CandidateList:
@@ -83,10 +80,10 @@
             return healthy
         return [one for one in self.ejected if one.backend.name not in tried]
 
-    def choose(self, job, n_peers_ahead):
+    def choose(self, job, rank):
         """Return the :class:`Candidate` with the lowest cost, or None.
 
-        :param n_peers_ahead: peers with a queued job of higher priority.
+        :param rank: :class:`QueueRank` of the job.
         """
         model = self.pool.model
         best = None
@@ -103,28 +100,19 @@
                 best, best_cost, best_n_missing = entry, cost, n_missing_tokens
         if best is None:
             return None
-        n_claimed_tokens = best.n_reserved_tokens + best_n_missing
         has_room = model.has_room(
-            job, best.backend, best.state.load, n_claimed_tokens, n_peers_ahead
+            job, best.backend, best.state.load, best_n_missing, rank
         )
-        return Candidate(best, best_n_missing, best_cost, has_room)
-
-    def record_placement(self, candidate):
-        """Add the cost of a job that was placed during the pass."""
-        cost = candidate.n_missing_tokens + self.pool.model.request_cost
-        self.add_cost(candidate.entry, cost)
+        return Candidate(best.backend, best_n_missing, best_cost, has_room)
 
-    def reserve(self, candidate):
-        """Hold room for a job that waits, against the jobs behind it in the pass.
+    def add_cost(self, backend, cost):
+        """Raise the base cost of a backend server during the pass.
 
-        Short prompts would otherwise take the room as it becomes free, and a long one
-        of a workspace with a higher priority would never fit.
+        :param cost: cost added by a job that was placed, or that waits for it.
         """
-        candidate.entry.n_reserved_tokens += candidate.n_missing_tokens
-        self.add_cost(candidate.entry, candidate.n_missing_tokens)
-
-    def add_cost(self, entry, cost):
-        """Raise the base cost of an entry and restore the order of the list."""
-        entry.base_cost += cost
-        entries = self.healthy if entry in self.healthy else self.ejected
-        entries.sort(key=BASE_COST)
+        for entries in (self.healthy, self.ejected):
+            for entry in entries:
+                if entry.backend is backend:
+                    entry.base_cost += cost
+                    entries.sort(key=BASE_COST)
+                    return
--- a/catkinfork/balancing/_models.py
+++ b/catkinfork/balancing/_models.py
@@ -1,6 +1,7 @@
 """Load models: cost of a job at a backend server, and capacity checks."""
 
 from abc import ABC, abstractmethod
+from typing import NamedTuple
 
 # Cost of an uncached prompt token. It is above 1 because prefill also delays all other
 # requests that run on the engine.
@@ -15,6 +16,9 @@
 MAX_PENDING_TOKENS = 15_000
 # Up to this number of pending tokens, an engine accepts a prompt of any length.
 MIN_PENDING_TOKENS = 4_000
+# Largest number of uncached tokens for which the prompt of the first job needs room.
+# Short prompts would otherwise take the room as it becomes free, and it would starve.
+MAX_FIRST_CLAIM_TOKENS = 2_500
 # Fraction of an engine's memory that requests may use; above it, the engine preempts
 # requests.
 MAX_MEMORY_SHARE = 0.95
@@ -33,6 +37,18 @@
 REMOTE_COST_REQUESTS = 0.25
 
 
+class QueueRank(NamedTuple):
+    """Place of a job in the order of the queues of all forwarders.
+
+    :param n_peers_ahead: peers with a queued job of higher priority; a fraction of the
+        capacity is reserved for them.
+    :param is_first: whether no job is known to have a higher priority.
+    """
+
+    n_peers_ahead: int
+    is_first: bool
+
+
 class BaseLoadModel(ABC):
     """Load model of one kind of service.
 
@@ -63,14 +79,10 @@
         """
 
     @abstractmethod
-    def has_room(self, job, backend, load, n_missing_tokens, n_peers_ahead):
+    def has_room(self, job, backend, load, n_missing_tokens, rank):
         """Return whether the backend server has capacity for a job now.
 
-        :param n_missing_tokens: uncached prompt tokens of the job, and of the jobs
-            ahead of it that wait for this backend server.
-
-        :param n_peers_ahead: peers with a queued job of higher priority; a fraction of
-            the capacity is reserved for them.
+        :param rank: :class:`QueueRank` of the job.
         """
 
 
@@ -91,8 +103,8 @@
             cost += REMOTE_COST_TOKENS
         return cost
 
-    def has_room(self, job, backend, load, n_missing_tokens, n_peers_ahead):
-        n_peers_ahead = min(n_peers_ahead, len(RESERVED_SLOT_SHARES) - 1)
+    def has_room(self, job, backend, load, n_missing_tokens, rank):
+        n_peers_ahead = min(rank.n_peers_ahead, len(RESERVED_SLOT_SHARES) - 1)
         n_slots = backend.entry.n_slots
         n_slots -= int(RESERVED_SLOT_SHARES[n_peers_ahead] * n_slots)
         n_pending_limit = MAX_PENDING_TOKENS * (
@@ -100,11 +112,11 @@
         )
         if load.n_all_in_flight >= min(n_slots, self.n_connections):
             return False
+        n_claimed = n_missing_tokens
+        if rank.is_first:
+            n_claimed = min(n_claimed, MAX_FIRST_CLAIM_TOKENS)
         n_pending = load.n_all_pending_tokens
-        if (
-            n_pending > MIN_PENDING_TOKENS
-            and n_pending + n_missing_tokens > n_pending_limit
-        ):
+        if n_pending > MIN_PENDING_TOKENS and n_pending + n_claimed > n_pending_limit:
             return False
         n_memory = load.n_all_memory_tokens + job.n_prompt_tokens + job.n_output_tokens
         limit = MAX_MEMORY_SHARE * self.engine.n_memory_tokens
@@ -123,8 +135,8 @@
             cost += REMOTE_COST_REQUESTS
         return cost
 
-    def has_room(self, job, backend, load, n_missing_tokens, n_peers_ahead):
-        n_extra = 0 if n_peers_ahead else EXTRA_REQUESTS
+    def has_room(self, job, backend, load, n_missing_tokens, rank):
+        n_extra = 0 if rank.n_peers_ahead else EXTRA_REQUESTS
         n_requests = min(backend.entry.n_slots + n_extra, self.n_connections)
         return load.n_all_in_flight < n_requests
 
--- a/catkinfork/forwarder/_process.py
+++ b/catkinfork/forwarder/_process.py
@@ -237,7 +237,7 @@
 
     def record_lag(self, planned_at, now):
         """Record by how much a sweep is late, and log a change of state."""
-        change = self.server.lag.record(planned_at, now)
+        change = self.server.lag.record(planned_at, now, self.server.has_backlog())
         if change is None:
             return
         self.log.write(
--- a/catkinfork/forwarding/_lag.py
+++ b/catkinfork/forwarding/_lag.py
@@ -30,22 +30,32 @@
     the sockets before they are read, so the time at which a request is read says little
     about when its caller sent it.
 
-    ``lag_s`` is a decaying peak of the lag. ``is_behind`` has hysteresis, so that a
-    host does not flap between ready and not ready.
+    ``lag_s`` estimates for how long a request may have waited before it was read: a
+    decaying peak of the lateness of the sweep, and the time since which connections
+    have been waiting to be accepted. ``is_behind`` has hysteresis, so that a host does
+    not flap between ready and not ready.
     """
 
     def __init__(self):
         self.lag_s = 0.0
+        self.backlog_since = None
         self.is_behind = False
         self.beyond_since = None
 
-    def record(self, planned_at, now):
+    def record(self, planned_at, now, has_backlog=False):
         """Record one run of the sweep.
 
         :param planned_at: monotonic time at which it was due, seconds.
+        :param has_backlog: whether connections wait to be accepted.
         :returns: :class:`LagChange`, or None if the state is unchanged.
         """
         lag_s = max(0.0, now - planned_at)
+        if not has_backlog:
+            self.backlog_since = None
+        elif self.backlog_since is None:
+            self.backlog_since = now
+        else:
+            lag_s = max(lag_s, now - self.backlog_since)
         self.lag_s = max(lag_s, PEAK_DECAY * self.lag_s)
         if self.is_behind:
             is_beyond = self.lag_s < CAUGHT_UP_LAG_S
@@ -57,7 +67,7 @@
             self.beyond_since = None
             return None
         if self.beyond_since is None:
-            self.beyond_since = now - lag_s
+            self.beyond_since = now - max(0.0, now - planned_at)
         if now - self.beyond_since < required_s:
             return None
         self.is_behind = not self.is_behind
--- a/catkinfork/forwarding/_server.py
+++ b/catkinfork/forwarding/_server.py
@@ -1,5 +1,6 @@
 """HTTP server for callers, with the connection pools of the backend servers."""
 
+import select
 import socket
 import time
 
@@ -15,7 +16,7 @@
 LISTEN_BACKLOG = 1024
 # Listeners on the same socket: uvloop accepts one connection for each in an iteration
 # of the loop, so that with a single one new connections wait under load.
-N_LISTENERS = 4
+N_LISTENERS = 8
 # Time between two dispatches of waiting requests, as a multiple of the duration of the
 # first one; it bounds the fraction of the loop that a long queue takes.
 DISPATCH_PAUSE_RATIO = 3.0
@@ -87,6 +88,14 @@
             )
             self.listeners.append(listener)
 
+    def has_backlog(self):
+        """Return whether connections wait to be accepted."""
+        if not self.listeners:
+            return False
+        poll = select.poll()
+        poll.register(self.listeners[0].sockets[0], select.POLLIN)
+        return bool(poll.poll(0))
+
     def close_listener(self):
         """Stop accepting connections."""
         for listener in self.listeners:
--- a/catkinfork/forwarding/tests/test_overload.py
+++ b/catkinfork/forwarding/tests/test_overload.py
@@ -42,6 +42,43 @@
     assert [change.is_behind for change in changes] == [False]
 
 
+def test_backlog_counts_as_lag_while_the_loop_is_punctual():
+    """Guards against a host that stays in rotation while connections wait for seconds.
+
+    Load pattern: a host that serves half of all callers. Its iterations are short, but
+    more connections arrive than it accepts.
+    """
+    monitor = LagMonitor()
+    changes = []
+    for step in range(60):
+        now = SWEEP_S * step
+        changes.append(monitor.record(now, now, has_backlog=True))
+    assert [change.is_behind for change in changes if change] == [True]
+    assert monitor.lag_s == pytest.approx(59 * SWEEP_S)
+    now += SWEEP_S
+    monitor.record(now, now, has_backlog=False)
+    assert monitor.lag_s < 59 * SWEEP_S
+
+
+def test_pending_connections_are_seen():
+    """Guards against a backlog that the forwarder does not notice."""
+
+    async def test(world):
+        await world.start("plain", answer())
+        assert not world.server.has_backlog()
+        caller = socket.socket()
+        caller.setblocking(False)
+        with pytest.raises(BlockingIOError):
+            caller.connect(("127.0.0.1", world.port))
+        time.sleep(0.02)
+        assert world.server.has_backlog()
+        await anyio.sleep(0.05)
+        assert not world.server.has_backlog()
+        caller.close()
+
+    run_world(test)
+
+
 def test_connections_are_accepted_together():
     """Guards against new connections that wait while iterations are long.
 
