Hold cold rates, the retry budget and store calls at many forwarders

Change: a random part of the interval before the first request of a cold period; each peer is assumed to have retried as often as this forwarder since its last frame; the pause between reads grows with the fleet, from 0.15 s to at most 0.6 s; peers are listed in rotation.

--- a/catkinfork/balancing/_balancer.py
+++ b/catkinfork/balancing/_balancer.py
@@ -23,6 +23,7 @@
 from catkinfork.balancing._models import QueueRank
 from catkinfork.balancing._pool import ServicePool
 from catkinfork.balancing._retries import is_retryable
+from catkinfork.balancing._slow_start import compute_interval_s
 from catkinfork.balancing._suspects import MAX_CRASHES, SuspectTable
 from catkinfork.balancing._waits import estimate_wait, list_infeasible
 from catkinfork.observability import log_event
@@ -132,11 +133,16 @@
     def has_retry_budget(self, pool, now):
         """Return whether the retry budget of a service allows one more retry."""
         n_fresh = self.peers.count_fresh(now)
-        return pool.retry_budget.allows(n_fresh, self.peers.count_forwarders(now), now)
+        return pool.retry_budget.allows(
+            n_fresh,
+            self.peers.count_forwarders(now),
+            now,
+            self.peers.compute_state_age_s(now),
+        )
 
     def admit(self, pool, job, now):
         """Place, queue or refuse a job."""
-        candidates = CandidateList(self.registry, pool, now)
+        candidates = self.list_candidates(pool, now)
         if not candidates.list_eligible(job):
             return Refusal(NO_BACKEND, self.add_jitter(NO_BACKEND_RETRY_AFTER_S))
         if not pool.queue.n_jobs:
@@ -205,8 +211,7 @@
         state = pool.find(backend.name)
         state.load.add_attempt(job, placement.n_missing_tokens)
         if backend.is_cold(now):
-            n_forwarders = self.peers.count_forwarders(now)
-            state.limiter.record_request(pool.service.cold_rate, n_forwarders, now)
+            state.limiter.record_request(self.compute_cold_interval_s(pool, now), now)
         if job.tried_backends:
             job.n_retries += 1
             pool.retry_budget.record_retry(now)
@@ -220,6 +225,16 @@
         if job.parts:
             self.changes.parts.append((job.service, backend.name, job.parts))
 
+    def compute_cold_interval_s(self, pool, now):
+        """Return the interval between requests to one cold backend server, seconds."""
+        n_forwarders = self.peers.count_forwarders(now)
+        return compute_interval_s(pool.service.cold_rate, n_forwarders)
+
+    def list_candidates(self, pool, now):
+        """Return a new :class:`CandidateList` of a service."""
+        interval_s = self.compute_cold_interval_s(pool, now)
+        return CandidateList(self.registry, pool, self.rng, interval_s, now)
+
     def dispatch_queued(self, now):
         """Place queued jobs and refuse those that can no longer meet their deadline.
 
@@ -249,7 +264,7 @@
     def place_waiting(self, pool, now):
         """Place queued jobs in order of priority."""
         decisions = []
-        candidates = CandidateList(self.registry, pool, now)
+        candidates = self.list_candidates(pool, now)
         pool.priority = None
         for priority, job in pool.queue.list_by_priority(now)[:MAX_JOBS_PER_PASS]:
             placement = self.place(pool, job, candidates, priority, now)
@@ -346,4 +361,4 @@
         pool = self.pools[job.service]
         if not self.has_retry_budget(pool, now):
             return False
-        return bool(CandidateList(self.registry, pool, now).list_eligible(job))
+        return bool(self.list_candidates(pool, now).list_eligible(job))
--- a/catkinfork/balancing/_candidates.py
+++ b/catkinfork/balancing/_candidates.py
@@ -48,10 +48,13 @@
 
     :param registry: :class:`BackendRegistry`.
     :param pool: :class:`ServicePool`.
+    :param rng: ``random.Random``.
+    :param cold_interval_s: interval between requests to one cold backend server,
+        seconds.
     :param now: monotonic time, seconds.
     """
 
-    def __init__(self, registry, pool, now):
+    def __init__(self, registry, pool, rng, cold_interval_s, now):
         self.pool = pool
         self.now = now
         self.healthy = []
@@ -60,6 +63,10 @@
             state = pool.find(backend.name)
             base_cost = pool.model.estimate_base_cost(backend, state.load)
             entry = CandidateEntry(backend, state, base_cost)
+            if backend.is_cold(now):
+                state.limiter.start_period(
+                    backend.cold_until, cold_interval_s, rng, now
+                )
             if not state.health.is_ejected(now):
                 self.healthy.append(entry)
             elif state.health.unreachable_at is None:
--- a/catkinfork/balancing/_retries.py
+++ b/catkinfork/balancing/_retries.py
@@ -1,5 +1,7 @@
 """Retry budget of one service over all forwarders."""
 
+from collections import deque
+
 from catkinfork.balancing._health import FAILURE_OUTCOMES
 from catkinfork.balancing._jobs import REJECTED, UNREACHABLE
 from catkinfork.balancing._windows import SlidingWindowCounter
@@ -11,6 +13,9 @@
 # yet reported.
 BUDGET_UTILIZATION = 0.7
 
+# Own retries whose times are remembered.
+MAX_RECENT_RETRIES = 256
+
 
 class RetryBudget:
     """Counts own and peer requests and retries within a sliding window.
@@ -26,6 +31,7 @@
         self.peer_retries = SlidingWindowCounter(settings.window_s)
         self.n_requests = 0
         self.n_retries = 0
+        self.recent_retries = deque(maxlen=MAX_RECENT_RETRIES)
 
     def record_request(self, now):
         """Record a new request."""
@@ -36,19 +42,23 @@
         """Record an attempt after the first one of a request."""
         self.n_retries += 1
         self.own_retries.add(1, now)
+        self.recent_retries.append(now)
 
     def record_peer_requests(self, n_requests, n_retries, now):
         """Add the requests and retries of a peer since its previous frame."""
         self.peer_requests.add(n_requests, now)
         self.peer_retries.add(n_retries, now)
 
-    def allows(self, n_fresh, n_forwarders, now):
+    def allows(self, n_fresh, n_forwarders, now, state_age_s=0.0):
         """Return whether one more retry may be sent.
 
-        Silent forwarders are assumed to use their whole share of the budget.
+        Silent forwarders are assumed to use their whole share of the budget. Each fresh
+        peer is assumed to have sent as many retries as this forwarder since its last
+        frame: when a backend server crashes, all forwarders retry at the same moment.
 
         :param n_fresh: forwarders with fresh state, including this one.
         :param n_forwarders: all forwarders that may send retries.
+        :param state_age_s: age of the oldest peer state that is counted, seconds.
         """
         settings = self.settings
         n_requests = self.own_requests.sum(now)
@@ -59,9 +69,19 @@
             return n_retries + 1 <= BUDGET_UTILIZATION * own_limit
         n_requests += self.peer_requests.sum(now)
         n_retries += self.peer_retries.sum(now)
+        n_retries += (n_forwarders - 1) * self.count_recent(now - state_age_s)
         limit = settings.ratio * n_requests + settings.n_extra_retries
         return n_retries + 1 <= BUDGET_UTILIZATION * limit
 
+    def count_recent(self, since):
+        """Return the own retries that were sent after a monotonic time."""
+        n_recent = 0
+        for sent_at in reversed(self.recent_retries):
+            if sent_at <= since:
+                break
+            n_recent += 1
+        return n_recent
+
 
 def is_retryable(job, outcome, n_runs, now):
     """Return whether a request may be attempted again.
--- a/catkinfork/balancing/tests/test_admission.py
+++ b/catkinfork/balancing/tests/test_admission.py
@@ -201,6 +201,24 @@
     assert not budget.allows(4, 4, 1.0)
 
 
+def test_simultaneous_retries_stay_within_the_shared_budget():
+    """Guards against forwarders that each use what is left before they hear of others.
+
+    Load pattern: a crashed backend server leaves retries at many forwarders at once,
+    whose views of each other are some hundred milliseconds old.
+    """
+    settings = RetryBudgetSettings(0.2, 176, 10.0)
+    budgets = [RetryBudget(settings) for _ in range(68)]
+    for budget in budgets:
+        budget.record_peer_requests(7000, 0, 1.0)
+    n_sent = 0
+    for budget in budgets:
+        while budget.allows(68, 68, 1.01, state_age_s=0.2):
+            budget.record_retry(1.01)
+            n_sent += 1
+    assert 0 < n_sent <= 0.2 * 7000 + 176
+
+
 def test_isolated_forwarder_uses_only_its_share_of_the_retry_budget():
     """Guards against forwarders that each use the whole budget while partitioned."""
     budget = RetryBudget(RetryBudgetSettings(0.2, 40, 10.0))
--- a/catkinfork/balancing/tests/test_placement.py
+++ b/catkinfork/balancing/tests/test_placement.py
@@ -138,6 +138,33 @@
     assert 2 <= n_sent <= 4
 
 
+def test_first_requests_to_cold_backend_are_spread_over_forwarders():
+    """Guards against forwarders that all send their first request at once.
+
+    Load pattern: a backend server returns cold while many forwarders have work.
+    """
+    n_forwarders, cold_rate, cold_s = 68, 9.8, 3.0
+    sent_at = []
+    for seed in range(n_forwarders):
+        balancer = build_balancer(
+            n_backends=0, peers=Peers(n_forwarders, n_forwarders), cold_rate=cold_rate
+        )
+        balancer.rng.seed(seed)
+        add_backend(balancer, "cold", cold_s=cold_s)
+        decision = submit(balancer, 0.0)
+        if isinstance(decision, Placement):
+            sent_at.append(0.0)
+        for tick in range(1, 60):
+            now = 0.05 * tick
+            decisions = [one for _, one in balancer.dispatch_queued(now)]
+            sent_at += [now for one in decisions if isinstance(one, Placement)]
+    per_second = [
+        sum(start <= at < start + 1.0 for at in sent_at) for start in (0.0, 1.0, 2.0)
+    ]
+    assert sent_at
+    assert max(per_second) <= 1.5 * cold_rate + 5
+
+
 def test_service_without_backends_is_refused_at_once():
     """Guards against a request that is queued although no backend server exists."""
     balancer = build_balancer(n_backends=0)
--- a/catkinfork/forwarder/_process.py
+++ b/catkinfork/forwarder/_process.py
@@ -118,6 +118,7 @@
             self.topology,
             StoreSource(HttpClient(settings.store.address, self.loop)),
             self.find_peer_source,
+            lambda: self.directory.count_forwarders(self.loop.time()),
             self.handle_topology_change,
             self.rng,
             self.log.write,
--- a/catkinfork/peering/_state.py
+++ b/catkinfork/peering/_state.py
@@ -55,6 +55,7 @@
         self.next_refresh_at = 0.0
         self.hashes = {}
         self.refresh_offset = 0
+        self.peers_offset = 0
         self.indexed_generations = ()
         self.pools = {}
         self.states = {}
@@ -120,7 +121,7 @@
         if is_full:
             frame.is_full = True
             workspaces = workspaces | self.list_refreshed_usages()
-            frame.peers = self.directory.list_addresses()[:MAX_PEERS_LISTED]
+            frame.peers = self.list_next_peers()
             backends = self.list_loaded_backends()
             services = self.balancer.pools.keys()
         frame.loads = [self.build_load_entry(*pair) for pair in backends]
@@ -136,6 +137,16 @@
             name = self.compute_hash(backend)
             frame.parts += [PartEntry(name, part, n) for part, n in parts]
 
+    def list_next_peers(self):
+        """Return the next addresses to tell, in rotation.
+
+        A forwarder that starts would otherwise learn of the same ones from all peers.
+        """
+        addresses = self.directory.list_addresses()
+        start = self.peers_offset % max(1, len(addresses))
+        self.peers_offset = start + MAX_PEERS_LISTED
+        return (addresses[start:] + addresses[:start])[:MAX_PEERS_LISTED]
+
     def list_refreshed_usages(self):
         """Return the next pairs of service and workspace to repeat."""
         pairs = [
--- a/catkinfork/topology/_watcher.py
+++ b/catkinfork/topology/_watcher.py
@@ -9,7 +9,10 @@
 from catkinfork.topology._source import HistoryLostError, SourceError
 
 # Pause between two reads of changes, which batches the heartbeats of backend servers.
-READ_INTERVAL_S = 0.15
+# It grows with the number of forwarders, so that their calls together do not.
+MIN_READ_INTERVAL_S = 0.15
+MAX_READ_INTERVAL_S = 0.6
+MAX_FLEET_READS_PER_S = 110.0
 # Exponential backoff after failures.
 MIN_BACKOFF_S = 0.1
 MAX_BACKOFF_S = 0.6
@@ -28,15 +31,26 @@
     :param source: :class:`BaseSource` of the store.
     :param find_peer_source: callable that takes a revision and returns the
         :class:`BaseSource` of a peer with newer state, or None.
+    :param count_forwarders: callable that returns the number of live forwarders.
     :param on_change: callable that is called after each change.
     :param rng: ``random.Random``.
     :param write_log: callable that takes a :class:`LogEvent`.
     """
 
-    def __init__(self, state, source, find_peer_source, on_change, rng, write_log):
+    def __init__(
+        self,
+        state,
+        source,
+        find_peer_source,
+        count_forwarders,
+        on_change,
+        rng,
+        write_log,
+    ):
         self.state = state
         self.source = source
         self.find_peer_source = find_peer_source
+        self.count_forwarders = count_forwarders
         self.on_change = on_change
         self.rng = rng
         self.write_log = write_log
@@ -70,7 +84,7 @@
             else:
                 self.record_success()
                 backoff_s = MIN_BACKOFF_S
-                await anyio.sleep(READ_INTERVAL_S)
+                await anyio.sleep(compute_read_interval_s(self.count_forwarders()))
 
     async def read(self):
         """Read a full snapshot or the changes since the last read, and apply them."""
@@ -135,3 +149,9 @@
             now = time.monotonic()
             self.state.apply(changes, peer_source.name, now, self.compute_expiry(now))
             self.on_change()
+
+
+def compute_read_interval_s(n_forwarders):
+    """Return the pause between two reads of changes, seconds."""
+    interval_s = n_forwarders / MAX_FLEET_READS_PER_S
+    return min(MAX_READ_INTERVAL_S, max(MIN_READ_INTERVAL_S, interval_s))
--- a/catkinfork/topology/tests/test_state.py
+++ b/catkinfork/topology/tests/test_state.py
@@ -22,7 +22,10 @@
     Watcher,
     choose_target,
 )
-from catkinfork.topology._watcher import REREGISTRATION_TIME_S
+from catkinfork.topology._watcher import (
+    REREGISTRATION_TIME_S,
+    compute_read_interval_s,
+)
 from catkinfork.topology.tests.samples import (
     build_configuration,
     build_entry,
@@ -161,6 +164,7 @@
             state,
             source,
             lambda _: peer_source,
+            lambda: 1,
             lambda: None,
             FixedRandom(),
             lambda _: None,
@@ -214,3 +218,11 @@
     watcher = run_watcher(state, source, seconds=1.2)
     backend = state.registry.backends["b1"]
     assert backend.expires_at == watcher.recovered_at + REREGISTRATION_TIME_S
+
+
+@pytest.mark.parametrize("n_forwarders", [1, 5, 27, 68, 300])
+def test_calls_of_all_forwarders_do_not_grow_with_the_fleet(n_forwarders):
+    """Guards against a store that a large fleet drives over its rate of calls."""
+    interval_s = compute_read_interval_s(n_forwarders)
+    assert 0.15 <= interval_s <= 0.6
+    assert n_forwarders / interval_s <= max(110.0, n_forwarders / 0.6) + 1e-6
