Answer requests that arrive while a planned stop closes connections

Cause: the drain closed each connection without a request in progress, also one whose request had arrived but was not read, or whose head was half read; closing the listener reset connections that were not accepted yet. Both show under load, when the loop is behind.

Change: a connection with unread bytes is not idle; waiting connections are accepted before the listener closes. The read timeouts are moved out of the exchange.

Measured: the new test fails in both cases before and passes now.

--- a/catkinfork/forwarder/_drain.py
+++ b/catkinfork/forwarder/_drain.py
@@ -10,6 +10,8 @@
 # Time after SIGTERM for which new connections are accepted, seconds: the load balancer
 # removes a host after two failed readiness checks, one second apart.
 ACCEPT_PERIOD_S = 2.6
+# Maximum time for which waiting connections are still accepted after it, seconds.
+BACKLOG_PERIOD_S = 1.0
 # Time before the forced termination at which requests in flight are abandoned, seconds.
 FORCED_STOP_MARGIN_S = 0.7
 POLL_INTERVAL_S = 0.05
@@ -47,6 +49,10 @@
         )
     )
     await anyio.sleep(min(ACCEPT_PERIOD_S, 0.4 * grace_s))
+    # Closing the socket resets connections that were not accepted yet.
+    with anyio.move_on_after(BACKLOG_PERIOD_S):
+        while server.has_backlog():
+            await anyio.sleep(0)
     server.close_listener()
     while anyio.current_time() < ends_at:
         server.close_idle_callers()
--- a/catkinfork/forwarding/_caller.py
+++ b/catkinfork/forwarding/_caller.py
@@ -78,9 +78,15 @@
         """Return whether the peer has closed, even if this was not read yet."""
         if self.is_lost or self.transport.is_closing():
             return True
-        poll = select.poll()
-        poll.register(self.transport.get_extra_info("socket"), select.POLLRDHUP)
-        return bool(poll.poll(0))
+        return poll_socket(self.transport.get_extra_info("socket"), select.POLLRDHUP)
+
+    def is_idle(self):
+        """Return whether no request is in progress, being read or waiting unread."""
+        if self.exchange is not None or self.is_reading_head or self.is_reading_body:
+            return False
+        if self.is_lost or self.transport.is_closing():
+            return True
+        return not poll_socket(self.transport.get_extra_info("socket"), select.POLLIN)
 
     def handle_disconnect(self):
         """Cancel the requests of a caller that has disconnected."""
@@ -276,3 +282,14 @@
         raise BadRequestError(413, "body_too_large")
     if not request.target.startswith(b"/"):
         raise BadRequestError(400, "malformed_target")
+
+
+def poll_socket(sock, events):
+    """Return whether any of the polled events is pending on a socket.
+
+    :param sock: socket, or the stand-in of the event loop for one.
+    :param events: ``select.POLL...`` flags.
+    """
+    poll = select.poll()
+    poll.register(sock, events)
+    return bool(poll.poll(0))
--- a/catkinfork/forwarding/_exchange.py
+++ b/catkinfork/forwarding/_exchange.py
@@ -24,16 +24,10 @@
     build_request_event,
 )
 from catkinfork.forwarding._requests import build_job, encode_request
+from catkinfork.forwarding._timeouts import compute_read_timeout_s
 from catkinfork.topology import STREAMING, UNSAFE
 
 MISDIRECTED_REQUEST = 421
-# Read timeout of an attempt, after which a retryable request moves to another backend
-# server: a multiple of the latency aim of the route, with lower bounds in seconds.
-READ_TIMEOUT_PER_AIM = 3.0
-MIN_READ_TIMEOUT_S = 0.3
-MIN_STREAM_READ_TIMEOUT_S = 1.5
-# Read timeout within a response, as a multiple of the longest pause of the route.
-READ_TIMEOUT_PER_MAX_PAUSE = 4.0
 # Lag of the event loop above which the connection of a caller is checked before its
 # request is sent, seconds.
 CHECKED_LAG_S = 0.05
@@ -177,7 +171,7 @@
             self.job.deadline_at - now,
             last_event_id,
         )
-        self.read_timeout_at = now + self.compute_read_timeout()
+        self.restart_read_timeout(now)
         request_id = self.job.request_id.encode("latin-1")
         connection.send(self, request_id, data)
 
@@ -193,20 +187,10 @@
         self.on_caller_disconnected()
         self.caller.abort()
 
-    def compute_read_timeout(self):
-        """Return the read timeout of the current attempt, seconds."""
-        route = self.job.route
-        if not route.is_repeatable:
-            return float("inf")
-        if self.relay is not None and self.relay.is_started:
-            return max(
-                MIN_STREAM_READ_TIMEOUT_S,
-                READ_TIMEOUT_PER_MAX_PAUSE * route.max_event_gap_s,
-            )
-        minimum_s = (
-            MIN_STREAM_READ_TIMEOUT_S if route.kind == STREAMING else MIN_READ_TIMEOUT_S
-        )
-        return max(minimum_s, READ_TIMEOUT_PER_AIM * route.latency_target_s)
+    def restart_read_timeout(self, now):
+        """Count the read timeout of the current attempt from now."""
+        is_started = self.relay is not None and self.relay.is_started
+        self.read_timeout_at = now + compute_read_timeout_s(self.job.route, is_started)
 
     def on_head(self, head):
         names = self.server.names
@@ -280,7 +264,7 @@
         else:
             self.max_pause_s = max(self.max_pause_s, now - self.last_data_at)
         self.last_data_at = now
-        self.read_timeout_at = now + self.compute_read_timeout()
+        self.restart_read_timeout(now)
 
     def record_response_started(self):
         """Inform the balancer that the response has started."""
@@ -456,7 +440,7 @@
     def fail_over(self, now):
         """Abort a silent attempt if the request can be retried elsewhere."""
         if not self.is_awaiting_response or not self.can_retry(SILENT):
-            self.read_timeout_at = now + self.compute_read_timeout()
+            self.restart_read_timeout(now)
             return
         self.is_awaiting_response = False
         self.connection.abort()
--- a/catkinfork/forwarding/_server.py
+++ b/catkinfork/forwarding/_server.py
@@ -4,7 +4,7 @@
 import socket
 import time
 
-from catkinfork.forwarding._caller import CallerConnection
+from catkinfork.forwarding._caller import CallerConnection, poll_socket
 from catkinfork.forwarding._events import REQUEST_REJECTED
 from catkinfork.forwarding._exchange import Exchange
 from catkinfork.forwarding._lag import LagMonitor
@@ -92,9 +92,7 @@
         """Return whether connections wait to be accepted."""
         if not self.listeners:
             return False
-        poll = select.poll()
-        poll.register(self.listeners[0].sockets[0], select.POLLIN)
-        return bool(poll.poll(0))
+        return poll_socket(self.listeners[0].sockets[0], select.POLLIN)
 
     def close_listener(self):
         """Stop accepting connections."""
@@ -105,7 +103,7 @@
     def close_idle_callers(self):
         """Close connections without a request in progress."""
         for caller in list(self.callers):
-            if caller.exchange is None and not caller.is_reading_body:
+            if caller.is_idle():
                 caller.is_discarding = True
                 caller.transport.close()
 
--- a/catkinfork/forwarding/tests/test_overload.py
+++ b/catkinfork/forwarding/tests/test_overload.py
@@ -153,3 +153,32 @@
         assert int(backend.requests[0].headers["x-deadline-ms"]) <= 1400
 
     run_world(test)
+
+
+@pytest.mark.parametrize("n_bytes", [None, 30])
+def test_request_that_arrives_as_idle_connections_close_is_answered(n_bytes):
+    """Guards against a planned stop that cuts requests which were just accepted.
+
+    The request, or the first bytes of its head, have arrived but were not read.
+    """
+
+    async def test(world):
+        await world.start("plain", answer(body=b"whole"))
+        caller = await world.connect()
+        await caller.send("/order/")
+        assert (await caller.read()).status == 200
+        data = b"POST /order/ HTTP/1.1\r\nHost: site.example\r\nX-Request-Id: r2\r\n"
+        data += b"Authorization: Bearer key-of-a\r\nContent-Length: 0\r\n\r\n"
+        caller.writer.write(data[:n_bytes])
+        time.sleep(0.02)
+        world.server.is_draining = True
+        world.server.close_idle_callers()
+        if n_bytes is not None:
+            await anyio.sleep(0.05)
+            world.server.close_idle_callers()
+            caller.writer.write(data[n_bytes:])
+        reply = await caller.read()
+        assert (reply.status, reply.body) == (200, b"whole")
+        assert reply.headers["connection"] == "close"
+
+    run_world(test)
