Keep a server that has left out after a late answer of the store

It was added again, and its removal was never read.

Change: an unknown item is added only if it is newer than the state.

Measured: two new tests fail before and pass now; the second one also covers a process that restarts and reads its state from a peer.

--- a/catkinfork/topology/_state.py
+++ b/catkinfork/topology/_state.py
@@ -47,10 +47,22 @@
             self.remove_missing(changes, source, now, expires_at)
         for item in changes.items:
             known = self.items.get(item.key)
-            if known is None or item.revision > known.revision:
+            if known is None:
+                is_newer = item.value is None or self.may_add(item, changes)
+            else:
+                is_newer = item.revision > known.revision
+            if is_newer:
                 self.apply_item(item, source, now, expires_at)
         self.revision = max(self.revision, changes.revision)
 
+    def may_add(self, item, changes):
+        """Return whether an unknown item is new, rather than removed meanwhile.
+
+        The state at its revision includes all earlier changes. A slow answer of the
+        store may list an item whose removal was learned from a peer.
+        """
+        return changes.is_full or item.revision > self.revision
+
     def remove_missing(self, changes, source, now, expires_at):
         """Remove the items that a full snapshot does not contain."""
         listed = {item.key for item in changes.items}
--- a/catkinfork/topology/tests/test_state.py
+++ b/catkinfork/topology/tests/test_state.py
@@ -92,6 +92,44 @@
     assert not state.registry.list_ready("read")
 
 
+def test_late_change_does_not_restore_a_backend_server(state):
+    """Guards against a server that has left and is in use again.
+
+    A slow answer of the store arrives after a newer snapshot of a peer, which no longer
+    lists the server; its removal would not be read again.
+    """
+    apply(state, Item("b1", b"4", 5), Item("b2", b"4", 5), revision=5)
+    apply(state, Item("b2", b"4", 5), revision=9, is_full=True)
+    apply(state, Item("b1", b"5", 7), Item("b2", b"5", 7), revision=7)
+    assert [backend.name for backend in state.registry.list_ready("read")] == ["b2"]
+    apply(state, Item("b1", b"1", 10), revision=10)
+    assert len(state.registry.list_ready("read")) == 2
+
+
+def test_restarted_process_learns_nothing_that_was_withdrawn(state, events):
+    """Guards against a server that has left, or a withdrawn key, after a restart.
+
+    The server's removal is held back here, as its entry may have lapsed in an outage.
+    """
+    apply(state, Item("config", b"1", 1), Item("b1", b"4", 2), Item("b2", b"4", 2))
+    state.apply(
+        Changes([Item("b1", None, 3), Item("config", b"2", 3)], 3, False),
+        "test",
+        0.0,
+        9.0,
+    )
+    assert len(state.registry.list_ready("read")) == 2
+    restarted = TopologyState(
+        BackendRegistry(events.append), SampleDecoder(), lambda _: None, events.append
+    )
+    apply(restarted, *state.items.values(), revision=state.revision, is_full=True)
+    names = [backend.name for backend in restarted.registry.list_ready("read")]
+    assert (names, restarted.routes.version) == (["b2"], 2)
+    apply(restarted, Item("config", b"1", 1), Item("b1", b"4", 2), revision=2)
+    names = [backend.name for backend in restarted.registry.list_ready("read")]
+    assert (names, restarted.routes.version) == (["b2"], 2)
+
+
 def test_malformed_values_are_ignored_and_logged(state, events):
     """Guards against one malformed value that blocks the others."""
     apply(state, Item("config", b"3", 1), Item("b1", b"1", 2), Item("b2", b"1", 3))
