--- a/catkinfork/balancing/_models.py
+++ b/catkinfork/balancing/_models.py
@@ -29,6 +29,11 @@
 # priority, indexed by the number of peers that have such jobs queued. Any job may use
 # the remainder, so that no capacity idles while the peers learn of it.
 RESERVED_TOKEN_SHARES = (0.0, 0.25, 0.3, 0.35)
+# Additional fraction of the pending tokens for each further peer, and its limit. In a
+# large fleet, the forwarder with most requests of a workspace that has received much
+# service would otherwise fill the engines before the others see that room is free.
+RESERVED_TOKEN_SHARE_PER_PEER = 0.02
+MAX_RESERVED_TOKEN_SHARE = 0.6
 RESERVED_SLOT_SHARES = (0.0, 0.0625, 0.1, 0.125)
 # Fraction of a backend server's connections that requests may use, one each; the rest
 # covers idle connections and those that peers have opened but not yet reported.
@@ -107,9 +112,8 @@
         n_peers_ahead = min(rank.n_peers_ahead, len(RESERVED_SLOT_SHARES) - 1)
         n_slots = backend.entry.n_slots
         n_slots -= int(RESERVED_SLOT_SHARES[n_peers_ahead] * n_slots)
-        n_pending_limit = MAX_PENDING_TOKENS * (
-            1.0 - RESERVED_TOKEN_SHARES[n_peers_ahead]
-        )
+        reserved_share = compute_reserved_token_share(rank.n_peers_ahead)
+        n_pending_limit = MAX_PENDING_TOKENS * (1.0 - reserved_share)
         if load.n_all_in_flight >= min(n_slots, self.n_connections):
             return False
         n_claimed = n_missing_tokens
@@ -150,3 +154,16 @@
     if service.engine is None:
         return PlainLoadModel(data_centre, service)
     return EngineLoadModel(data_centre, service)
+
+
+def compute_reserved_token_share(n_peers_ahead):
+    """Return the fraction of the pending tokens reserved for jobs of higher priority.
+
+    :param n_peers_ahead: peers that have such jobs queued.
+    """
+    n_listed = len(RESERVED_TOKEN_SHARES)
+    if n_peers_ahead < n_listed:
+        return RESERVED_TOKEN_SHARES[n_peers_ahead]
+    share = RESERVED_TOKEN_SHARES[-1]
+    share += RESERVED_TOKEN_SHARE_PER_PEER * (n_peers_ahead - n_listed + 1)
+    return min(MAX_RESERVED_TOKEN_SHARE, share)
--- a/catkinfork/balancing/tests/test_fairness.py
+++ b/catkinfork/balancing/tests/test_fairness.py
@@ -3,6 +3,7 @@
 import pytest
 
 from catkinfork.balancing import LoadFigures
+from catkinfork.balancing._models import compute_reserved_token_share
 from catkinfork.balancing.tests.support import (
     PLAIN,
     build_balancer,
@@ -95,3 +96,15 @@
         if "a" in placed:
             break
     assert placed[0] == "a"
+
+
+def test_reserved_share_grows_with_the_peers_that_wait():
+    """Guards against a workspace that fills the engines of a large fleet.
+
+    Load pattern: one forwarder has most requests of the workspace with most service,
+    and requests of the others wait at many forwarders.
+    """
+    shares = [compute_reserved_token_share(n_peers) for n_peers in range(68)]
+    assert shares == sorted(shares)
+    assert shares[:4] == [0.0, 0.25, 0.3, 0.35]
+    assert 0.5 <= shares[20] <= shares[-1] <= 0.6
