--- a/catkinfork/forwarding/_exchange.py
+++ b/catkinfork/forwarding/_exchange.py
@@ -239,8 +239,13 @@
             self.record_response_started()
 
     def is_keep_alive(self):
-        """Return whether the connection of the caller accepts another request."""
-        if self.server.is_draining or self.request.version != "1.1":
+        """Return whether the connection of the caller accepts another request.
+
+        A host that is behind closes connections, so that its callers reach other hosts.
+        """
+        if self.server.is_draining or self.server.lag.is_behind:
+            return False
+        if self.request.version != "1.1":
             return False
         return self.request.is_keep_alive
 
--- a/catkinfork/forwarding/tests/test_overload.py
+++ b/catkinfork/forwarding/tests/test_overload.py
@@ -182,3 +182,19 @@
         assert reply.headers["connection"] == "close"
 
     run_world(test)
+
+
+@pytest.mark.parametrize(("is_behind", "connection"), [(True, "close"), (False, None)])
+def test_host_that_is_behind_hands_its_callers_over(is_behind, connection):
+    """Guards against callers that stay with an overloaded host on open connections.
+
+    Load pattern: half of all callers are dealt to one small host.
+    """
+
+    async def test(world):
+        await world.start("plain", answer())
+        world.server.lag.is_behind = is_behind
+        reply = await world.call("/read/")
+        assert (reply.status, reply.headers.get("connection")) == (200, connection)
+
+    run_world(test)
