--- a/catkinfork/balancing/tests/test_placement.py
+++ b/catkinfork/balancing/tests/test_placement.py
@@ -1,5 +1,7 @@
 """Tests of the choice of a backend server."""
 
+from random import Random
+
 import pytest
 
 from catkinfork.balancing import (
@@ -10,8 +12,10 @@
     UNREACHABLE,
     LoadFigures,
     Placement,
+    PromptPart,
     Refusal,
 )
+from catkinfork.balancing._models import QueueRank
 from catkinfork.balancing.tests.support import (
     PLAIN,
     Peers,
@@ -274,3 +278,46 @@
     balancer.dispatch_queued(0.0)
     loads = [balancer.pools["s"].find(name).load for name in ("b0", "b1")]
     assert min(load.n_in_flight for load in loads) >= 1
+
+
+@pytest.mark.parametrize("seed", range(20))
+def test_early_end_of_the_search_finds_the_lowest_cost(seed):
+    """Guards against a better backend server behind the end of the sorted search."""
+    rng = Random(seed)
+    balancer = build_balancer(n_backends=12)
+    pool = balancer.pools["s"]
+    for number in range(12):
+        load = pool.find(f"b{number}").load
+        figures = LoadFigures(rng.randrange(1, 30), rng.randrange(15_000), 0)
+        load.set_peer_load("peer", figures)
+        cached = [part for part in SHARED if rng.random() < 0.5]
+        load.prefixes.record_use([PromptPart(*part) for part in cached])
+    job = build_job(n_prompt=6000, parts=(*SHARED, (99, 1500)))
+    candidates = balancer.list_candidates(pool, 0.0)
+    best = candidates.choose(job, QueueRank(0, False))
+    model = pool.model
+    costs = [
+        entry.base_cost
+        + model.missing_token_weight
+        * model.estimate_missing_tokens(job, entry.state.load)
+        for entry in candidates.healthy
+    ]
+    assert best.cost == min(costs)
+
+
+def test_pass_over_a_long_queue_visits_few_backends():
+    """Guards against a pass whose cost is the product of queue and backend servers.
+
+    Load pattern: a flood at a host with 0.387 cores, 64 queued jobs and 25 engines.
+    """
+    balancer = build_balancer(n_backends=25, n_slots=1)
+    for _ in range(25):
+        submit(balancer, 0.0)
+    for _ in range(64):
+        submit(balancer, 0.0)
+    model = balancer.pools["s"].model
+    calls = []
+    estimate = model.estimate_base_cost
+    model.estimate_base_cost = lambda *args: calls.append(args) or estimate(*args)
+    balancer.dispatch_queued(0.1)
+    assert len(calls) == 25
