Limit the claim of a long prompt only where its workspace starves

Change: the limit holds for a workspace that has received less than half of the smaller one of its demand and the service of the best served workspace. The test of the long prompt stays as it is.

--- a/catkinfork/balancing/_balancer.py
+++ b/catkinfork/balancing/_balancer.py
@@ -187,8 +187,13 @@
         :returns: :class:`Placement`, or None if the job has to wait.
         """
         n_peers_ahead = pool.count_peers_ahead(priority)
-        is_first = not n_peers_ahead and pool.priority in (None, priority)
-        best = candidates.choose(job, QueueRank(n_peers_ahead, is_first))
+        is_starving = (
+            not n_peers_ahead
+            and pool.queue.n_jobs > 0
+            and pool.priority in (None, priority)
+            and pool.shares.is_underserved(job.workspace, now)
+        )
+        best = candidates.choose(job, QueueRank(n_peers_ahead, is_starving))
         if best is None:
             return None
         if not best.has_room:
--- a/catkinfork/balancing/_models.py
+++ b/catkinfork/balancing/_models.py
@@ -16,9 +16,9 @@
 MAX_PENDING_TOKENS = 15_000
 # Up to this number of pending tokens, an engine accepts a prompt of any length.
 MIN_PENDING_TOKENS = 4_000
-# Largest number of uncached tokens for which the prompt of the first job needs room.
-# Short prompts would otherwise take the room as it becomes free, and it would starve.
-MAX_FIRST_CLAIM_TOKENS = 2_500
+# Largest number of uncached tokens for which the prompt of a starving job needs room.
+# Short prompts would otherwise take the room as it becomes free.
+MAX_STARVING_CLAIM_TOKENS = 2_500
 # Fraction of an engine's memory that requests may use; above it, the engine preempts
 # requests.
 MAX_MEMORY_SHARE = 0.95
@@ -47,11 +47,12 @@
 
     :param n_peers_ahead: peers with a queued job of higher priority; a fraction of the
         capacity is reserved for them.
-    :param is_first: whether no job is known to have a higher priority.
+    :param is_starving: whether no job is known to have a higher priority, and its
+        workspace has received too little.
     """
 
     n_peers_ahead: int
-    is_first: bool
+    is_starving: bool
 
 
 class BaseLoadModel(ABC):
@@ -117,8 +118,8 @@
         if load.n_all_in_flight >= min(n_slots, self.n_connections):
             return False
         n_claimed = n_missing_tokens
-        if rank.is_first:
-            n_claimed = min(n_claimed, MAX_FIRST_CLAIM_TOKENS)
+        if rank.is_starving:
+            n_claimed = min(n_claimed, MAX_STARVING_CLAIM_TOKENS)
         n_pending = load.n_all_pending_tokens
         if n_pending > MIN_PENDING_TOKENS and n_pending + n_claimed > n_pending_limit:
             return False
--- a/catkinfork/balancing/_shares.py
+++ b/catkinfork/balancing/_shares.py
@@ -6,6 +6,9 @@
 from catkinfork.balancing._windows import DecayingSum
 
 LEVEL_UPDATE_INTERVAL_S = 0.2
+# Fraction of its demand, or of the service of the best served workspace, below which a
+# workspace is underserved.
+MIN_SERVICE_SHARE = 0.5
 # Lower bound of the fraction of a workspace's demand that arrives at one forwarder.
 MIN_LOCAL_SHARE = 0.01
 
@@ -82,6 +85,17 @@
         """Return the recent service of a workspace in tokens."""
         return self.find(workspace).received.read(now)
 
+    def is_underserved(self, workspace, now):
+        """Return whether a workspace receives far less than others.
+
+        The measure is the smaller one of its own demand and the service of the workspace
+        that has received most.
+        """
+        use = self.find(workspace)
+        most = max(other.received.read(now) for other in self.uses.values())
+        owed = min(use.demand.read(now), most)
+        return use.received.read(now) < MIN_SERVICE_SHARE * owed
+
     def update_level(self, tokens_per_s, now):
         """Recompute the fair share from demand and throughput.
 
