--- a/catkinfork/balancing/_balancer.py
+++ b/catkinfork/balancing/_balancer.py
@@ -187,11 +187,8 @@
         :returns: :class:`Placement`, or None if the job has to wait.
         """
         n_peers_ahead = pool.count_peers_ahead(priority)
-        is_starving = (
-            not n_peers_ahead
-            and pool.queue.n_jobs > 0
-            and pool.priority in (None, priority)
-            and pool.shares.is_underserved(job.workspace, now)
+        is_starving = pool.queue.n_jobs > 0 and pool.shares.is_underserved(
+            job.workspace, now
         )
         best = candidates.choose(job, QueueRank(n_peers_ahead, is_starving))
         if best is None:
--- a/catkinfork/balancing/_models.py
+++ b/catkinfork/balancing/_models.py
@@ -47,8 +47,7 @@
 
     :param n_peers_ahead: peers with a queued job of higher priority; a fraction of the
         capacity is reserved for them.
-    :param is_starving: whether no job is known to have a higher priority, and its
-        workspace has received too little.
+    :param is_starving: whether its workspace receives far less than others.
     """
 
     n_peers_ahead: int
--- a/catkinfork/balancing/_shares.py
+++ b/catkinfork/balancing/_shares.py
@@ -88,8 +88,8 @@
     def is_underserved(self, workspace, now):
         """Return whether a workspace receives far less than others.
 
-        The measure is the smaller one of its own demand and the service of the workspace
-        that has received most.
+        The measure is its own demand, or the service of the best served workspace if
+        that is smaller.
         """
         use = self.find(workspace)
         most = max(other.received.read(now) for other in self.uses.values())
