--- a/catkinfork/forwarding/_backend.py
+++ b/catkinfork/forwarding/_backend.py
@@ -191,7 +191,10 @@
         n_bytes = None
         if length is not None and not is_chunked and length.isdigit():
             n_bytes = int(length)
-        head = ResponseHead(status, self.reason, tuple(self.headers), n_bytes)
+        framing = "chunked" if is_chunked else "length"
+        if self.is_delimited_by_close:
+            framing = "close"
+        head = ResponseHead(status, self.reason, tuple(self.headers), n_bytes, framing)
         self.listener.on_head(head)
 
     def is_for_other_request(self):
--- a/catkinfork/forwarding/_exchange.py
+++ b/catkinfork/forwarding/_exchange.py
@@ -63,6 +63,7 @@
         self.last_data_at = None
         self.max_pause_s = 0.0
         self.status = 0
+        self.framing = ""
 
     def start(self):
         """Route the request and submit it to the balancer."""
@@ -160,6 +161,7 @@
             return
         self.connection = connection
         self.is_awaiting_response = True
+        self.framing = ""
         last_event_id = None
         if isinstance(self.relay, ResumableStreamRelay) and self.relay.last_event_id:
             last_event_id = self.relay.last_event_id
@@ -194,6 +196,7 @@
 
     def on_head(self, head):
         names = self.server.names
+        self.framing = head.framing
         if (
             head.status == MISDIRECTED_REQUEST
             or head.find_header(names.not_run) is not None
--- a/catkinfork/forwarding/_messages.py
+++ b/catkinfork/forwarding/_messages.py
@@ -77,12 +77,14 @@
     :param reason: reason phrase.
     :param headers: pairs of lowercase name and value, in the order received.
     :param n_bytes: length of the body according to ``Content-Length``, or None.
+    :param framing: how the body is delimited: ``length``, ``chunked`` or ``close``.
     """
 
     status: int
     reason: bytes
     headers: tuple
     n_bytes: int | None
+    framing: str
 
     def find_header(self, name):
         """Return the value of a header, or None."""
