Treat a stream that ends inside an event as broken off

Cause: the end of a connection without a length or chunks is the end of the response, and EventStreamRelay, used for streams that cannot be resumed, ended the caller's response whatever had arrived. Its resumable sibling checked the last event. Class of fault: the framing of the transport taken as proof that the content is complete. Change: both relays share one check at the end: the last event must be whole, and a stream whose only end is that of its connection must have had an event. Elsewhere: the engine client of routers and agents requires the end marker [DONE]; bodies that are no streams have no inner end that could be checked.

--- a/catkinfork/forwarding/_relay.py
+++ b/catkinfork/forwarding/_relay.py
@@ -15,6 +15,9 @@
 MAX_EVENT_BYTES = 1 << 18
 CHUNKED = b"transfer-encoding: chunked"
 EVENT_STREAM = b"text/event-stream"
+# An event ends with an empty line; lines end with LF, CRLF or CR.
+EVENT_SEPARATORS = (b"\n\n", b"\n\r\n", b"\r\r")
+MAX_SEPARATOR_BYTES = 3
 
 
 class OversizedEventError(Exception):
@@ -117,19 +120,57 @@
         return True
 
 
-class EventStreamRelay(BaseRelay):
+class BaseStreamRelay(BaseRelay):
+    """Relays an event stream.
+
+    A stream that ends inside an event is incomplete, whatever its framing: a backend
+    server that crashes may end its response as if it were complete. The same holds for
+    one without any event whose only end is that of its connection.
+    """
+
+    def __init__(self, caller, is_closing, is_chunked):
+        super().__init__(caller, is_closing, is_chunked)
+        self.framing = ""
+        self.has_event = False
+
+    def handle_head(self, head):
+        super().handle_head(head)
+        self.framing = head.framing
+        self.has_event = False
+
+    @abstractmethod
+    def is_inside_event(self):
+        """Return whether the data of the current attempt ends inside an event."""
+
+    def handle_end(self):
+        if self.is_inside_event():
+            return False
+        if self.framing == "close" and not self.has_event:
+            return False
+        self.write_end()
+        return True
+
+
+class EventStreamRelay(BaseStreamRelay):
     """Relays an event stream without buffering."""
 
+    def __init__(self, caller, is_closing, is_chunked):
+        super().__init__(caller, is_closing, is_chunked)
+        self.last_bytes = b""
+
     def handle_data(self, data):
+        self.has_event = True
+        self.last_bytes = (self.last_bytes + data[-MAX_SEPARATOR_BYTES:])[
+            -MAX_SEPARATOR_BYTES:
+        ]
         self.write(data)
         return True
 
-    def handle_end(self):
-        self.write_end()
-        return True
+    def is_inside_event(self):
+        return bool(self.last_bytes) and not self.last_bytes.endswith(EVENT_SEPARATORS)
 
 
-class ResumableStreamRelay(BaseRelay):
+class ResumableStreamRelay(BaseStreamRelay):
     """Relays an event stream that can be resumed on another backend server.
 
     Only complete events are sent to the caller, so that the stream can be resumed after
@@ -159,6 +200,7 @@
             raise OversizedEventError
         if not end:
             return False
+        self.has_event = True
         events = data[:end]
         if self.is_resumed:
             events = self.drop_delivered(events)
@@ -184,11 +226,8 @@
                 remaining.append(event)
         return b"".join(remaining)
 
-    def handle_end(self):
-        if self.partial_event:
-            return False
-        self.write_end()
-        return True
+    def is_inside_event(self):
+        return bool(self.partial_event)
 
 
 def build_relay(exchange, head):
