--- a/catkinfork/balancing/_balancer.py
+++ b/catkinfork/balancing/_balancer.py
@@ -4,6 +4,7 @@
 from catkinfork.balancing._changes import ChangeSet
 from catkinfork.balancing._events import (
     BACKEND_LEFT_OUT,
+    CRASH_RECORDED,
     REQUEST_BLOCKED,
 )
 from catkinfork.balancing._jobs import (
@@ -323,8 +324,7 @@
             if self.suspects.clear(job.fingerprint):
                 self.changes.suspects[job.fingerprint] = 0
         if outcome == BROKEN:
-            n_crashes = self.suspects.record_crash(job.fingerprint, now)
-            self.changes.suspects[job.fingerprint] = n_crashes
+            self.record_crash(job, backend, now)
         if outcome not in (REJECTED, UNREACHABLE):
             job.n_runs += 1
         pool.health.record_outcome(outcome)
@@ -343,6 +343,22 @@
                 )
             )
 
+    def record_crash(self, job, backend, now):
+        """Count an attempt whose connection was lost."""
+        n_crashes = self.suspects.record_crash(job.fingerprint, now)
+        self.changes.suspects[job.fingerprint] = n_crashes
+        self.write_log(
+            log_event(
+                CRASH_RECORDED,
+                request_id=job.request_id,
+                backend_server=backend.name,
+                workspace=job.workspace,
+                fingerprint=f"{job.fingerprint:016x}",
+                n_crashes=n_crashes,
+                parts=",".join(f"{part.name:x}" for part in job.parts),
+            )
+        )
+
     def allows_retry(self, placement, outcome, now):
         """Return whether a job may be retried at another backend server.
 
--- a/catkinfork/balancing/_events.py
+++ b/catkinfork/balancing/_events.py
@@ -24,5 +24,19 @@
     "a request is refused because its fingerprint has crashed backend servers",
     ("request_id", "workspace", "fingerprint", "max_crashes"),
 )
+CRASH_RECORDED = Event(
+    902,
+    "info",
+    "crash_recorded",
+    "the connection of an attempt was lost; crashes are counted by request",
+    (
+        "request_id",
+        "backend_server",
+        "workspace",
+        "fingerprint",
+        "n_crashes",
+        "parts",
+    ),
+)
 
-EVENTS = (BACKEND_LEFT_OUT, REQUEST_BLOCKED)
+EVENTS = (BACKEND_LEFT_OUT, REQUEST_BLOCKED, CRASH_RECORDED)
