--- /dev/null
+++ b/catkinfork/balancing/tests/test_crashes.py
@@ -0,0 +1,141 @@
+"""Requests that crash the backend servers that run them."""
+
+import pytest
+
+from catkinfork.balancing import BROKEN, SUSPECT, Placement, Refusal
+from catkinfork.balancing.tests.support import (
+    add_backend,
+    build_balancer,
+    build_job,
+    serve,
+)
+
+SHARED = 0xA
+CRASHING = 0xC
+
+
+class Fleet:
+    """A balancer whose backend servers crash on one prompt part.
+
+    A crashed backend server is replaced by a new one.
+    """
+
+    def __init__(self):
+        self.balancer = build_balancer(n_backends=5)
+        self.n_requests = 0
+        self.n_crashes = 0
+        self.now = 0.0
+
+    def submit(self, *names, **options):
+        """Submit a request with parts of its own kind and an own last part."""
+        self.n_requests += 1
+        self.now += 0.1
+        parts = [(name, 100) for name in (*names, 1_000_000 + self.n_requests)]
+        options = {"fingerprint": self.n_requests} | options
+        job = build_job(self.now, parts=parts, **options)
+        return self.balancer.submit(job, self.now)
+
+    def serve(self, *names, **options):
+        """Submit a request and complete it; return whether it was served."""
+        decision = self.submit(*names, **options)
+        if isinstance(decision, Placement):
+            serve(self.balancer, decision, self.now)
+        return isinstance(decision, Placement)
+
+    def crash(self, placement, others=()):
+        """End a backend server with an attempt, and others that run there."""
+        self.n_crashes += 1
+        for one in (placement, *others):
+            self.balancer.handle_attempt_end(one, BROKEN, self.now)
+        name = placement.backend.name
+        self.balancer.registry.remove(name, self.now, self.now)
+        add_backend(self.balancer, f"{name}x")
+
+    def send_crashing(self, n_requests, *names):
+        """Submit requests with the crashing part, no two alike."""
+        for _ in range(n_requests):
+            decision = self.submit(*names, CRASHING)
+            if isinstance(decision, Placement):
+                self.crash(decision)
+
+
+def test_requests_with_a_crashing_part_are_refused():
+    """Guards against requests, no two alike, that crash one engine after the other."""
+    fleet = Fleet()
+    fleet.send_crashing(12, SHARED)
+    assert fleet.n_crashes <= 5
+    refusal = fleet.submit(SHARED, CRASHING)
+    assert isinstance(refusal, Refusal)
+    assert refusal.reason == SUSPECT
+
+
+def test_requests_that_share_other_parts_are_served():
+    """Guards against a refusal of sound requests of the same caller or first part."""
+    fleet = Fleet()
+    assert fleet.serve(SHARED, 0xB)
+    fleet.send_crashing(12, SHARED)
+    assert all(fleet.serve(SHARED, 0xB) for _ in range(20))
+    assert all(fleet.serve(SHARED, 0xD0 + number) for number in range(20))
+
+
+def test_part_that_was_used_before_is_refused():
+    """Guards against a part that crashes engines after it has been served for long."""
+    fleet = Fleet()
+    assert all(fleet.serve(SHARED, CRASHING) for _ in range(5))
+    for _ in range(12):
+        fleet.send_crashing(1, SHARED)
+        fleet.serve(SHARED, 0xB)
+    assert fleet.n_crashes <= 5
+
+
+def test_requests_that_run_beside_a_crash_are_not_blamed():
+    """Guards against a refusal of requests that were lost with a crashing one."""
+    fleet = Fleet()
+    for _ in range(8):
+        bystander = fleet.submit(SHARED, 0xB)
+        assert isinstance(bystander, Placement)
+        crashing = fleet.submit(SHARED, CRASHING)
+        if isinstance(crashing, Placement):
+            fleet.crash(crashing, [bystander])
+        else:
+            serve(fleet.balancer, bystander, fleet.now)
+        fleet.serve(SHARED, 0xE)
+    assert fleet.n_crashes <= 5
+    assert fleet.serve(SHARED, 0xB)
+
+
+def test_last_part_is_not_blamed():
+    """Guards against a session that is refused although its part is its own."""
+    fleet = Fleet()
+    for _ in range(6):
+        decision = fleet.balancer.submit(
+            build_job(fleet.now, parts=[(0xF, 100)], fingerprint=fleet.n_crashes),
+            fleet.now,
+        )
+        assert isinstance(decision, Placement)
+        fleet.crash(decision)
+
+
+@pytest.mark.parametrize("n_crashes", [1, 2])
+def test_few_crashes_are_no_proof(n_crashes):
+    """Guards against a refusal after connections that were lost for other reasons."""
+    fleet = Fleet()
+    for _ in range(n_crashes):
+        fleet.crash(fleet.submit(SHARED, 0xB))
+    assert fleet.serve(SHARED, 0xB)
+
+
+def test_waiting_requests_with_a_crashing_part_are_refused():
+    """Guards against queued requests that are placed after their part is known."""
+    fleet = Fleet()
+    crashing = [fleet.submit(SHARED, CRASHING) for _ in range(3)]
+    while fleet.submit(SHARED, 0xB, n_prompt=9000) is not None:
+        pass
+    assert fleet.submit(SHARED, CRASHING) is None
+    for placement in crashing:
+        fleet.crash(placement)
+    decisions = {
+        job.fingerprint: decision
+        for job, decision in fleet.balancer.dispatch_queued(fleet.now)
+    }
+    assert decisions[fleet.n_requests].reason == SUSPECT
