Refuse prompt parts that crash the engines that run them

Cause: crashes were counted by a fingerprint of body, path and workspace. The requests share one prompt part and nothing else, so no fingerprint reached three crashes. Class of fault: a cause looked for in the identity of a request instead of in what requests have in common. Change: crashes are counted by prompt part (never the last) and crashed backend server, over all forwarders. A request is blamed only if it had not begun to generate 0.5 s before. A served request clears its parts of the crashes before its start. A part that was never served is refused after three crashed backend servers, and explains the crashes of parts that are lost with it; one that was served before is refused after five. Queued requests are checked too; after 120 to 240 s without a crash one request is let through.

--- a/catkinfork/balancing/__init__.py
+++ b/catkinfork/balancing/__init__.py
@@ -2,6 +2,7 @@
 
 from catkinfork.balancing._balancer import Balancer
 from catkinfork.balancing._events import EVENTS
+from catkinfork.balancing._hashes import hash_name
 from catkinfork.balancing._jobs import (
     ABANDONED,
     BROKEN,
@@ -22,6 +23,7 @@
 )
 from catkinfork.balancing._loads import LoadFigures
 from catkinfork.balancing._settings import BalancerSettings, RetryBudgetSettings
+from catkinfork.balancing._suspect_parts import PartCrash
 
 __all__ = [
     "ABANDONED",
@@ -41,8 +43,10 @@
     "BalancerSettings",
     "Job",
     "LoadFigures",
+    "PartCrash",
     "Placement",
     "PromptPart",
     "Refusal",
     "RetryBudgetSettings",
+    "hash_name",
 ]
--- a/catkinfork/balancing/_balancer.py
+++ b/catkinfork/balancing/_balancer.py
@@ -7,6 +7,7 @@
     CRASH_RECORDED,
     REQUEST_BLOCKED,
 )
+from catkinfork.balancing._hashes import hash_name
 from catkinfork.balancing._jobs import (
     ABANDONED,
     BROKEN,
@@ -25,7 +26,8 @@
 from catkinfork.balancing._pool import ServicePool
 from catkinfork.balancing._retries import is_retryable
 from catkinfork.balancing._slow_start import compute_interval_s
-from catkinfork.balancing._suspects import MAX_CRASHES, SuspectTable
+from catkinfork.balancing._suspect_parts import PartCrash, SuspectPartTable
+from catkinfork.balancing._suspects import SuspectTable
 from catkinfork.balancing._waits import estimate_wait, list_infeasible
 from catkinfork.observability import log_event
 
@@ -41,6 +43,9 @@
 MAX_RETRY_AFTER_S = 5.0
 NO_BACKEND_RETRY_AFTER_S = 0.5
 SUSPECT_RETRY_AFTER_S = 30.0
+# Time after its first event from which a request is not blamed for a crash, seconds:
+# those that crash an engine do so as it begins to generate.
+MAX_CRASH_ONSET_S = 0.5
 # Maximum relative jitter of Retry-After, which keeps callers from retrying in step.
 RETRY_JITTER = 0.5
 
@@ -65,6 +70,7 @@
         self.write_log = write_log
         self.pools = {}
         self.suspects = SuspectTable()
+        self.suspect_parts = SuspectPartTable(rng, write_log)
         self.changes = ChangeSet()
         self.tokens_per_s = 0.0
         self.workspaces = ()
@@ -102,19 +108,24 @@
         self.changes.services.add(job.service)
         pool.shares.record_demand(job.workspace, job.n_service_tokens, now)
         self.changes.workspaces.add((job.service, job.workspace))
-        if self.suspects.is_blocked(job.fingerprint, now):
-            return self.refuse_suspect(job)
-        return self.admit(pool, job, now)
+        return self.check_suspect(job, now) or self.admit(pool, job, now)
+
+    def check_suspect(self, job, now):
+        """Return a refusal if a request would crash the backend server that runs it.
 
-    def refuse_suspect(self, job):
-        """Refuse a request whose fingerprint has crashed backend servers."""
+        It, or others that share a part of its prompt, have crashed several.
+        """
+        is_blocked = self.suspects.is_blocked(job.fingerprint, now)
+        part = self.suspect_parts.find_refused(job.shared_parts, now)
+        if not is_blocked and part is None:
+            return None
         self.write_log(
             log_event(
                 REQUEST_BLOCKED,
                 request_id=job.request_id,
                 workspace=job.workspace,
                 fingerprint=f"{job.fingerprint:016x}",
-                max_crashes=MAX_CRASHES,
+                part="" if part is None else f"{part:x}",
             )
         )
         return Refusal(SUSPECT, SUSPECT_RETRY_AFTER_S)
@@ -125,8 +136,9 @@
         :returns: as :meth:`submit`.
         """
         pool = self.pools[job.service]
-        if self.suspects.is_blocked(job.fingerprint, now):
-            return self.refuse_suspect(job)
+        refusal = self.check_suspect(job, now)
+        if refusal is not None:
+            return refusal
         if not self.has_retry_budget(pool, now):
             return Refusal(NO_RETRY, self.add_jitter(MIN_RETRY_AFTER_S * 5))
         return self.admit(pool, job, now)
@@ -248,10 +260,23 @@
         for pool in self.pools.values():
             if pool.queue.n_jobs:
                 pool.shares.update_level(self.tokens_per_s, now)
+                decisions += self.remove_suspect_jobs(pool, now)
                 decisions += self.remove_expired_jobs(pool, now)
                 decisions += self.place_waiting(pool, now)
         return decisions
 
+    def remove_suspect_jobs(self, pool, now):
+        """Remove and refuse queued jobs with a part that has become known to crash."""
+        if not self.suspect_parts.has_refused(now):
+            return []
+        decisions = []
+        for _, job in pool.queue.list_by_priority(now):
+            refusal = self.check_suspect(job, now)
+            if refusal is not None:
+                pool.queue.remove(job)
+                decisions.append((job, refusal))
+        return decisions
+
     def remove_expired_jobs(self, pool, now):
         """Remove and refuse queued jobs that can no longer meet their deadline."""
         decisions = []
@@ -295,6 +320,7 @@
         pool.first_event_durations.record_duration(
             placement.job.route, now - placement.placed_at
         )
+        placement.first_event_at = now
         pool.find(placement.backend.name).load.record_first_event(placement)
         self.changes.backends.add((placement.job.service, placement.backend.name))
 
@@ -323,8 +349,9 @@
             pool.durations.record_duration(job.route, now - placement.placed_at)
             if self.suspects.clear(job.fingerprint):
                 self.changes.suspects[job.fingerprint] = 0
+            self.clear_parts(placement)
         if outcome == BROKEN:
-            self.record_crash(job, backend, now)
+            self.record_crash(placement, now)
         if outcome not in (REJECTED, UNREACHABLE):
             job.n_runs += 1
         pool.health.record_outcome(outcome)
@@ -343,10 +370,28 @@
                 )
             )
 
-    def record_crash(self, job, backend, now):
+    def clear_parts(self, placement):
+        """Clear the prompt parts of a request that was served."""
+        started_at = placement.first_event_at or placement.placed_at
+        parts = placement.job.shared_parts
+        for crash in self.suspect_parts.record_served(parts, started_at):
+            self.changes.part_crashes[crash] = True
+
+    def record_crash(self, placement, now):
         """Count an attempt whose connection was lost."""
+        job = placement.job
+        backend = placement.backend
         n_crashes = self.suspects.record_crash(job.fingerprint, now)
         self.changes.suspects[job.fingerprint] = n_crashes
+        first_event_at = placement.first_event_at
+        is_running = first_event_at is not None
+        if not is_running or now - first_event_at < MAX_CRASH_ONSET_S:
+            # A backend server may start again under its name.
+            crashed = hash_name(f"{backend.name}/{backend.entry.started_ms}")
+            for part in job.shared_parts:
+                crash = PartCrash(part, crashed)
+                self.suspect_parts.record_crash(crash, now)
+                self.changes.part_crashes[crash] = False
         self.write_log(
             log_event(
                 CRASH_RECORDED,
@@ -359,6 +404,26 @@
             )
         )
 
+    def apply_peer_part_crash(self, crash, is_cleared, now):
+        """Apply a crash of a prompt part that a peer has seen or cleared.
+
+        :param crash: :class:`PartCrash`.
+        """
+        if is_cleared:
+            self.suspect_parts.clear(crash)
+        elif crash in self.suspect_parts.cleared:
+            self.changes.part_crashes[crash] = True
+        else:
+            self.suspect_parts.record_crash(crash, now)
+
+    def repeat_part_crashes(self):
+        """Add the crashes of refused prompt parts to the next frames.
+
+        A forwarder that has started, or has lost a frame, learns of them.
+        """
+        for crash in self.suspect_parts.list_refused_crashes():
+            self.changes.part_crashes.setdefault(crash, False)
+
     def allows_retry(self, placement, outcome, now):
         """Return whether a job may be retried at another backend server.
 
--- a/catkinfork/balancing/_events.py
+++ b/catkinfork/balancing/_events.py
@@ -21,8 +21,9 @@
     901,
     "warning",
     "request_blocked",
-    "a request is refused because its fingerprint has crashed backend servers",
-    ("request_id", "workspace", "fingerprint", "max_crashes"),
+    "a request is refused because it, or others with the same prompt part, have "
+    "crashed backend servers",
+    ("request_id", "workspace", "fingerprint", "part"),
 )
 CRASH_RECORDED = Event(
     902,
@@ -39,4 +40,13 @@
     ),
 )
 
-EVENTS = (BACKEND_LEFT_OUT, REQUEST_BLOCKED, CRASH_RECORDED)
+PART_REFUSED = Event(
+    903,
+    "warning",
+    "part_refused",
+    "requests with a prompt part are refused, or served again, after crashes of "
+    "backend servers that ran such requests",
+    ("part", "is_refused", "n_crashes", "was_served"),
+)
+
+EVENTS = (BACKEND_LEFT_OUT, REQUEST_BLOCKED, CRASH_RECORDED, PART_REFUSED)
--- a/catkinfork/balancing/_jobs.py
+++ b/catkinfork/balancing/_jobs.py
@@ -68,6 +68,11 @@
         """Return the requested service tokens; a generated token counts twice."""
         return self.n_prompt_tokens + 2 * self.n_output_tokens
 
+    @property
+    def shared_parts(self):
+        """Return the ids of the parts of its prompt that other requests may have."""
+        return [part.name for part in self.parts[:-1]]
+
 
 class Placement:
     """One attempt of a job at a backend server.
@@ -81,6 +86,7 @@
     __slots__ = (
         "backend",
         "cost",
+        "first_event_at",
         "has_first_event",
         "has_ended",
         "job",
@@ -95,6 +101,7 @@
         self.backend = backend
         self.n_missing_tokens = n_missing_tokens
         self.placed_at = placed_at
+        self.first_event_at = None
         self.has_first_event = False
         self.has_ended = False
         self.cost = 0.0
--- /dev/null
+++ b/catkinfork/balancing/_suspect_parts.py
@@ -0,0 +1,236 @@
+"""Detection of prompt parts that crash the engines that generate an answer on them.
+
+Load pattern: requests that share one prompt part, and otherwise have nothing in common,
+arrive at all forwarders and crash every engine that runs them. Each crash also ends the
+sound requests that run there, and those share other parts with the crashing requests.
+"""
+
+from collections import OrderedDict
+from typing import NamedTuple
+
+from catkinfork.balancing._events import PART_REFUSED
+from catkinfork.observability import log_event
+
+# Crashed backend servers after which a part that was never served is refused.
+MAX_CRASHES = 3
+# The same for a part that has been served before. It is more likely to have been lost
+# with others.
+MAX_CRASHES_SERVED = 5
+# Time for which a crash counts against a part that is not refused, seconds.
+CRASH_TTL_S = 60.0
+# Time after the last crash until one request with a refused part is let through,
+# seconds; up to twice as long, so that the forwarders do not all try at once.
+PROBE_INTERVAL_S = 120.0
+MAX_SUSPECT_PARTS = 1024
+MAX_SERVED_PARTS = 8192
+MAX_CLEARED_CRASHES = 1024
+
+
+class PartCrash(NamedTuple):
+    """A crash counted against a prompt part.
+
+    :param part: id of the part.
+    :param backend: hash of the backend server that crashed.
+    """
+
+    part: int
+    backend: int
+
+
+class SuspectPart:
+    """Crashes that a prompt part may have caused.
+
+    ``crashed_at`` has the monotonic time at which each crashed backend server was
+    learned of, by its hash.
+    """
+
+    __slots__ = ("crashed_at", "probe_at")
+
+    def __init__(self):
+        self.crashed_at = {}
+        self.probe_at = 0.0
+
+    @property
+    def n_crashes(self):
+        """Return the number of crashed backend servers."""
+        return len(self.crashed_at)
+
+    def is_explained_by(self, other):
+        """Return whether another part may have caused all of the crashes."""
+        return self.crashed_at.keys() <= other.crashed_at.keys()
+
+
+class SuspectPartTable:
+    """Crashes by prompt part, known at this forwarder or told by its peers.
+
+    A request that is served clears its parts of the crashes before its start: a part
+    that crashes engines crashes each one. Of the remaining parts, one that was never
+    served and explains the crashes of the others is refused in their place.
+
+    :param rng: ``random.Random``.
+    :param write_log: callable that takes a :class:`LogEvent`.
+    """
+
+    def __init__(self, rng, write_log):
+        self.rng = rng
+        self.write_log = write_log
+        self.suspects = OrderedDict()
+        self.served = OrderedDict()
+        self.cleared = OrderedDict()
+        self.refused = set()
+        self.is_outdated = False
+
+    def record_crash(self, crash, now):
+        """Count a crash against a part, unless it was cleared.
+
+        :param crash: :class:`PartCrash`.
+        """
+        if crash in self.cleared:
+            return
+        suspect = self.suspects.get(crash.part)
+        if suspect is None:
+            suspect = self.suspects[crash.part] = SuspectPart()
+            self.limit_suspects()
+        if crash.backend in suspect.crashed_at:
+            return
+        suspect.crashed_at[crash.backend] = now
+        suspect.probe_at = now + PROBE_INTERVAL_S * (1.0 + self.rng.random())
+        self.is_outdated = True
+
+    def limit_suspects(self):
+        """Remove the oldest part that is not refused if there are too many."""
+        if len(self.suspects) <= MAX_SUSPECT_PARTS:
+            return
+        for part in self.suspects:
+            if part not in self.refused:
+                break
+        del self.suspects[part]
+        self.refused.discard(part)
+
+    def record_served(self, parts, started_at):
+        """Clear the parts of a request that was served.
+
+        :param started_at: monotonic time at which its response began.
+        :returns: list of :class:`PartCrash` that no longer count.
+        """
+        cleared = []
+        for part in parts:
+            self.served[part] = None
+            self.served.move_to_end(part)
+            suspect = self.suspects.get(part)
+            if suspect is not None:
+                cleared += [
+                    PartCrash(part, backend)
+                    for backend, crashed_at in suspect.crashed_at.items()
+                    if crashed_at < started_at
+                ]
+        while len(self.served) > MAX_SERVED_PARTS:
+            self.served.popitem(last=False)
+        for crash in cleared:
+            self.clear(crash)
+        return cleared
+
+    def clear(self, crash):
+        """Remove a crash that the part has not caused.
+
+        :param crash: :class:`PartCrash`.
+        """
+        self.cleared[crash] = None
+        if len(self.cleared) > MAX_CLEARED_CRASHES:
+            self.cleared.popitem(last=False)
+        suspect = self.suspects.get(crash.part)
+        if suspect is None or suspect.crashed_at.pop(crash.backend, None) is None:
+            return
+        if not suspect.crashed_at:
+            del self.suspects[crash.part]
+        self.is_outdated = True
+
+    def find_refused(self, parts, now):
+        """Return the first of some parts that is refused, or None.
+
+        One request is let through as a probe once no crash was learned of for long.
+
+        :param parts: ids of parts.
+        """
+        if not self.has_refused(now):
+            return None
+        for part in parts:
+            if part in self.refused and not self.allows_probe(part, now):
+                return part
+        return None
+
+    def has_refused(self, now):
+        """Return whether any part is refused."""
+        if self.is_outdated:
+            self.update_refused(now)
+        return bool(self.refused)
+
+    def allows_probe(self, part, now):
+        """Return whether a request with a refused part is let through now."""
+        suspect = self.suspects[part]
+        if now < suspect.probe_at:
+            return False
+        suspect.probe_at = now + PROBE_INTERVAL_S * (1.0 + self.rng.random())
+        return True
+
+    def update_refused(self, now):
+        """Determine the parts that are refused."""
+        self.is_outdated = False
+        self.remove_expired(now)
+        unserved = {
+            part: suspect
+            for part, suspect in self.suspects.items()
+            if part not in self.served and suspect.n_crashes >= MAX_CRASHES
+        }
+        refused = {
+            part
+            for part, suspect in unserved.items()
+            if not any(
+                suspect.n_crashes < other.n_crashes and suspect.is_explained_by(other)
+                for other in unserved.values()
+            )
+        }
+        causes = [unserved[part] for part in refused]
+        refused |= {
+            part
+            for part, suspect in self.suspects.items()
+            if suspect.n_crashes >= MAX_CRASHES_SERVED
+            and part not in unserved
+            and not any(suspect.is_explained_by(cause) for cause in causes)
+        }
+        for part in refused ^ self.refused:
+            self.log_change(part, part in refused)
+        self.refused = refused
+
+    def log_change(self, part, is_refused):
+        """Log that a part is refused, or served again."""
+        suspect = self.suspects.get(part)
+        self.write_log(
+            log_event(
+                PART_REFUSED,
+                part=f"{part:x}",
+                is_refused=is_refused,
+                n_crashes=suspect.n_crashes if suspect is not None else 0,
+                was_served=part in self.served,
+            )
+        )
+
+    def list_refused_crashes(self):
+        """Return the :class:`PartCrash` entries of the refused parts."""
+        return [
+            PartCrash(part, backend)
+            for part in self.refused
+            if part in self.suspects
+            for backend in self.suspects[part].crashed_at
+        ]
+
+    def remove_expired(self, now):
+        """Remove old crashes of parts that are not refused."""
+        for part, suspect in list(self.suspects.items()):
+            if part in self.refused:
+                continue
+            for backend, crashed_at in list(suspect.crashed_at.items()):
+                if now - crashed_at > CRASH_TTL_S:
+                    del suspect.crashed_at[backend]
+            if not suspect.crashed_at:
+                del self.suspects[part]
--- a/catkinfork/peering/_frames.py
+++ b/catkinfork/peering/_frames.py
@@ -1,6 +1,5 @@
 """Datagram format of the state exchange between forwarders."""
 
-from hashlib import blake2b
 from typing import NamedTuple
 
 import msgspec
@@ -60,6 +59,18 @@
     n_crashes: int
 
 
+class PartCrashEntry(NamedTuple):
+    """A crash that is counted against a prompt part.
+
+    :param backend: hash of the backend server that crashed.
+    :param is_cleared: whether a request with the part was served since.
+    """
+
+    part: int
+    backend: int
+    is_cleared: bool
+
+
 class Frame(msgspec.Struct, array_like=True):
     """State of one forwarder for its peers.
 
@@ -90,6 +101,7 @@
     parts: list[PartEntry] = []
     suspects: list[SuspectEntry] = []
     turns: list[PriorityEntry] = []
+    part_crashes: list[PartCrashEntry] = []
 
 
 _ENCODER = msgspec.msgpack.Encoder()
@@ -107,8 +119,3 @@
         return _DECODER.decode(data)
     except msgspec.DecodeError:
         return None
-
-
-def hash_name(name):
-    """Return the 32-bit hash that represents a name in frames."""
-    return int.from_bytes(blake2b(name.encode(), digest_size=4).digest(), "big")
--- a/catkinfork/peering/_state.py
+++ b/catkinfork/peering/_state.py
@@ -1,19 +1,19 @@
 """State exchange between the balancers of the forwarders."""
 
-from catkinfork.balancing import LoadFigures, PromptPart
+from catkinfork.balancing import LoadFigures, PartCrash, PromptPart, hash_name
 from catkinfork.observability import log_event
 from catkinfork.peering._events import PEER_LOST, PEER_REGAINED
 from catkinfork.peering._frames import (
     MAX_FRAME_BYTES,
     Frame,
     LoadEntry,
+    PartCrashEntry,
     PartEntry,
     PriorityEntry,
     RetryEntry,
     SuspectEntry,
     UsageEntry,
     encode_frame,
-    hash_name,
 )
 
 # Limit of datagrams from one forwarder to all peers together.
@@ -24,6 +24,8 @@
 # Interval at which all totals are sent again, since datagrams may be lost.
 REFRESH_INTERVAL_S = 1.0
 MAX_PARTS_PER_FRAME = 40
+# Crashes of prompt parts in one frame; the others follow in the next ones.
+MAX_PART_CRASHES_PER_FRAME = 24
 # Usage totals that each full frame repeats, in rotation.
 MAX_REFRESHED_USAGES = 20
 # Time after a peer becomes fresh during which a first total may include counts from
@@ -133,6 +135,14 @@
             if pool.priority is not None and pool.queue.n_jobs
         ]
         frame.suspects = [SuspectEntry(*pair) for pair in changes.suspects.items()]
+        if is_full:
+            self.balancer.repeat_part_crashes()
+        frame.part_crashes = [
+            PartCrashEntry(*crash, is_cleared)
+            for crash, is_cleared in changes.pop_part_crashes(
+                MAX_PART_CRASHES_PER_FRAME
+            )
+        ]
         for _, backend, parts in changes.parts[-MAX_PARTS_PER_FRAME:]:
             name = self.compute_hash(backend)
             frame.parts += [PartEntry(name, part, n) for part, n in parts]
@@ -215,6 +225,9 @@
             self.balancer.suspects.record_peer_crashes(
                 peer.address, fingerprint, n_crashes, now
             )
+        for part, backend, is_cleared in frame.part_crashes:
+            crash = PartCrash(part, backend)
+            self.balancer.apply_peer_part_crash(crash, is_cleared, now)
         return bool(frame.loads)
 
     def index(self):
--- a/catkinfork/peering/tests/test_exchange.py
+++ b/catkinfork/peering/tests/test_exchange.py
@@ -6,8 +6,8 @@
 
 from catkinfork.balancing import BROKEN, SERVED, Placement
 from catkinfork.balancing.tests.support import PLAIN, build_job
-from catkinfork.peering import PeerDirectory, decode_frame
-from catkinfork.peering.tests.nodes import Node, build_nodes, deliver, run
+from catkinfork.peering import decode_frame
+from catkinfork.peering.tests.nodes import Node, build_nodes, run
 
 
 def test_forwarders_discover_each_other_through_a_seed():
