Accept numbers of any size in the headers of callers

Found on reading the exchange of prompt parts. A prompt part with an id of more than 16 hexadecimal digits, or a token count of more than 19 digits, could not be encoded in a frame to the peers: the error ended the task that sends them, and with it the process. A number of over 4,300 digits raised an error while the request was read, and its connection was lost without an answer.

--- a/catkinfork/forwarding/_relay.py
+++ b/catkinfork/forwarding/_relay.py
@@ -7,6 +7,7 @@
     encode_chunk,
     encode_response_head,
 )
+from catkinfork.forwarding._numbers import parse_event_number
 
 # Responses up to this size are buffered until complete, so that the request can be
 # retried if the backend server fails; larger ones are streamed.
@@ -215,14 +216,13 @@
 
     def drop_delivered(self, events):
         """Return the events without those that the caller has already received."""
-        if not self.last_event_id.isdigit():
+        last_number = parse_event_number(self.last_event_id)
+        if last_number is None:
             return events
-        last_number = int(self.last_event_id)
         remaining = []
         for event in split_events(events):
-            event_id = find_last_event_id(event)
-            has_number = event_id is not None and event_id.isdigit()
-            if not has_number or int(event_id) > last_number:
+            number = parse_event_number(find_last_event_id(event) or b"")
+            if number is None or number > last_number:
                 remaining.append(event)
         return b"".join(remaining)
 
--- a/catkinfork/forwarding/_requests.py
+++ b/catkinfork/forwarding/_requests.py
@@ -5,6 +5,11 @@
 from catkinfork.balancing import Job, PromptPart
 from catkinfork.forwarding._caller import BadRequestError
 from catkinfork.forwarding._messages import list_hop_by_hop_headers
+from catkinfork.forwarding._numbers import (
+    MAX_TOKENS,
+    parse_number,
+    parse_part_name,
+)
 from catkinfork.topology import choose_target
 
 BEARER_PREFIX = b"bearer "
@@ -74,21 +79,22 @@
 
     This is the time that the caller allows, at most the timeout of the route.
     """
-    value = request.find_header(names.deadline_ms)
-    if value is None or not value.strip().isdigit():
+    timeout_ms = parse_number(request.find_header(names.deadline_ms) or b"")
+    if timeout_ms is None:
         return route.timeout_s
-    return min(route.timeout_s, int(value) / 1000.0)
+    return min(route.timeout_s, timeout_ms / 1000.0)
 
 
 def parse_prompt_headers(job, request, names):
     """Set the token counts and the prompt parts of a job from the headers."""
     counts = (request.find_header(names.token_counts) or b"").split(b",")
-    numbers = [int(count) for count in counts if count.strip().isdigit()]
+    parsed = [parse_number(count, MAX_TOKENS) for count in counts]
+    numbers = [number for number in parsed if number is not None]
     if len(numbers) == 2:
         job.n_prompt_tokens, job.n_output_tokens = numbers
-    hint = request.find_header(names.length_hint)
-    if hint is not None and hint.strip().isdigit():
-        job.n_output_tokens = min(job.n_output_tokens, int(hint)) or int(hint)
+    hint = parse_number(request.find_header(names.length_hint) or b"", MAX_TOKENS)
+    if hint is not None:
+        job.n_output_tokens = min(job.n_output_tokens, hint) or hint
     job.parts = parse_prompt_parts(request.find_header(names.prompt_parts) or b"")
     if not job.n_prompt_tokens:
         job.n_prompt_tokens = sum(part.n_tokens for part in job.parts)
@@ -99,8 +105,11 @@
     parts = []
     for entry in value.split(b",")[:MAX_PROMPT_PARTS]:
         name, _, n_tokens = entry.strip().partition(b":")
+        n_tokens = parse_number(n_tokens, MAX_TOKENS)
+        if n_tokens is None:
+            break
         try:
-            parts.append(PromptPart(int(name, 16), int(n_tokens)))
+            parts.append(PromptPart(parse_part_name(name), n_tokens))
         except ValueError:
             break
     return tuple(parts)
--- a/catkinfork/forwarding/tests/test_requests.py
+++ b/catkinfork/forwarding/tests/test_requests.py
@@ -11,8 +11,13 @@
     KEY,
     run_world,
 )
+from catkinfork.peering import PeerDirectory, PeerExchange
 from catkinfork.topology import CallerLimits
 
+LONG_NUMBER = "9" * 30
+# Python refuses to convert numbers of this length.
+HUGE_NUMBER = "9" * 4400
+
 
 def test_request_is_forwarded_unchanged():
     """Guards against an altered method, target, body or header."""
@@ -247,3 +252,34 @@
         assert float(reply.headers["retry-after"]) > 0
 
     run_world(test)
+
+
+@pytest.mark.parametrize(
+    "header",
+    [
+        f"X-Prompt-Parts: {'f' * 40}:60,b2:40",
+        f"X-Prompt-Parts: a1:{LONG_NUMBER},b2:40",
+        "X-Prompt-Parts: -1:60,b2:-40",
+        f"X-Prompt-Parts: {HUGE_NUMBER}:{HUGE_NUMBER},b2:40",
+        f"X-Token-Counts: {LONG_NUMBER},{LONG_NUMBER}",
+        f"X-Token-Counts: {HUGE_NUMBER},{HUGE_NUMBER}",
+        f"X-Length-Hint: {LONG_NUMBER}",
+        f"X-Length-Hint: {HUGE_NUMBER}",
+        f"X-Deadline-Ms: {HUGE_NUMBER}",
+    ],
+    ids=lambda header: header[:22],
+)
+def test_numbers_of_any_size_are_accepted(header):
+    """Guards against a caller whose numbers stop the process or its state exchange."""
+    limits = CallerLimits(16384, 10_000, 0.4, 0.6, 100_000.0)
+
+    async def test(world):
+        (backend,) = await world.start("engine", answer())
+        with anyio.fail_after(2.0):
+            reply = await world.call("/draft/", headers=[header])
+        assert reply.status in (200, 503)
+        directory = PeerDirectory("10.0.0.1", ["10.0.0.2"], 0.0)
+        exchange = PeerExchange(world.balancer, directory, 1, world.events.append)
+        assert exchange.tick(world.loop.time())
+
+    run_world(test, limits=limits)
