Order what the store publishes by era and revision

Cause, read in: the revision alone ordered all knowledge. After a restore, newer items were ignored as older, a watch went on from a revision that belongs to other changes, a peer with the old, greater revision won, and the copy's older configuration let withdrawn keys in at any process that had not known the newer one. Change: the era is read from each answer of the store and carried in frames and in the state of peers. A process that starts reads the newest peer first, and one whose configuration stays behind that of a peer for 0.5 s reads it there.

--- a/catkinfork/forwarder/_process.py
+++ b/catkinfork/forwarder/_process.py
@@ -10,7 +10,7 @@
 from catkinfork.forwarder._drain import drain_on_signal
 from catkinfork.forwarder._peer_source import (
     STATE_PATH,
-    PeerSource,
+    PeerSources,
     build_state_response,
 )
 from catkinfork.forwarder._reload import (
@@ -64,7 +64,6 @@
         self.loop = None
         self.tasks = None
         self.was_ready = None
-        self.peer_source = None
 
     async def run(self):
         """Serve until :meth:`stop` is called."""
@@ -86,7 +85,7 @@
         """Build the components of the process."""
         settings = self.settings
         now = self.loop.time()
-        host = split_address(settings.forwarder.control_address)[0]
+        host, control_port = split_address(settings.forwarder.control_address)
         seeds = [split_address(seed)[0] for seed in settings.peers.seeds]
         self.registry = BackendRegistry(self.log.write)
         self.directory = PeerDirectory(host, seeds, now)
@@ -116,9 +115,8 @@
         )
         self.watcher = Watcher(
             self.topology,
-            StoreSource(HttpClient(settings.store.address, self.loop)),
-            self.find_peer_source,
-            lambda: self.directory.count_forwarders(self.loop.time()),
+            StoreSource(HttpClient(settings.store.address, self.loop), self.log.write),
+            PeerSources(self.directory, control_port, self.loop),
             self.handle_topology_change,
             self.rng,
             self.log.write,
@@ -167,28 +165,11 @@
         since = self.watcher.failing_since
         return 0.0 if since is None else round(time.monotonic() - since, 3)
 
-    def find_peer_source(self, revision):
-        """Return a source for the peer with the newest state, or None.
-
-        :param revision: revision of the local state; only newer states qualify.
-        """
-        now = self.loop.time()
-        newer = [
-            peer for peer in self.directory.list_live(now) if peer.revision > revision
-        ]
-        if not newer:
-            return None
-        peer = max(newer, key=lambda candidate: candidate.revision)
-        _, port = split_address(self.settings.forwarder.control_address)
-        address = f"{peer.address}:{port}"
-        if self.peer_source is None or self.peer_source.client.address != address:
-            self.peer_source = PeerSource(HttpClient(address, self.loop))
-        return self.peer_source
-
     def handle_topology_change(self):
         """Update the components after a change of the topology."""
         self.server.close_unused_pools()
         self.peer_exchange.version = self.server.version
+        self.peer_exchange.era = self.topology.era
         self.peer_exchange.revision = self.topology.revision
         self.server.schedule_dispatch()
 
--- a/catkinfork/forwarder/_status.py
+++ b/catkinfork/forwarder/_status.py
@@ -25,6 +25,7 @@
         "incarnation": process.incarnation,
         "is_ready": process.is_ready(),
         "version": process.server.version,
+        "era": state.era,
         "revision": state.revision,
         "store_failing_s": process.compute_store_outage_s(),
         "n_requests": len(process.server.exchanges),
@@ -34,6 +35,8 @@
                 "is_fresh": peer.is_fresh,
                 "silent_s": round(now - peer.heard_at, 3) if peer.heard_at else None,
                 "version": peer.version,
+                "era": peer.era,
+                "revision": peer.revision,
                 "is_leaving": peer.is_leaving,
             }
             for peer in process.directory.peers.values()
--- a/catkinfork/forwarding/__init__.py
+++ b/catkinfork/forwarding/__init__.py
@@ -1,7 +1,7 @@
 """HTTP/1.1 proxying between callers and backend servers, with streaming responses."""
 
 from catkinfork.forwarding._admin import AdminResponse, AdminServer
-from catkinfork.forwarding._client import FetchError, HttpClient
+from catkinfork.forwarding._client import FetchedResponse, FetchError, HttpClient
 from catkinfork.forwarding._events import (
     CALLBACK_FAILED,
     DRAIN_STARTED,
@@ -13,6 +13,7 @@
     READINESS_CHANGED,
     SETTINGS_RELOADED,
 )
+from catkinfork.forwarding._messages import ResponseHead
 from catkinfork.forwarding._names import HeaderNames
 from catkinfork.forwarding._server import SWEEP_INTERVAL_S, ForwardingServer
 
@@ -30,7 +31,9 @@
     "AdminResponse",
     "AdminServer",
     "FetchError",
+    "FetchedResponse",
     "ForwardingServer",
     "HeaderNames",
     "HttpClient",
+    "ResponseHead",
 ]
--- a/catkinfork/forwarding/_client.py
+++ b/catkinfork/forwarding/_client.py
@@ -5,6 +5,7 @@
 import anyio
 
 from catkinfork.forwarding._backend import BaseResponseListener
+from catkinfork.forwarding._messages import ResponseHead
 from catkinfork.forwarding._names import HeaderNames
 from catkinfork.forwarding._pool import ConnectionPool
 
@@ -23,24 +24,32 @@
 
 
 class FetchedResponse(NamedTuple):
-    """A complete response."""
+    """A complete response.
 
-    status: int
+    :param head: :class:`ResponseHead`.
+    """
+
+    head: ResponseHead
     body: bytes
 
+    @property
+    def status(self):
+        """Return the status code."""
+        return self.head.status
+
 
 class ResponseCollector(BaseResponseListener):
     """Collects one response in memory."""
 
     def __init__(self):
         self.done = anyio.Event()
-        self.status = 0
+        self.head = None
         self.body_parts = []
         self.n_bytes = 0
         self.failure = ""
 
     def on_head(self, head):
-        self.status = head.status
+        self.head = head
 
     def on_data(self, data):
         self.n_bytes += len(data)
@@ -96,7 +105,7 @@
         await collector.done.wait()
         if collector.failure:
             raise FetchError(collector.failure)
-        return FetchedResponse(collector.status, b"".join(collector.body_parts))
+        return FetchedResponse(collector.head, b"".join(collector.body_parts))
 
     def close(self):
         """Close the connection pool."""
--- a/catkinfork/peering/_frames.py
+++ b/catkinfork/peering/_frames.py
@@ -82,6 +82,7 @@
     :param is_leaving: whether the sender is draining.
     :param version: version of the configuration in force.
     :param revision: latest store revision that the sender has read.
+    :param era: era of the store to which the revision belongs.
     :param is_full: whether the loads cover all backend servers at which the sender has
         requests in flight.
     :param peers: IP addresses of forwarders that the sender knows.
@@ -102,6 +103,7 @@
     suspects: list[SuspectEntry] = []
     turns: list[PriorityEntry] = []
     part_crashes: list[PartCrashEntry] = []
+    era: int = 0
 
 
 _ENCODER = msgspec.msgpack.Encoder()
--- a/catkinfork/peering/_peers.py
+++ b/catkinfork/peering/_peers.py
@@ -25,6 +25,7 @@
         self.sequence = 0
         self.is_leaving = False
         self.version = 0
+        self.era = 0
         self.revision = 0
         self.repeats = {}
         self.uses = {}
@@ -75,6 +76,7 @@
         peer.heard_at = now
         peer.is_leaving = frame.is_leaving
         peer.version = frame.version
+        peer.era = frame.era
         peer.revision = frame.revision
         return peer
 
--- a/catkinfork/peering/_state.py
+++ b/catkinfork/peering/_state.py
@@ -51,6 +51,7 @@
         self.sequence = 0
         self.is_leaving = False
         self.version = 0
+        self.era = 0
         self.revision = 0
         self.next_frame_at = 0.0
         self.next_heartbeat_at = 0.0
@@ -102,6 +103,7 @@
             is_leaving=self.is_leaving,
             version=self.version,
             revision=self.revision,
+            era=self.era,
         )
         self.fill_frame(frame, is_full)
         self.balancer.changes.clear()
--- a/catkinfork/platform/_store.py
+++ b/catkinfork/platform/_store.py
@@ -2,14 +2,18 @@
 
 import base64
 import binascii
+from typing import NamedTuple
 from urllib.parse import urlencode
 
 import msgspec
 
 from catkinfork.forwarding import FetchError
+from catkinfork.observability import log_event
 from catkinfork.topology import (
+    ERA_IGNORED,
     BaseSource,
     Changes,
+    EraChangedError,
     HistoryLostError,
     Item,
     SourceError,
@@ -23,6 +27,9 @@
 READ_TIMEOUT_S = 1.0
 WATCH_TIMEOUT_MARGIN_S = 0.6
 MAX_PAGES = 1000
+# Counts the restores of the store from a copy.
+ERA_HEADER = b"store-era"
+MAX_ERA_DIGITS = 18
 
 
 class ItemDocument(msgspec.Struct):
@@ -49,6 +56,16 @@
     current_rev: int
 
 
+class Page(NamedTuple):
+    """A page of a list.
+
+    :param era: era of the store in which it was read.
+    """
+
+    document: RangeDocument
+    era: int
+
+
 _RANGE = msgspec.json.Decoder(RangeDocument)
 _WATCH = msgspec.json.Decoder(WatchDocument)
 
@@ -57,46 +74,54 @@
     """Reads items and their changes from the platform's store.
 
     :param client: :class:`HttpClient`.
+    :param write_log: callable that takes a :class:`LogEvent`.
     """
 
     name = "store"
 
-    def __init__(self, client):
+    def __init__(self, client, write_log):
         self.client = client
+        self.write_log = write_log
+        self.era = 0
+        self.is_era_valid = True
 
     async def list_all(self):
         items = []
-        revisions = []
+        pages = []
         for prefix in PREFIXES:
-            found, revision = await self.list_prefix(prefix)
-            items += found
-            revisions.append(revision)
-        # The first watch returns changes between the two reads again.
-        return Changes(items, min(revisions), is_full=True)
-
-    async def list_prefix(self, prefix):
-        """Return all items with a prefix, and the store revision at the first page."""
-        items = []
-        revision = None
+            pages += await self.list_pages(prefix)
+        if any(page.era != self.era for page in pages):
+            raise EraChangedError("the era of the store has changed between two pages")
+        for page in pages:
+            items += [convert_item(item) for item in page.document.items]
+        # The first watch returns changes between the reads again.
+        revision = min(page.document.current_rev for page in pages)
+        return Changes(items, revision, is_full=True, era=self.era)
+
+    async def list_pages(self, prefix):
+        """Return the :class:`Page` entries of all items with a prefix."""
+        pages = []
         after = ""
         for _ in range(MAX_PAGES):
             query = {"prefix": prefix}
             if after:
                 query["after"] = after
-            page = await self.read("/kv-range", query, _RANGE, READ_TIMEOUT_S)
-            items += [convert_item(item) for item in page.items]
-            revision = page.current_rev if revision is None else revision
-            if not page.more_pages or not page.items:
+            document = await self.read("/kv-range", query, _RANGE, READ_TIMEOUT_S)
+            pages.append(Page(document, self.era))
+            if not document.more_pages or not document.items:
                 break
-            after = page.items[-1].key
-        return items, revision
+            after = document.items[-1].key
+        return pages
 
     async def wait(self, revision):
+        era = self.era
         query = {"prefix": "", "after": revision, "wait_ms": WATCH_TIMEOUT_MS}
         timeout_s = WATCH_TIMEOUT_MS / 1000 + WATCH_TIMEOUT_MARGIN_S
         page = await self.read("/kv-watch", query, _WATCH, timeout_s)
+        if self.era != era:
+            raise EraChangedError("the era of the store has changed during a watch")
         items = [convert_item(item) for item in page.events]
-        return Changes(items, page.current_rev, is_full=False)
+        return Changes(items, page.current_rev, is_full=False, era=era)
 
     async def read(self, path, query, decoder, timeout_s):
         """Return the decoded response to a request.
@@ -109,6 +134,7 @@
             response = await self.client.fetch(target, timeout_s)
         except FetchError as error:
             raise SourceError(error.detail) from error
+        self.record_era(response.head.find_header(ERA_HEADER))
         if response.status == 410:
             raise HistoryLostError(
                 "changes since this revision are no longer available"
@@ -120,6 +146,36 @@
         except (msgspec.DecodeError, binascii.Error) as error:
             raise SourceError(f"malformed response: {error}") from error
 
+    def record_era(self, value):
+        """Record the era that an answer states, whatever its status.
+
+        An answer without a valid era counts as one of the era known so far: the next
+        valid one shows whether a new era has begun.
+
+        :param value: value of the header, or None.
+        :raises SourceError: if the era is older than the known one.
+        """
+        stated = (value or b"").strip()
+        if not stated.isdigit() or len(stated) > MAX_ERA_DIGITS:
+            if value is not None or self.era:
+                self.log_invalid_era(value, "absent or not a number")
+            return
+        if int(stated) < self.era:
+            self.log_invalid_era(value, "older than the known era")
+            raise SourceError("answer of an older era")
+        self.era = int(stated)
+        self.is_era_valid = True
+
+    def log_invalid_era(self, value, detail):
+        """Log the first of several answers without a valid era."""
+        if not self.is_era_valid:
+            return
+        self.is_era_valid = False
+        stated = (value or b"")[:MAX_ERA_DIGITS].decode("latin-1")
+        self.write_log(
+            log_event(ERA_IGNORED, value=stated, era=self.era, detail=detail)
+        )
+
 
 def convert_item(document):
     """Convert a document to an :class:`Item`."""
--- a/catkinfork/platform/tests/standins.py
+++ b/catkinfork/platform/tests/standins.py
@@ -72,12 +72,16 @@
 
 
 class Store:
-    """The platform's store: items with revisions, ranges and watches."""
+    """The platform's store: items with revisions, ranges and watches.
+
+    It states its era in all answers, and can be restored from a copy.
+    """
 
     def __init__(self):
         self.items = {}
         self.events = []
         self.revision = 1
+        self.era = 1
         self.refused_ports = set()
         self.servers = {}
 
@@ -101,6 +105,17 @@
             self.items[key] = item
         self.events.append(item)
 
+    def save(self):
+        """Return a copy of the contents."""
+        return dict(self.items), list(self.events), self.revision
+
+    def restore(self, copied):
+        """Go back to a copy and begin a new era."""
+        items, events, self.revision = copied
+        self.items = dict(items)
+        self.events = list(events)
+        self.era += 1
+
     async def serve(self, reader, writer):
         """Serve one connection."""
         port = writer.get_extra_info("sockname")[1]
@@ -116,7 +131,8 @@
                 status, body = await self.watch(query, port)
             data = json.dumps(body).encode()
             writer.write(
-                b"HTTP/1.1 %d X\r\nContent-Length: %d\r\n\r\n" % (status, len(data))
+                b"HTTP/1.1 %d X\r\nStore-Era: %d\r\nContent-Length: %d\r\n\r\n"
+                % (status, self.era, len(data))
                 + data
             )
 
@@ -135,10 +151,13 @@
     async def watch(self, query, port):
         """Return the events after a revision."""
         after = int(query["after"])
+        era = self.era
+        if after > self.revision:
+            return 410, {}
         ends_at = time.monotonic() + int(query["wait_ms"]) / 1000
         while time.monotonic() < ends_at and port not in self.refused_ports:
             found = [event for event in self.events if event["revision"] > after]
-            if found:
+            if found or self.era != era:
                 return 200, {"events": found, "current_rev": self.revision}
             await asyncio.sleep(0.01)
         if port in self.refused_ports:
--- a/catkinfork/platform/tests/test_documents.py
+++ b/catkinfork/platform/tests/test_documents.py
@@ -7,12 +7,13 @@
 import anyio
 import pytest
 
-from catkinfork.forwarding import FetchError
+from catkinfork.forwarding import FetchedResponse, FetchError, ResponseHead
 from catkinfork.platform import PlatformDecoder, StoreSource
 from catkinfork.platform.tests.standins import build_config
 from catkinfork.topology import (
     ConfigurationItem,
     EntryItem,
+    EraChangedError,
     EvacuationItem,
     HistoryLostError,
     Item,
@@ -131,39 +132,53 @@
     assert decode("my/leader", b"anything") is None
 
 
-class Response:
-    """Response of :class:`Client`."""
+def build_response(status, body, era=None):
+    """Return a response of the store, with an era if it is not None."""
+    headers = () if era is None else ((b"store-era", era),)
+    head = ResponseHead(status, b"", headers, len(body), "length")
+    return FetchedResponse(head, body)
 
-    def __init__(self, status, body):
-        self.status = status
-        self.body = body
+
+def build_page(items=(), revision=9, has_more=False, era=None, field="items"):
+    """Return a page of a list, or the events of a watch."""
+    body = {field: list(items), "current_rev": revision, "more_pages": has_more}
+    return build_response(200, json.dumps(body).encode(), era)
 
 
 class Client:
-    """HTTP client with a fixed response or error."""
+    """HTTP client with fixed responses or errors; the last one repeats."""
 
-    def __init__(self, response):
-        self.response = response
+    def __init__(self, *responses):
+        self.responses = list(responses)
 
     async def fetch(self, target, timeout_s):
-        """Return the response or raise the error."""
-        if isinstance(self.response, Exception):
-            raise self.response
-        return self.response
+        """Return the next response or raise the error."""
+        response = self.responses[0]
+        if len(self.responses) > 1:
+            self.responses.pop(0)
+        if isinstance(response, Exception):
+            raise response
+        return response
+
+
+def build_source(*responses):
+    """Return a source with fixed responses, and the list of its log events."""
+    events = []
+    return StoreSource(Client(*responses), events.append), events
 
 
 @pytest.mark.parametrize(
     ("response", "error"),
     [
-        (Response(410, b""), HistoryLostError),
-        (Response(503, b""), SourceError),
-        (Response(200, b"<html>"), SourceError),
+        (build_response(410, b""), HistoryLostError),
+        (build_response(503, b""), SourceError),
+        (build_response(200, b"<html>"), SourceError),
         (FetchError("silent"), SourceError),
     ],
 )
 def test_store_failures_raise_source_errors(response, error):
     """Guards against a store failure that terminates the process."""
-    source = StoreSource(Client(response))
+    source, _ = build_source(response)
     with pytest.raises(error):
         anyio.run(source.wait, 1)
 
@@ -179,7 +194,7 @@
         ],
         "current_rev": 9,
     }
-    source = StoreSource(Client(Response(200, json.dumps(body).encode())))
+    source, _ = build_source(build_response(200, json.dumps(body).encode()))
     changes = anyio.run(source.wait, 1)
     assert changes.revision == 9
     assert changes.items == [
@@ -208,3 +223,69 @@
     }
     (route,) = decode("op/config", document).configuration.routes
     assert math.isclose(route.caller_idle_timeout_s, expected_s)
+
+
+ITEM = {"key": "op/a", "value": "", "revision": 4}
+
+
+def test_era_is_read_from_every_answer():
+    """Guards against a restore of the store that only errors or watches show."""
+    source, events = build_source(
+        build_response(503, b"", era=b"3"),
+        build_response(410, b"", era=b"4"),
+        build_page(era=b"5"),
+    )
+    with pytest.raises(SourceError):
+        anyio.run(source.wait, 1)
+    assert source.era == 3
+    with pytest.raises(HistoryLostError):
+        anyio.run(source.wait, 1)
+    assert source.era == 4
+    assert anyio.run(source.list_all).era == 5
+    assert not events
+
+
+def test_era_that_changes_between_pages_restarts_the_list():
+    """Guards against a list of which one half is from before a restore."""
+    source, _ = build_source(
+        build_page([ITEM], has_more=True, era=b"1"), build_page(era=b"2")
+    )
+    with pytest.raises(EraChangedError):
+        anyio.run(source.list_all)
+    assert anyio.run(source.list_all).era == 2
+
+
+def test_era_that_changes_during_a_watch_is_noticed():
+    """Guards against changes after a revision that a restored store gave out again."""
+    source, _ = build_source(
+        build_page(era=b"1"),
+        build_page(era=b"1"),
+        build_page([ITEM], era=b"2", field="events"),
+    )
+    anyio.run(source.list_all)
+    with pytest.raises(EraChangedError):
+        anyio.run(source.wait, 3)
+
+
+@pytest.mark.parametrize("value", [None, b"", b"new", b"-1", b"1.5", b"9" * 30, b"1"])
+def test_invalid_era_is_not_believed(value):
+    """Guards against a bad header that replaces a good one, or floods the log."""
+    source, events = build_source(
+        build_page(era=b"2"), build_page(era=b"2"), build_page(era=value)
+    )
+    anyio.run(source.list_all)
+    for _ in range(3):
+        try:
+            assert anyio.run(source.list_all).era == 2
+        except SourceError:
+            assert value == b"1"
+    assert source.era == 2
+    (event,) = events
+    assert event.event.name == "era_ignored"
+
+
+def test_store_without_eras_is_read():
+    """Guards against a platform that does not state an era yet."""
+    source, events = build_source(build_page([ITEM]))
+    assert anyio.run(source.list_all).era == 0
+    assert not events
--- a/catkinfork/topology/_events.py
+++ b/catkinfork/topology/_events.py
@@ -58,6 +58,20 @@
     "the store has recovered",
     ("source", "failed_s", "revision"),
 )
+STORE_RESTORED = Event(
+    808,
+    "warning",
+    "store_restored",
+    "the store was restored from a copy; its items were read again in full",
+    ("era", "previous_era", "revision", "previous_revision", "source", "n_missing"),
+)
+ERA_IGNORED = Event(
+    809,
+    "warning",
+    "era_ignored",
+    "an answer of the store states no era, or one that is invalid or older",
+    ("value", "era", "detail"),
+)
 
 EVENTS = (
     CONFIGURATION_ADOPTED,
@@ -68,4 +82,6 @@
     EVACUATION_CHANGED,
     SOURCE_LOST,
     SOURCE_REGAINED,
+    STORE_RESTORED,
+    ERA_IGNORED,
 )
--- a/catkinfork/topology/_registry.py
+++ b/catkinfork/topology/_registry.py
@@ -1,5 +1,7 @@
 """Registry of the backend servers and their readiness for new requests."""
 
+from collections import OrderedDict
+
 from catkinfork.observability import log_event
 from catkinfork.topology._events import (
     BACKEND_ADDED,
@@ -7,8 +9,11 @@
     ENTRY_IGNORED,
     EVACUATION_CHANGED,
 )
+from catkinfork.topology._source import Departure
 from catkinfork.topology._types import DRAINING, READY
 
+MAX_DEPARTED = 1024
+
 
 class Backend:
     """A known backend server.
@@ -57,7 +62,7 @@
         self.backends = {}
         self.by_service = {}
         self.evacuated = set()
-        self.revision = 0
+        self.departed = OrderedDict()
 
     def list_ready(self, service):
         """Return the backend servers of a service that may receive new requests."""
@@ -128,9 +133,35 @@
                 backend.expires_at = expires_at
             return
         del self.backends[name]
+        self.record_departure(backend.entry)
         self.log_leaving(backend, "gone")
         self.rebuild_index()
 
+    def record_departure(self, entry):
+        """Remember the last entry of a backend server that is gone."""
+        departure = Departure(entry.name, *compute_entry_order(entry))
+        self.departed[entry.name] = departure
+        self.departed.move_to_end(entry.name)
+        if len(self.departed) > MAX_DEPARTED:
+            self.departed.popitem(last=False)
+
+    def add_departures(self, departures):
+        """Add the backend servers that a peer knows to be gone.
+
+        :param departures: :class:`Departure` entries.
+        """
+        for departure in departures:
+            known = self.departed.get(departure.name, departure)
+            self.departed[departure.name] = max(known, departure)
+
+    def has_departed(self, entry):
+        """Return whether an entry is no newer than that of a server that is gone.
+
+        A store that was restored from a copy lists such entries until they expire.
+        """
+        last = self.departed.get(entry.name)
+        return last is not None and compute_entry_order(entry) <= last[1:]
+
     def remove_expired_entries(self, now):
         """Remove backend servers whose entries have not reappeared in time."""
         for backend in list(self.backends.values()):
--- a/catkinfork/topology/_source.py
+++ b/catkinfork/topology/_source.py
@@ -19,17 +19,44 @@
     revision: int
 
 
+class Position(NamedTuple):
+    """Position in the history of the store.
+
+    Revisions are only comparable within one era: a store that is restored from a copy
+    begins a new era, in which it goes back and gives out revisions again.
+    """
+
+    era: int
+    revision: int
+
+
+class Departure(NamedTuple):
+    """Last entry of a backend server that is gone.
+
+    :param started_ms: Unix time of its start, milliseconds.
+    """
+
+    name: str
+    started_ms: int
+    sequence: int
+
+
 class Changes(NamedTuple):
     """Result of a read.
 
     :param items: :class:`Item` entries.
     :param revision: store revision up to which the result is complete.
     :param is_full: whether this is a full snapshot, so that other items do not exist.
+    :param era: era of the store in which the items were read.
+    :param departed: :class:`Departure` entries of backend servers that are gone, known
+        to a peer.
     """
 
     items: list
     revision: int
     is_full: bool
+    era: int = 0
+    departed: tuple = ()
 
 
 class SourceError(Exception):
@@ -47,10 +74,18 @@
     """The change history after a revision is no longer available."""
 
 
+class EraChangedError(HistoryLostError):
+    """The store has begun a new era during a read."""
+
+
 class BaseSource(ABC):
-    """Source of published items, with snapshot reads and long polling."""
+    """Source of published items, with snapshot reads and long polling.
+
+    ``era`` is the greatest era that the source has stated.
+    """
 
     name = ""
+    era = 0
 
     @abstractmethod
     async def list_all(self):
@@ -68,6 +103,32 @@
         """
 
 
+class BasePeers(ABC):
+    """The other forwarders, as sources of their state."""
+
+    @abstractmethod
+    def has_any(self):
+        """Return whether any peer is known."""
+
+    @abstractmethod
+    def count_forwarders(self):
+        """Return the number of live forwarders, including this one."""
+
+    @abstractmethod
+    def find_newer(self, position):
+        """Return the :class:`BaseSource` of the peer with the newest state, or None.
+
+        :param position: :class:`Position` of the local state; only newer ones qualify.
+        """
+
+    @abstractmethod
+    def find_newer_configuration(self, version):
+        """Return the source of the peer with the newest configuration, or None.
+
+        :param version: local version; only newer ones qualify.
+        """
+
+
 class ConfigurationItem(NamedTuple):
     """A published configuration."""
 
--- a/catkinfork/topology/_state.py
+++ b/catkinfork/topology/_state.py
@@ -4,6 +4,7 @@
 from catkinfork.topology._events import (
     CONFIGURATION_ADOPTED,
     CONFIGURATION_REJECTED,
+    STORE_RESTORED,
 )
 from catkinfork.topology._routes import RouteTable
 from catkinfork.topology._source import (
@@ -11,9 +12,14 @@
     EntryItem,
     EvacuationItem,
     Item,
+    Position,
     UnreadableItem,
 )
 
+# Time after a restore of the store for which the known evacuations stay in force where
+# the copy differs, seconds. The operator publishes the latest ones again meanwhile.
+EVACUATION_HOLD_S = 10.0
+
 
 class TopologyState:
     """Local replica of the published items, applied to routes and registry.
@@ -22,6 +28,9 @@
     :param decoder: :class:`BaseDecoder`.
     :param on_configuration: callable that takes a :class:`RouteTable`.
     :param write_log: callable that takes a :class:`LogEvent`.
+
+    ``evacuated`` has the data centres that the store lists as evacuated; the registry
+    has those in force.
     """
 
     def __init__(self, registry, decoder, on_configuration, write_log):
@@ -30,8 +39,17 @@
         self.on_configuration = on_configuration
         self.write_log = write_log
         self.items = {}
+        self.era = 0
         self.revision = 0
         self.routes = None
+        self.configuration_item = None
+        self.evacuated = set()
+        self.evacuations_held_until = None
+
+    @property
+    def position(self):
+        """Return the :class:`Position` up to which the state is complete."""
+        return Position(self.era, self.revision)
 
     def apply(self, changes, source, now, expires_at):
         """Apply the result of a read; outdated items and snapshots are ignored.
@@ -41,6 +59,13 @@
         :param expires_at: monotonic time at which backend servers whose entries are
             missing are removed.
         """
+        self.end_evacuation_hold(now)
+        self.registry.add_departures(changes.departed)
+        if changes.era > self.era and changes.is_full:
+            self.adopt_era(changes, source, now, expires_at)
+            return
+        if changes.era != self.era:
+            return
         if changes.is_full and changes.revision < self.revision:
             return
         if changes.is_full:
@@ -55,6 +80,86 @@
                 self.apply_item(item, source, now, expires_at)
         self.revision = max(self.revision, changes.revision)
 
+    def adopt_era(self, changes, source, now, expires_at):
+        """Replace the items by those of a store that was restored from a copy.
+
+        Nothing that is known to be newer goes back to the state of the copy: the
+        configuration in force stays, which keeps withdrawn keys withdrawn, and so do
+        newer entries of backend servers. Those that the copy lacks are removed unless
+        they are published again in time, and those that were gone stay gone.
+        """
+        before = self.items
+        previous = self.position
+        self.era = changes.era
+        self.revision = changes.revision
+        self.items = {}
+        self.evacuated = set()
+        for item in changes.items:
+            self.apply_copied_item(item, source, now, expires_at)
+        missing = before.keys() - self.items.keys()
+        for key in missing:
+            self.remove_missing_item(key, source, now, expires_at)
+        if self.evacuated != self.registry.evacuated:
+            self.evacuations_held_until = now + EVACUATION_HOLD_S
+        if not before:
+            self.end_evacuation_hold(now + EVACUATION_HOLD_S)
+            return
+        self.write_log(
+            log_event(
+                STORE_RESTORED,
+                era=self.era,
+                previous_era=previous.era,
+                revision=self.revision,
+                previous_revision=previous.revision,
+                source=source,
+                n_missing=len(missing),
+            )
+        )
+
+    def apply_copied_item(self, item, source, now, expires_at):
+        """Apply an item of a store that was restored from a copy."""
+        self.items[item.key] = item
+        decoded = self.decoder.decode(item)
+        if isinstance(decoded, EvacuationItem):
+            self.evacuated.add(decoded.data_centre)
+            return
+        if isinstance(decoded, EntryItem) and self.registry.has_departed(decoded.entry):
+            self.registry.log_ignored(item.key, source, "the backend server is gone")
+            return
+        self.apply_decoded(decoded, item, source, now, expires_at)
+
+    def remove_missing_item(self, key, source, now, expires_at):
+        """Handle an item that a restored store lacks."""
+        if self.is_configuration(key):
+            self.items[key] = self.configuration_item._replace(revision=0)
+            return
+        gone = Item(key, None, self.revision)
+        decoded = self.decoder.decode(gone)
+        if not isinstance(decoded, EvacuationItem):
+            self.apply_decoded(decoded, gone, source, now, expires_at)
+
+    def end_evacuation_hold(self, now):
+        """Take over the evacuations of a restored store once their hold has ended."""
+        held_until = self.evacuations_held_until
+        if held_until is not None and now >= held_until:
+            self.evacuations_held_until = None
+            self.registry.set_evacuated(self.evacuated)
+
+    def offer_configuration(self, changes, source):
+        """Put the configuration of a peer in force if its version is newer.
+
+        A store that was restored from a copy may list an older one.
+
+        :param changes: :class:`Changes` read from the peer.
+        """
+        for item in changes.items:
+            decoded = self.decoder.decode(item)
+            if isinstance(decoded, ConfigurationItem):
+                known = self.items.get(item.key)
+                revision = known.revision if known is not None else 0
+                item = item._replace(revision=revision)
+                self.apply_configuration(decoded.configuration, source, item)
+
     def may_add(self, item, changes):
         """Return whether an unknown item is new, rather than removed meanwhile.
 
@@ -67,8 +172,14 @@
         """Remove the items that a full snapshot does not contain."""
         listed = {item.key for item in changes.items}
         for key in self.items.keys() - listed:
-            gone = Item(key, None, changes.revision)
-            self.apply_item(gone, source, now, expires_at)
+            if not self.is_configuration(key):
+                gone = Item(key, None, changes.revision)
+                self.apply_item(gone, source, now, expires_at)
+
+    def is_configuration(self, key):
+        """Return whether a key is that of the configuration, which stays in force."""
+        known = self.configuration_item
+        return known is not None and key == known.key
 
     def apply_item(self, item, source, now, expires_at):
         """Apply one item that is newer than the known one."""
@@ -77,8 +188,12 @@
         else:
             self.items[item.key] = item
         decoded = self.decoder.decode(item)
+        self.apply_decoded(decoded, item, source, now, expires_at)
+
+    def apply_decoded(self, decoded, item, source, now, expires_at):
+        """Apply the typed form of an item."""
         if isinstance(decoded, ConfigurationItem):
-            self.apply_configuration(decoded.configuration, source, item.revision)
+            self.apply_configuration(decoded.configuration, source, item)
         elif isinstance(decoded, EntryItem):
             self.apply_entry(decoded, source, now, expires_at)
         elif isinstance(decoded, EvacuationItem):
@@ -86,11 +201,18 @@
         elif isinstance(decoded, UnreadableItem):
             self.handle_unreadable(item, decoded, source, now)
 
-    def apply_configuration(self, configuration, source, revision):
-        """Put a configuration in force unless its version is not newer."""
+    def apply_configuration(self, configuration, source, item):
+        """Put a configuration in force unless its version is not newer.
+
+        The item of the newest one is kept, and told to peers, in place of older ones.
+        """
         previous = self.routes.version if self.routes is not None else 0
         if self.routes is not None and configuration.version <= previous:
+            known = self.configuration_item
+            self.items[item.key] = known._replace(revision=item.revision)
             return
+        self.configuration_item = item
+        self.items[item.key] = item
         self.routes = RouteTable(configuration)
         self.on_configuration(self.routes)
         self.write_log(
@@ -99,7 +221,7 @@
                 version=configuration.version,
                 previous_version=previous,
                 source=source,
-                revision=revision,
+                revision=item.revision,
             )
         )
 
@@ -112,12 +234,13 @@
 
     def apply_evacuation(self, decoded):
         """Apply the evacuation state of a data centre."""
-        evacuated = set(self.registry.evacuated)
-        if decoded.is_evacuated:
-            evacuated.add(decoded.data_centre)
-        else:
-            evacuated.discard(decoded.data_centre)
-        self.registry.set_evacuated(evacuated)
+        in_force = set(self.registry.evacuated)
+        for evacuated in (self.evacuated, in_force):
+            if decoded.is_evacuated:
+                evacuated.add(decoded.data_centre)
+            else:
+                evacuated.discard(decoded.data_centre)
+        self.registry.set_evacuated(in_force)
 
     def handle_unreadable(self, item, decoded, source, now):
         """Log a value that cannot be decoded.
--- a/catkinfork/topology/_watcher.py
+++ b/catkinfork/topology/_watcher.py
@@ -22,6 +22,12 @@
 # Duration of a store failure after which the state is read from peers.
 PEER_FALLBACK_DELAY_S = 0.2
 PEER_POLL_INTERVAL_S = 0.3
+# Time after the start for which the state of a peer is awaited before the store is
+# read. A peer may know of withdrawals that a restored store has lost.
+START_PEER_WAIT_S = 0.3
+START_PEER_POLL_INTERVAL_S = 0.02
+# Time for which a peer has a newer configuration until it is read from that peer.
+CONFIGURATION_LAG_S = 0.5
 
 
 class Watcher:
@@ -29,9 +35,7 @@
 
     :param state: :class:`TopologyState`.
     :param source: :class:`BaseSource` of the store.
-    :param find_peer_source: callable that takes a revision and returns the
-        :class:`BaseSource` of a peer with newer state, or None.
-    :param count_forwarders: callable that returns the number of live forwarders.
+    :param peers: :class:`BasePeers`.
     :param on_change: callable that is called after each change.
     :param rng: ``random.Random``.
     :param write_log: callable that takes a :class:`LogEvent`.
@@ -41,22 +45,22 @@
         self,
         state,
         source,
-        find_peer_source,
-        count_forwarders,
+        peers,
         on_change,
         rng,
         write_log,
     ):
         self.state = state
         self.source = source
-        self.find_peer_source = find_peer_source
-        self.count_forwarders = count_forwarders
+        self.peers = peers
         self.on_change = on_change
         self.rng = rng
         self.write_log = write_log
         self.has_full_list = False
         self.recovered_at = time.monotonic()
         self.failing_since = None
+        self.behind_since = None
+        self.backoff_s = MIN_BACKOFF_S
         self.read_at = None
         self.n_reads = 0
 
@@ -71,36 +75,74 @@
 
     async def run(self):
         """Read the store in a loop, with backoff on failures."""
-        backoff_s = MIN_BACKOFF_S
+        await self.read_first_peer()
         while True:
-            try:
-                await self.read()
-            except HistoryLostError:
-                self.has_full_list = False
-            except SourceError as error:
-                self.record_failure(error)
-                await anyio.sleep(backoff_s * (0.5 + self.rng.random()))
-                backoff_s = min(MAX_BACKOFF_S, 2 * backoff_s)
-            else:
-                self.record_success()
-                backoff_s = MIN_BACKOFF_S
-                await anyio.sleep(compute_read_interval_s(self.count_forwarders()))
+            await anyio.sleep(await self.update())
+
+    async def update(self):
+        """Read the store once.
+
+        :returns: time until the next read, seconds.
+        """
+        try:
+            await self.read()
+        except HistoryLostError:
+            self.has_full_list = False
+            return 0.0
+        except SourceError as error:
+            self.record_failure(error)
+            backoff_s = self.backoff_s
+            self.backoff_s = min(MAX_BACKOFF_S, 2 * backoff_s)
+            return backoff_s * (0.5 + self.rng.random())
+        self.record_success()
+        self.backoff_s = MIN_BACKOFF_S
+        return compute_read_interval_s(self.peers.count_forwarders())
 
     async def read(self):
         """Read a full snapshot or the changes since the last read, and apply them."""
         self.n_reads += 1
-        if self.has_full_list:
+        if self.has_full_list and self.source.era == self.state.era:
             changes = await self.source.wait(self.state.revision)
         else:
             changes = await self.source.list_all()
             self.has_full_list = True
-        now = time.monotonic()
-        self.read_at = now
-        expires_at = self.compute_expiry(now)
-        self.state.apply(changes, self.source.name, now, expires_at)
+        if changes.era < self.state.era:
+            raise SourceError("the era of the store is older than that of a peer")
+        self.read_at = time.monotonic()
+        self.apply(changes, self.source.name)
         if changes.items or changes.is_full:
             self.on_change()
 
+    def apply(self, changes, source):
+        """Apply changes; missing entries are kept for a time after a new era."""
+        now = time.monotonic()
+        if changes.era > self.state.era:
+            self.recovered_at = now
+        self.state.apply(changes, source, now, self.compute_expiry(now))
+
+    async def read_first_peer(self):
+        """Read the state of a peer before the store, if one answers soon."""
+        if not self.peers.has_any():
+            return
+        with anyio.move_on_after(START_PEER_WAIT_S):
+            while True:
+                source = self.peers.find_newer_configuration(0)
+                if source is not None:
+                    await self.read_peer(source)
+                    return
+                await anyio.sleep(START_PEER_POLL_INTERVAL_S)
+
+    async def read_peer(self, source):
+        """Read the state of a peer and apply what is newer."""
+        try:
+            changes = await source.list_all()
+        except SourceError:
+            # Not logged here; a silent peer is detected and logged by peering.
+            return
+        self.apply(changes, source.name)
+        self.state.offer_configuration(changes, source.name)
+        self.on_change()
+
     def record_failure(self, error):
         """Record a failed read; the first one of an outage is logged."""
         now = time.monotonic()
@@ -132,23 +174,30 @@
         )
 
     async def poll_peers(self):
-        """Poll peers for their state in a loop while the store is failing."""
+        """Read newer state of peers in a loop while the store does not provide it."""
         while True:
             await anyio.sleep(PEER_POLL_INTERVAL_S)
-            since = self.failing_since
-            if since is None or time.monotonic() - since < PEER_FALLBACK_DELAY_S:
-                continue
-            peer_source = self.find_peer_source(self.state.revision)
-            if peer_source is None:
-                continue
-            try:
-                changes = await peer_source.list_all()
-            except SourceError:
-                # Not logged here; a silent peer is detected and logged by peering.
-                continue
-            now = time.monotonic()
-            self.state.apply(changes, peer_source.name, now, self.compute_expiry(now))
-            self.on_change()
+            source = self.find_peer_source(time.monotonic())
+            if source is not None:
+                await self.read_peer(source)
+
+    def find_peer_source(self, now):
+        """Return the source of a peer to read now, or None.
+
+        The store fails, or it lists an older configuration than a peer has.
+        """
+        version = self.state.routes.version if self.state.routes is not None else 0
+        source = self.peers.find_newer_configuration(version)
+        if source is None:
+            self.behind_since = None
+        elif self.behind_since is None:
+            self.behind_since = now
+        elif now - self.behind_since >= CONFIGURATION_LAG_S:
+            return source
+        since = self.failing_since
+        if since is None or now - since < PEER_FALLBACK_DELAY_S:
+            return None
+        return self.peers.find_newer(self.state.position)
 
 
 def compute_read_interval_s(n_forwarders):
--- a/catkinfork/topology/tests/test_state.py
+++ b/catkinfork/topology/tests/test_state.py
@@ -9,6 +9,7 @@
 from catkinfork.topology import (
     BackendRegistry,
     BaseDecoder,
+    BasePeers,
     BaseSource,
     Changes,
     ConfigurationItem,
@@ -190,6 +191,25 @@
         return result
 
 
+class StubPeers(BasePeers):
+    """Peers of which one may have newer state."""
+
+    def __init__(self, source):
+        self.source = source
+
+    def has_any(self):
+        return False
+
+    def count_forwarders(self):
+        return 1
+
+    def find_newer(self, position):
+        return self.source
+
+    def find_newer_configuration(self, version):
+        return None
+
+
 def run_watcher(state, source, peer_source=None, seconds=1.0):
     """Run a watcher for a given time and return it."""
 
@@ -201,8 +221,7 @@
         watcher = Watcher(
             state,
             source,
-            lambda _: peer_source,
-            lambda: 1,
+            StubPeers(peer_source),
             lambda: None,
             FixedRandom(),
             lambda _: None,
