Take out a backend server that says that it is leaving

Cause, read in: only its entry in the store took a server out. Change: each response head is looked at, those of discarded, failed and late responses included, except for 421, which another server at its address sends. The server is not ready from then on, bound to its id and start, whatever its entry says; idle connections are closed, running work ends, and a request whose connection was being opened is placed anew without a retry and without a second charge to its workspace. Peers hear of it in the next frame and again once a second. Also mended on the way, as both states are now set in one place: a backend server of an evacuated data centre that changed its service became ready.

--- a/catkinfork/balancing/_balancer.py
+++ b/catkinfork/balancing/_balancer.py
@@ -143,6 +143,31 @@
             return Refusal(NO_RETRY, self.add_jitter(MIN_RETRY_AFTER_S * 5))
         return self.admit(pool, job, now)
 
+    def replace(self, placement, now):
+        """Place a job anew whose attempt was not sent.
+
+        Its backend server has become unusable while a connection was being opened.
+
+        :returns: as :meth:`submit`.
+        """
+        job = placement.job
+        self.handle_attempt_end(placement, ABANDONED, now)
+        job.tried_backends.remove(placement.backend.name)
+        return self.check_suspect(job, now) or self.admit(
+            self.pools[job.service], job, now
+        )
+
+    def mark_leaving(self, backend):
+        """Take out a backend server that says that it is leaving, and tell the peers.
+
+        :returns: whether this is news.
+        """
+        started_ms = backend.entry.started_ms
+        if not self.registry.mark_leaving(backend.name, started_ms, "response"):
+            return False
+        self.changes.leaving.add(backend.name)
+        return True
+
     def has_retry_budget(self, pool, now):
         """Return whether the retry budget of a service allows one more retry."""
         n_fresh = self.peers.count_fresh(now)
@@ -231,7 +256,8 @@
             job.n_retries += 1
             pool.retry_budget.record_retry(now)
             self.changes.services.add(job.service)
-        else:
+        elif not job.is_charged:
+            job.is_charged = True
             pool.record_placement(job, now)
             pool.shares.record_service(job.workspace, job.n_service_tokens, now)
             self.changes.workspaces.add((job.service, job.workspace))
--- a/catkinfork/balancing/_changes.py
+++ b/catkinfork/balancing/_changes.py
@@ -15,6 +15,7 @@
         self.workspaces = set()
         self.suspects = {}
         self.parts = []
+        self.leaving = set()
 
     @property
     def is_empty(self):
@@ -26,6 +27,7 @@
             or self.suspects
             or self.parts
             or self.part_crashes
+            or self.leaving
         )
 
     def pop_part_crashes(self, n_crashes):
--- a/catkinfork/balancing/_jobs.py
+++ b/catkinfork/balancing/_jobs.py
@@ -24,6 +24,7 @@
     :param arrived_at: monotonic time of arrival, seconds.
     :param deadline_at: monotonic time by which the response is due, seconds.
 
+    ``is_charged`` is whether its service tokens count as received by its workspace.
     ``next_event_deadline_at`` is the monotonic time at which the caller of a stream
     disconnects unless it receives an event before.
     """
@@ -33,6 +34,7 @@
         "arrived_at",
         "deadline_at",
         "fingerprint",
+        "is_charged",
         "n_output_tokens",
         "n_prompt_tokens",
         "n_retries",
@@ -59,6 +61,7 @@
         self.n_output_tokens = 0
         self.parts = ()
         self.fingerprint = 0
+        self.is_charged = False
         self.tried_backends = []
         self.n_runs = 0
         self.n_retries = 0
--- a/catkinfork/forwarding/_backend.py
+++ b/catkinfork/forwarding/_backend.py
@@ -175,14 +175,16 @@
         if self.is_complete:
             return
         status = self.parser.get_status_code()
+        names = {}
+        for name, value in self.headers:
+            names.setdefault(name, value)
+        if self.pool.on_head is not None:
+            self.pool.on_head(status, names)
         if status < 200 or self.is_for_other_request():
             self.is_skipping = True
             return
         self.is_skipping = False
         self.has_head = True
-        names = {}
-        for name, value in self.headers:
-            names.setdefault(name, value)
         length = names.get(b"content-length")
         is_chunked = b"chunked" in names.get(b"transfer-encoding", b"").lower()
         has_body = status not in NO_BODY_STATUSES
--- a/catkinfork/forwarding/_exchange.py
+++ b/catkinfork/forwarding/_exchange.py
@@ -13,7 +13,10 @@
 )
 from catkinfork.forwarding._backend import BaseResponseListener
 from catkinfork.forwarding._caller import BadRequestError
-from catkinfork.forwarding._messages import encode_local_response
+from catkinfork.forwarding._messages import (
+    MISDIRECTED_REQUEST,
+    encode_local_response,
+)
 from catkinfork.forwarding._relay import (
     OversizedEventError,
     ResumableStreamRelay,
@@ -27,7 +30,6 @@
 from catkinfork.forwarding._timeouts import compute_read_timeout_s
 from catkinfork.topology import STREAMING, UNSAFE
 
-MISDIRECTED_REQUEST = 421
 # Lag of the event loop above which the connection of a caller is checked before its
 # request is sent, seconds.
 CHECKED_LAG_S = 0.05
@@ -159,6 +161,10 @@
             connection.pool.release(connection)
             self.withdraw(now)
             return
+        if not self.server.balancer.registry.is_usable(self.placement.backend):
+            connection.pool.release(connection)
+            self.place_anew(now)
+            return
         self.connection = connection
         self.is_awaiting_response = True
         self.framing = ""
@@ -177,6 +183,11 @@
         request_id = self.job.request_id.encode("latin-1")
         connection.send(self, request_id, data)
 
+    def place_anew(self, now):
+        """Place the request elsewhere, as its backend server has become unusable."""
+        placement, self.placement = self.placement, None
+        self.handle_decision(self.server.balancer.replace(placement, now))
+
     def withdraw(self, now):
         """End the exchange before its attempt is sent.
 
--- a/catkinfork/forwarding/_messages.py
+++ b/catkinfork/forwarding/_messages.py
@@ -18,6 +18,8 @@
     }
 )
 
+# Status of a response by another backend server than the one that a request names.
+MISDIRECTED_REQUEST = 421
 REASON_PHRASES = {
     200: b"OK",
     400: b"Bad Request",
--- a/catkinfork/forwarding/_names.py
+++ b/catkinfork/forwarding/_names.py
@@ -11,6 +11,7 @@
     :param workspace: name of the workspace, set by the forwarder.
     :param expected_backend: name of the backend server that the request is meant for.
     :param seal: signature of the backend server on its response.
+    :param leaving: ``1`` in the responses of a backend server that is about to stop.
     :param not_run: marks a response to a request that was not executed.
     :param prompt_parts: parts of the prompt as comma-separated ``ID:TOKENS`` entries.
     :param token_counts: number of prompt tokens and maximum number of output tokens.
@@ -24,6 +25,7 @@
     workspace: bytes = b"x-workspace"
     expected_backend: bytes = b"x-expected-backend"
     seal: bytes = b"x-response-seal"
+    leaving: bytes = b"x-leaving"
     not_run: bytes = b"x-not-run"
     prompt_parts: bytes = b"x-prompt-parts"
     token_counts: bytes = b"x-token-counts"
--- a/catkinfork/forwarding/_pool.py
+++ b/catkinfork/forwarding/_pool.py
@@ -19,12 +19,15 @@
     :param address: ``host:port``.
     :param names: :class:`HeaderNames`.
     :param loop: event loop.
+    :param on_head: callable that takes the status and the headers, by name, of each
+        response; those that belong to no request in progress are included.
     """
 
-    def __init__(self, address, names, loop):
+    def __init__(self, address, names, loop, on_head=None):
         self.host, self.port = split_address(address)
         self.names = names
         self.loop = loop
+        self.on_head = on_head
         self.idle_connections = []
         self.is_closed = False
 
--- a/catkinfork/forwarding/_server.py
+++ b/catkinfork/forwarding/_server.py
@@ -3,11 +3,13 @@
 import select
 import socket
 import time
+from functools import partial
 
 from catkinfork.forwarding._caller import CallerConnection, poll_socket
 from catkinfork.forwarding._events import REQUEST_REJECTED
 from catkinfork.forwarding._exchange import Exchange
 from catkinfork.forwarding._lag import LagMonitor
+from catkinfork.forwarding._messages import MISDIRECTED_REQUEST
 from catkinfork.forwarding._metrics import ForwarderMetrics
 from catkinfork.forwarding._pool import ConnectionPool
 from catkinfork.observability import log_event
@@ -22,6 +24,7 @@
 DISPATCH_PAUSE_RATIO = 3.0
 # Interval between checks of timeouts and queued requests, seconds.
 SWEEP_INTERVAL_S = 0.025
+LEAVING = b"1"
 # Interval between checks of idle connections, seconds.
 IDLE_SWEEP_INTERVAL_S = 0.25
 
@@ -147,11 +150,29 @@
         """Return the connection pool of a backend server, creating it if necessary."""
         pool = self.pools.get(backend.name)
         if pool is None:
-            address = backend.entry.address
-            pool = ConnectionPool(address, self.names, self.loop)
+            pool = ConnectionPool(
+                backend.entry.address,
+                self.names,
+                self.loop,
+                partial(self.handle_response_head, backend),
+            )
             self.pools[backend.name] = pool
         return pool
 
+    def handle_response_head(self, backend, status, headers):
+        """Handle what a backend server says of itself in any of its responses.
+
+        :param backend: :class:`Backend` that the requests of the connection name.
+        :param headers: headers by name.
+        """
+        if status == MISDIRECTED_REQUEST:
+            # Another backend server, which has the address now.
+            return
+        if headers.get(self.names.leaving) != LEAVING:
+            return
+        if self.balancer.mark_leaving(backend):
+            self.loop.call_soon(self.close_unused_pools)
+
     def close_unused_pools(self):
         """Close the pools of backend servers that accept no more requests."""
         backends = self.balancer.registry.backends
@@ -191,5 +212,6 @@
             self.next_idle_sweep_at = now + IDLE_SWEEP_INTERVAL_S
             for caller in list(self.callers):
                 caller.close_if_idle(now)
+            self.close_unused_pools()
             for pool in self.pools.values():
                 pool.close_stale(now)
--- a/catkinfork/forwarding/tests/scripted.py
+++ b/catkinfork/forwarding/tests/scripted.py
@@ -35,6 +35,7 @@
         self.script = script
         self.requests = []
         self.n_connections = 0
+        self.n_open = 0
         self.lost = set()
         self.server = None
         self.address = ""
@@ -57,6 +58,7 @@
     async def serve(self, reader, writer):
         """Serve one connection."""
         self.n_connections += 1
+        self.n_open += 1
         try:
             while True:
                 request = await read_request(reader)
@@ -72,6 +74,7 @@
         except (ConnectionError, asyncio.IncompleteReadError):
             self.lost.add(reader)
         finally:
+            self.n_open -= 1
             writer.close()
 
     async def watch_disconnect(self, reader):
--- a/catkinfork/peering/_frames.py
+++ b/catkinfork/peering/_frames.py
@@ -71,6 +71,16 @@
     is_cleared: bool
 
 
+class LeavingEntry(NamedTuple):
+    """A backend server that says that it is leaving.
+
+    :param started_ms: Unix time of its start, milliseconds.
+    """
+
+    backend: int
+    started_ms: int
+
+
 class Frame(msgspec.Struct, array_like=True):
     """State of one forwarder for its peers.
 
@@ -104,6 +114,7 @@
     turns: list[PriorityEntry] = []
     part_crashes: list[PartCrashEntry] = []
     era: int = 0
+    leaving: list[LeavingEntry] = []
 
 
 _ENCODER = msgspec.msgpack.Encoder()
--- a/catkinfork/peering/_state.py
+++ b/catkinfork/peering/_state.py
@@ -6,6 +6,7 @@
 from catkinfork.peering._frames import (
     MAX_FRAME_BYTES,
     Frame,
+    LeavingEntry,
     LoadEntry,
     PartCrashEntry,
     PartEntry,
@@ -26,6 +27,7 @@
 MAX_PARTS_PER_FRAME = 40
 # Crashes of prompt parts in one frame; the others follow in the next ones.
 MAX_PART_CRASHES_PER_FRAME = 24
+MAX_LEAVING_PER_FRAME = 24
 # Usage totals that each full frame repeats, in rotation.
 MAX_REFRESHED_USAGES = 20
 # Time after a peer becomes fresh during which a first total may include counts from
@@ -139,6 +141,7 @@
         frame.suspects = [SuspectEntry(*pair) for pair in changes.suspects.items()]
         if is_full:
             self.balancer.repeat_part_crashes()
+        frame.leaving = self.list_leaving(is_full)
         frame.part_crashes = [
             PartCrashEntry(*crash, is_cleared)
             for crash, is_cleared in changes.pop_part_crashes(
@@ -149,6 +152,19 @@
             name = self.compute_hash(backend)
             frame.parts += [PartEntry(name, part, n) for part, n in parts]
 
+    def list_leaving(self, is_full):
+        """Return the entries of the backend servers that say that they are leaving.
+
+        :param is_full: whether all are listed, for peers that have missed a frame.
+        """
+        changed = self.balancer.changes.leaving
+        entries = [
+            LeavingEntry(self.compute_hash(backend.name), backend.entry.started_ms)
+            for backend in self.balancer.registry.list_leaving()
+            if is_full or backend.name in changed
+        ]
+        return entries[-MAX_LEAVING_PER_FRAME:]
+
     def list_next_peers(self):
         """Return the next addresses to tell, in rotation.
 
@@ -227,11 +243,23 @@
             self.balancer.suspects.record_peer_crashes(
                 peer.address, fingerprint, n_crashes, now
             )
+        if frame.leaving:
+            self.record_leaving(peer, frame.leaving)
         for part, backend, is_cleared in frame.part_crashes:
             crash = PartCrash(part, backend)
             self.balancer.apply_peer_part_crash(crash, is_cleared, now)
         return bool(frame.loads)
 
+    def record_leaving(self, peer, entries):
+        """Take out the backend servers that have told a peer that they are leaving."""
+        registry = self.balancer.registry
+        listed = set(entries)
+        for backend in list(registry.backends.values()):
+            started_ms = backend.entry.started_ms
+            entry = LeavingEntry(self.compute_hash(backend.name), started_ms)
+            if entry in listed:
+                registry.mark_leaving(backend.name, started_ms, peer.address)
+
     def index(self):
         """Update the index of pools and backend servers by name hash."""
         pools = self.balancer.pools
--- a/catkinfork/peering/tests/test_exchange.py
+++ b/catkinfork/peering/tests/test_exchange.py
@@ -167,3 +167,24 @@
             running += [(node, one) for _, one in node.balancer.dispatch_queued(now)]
         running = [pair for pair in running if isinstance(pair[1], Placement)]
     assert n_served["a"] > 0.7 * n_served["b"]
+
+
+def test_leaving_backend_is_told_to_all_forwarders():
+    """Guards against requests of the others to a server that is leaving.
+
+    A forwarder that was out of reach learns of it later.
+    """
+    nodes = build_nodes(4)
+    now = run(nodes, 0.0, 3.0)
+    first, *others = nodes.values()
+    late = others.pop()
+    backend = first.balancer.registry.backends["b0"]
+    assert first.balancer.mark_leaving(backend)
+    heard = {node.address: node for node in (first, *others)}
+    now = run(heard, now, now + 0.05)
+    for node in heard.values():
+        names = [one.name for one in node.balancer.registry.list_ready("s")]
+        assert names == ["b1"]
+    assert len(late.balancer.registry.list_ready("s")) == 2
+    run(nodes, now, now + 1.2)
+    assert len(late.balancer.registry.list_ready("s")) == 1
--- a/catkinfork/platform/_names.py
+++ b/catkinfork/platform/_names.py
@@ -8,6 +8,7 @@
     workspace=b"x-catkinfork-tenant-id",
     expected_backend=b"x-catkinfork-expect-instance",
     seal=b"x-catkinfork-response-seal",
+    leaving=b"server-leaving",
     not_run=b"x-catkinfork-not-executed",
     prompt_parts=b"x-catkinfork-prefix-hash",
     token_counts=b"x-catkinfork-token-usage",
--- a/catkinfork/topology/_registry.py
+++ b/catkinfork/topology/_registry.py
@@ -13,6 +13,7 @@
 from catkinfork.topology._types import DRAINING, READY
 
 MAX_DEPARTED = 1024
+MAX_LEAVING = 1024
 
 
 class Backend:
@@ -33,11 +34,14 @@
         self.cold_until = now + entry.cold_s
         self.expires_at = None
         self.is_evacuated = False
+        self.is_leaving = False
 
     @property
     def is_ready(self):
         """Return whether the backend server may receive new requests."""
-        return self.entry.state == READY and not self.is_evacuated
+        if self.is_evacuated or self.is_leaving:
+            return False
+        return self.entry.state == READY
 
     def is_cold(self, now):
         """Return whether the backend server is still warming up."""
@@ -63,6 +67,7 @@
         self.by_service = {}
         self.evacuated = set()
         self.departed = OrderedDict()
+        self.leaving = OrderedDict()
 
     def list_ready(self, service):
         """Return the backend servers of a service that may receive new requests."""
@@ -90,7 +95,7 @@
     def add(self, entry, now):
         """Add a backend server."""
         backend = self.backends[entry.name] = Backend(entry, now)
-        backend.is_evacuated = entry.data_centre in self.evacuated
+        self.update_readiness(backend)
         if entry.state == DRAINING:
             self.log_leaving(backend, DRAINING)
             return
@@ -111,9 +116,45 @@
             self.log_leaving(backend, DRAINING)
         if entry.service != backend.service:
             self.backends[entry.name] = Backend(entry, now)
-            return
-        backend.update(entry, now)
+        else:
+            backend.update(entry, now)
+        self.update_readiness(self.backends[entry.name])
+
+    def update_readiness(self, backend):
+        """Set whether a backend server is evacuated or leaving."""
+        entry = backend.entry
         backend.is_evacuated = entry.data_centre in self.evacuated
+        backend.is_leaving = self.leaving.get(entry.name) == entry.started_ms
+
+    def mark_leaving(self, name, started_ms, source):
+        """Take a backend server out that says that it is leaving.
+
+        This holds whatever its entry says, until it starts again.
+
+        :param started_ms: Unix time of its start, milliseconds.
+        :param source: ``response`` or the address of a peer, for the log.
+        :returns: whether this is news.
+        """
+        if self.leaving.get(name) == started_ms:
+            return False
+        self.leaving[name] = started_ms
+        self.leaving.move_to_end(name)
+        if len(self.leaving) > MAX_LEAVING:
+            self.leaving.popitem(last=False)
+        backend = self.backends.get(name)
+        if backend is not None and backend.entry.started_ms == started_ms:
+            backend.is_leaving = True
+            self.log_leaving(backend, f"announced, {source}")
+            self.rebuild_index()
+        return True
+
+    def list_leaving(self):
+        """Return the known backend servers that say that they are leaving."""
+        return [backend for backend in self.backends.values() if backend.is_leaving]
+
+    def is_usable(self, backend):
+        """Return whether a placement at a backend server still holds."""
+        return self.backends.get(backend.name) is backend and backend.is_ready
 
     def log_ignored(self, key, source, detail):
         """Log that an entry is ignored."""
--- a/catkinfork/topology/tests/test_registry.py
+++ b/catkinfork/topology/tests/test_registry.py
@@ -87,3 +87,33 @@
     registry.apply_entry(build_entry(service="order", sequence=2), 1.0, "test")
     assert list_names(registry) == []
     assert len(registry.list_ready("order")) == 1
+
+
+def test_leaving_backend_is_not_ready_until_it_starts_again(registry, events):
+    """Guards against a server that says that it leaves and has a live entry."""
+    registry.apply_entry(build_entry(), 0.0, "test")
+    assert registry.mark_leaving("b1", 1000, "response")
+    assert not registry.mark_leaving("b1", 1000, "10.0.0.2")
+    assert list_names(registry) == []
+    registry.apply_entry(build_entry(sequence=2), 1.0, "test")
+    assert list_names(registry) == []
+    registry.remove("b1", 2.0, expires_at=2.0)
+    registry.apply_entry(build_entry(sequence=3), 3.0, "test")
+    assert list_names(registry) == []
+    registry.apply_entry(build_entry(sequence=1, started_ms=2000), 4.0, "test")
+    assert list_names(registry) == ["b1"]
+
+
+def test_leaving_of_an_earlier_start_is_ignored(registry):
+    """Guards against a server that is left out for what its predecessor said."""
+    registry.apply_entry(build_entry(started_ms=2000), 0.0, "test")
+    registry.mark_leaving("b1", 1000, "10.0.0.2")
+    assert list_names(registry) == ["b1"]
+
+
+def test_evacuated_backend_that_changes_its_service_is_not_ready(registry):
+    """Guards against requests to an evacuated data centre after such a change."""
+    registry.apply_entry(build_entry(), 0.0, "test")
+    registry.set_evacuated({"gasabo"})
+    registry.apply_entry(build_entry(service="order", sequence=2), 1.0, "test")
+    assert not registry.list_ready("order")
