Hold requests from a backend server that asks for a pause

Cause, read in: the header was ignored; the rejection counted against the health of the server, and retries and new requests went on. Change: the server is no candidate at this host until the pause has ended, and a request whose connection was being opened is placed anew. Load comes back at the rate of a cold server within one second. The rejection is no sign of a failure. If all servers of a service pause, requests are refused at once with the shortest time left. Negative values, text and dates are ignored with a log line; the bound is 300 s.

--- a/catkinfork/balancing/_balancer.py
+++ b/catkinfork/balancing/_balancer.py
@@ -18,6 +18,7 @@
     REJECTED,
     SERVED,
     SUSPECT,
+    THROTTLED,
     UNREACHABLE,
     Placement,
     Refusal,
@@ -48,6 +49,11 @@
 MAX_CRASH_ONSET_S = 0.5
 # Maximum relative jitter of Retry-After, which keeps callers from retrying in step.
 RETRY_JITTER = 0.5
+# Maximum time added to the pause that backend servers ask for, seconds.
+THROTTLED_JITTER_S = 0.2
+# Requests per second, of all forwarders, to a backend server that was throttled and
+# whose service states no rate for cold ones.
+DEFAULT_RECOVERY_RATE = 20.0
 
 
 class Balancer:
@@ -181,6 +187,9 @@
     def admit(self, pool, job, now):
         """Place, queue or refuse a job."""
         candidates = self.list_candidates(pool, now)
+        refusal = self.check_throttled(candidates)
+        if refusal is not None:
+            return refusal
         if not candidates.list_eligible(job):
             return Refusal(NO_BACKEND, self.add_jitter(NO_BACKEND_RETRY_AFTER_S))
         if not pool.queue.n_jobs:
@@ -193,6 +202,14 @@
             pool.queue.add(job)
         return refusal
 
+    def check_throttled(self, candidates):
+        """Return a refusal if all backend servers have asked for a pause."""
+        pause_s = candidates.compute_pause_s()
+        if pause_s is None:
+            return None
+        jitter_s = THROTTLED_JITTER_S * self.rng.random()
+        return Refusal(THROTTLED, pause_s + jitter_s, f"pause_s={pause_s:.3f}")
+
     def check_wait(self, pool, job, now):
         """Return a refusal if a job cannot meet its deadline behind the queued jobs."""
         pool.shares.update_level(self.tokens_per_s, now)
@@ -252,6 +269,9 @@
         state.load.add_attempt(job, placement.n_missing_tokens)
         if backend.is_cold(now):
             state.limiter.record_request(self.compute_cold_interval_s(pool, now), now)
+        elif backend.is_recovering(now):
+            interval_s = self.compute_recovery_interval_s(pool, now)
+            state.limiter.record_request(interval_s, now)
         if job.tried_backends:
             job.n_retries += 1
             pool.retry_budget.record_retry(now)
@@ -271,10 +291,24 @@
         n_forwarders = self.peers.count_forwarders(now)
         return compute_interval_s(pool.service.cold_rate, n_forwarders)
 
+    def compute_recovery_interval_s(self, pool, now):
+        """Return the interval between requests to one that was throttled, seconds.
+
+        All forwarders together send it as many a second as a cold one can handle.
+        """
+        rate = pool.service.cold_rate or DEFAULT_RECOVERY_RATE
+        return compute_interval_s(rate, self.peers.count_forwarders(now))
+
     def list_candidates(self, pool, now):
         """Return a new :class:`CandidateList` of a service."""
-        interval_s = self.compute_cold_interval_s(pool, now)
-        return CandidateList(self.registry, pool, self.rng, interval_s, now)
+        return CandidateList(
+            self.registry,
+            pool,
+            self.rng,
+            self.compute_cold_interval_s(pool, now),
+            self.compute_recovery_interval_s(pool, now),
+            now,
+        )
 
     def dispatch_queued(self, now):
         """Place queued jobs and refuse those that can no longer meet their deadline.
@@ -320,6 +354,9 @@
         decisions = []
         candidates = self.list_candidates(pool, now)
         pool.priority = None
+        refusal = self.check_throttled(candidates)
+        if refusal is not None:
+            return self.refuse_all(pool, refusal, now)
         for priority, job in pool.queue.list_by_priority(now)[:MAX_JOBS_PER_PASS]:
             placement = self.place(pool, job, candidates, priority, now)
             if placement is None:
@@ -330,6 +367,13 @@
             decisions.append((job, placement))
         return decisions
 
+    def refuse_all(self, pool, refusal, now):
+        """Remove and refuse all queued jobs of a service."""
+        jobs = [job for _, job in pool.queue.list_by_priority(now)]
+        for job in jobs:
+            pool.queue.remove(job)
+        return [(job, refusal) for job in jobs]
+
     def has_waiting(self):
         """Return whether any job is queued."""
         return any(pool.queue.n_jobs for pool in self.pools.values())
@@ -380,6 +424,9 @@
             self.record_crash(placement, now)
         if outcome not in (REJECTED, UNREACHABLE):
             job.n_runs += 1
+        if backend.is_throttled(now):
+            # Rejections that it announces are no sign of a failure.
+            return
         pool.health.record_outcome(outcome)
         state = pool.find(backend.name)
         if state.health.record_outcome(outcome, pool.health.failure_rate, now):
--- a/catkinfork/balancing/_candidates.py
+++ b/catkinfork/balancing/_candidates.py
@@ -4,7 +4,7 @@
 from operator import attrgetter
 from typing import NamedTuple
 
-from catkinfork.topology import Backend
+from catkinfork.topology import RECOVERY_S, Backend
 
 BASE_COST = attrgetter("base_cost")
 
@@ -38,6 +38,10 @@
         self.state = state
         self.base_cost = base_cost
 
+    def is_limited(self, now):
+        """Return whether the rate of requests to it is limited."""
+        return self.backend.is_cold(now) or self.backend.is_recovering(now)
+
 
 class CandidateList:
     """Backend servers that may run the jobs of one service, by ascending base cost.
@@ -51,15 +55,20 @@
     :param rng: ``random.Random``.
     :param cold_interval_s: interval between requests to one cold backend server,
         seconds.
+    :param recovery_interval_s: the same for one that was throttled, seconds.
     :param now: monotonic time, seconds.
     """
 
-    def __init__(self, registry, pool, rng, cold_interval_s, now):
+    def __init__(self, registry, pool, rng, cold_interval_s, recovery_interval_s, now):
         self.pool = pool
         self.now = now
         self.healthy = []
         self.ejected = []
+        self.throttled = []
         for backend in registry.list_ready(pool.service.name):
+            if backend.is_throttled(now):
+                self.throttled.append(backend)
+                continue
             state = pool.find(backend.name)
             base_cost = pool.model.estimate_base_cost(backend, state.load)
             entry = CandidateEntry(backend, state, base_cost)
@@ -67,6 +76,9 @@
                 state.limiter.start_period(
                     backend.cold_until, cold_interval_s, rng, now
                 )
+            elif backend.is_recovering(now):
+                ends_at = backend.throttled_until + RECOVERY_S
+                state.limiter.start_period(ends_at, recovery_interval_s, rng, now)
             if not state.health.is_ejected(now):
                 self.healthy.append(entry)
             elif state.health.unreachable_at is None:
@@ -74,6 +86,15 @@
         self.healthy.sort(key=BASE_COST)
         self.ejected.sort(key=BASE_COST)
 
+    def compute_pause_s(self):
+        """Return the time until a backend server may be used, if all are throttled.
+
+        :returns: seconds, or None.
+        """
+        if not self.throttled or self.healthy or self.ejected:
+            return None
+        return min(one.throttled_until for one in self.throttled) - self.now
+
     def list_eligible(self, job):
         """Return the entries that may run a job, including full ones.
 
@@ -99,7 +120,7 @@
             if entry.base_cost >= best_cost:
                 break
             state = entry.state
-            if entry.backend.is_cold(self.now) and not state.limiter.allows(self.now):
+            if entry.is_limited(self.now) and not state.limiter.allows(self.now):
                 continue
             n_missing_tokens = model.estimate_missing_tokens(job, state.load)
             cost = entry.base_cost + model.missing_token_weight * n_missing_tokens
--- a/catkinfork/balancing/_jobs.py
+++ b/catkinfork/balancing/_jobs.py
@@ -127,6 +127,7 @@
 
 # Refusal codes.
 NO_BACKEND = "no_backend_server"
+THROTTLED = "backend_servers_throttled"
 OVERLOADED = "overloaded"
 EXPIRED = "cannot_meet_deadline"
 SUSPECT = "crashed_backend_servers"
--- a/catkinfork/forwarding/_exchange.py
+++ b/catkinfork/forwarding/_exchange.py
@@ -161,7 +161,7 @@
             connection.pool.release(connection)
             self.withdraw(now)
             return
-        if not self.server.balancer.registry.is_usable(self.placement.backend):
+        if not self.server.balancer.registry.is_usable(self.placement.backend, now):
             connection.pool.release(connection)
             self.place_anew(now)
             return
--- a/catkinfork/forwarding/_numbers.py
+++ b/catkinfork/forwarding/_numbers.py
@@ -1,5 +1,8 @@
 """Numbers in headers, which callers and backend servers may choose freely."""
 
+import re
+
+PAUSE_PATTERN = re.compile(rb"^(\d+)(\.\d{1,18})?$")
 # Digits of the longest number that is converted; longer ones count as the maximum.
 MAX_DIGITS = 18
 MAX_NUMBER = 10**MAX_DIGITS
@@ -22,6 +25,22 @@
     return min(maximum, int(digits))
 
 
+def parse_pause_s(value):
+    """Return the seconds of a ``Retry-After`` header, or None if it is invalid.
+
+    Fractions are allowed; dates are not.
+
+    :param value: header, as bytes.
+    """
+    match = PAUSE_PATTERN.match(value.strip())
+    if match is None:
+        return None
+    whole, fraction = match.groups()
+    if len(whole) > MAX_DIGITS:
+        return float(MAX_NUMBER)
+    return float(whole + (fraction or b""))
+
+
 def parse_event_number(value):
     """Return the number in an event id, or None if the id is no number.
 
--- a/catkinfork/forwarding/_server.py
+++ b/catkinfork/forwarding/_server.py
@@ -11,6 +11,7 @@
 from catkinfork.forwarding._lag import LagMonitor
 from catkinfork.forwarding._messages import MISDIRECTED_REQUEST
 from catkinfork.forwarding._metrics import ForwarderMetrics
+from catkinfork.forwarding._numbers import parse_pause_s
 from catkinfork.forwarding._pool import ConnectionPool
 from catkinfork.observability import log_event
 from catkinfork.topology import CallerLimits, split_address
@@ -25,6 +26,9 @@
 # Interval between checks of timeouts and queued requests, seconds.
 SWEEP_INTERVAL_S = 0.025
 LEAVING = b"1"
+RETRY_AFTER = b"retry-after"
+SERVICE_UNAVAILABLE = 503
+MAX_LOGGED_BYTES = 40
 # Interval between checks of idle connections, seconds.
 IDLE_SWEEP_INTERVAL_S = 0.25
 
@@ -168,9 +172,16 @@
         if status == MISDIRECTED_REQUEST:
             # Another backend server, which has the address now.
             return
-        if headers.get(self.names.leaving) != LEAVING:
-            return
-        if self.balancer.mark_leaving(backend):
+        value = headers.get(RETRY_AFTER)
+        if status == SERVICE_UNAVAILABLE and value is not None:
+            self.balancer.registry.throttle(
+                backend,
+                parse_pause_s(value),
+                value[:MAX_LOGGED_BYTES].decode("latin-1"),
+                self.loop.time(),
+            )
+        is_leaving = headers.get(self.names.leaving) == LEAVING
+        if is_leaving and self.balancer.mark_leaving(backend):
             self.loop.call_soon(self.close_unused_pools)
 
     def close_unused_pools(self):
--- a/catkinfork/topology/__init__.py
+++ b/catkinfork/topology/__init__.py
@@ -7,7 +7,11 @@
     ERA_IGNORED,
     EVENTS,
 )
-from catkinfork.topology._registry import Backend, BackendRegistry
+from catkinfork.topology._registry import (
+    RECOVERY_S,
+    Backend,
+    BackendRegistry,
+)
 from catkinfork.topology._routes import RouteTable, choose_target
 from catkinfork.topology._source import (
     BaseDecoder,
@@ -68,6 +72,7 @@
     "Item",
     "Position",
     "READY",
+    "RECOVERY_S",
     "Route",
     "RouteTable",
     "SAFE",
--- a/catkinfork/topology/_events.py
+++ b/catkinfork/topology/_events.py
@@ -72,6 +72,14 @@
     "an answer of the store states no era, or one that is invalid or older",
     ("value", "era", "detail"),
 )
+BACKEND_THROTTLED = Event(
+    810,
+    "info",
+    "backend_throttled",
+    "a backend server asked this host to pause, with a 503 and Retry-After; a pause of "
+    "0 means that the value is invalid and ignored",
+    ("backend_server", "service", "value", "pause_s"),
+)
 
 EVENTS = (
     CONFIGURATION_ADOPTED,
@@ -84,4 +92,5 @@
     SOURCE_REGAINED,
     STORE_RESTORED,
     ERA_IGNORED,
+    BACKEND_THROTTLED,
 )
--- a/catkinfork/topology/_registry.py
+++ b/catkinfork/topology/_registry.py
@@ -1,11 +1,13 @@
 """Registry of the backend servers and their readiness for new requests."""
 
 from collections import OrderedDict
+from math import inf
 
 from catkinfork.observability import log_event
 from catkinfork.topology._events import (
     BACKEND_ADDED,
     BACKEND_LEAVING,
+    BACKEND_THROTTLED,
     ENTRY_IGNORED,
     EVACUATION_CHANGED,
 )
@@ -14,6 +16,11 @@
 
 MAX_DEPARTED = 1024
 MAX_LEAVING = 1024
+MAX_THROTTLED = 1024
+# Longest pause that a backend server may ask for, seconds.
+MAX_PAUSE_S = 300.0
+# Time after a pause within which the rate of requests is limited, seconds.
+RECOVERY_S = 1.0
 
 
 class Backend:
@@ -35,6 +42,7 @@
         self.expires_at = None
         self.is_evacuated = False
         self.is_leaving = False
+        self.throttled_until = -inf
 
     @property
     def is_ready(self):
@@ -43,6 +51,14 @@
             return False
         return self.entry.state == READY
 
+    def is_throttled(self, now):
+        """Return whether it wants nothing from this host for now."""
+        return now < self.throttled_until
+
+    def is_recovering(self, now):
+        """Return whether load comes back slowly after it was throttled."""
+        return now < self.throttled_until + RECOVERY_S
+
     def is_cold(self, now):
         """Return whether the backend server is still warming up."""
         return now < self.cold_until
@@ -68,6 +84,7 @@
         self.evacuated = set()
         self.departed = OrderedDict()
         self.leaving = OrderedDict()
+        self.throttled = OrderedDict()
 
     def list_ready(self, service):
         """Return the backend servers of a service that may receive new requests."""
@@ -121,10 +138,36 @@
         self.update_readiness(self.backends[entry.name])
 
     def update_readiness(self, backend):
-        """Set whether a backend server is evacuated or leaving."""
+        """Set whether a backend server is evacuated, leaving or throttled."""
         entry = backend.entry
         backend.is_evacuated = entry.data_centre in self.evacuated
         backend.is_leaving = self.leaving.get(entry.name) == entry.started_ms
+        key = (entry.name, entry.started_ms)
+        backend.throttled_until = self.throttled.get(key, -inf)
+
+    def throttle(self, backend, pause_s, value, now):
+        """Send nothing to a backend server for as long as it asks.
+
+        :param pause_s: pause, seconds, or None if the value is invalid.
+        :param value: value of the header, for the log.
+        """
+        pause_s = 0.0 if pause_s is None else min(MAX_PAUSE_S, pause_s)
+        if pause_s:
+            backend.throttled_until = max(backend.throttled_until, now + pause_s)
+            key = (backend.name, backend.entry.started_ms)
+            self.throttled[key] = backend.throttled_until
+            self.throttled.move_to_end(key)
+        if len(self.throttled) > MAX_THROTTLED:
+            self.throttled.popitem(last=False)
+        self.write_log(
+            log_event(
+                BACKEND_THROTTLED,
+                backend_server=backend.name,
+                service=backend.service,
+                value=value,
+                pause_s=pause_s,
+            )
+        )
 
     def mark_leaving(self, name, started_ms, source):
         """Take a backend server out that says that it is leaving.
@@ -152,9 +195,11 @@
         """Return the known backend servers that say that they are leaving."""
         return [backend for backend in self.backends.values() if backend.is_leaving]
 
-    def is_usable(self, backend):
+    def is_usable(self, backend, now):
         """Return whether a placement at a backend server still holds."""
-        return self.backends.get(backend.name) is backend and backend.is_ready
+        if self.backends.get(backend.name) is not backend:
+            return False
+        return backend.is_ready and not backend.is_throttled(now)
 
     def log_ignored(self, key, source, detail):
         """Log that an entry is ignored."""
--- a/catkinfork/topology/tests/test_registry.py
+++ b/catkinfork/topology/tests/test_registry.py
@@ -3,6 +3,7 @@
 import pytest
 
 from catkinfork.topology import DRAINING, BackendRegistry
+from catkinfork.topology._registry import MAX_PAUSE_S
 from catkinfork.topology.tests.samples import build_entry
 
 
@@ -117,3 +118,36 @@
     registry.set_evacuated({"gasabo"})
     registry.apply_entry(build_entry(service="order", sequence=2), 1.0, "test")
     assert not registry.list_ready("order")
+
+
+def test_throttled_backend_holds_the_longest_pause(registry):
+    """Guards against a pause that ends early, or outlives a restart."""
+    registry.apply_entry(build_entry(), 0.0, "test")
+    backend = registry.backends["b1"]
+    registry.throttle(backend, 3.0, "3", 10.0)
+    registry.throttle(backend, 0.5, "0.5", 11.0)
+    assert backend.is_throttled(12.9)
+    assert not registry.is_usable(backend, 12.9)
+    assert not backend.is_throttled(13.0)
+    assert backend.is_recovering(13.0)
+    registry.remove("b1", 12.0, expires_at=12.0)
+    registry.apply_entry(build_entry(sequence=2), 12.0, "test")
+    assert registry.backends["b1"].is_throttled(12.9)
+    registry.apply_entry(build_entry(sequence=1, started_ms=2000), 12.0, "test")
+    assert not registry.backends["b1"].is_throttled(12.5)
+
+
+def test_pause_is_bounded(registry, events):
+    """Guards against a value that takes a server out for ever."""
+    registry.apply_entry(build_entry(), 0.0, "test")
+    backend = registry.backends["b1"]
+    registry.throttle(backend, 1e9, "1000000000", 0.0)
+    assert not backend.is_throttled(MAX_PAUSE_S)
+    assert events[-1].event.name == "backend_throttled"
+
+
+@pytest.mark.parametrize("now", [0.0, 0.5, 5.0])
+def test_new_backend_is_not_recovering(registry, now):
+    """Guards against a limited rate right after the host has booted."""
+    registry.apply_entry(build_entry(), now, "test")
+    assert not registry.backends["b1"].is_recovering(now)
