Spend no retry budget on attempts that never arrived

Cause: each placement after the first counted as a retry, and needed budget, even if no backend server had received the request before. The rule counts arrivals. Change: a request counts as retried once an attempt has arrived. The four attempts that a request may have, and the ejection of unreachable servers, still bound the connections. Result: the new test fails before (no_repeat_left without an arrival).

--- a/catkinfork/balancing/_balancer.py
+++ b/catkinfork/balancing/_balancer.py
@@ -145,7 +145,7 @@
         refusal = self.check_suspect(job, now)
         if refusal is not None:
             return refusal
-        if not self.has_retry_budget(pool, now):
+        if job.has_arrived and not self.has_retry_budget(pool, now):
             return Refusal(NO_RETRY, self.add_jitter(MIN_RETRY_AFTER_S * 5))
         return self.admit(pool, job, now)
 
@@ -274,8 +274,9 @@
             state.limiter.record_request(interval_s, now)
         if job.tried_backends:
             job.n_retries += 1
-            pool.retry_budget.record_retry(now)
-            self.changes.services.add(job.service)
+            if job.has_arrived:
+                pool.retry_budget.record_retry(now)
+                self.changes.services.add(job.service)
         elif not job.is_charged:
             job.is_charged = True
             pool.record_placement(job, now)
@@ -422,6 +423,8 @@
             self.clear_parts(placement)
         if outcome == BROKEN:
             self.record_crash(placement, now)
+        if outcome != UNREACHABLE:
+            job.has_arrived = True
         if outcome not in (REJECTED, UNREACHABLE):
             job.n_runs += 1
         if backend.is_throttled(now):
--- a/catkinfork/balancing/_jobs.py
+++ b/catkinfork/balancing/_jobs.py
@@ -24,7 +24,9 @@
     :param arrived_at: monotonic time of arrival, seconds.
     :param deadline_at: monotonic time by which the response is due, seconds.
 
-    ``is_charged`` is whether its service tokens count as received by its workspace.
+    ``has_arrived`` is whether a backend server has received it; earlier attempts are
+    no load for the backend servers. ``is_charged`` is whether its service tokens count
+    as received by its workspace.
     ``next_event_deadline_at`` is the monotonic time at which the caller of a stream
     disconnects unless it receives an event before.
     """
@@ -32,6 +34,7 @@
     __slots__ = (
         "latency_target_at",
         "arrived_at",
+        "has_arrived",
         "deadline_at",
         "fingerprint",
         "is_charged",
@@ -62,6 +65,7 @@
         self.parts = ()
         self.fingerprint = 0
         self.is_charged = False
+        self.has_arrived = False
         self.tried_backends = []
         self.n_runs = 0
         self.n_retries = 0
--- a/catkinfork/balancing/tests/test_admission.py
+++ b/catkinfork/balancing/tests/test_admission.py
@@ -7,8 +7,12 @@
 from hypothesis import strategies as st
 
 from catkinfork.balancing import (
+    BROKEN,
     EXPIRED,
+    NO_RETRY,
     OVERLOADED,
+    REJECTED,
+    UNREACHABLE,
     Placement,
     Refusal,
     RetryBudgetSettings,
@@ -277,3 +281,34 @@
     assert len(queue_times) > 80
     assert max(queue_times) < 1.9
     assert balancer.pools["s"].queue.n_jobs < 45
+
+
+def test_request_that_never_arrived_needs_no_retry_budget():
+    """Guards against refusals for want of budget while crashed servers refuse.
+
+    An attempt whose connection is refused is no arrival at a backend server. Load
+    pattern: several engines have crashed, and all forwarders still try them.
+    """
+    budget = RetryBudgetSettings(0.0, 0, 10.0)
+    balancer = build_balancer(n_backends=3, retry_budget=budget)
+    placement = submit(balancer, 0.0)
+    for _ in range(2):
+        balancer.handle_attempt_end(placement, UNREACHABLE, 0.0)
+        assert balancer.allows_retry(placement, UNREACHABLE, 0.0)
+        placement = balancer.resubmit(placement.job, 0.0)
+        assert isinstance(placement, Placement)
+    assert balancer.pools["s"].retry_budget.n_retries == 0
+    balancer.handle_attempt_end(placement, REJECTED, 0.0)
+    assert balancer.resubmit(placement.job, 0.0).reason == NO_RETRY
+
+
+def test_retry_after_an_arrival_is_counted():
+    """Guards against more arrivals than the budget allows."""
+    balancer = build_balancer(n_backends=3)
+    placement = submit(balancer, 0.0)
+    balancer.handle_attempt_end(placement, BROKEN, 0.0)
+    placement = balancer.resubmit(placement.job, 0.0)
+    assert balancer.pools["s"].retry_budget.n_retries == 1
+    balancer.handle_attempt_end(placement, UNREACHABLE, 0.0)
+    balancer.resubmit(placement.job, 0.0)
+    assert balancer.pools["s"].retry_budget.n_retries == 2
