--- /dev/null
+++ b/catkinfork/forwarding/_attempt.py
@@ -0,0 +1,136 @@
+"""One attempt of a request at a backend server: its connection and read timeout."""
+
+from math import inf
+
+from catkinfork.balancing import BROKEN, FAILED, REJECTED, UNREACHABLE
+from catkinfork.forwarding._backend import BaseResponseListener
+from catkinfork.forwarding._requests import encode_request
+from catkinfork.forwarding._timeouts import compute_read_timeout_s
+from catkinfork.topology import UNSAFE
+
+
+class Attempt(BaseResponseListener):
+    """An attempt of an exchange.
+
+    :param exchange: :class:`Exchange`.
+    :param placement: :class:`Placement`.
+    """
+
+    def __init__(self, exchange, placement):
+        self.exchange = exchange
+        self.server = exchange.server
+        self.placement = placement
+        self.connection = None
+        self.is_awaiting_response = False
+        self.read_timeout_at = inf
+
+    def start(self):
+        """Send the request on an idle connection, or on a new one."""
+        pool = self.server.get_pool(self.placement.backend)
+        connection = pool.acquire()
+        if connection is not None:
+            self.send(connection)
+        else:
+            self.server.spawn(self.connect, pool)
+
+    async def connect(self, pool):
+        """Open a connection and send the request, unless the attempt has ended.
+
+        :param pool: :class:`ConnectionPool`.
+        """
+        try:
+            connection = await pool.open()
+        except (OSError, TimeoutError) as error:
+            self.fail_to_connect(str(error) or type(error).__name__)
+            return
+        if self.exchange.attempt is not self:
+            pool.release(connection)
+        elif connection.is_lost:
+            self.fail_to_connect("connection lost before the request was sent")
+        else:
+            self.send(connection)
+
+    def fail_to_connect(self, detail):
+        """End the attempt, whose request was not sent."""
+        if self.exchange.attempt is self:
+            self.exchange.end_attempt(UNREACHABLE, detail)
+
+    def send(self, connection):
+        """Send the request, unless nobody waits for it or it has to go elsewhere."""
+        now = self.server.loop.time()
+        exchange = self.exchange
+        job = exchange.job
+        if now >= job.deadline_at or exchange.has_caller_left():
+            connection.pool.release(connection)
+            exchange.withdraw(now)
+            return
+        backend = self.placement.backend
+        if not self.server.balancer.registry.is_usable(backend, now):
+            connection.pool.release(connection)
+            exchange.place_anew(now)
+            return
+        self.connection = connection
+        self.is_awaiting_response = True
+        exchange.framing = ""
+        data = encode_request(
+            exchange.request,
+            job,
+            backend,
+            self.server.names,
+            job.deadline_at - now,
+            exchange.last_event_id,
+        )
+        self.restart_read_timeout(now)
+        connection.send(self, job.request_id.encode("latin-1"), data)
+
+    def restart_read_timeout(self, now):
+        """Count the read timeout from now."""
+        route = self.exchange.job.route
+        is_started = self.exchange.has_response_started
+        self.read_timeout_at = now + compute_read_timeout_s(route, is_started)
+
+    def on_head(self, head):
+        self.exchange.handle_head(head)
+
+    def on_data(self, data):
+        self.exchange.handle_data(data)
+
+    def on_end(self):
+        self.is_awaiting_response = False
+        self.exchange.handle_end()
+
+    def on_error(self, detail):
+        self.is_awaiting_response = False
+        self.exchange.end_attempt(BROKEN, detail)
+
+    def drop(self, outcome):
+        """Discard the response; the connection is kept if the response is sound."""
+        self.is_awaiting_response = False
+        if outcome in (REJECTED, FAILED):
+            self.connection.detach()
+        else:
+            self.connection.abort()
+
+    def stop(self):
+        """Stop waiting for the response.
+
+        An unsafe request is left to complete, since aborting it would leave its effect
+        unknown and cost a connection.
+        """
+        if not self.is_awaiting_response:
+            return
+        self.is_awaiting_response = False
+        if self.exchange.job.route.kind == UNSAFE:
+            self.connection.detach()
+        else:
+            self.connection.abort()
+
+    def pause(self):
+        """Pause reading from the backend server."""
+        if self.connection is not None:
+            self.connection.pause()
+
+    def resume(self):
+        """Resume reading from the backend server."""
+        if self.connection is not None:
+            self.connection.resume()
--- a/catkinfork/forwarding/_exchange.py
+++ b/catkinfork/forwarding/_exchange.py
@@ -1,5 +1,7 @@
 """Handling of one request: attempts, retries, timeouts and the response."""
 
+from math import inf
+
 from catkinfork.balancing import (
     ABANDONED,
     BROKEN,
@@ -7,16 +9,12 @@
     REJECTED,
     SERVED,
     SILENT,
-    UNREACHABLE,
     Placement,
     Refusal,
 )
-from catkinfork.forwarding._backend import BaseResponseListener
+from catkinfork.forwarding._attempt import Attempt
 from catkinfork.forwarding._caller import BadRequestError
-from catkinfork.forwarding._messages import (
-    MISDIRECTED_REQUEST,
-    encode_local_response,
-)
+from catkinfork.forwarding._messages import encode_local_response
 from catkinfork.forwarding._relay import (
     OversizedEventError,
     ResumableStreamRelay,
@@ -26,9 +24,9 @@
     build_attempt_event,
     build_request_event,
 )
-from catkinfork.forwarding._requests import build_job, encode_request
-from catkinfork.forwarding._timeouts import compute_read_timeout_s
-from catkinfork.topology import STREAMING, UNSAFE
+from catkinfork.forwarding._requests import build_job
+from catkinfork.forwarding._responses import is_authentic, is_rejection
+from catkinfork.topology import STREAMING
 
 # Lag of the event loop above which the connection of a caller is checked before its
 # request is sent, seconds.
@@ -38,7 +36,7 @@
 NOT_READY_RETRY_AFTER_S = 0.5
 
 
-class Exchange(BaseResponseListener):
+class Exchange:
     """A request and its attempts.
 
     :param server: :class:`ForwardingServer`.
@@ -51,15 +49,12 @@
         self.caller = caller
         self.request = request
         self.job = None
-        self.placement = None
+        self.attempt = None
         self.first_placement = None
-        self.connection = None
         self.relay = None
         self.is_done = False
         self.is_waiting = False
-        self.is_awaiting_response = False
-        self.read_timeout_at = float("inf")
-        self.expires_at = float("inf")
+        self.expires_at = inf
         self.placed_at = None
         self.first_data_at = None
         self.last_data_at = None
@@ -67,6 +62,23 @@
         self.status = 0
         self.framing = ""
 
+    @property
+    def read_timeout_at(self):
+        """Return the monotonic time at which the current attempt counts as silent."""
+        return inf if self.attempt is None else self.attempt.read_timeout_at
+
+    @property
+    def has_response_started(self):
+        """Return whether a part of a response was sent to the caller."""
+        return self.relay is not None and self.relay.is_started
+
+    @property
+    def last_event_id(self):
+        """Return the id of the last event that was sent to the caller, or None."""
+        if not isinstance(self.relay, ResumableStreamRelay):
+            return None
+        return self.relay.last_event_id or None
+
     def start(self):
         """Route the request and submit it to the balancer."""
         server = self.server
@@ -107,7 +119,7 @@
             return
         self.is_waiting = decision is None
         if isinstance(decision, Placement):
-            self.attempt(decision)
+            self.start_attempt(decision)
         elif isinstance(decision, Refusal):
             self.refuse(decision)
         else:
@@ -116,77 +128,25 @@
 
     def refuse(self, refusal):
         """Refuse the request, with ``Retry-After`` if it was not executed."""
-        if self.relay is not None and self.relay.is_started:
+        if self.has_response_started:
             self.abort_response(refusal.reason, refusal.detail)
         elif self.job.n_runs:
             self.reply(502, refusal.reason, None, refusal.detail)
         else:
             self.reply(503, refusal.reason, refusal.retry_after_s, refusal.detail)
 
-    def attempt(self, placement):
+    def start_attempt(self, placement):
         """Start an attempt at a backend server."""
-        self.placement = placement
-        now = self.server.loop.time()
         if self.placed_at is None:
-            self.placed_at = now
+            self.placed_at = self.server.loop.time()
             self.first_placement = placement
-        pool = self.server.get_pool(placement.backend)
-        connection = pool.acquire()
-        if connection is not None:
-            self.send(connection)
-        else:
-            self.server.spawn(self.connect, pool, placement)
-
-    async def connect(self, pool, placement):
-        """Open a connection and send the request."""
-        try:
-            connection = await pool.open()
-        except (OSError, TimeoutError) as error:
-            if self.placement is placement:
-                detail = str(error) or type(error).__name__
-                self.end_attempt(UNREACHABLE, detail)
-            return
-        if self.placement is not placement:
-            pool.release(connection)
-            return
-        if connection.is_lost:
-            self.end_attempt(UNREACHABLE, "connection lost before the request was sent")
-            return
-        self.send(connection)
-
-    def send(self, connection):
-        """Send the request on a connection, unless nobody waits for it any more."""
-        now = self.server.loop.time()
-        if now >= self.job.deadline_at or self.has_caller_left():
-            connection.pool.release(connection)
-            self.withdraw(now)
-            return
-        if not self.server.balancer.registry.is_usable(self.placement.backend, now):
-            connection.pool.release(connection)
-            self.place_anew(now)
-            return
-        self.connection = connection
-        self.is_awaiting_response = True
-        self.framing = ""
-        last_event_id = None
-        if isinstance(self.relay, ResumableStreamRelay) and self.relay.last_event_id:
-            last_event_id = self.relay.last_event_id
-        data = encode_request(
-            self.request,
-            self.job,
-            self.placement.backend,
-            self.server.names,
-            self.job.deadline_at - now,
-            last_event_id,
-        )
-        self.restart_read_timeout(now)
-        request_id = self.job.request_id.encode("latin-1")
-        connection.send(self, request_id, data)
+        self.attempt = Attempt(self, placement)
+        self.attempt.start()
 
     def place_anew(self, now):
         """Place the request elsewhere, as its backend server has become unusable."""
-        placement, self.placement = self.placement, None
-        self.handle_decision(self.server.balancer.replace(placement, now))
+        attempt, self.attempt = self.attempt, None
+        self.handle_decision(self.server.balancer.replace(attempt.placement, now))
 
     def withdraw(self, now):
         """End the exchange before its attempt is sent.
@@ -200,45 +160,26 @@
         self.on_caller_disconnected()
         self.caller.abort()
 
-    def restart_read_timeout(self, now):
-        """Count the read timeout of the current attempt from now."""
-        is_started = self.relay is not None and self.relay.is_started
-        self.read_timeout_at = now + compute_read_timeout_s(self.job.route, is_started)
-
-    def on_head(self, head):
+    def handle_head(self, head):
+        """Relay a response, or end its attempt."""
         names = self.server.names
         self.framing = head.framing
-        if (
-            head.status == MISDIRECTED_REQUEST
-            or head.find_header(names.not_run) is not None
-        ):
+        if is_rejection(head, names):
             self.drop_attempt(REJECTED, f"status {head.status}")
         elif head.status >= 500 and self.can_retry(FAILED):
             self.drop_attempt(FAILED, f"status {head.status}")
-        elif head.status < 300 and not self.is_authentic(head):
+        elif head.status < 300 and not is_authentic(head, names):
             self.drop_attempt(BROKEN, "response without signature or request id")
-        elif self.relay is not None and self.relay.is_started and head.status >= 300:
+        elif self.has_response_started and head.status >= 300:
             self.drop_attempt(FAILED, f"status {head.status} for a resumed stream")
         else:
             self.begin_relay(head)
 
-    def is_authentic(self, head):
-        """Return whether a response is signed, has an id and has no content coding.
-
-        Without its id, a late copy of another response on a reused connection could not
-        be told from the response to this request.
-        """
-        names = self.server.names
-        return (
-            head.find_header(names.seal) is not None
-            and head.find_header(names.request_id) is not None
-            and head.find_header(b"content-encoding") is None
-        )
-
     def can_retry(self, outcome):
         """Return whether the request would be retried after this outcome."""
         now = self.server.loop.time()
-        return self.server.balancer.can_retry(self.placement, outcome, now)
+        placement = self.attempt.placement
+        return self.server.balancer.can_retry(placement, outcome, now)
 
     def begin_relay(self, head):
         """Pass the head to the relay, which is built for the first response.
@@ -246,7 +187,7 @@
         A relay that has sent nothing is replaced, so that the head and the body that
         the caller receives are of the same response.
         """
-        if self.relay is None or not self.relay.is_started:
+        if not self.has_response_started:
             self.relay = build_relay(self, head)
         self.relay.handle_head(head)
         if self.job.route.kind != STREAMING:
@@ -263,7 +204,8 @@
             return False
         return self.request.is_keep_alive
 
-    def on_data(self, data):
+    def handle_data(self, data):
+        """Relay a part of the body."""
         now = self.server.loop.time()
         try:
             has_progress = self.relay.handle_data(data)
@@ -283,18 +225,18 @@
         else:
             self.max_pause_s = max(self.max_pause_s, now - self.last_data_at)
         self.last_data_at = now
-        self.restart_read_timeout(now)
+        self.attempt.restart_read_timeout(now)
 
     def record_response_started(self):
         """Inform the balancer that the response has started."""
-        if self.placement is not None and not self.placement.has_first_event:
-            self.server.balancer.record_first_event(
-                self.placement, self.server.loop.time()
-            )
+        placement = self.attempt.placement
+        if not placement.has_first_event:
+            now = self.server.loop.time()
+            self.server.balancer.record_first_event(placement, now)
             self.server.schedule_dispatch()
 
-    def on_end(self):
-        self.is_awaiting_response = False
+    def handle_end(self):
+        """Complete the response, unless its body is incomplete."""
         if self.relay is None or not self.relay.handle_end():
             self.end_attempt(BROKEN, "response ended with an incomplete event")
             return
@@ -307,32 +249,21 @@
         self.close(head.status, outcome, "")
         self.caller.finish(self.is_keep_alive())
 
-    def on_error(self, detail):
-        self.is_awaiting_response = False
-        self.end_attempt(BROKEN, detail)
-
     def drop_attempt(self, outcome, detail):
         """End an attempt whose response is not relayed."""
-        self.is_awaiting_response = False
-        connection = self.connection
-        if outcome in (REJECTED, FAILED):
-            connection.detach()
-        else:
-            connection.abort()
+        self.attempt.drop(outcome)
         self.end_attempt(outcome, detail)
 
     def finish_attempt(self, outcome, now):
         """Release the current attempt and record its outcome.
 
-        :returns: its :class:`Placement`, or None if there was none.
+        :returns: its :class:`Placement`.
         """
-        placement, self.placement = self.placement, None
-        self.connection = None
-        self.read_timeout_at = float("inf")
-        if placement is not None:
-            self.server.balancer.handle_attempt_end(placement, outcome, now)
-            self.server.metrics.record_attempt(placement.job.service, outcome)
-            self.server.schedule_dispatch()
+        placement = self.attempt.placement
+        self.attempt = None
+        self.server.balancer.handle_attempt_end(placement, outcome, now)
+        self.server.metrics.record_attempt(placement.job.service, outcome)
+        self.server.schedule_dispatch()
         return placement
 
     def end_attempt(self, outcome, detail):
@@ -358,13 +289,13 @@
         """Return whether the response sent so far allows another attempt."""
         if self.is_done:
             return False
-        if self.relay is None or not self.relay.is_started:
+        if not self.has_response_started:
             return True
         return isinstance(self.relay, ResumableStreamRelay)
 
     def send_failure(self, outcome, detail):
         """Send the final response after a failed attempt that is not retried."""
-        if self.relay is not None and self.relay.is_started:
+        if self.has_response_started:
             self.abort_response(outcome, detail)
         elif self.job.n_runs:
             self.reply(502, outcome, None, detail)
@@ -415,21 +346,12 @@
         self.close(0, "caller_gone", "")
 
     def stop_attempt(self, outcome, now):
-        """Stop the attempt in flight.
-
-        An unsafe request is left to complete, since aborting it would leave its effect
-        unknown and cost a connection.
-        """
-        connection = self.connection
-        if self.placement is not None:
-            self.finish_attempt(outcome, now)
-        if connection is None or not self.is_awaiting_response:
+        """Stop the attempt in flight, if there is one."""
+        attempt = self.attempt
+        if attempt is None:
             return
-        self.is_awaiting_response = False
-        if self.job.route.kind == UNSAFE:
-            connection.detach()
-        else:
-            connection.abort()
+        self.finish_attempt(outcome, now)
+        attempt.stop()
 
     def handle_timeouts(self, now):
         """Handle expired timeouts.
@@ -438,18 +360,18 @@
         """
         if now >= self.expires_at:
             self.expire(now)
-        elif now >= self.read_timeout_at and self.placement is not None:
+        elif now >= self.read_timeout_at:
             self.fail_over(now)
 
     def expire(self, now):
         """Send the final response when the deadline of the request has passed."""
         if self.is_waiting:
             self.server.balancer.withdraw(self.job)
-        was_sent = self.is_awaiting_response or self.job.n_runs > 0
-        if self.placement is not None and self.is_awaiting_response:
-            self.job.n_runs += 1
+        attempt = self.attempt
+        is_running = attempt is not None and attempt.is_awaiting_response
+        was_sent = is_running or self.job.n_runs > 0
         self.stop_attempt(SILENT, now)
-        if self.relay is not None and self.relay.is_started:
+        if self.has_response_started:
             self.abort_response("timeout", "")
         elif was_sent:
             self.reply(504, "timeout", None)
@@ -458,19 +380,17 @@
 
     def fail_over(self, now):
         """Abort a silent attempt if the request can be retried elsewhere."""
-        if not self.is_awaiting_response or not self.can_retry(SILENT):
-            self.restart_read_timeout(now)
+        if not self.can_retry(SILENT):
+            self.attempt.restart_read_timeout(now)
             return
-        self.is_awaiting_response = False
-        self.connection.abort()
-        self.end_attempt(SILENT, "no data within the read timeout")
+        self.drop_attempt(SILENT, "no data within the read timeout")
 
     def pause(self):
         """Pause reading from the backend server while the caller reads too slowly."""
-        if self.connection is not None:
-            self.connection.pause()
+        if self.attempt is not None:
+            self.attempt.pause()
 
     def resume(self):
         """Resume reading from the backend server."""
-        if self.connection is not None:
-            self.connection.resume()
+        if self.attempt is not None:
+            self.attempt.resume()
--- /dev/null
+++ b/catkinfork/forwarding/_responses.py
@@ -0,0 +1,30 @@
+"""What the head of a backend server's response says about its request."""
+
+from catkinfork.forwarding._messages import MISDIRECTED_REQUEST
+
+
+def is_rejection(head, names):
+    """Return whether the request was not executed.
+
+    :param head: :class:`ResponseHead`.
+    :param names: :class:`HeaderNames`.
+    """
+    if head.status == MISDIRECTED_REQUEST:
+        return True
+    return head.find_header(names.not_run) is not None
+
+
+def is_authentic(head, names):
+    """Return whether a response is signed, has an id and has no content coding.
+
+    Without its id, a late copy of another response on a reused connection could not be
+    told from the response to this request.
+
+    :param head: :class:`ResponseHead`.
+    :param names: :class:`HeaderNames`.
+    """
+    return (
+        head.find_header(names.seal) is not None
+        and head.find_header(names.request_id) is not None
+        and head.find_header(b"content-encoding") is None
+    )
