Clear a prompt part only by an answer that was generated

Found on reading: an engine that answers a request with an error before it generates counts as having served it, and cleared a part of its crashes. Only requests that had a first event prove that a part is sound. Result: the new test fails before and passes now.

--- a/catkinfork/balancing/_balancer.py
+++ b/catkinfork/balancing/_balancer.py
@@ -447,8 +447,10 @@
             )
 
     def clear_parts(self, placement):
-        """Clear the prompt parts of a request that was served."""
-        started_at = placement.first_event_at or placement.placed_at
+        """Clear the prompt parts of a request for which an answer was generated."""
+        started_at = placement.first_event_at
+        if started_at is None:
+            return
         parts = placement.job.shared_parts
         for crash in self.suspect_parts.record_served(parts, started_at):
             self.changes.part_crashes[crash] = True
--- a/catkinfork/balancing/tests/test_crashes.py
+++ b/catkinfork/balancing/tests/test_crashes.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from catkinfork.balancing import BROKEN, SUSPECT, Placement, Refusal
+from catkinfork.balancing import BROKEN, SERVED, SUSPECT, Placement, Refusal
 from catkinfork.balancing.tests.support import (
     add_backend,
     build_balancer,
@@ -139,3 +139,14 @@
         for job, decision in fleet.balancer.dispatch_queued(fleet.now)
     }
     assert decisions[fleet.n_requests].reason == SUSPECT
+
+
+def test_answer_that_was_not_generated_clears_nothing():
+    """Guards against a crashing part that an error of an engine clears."""
+    fleet = Fleet()
+    fleet.send_crashing(5, SHARED)
+    fleet.now += 400.0
+    probe = fleet.submit(SHARED, CRASHING)
+    assert isinstance(probe, Placement)
+    fleet.balancer.handle_attempt_end(probe, SERVED, fleet.now)
+    assert isinstance(fleet.submit(SHARED, CRASHING), Refusal)
