Blame no prompt part for servers that crash together

Change: a crash counts against a part only if no other one counts within 0.25 s: a request ends the server that runs it. Frames carry the age of each crash, so that forwarders agree on the time, and parts are cleared by the start of the request that was served instead of crash by crash.

--- a/catkinfork/balancing/__init__.py
+++ b/catkinfork/balancing/__init__.py
@@ -1,6 +1,7 @@
 """Load balancing: admission, placement, retries, outlier ejection and fair sharing."""
 
 from catkinfork.balancing._balancer import Balancer
+from catkinfork.balancing._changes import pop_items
 from catkinfork.balancing._events import EVENTS
 from catkinfork.balancing._hashes import hash_name
 from catkinfork.balancing._jobs import (
@@ -49,4 +50,5 @@
     "Refusal",
     "RetryBudgetSettings",
     "hash_name",
+    "pop_items",
 ]
--- a/catkinfork/balancing/_balancer.py
+++ b/catkinfork/balancing/_balancer.py
@@ -451,9 +451,9 @@
         started_at = placement.first_event_at
         if started_at is None:
             return
-        parts = placement.job.shared_parts
-        for crash in self.suspect_parts.record_served(parts, started_at):
-            self.changes.part_crashes[crash] = True
+        for part in placement.job.shared_parts:
+            if self.suspect_parts.record_served(part, started_at):
+                self.changes.served_parts[part] = started_at
 
     def record_crash(self, placement, now):
         """Count an attempt whose connection was lost."""
@@ -469,7 +469,7 @@
             for part in job.shared_parts:
                 crash = PartCrash(part, crashed)
                 self.suspect_parts.record_crash(crash, now)
-                self.changes.part_crashes[crash] = False
+                self.changes.part_crashes[crash] = now
         self.write_log(
             log_event(
                 CRASH_RECORDED,
@@ -482,25 +482,22 @@
             )
         )
 
-    def apply_peer_part_crash(self, crash, is_cleared, now):
-        """Apply a crash of a prompt part that a peer has seen or cleared.
+    def record_peer_part_crash(self, crash, crashed_at):
+        """Count a crash that a peer has seen; tell it if the part is cleared.
 
         :param crash: :class:`PartCrash`.
+        :param crashed_at: monotonic time of the crash, seconds.
         """
-        if is_cleared:
-            self.suspect_parts.clear(crash)
-        elif crash in self.suspect_parts.cleared:
-            self.changes.part_crashes[crash] = True
-        else:
-            self.suspect_parts.record_crash(crash, now)
+        if not self.suspect_parts.record_crash(crash, crashed_at):
+            part = crash.part
+            self.changes.served_parts[part] = self.suspect_parts.served[part]
 
     def repeat_part_crashes(self):
         """Add the crashes of refused prompt parts to the next frames.
 
         A forwarder that has started, or has lost a frame, learns of them.
         """
-        for crash in self.suspect_parts.list_refused_crashes():
-            self.changes.part_crashes.setdefault(crash, False)
+        self.changes.part_crashes.update(self.suspect_parts.list_refused_crashes())
 
     def allows_retry(self, placement, outcome, now):
         """Return whether a job may be retried at another backend server.
--- a/catkinfork/balancing/_changes.py
+++ b/catkinfork/balancing/_changes.py
@@ -6,6 +6,7 @@
 
     def __init__(self):
         self.part_crashes = {}
+        self.served_parts = {}
         self.clear()
 
     def clear(self):
@@ -27,14 +28,14 @@
             or self.suspects
             or self.parts
             or self.part_crashes
+            or self.served_parts
             or self.leaving
         )
 
-    def pop_part_crashes(self, n_crashes):
-        """Remove and return some of the changed crashes of prompt parts.
 
-        :param n_crashes: maximum number.
-        :returns: pairs of :class:`PartCrash` and whether it was cleared.
-        """
-        crashes = list(self.part_crashes)[:n_crashes]
-        return [(crash, self.part_crashes.pop(crash)) for crash in crashes]
+def pop_items(changes, n_items):
+    """Remove and return the first items of a dictionary of changes.
+
+    :param n_items: maximum number.
+    """
+    return [(key, changes.pop(key)) for key in list(changes)[:n_items]]
--- a/catkinfork/balancing/_suspect_parts.py
+++ b/catkinfork/balancing/_suspect_parts.py
@@ -6,6 +6,7 @@
 """
 
 from collections import OrderedDict
+from math import inf
 from typing import NamedTuple
 
 from catkinfork.balancing._events import PART_REFUSED
@@ -16,6 +17,9 @@
 # The same for a part that has been served before. It is more likely to have been lost
 # with others.
 MAX_CRASHES_SERVED = 5
+# Time between two crashes that count against a part, seconds. Servers that end together
+# have another cause: a request ends the one that runs it.
+MIN_CRASH_INTERVAL_S = 0.25
 # Time for which a crash counts against a part that is not refused, seconds.
 CRASH_TTL_S = 60.0
 # Time after the last crash until one request with a refused part is let through,
@@ -23,7 +27,6 @@
 PROBE_INTERVAL_S = 120.0
 MAX_SUSPECT_PARTS = 1024
 MAX_SERVED_PARTS = 8192
-MAX_CLEARED_CRASHES = 1024
 
 
 class PartCrash(NamedTuple):
@@ -40,8 +43,8 @@
 class SuspectPart:
     """Crashes that a prompt part may have caused.
 
-    ``crashed_at`` has the monotonic time at which each crashed backend server was
-    learned of, by its hash.
+    ``crashed_at`` has the monotonic time at which each backend server crashed, by its
+    hash.
     """
 
     __slots__ = ("crashed_at", "probe_at")
@@ -55,17 +58,25 @@
         """Return the number of crashed backend servers."""
         return len(self.crashed_at)
 
+    def has_crash_near(self, crashed_at):
+        """Return whether a crash at about the same time counts already."""
+        return any(
+            abs(crashed_at - other) < MIN_CRASH_INTERVAL_S
+            for other in self.crashed_at.values()
+        )
+
     def is_explained_by(self, other):
         """Return whether another part may have caused all of the crashes."""
-        return self.crashed_at.keys() <= other.crashed_at.keys()
+        return all(other.has_crash_near(at) for at in self.crashed_at.values())
 
 
 class SuspectPartTable:
     """Crashes by prompt part, known at this forwarder or told by its peers.
 
-    A request that is served clears its parts of the crashes before its start: a part
-    that crashes engines crashes each one. Of the remaining parts, one that was never
-    served and explains the crashes of the others is refused in their place.
+    A request that is served clears its parts of the crashes before its start, at all
+    forwarders: a part that crashes engines crashes each one. Of the remaining parts,
+    one that was never served and explains the crashes of the others is refused in their
+    place.
 
     :param rng: ``random.Random``.
     :param write_log: callable that takes a :class:`LogEvent`.
@@ -76,26 +87,28 @@
         self.write_log = write_log
         self.suspects = OrderedDict()
         self.served = OrderedDict()
-        self.cleared = OrderedDict()
         self.refused = set()
         self.is_outdated = False
 
-    def record_crash(self, crash, now):
-        """Count a crash against a part, unless it was cleared.
+    def record_crash(self, crash, crashed_at):
+        """Count a crash against a part, unless a request was served since.
 
         :param crash: :class:`PartCrash`.
+        :param crashed_at: monotonic time of the crash, seconds.
+        :returns: whether the part is not cleared of the crash.
         """
-        if crash in self.cleared:
-            return
+        if crashed_at < self.served.get(crash.part, -inf):
+            return False
         suspect = self.suspects.get(crash.part)
         if suspect is None:
             suspect = self.suspects[crash.part] = SuspectPart()
             self.limit_suspects()
-        if crash.backend in suspect.crashed_at:
-            return
-        suspect.crashed_at[crash.backend] = now
-        suspect.probe_at = now + PROBE_INTERVAL_S * (1.0 + self.rng.random())
+        if crash.backend in suspect.crashed_at or suspect.has_crash_near(crashed_at):
+            return True
+        suspect.crashed_at[crash.backend] = crashed_at
+        suspect.probe_at = crashed_at + PROBE_INTERVAL_S * (1.0 + self.rng.random())
         self.is_outdated = True
+        return True
 
     def limit_suspects(self):
         """Remove the oldest part that is not refused if there are too many."""
@@ -107,43 +120,31 @@
         del self.suspects[part]
         self.refused.discard(part)
 
-    def record_served(self, parts, started_at):
-        """Clear the parts of a request that was served.
+    def record_served(self, part, started_at):
+        """Clear a part of the crashes before the start of a request that was served.
 
-        :param started_at: monotonic time at which its response began.
-        :returns: list of :class:`PartCrash` that no longer count.
+        :param started_at: monotonic time at which its response began, here or at a
+            peer.
+        :returns: whether there were such crashes.
         """
-        cleared = []
-        for part in parts:
-            self.served[part] = None
-            self.served.move_to_end(part)
-            suspect = self.suspects.get(part)
-            if suspect is not None:
-                cleared += [
-                    PartCrash(part, backend)
-                    for backend, crashed_at in suspect.crashed_at.items()
-                    if crashed_at < started_at
-                ]
-        while len(self.served) > MAX_SERVED_PARTS:
+        self.served[part] = max(started_at, self.served.get(part, -inf))
+        self.served.move_to_end(part)
+        if len(self.served) > MAX_SERVED_PARTS:
             self.served.popitem(last=False)
-        for crash in cleared:
-            self.clear(crash)
-        return cleared
-
-    def clear(self, crash):
-        """Remove a crash that the part has not caused.
-
-        :param crash: :class:`PartCrash`.
-        """
-        self.cleared[crash] = None
-        if len(self.cleared) > MAX_CLEARED_CRASHES:
-            self.cleared.popitem(last=False)
-        suspect = self.suspects.get(crash.part)
-        if suspect is None or suspect.crashed_at.pop(crash.backend, None) is None:
-            return
+        suspect = self.suspects.get(part)
+        if suspect is None:
+            return False
+        cleared = [
+            backend
+            for backend, crashed_at in suspect.crashed_at.items()
+            if crashed_at < started_at
+        ]
+        for backend in cleared:
+            del suspect.crashed_at[backend]
         if not suspect.crashed_at:
-            del self.suspects[crash.part]
-        self.is_outdated = True
+            del self.suspects[part]
+        self.is_outdated = self.is_outdated or bool(cleared)
+        return bool(cleared)
 
     def find_refused(self, parts, now):
         """Return the first of some parts that is refused, or None.
@@ -216,12 +217,15 @@
         )
 
     def list_refused_crashes(self):
-        """Return the :class:`PartCrash` entries of the refused parts."""
+        """Return the crashes of the refused parts.
+
+        :returns: pairs of :class:`PartCrash` and its monotonic time.
+        """
         return [
-            PartCrash(part, backend)
+            (PartCrash(part, backend), crashed_at)
             for part in self.refused
             if part in self.suspects
-            for backend in self.suspects[part].crashed_at
+            for backend, crashed_at in self.suspects[part].crashed_at.items()
         ]
 
     def remove_expired(self, now):
--- a/catkinfork/peering/_frames.py
+++ b/catkinfork/peering/_frames.py
@@ -63,12 +63,22 @@
     """A crash that is counted against a prompt part.
 
     :param backend: hash of the backend server that crashed.
-    :param is_cleared: whether a request with the part was served since.
+    :param age_ms: time since the crash, milliseconds.
     """
 
     part: int
     backend: int
-    is_cleared: bool
+    age_ms: int
+
+
+class ServedPartEntry(NamedTuple):
+    """A prompt part that a served request has cleared of crashes.
+
+    :param age_ms: time since its response began, milliseconds.
+    """
+
+    part: int
+    age_ms: int
 
 
 class LeavingEntry(NamedTuple):
@@ -113,6 +123,7 @@
     suspects: list[SuspectEntry] = []
     turns: list[PriorityEntry] = []
     part_crashes: list[PartCrashEntry] = []
+    served_parts: list[ServedPartEntry] = []
     era: int = 0
     leaving: list[LeavingEntry] = []
 
--- a/catkinfork/peering/_state.py
+++ b/catkinfork/peering/_state.py
@@ -1,6 +1,12 @@
 """State exchange between the balancers of the forwarders."""
 
-from catkinfork.balancing import LoadFigures, PartCrash, PromptPart, hash_name
+from catkinfork.balancing import (
+    LoadFigures,
+    PartCrash,
+    PromptPart,
+    hash_name,
+    pop_items,
+)
 from catkinfork.observability import log_event
 from catkinfork.peering._events import PEER_LOST, PEER_REGAINED
 from catkinfork.peering._frames import (
@@ -12,6 +18,7 @@
     PartEntry,
     PriorityEntry,
     RetryEntry,
+    ServedPartEntry,
     SuspectEntry,
     UsageEntry,
     encode_frame,
@@ -25,8 +32,9 @@
 # Interval at which all totals are sent again, since datagrams may be lost.
 REFRESH_INTERVAL_S = 1.0
 MAX_PARTS_PER_FRAME = 40
-# Crashes of prompt parts in one frame; the others follow in the next ones.
-MAX_PART_CRASHES_PER_FRAME = 24
+# Crashes of prompt parts, and parts cleared of them, in one frame; the others follow in
+# the next ones.
+MAX_PART_CRASHES_PER_FRAME = 16
 MAX_LEAVING_PER_FRAME = 24
 # Usage totals that each full frame repeats, in rotation.
 MAX_REFRESHED_USAGES = 20
@@ -88,10 +96,10 @@
         is_full = now >= self.next_refresh_at
         if is_full:
             self.next_refresh_at = now + REFRESH_INTERVAL_S
-        data = self.build_datagram(is_full)
+        data = self.build_datagram(is_full, now)
         return [(address, data) for address in addresses]
 
-    def build_datagram(self, is_full):
+    def build_datagram(self, is_full, now):
         """Return a datagram with all totals or with the changed ones.
 
         Parts, then usage entries are dropped until it fits into the maximum size.
@@ -107,7 +115,7 @@
             revision=self.revision,
             era=self.era,
         )
-        self.fill_frame(frame, is_full)
+        self.fill_frame(frame, is_full, now)
         self.balancer.changes.clear()
         data = encode_frame(frame)
         while len(data) > MAX_FRAME_BYTES and (frame.parts or frame.uses):
@@ -118,7 +126,7 @@
             data = encode_frame(frame)
         return data
 
-    def fill_frame(self, frame, is_full):
+    def fill_frame(self, frame, is_full, now):
         """Add the totals to a frame."""
         changes = self.balancer.changes
         backends = changes.backends
@@ -141,17 +149,26 @@
         frame.suspects = [SuspectEntry(*pair) for pair in changes.suspects.items()]
         if is_full:
             self.balancer.repeat_part_crashes()
+        self.fill_part_crashes(frame, now)
         frame.leaving = self.list_leaving(is_full)
-        frame.part_crashes = [
-            PartCrashEntry(*crash, is_cleared)
-            for crash, is_cleared in changes.pop_part_crashes(
-                MAX_PART_CRASHES_PER_FRAME
-            )
-        ]
         for _, backend, parts in changes.parts[-MAX_PARTS_PER_FRAME:]:
             name = self.compute_hash(backend)
             frame.parts += [PartEntry(name, part, n) for part, n in parts]
 
+    def fill_part_crashes(self, frame, now):
+        """Add crashes of prompt parts, and parts cleared of them, to a frame."""
+        changes = self.balancer.changes
+        crashes = pop_items(changes.part_crashes, MAX_PART_CRASHES_PER_FRAME)
+        frame.part_crashes = [
+            PartCrashEntry(*crash, compute_age_ms(crashed_at, now))
+            for crash, crashed_at in crashes
+        ]
+        served = pop_items(changes.served_parts, MAX_PART_CRASHES_PER_FRAME)
+        frame.served_parts = [
+            ServedPartEntry(part, compute_age_ms(started_at, now))
+            for part, started_at in served
+        ]
+
     def list_leaving(self, is_full):
         """Return the entries of the backend servers that say that they are leaving.
 
@@ -245,9 +262,11 @@
             )
         if frame.leaving:
             self.record_leaving(peer, frame.leaving)
-        for part, backend, is_cleared in frame.part_crashes:
+        for part, age_ms in frame.served_parts:
+            self.balancer.suspect_parts.record_served(part, now - age_ms / 1000)
+        for part, backend, age_ms in frame.part_crashes:
             crash = PartCrash(part, backend)
-            self.balancer.apply_peer_part_crash(crash, is_cleared, now)
+            self.balancer.record_peer_part_crash(crash, now - age_ms / 1000)
         return bool(frame.loads)
 
     def record_leaving(self, peer, entries):
@@ -355,3 +374,8 @@
         if the total may include earlier counts.
     """
     return (0, 0) if now - peer.fresh_since > BASELINE_WINDOW_S else None
+
+
+def compute_age_ms(at, now):
+    """Return the time since a monotonic time, milliseconds."""
+    return max(0, int(1000 * (now - at)))
--- a/catkinfork/peering/tests/test_crashing_parts.py
+++ b/catkinfork/peering/tests/test_crashing_parts.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from catkinfork.balancing import BROKEN, SERVED, Placement
+from catkinfork.balancing import BROKEN, SERVED, SUSPECT, Placement, Refusal
 from catkinfork.balancing.tests.support import add_backend, build_job
 from catkinfork.peering.tests.nodes import build_nodes, run
 
@@ -36,6 +36,7 @@
         self.crashed_at = []
         self.n_requests = 0
         self.n_sent_later = 0
+        self.n_refused = 0
         self.n_sound = {False: [0, 0], True: [0, 0]}
 
     def submit(self, is_crashing, first_part):
@@ -48,6 +49,8 @@
         job.fingerprint = self.n_requests
         placement = node.balancer.submit(job, self.now)
         is_placed = isinstance(placement, Placement)
+        if isinstance(placement, Refusal) and placement.reason == SUSPECT:
+            self.n_refused += 1
         if is_crashing:
             is_late = len(self.crashed_at) >= 5
             is_late = is_late and self.now > self.crashed_at[4] + CONTACT_S
@@ -117,3 +120,23 @@
     n_before, n_served_before = crowd.n_sound[False]
     n_after, n_served_after = crowd.n_sound[True]
     assert n_served_after / n_after >= 0.5 * n_served_before / n_before
+
+
+@pytest.mark.parametrize("n_nodes", [2, 12])
+@pytest.mark.parametrize("seed", range(4))
+def test_loss_of_several_servers_refuses_nothing(n_nodes, seed):
+    """Guards against a refusal of common parts while servers go down together.
+
+    Load pattern: half of the engines crash at one moment, again and again, and each
+    forwarder hears of the crashes of the others with some delay.
+    """
+    crowd = Crowd(n_nodes, seed)
+    for step in range(400):
+        for _ in range(3):
+            crowd.submit(False, 0xA0 + crowd.rng.randrange(N_FIRST_PARTS))
+        if step % 50 == 40:
+            names = sorted({entry[3].backend.name for entry in crowd.running})
+            for name in crowd.rng.sample(names, len(names) // 2):
+                crowd.crash(name)
+        crowd.advance()
+    assert crowd.n_refused == 0
