Eject a backend server that refuses connections at once

An engine that refuses connections looks idle and is placed at first; it was ejected only once its failure rate exceeded that of its service by 0.35, and the requests lost in the crash had raised the latter. After four attempts a request was refused. Change: a refused connection and a 421 eject at once, for 0.5 s and with backoff: the server is not at its address. An unanswered connection, which a lost packet may cause, counts as before. Up to 12 servers are tried for a request that none has received. Ruled out: the order between workspaces; the requests were not queued. Result: the new test replays the load; before, requests are refused.

--- a/catkinfork/balancing/__init__.py
+++ b/catkinfork/balancing/__init__.py
@@ -7,8 +7,10 @@
 from catkinfork.balancing._jobs import (
     ABANDONED,
     BROKEN,
+    CONNECTION_REFUSED,
     EXPIRED,
     FAILED,
+    MISDIRECTED,
     NO_BACKEND,
     NO_RETRY,
     OVERLOADED,
@@ -29,6 +31,7 @@
 __all__ = [
     "ABANDONED",
     "BROKEN",
+    "CONNECTION_REFUSED",
     "EVENTS",
     "EXPIRED",
     "FAILED",
@@ -44,6 +47,7 @@
     "BalancerSettings",
     "Job",
     "LoadFigures",
+    "MISDIRECTED",
     "PartCrash",
     "Placement",
     "PromptPart",
--- a/catkinfork/balancing/_balancer.py
+++ b/catkinfork/balancing/_balancer.py
@@ -15,11 +15,11 @@
     NO_BACKEND,
     NO_RETRY,
     OVERLOADED,
-    REJECTED,
     SERVED,
     SUSPECT,
     THROTTLED,
-    UNREACHABLE,
+    UNEXECUTED_OUTCOMES,
+    UNSENT_OUTCOMES,
     Placement,
     Refusal,
 )
@@ -273,8 +273,8 @@
             interval_s = self.compute_recovery_interval_s(pool, now)
             state.limiter.record_request(interval_s, now)
         if job.tried_backends:
-            job.n_retries += 1
             if job.has_arrived:
+                job.n_retries += 1
                 pool.retry_budget.record_retry(now)
                 self.changes.services.add(job.service)
         elif not job.is_charged:
@@ -423,9 +423,9 @@
             self.clear_parts(placement)
         if outcome == BROKEN:
             self.record_crash(placement, now)
-        if outcome != UNREACHABLE:
+        if outcome not in UNSENT_OUTCOMES:
             job.has_arrived = True
-        if outcome not in (REJECTED, UNREACHABLE):
+        if outcome not in UNEXECUTED_OUTCOMES:
             job.n_runs += 1
         if backend.is_throttled(now):
             # Rejections that it announces are no sign of a failure.
--- a/catkinfork/balancing/_health.py
+++ b/catkinfork/balancing/_health.py
@@ -1,6 +1,13 @@
 """Outlier ejection of backend servers at which requests fail."""
 
-from catkinfork.balancing._jobs import BROKEN, FAILED, REJECTED, SILENT, UNREACHABLE
+from catkinfork.balancing._jobs import (
+    BROKEN,
+    FAILED,
+    GONE_OUTCOMES,
+    SILENT,
+    UNEXECUTED_OUTCOMES,
+    UNREACHABLE,
+)
 
 # Weight of the latest attempt in the moving average of a backend server's failures.
 FAILURE_RATE_WEIGHT = 0.15
@@ -10,9 +17,9 @@
 # Initial and maximum ejection time; it doubles with each consecutive ejection.
 MIN_EJECTION_S = 0.5
 MAX_EJECTION_S = 4.0
-# Number of failed attempts that one refused or unanswered connection counts as.
+# Number of failed attempts that one unanswered connection counts as.
 UNREACHABLE_WEIGHT = 4
-FAILURE_OUTCOMES = {FAILED, REJECTED, UNREACHABLE, BROKEN, SILENT}
+FAILURE_OUTCOMES = UNEXECUTED_OUTCOMES | {FAILED, BROKEN, SILENT}
 
 
 class BackendHealth:
@@ -37,7 +44,7 @@
         target = 1.0 if outcome in FAILURE_OUTCOMES else 0.0
         for _ in range(weight):
             self.failure_rate += FAILURE_RATE_WEIGHT * (target - self.failure_rate)
-        if outcome == UNREACHABLE:
+        if outcome == UNREACHABLE or outcome in GONE_OUTCOMES:
             self.unreachable_at = now
         if target == 0.0:
             self.n_ejections = 0
@@ -45,7 +52,10 @@
             return False
         if now < self.ejected_until:
             return False
-        if self.failure_rate < service_rate + MAX_EXCESS_RATE:
+        # One that is gone looks idle and would attract requests, while the failures of
+        # those that it ran raise the rate of the service.
+        is_gone = outcome in GONE_OUTCOMES
+        if not is_gone and self.failure_rate < service_rate + MAX_EXCESS_RATE:
             return False
         self.eject(now)
         return True
--- a/catkinfork/balancing/_jobs.py
+++ b/catkinfork/balancing/_jobs.py
@@ -141,7 +141,15 @@
 SERVED = "served"
 FAILED = "failed"
 REJECTED = "rejected"
+MISDIRECTED = "misdirected"
 UNREACHABLE = "unreachable"
+CONNECTION_REFUSED = "connection_refused"
 BROKEN = "broken"
 SILENT = "silent"
 ABANDONED = "abandoned"
+# The backend server has not received the request.
+UNSENT_OUTCOMES = frozenset({UNREACHABLE, CONNECTION_REFUSED})
+# It has not executed it.
+UNEXECUTED_OUTCOMES = UNSENT_OUTCOMES | {REJECTED, MISDIRECTED}
+# It is not at its address any more.
+GONE_OUTCOMES = frozenset({CONNECTION_REFUSED, MISDIRECTED})
--- a/catkinfork/balancing/_retries.py
+++ b/catkinfork/balancing/_retries.py
@@ -3,11 +3,13 @@
 from collections import deque
 
 from catkinfork.balancing._health import FAILURE_OUTCOMES
-from catkinfork.balancing._jobs import REJECTED, UNREACHABLE
+from catkinfork.balancing._jobs import UNEXECUTED_OUTCOMES, UNSENT_OUTCOMES
 from catkinfork.balancing._windows import SlidingWindowCounter
 
 # Backend servers to which one request is sent, including those that reject it.
 MAX_SENT_ATTEMPTS = 4
+# Backend servers tried for one request, including those that cannot be reached.
+MAX_TRIED_BACKENDS = 12
 
 # Usable fraction of the budget; the rest covers retries that peers have sent but not
 # yet reported.
@@ -91,7 +93,8 @@
     """
     if outcome not in FAILURE_OUTCOMES or now >= job.deadline_at:
         return False
-    if outcome in (REJECTED, UNREACHABLE):
-        # The request was rejected or never arrived, so it has not been executed.
+    if outcome in UNSENT_OUTCOMES:
+        return len(job.tried_backends) < MAX_TRIED_BACKENDS
+    if outcome in UNEXECUTED_OUTCOMES:
         return job.n_retries + 1 < MAX_SENT_ATTEMPTS
     return job.route.is_repeatable and n_runs < job.route.max_attempts
--- a/catkinfork/balancing/tests/test_placement.py
+++ b/catkinfork/balancing/tests/test_placement.py
@@ -6,7 +6,9 @@
 
 from catkinfork.balancing import (
     BROKEN,
+    CONNECTION_REFUSED,
     FAILED,
+    MISDIRECTED,
     NO_BACKEND,
     SERVED,
     UNREACHABLE,
@@ -321,3 +323,45 @@
     model.estimate_base_cost = lambda *args: calls.append(args) or estimate(*args)
     balancer.dispatch_queued(0.1)
     assert len(calls) == 25
+
+
+def test_crashed_servers_do_not_attract_requests():
+    """Guards against requests that are refused after trying several dead servers.
+
+    Load pattern: a fifth of the engines have crashed under load and refuse connections.
+    They look empty, and the failures of the requests that they ran raise the failure
+    rate of the whole service.
+    """
+    balancer = build_balancer(n_backends=26)
+    running = [submit(balancer, 0.0, n_prompt=100) for _ in range(260)]
+    crashed = {f"b{number}" for number in range(5)}
+    for placement in running:
+        if placement.backend.name in crashed:
+            balancer.handle_attempt_end(placement, BROKEN, 0.1)
+    n_refused = 0
+    n_connections = 0
+    for number in range(100):
+        now = 0.2 + 0.002 * number
+        decision = submit(balancer, now, n_prompt=100)
+        while isinstance(decision, Placement) and decision.backend.name in crashed:
+            n_connections += 1
+            balancer.handle_attempt_end(decision, CONNECTION_REFUSED, now)
+            if not balancer.allows_retry(decision, CONNECTION_REFUSED, now):
+                n_refused += 1
+                break
+            decision = balancer.resubmit(decision.job, now)
+    assert n_refused == 0
+    assert n_connections <= 5
+
+
+@pytest.mark.parametrize("outcome", [CONNECTION_REFUSED, MISDIRECTED])
+def test_server_that_is_gone_is_tried_again_later(outcome):
+    """Guards against a server that stays out although it is back."""
+    balancer = build_balancer(n_backends=2)
+    placement = submit(balancer, 0.0)
+    name = placement.backend.name
+    balancer.handle_attempt_end(placement, outcome, 0.0)
+    later = [submit(balancer, 0.1 * step) for step in range(1, 12)]
+    names = [one.backend.name for one in later]
+    assert name not in names[:4]
+    assert name in names
--- a/catkinfork/forwarding/_attempt.py
+++ b/catkinfork/forwarding/_attempt.py
@@ -2,7 +2,13 @@
 
 from math import inf
 
-from catkinfork.balancing import BROKEN, FAILED, REJECTED, UNREACHABLE
+from catkinfork.balancing import (
+    BROKEN,
+    CONNECTION_REFUSED,
+    FAILED,
+    REJECTED,
+    UNREACHABLE,
+)
 from catkinfork.forwarding._backend import BaseResponseListener
 from catkinfork.forwarding._requests import encode_request
 from catkinfork.forwarding._timeouts import compute_read_timeout_s
@@ -40,20 +46,24 @@
         """
         try:
             connection = await pool.open()
+        except ConnectionRefusedError as error:
+            self.fail_to_connect(CONNECTION_REFUSED, str(error))
+            return
         except (OSError, TimeoutError) as error:
-            self.fail_to_connect(str(error) or type(error).__name__)
+            self.fail_to_connect(UNREACHABLE, str(error) or type(error).__name__)
             return
         if self.exchange.attempt is not self:
             pool.release(connection)
         elif connection.is_lost:
-            self.fail_to_connect("connection lost before the request was sent")
+            detail = "connection lost before the request was sent"
+            self.fail_to_connect(UNREACHABLE, detail)
         else:
             self.send(connection)
 
-    def fail_to_connect(self, detail):
+    def fail_to_connect(self, outcome, detail):
         """End the attempt, whose request was not sent."""
         if self.exchange.attempt is self:
-            self.exchange.end_attempt(UNREACHABLE, detail)
+            self.exchange.end_attempt(outcome, detail)
 
     def send(self, connection):
         """Send the request, unless nobody waits for it or it has to go elsewhere."""
--- a/catkinfork/forwarding/_exchange.py
+++ b/catkinfork/forwarding/_exchange.py
@@ -6,7 +6,6 @@
     ABANDONED,
     BROKEN,
     FAILED,
-    REJECTED,
     SERVED,
     SILENT,
     Placement,
@@ -25,7 +24,7 @@
     build_request_event,
 )
 from catkinfork.forwarding._requests import build_job
-from catkinfork.forwarding._responses import is_authentic, is_rejection
+from catkinfork.forwarding._responses import find_rejection, is_authentic
 from catkinfork.topology import STREAMING
 
 # Lag of the event loop above which the connection of a caller is checked before its
@@ -164,8 +163,9 @@
         """Relay a response, or end its attempt."""
         names = self.server.names
         self.framing = head.framing
-        if is_rejection(head, names):
-            self.drop_attempt(REJECTED, f"status {head.status}")
+        rejection = find_rejection(head, names)
+        if rejection is not None:
+            self.drop_attempt(rejection, f"status {head.status}")
         elif head.status >= 500 and self.can_retry(FAILED):
             self.drop_attempt(FAILED, f"status {head.status}")
         elif head.status < 300 and not is_authentic(head, names):
--- a/catkinfork/forwarding/_responses.py
+++ b/catkinfork/forwarding/_responses.py
@@ -1,17 +1,20 @@
 """What the head of a backend server's response says about its request."""
 
+from catkinfork.balancing import MISDIRECTED, REJECTED
 from catkinfork.forwarding._messages import MISDIRECTED_REQUEST
 
 
-def is_rejection(head, names):
-    """Return whether the request was not executed.
+def find_rejection(head, names):
+    """Return the outcome of a request that was not executed, or None.
 
     :param head: :class:`ResponseHead`.
     :param names: :class:`HeaderNames`.
     """
     if head.status == MISDIRECTED_REQUEST:
-        return True
-    return head.find_header(names.not_run) is not None
+        return MISDIRECTED
+    if head.find_header(names.not_run) is not None:
+        return REJECTED
+    return None
 
 
 def is_authentic(head, names):
