Explain a request from the logs of several hosts

It says what happened, in a sentence for each outcome, and what the logs do not say. Status tells servers that are leaving or throttled.

--- a/catkinfork/cli/_main.py
+++ b/catkinfork/cli/_main.py
@@ -15,6 +15,7 @@
     "diff": ("_diff", "show_diff"),
     "digest": ("_digest", "print_digest"),
     "events": ("_events", "print_events"),
+    "explain": ("_explain", "explain"),
 }
 
 
--- a/catkinfork/forwarder/_status.py
+++ b/catkinfork/forwarder/_status.py
@@ -63,6 +63,8 @@
                 "data_centre": backend.data_centre,
                 "is_ready": backend.is_ready,
                 "is_left_out": state.health.is_ejected(now),
+                "is_leaving": backend.is_leaving,
+                "is_throttled": backend.is_throttled(now),
                 "failure_rate": round(state.health.failure_rate, 3),
                 "n_in_flight": state.load.n_in_flight,
                 "n_all_in_flight": state.load.n_all_in_flight,
