--- a/catkinfork/balancing/_balancer.py
+++ b/catkinfork/balancing/_balancer.py
@@ -2,35 +2,22 @@
 
 from catkinfork.balancing._candidates import CandidateList
 from catkinfork.balancing._changes import ChangeSet
-from catkinfork.balancing._events import (
-    BACKEND_LEFT_OUT,
-    CRASH_RECORDED,
-    REQUEST_BLOCKED,
-)
-from catkinfork.balancing._hashes import hash_name
+from catkinfork.balancing._crashes import CrashGuard
+from catkinfork.balancing._health import build_ejection_event
 from catkinfork.balancing._jobs import (
     ABANDONED,
     BROKEN,
-    EXPIRED,
-    NO_BACKEND,
-    NO_RETRY,
-    OVERLOADED,
     SERVED,
-    SUSPECT,
-    THROTTLED,
     UNEXECUTED_OUTCOMES,
     UNSENT_OUTCOMES,
     Placement,
-    Refusal,
 )
 from catkinfork.balancing._models import QueueRank
 from catkinfork.balancing._pool import ServicePool
+from catkinfork.balancing._refusals import RefusalBuilder
 from catkinfork.balancing._retries import is_retryable
 from catkinfork.balancing._slow_start import compute_interval_s
-from catkinfork.balancing._suspect_parts import PartCrash, SuspectPartTable
-from catkinfork.balancing._suspects import SuspectTable
 from catkinfork.balancing._waits import estimate_wait, list_infeasible
-from catkinfork.observability import log_event
 
 # Queued jobs of one service that a placement pass considers.
 MAX_JOBS_PER_PASS = 64
@@ -39,18 +26,6 @@
 # Fraction of the estimated wait and duration that must fit before the deadline of a
 # queued job. It is below 1 because half of the requests are faster than estimated.
 EXPIRY_SHARE = 0.5
-# Retry-After values: bounds, and defaults for refusals without a wait estimate.
-MIN_RETRY_AFTER_S = 0.1
-MAX_RETRY_AFTER_S = 5.0
-NO_BACKEND_RETRY_AFTER_S = 0.5
-SUSPECT_RETRY_AFTER_S = 30.0
-# Time after its first event from which a request is not blamed for a crash, seconds:
-# those that crash an engine do so as it begins to generate.
-MAX_CRASH_ONSET_S = 0.5
-# Maximum relative jitter of Retry-After, which keeps callers from retrying in step.
-RETRY_JITTER = 0.5
-# Maximum time added to the pause that backend servers ask for, seconds.
-THROTTLED_JITTER_S = 0.2
 # Requests per second, of all forwarders, to a backend server that was throttled and
 # whose service states no rate for cold ones.
 DEFAULT_RECOVERY_RATE = 20.0
@@ -75,9 +50,9 @@
         self.rng = rng
         self.write_log = write_log
         self.pools = {}
-        self.suspects = SuspectTable()
-        self.suspect_parts = SuspectPartTable(rng, write_log)
         self.changes = ChangeSet()
+        self.refusals = RefusalBuilder(rng)
+        self.crash_guard = CrashGuard(self.changes, rng, write_log)
         self.tokens_per_s = 0.0
         self.workspaces = ()
 
@@ -114,27 +89,7 @@
         self.changes.services.add(job.service)
         pool.shares.record_demand(job.workspace, job.n_service_tokens, now)
         self.changes.workspaces.add((job.service, job.workspace))
-        return self.check_suspect(job, now) or self.admit(pool, job, now)
-
-    def check_suspect(self, job, now):
-        """Return a refusal if a request would crash the backend server that runs it.
-
-        It, or others that share a part of its prompt, have crashed several.
-        """
-        is_blocked = self.suspects.is_blocked(job.fingerprint, now)
-        part = self.suspect_parts.find_refused(job.shared_parts, now)
-        if not is_blocked and part is None:
-            return None
-        self.write_log(
-            log_event(
-                REQUEST_BLOCKED,
-                request_id=job.request_id,
-                workspace=job.workspace,
-                fingerprint=f"{job.fingerprint:016x}",
-                part="" if part is None else f"{part:x}",
-            )
-        )
-        return Refusal(SUSPECT, SUSPECT_RETRY_AFTER_S)
+        return self.crash_guard.check(job, now) or self.admit(pool, job, now)
 
     def resubmit(self, job, now):
         """Place, queue or refuse a request whose attempt ended without a response.
@@ -142,11 +97,11 @@
         :returns: as :meth:`submit`.
         """
         pool = self.pools[job.service]
-        refusal = self.check_suspect(job, now)
+        refusal = self.crash_guard.check(job, now)
         if refusal is not None:
             return refusal
         if job.has_arrived and not self.has_retry_budget(pool, now):
-            return Refusal(NO_RETRY, self.add_jitter(MIN_RETRY_AFTER_S * 5))
+            return self.refusals.refuse_retry()
         return self.admit(pool, job, now)
 
     def replace(self, placement, now):
@@ -159,7 +114,7 @@
         job = placement.job
         self.handle_attempt_end(placement, ABANDONED, now)
         job.tried_backends.remove(placement.backend.name)
-        return self.check_suspect(job, now) or self.admit(
+        return self.crash_guard.check(job, now) or self.admit(
             self.pools[job.service], job, now
         )
 
@@ -191,7 +146,7 @@
         if refusal is not None:
             return refusal
         if not candidates.list_eligible(job):
-            return Refusal(NO_BACKEND, self.add_jitter(NO_BACKEND_RETRY_AFTER_S))
+            return self.refusals.refuse_without_backend()
         if not pool.queue.n_jobs:
             priority = pool.queue.compute_priority(job.workspace, now)
             placement = self.place(pool, job, candidates, priority, now)
@@ -207,28 +162,19 @@
         pause_s = candidates.compute_pause_s()
         if pause_s is None:
             return None
-        jitter_s = THROTTLED_JITTER_S * self.rng.random()
-        return Refusal(THROTTLED, pause_s + jitter_s, f"pause_s={pause_s:.3f}")
+        return self.refusals.refuse_throttled(pause_s)
 
     def check_wait(self, pool, job, now):
         """Return a refusal if a job cannot meet its deadline behind the queued jobs."""
         pool.shares.update_level(self.tokens_per_s, now)
         queue = pool.queue
         if queue.n_jobs >= MAX_WAITING:
-            return Refusal(
-                OVERLOADED, self.add_jitter(1.0), f"n_waiting={queue.n_jobs}"
-            )
+            return self.refusals.refuse_full_queue(queue.n_jobs)
         wait = estimate_wait(pool, job.workspace, now)
         wait_s = wait.compute(queue.count_tokens_ahead(job, now))
         if pool.can_meet_deadline(job, now + wait_s):
             return None
-        detail = f"wait_s={wait_s:.3f} n_waiting={queue.n_jobs}"
-        return Refusal(OVERLOADED, self.add_jitter(wait_s), detail)
-
-    def add_jitter(self, seconds):
-        """Return a bounded Retry-After value with random jitter, seconds."""
-        bounded = min(MAX_RETRY_AFTER_S, max(MIN_RETRY_AFTER_S, seconds))
-        return bounded * (1.0 + RETRY_JITTER * self.rng.random())
+        return self.refusals.refuse_long_wait(wait_s, queue.n_jobs)
 
     def place(self, pool, job, candidates, priority, now):
         """Place a job at the backend server with the lowest cost.
@@ -328,11 +274,11 @@
 
     def remove_suspect_jobs(self, pool, now):
         """Remove and refuse queued jobs with a part that has become known to crash."""
-        if not self.suspect_parts.has_refused(now):
+        if not self.crash_guard.parts.has_refused(now):
             return []
         decisions = []
         for _, job in pool.queue.list_by_priority(now):
-            refusal = self.check_suspect(job, now)
+            refusal = self.crash_guard.check(job, now)
             if refusal is not None:
                 pool.queue.remove(job)
                 decisions.append((job, refusal))
@@ -343,10 +289,7 @@
         decisions = []
         for job in list_infeasible(pool, now, EXPIRY_SHARE):
             pool.queue.remove(job)
-            waited_s = now - job.arrived_at
-            refusal = Refusal(
-                EXPIRED, self.add_jitter(waited_s), f"waited_s={waited_s:.3f}"
-            )
+            refusal = self.refusals.refuse_expired(now - job.arrived_at)
             decisions.append((job, refusal))
         return decisions
 
@@ -418,11 +361,9 @@
         backend = placement.backend
         if outcome == SERVED:
             pool.durations.record_duration(job.route, now - placement.placed_at)
-            if self.suspects.clear(job.fingerprint):
-                self.changes.suspects[job.fingerprint] = 0
-            self.clear_parts(placement)
+            self.crash_guard.record_served(placement)
         if outcome == BROKEN:
-            self.record_crash(placement, now)
+            self.crash_guard.record_crash(placement, now)
         if outcome not in UNSENT_OUTCOMES:
             job.has_arrived = True
         if outcome not in UNEXECUTED_OUTCOMES:
@@ -433,71 +374,8 @@
         pool.health.record_outcome(outcome)
         state = pool.find(backend.name)
         if state.health.record_outcome(outcome, pool.health.failure_rate, now):
-            self.write_log(
-                log_event(
-                    BACKEND_LEFT_OUT,
-                    backend_server=backend.name,
-                    service=job.service,
-                    outcome=outcome,
-                    failure_rate=state.health.failure_rate,
-                    service_rate=pool.health.failure_rate,
-                    pause_s=state.health.ejected_until - now,
-                    request_id=job.request_id,
-                )
-            )
-
-    def clear_parts(self, placement):
-        """Clear the prompt parts of a request for which an answer was generated."""
-        started_at = placement.first_event_at
-        if started_at is None:
-            return
-        for part in placement.job.shared_parts:
-            if self.suspect_parts.record_served(part, started_at):
-                self.changes.served_parts[part] = started_at
-
-    def record_crash(self, placement, now):
-        """Count an attempt whose connection was lost."""
-        job = placement.job
-        backend = placement.backend
-        n_crashes = self.suspects.record_crash(job.fingerprint, now)
-        self.changes.suspects[job.fingerprint] = n_crashes
-        first_event_at = placement.first_event_at
-        is_running = first_event_at is not None
-        if not is_running or now - first_event_at < MAX_CRASH_ONSET_S:
-            # A backend server may start again under its name.
-            crashed = hash_name(f"{backend.name}/{backend.entry.started_ms}")
-            for part in job.shared_parts:
-                crash = PartCrash(part, crashed)
-                self.suspect_parts.record_crash(crash, now)
-                self.changes.part_crashes[crash] = now
-        self.write_log(
-            log_event(
-                CRASH_RECORDED,
-                request_id=job.request_id,
-                backend_server=backend.name,
-                workspace=job.workspace,
-                fingerprint=f"{job.fingerprint:016x}",
-                n_crashes=n_crashes,
-                parts=",".join(f"{part.name:x}" for part in job.parts),
-            )
-        )
-
-    def record_peer_part_crash(self, crash, crashed_at):
-        """Count a crash that a peer has seen; tell it if the part is cleared.
-
-        :param crash: :class:`PartCrash`.
-        :param crashed_at: monotonic time of the crash, seconds.
-        """
-        if not self.suspect_parts.record_crash(crash, crashed_at):
-            part = crash.part
-            self.changes.served_parts[part] = self.suspect_parts.served[part]
-
-    def repeat_part_crashes(self):
-        """Add the crashes of refused prompt parts to the next frames.
-
-        A forwarder that has started, or has lost a frame, learns of them.
-        """
-        self.changes.part_crashes.update(self.suspect_parts.list_refused_crashes())
+            rate = pool.health.failure_rate
+            self.write_log(build_ejection_event(job, state.health, outcome, rate, now))
 
     def allows_retry(self, placement, outcome, now):
         """Return whether a job may be retried at another backend server.
--- a/catkinfork/balancing/_health.py
+++ b/catkinfork/balancing/_health.py
@@ -1,5 +1,6 @@
 """Outlier ejection of backend servers at which requests fail."""
 
+from catkinfork.balancing._events import BACKEND_LEFT_OUT
 from catkinfork.balancing._jobs import (
     BROKEN,
     FAILED,
@@ -8,6 +9,7 @@
     UNEXECUTED_OUTCOMES,
     UNREACHABLE,
 )
+from catkinfork.observability import log_event
 
 # Weight of the latest attempt in the moving average of a backend server's failures.
 FAILURE_RATE_WEIGHT = 0.15
@@ -83,3 +85,22 @@
         """Record the outcome of an attempt."""
         target = 1.0 if outcome in FAILURE_OUTCOMES else 0.0
         self.failure_rate += 0.02 * (target - self.failure_rate)
+
+
+def build_ejection_event(job, health, outcome, service_rate, now):
+    """Return the log event of an ejection.
+
+    :param job: :class:`Job` whose attempt was the cause.
+    :param health: :class:`BackendHealth` of the backend server that it tried last.
+    :param service_rate: failure rate of the whole service.
+    """
+    return log_event(
+        BACKEND_LEFT_OUT,
+        backend_server=job.tried_backends[-1],
+        service=job.service,
+        outcome=outcome,
+        failure_rate=health.failure_rate,
+        service_rate=service_rate,
+        pause_s=health.ejected_until - now,
+        request_id=job.request_id,
+    )
--- a/catkinfork/peering/_state.py
+++ b/catkinfork/peering/_state.py
@@ -148,7 +148,7 @@
         ]
         frame.suspects = [SuspectEntry(*pair) for pair in changes.suspects.items()]
         if is_full:
-            self.balancer.repeat_part_crashes()
+            self.balancer.crash_guard.repeat_part_crashes()
         self.fill_part_crashes(frame, now)
         frame.leaving = self.list_leaving(is_full)
         for _, backend, parts in changes.parts[-MAX_PARTS_PER_FRAME:]:
@@ -257,16 +257,16 @@
         for service, pool in pools.items():
             pool.set_peer_priority(peer.address, priorities.get(service))
         for fingerprint, n_crashes in frame.suspects:
-            self.balancer.suspects.record_peer_crashes(
+            self.balancer.crash_guard.suspects.record_peer_crashes(
                 peer.address, fingerprint, n_crashes, now
             )
         if frame.leaving:
             self.record_leaving(peer, frame.leaving)
         for part, age_ms in frame.served_parts:
-            self.balancer.suspect_parts.record_served(part, now - age_ms / 1000)
+            self.balancer.crash_guard.parts.record_served(part, now - age_ms / 1000)
         for part, backend, age_ms in frame.part_crashes:
             crash = PartCrash(part, backend)
-            self.balancer.record_peer_part_crash(crash, now - age_ms / 1000)
+            self.balancer.crash_guard.record_peer_part_crash(crash, now - age_ms / 1000)
         return bool(frame.loads)
 
     def record_leaving(self, peer, entries):
--- a/catkinfork/peering/tests/test_exchange.py
+++ b/catkinfork/peering/tests/test_exchange.py
@@ -103,7 +103,9 @@
         )
         node.balancer.handle_attempt_end(placement, BROKEN, now)
     run(nodes, now, now + 0.1)
-    assert all(node.balancer.suspects.is_blocked(9, now) for node in nodes.values())
+    assert all(
+        node.balancer.crash_guard.suspects.is_blocked(9, now) for node in nodes.values()
+    )
 
 
 def test_retries_and_usage_of_peers_are_included():
