Follow a backend server that starts again at another address

Found on reading: the connections to a backend server were kept by its id and went on to the address at which they were first opened. One that starts again under its id elsewhere was not reached; another server at the old address answers 421. Change: a pool whose address differs from that of the entry is closed and replaced. Result: the new test fails before and passes now.

--- a/catkinfork/forwarding/_pool.py
+++ b/catkinfork/forwarding/_pool.py
@@ -24,6 +24,7 @@
     """
 
     def __init__(self, address, names, loop, on_head=None):
+        self.address = address
         self.host, self.port = split_address(address)
         self.names = names
         self.loop = loop
--- a/catkinfork/forwarding/_server.py
+++ b/catkinfork/forwarding/_server.py
@@ -151,11 +151,18 @@
         )
 
     def get_pool(self, backend):
-        """Return the connection pool of a backend server, creating it if necessary."""
+        """Return the connection pool of a backend server, creating it if necessary.
+
+        One that has started again under its name may have another address.
+        """
         pool = self.pools.get(backend.name)
+        address = backend.entry.address
+        if pool is not None and pool.address != address:
+            self.pools.pop(backend.name).close()
+            pool = None
         if pool is None:
             pool = ConnectionPool(
-                backend.entry.address,
+                address,
                 self.names,
                 self.loop,
                 partial(self.handle_response_head, backend),
--- a/catkinfork/forwarding/tests/test_attempts.py
+++ b/catkinfork/forwarding/tests/test_attempts.py
@@ -265,3 +265,21 @@
         assert line["configuration"] == 1
 
     run_world(test)
+
+
+def test_backend_that_starts_again_elsewhere_is_reached():
+    """Guards against connections to the old address of a server that kept its id."""
+
+    async def test(world):
+        first, second = await world.start(
+            "plain", answer(body=b"first"), answer(body=b"second")
+        )
+        world.registry.remove("plain-1", 0.0, 0.0)
+        assert (await world.call("/order/")).body == b"first"
+        entry = world.registry.backends["plain-0"].entry
+        moved = entry._replace(address=second.address, started_ms=5000)
+        world.registry.apply_entry(moved, world.loop.time(), "test")
+        assert (await world.call("/order/")).body == b"second"
+        assert len(first.requests) == 1
+
+    run_world(test)
