Forget health and cached parts of a server that starts again under its id

Found on reading, beside the address: the failure rate, the ejection and the estimate of cached prompt parts were kept by id, although a server that starts again knows nothing of before. Load and attempts in flight stay until they have ended.

--- a/catkinfork/balancing/_candidates.py
+++ b/catkinfork/balancing/_candidates.py
@@ -70,6 +70,7 @@
                 self.throttled.append(backend)
                 continue
             state = pool.find(backend.name)
+            state.follow_start(backend.entry.started_ms)
             base_cost = pool.model.estimate_base_cost(backend, state.load)
             entry = CandidateEntry(backend, state, base_cost)
             if backend.is_cold(now):
--- a/catkinfork/balancing/_pool.py
+++ b/catkinfork/balancing/_pool.py
@@ -4,6 +4,7 @@
 from catkinfork.balancing._health import BackendHealth, ServiceHealth
 from catkinfork.balancing._loads import BackendLoad
 from catkinfork.balancing._models import build_load_model
+from catkinfork.balancing._prefixes import PrefixCache
 from catkinfork.balancing._queue import WaitingQueue
 from catkinfork.balancing._retries import RetryBudget
 from catkinfork.balancing._shares import FairShares
@@ -17,13 +18,26 @@
 class BackendState:
     """Load, health and slow start state of one backend server."""
 
-    __slots__ = ("health", "limiter", "load")
+    __slots__ = ("health", "limiter", "load", "started_ms")
 
     def __init__(self, service):
         engine = service.engine
         self.load = BackendLoad(engine.n_memory_tokens if engine else 0)
         self.health = BackendHealth()
         self.limiter = SlowStartLimiter()
+        self.started_ms = None
+
+    def follow_start(self, started_ms):
+        """Forget health and cached prompt parts if the backend server started again.
+
+        Requests in flight are kept until their attempts have ended.
+
+        :param started_ms: Unix time of its start, milliseconds.
+        """
+        if self.started_ms is not None and started_ms > self.started_ms:
+            self.health = BackendHealth()
+            self.load.prefixes = PrefixCache(self.load.prefixes.n_memory_tokens)
+        self.started_ms = started_ms
 
 
 class ServicePool:
--- a/catkinfork/balancing/tests/test_placement.py
+++ b/catkinfork/balancing/tests/test_placement.py
@@ -365,3 +365,20 @@
     names = [one.backend.name for one in later]
     assert name not in names[:4]
     assert name in names
+
+
+def test_server_that_starts_again_under_its_name_is_new():
+    """Guards against an ejection, or cached prompt parts, of the start before."""
+    balancer = build_balancer(n_backends=2)
+    parts = SHARED
+    placement = submit(balancer, 0.0, n_prompt=5000, parts=parts)
+    name = placement.backend.name
+    state = balancer.pools["s"].find(name)
+    balancer.handle_attempt_end(placement, CONNECTION_REFUSED, 0.0)
+    assert state.health.is_ejected(0.1)
+    entry = placement.backend.entry._replace(started_ms=5000)
+    balancer.registry.apply_entry(entry, 0.1, "test")
+    names = {submit(balancer, 0.1).backend.name for _ in range(4)}
+    assert name in names
+    assert state.load.prefixes.count_cached_tokens(build_job(parts=parts).parts) == 0
+    assert state.load.n_in_flight == 2
