Count replies on their way in the check of propagation

The check was wrong: it took the greatest document of a group from the states of the processes alone. A reply that is still on its way may hold a greater one, if its sender has restarted since; all processes then agree on that, which is what the rule asks for. Replaced by one as strict: every group must end with exactly the greatest document that a process holds or a reply within the group delivers.

--- a/catkinfork/configuration/tests/test_propagation.py
+++ b/catkinfork/configuration/tests/test_propagation.py
@@ -17,7 +17,7 @@
 from catkinfork.configuration._state import REQUEST_INTERVAL_S, REQUEST_SPACING_S
 from catkinfork.configuration.tests.test_state import make_content
 from catkinfork.document import parse_document
-from catkinfork.protocol import DocumentRequest, Send, Sender
+from catkinfork.protocol import DocumentReply, DocumentRequest, Send, Sender
 
 N_PROCESSES = 5
 HEARTBEAT_S = 0.5
@@ -158,9 +158,7 @@
     def settle(self):
         """Without further faults every group ends with its greatest document."""
         deadline = self.now + CONVERGENCE_S
-        best = {}
-        for process, group in enumerate(self.groups):
-            best[group] = max(best.get(group, (0, "")), self.states[process].identity)
+        best = self.find_greatest()
         while self.now < deadline:
             self.now += HEARTBEAT_S
             for process, group in enumerate(self.groups):
@@ -170,6 +168,22 @@
         for process, group in enumerate(self.groups):
             assert self.states[process].identity == best[group]
 
+    def find_greatest(self):
+        """Return the identity of the greatest document of each group.
+
+        A reply that is still on its way within a group counts: its sender may have
+        restarted since.
+        """
+        best = dict.fromkeys(self.groups, (0, ""))
+        for process, group in enumerate(self.groups):
+            best[group] = max(best[group], self.states[process].identity)
+        for source, destination, message in self.messages:
+            group = self.groups[destination]
+            is_reply = isinstance(message, DocumentReply) and message.content
+            if is_reply and group == self.groups[source]:
+                best[group] = max(best[group], get_identity(message.content))
+        return best
+
     @invariant()
     def check_versions(self):
         """A process never goes back, and never holds a refused document."""
@@ -205,6 +219,16 @@
     run_fleet(Fleet)
 
 
+def test_reply_that_outlives_its_sender_is_expected():
+    """Guards against a check that expects less than a reply on its way delivers."""
+    fleet = Fleet()
+    fleet.publish(step=-1, variant="rw-a", watchers={0})
+    fleet.hear(0, 1)
+    fleet.deliver(0)
+    fleet.restart(0)
+    fleet.teardown()
+
+
 class RevertingFleet(Fleet):
     """Fleet whose processes adopt every valid document."""
 
