Leave requests that have left out of the expected wait

Cause: a router takes the expected wait from the last summary of the dispatcher, which is up to 0.5 s old and still counts the flood. The router knows that its own share of those requests has left, but did not use it. Ruled out: requests that still ran (the test waits until none does), and the limit of the queue (another code).

Change: the state of a pool keeps how many requests of each workspace this router had reported when the summary arrived, and lowers the expected wait by those that wait no longer. Requests at other routers still count until the next summary.

--- a/catkinfork/routing/_admission.py
+++ b/catkinfork/routing/_admission.py
@@ -99,7 +99,7 @@
     n_waiting, n_bytes = state.queues.get_size(workspace)
     max_waiting = state.view.workspaces[workspace].max_waiting
     pool = state.view.pool_of_target[entry.request.target]
-    wait_s = state.get_pool_state(pool).get_expected_wait(workspace, now)
+    wait_s = state.estimate_wait(pool, workspace, now)
     retry_after_s = max(DEFAULT_RETRY_AFTER_S, wait_s)
     if n_waiting >= max_waiting:
         detail = f"{n_waiting} of {max_waiting}"
@@ -115,7 +115,7 @@
     """Check that the expected wait of a new request ends before its deadline."""
     request = entry.request
     pool = state.view.pool_of_target[request.target]
-    wait_s = state.get_pool_state(pool).get_expected_wait(request.workspace, now)
+    wait_s = state.estimate_wait(pool, request.workspace, now)
     return check_expected_wait(entry, wait_s, now)
 
 
--- a/catkinfork/routing/_core.py
+++ b/catkinfork/routing/_core.py
@@ -211,7 +211,8 @@
         pool_state = self.state.pools.get(summary.pool)
         if pool_state is None:
             return
-        if pool_state.record_summary(sender, summary, now):
+        n_reported = self.state.get_demand(summary.pool).count_reported()
+        if pool_state.record_summary(sender, summary, n_reported, now):
             update_waiting_requests(self.state, summary.pool, now, actions)
 
     def finalize_actions(self, actions, now):
--- a/catkinfork/routing/_demand.py
+++ b/catkinfork/routing/_demand.py
@@ -68,6 +68,14 @@
             return age_s >= CHANGE_SEND_INTERVAL_S
         return age_s >= MAX_SEND_INTERVAL_S and self.n_empty_sent < N_EMPTY_REPEATS
 
+    def count_reported(self):
+        """Return the number of waiting requests last reported, by workspace."""
+        counts = {}
+        for demand_class, n_waiting in self.reported_waiting.items():
+            name = demand_class.workspace
+            counts[name] = counts.get(name, 0) + max(0, n_waiting)
+        return counts
+
     def record_waiting(self, demand_class):
         """Record a new waiting request, urgent if its class had none reported."""
         self.is_changed = True
--- a/catkinfork/routing/_pools.py
+++ b/catkinfork/routing/_pools.py
@@ -1,5 +1,7 @@
 """State of a pool as reported in the summaries of its dispatchers."""
 
+from typing import NamedTuple
+
 # Dispatchers send a summary every 0.5 s; the state is stale after four are missing.
 SUMMARY_LIFETIME_S = 2.0
 # Longer than a change of dispatcher takes: 1.5 s until routers detect it, 1.5 s until
@@ -10,6 +12,29 @@
 SUSPECT_LIST_LIFETIME_S = 60.0
 
 
+class WorkspaceWait(NamedTuple):
+    """Expected wait of a workspace as of the last summary.
+
+    :param wait_s: expected wait of a new request in seconds.
+    :param n_waiting: waiting requests of all routers.
+    :param n_reported: those of them that this router had reported.
+    """
+
+    wait_s: float
+    n_waiting: int
+    n_reported: int
+
+    def estimate(self, n_own):
+        """Return the expected wait in seconds without the own requests that have left.
+
+        :param n_own: requests that wait at this router now.
+        """
+        n_left = max(0, self.n_reported - n_own)
+        if n_left == 0:
+            return self.wait_s
+        return self.wait_s * (1 - n_left / max(self.n_waiting, self.n_reported))
+
+
 class PoolState:
     """Contents of the last summary of a pool.
 
@@ -22,14 +47,15 @@
         self.sequence = 0
         self.summary_received_at = None
         self.summaries_fresh_since = None
-        self.waits_s = {}
+        self.waits = {}
         self.suspects = frozenset()
         self.blocked = frozenset()
         self.last_listed_at = {}
 
-    def record_summary(self, sender, summary, now):
+    def record_summary(self, sender, summary, n_reported, now):
         """Store a summary unless the same dispatcher has sent a later one.
 
+        :param n_reported: waiting requests that this router has reported, by workspace.
         :returns: whether it was stored.
         """
         source = (sender.name, sender.incarnation)
@@ -40,8 +66,13 @@
         if not self.is_fresh(now):
             self.summaries_fresh_since = now
         self.summary_received_at = now
-        self.waits_s = {
-            entry.workspace: entry.wait_ms / 1000 for entry in summary.workspaces
+        self.waits = {
+            entry.workspace: WorkspaceWait(
+                entry.wait_ms / 1000,
+                entry.n_waiting,
+                n_reported.get(entry.workspace, 0),
+            )
+            for entry in summary.workspaces
         }
         self.suspects = frozenset(summary.suspects)
         self.blocked = frozenset(summary.blocked)
@@ -69,9 +100,15 @@
         """Return whether the lists of suspect and blocked requests are still valid."""
         return now - self.summary_received_at < SUSPECT_LIST_LIFETIME_S
 
-    def get_expected_wait(self, workspace, now):
-        """Return the expected wait of a new request in seconds, 0 if unknown."""
-        return self.waits_s.get(workspace, 0.0) if self.is_fresh(now) else 0.0
+    def estimate_wait(self, workspace, n_own, now):
+        """Return the expected wait of a new request in seconds, 0 if unknown.
+
+        :param n_own: requests of the workspace that wait at this router now.
+        """
+        wait = self.waits.get(workspace)
+        if wait is None or not self.is_fresh(now):
+            return 0.0
+        return wait.estimate(n_own)
 
     def is_unlisted(self, backend_server, waiting_since, now):
         """Return whether summaries have not listed a backend server for too long.
--- a/catkinfork/routing/_queues.py
+++ b/catkinfork/routing/_queues.py
@@ -99,6 +99,11 @@
         queue = classes.get(demand_class.workspace, {}).get(demand_class)
         return len(queue) if queue else 0
 
+    def count_workspace(self, pool, workspace):
+        """Return the number of waiting requests of a workspace for a pool."""
+        classes = self.groups.get(pool, {}).get(workspace, {})
+        return sum(map(len, classes.values()))
+
     def list_classes(self, pool):
         """Return pairs of demand class and queue of a pool."""
         return [
--- a/catkinfork/routing/_state.py
+++ b/catkinfork/routing/_state.py
@@ -83,6 +83,11 @@
             self.pools[pool] = PoolState(pool)
         return self.pools[pool]
 
+    def estimate_wait(self, pool, workspace, now):
+        """Return the expected wait of a new request in seconds, 0 if unknown."""
+        n_own = self.queues.count_workspace(pool, workspace)
+        return self.get_pool_state(pool).estimate_wait(workspace, n_own, now)
+
     def get_demand(self, pool):
         """Return the demand of a pool; create it if there is none."""
         if pool not in self.demands:
--- a/catkinfork/routing/_timers.py
+++ b/catkinfork/routing/_timers.py
@@ -101,15 +101,16 @@
     The summary gives the expected wait of a request at the end of the queue. For a
     waiting request it is scaled by its position in the queue of its workspace.
     """
-    pool_state = state.get_pool_state(pool)
+    waits_s = {}
     positions = {}
     for entry in state.queues.list_waiting(pool):
         workspace = entry.request.workspace
-        wait_s = pool_state.get_expected_wait(workspace, now)
+        if workspace not in waits_s:
+            waits_s[workspace] = state.estimate_wait(pool, workspace, now)
         positions[workspace] = positions.get(workspace, 0) + 1
         n_waiting = max(state.queues.get_size(workspace)[0], positions[workspace])
         refusal = check_expected_wait(
-            entry, wait_s * positions[workspace] / n_waiting, now
+            entry, waits_s[workspace] * positions[workspace] / n_waiting, now
         )
         if refusal is not None:
             state.refuse(entry, refusal, now, actions)
--- a/catkinfork/routing/tests/test_admission.py
+++ b/catkinfork/routing/tests/test_admission.py
@@ -3,7 +3,7 @@
 import pytest
 
 from catkinfork.document import OUT, rank_key_servers
-from catkinfork.protocol import Start
+from catkinfork.protocol import Start, WorkspaceSummary
 from catkinfork.routing import (
     NOT_RUN,
     ROUTER_CODES,
@@ -142,6 +142,53 @@
     assert [answer.refusal.code for answer in answers] == ["wait_too_long"] * n_refused
 
 
+def submit_flood(core, n_requests):
+    """Submit requests of one workspace at time 0 and report them to dispatchers."""
+    for number in range(n_requests):
+        core.submit(make_request(f"flood{number}", deadline=600.0), 0.0)
+    assert list_demands(core.tick(0.1)) != []
+
+
+def test_requests_that_left_lengthen_no_wait():
+    """Guards against a refusal because of a flood whose callers have disconnected.
+
+    The summary still counts the flood for up to 0.5 s after it has left.
+    """
+    core = make_router()
+    submit_flood(core, 20)
+    wait = WorkspaceSummary("dealers", 0.0, 30, 69_700)
+    core.handle(DISPATCHERS[0], make_summary(1, workspaces=[wait]), 0.2)
+    refused = list_answers(core.submit(make_request("early"), 0.2))
+    assert [answer.refusal.code for answer in refused] == ["queue_full"]
+    for number in range(20):
+        core.abandon(f"flood{number}", 0.3)
+    assert list_answers(core.submit(make_request("late"), 0.3)) == []
+
+
+def test_summary_older_than_departures_lengthens_no_wait():
+    """Guards against a summary that crosses the report of departures on its way."""
+    core = make_router()
+    submit_flood(core, 20)
+    for number in range(20):
+        core.abandon(f"flood{number}", 0.11)
+    wait = WorkspaceSummary("dealers", 0.0, 20, 69_700)
+    core.handle(DISPATCHERS[0], make_summary(1, workspaces=[wait]), 0.12)
+    assert list_answers(core.submit(make_request("late"), 0.12)) == []
+
+
+def test_requests_that_wait_elsewhere_keep_the_wait():
+    """Guards against a wait that forgets the requests of other routers."""
+    core = make_router()
+    submit_flood(core, 10)
+    wait = WorkspaceSummary("dealers", 0.0, 20, 130_000)
+    core.handle(DISPATCHERS[0], make_summary(1, workspaces=[wait]), 0.2)
+    for number in range(10):
+        core.abandon(f"flood{number}", 0.3)
+    [answer] = list_answers(core.submit(make_request("late"), 0.3))
+    assert answer.refusal.code == "wait_too_long"
+    assert answer.refusal.retry_after_s == 65.0
+
+
 def test_stale_wait_is_not_used():
     """Guards against refusals by the last summary of a dispatcher that has stopped."""
     core = make_router()
