Flood until a request is refused in the test of a flood

Cause: the test. It starts 520 requests and expects more than 200 to wait at each router. Where the callers start slower than the fleet serves (10 s for 520 starts, 139 of them served by then), no queue is full. Not a fault of the routers: a probe shows each request served, or refused with `queue_full` where 200 wait.

Change: the test goes on to start requests until one is refused, within the same time. All checks stand as they were.

--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -249,12 +249,7 @@
 
 def test_flood_of_one_workspace(fleet):
     """Guards against a workspace that is delayed by the flood of another."""
-    flood = [
-        fleet.start_completion(router, "depots", max_tokens=40)
-        for _ in range(260)
-        for router in fleet.routers
-    ]
-    wait_until(lambda: count_finished(flood, 429) > 0, "no request is refused")
+    flood = start_flood(fleet)
     wait_until(lambda: count_finished(flood, 200) > 0, "no request is served")
     calls = [fleet.start_completion("router-1", max_tokens=4) for _ in range(4)]
     for call in calls:
@@ -276,6 +271,30 @@
     fleet.start_completion("router-1", "depots").check_complete()
 
 
+def start_flood(fleet):
+    """Start requests of one workspace until one of them is refused.
+
+    At least 260 for each router, and more where the callers start more slowly than
+    the fleet serves them.
+    """
+    flood = []
+
+    def start_more(n_requests):
+        for _ in range(n_requests):
+            for router in fleet.routers:
+                flood.append(fleet.start_completion(router, "depots", max_tokens=40))
+
+    def is_refused():
+        if count_finished(flood, 429) > 0:
+            return True
+        start_more(10)
+        return False
+
+    start_more(260)
+    wait_until(is_refused, "no request is refused")
+    return flood
+
+
 def count_finished(calls, status):
     """Return how many calls have finished with a status."""
     return sum(call.future.done() and call.result().status == status for call in calls)
