Pause a backend server under its current entry

Cause: the callback for response heads keeps the `Backend` that the connection pool was created for. If its entry is removed and published again between two checks of the pools, a 503 with Retry-After pauses the object that is no longer in use, and requests go on until the next entry arrives (one heartbeat, 1.2 s).

Change: the backend server is looked up by its name.

--- a/catkinfork/forwarding/_server.py
+++ b/catkinfork/forwarding/_server.py
@@ -173,12 +173,14 @@
     def handle_response_head(self, backend, status, headers):
         """Handle what a backend server says of itself in any of its responses.
 
-        :param backend: :class:`Backend` that the requests of the connection name.
+        :param backend: :class:`Backend` for which the connection pool was created.
         :param headers: headers by name.
         """
         if status == MISDIRECTED_REQUEST:
             # Another backend server, which has the address now.
             return
+        # Its entry may have been removed and published again since.
+        backend = self.balancer.registry.backends.get(backend.name, backend)
         value = headers.get(RETRY_AFTER)
         if status == SERVICE_UNAVAILABLE and value is not None:
             self.balancer.registry.throttle(
--- a/catkinfork/forwarding/tests/test_throttling.py
+++ b/catkinfork/forwarding/tests/test_throttling.py
@@ -103,6 +103,30 @@
     run_world(test)
 
 
+def test_pause_holds_for_an_entry_that_came_back():
+    """Guards against a pause that is set on an entry that is no longer in use.
+
+    The entry is removed and published again between two looks at the connections.
+    """
+
+    async def test(world):
+        script = in_turn(answer(), reject("0.6"), answer())
+        first, _ = await world.start("plain", script, answer())
+        world.registry.backends["plain-1"].data_centre = "remote"
+        await world.call("/read/", body=b"")
+        entry = world.registry.backends["plain-0"].entry
+        now = world.loop.time()
+        world.registry.remove("plain-0", now, now)
+        world.registry.apply_entry(entry, now, "test")
+        await world.call("/read/", body=b"")
+        assert len(first.requests) == 2
+        for _ in range(4):
+            await world.call("/read/", body=b"")
+        assert len(first.requests) == 2
+
+    run_world(test)
+
+
 @pytest.mark.parametrize("pause", ["-1", "soon", "Fri, 04 Dec 2026 14:00:00 GMT", "0"])
 def test_invalid_pause_is_ignored(pause):
     """Guards against a value that takes a server out, or stops the process."""
