Bound the departures that peers tell

Cause: `BackendRegistry.add_departures` merges what a peer knows without the bound of 1,024 that `record_departure` keeps, so that the table of a forwarder that reads peers often grows with every backend server that ever left.

Change: one class holds the bound for departures, leaving and throttled backend servers, and an older departure no longer counts as set again.

--- a/catkinfork/topology/_registry.py
+++ b/catkinfork/topology/_registry.py
@@ -1,6 +1,5 @@
 """Registry of the backend servers and their readiness for new requests."""
 
-from collections import OrderedDict
 from math import inf
 
 from catkinfork.observability import log_event
@@ -11,6 +10,7 @@
     ENTRY_IGNORED,
     EVACUATION_CHANGED,
 )
+from catkinfork.topology._recent import RecentTable
 from catkinfork.topology._source import Departure
 from catkinfork.topology._types import DRAINING, READY
 
@@ -56,7 +56,10 @@
         return now < self.throttled_until
 
     def is_recovering(self, now):
-        """Return whether load comes back slowly after it was throttled."""
+        """Return whether it is throttled, or was until recently.
+
+        Load comes back slowly then.
+        """
         return now < self.throttled_until + RECOVERY_S
 
     def is_cold(self, now):
@@ -82,9 +85,9 @@
         self.backends = {}
         self.by_service = {}
         self.evacuated = set()
-        self.departed = OrderedDict()
-        self.leaving = OrderedDict()
-        self.throttled = OrderedDict()
+        self.departed = RecentTable(MAX_DEPARTED)
+        self.leaving = RecentTable(MAX_LEAVING)
+        self.throttled = RecentTable(MAX_THROTTLED)
 
     def list_ready(self, service):
         """Return the backend servers of a service that may receive new requests."""
@@ -156,9 +159,6 @@
             backend.throttled_until = max(backend.throttled_until, now + pause_s)
             key = (backend.name, backend.entry.started_ms)
             self.throttled[key] = backend.throttled_until
-            self.throttled.move_to_end(key)
-        if len(self.throttled) > MAX_THROTTLED:
-            self.throttled.popitem(last=False)
         self.write_log(
             log_event(
                 BACKEND_THROTTLED,
@@ -181,9 +181,6 @@
         if self.leaving.get(name) == started_ms:
             return False
         self.leaving[name] = started_ms
-        self.leaving.move_to_end(name)
-        if len(self.leaving) > MAX_LEAVING:
-            self.leaving.popitem(last=False)
         backend = self.backends.get(name)
         if backend is not None and backend.entry.started_ms == started_ms:
             backend.is_leaving = True
@@ -227,9 +224,6 @@
         """Remember the last entry of a backend server that is gone."""
         departure = Departure(entry.name, *compute_entry_order(entry))
         self.departed[entry.name] = departure
-        self.departed.move_to_end(entry.name)
-        if len(self.departed) > MAX_DEPARTED:
-            self.departed.popitem(last=False)
 
     def add_departures(self, departures):
         """Add the backend servers that a peer knows to be gone.
@@ -237,8 +231,9 @@
         :param departures: :class:`Departure` entries.
         """
         for departure in departures:
-            known = self.departed.get(departure.name, departure)
-            self.departed[departure.name] = max(known, departure)
+            known = self.departed.get(departure.name)
+            if known is None or known < departure:
+                self.departed[departure.name] = departure
 
     def has_departed(self, entry):
         """Return whether an entry is no newer than that of a server that is gone.
--- a/catkinfork/topology/tests/test_registry.py
+++ b/catkinfork/topology/tests/test_registry.py
@@ -2,8 +2,8 @@
 
 import pytest
 
-from catkinfork.topology import DRAINING, BackendRegistry
-from catkinfork.topology._registry import MAX_PAUSE_S
+from catkinfork.topology import DRAINING, BackendRegistry, Departure
+from catkinfork.topology._registry import MAX_DEPARTED, MAX_PAUSE_S
 from catkinfork.topology.tests.samples import build_entry
 
 
@@ -71,6 +71,22 @@
     assert list_names(registry) == []
 
 
+def test_departures_told_by_peers_are_bounded(registry):
+    """Guards against memory that grows with the departures that peers know."""
+    for start in range(0, 3 * MAX_DEPARTED, 100):
+        names = [f"b{number}" for number in range(start, start + 100)]
+        registry.add_departures([Departure(name, 1000, 1) for name in names])
+    assert len(registry.departed) == MAX_DEPARTED
+    assert registry.has_departed(build_entry(name=names[-1], started_ms=1000))
+
+
+def test_older_departure_of_a_peer_is_ignored(registry):
+    """Guards against a server that is gone and that an outdated peer lets back in."""
+    registry.add_departures([Departure("b1", 2000, 5)])
+    registry.add_departures([Departure("b1", 1000, 9)])
+    assert registry.has_departed(build_entry(sequence=5, started_ms=2000))
+
+
 def test_evacuated_data_centre_receives_no_requests(registry):
     """Guards against requests to an evacuated data centre."""
     registry.apply_entry(build_entry(), 0.0, "test")
