Name the placement of a job elsewhere place_anew

Cause: `Balancer.replace` placed a job anew and stood beside `BackendRegistry.replace`, which replaces an entry; the exchange already says `place_anew`. The prompt headers of tests stood in three files.

No behaviour changes; the tests of forwarding and balancing pass (263).

--- a/catkinfork/balancing/_balancer.py
+++ b/catkinfork/balancing/_balancer.py
@@ -104,7 +104,7 @@
             return self.refusals.refuse_retry()
         return self.admit(pool, job, now)
 
-    def replace(self, placement, now):
+    def place_anew(self, placement, now):
         """Place a job anew whose attempt was not sent.
 
         Its backend server has become unusable while a connection was being opened.
--- a/catkinfork/forwarding/_exchange.py
+++ b/catkinfork/forwarding/_exchange.py
@@ -145,7 +145,7 @@
     def place_anew(self, now):
         """Place the request elsewhere, as its backend server has become unusable."""
         attempt, self.attempt = self.attempt, None
-        self.handle_decision(self.server.balancer.replace(attempt.placement, now))
+        self.handle_decision(self.server.balancer.place_anew(attempt.placement, now))
 
     def withdraw(self, now):
         """End the exchange before its attempt is sent.
--- a/catkinfork/forwarding/tests/test_leaving.py
+++ b/catkinfork/forwarding/tests/test_leaving.py
@@ -10,10 +10,9 @@
     in_turn,
     stream,
 )
-from catkinfork.forwarding.tests.world import run_world
+from catkinfork.forwarding.tests.world import PROMPT, run_world
 from catkinfork.topology import READY, BackendEntry
 
-PROMPT = ["X-Token-Counts: 100,20", "X-Prompt-Parts: a1:60,b2:40"]
 LEAVING = "x-leaving: 1\r\n"
 NOT_RUN = "x-not-run: 1\r\n"
 
--- a/catkinfork/forwarding/tests/test_streams.py
+++ b/catkinfork/forwarding/tests/test_streams.py
@@ -17,11 +17,10 @@
     then_close,
 )
 from catkinfork.forwarding.tests.world import (
+    PROMPT,
     run_world,
 )
 
-PROMPT = ["X-Token-Counts: 100,20", "X-Prompt-Parts: a1:60,b2:40"]
-
 
 def join(first, last):
     """Return the encoded events of a range of ids."""
--- a/catkinfork/forwarding/tests/test_troubled_backends.py
+++ b/catkinfork/forwarding/tests/test_troubled_backends.py
@@ -12,9 +12,8 @@
     in_turn,
     stream,
 )
-from catkinfork.forwarding.tests.world import run_world
+from catkinfork.forwarding.tests.world import PROMPT, run_world
 
-PROMPT = ["X-Token-Counts: 100,20", "X-Prompt-Parts: a1:60,b2:40"]
 # Bytes after which an endless response must have been stopped.
 MAX_ENDLESS_BYTES = 4 << 20
 HEAD = b"HTTP/1.1 200 OK\r\n"
--- a/catkinfork/forwarding/tests/world.py
+++ b/catkinfork/forwarding/tests/world.py
@@ -30,6 +30,8 @@
 )
 
 KEY = "key-of-a"
+# Headers of a request to an engine, with a shared part and one of its own.
+PROMPT = ["X-Token-Counts: 100,20", "X-Prompt-Parts: a1:60,b2:40"]
 
 
 class SingleForwarderDirectory:
