--- a/catkinfork/balancing/_balancer.py
+++ b/catkinfork/balancing/_balancer.py
@@ -1,5 +1,7 @@
 """Admission control and placement of the requests of one forwarder."""
 
+from itertools import islice
+
 from catkinfork.balancing._candidates import CandidateList
 from catkinfork.balancing._changes import ChangeSet
 from catkinfork.balancing._crashes import CrashGuard
@@ -277,7 +279,7 @@
         if not self.crash_guard.parts.has_refused(now):
             return []
         decisions = []
-        for _, job in pool.queue.list_by_priority(now):
+        for _, job in list(pool.queue.iterate_by_priority(now)):
             refusal = self.crash_guard.check(job, now)
             if refusal is not None:
                 pool.queue.remove(job)
@@ -301,7 +303,8 @@
         refusal = self.check_throttled(candidates)
         if refusal is not None:
             return self.refuse_all(pool, refusal, now)
-        for priority, job in pool.queue.list_by_priority(now)[:MAX_JOBS_PER_PASS]:
+        jobs = pool.queue.iterate_by_priority(now)
+        for priority, job in islice(jobs, MAX_JOBS_PER_PASS):
             placement = self.place(pool, job, candidates, priority, now)
             if placement is None:
                 if pool.priority is None:
@@ -313,7 +316,7 @@
 
     def refuse_all(self, pool, refusal, now):
         """Remove and refuse all queued jobs of a service."""
-        jobs = [job for _, job in pool.queue.list_by_priority(now)]
+        jobs = [job for _, job in pool.queue.iterate_by_priority(now)]
         for job in jobs:
             pool.queue.remove(job)
         return [(job, refusal) for job in jobs]
--- a/catkinfork/balancing/_queue.py
+++ b/catkinfork/balancing/_queue.py
@@ -1,5 +1,75 @@
 """Fair queue of the jobs of one service."""
 
+from bisect import bisect_left, insort
+from math import inf
+from operator import attrgetter
+
+LATENCY_TARGET = attrgetter("latency_target_at")
+
+
+class WorkspaceQueue:
+    """Queued jobs of one workspace, by latency target.
+
+    Load pattern: under a flood, some hundred jobs wait and each request asks for the
+    tokens ahead of it. These are therefore kept as a sum.
+
+    ``jobs`` has the late jobs first, ``n_late`` is their number and ``late_until`` the
+    monotonic time for which it holds, seconds.
+    """
+
+    __slots__ = ("jobs", "late_until", "n_late", "n_on_time_tokens")
+
+    def __init__(self):
+        self.jobs = []
+        self.n_late = 0
+        self.late_until = -inf
+        self.n_on_time_tokens = 0
+
+    def add(self, job):
+        """Add a job."""
+        insort(self.jobs, job, key=LATENCY_TARGET)
+        if job.latency_target_at <= self.late_until:
+            self.n_late += 1
+        else:
+            self.n_on_time_tokens += count_queue_tokens(job)
+
+    def remove(self, job):
+        """Remove a job.
+
+        :returns: whether it was queued.
+        """
+        target_at = job.latency_target_at
+        index = bisect_left(self.jobs, target_at, key=LATENCY_TARGET)
+        try:
+            del self.jobs[self.jobs.index(job, index)]
+        except ValueError:
+            return False
+        if target_at <= self.late_until:
+            self.n_late -= 1
+        else:
+            self.n_on_time_tokens -= count_queue_tokens(job)
+        return True
+
+    def advance(self, now):
+        """Move the jobs whose latency target has passed to the late ones."""
+        self.late_until = now
+        while self.n_late < len(self.jobs):
+            job = self.jobs[self.n_late]
+            if now < job.latency_target_at:
+                return
+            self.n_late += 1
+            self.n_on_time_tokens -= count_queue_tokens(job)
+
+    def count_on_time_tokens(self, now):
+        """Return the service tokens of the jobs before their latency target."""
+        self.advance(now)
+        return self.n_on_time_tokens
+
+    def list_in_order(self, now):
+        """Return the jobs in queue order: those that are late come last."""
+        self.advance(now)
+        return self.jobs[self.n_late :] + self.jobs[: self.n_late]
+
 
 class WaitingQueue:
     """Queued jobs by workspace.
@@ -21,7 +91,10 @@
 
     def add(self, job):
         """Add a job to the queue."""
-        self.by_workspace.setdefault(job.workspace, []).append(job)
+        queue = self.by_workspace.get(job.workspace)
+        if queue is None:
+            queue = self.by_workspace[job.workspace] = WorkspaceQueue()
+        queue.add(job)
         self.n_jobs += 1
         self.n_tokens += job.n_service_tokens
 
@@ -30,11 +103,10 @@
 
         :returns: whether it was queued.
         """
-        jobs = self.by_workspace.get(job.workspace, [])
-        if job not in jobs:
+        queue = self.by_workspace.get(job.workspace)
+        if queue is None or not queue.remove(job):
             return False
-        jobs.remove(job)
-        if not jobs:
+        if not queue.jobs:
             del self.by_workspace[job.workspace]
         self.n_jobs -= 1
         self.n_tokens -= job.n_service_tokens
@@ -42,29 +114,34 @@
 
     def count_tokens_ahead(self, job, now):
         """Return the queued service tokens of its workspace ahead of a new job."""
-        jobs = self.by_workspace.get(job.workspace, ())
-        return sum(
-            max(1, one.n_service_tokens) for one in jobs if now < one.latency_target_at
-        )
+        queue = self.by_workspace.get(job.workspace)
+        return 0 if queue is None else queue.count_on_time_tokens(now)
+
+    def list_by_workspace(self, now):
+        """Return pairs of workspace and its jobs in queue order."""
+        return [
+            (workspace, queue.list_in_order(now))
+            for workspace, queue in self.by_workspace.items()
+        ]
 
-    def list_by_priority(self, now):
-        """Return pairs of priority and queued job, the next one first."""
+    def iterate_by_priority(self, now):
+        """Yield pairs of priority and queued job, the next one first.
+
+        The job that was yielded last may be removed meanwhile.
+        """
         priorities = [
             (self.compute_priority(workspace, now), workspace)
             for workspace in self.by_workspace
         ]
-        return [
-            (priority, job)
-            for priority, workspace in sorted(priorities)
-            for job in self.sort_jobs(self.by_workspace[workspace], now)
-        ]
-
-    def sort_jobs(self, jobs, now):
-        """Return the jobs of one workspace in queue order."""
-        return sorted(
-            jobs, key=lambda job: (now >= job.latency_target_at, job.latency_target_at)
-        )
+        for priority, workspace in sorted(priorities):
+            for job in self.by_workspace[workspace].list_in_order(now):
+                yield priority, job
 
     def compute_priority(self, workspace, now):
         """Return the priority of a workspace's jobs; lower values go first."""
         return self.shares.read_received(workspace, now)
+
+
+def count_queue_tokens(job):
+    """Return the service tokens for which a job counts in the queue."""
+    return max(1, job.n_service_tokens)
--- a/catkinfork/balancing/_waits.py
+++ b/catkinfork/balancing/_waits.py
@@ -3,6 +3,8 @@
 from math import inf
 from typing import NamedTuple
 
+from catkinfork.balancing._queue import count_queue_tokens
+
 
 class WaitEstimate(NamedTuple):
     """Inputs of the queueing time of a workspace's jobs.
@@ -60,13 +62,13 @@
     :param share: fraction of the estimated wait and duration to allow for.
     """
     infeasible = []
-    for workspace, jobs in pool.queue.by_workspace.items():
+    for workspace, jobs in pool.queue.list_by_workspace(now):
         wait = estimate_wait(pool, workspace, now)
         n_tokens_ahead = 0
-        for job in pool.queue.sort_jobs(jobs, now):
+        for job in jobs:
             placed_at = now + share * wait.compute(n_tokens_ahead)
             if pool.can_meet_deadline(job, placed_at, share):
-                n_tokens_ahead += max(1, job.n_service_tokens)
+                n_tokens_ahead += count_queue_tokens(job)
             else:
                 infeasible.append(job)
     return infeasible
