Try few jobs of a flooding workspace in a pass

Cause: each pass over the queue of a saturated host tried to place up to 64 jobs, and visited all queued ones for the deadline they cannot meet. Passes are paced to a quarter of the loop, so that this took a quarter of a weak host for as long as a flood lasted.

Change: a pass goes on to the next workspace after eight jobs in a row without room, and looks for expired jobs every 50 ms.

The new test fails on the code before (64 tries).

--- a/catkinfork/balancing/_balancer.py
+++ b/catkinfork/balancing/_balancer.py
@@ -1,10 +1,9 @@
 """Admission control and placement of the requests of one forwarder."""
 
-from itertools import islice
-
 from catkinfork.balancing._candidates import CandidateList
 from catkinfork.balancing._changes import ChangeSet
 from catkinfork.balancing._crashes import CrashGuard
+from catkinfork.balancing._dispatch import DispatchPass
 from catkinfork.balancing._health import build_ejection_event
 from catkinfork.balancing._jobs import (
     ABANDONED,
@@ -19,15 +18,10 @@
 from catkinfork.balancing._refusals import RefusalBuilder
 from catkinfork.balancing._retries import is_retryable
 from catkinfork.balancing._slow_start import compute_interval_s
-from catkinfork.balancing._waits import estimate_wait, list_infeasible
+from catkinfork.balancing._waits import estimate_wait
 
-# Queued jobs of one service that a placement pass considers.
-MAX_JOBS_PER_PASS = 64
 # Queue limit of one service at one forwarder, in jobs.
 MAX_WAITING = 2000
-# Fraction of the estimated wait and duration that must fit before the deadline of a
-# queued job. It is below 1 because half of the requests are faster than estimated.
-EXPIRY_SHARE = 0.5
 # Requests per second, of all forwarders, to a backend server that was throttled and
 # whose service states no rate for cold ones.
 DEFAULT_RECOVERY_RATE = 20.0
@@ -269,58 +263,9 @@
         for pool in self.pools.values():
             if pool.queue.n_jobs:
                 pool.shares.update_level(self.tokens_per_s, now)
-                decisions += self.remove_suspect_jobs(pool, now)
-                decisions += self.remove_expired_jobs(pool, now)
-                decisions += self.place_waiting(pool, now)
-        return decisions
-
-    def remove_suspect_jobs(self, pool, now):
-        """Remove and refuse queued jobs with a part that has become known to crash."""
-        if not self.crash_guard.parts.has_refused(now):
-            return []
-        decisions = []
-        for _, job in list(pool.queue.iterate_by_priority(now)):
-            refusal = self.crash_guard.check(job, now)
-            if refusal is not None:
-                pool.queue.remove(job)
-                decisions.append((job, refusal))
+                decisions += DispatchPass(self, pool, now).run()
         return decisions
 
-    def remove_expired_jobs(self, pool, now):
-        """Remove and refuse queued jobs that can no longer meet their deadline."""
-        decisions = []
-        for job in list_infeasible(pool, now, EXPIRY_SHARE):
-            pool.queue.remove(job)
-            refusal = self.refusals.refuse_expired(now - job.arrived_at)
-            decisions.append((job, refusal))
-        return decisions
-
-    def place_waiting(self, pool, now):
-        """Place queued jobs in order of priority."""
-        decisions = []
-        candidates = self.list_candidates(pool, now)
-        pool.priority = None
-        refusal = self.check_throttled(candidates)
-        if refusal is not None:
-            return self.refuse_all(pool, refusal, now)
-        jobs = pool.queue.iterate_by_priority(now)
-        for priority, job in islice(jobs, MAX_JOBS_PER_PASS):
-            placement = self.place(pool, job, candidates, priority, now)
-            if placement is None:
-                if pool.priority is None:
-                    pool.priority = priority
-                continue
-            pool.queue.remove(job)
-            decisions.append((job, placement))
-        return decisions
-
-    def refuse_all(self, pool, refusal, now):
-        """Remove and refuse all queued jobs of a service."""
-        jobs = [job for _, job in pool.queue.iterate_by_priority(now)]
-        for job in jobs:
-            pool.queue.remove(job)
-        return [(job, refusal) for job in jobs]
-
     def has_waiting(self):
         """Return whether any job is queued."""
         return any(pool.queue.n_jobs for pool in self.pools.values())
--- a/catkinfork/balancing/_pool.py
+++ b/catkinfork/balancing/_pool.py
@@ -1,5 +1,7 @@
 """Balancer state of one service."""
 
+from math import inf
+
 from catkinfork.balancing._durations import RouteDurations
 from catkinfork.balancing._health import BackendHealth, ServiceHealth
 from catkinfork.balancing._loads import BackendLoad
@@ -65,6 +67,7 @@
         self.durations = RouteDurations()
         self.priority = None
         self.peer_priorities = {}
+        self.next_expiry_check_at = -inf
 
     def update(self, service, settings):
         """Replace the service definition; loads and queue are kept."""
--- a/catkinfork/balancing/_queue.py
+++ b/catkinfork/balancing/_queue.py
@@ -124,18 +124,16 @@
             for workspace, queue in self.by_workspace.items()
         ]
 
-    def iterate_by_priority(self, now):
-        """Yield pairs of priority and queued job, the next one first.
+    def list_jobs(self, workspace, now):
+        """Return the jobs of a workspace in queue order."""
+        return self.by_workspace[workspace].list_in_order(now)
 
-        The job that was yielded last may be removed meanwhile.
-        """
-        priorities = [
+    def list_priorities(self, now):
+        """Return pairs of priority and workspace, the next one first."""
+        return sorted(
             (self.compute_priority(workspace, now), workspace)
             for workspace in self.by_workspace
-        ]
-        for priority, workspace in sorted(priorities):
-            for job in self.by_workspace[workspace].list_in_order(now):
-                yield priority, job
+        )
 
     def compute_priority(self, workspace, now):
         """Return the priority of a workspace's jobs; lower values go first."""
--- a/catkinfork/balancing/tests/test_placement.py
+++ b/catkinfork/balancing/tests/test_placement.py
@@ -325,6 +325,31 @@
     assert len(calls) == 25
 
 
+def test_pass_over_a_flood_tries_few_of_its_jobs():
+    """Guards against a pass that searches room for each job of a flood.
+
+    Load pattern: all engines are full, and jobs of a flooding workspace wait in front
+    of one of another workspace, which fits.
+    """
+    balancer = build_balancer(n_backends=4)
+    running = [submit(balancer, 0.0, workspace="c", n_prompt=14_000) for _ in range(4)]
+    for _ in range(200):
+        balancer.submit(build_job(0.0, workspace="a", n_prompt=8000), 0.0)
+    fitting = build_job(0.0, workspace="b", n_prompt=500)
+    balancer.submit(fitting, 0.0)
+    balancer.pools["s"].shares.record_service("b", 10_000, 0.0)
+    tried = []
+    place = balancer.place
+    balancer.place = lambda pool, job, *args: (
+        tried.append(job.workspace) or place(pool, job, *args)
+    )
+    ((job, _),) = balancer.dispatch_queued(0.1)
+    assert job is fitting
+    assert tried.count("a") <= 8
+    serve(balancer, running[0], 0.2)
+    assert {job.workspace for job, _ in balancer.dispatch_queued(0.2)} == {"a"}
+
+
 def test_crashed_servers_do_not_attract_requests():
     """Guards against requests that are refused after trying several dead servers.
 
