Log the request rate that backend servers name

Change: the limit of each start of a backend server is recorded from all of its responses, with the events 811 (named, changed, lifted) and 812 (malformed), at most one line a second for each server, and the field limit_per_s of /status. Placement is unchanged.

--- a/catkinfork/explanation/_report.py
+++ b/catkinfork/explanation/_report.py
@@ -35,8 +35,10 @@
         "backend_added",
         "backend_leaving",
         "backend_left_out",
+        "backend_limited",
         "backend_throttled",
         "crash_recorded",
+        "rate_limit_ignored",
     }
 )
 HIDDEN_FIELDS = frozenset({"time", "level", "event", "name", "process"})
--- a/catkinfork/forwarder/_status.py
+++ b/catkinfork/forwarder/_status.py
@@ -55,6 +55,7 @@
         if pool is None:
             continue
         state = pool.find(backend.name)
+        limit = process.topology.registry.rate_limits.find(backend.entry)
         backends.append(
             {
                 "name": backend.name,
@@ -65,6 +66,7 @@
                 "is_left_out": state.health.is_ejected(now),
                 "is_leaving": backend.is_leaving,
                 "is_throttled": backend.is_throttled(now),
+                "limit_per_s": None if limit is None or limit.is_lifted else limit.rate,
                 "failure_rate": round(state.health.failure_rate, 3),
                 "n_in_flight": state.load.n_in_flight,
                 "n_all_in_flight": state.load.n_all_in_flight,
--- a/catkinfork/forwarding/_names.py
+++ b/catkinfork/forwarding/_names.py
@@ -12,6 +12,8 @@
     :param expected_backend: name of the backend server that the request is meant for.
     :param seal: signature of the backend server on its response.
     :param leaving: ``1`` in the responses of a backend server that is about to stop.
+    :param rate_limit: requests per second that a backend server takes from all
+        forwarders together, a decimal number.
     :param not_run: marks a response to a request that was not executed.
     :param prompt_parts: parts of the prompt as comma-separated ``ID:TOKENS`` entries.
     :param token_counts: number of prompt tokens and maximum number of output tokens.
@@ -26,6 +28,7 @@
     expected_backend: bytes = b"x-expected-backend"
     seal: bytes = b"x-response-seal"
     leaving: bytes = b"x-leaving"
+    rate_limit: bytes = b"x-rate-limit"
     not_run: bytes = b"x-not-run"
     prompt_parts: bytes = b"x-prompt-parts"
     token_counts: bytes = b"x-token-counts"
--- a/catkinfork/forwarding/_numbers.py
+++ b/catkinfork/forwarding/_numbers.py
@@ -2,7 +2,7 @@
 
 import re
 
-PAUSE_PATTERN = re.compile(rb"^(\d+)(\.\d{1,18})?$")
+DECIMAL_PATTERN = re.compile(rb"^(\d+)(\.\d+)?$")
 # Digits of the longest number that is converted; longer ones count as the maximum.
 MAX_DIGITS = 18
 MAX_NUMBER = 10**MAX_DIGITS
@@ -25,20 +25,20 @@
     return min(maximum, int(digits))
 
 
-def parse_pause_s(value):
-    """Return the seconds of a ``Retry-After`` header, or None if it is invalid.
+def parse_decimal(value):
+    """Return a number with an optional fraction, or None if it is malformed.
 
-    Fractions are allowed; dates are not.
+    Signs, exponents and dates are not allowed.
 
     :param value: header, as bytes.
     """
-    match = PAUSE_PATTERN.match(value.strip())
+    match = DECIMAL_PATTERN.match(value.strip())
     if match is None:
         return None
     whole, fraction = match.groups()
     if len(whole) > MAX_DIGITS:
         return float(MAX_NUMBER)
-    return float(whole + (fraction or b""))
+    return float(whole + (fraction or b"")[: MAX_DIGITS + 1])
 
 
 def parse_event_number(value):
--- a/catkinfork/forwarding/_server.py
+++ b/catkinfork/forwarding/_server.py
@@ -4,6 +4,7 @@
 import socket
 import time
 from functools import partial
+from math import inf
 
 from catkinfork.forwarding._caller import CallerConnection, poll_socket
 from catkinfork.forwarding._events import REQUEST_REJECTED
@@ -11,7 +12,7 @@
 from catkinfork.forwarding._lag import LagMonitor
 from catkinfork.forwarding._messages import MISDIRECTED_REQUEST
 from catkinfork.forwarding._metrics import ForwarderMetrics
-from catkinfork.forwarding._numbers import parse_pause_s
+from catkinfork.forwarding._numbers import parse_decimal
 from catkinfork.forwarding._pool import ConnectionPool
 from catkinfork.observability import log_event
 from catkinfork.topology import CallerLimits, split_address
@@ -185,14 +186,32 @@
         if status == SERVICE_UNAVAILABLE and value is not None:
             self.balancer.registry.throttle(
                 backend,
-                parse_pause_s(value),
+                parse_decimal(value),
                 value[:MAX_LOGGED_BYTES].decode("latin-1"),
                 self.loop.time(),
             )
+        self.record_rate_limit(backend, headers.get(self.names.rate_limit))
         is_leaving = headers.get(self.names.leaving) == LEAVING
         if is_leaving and self.balancer.mark_leaving(backend):
             self.loop.call_soon(self.close_unused_pools)
 
+    def record_rate_limit(self, backend, value):
+        """Record the limit that a response names, or that it names none any more.
+
+        :param value: value of the header, or None.
+        """
+        rate_limits = self.balancer.registry.rate_limits
+        entry = backend.entry
+        if value is None and rate_limits.find(entry) is None:
+            return
+        now = self.loop.time()
+        rate = inf if value is None else parse_decimal(value)
+        if rate is None:
+            shown = value[:MAX_LOGGED_BYTES].decode("latin-1")
+            rate_limits.ignore(entry, shown, now)
+            return
+        rate_limits.record(entry, rate, now, "response", now)
+
     def close_unused_pools(self):
         """Close the pools of backend servers that accept no more requests."""
         backends = self.balancer.registry.backends
--- a/catkinfork/forwarding/tests/test_throttling.py
+++ b/catkinfork/forwarding/tests/test_throttling.py
@@ -3,7 +3,7 @@
 import anyio
 import pytest
 
-from catkinfork.forwarding._numbers import parse_pause_s
+from catkinfork.forwarding._numbers import parse_decimal
 from catkinfork.forwarding.tests.scripted import answer, in_turn
 from catkinfork.forwarding.tests.world import run_world
 
@@ -160,6 +160,7 @@
     [
         (b"2", 2.0),
         (b" 0.25 ", 0.25),
+        (b"0." + b"3" * 40, 1 / 3),
         (b"1000000000", 1e9),
         (b"9" * 400, 1e18),
         (b"-1", None),
@@ -172,4 +173,4 @@
 )
 def test_pause_is_parsed(value, pause_s):
     """Guards against values that are not seconds."""
-    assert parse_pause_s(value) == pause_s
+    assert parse_decimal(value) == pause_s
--- a/catkinfork/platform/_names.py
+++ b/catkinfork/platform/_names.py
@@ -9,6 +9,7 @@
     expected_backend=b"x-catkinfork-expect-instance",
     seal=b"x-catkinfork-response-seal",
     leaving=b"server-leaving",
+    rate_limit=b"server-limit",
     not_run=b"x-catkinfork-not-executed",
     prompt_parts=b"x-catkinfork-prefix-hash",
     token_counts=b"x-catkinfork-token-usage",
--- a/catkinfork/topology/_events.py
+++ b/catkinfork/topology/_events.py
@@ -80,6 +80,29 @@
     "0 means that the value is invalid and ignored",
     ("backend_server", "service", "value", "pause_s"),
 )
+BACKEND_LIMITED = Event(
+    811,
+    "info",
+    "backend_limited",
+    "a backend server has named, changed or lifted (null) the rate of requests that it "
+    "takes from all hosts together; n_unlogged changes since the last line have none",
+    (
+        "backend_server",
+        "service",
+        "limit_per_s",
+        "previous_per_s",
+        "source",
+        "n_unlogged",
+    ),
+)
+RATE_LIMIT_IGNORED = Event(
+    812,
+    "warning",
+    "rate_limit_ignored",
+    "a backend server names a limit of its request rate that is no decimal number; the "
+    "one before stays in force",
+    ("backend_server", "service", "value"),
+)
 
 EVENTS = (
     CONFIGURATION_ADOPTED,
@@ -93,4 +116,6 @@
     STORE_RESTORED,
     ERA_IGNORED,
     BACKEND_THROTTLED,
+    BACKEND_LIMITED,
+    RATE_LIMIT_IGNORED,
 )
--- a/catkinfork/topology/_registry.py
+++ b/catkinfork/topology/_registry.py
@@ -10,6 +10,7 @@
     ENTRY_IGNORED,
     EVACUATION_CHANGED,
 )
+from catkinfork.topology._rate_limits import RateLimitTable
 from catkinfork.topology._recent import RecentTable
 from catkinfork.topology._source import Departure
 from catkinfork.topology._types import DRAINING, READY
@@ -88,6 +89,7 @@
         self.departed = RecentTable(MAX_DEPARTED)
         self.leaving = RecentTable(MAX_LEAVING)
         self.throttled = RecentTable(MAX_THROTTLED)
+        self.rate_limits = RateLimitTable(write_log)
 
     def list_ready(self, service):
         """Return the backend servers of a service that may receive new requests."""
