Keep to the request rate that backend servers name

A bound that a backend server states at run time, for all forwarders together, had no place: cold servers and those after a pause had a rule each, split evenly.

Change: a rate is divided by the requests that reach each forwarder, which frames tell already; an even share at most while a forwarder is silent. The right to send lapses after a second, so that idle forwarders do not save one each. A server at its limit is passed over. Limits are told to the peers with their age, belong to one start of a server, and end with twice their rate for a second. Interim and late responses lift none.

--- a/catkinfork/balancing/_balancer.py
+++ b/catkinfork/balancing/_balancer.py
@@ -15,16 +15,13 @@
 )
 from catkinfork.balancing._models import QueueRank
 from catkinfork.balancing._pool import ServicePool
+from catkinfork.balancing._rates import SendRates
 from catkinfork.balancing._refusals import RefusalBuilder
 from catkinfork.balancing._retries import is_retryable
-from catkinfork.balancing._slow_start import compute_interval_s
 from catkinfork.balancing._waits import estimate_wait
 
 # Queue limit of one service at one forwarder, in jobs.
 MAX_WAITING = 2000
-# Requests per second, of all forwarders, to a backend server that was throttled and
-# whose service states no rate for cold ones.
-DEFAULT_RECOVERY_RATE = 20.0
 
 
 class Balancer:
@@ -82,6 +79,7 @@
         """
         pool = self.pools[job.service]
         pool.retry_budget.record_request(now)
+        pool.demand.record_request(now)
         self.changes.services.add(job.service)
         pool.shares.record_demand(job.workspace, job.n_service_tokens, now)
         self.changes.workspaces.add((job.service, job.workspace))
@@ -125,6 +123,15 @@
         self.changes.leaving.add(backend.name)
         return True
 
+    def record_rate_limit(self, backend, rate, now):
+        """Keep to the request rate that a backend server names, and tell the peers.
+
+        :param rate: requests per second, infinite if a response names none.
+        """
+        rate_limits = self.registry.rate_limits
+        if rate_limits.record(backend.entry, rate, now, "response", now):
+            self.changes.rate_limits[backend.name] = True
+
     def has_retry_budget(self, pool, now):
         """Return whether the retry budget of a service allows one more retry."""
         n_fresh = self.peers.count_fresh(now)
@@ -200,20 +207,19 @@
         placement.cost = best.cost
         placement.n_candidates = len(candidates.healthy)
         placement.peer_state_age_s = self.peers.compute_state_age_s(now)
-        self.record_placement(pool, placement, now)
+        self.record_placement(pool, placement, candidates.rates, now)
         return placement
 
-    def record_placement(self, pool, placement, now):
-        """Add a new attempt to loads, budgets and shares."""
+    def record_placement(self, pool, placement, rates, now):
+        """Add a new attempt to loads, rates, budgets and shares.
+
+        :param rates: :class:`SendRates`.
+        """
         job = placement.job
         backend = placement.backend
         state = pool.find(backend.name)
         state.load.add_attempt(job, placement.n_missing_tokens)
-        if backend.is_cold(now):
-            state.limiter.record_request(self.compute_cold_interval_s(pool, now), now)
-        elif backend.is_recovering(now):
-            interval_s = self.compute_recovery_interval_s(pool, now)
-            state.limiter.record_request(interval_s, now)
+        rates.record_request(backend, state)
         if job.tried_backends:
             if job.has_arrived:
                 job.n_retries += 1
@@ -229,29 +235,10 @@
         if job.parts:
             self.changes.parts.append((job.service, backend.name, job.parts))
 
-    def compute_cold_interval_s(self, pool, now):
-        """Return the interval between requests to one cold backend server, seconds."""
-        n_forwarders = self.peers.count_forwarders(now)
-        return compute_interval_s(pool.service.cold_rate, n_forwarders)
-
-    def compute_recovery_interval_s(self, pool, now):
-        """Return the interval between requests to one that was throttled, seconds.
-
-        All forwarders together send it as many a second as a cold one can handle.
-        """
-        rate = pool.service.cold_rate or DEFAULT_RECOVERY_RATE
-        return compute_interval_s(rate, self.peers.count_forwarders(now))
-
     def list_candidates(self, pool, now):
         """Return a new :class:`CandidateList` of a service."""
-        return CandidateList(
-            self.registry,
-            pool,
-            self.rng,
-            self.compute_cold_interval_s(pool, now),
-            self.compute_recovery_interval_s(pool, now),
-            now,
-        )
+        rates = SendRates(self.registry, pool, self.peers, self.rng, now)
+        return CandidateList(self.registry, pool, rates, now)
 
     def dispatch_queued(self, now):
         """Place queued jobs and refuse those that can no longer meet their deadline.
--- a/catkinfork/balancing/_candidates.py
+++ b/catkinfork/balancing/_candidates.py
@@ -4,7 +4,7 @@
 from operator import attrgetter
 from typing import NamedTuple
 
-from catkinfork.topology import RECOVERY_S, Backend
+from catkinfork.topology import Backend
 
 BASE_COST = attrgetter("base_cost")
 
@@ -29,18 +29,16 @@
     :param backend: :class:`Backend`.
     :param state: its :class:`BackendState`.
     :param base_cost: cost of any job there, without its uncached prompt tokens.
+    :param is_limited: whether the rate of requests to it is limited.
     """
 
-    __slots__ = ("backend", "base_cost", "state")
+    __slots__ = ("backend", "base_cost", "is_limited", "state")
 
-    def __init__(self, backend, state, base_cost):
+    def __init__(self, backend, state, base_cost, is_limited):
         self.backend = backend
         self.state = state
         self.base_cost = base_cost
-
-    def is_limited(self, now):
-        """Return whether the rate of requests to it is limited."""
-        return self.backend.is_cold(now) or self.backend.is_recovering(now)
+        self.is_limited = is_limited
 
 
 class CandidateList:
@@ -52,15 +50,13 @@
 
     :param registry: :class:`BackendRegistry`.
     :param pool: :class:`ServicePool`.
-    :param rng: ``random.Random``.
-    :param cold_interval_s: interval between requests to one cold backend server,
-        seconds.
-    :param recovery_interval_s: the same for one that was throttled, seconds.
+    :param rates: :class:`SendRates`.
     :param now: monotonic time, seconds.
     """
 
-    def __init__(self, registry, pool, rng, cold_interval_s, recovery_interval_s, now):
+    def __init__(self, registry, pool, rates, now):
         self.pool = pool
+        self.rates = rates
         self.now = now
         self.healthy = []
         self.ejected = []
@@ -72,14 +68,8 @@
             state = pool.find(backend.name)
             state.follow_start(backend.entry.started_ms)
             base_cost = pool.model.estimate_base_cost(backend, state.load)
-            entry = CandidateEntry(backend, state, base_cost)
-            if backend.is_cold(now):
-                state.limiter.start_period(
-                    backend.cold_until, cold_interval_s, rng, now
-                )
-            elif backend.is_recovering(now):
-                ends_at = backend.throttled_until + RECOVERY_S
-                state.limiter.start_period(ends_at, recovery_interval_s, rng, now)
+            is_limited = rates.start_period(backend, state)
+            entry = CandidateEntry(backend, state, base_cost, is_limited)
             if not state.health.is_ejected(now):
                 self.healthy.append(entry)
             elif state.health.unreachable_at is None:
@@ -121,7 +111,7 @@
             if entry.base_cost >= best_cost:
                 break
             state = entry.state
-            if entry.is_limited(self.now) and not state.limiter.allows(self.now):
+            if entry.is_limited and not self.rates.allows(entry.backend, state):
                 continue
             n_missing_tokens = model.estimate_missing_tokens(job, state.load)
             cost = entry.base_cost + model.missing_token_weight * n_missing_tokens
--- a/catkinfork/balancing/_changes.py
+++ b/catkinfork/balancing/_changes.py
@@ -7,6 +7,7 @@
     def __init__(self):
         self.part_crashes = {}
         self.served_parts = {}
+        self.rate_limits = {}
         self.clear()
 
     def clear(self):
@@ -29,6 +30,7 @@
             or self.parts
             or self.part_crashes
             or self.served_parts
+            or self.rate_limits
             or self.leaving
         )
 
--- a/catkinfork/balancing/_pool.py
+++ b/catkinfork/balancing/_pool.py
@@ -2,6 +2,7 @@
 
 from math import inf
 
+from catkinfork.balancing._allowance import DemandShare, RateAllowance
 from catkinfork.balancing._durations import RouteDurations
 from catkinfork.balancing._health import BackendHealth, ServiceHealth
 from catkinfork.balancing._loads import BackendLoad
@@ -18,15 +19,16 @@
 
 
 class BackendState:
-    """Load, health and slow start state of one backend server."""
+    """Load, health and rates of one backend server."""
 
-    __slots__ = ("health", "limiter", "load", "started_ms")
+    __slots__ = ("allowance", "health", "limiter", "load", "started_ms")
 
     def __init__(self, service):
         engine = service.engine
         self.load = BackendLoad(engine.n_memory_tokens if engine else 0)
         self.health = BackendHealth()
         self.limiter = SlowStartLimiter()
+        self.allowance = RateAllowance()
         self.started_ms = None
 
     def follow_start(self, started_ms):
@@ -61,6 +63,7 @@
         self.shares = FairShares(settings.share_window_s)
         self.queue = WaitingQueue(self.shares)
         self.retry_budget = RetryBudget(settings.retry_budget)
+        self.demand = DemandShare()
         self.health = ServiceHealth()
         self.placed_tokens = DecayingSum(PLACEMENT_RATE_WINDOW_S)
         self.first_event_durations = RouteDurations()
--- a/catkinfork/forwarding/_backend.py
+++ b/catkinfork/forwarding/_backend.py
@@ -178,9 +178,10 @@
         names = {}
         for name, value in self.headers:
             names.setdefault(name, value)
+        is_expected = status >= 200 and not self.is_for_other_request()
         if self.pool.on_head is not None:
-            self.pool.on_head(status, names)
-        if status < 200 or self.is_for_other_request():
+            self.pool.on_head(status, names, is_expected)
+        if not is_expected:
             self.is_skipping = True
             return
         self.is_skipping = False
--- a/catkinfork/forwarding/_pool.py
+++ b/catkinfork/forwarding/_pool.py
@@ -20,7 +20,7 @@
     :param names: :class:`HeaderNames`.
     :param loop: event loop.
     :param on_head: callable that takes the status and the headers, by name, of each
-        response; those that belong to no request in progress are included.
+        response, and whether it is the final one to the request in progress.
     """
 
     def __init__(self, address, names, loop, on_head=None):
--- a/catkinfork/forwarding/_server.py
+++ b/catkinfork/forwarding/_server.py
@@ -171,11 +171,12 @@
             self.pools[backend.name] = pool
         return pool
 
-    def handle_response_head(self, backend, status, headers):
+    def handle_response_head(self, backend, status, headers, is_expected):
         """Handle what a backend server says of itself in any of its responses.
 
         :param backend: :class:`Backend` for which the connection pool was created.
         :param headers: headers by name.
+        :param is_expected: whether it is the final response to the request in progress.
         """
         if status == MISDIRECTED_REQUEST:
             # Another backend server, which has the address now.
@@ -190,7 +191,10 @@
                 value[:MAX_LOGGED_BYTES].decode("latin-1"),
                 self.loop.time(),
             )
-        self.record_rate_limit(backend, headers.get(self.names.rate_limit))
+        limit = headers.get(self.names.rate_limit)
+        # An interim or a late response does not show that a limit was lifted.
+        if is_expected or limit is not None:
+            self.record_rate_limit(backend, limit)
         is_leaving = headers.get(self.names.leaving) == LEAVING
         if is_leaving and self.balancer.mark_leaving(backend):
             self.loop.call_soon(self.close_unused_pools)
@@ -210,7 +214,7 @@
             shown = value[:MAX_LOGGED_BYTES].decode("latin-1")
             rate_limits.ignore(entry, shown, now)
             return
-        rate_limits.record(entry, rate, now, "response", now)
+        self.balancer.record_rate_limit(backend, rate, now)
 
     def close_unused_pools(self):
         """Close the pools of backend servers that accept no more requests."""
--- a/catkinfork/peering/_frames.py
+++ b/catkinfork/peering/_frames.py
@@ -91,6 +91,20 @@
     started_ms: int
 
 
+class RateLimitEntry(NamedTuple):
+    """Request rate that a backend server has named to the sender.
+
+    :param started_ms: Unix time of its start, milliseconds.
+    :param rate: requests per second, infinite if the limit was lifted.
+    :param age_ms: time since the latest response that stated it, milliseconds.
+    """
+
+    backend: int
+    started_ms: int
+    rate: float
+    age_ms: int
+
+
 class Frame(msgspec.Struct, array_like=True):
     """State of one forwarder for its peers.
 
@@ -126,6 +140,7 @@
     served_parts: list[ServedPartEntry] = []
     era: int = 0
     leaving: list[LeavingEntry] = []
+    rate_limits: list[RateLimitEntry] = []
 
 
 _ENCODER = msgspec.msgpack.Encoder()
--- a/catkinfork/peering/_state.py
+++ b/catkinfork/peering/_state.py
@@ -8,11 +8,12 @@
     pop_items,
 )
 from catkinfork.observability import log_event
+from catkinfork.peering._ages import compute_age_ms
+from catkinfork.peering._backend_notices import BackendNotices
 from catkinfork.peering._events import PEER_LOST, PEER_REGAINED
 from catkinfork.peering._frames import (
     MAX_FRAME_BYTES,
     Frame,
-    LeavingEntry,
     LoadEntry,
     PartCrashEntry,
     PartEntry,
@@ -35,7 +36,6 @@
 # Crashes of prompt parts, and parts cleared of them, in one frame; the others follow in
 # the next ones.
 MAX_PART_CRASHES_PER_FRAME = 16
-MAX_LEAVING_PER_FRAME = 24
 # Usage totals that each full frame repeats, in rotation.
 MAX_REFRESHED_USAGES = 20
 # Time after a peer becomes fresh during which a first total may include counts from
@@ -72,6 +72,7 @@
         self.indexed_generations = ()
         self.pools = {}
         self.states = {}
+        self.notices = BackendNotices(balancer, self.compute_hash)
 
     def compute_hash(self, name):
         """Return the 32-bit hash of a name, from a cache."""
@@ -150,7 +151,7 @@
         if is_full:
             self.balancer.crash_guard.repeat_part_crashes()
         self.fill_part_crashes(frame, now)
-        frame.leaving = self.list_leaving(is_full)
+        self.notices.fill(frame, is_full, now)
         for _, backend, parts in changes.parts[-MAX_PARTS_PER_FRAME:]:
             name = self.compute_hash(backend)
             frame.parts += [PartEntry(name, part, n) for part, n in parts]
@@ -169,19 +170,6 @@
             for part, started_at in served
         ]
 
-    def list_leaving(self, is_full):
-        """Return the entries of the backend servers that say that they are leaving.
-
-        :param is_full: whether all are listed, for peers that have missed a frame.
-        """
-        changed = self.balancer.changes.leaving
-        entries = [
-            LeavingEntry(self.compute_hash(backend.name), backend.entry.started_ms)
-            for backend in self.balancer.registry.list_leaving()
-            if is_full or backend.name in changed
-        ]
-        return entries[-MAX_LEAVING_PER_FRAME:]
-
     def list_next_peers(self):
         """Return the next addresses to tell, in rotation.
 
@@ -260,8 +248,7 @@
             self.balancer.crash_guard.suspects.record_peer_crashes(
                 peer.address, fingerprint, n_crashes, now
             )
-        if frame.leaving:
-            self.record_leaving(peer, frame.leaving)
+        self.notices.record(peer, frame, now)
         for part, age_ms in frame.served_parts:
             self.balancer.crash_guard.parts.record_served(part, now - age_ms / 1000)
         for part, backend, age_ms in frame.part_crashes:
@@ -269,16 +256,6 @@
             self.balancer.crash_guard.record_peer_part_crash(crash, now - age_ms / 1000)
         return bool(frame.loads)
 
-    def record_leaving(self, peer, entries):
-        """Take out the backend servers that have told a peer that they are leaving."""
-        registry = self.balancer.registry
-        listed = set(entries)
-        for backend in list(registry.backends.values()):
-            started_ms = backend.entry.started_ms
-            entry = LeavingEntry(self.compute_hash(backend.name), started_ms)
-            if entry in listed:
-                registry.mark_leaving(backend.name, started_ms, peer.address)
-
     def index(self):
         """Update the index of pools and backend servers by name hash."""
         pools = self.balancer.pools
@@ -300,9 +277,10 @@
             peer.repeats[service] = (n_requests, n_retries)
             if before is None or service not in pools:
                 continue
-            pools[service].retry_budget.record_peer_requests(
-                n_requests - before[0], n_retries - before[1], now
-            )
+            n_new = n_requests - before[0]
+            pool = pools[service]
+            pool.retry_budget.record_peer_requests(n_new, n_retries - before[1], now)
+            pool.demand.record_peer_requests(n_new, now)
 
     def record_usage(self, peer, frame, pools, now):
         """Record the usage of workspaces at a peer since its previous frame."""
@@ -374,8 +352,3 @@
         if the total may include earlier counts.
     """
     return (0, 0) if now - peer.fresh_since > BASELINE_WINDOW_S else None
-
-
-def compute_age_ms(at, now):
-    """Return the time since a monotonic time, milliseconds."""
-    return max(0, int(1000 * (now - at)))
--- a/catkinfork/topology/_rate_limits.py
+++ b/catkinfork/topology/_rate_limits.py
@@ -11,6 +11,9 @@
 # Lowest limit that is held, requests per second. A server that gets nothing at all
 # could never lift its limit.
 MIN_RATE = 0.5
+# Time after a limit was lifted within which a multiple of it holds, seconds.
+RECOVERY_S = 1.0
+RECOVERY_FACTOR = 2.0
 # Time between two log lines on one backend server, whose limit may change with each
 # response, seconds.
 LOG_INTERVAL_S = 1.0
@@ -38,6 +41,15 @@
         """Return whether the limit was lifted."""
         return self.rate == inf
 
+    def compute_rate(self, now):
+        """Return the rate that holds now; load comes back slowly to a lifted limit.
+
+        :param now: monotonic time, seconds.
+        """
+        if self.is_lifted and now < self.changed_at + RECOVERY_S:
+            return RECOVERY_FACTOR * self.previous_rate
+        return self.rate
+
 
 class RateLimitTable:
     """Limits by start of a backend server, so that none passes to another server.
