Do not take a refusal without an id for the next request

Callers were told 503 for requests that a backend server was running (REFUSED), or such a request ran at a second one (TWICE): a faulty server wrote an earlier refusal once more on a kept connection.

Cause: a refusal (421, or a status with the mark of one that was not executed) needed no id of its request.

Change: on a connection that has carried a request before, a response without an id ends the attempt as broken, whatever its status: 502, or a retry where the request may run twice. A status below 400 that states that the request was not executed is no refusal and no success.

--- a/catkinfork/forwarding/_attempt.py
+++ b/catkinfork/forwarding/_attempt.py
@@ -99,6 +99,16 @@
         is_started = self.exchange.has_response_started
         self.read_timeout_at = now + compute_read_timeout_s(route, is_started)
 
+    def is_ambiguous(self, head):
+        """Return whether a response may belong to an earlier request.
+
+        A faulty backend server may repeat one on a connection that is kept. Without an
+        id, not even a refusal says anything of this request.
+        """
+        if self.connection.n_sent == 1:
+            return False
+        return head.find_header(self.server.names.request_id) is None
+
     def on_head(self, head):
         self.exchange.handle_head(head)
 
--- a/catkinfork/forwarding/_exchange.py
+++ b/catkinfork/forwarding/_exchange.py
@@ -164,7 +164,9 @@
         names = self.server.names
         self.framing = head.framing
         rejection = find_rejection(head, names)
-        if rejection is not None:
+        if self.attempt.is_ambiguous(head):
+            self.drop_attempt(BROKEN, f"status {head.status} without request id")
+        elif rejection is not None:
             self.drop_attempt(rejection, f"status {head.status}")
         elif head.status >= 500 and self.can_retry(FAILED):
             self.drop_attempt(FAILED, f"status {head.status}")
--- a/catkinfork/forwarding/_responses.py
+++ b/catkinfork/forwarding/_responses.py
@@ -12,7 +12,7 @@
     """
     if head.status == MISDIRECTED_REQUEST:
         return MISDIRECTED
-    if head.find_header(names.not_run) is not None:
+    if head.status >= 400 and head.find_header(names.not_run) is not None:
         return REJECTED
     return None
 
@@ -20,6 +20,8 @@
 def is_authentic(head, names):
     """Return whether a response is signed, has an id and has no content coding.
 
+    One that also states that the request was not executed contradicts itself.
+
     Without its id, a late copy of another response on a reused connection could not be
     told from the response to this request.
 
@@ -30,4 +32,5 @@
         head.find_header(names.seal) is not None
         and head.find_header(names.request_id) is not None
         and head.find_header(b"content-encoding") is None
+        and head.find_header(names.not_run) is None
     )
