Relay no status that rules out a run which there may be

A caller of a request that may run once at most was told 408, 429 or 503 where the backend server had not stated that it did not run it (REFUSED).

Cause: a response of a backend server without the mark of a refusal was relayed as it is, and its status promises more than it states.

Change: such a response to a request that is not repeatable ends as failed, with 502, which promises nothing. Repeatable ones are relayed or retried as before.

--- a/catkinfork/forwarding/_exchange.py
+++ b/catkinfork/forwarding/_exchange.py
@@ -24,7 +24,7 @@
     build_request_event,
 )
 from catkinfork.forwarding._requests import build_job
-from catkinfork.forwarding._responses import find_rejection, is_authentic
+from catkinfork.forwarding._responses import find_fault
 from catkinfork.topology import STREAMING
 
 # Lag of the event loop above which the connection of a caller is checked before its
@@ -161,21 +161,12 @@
 
     def handle_head(self, head):
         """Relay a response, or end its attempt."""
-        names = self.server.names
         self.framing = head.framing
-        rejection = find_rejection(head, names)
-        if self.attempt.is_ambiguous(head):
-            self.drop_attempt(BROKEN, f"status {head.status} without request id")
-        elif rejection is not None:
-            self.drop_attempt(rejection, f"status {head.status}")
-        elif head.status >= 500 and self.can_retry(FAILED):
-            self.drop_attempt(FAILED, f"status {head.status}")
-        elif head.status < 300 and not is_authentic(head, names):
-            self.drop_attempt(BROKEN, "response without signature or request id")
-        elif self.has_response_started and head.status >= 300:
-            self.drop_attempt(FAILED, f"status {head.status} for a resumed stream")
-        else:
+        fault = find_fault(self, head)
+        if fault is None:
             self.begin_relay(head)
+        else:
+            self.drop_attempt(*fault)
 
     def can_retry(self, outcome):
         """Return whether the request would be retried after this outcome."""
--- a/catkinfork/forwarding/_responses.py
+++ b/catkinfork/forwarding/_responses.py
@@ -1,8 +1,49 @@
 """What the head of a backend server's response says about its request."""
 
-from catkinfork.balancing import MISDIRECTED, REJECTED
+from typing import NamedTuple
+
+from catkinfork.balancing import BROKEN, FAILED, MISDIRECTED, REJECTED
 from catkinfork.forwarding._messages import MISDIRECTED_REQUEST
 
+# Statuses which promise a caller that its request has not run.
+PROMISE_STATUSES = frozenset({408, MISDIRECTED_REQUEST, 429, 503})
+
+
+class ResponseFault(NamedTuple):
+    """Why a response is not relayed.
+
+    :param outcome: outcome of its attempt.
+    :param detail: description for the log.
+    """
+
+    outcome: str
+    detail: str
+
+
+def find_fault(exchange, head):
+    """Return the :class:`ResponseFault` of a response, or None if it is relayed.
+
+    :param exchange: :class:`Exchange`.
+    :param head: :class:`ResponseHead`.
+    """
+    names = exchange.server.names
+    status = f"status {head.status}"
+    rejection = find_rejection(head, names)
+    if exchange.attempt.is_ambiguous(head):
+        return ResponseFault(BROKEN, f"{status} without request id")
+    if rejection is not None:
+        return ResponseFault(rejection, status)
+    if head.status >= 500 and exchange.can_retry(FAILED):
+        return ResponseFault(FAILED, status)
+    if head.status in PROMISE_STATUSES and not exchange.job.route.is_repeatable:
+        # Relayed, it would promise what the backend server does not state.
+        return ResponseFault(FAILED, f"{status} of a possible run")
+    if head.status < 300 and not is_authentic(head, names):
+        return ResponseFault(BROKEN, "response without signature or request id")
+    if exchange.has_response_started and head.status >= 300:
+        return ResponseFault(FAILED, f"{status} for a resumed stream")
+    return None
+
 
 def find_rejection(head, names):
     """Return the outcome of a request that was not executed, or None.
--- a/catkinfork/forwarding/tests/test_false_refusals.py
+++ b/catkinfork/forwarding/tests/test_false_refusals.py
@@ -78,6 +78,33 @@
     run_world(test)
 
 
+@pytest.mark.parametrize("status", [408, 429, 503])
+@pytest.mark.parametrize("path", ["/order/", "/chat/"])
+@pytest.mark.parametrize("framing", FRAMINGS)
+@pytest.mark.parametrize("is_signed", [False, True])
+def test_refusal_that_states_nothing_promises_nothing(status, path, framing, is_signed):
+    """Guards against a status that rules out a run that there may be (REFUSED).
+
+    Only a response that says so means that a request was not executed.
+    """
+
+    async def script(request, writer, n):
+        marks = b"x-response-seal: s\r\n" if is_signed else b""
+        writer.write(encode_refusal(status, framing, request.request_id, marks))
+        await writer.drain()
+        if framing == "close":
+            writer.close()
+
+    async def test(world):
+        service = "engine" if path == "/chat/" else "plain"
+        backends = await world.start(service, script, answer())
+        reply = await world.call(path, headers=[*PROMPT, "X-Deadline-Ms: 600"])
+        assert reply.status == 502
+        assert [len(one.requests) for one in backends] == [1, 0]
+
+    run_world(test)
+
+
 def test_success_that_states_it_has_not_run_promises_nothing():
     """Guards against a second run after a response that contradicts itself (TWICE)."""
 
