Let only the rest of a stream continue it

Cause: the response after a stream that broke off was continued if its status was below 300, whatever its type: JSON, plain text, 201, 204 or 206, and one with no event at all.

Change: a response continues a stream if it is an event stream with the status of the first one, and it is complete only with an event: a stream breaks off before its last one. If all events but not the end had been passed on, it is now broken off visibly and resumed by its caller.

--- a/catkinfork/forwarding/_relay.py
+++ b/catkinfork/forwarding/_relay.py
@@ -187,6 +187,13 @@
         self.partial_event = b""
         self.is_resumed = False
 
+    def accepts(self, head):
+        """Return whether a later response can continue the stream.
+
+        :param head: :class:`ResponseHead`.
+        """
+        return head.status == self.head.status and is_event_stream(head)
+
     def handle_head(self, head):
         self.is_resumed = self.head is not None
         self.partial_event = b""
@@ -229,6 +236,12 @@
     def is_inside_event(self):
         return bool(self.partial_event)
 
+    def handle_end(self):
+        # A stream breaks off before its last event, so that something is left of it.
+        if self.is_resumed and not self.has_event:
+            return False
+        return super().handle_end()
+
 
 def build_relay(exchange, head):
     """Return the relay for a response.
@@ -239,8 +252,7 @@
     request = exchange.request
     is_chunked = request.version == "1.1"
     is_closing = not exchange.is_keep_alive()
-    is_stream = EVENT_STREAM in (head.find_header(b"content-type") or b"")
-    if not is_stream or head.status >= 300:
+    if not is_event_stream(head) or head.status >= 300:
         return BodyRelay(exchange.caller, is_closing, is_chunked)
     if not exchange.job.route.is_resumable:
         return EventStreamRelay(exchange.caller, is_closing, is_chunked)
@@ -248,6 +260,11 @@
     return ResumableStreamRelay(exchange.caller, is_closing, is_chunked, last_event_id)
 
 
+def is_event_stream(head):
+    """Return whether a response is an event stream."""
+    return EVENT_STREAM in (head.find_header(b"content-type") or b"").lower()
+
+
 def find_last_event_end(data):
     """Return the position after the last complete event, 0 if there is none."""
     if data.endswith(b"\n\n"):
--- a/catkinfork/forwarding/_responses.py
+++ b/catkinfork/forwarding/_responses.py
@@ -40,7 +40,7 @@
         return ResponseFault(FAILED, f"{status} of a possible run")
     if head.status < 300 and not is_authentic(head, names):
         return ResponseFault(BROKEN, "response without signature or request id")
-    if exchange.has_response_started and head.status >= 300:
+    if exchange.has_response_started and not exchange.relay.accepts(head):
         return ResponseFault(FAILED, f"{status} for a resumed stream")
     return None
 
