Draw for room that many forwarders see, and leave more of it by lead

When room becomes free at an engine, all forwarders see it and fill it several times before they learn of each other, and those with most requests win. Reserved room follows the number of forwarders that wait, not how unequal service is.

Change: a forwarder with others ahead of it takes room with the probability that some is left for it, and draws again only after its peers had time to tell. The fraction that is left for others grows with the lead of a workspace over the worst served one that lacks service.

--- a/catkinfork/balancing/_balancer.py
+++ b/catkinfork/balancing/_balancer.py
@@ -194,10 +194,11 @@
         is_starving = pool.queue.n_jobs > 0 and pool.shares.is_underserved(
             job.workspace, now
         )
-        best = candidates.choose(job, QueueRank(n_peers_ahead, is_starving))
+        lead = pool.shares.compute_lead(job.workspace, now) if n_peers_ahead else 0.0
+        best = candidates.choose(job, QueueRank(n_peers_ahead, is_starving, lead))
         if best is None:
             return None
-        if not best.has_room:
+        if not self.may_take(pool, best, n_peers_ahead, now):
             candidates.add_cost(best.backend, best.n_missing_tokens)
             return None
         candidates.add_cost(
@@ -210,6 +211,15 @@
         self.record_placement(pool, placement, candidates.rates, now)
         return placement
 
+    def may_take(self, pool, candidate, n_peers_ahead, now):
+        """Return whether a job may take the room at a backend server now.
+
+        :param candidate: :class:`Candidate`.
+        """
+        draw = pool.find(candidate.backend.name).room_draw
+        state_age_s = self.peers.compute_state_age_s(now)
+        return draw.may_take(candidate.room, n_peers_ahead, state_age_s, self.rng, now)
+
     def record_placement(self, pool, placement, rates, now):
         """Add a new attempt to loads, rates, budgets and shares.
 
--- a/catkinfork/balancing/_candidates.py
+++ b/catkinfork/balancing/_candidates.py
@@ -14,13 +14,13 @@
 
     :param n_missing_tokens: uncached prompt tokens that it would have to process.
     :param cost: cost of the job there, in the unit of the load model.
-    :param has_room: whether it has capacity for the job now.
+    :param room: number of jobs like this one for which it has capacity now.
     """
 
     backend: Backend
     n_missing_tokens: int
     cost: float
-    has_room: bool
+    room: float
 
 
 class CandidateEntry:
@@ -119,10 +119,10 @@
                 best, best_cost, best_n_missing = entry, cost, n_missing_tokens
         if best is None:
             return None
-        has_room = model.has_room(
+        room = model.compute_room(
             job, best.backend, best.state.load, best_n_missing, rank
         )
-        return Candidate(best.backend, best_n_missing, best_cost, has_room)
+        return Candidate(best.backend, best_n_missing, best_cost, room)
 
     def add_cost(self, backend, cost):
         """Raise the base cost of a backend server during the pass.
--- a/catkinfork/balancing/_pool.py
+++ b/catkinfork/balancing/_pool.py
@@ -3,6 +3,7 @@
 from math import inf
 
 from catkinfork.balancing._allowance import DemandShare, RateAllowance
+from catkinfork.balancing._contention import RoomDraw
 from catkinfork.balancing._durations import RouteDurations
 from catkinfork.balancing._health import BackendHealth, ServiceHealth
 from catkinfork.balancing._loads import BackendLoad
@@ -19,9 +20,9 @@
 
 
 class BackendState:
-    """Load, health and rates of one backend server."""
+    """Load, health, draws and rates of one backend server."""
 
-    __slots__ = ("allowance", "health", "limiter", "load", "started_ms")
+    __slots__ = ("allowance", "health", "limiter", "load", "room_draw", "started_ms")
 
     def __init__(self, service):
         engine = service.engine
@@ -30,6 +31,7 @@
         self.limiter = SlowStartLimiter()
         self.allowance = RateAllowance()
         self.started_ms = None
+        self.room_draw = RoomDraw()
 
     def follow_start(self, started_ms):
         """Forget health and cached prompt parts if the backend server started again.
--- a/catkinfork/balancing/_shares.py
+++ b/catkinfork/balancing/_shares.py
@@ -9,6 +9,12 @@
 # Fraction of its demand, or of the service of the best served workspace, below which a
 # workspace is underserved.
 MIN_SERVICE_SHARE = 0.5
+# The same fraction below which others leave a workspace more room. It is higher, so
+# that no workspace becomes underserved.
+MIN_EVEN_SHARE = 0.8
+# Service tokens, of a few long prompts, that it has to lack for that. One that lacks
+# less is only waiting for a moment.
+MIN_SHORTFALL_TOKENS = 30_000
 # Lower bound of the fraction of a workspace's demand that arrives at one forwarder.
 MIN_LOCAL_SHARE = 0.01
 
@@ -47,6 +53,9 @@
     """Max-min fair shares: a demand below the fair share is met in full.
 
     :param window_s: time constant over which service is compared, seconds.
+
+    ``most_received`` is the recent service of the best served workspace, and
+    ``least_received`` that of the worst served one among those that lack service.
     """
 
     def __init__(self, window_s):
@@ -54,6 +63,8 @@
         self.uses = {}
         self.level = inf
         self.next_update_at = 0.0
+        self.most_received = 0.0
+        self.least_received = inf
 
     def find(self, workspace):
         """Return the usage of a workspace, created if it is new."""
@@ -92,12 +103,46 @@
         that is smaller.
         """
         use = self.find(workspace)
-        most = max(other.received.read(now) for other in self.uses.values())
-        owed = min(use.demand.read(now), most)
-        return use.received.read(now) < MIN_SERVICE_SHARE * owed
+        return self.compute_shortfall(use, MIN_SERVICE_SHARE, now) > 0
+
+    def compute_shortfall(self, use, share, now):
+        """Return the service tokens that a workspace lacks, negative for none.
+
+        :param use: :class:`WorkspaceUsage`.
+        :param share: fraction of its demand, or of the service of the best served
+            workspace, that it is compared with.
+        """
+        owed = min(use.demand.read(now), self.most_received)
+        return share * owed - use.received.read(now)
+
+    def compute_lead(self, workspace, now):
+        """Return the fraction of its service that a workspace is ahead of another one.
+
+        The other one is the worst served one of those that lack service.
+
+        :returns: 0 to 1.
+        """
+        received = self.read_received(workspace, now)
+        if received <= self.least_received:
+            return 0.0
+        return 1.0 - self.least_received / received
+
+    def update_extremes(self, now):
+        """Find the best served workspace, and the worst served that lacks service."""
+        uses = self.uses.values()
+        self.most_received = max((use.received.read(now) for use in uses), default=0.0)
+        self.least_received = min(
+            (
+                use.received.read(now)
+                for use in uses
+                if self.compute_shortfall(use, MIN_EVEN_SHARE, now)
+                > MIN_SHORTFALL_TOKENS
+            ),
+            default=inf,
+        )
 
     def update_level(self, tokens_per_s, now):
-        """Recompute the fair share from demand and throughput.
+        """Recompute the fair share from demand and throughput, and the extremes.
 
         :param tokens_per_s: throughput of the service without prefix caching, service
             tokens per second. The recent service of all workspaces replaces it if that
@@ -106,6 +151,7 @@
         if now < self.next_update_at:
             return
         self.next_update_at = now + LEVEL_UPDATE_INTERVAL_S
+        self.update_extremes(now)
         demands = sorted(use.demand.read(now) for use in self.uses.values())
         n_received_tokens = sum(use.received.read(now) for use in self.uses.values())
         capacity = max(tokens_per_s * self.window_s, n_received_tokens)
