Compare service over the window, not over twice its length

A workspace is served 110 requests a second until capacity falls to a fraction, and 2 to 12 afterwards, while another one has 22 to 28: the order goes by a decaying sum with the window as its time constant, whose amounts are twice as old as those in a window of that length.

Change: the time constant is half of the window (share_window_s).

The new test fails on the code before (5.3 s until the other one is ahead, 4 s allowed).

--- a/catkinfork/balancing/_settings.py
+++ b/catkinfork/balancing/_settings.py
@@ -20,7 +20,7 @@
     """Settings of admission and placement.
 
     :param data_centre: data centre of this forwarder.
-    :param share_window_s: time constant of the service comparison between workspaces,
+    :param share_window_s: window over which the service of workspaces is compared,
         seconds.
     :param retry_budget: :class:`RetryBudgetSettings`.
     """
--- a/catkinfork/balancing/_shares.py
+++ b/catkinfork/balancing/_shares.py
@@ -15,6 +15,9 @@
 # Service tokens, of a few long prompts, that it has to lack for that. One that lacks
 # less is only waiting for a moment.
 MIN_SHORTFALL_TOKENS = 30_000
+# Time constant as a fraction of the window over which service is compared: the amounts
+# in a decaying sum are then as old on average as those in a window of that length.
+TIME_CONSTANT_SHARE = 0.5
 # Lower bound of the fraction of a workspace's demand that arrives at one forwarder.
 MIN_LOCAL_SHARE = 0.01
 
@@ -41,10 +44,10 @@
         "received",
     )
 
-    def __init__(self, window_s):
-        self.demand = DecayingSum(window_s)
-        self.local_demand = DecayingSum(window_s)
-        self.received = DecayingSum(window_s)
+    def __init__(self, time_constant_s):
+        self.demand = DecayingSum(time_constant_s)
+        self.local_demand = DecayingSum(time_constant_s)
+        self.received = DecayingSum(time_constant_s)
         self.n_requested_tokens = 0
         self.n_received_tokens = 0
 
@@ -52,14 +55,19 @@
 class FairShares:
     """Max-min fair shares: a demand below the fair share is met in full.
 
-    :param window_s: time constant over which service is compared, seconds.
+    Load pattern: the capacity falls to a fraction while a workspace asks for more than
+    the others. What it received while there was enough for all must not hold it back
+    for longer than the window.
+
+    :param window_s: window over which service is compared, seconds.
 
+    ``time_constant_s`` is that of the decaying sums of demand and service.
     ``most_received`` is the recent service of the best served workspace, and
     ``least_received`` that of the worst served one among those that lack service.
     """
 
     def __init__(self, window_s):
-        self.window_s = window_s
+        self.time_constant_s = TIME_CONSTANT_SHARE * window_s
         self.uses = {}
         self.level = inf
         self.next_update_at = 0.0
@@ -70,7 +78,7 @@
         """Return the usage of a workspace, created if it is new."""
         use = self.uses.get(workspace)
         if use is None:
-            use = self.uses[workspace] = WorkspaceUsage(self.window_s)
+            use = self.uses[workspace] = WorkspaceUsage(self.time_constant_s)
         return use
 
     def record_demand(self, workspace, n_tokens, now):
@@ -154,7 +162,7 @@
         self.update_extremes(now)
         demands = sorted(use.demand.read(now) for use in self.uses.values())
         n_received_tokens = sum(use.received.read(now) for use in self.uses.values())
-        capacity = max(tokens_per_s * self.window_s, n_received_tokens)
+        capacity = max(tokens_per_s * self.time_constant_s, n_received_tokens)
         # Without a published throughput, capacity is unknown until the first service.
         self.level = compute_max_min_level(demands, capacity) if capacity > 0 else inf
 
@@ -171,7 +179,7 @@
         local_share = min(1.0, max(MIN_LOCAL_SHARE, local_share))
         n_tokens = max(0.0, self.level - use.received.read(now))
         return Entitlement(
-            n_tokens * local_share, self.window_s / self.level / local_share
+            n_tokens * local_share, self.time_constant_s / self.level / local_share
         )
 
 
--- a/catkinfork/balancing/tests/test_fairness.py
+++ b/catkinfork/balancing/tests/test_fairness.py
@@ -4,6 +4,7 @@
 
 from catkinfork.balancing import LoadFigures
 from catkinfork.balancing._models import QueueRank, compute_reserved_token_share
+from catkinfork.balancing._shares import FairShares
 from catkinfork.balancing.tests.support import (
     PLAIN,
     build_balancer,
@@ -110,3 +111,21 @@
     assert shares == sorted(shares)
     assert shares[:4] == [0.0, 0.25, 0.3, 0.35]
     assert 0.5 <= shares[20] <= shares[-1] <= 0.6
+
+
+def test_service_before_a_loss_of_capacity_is_forgotten_within_the_window():
+    """Guards against a workspace that starves for what it received in better times.
+
+    Load pattern: a workspace receives four times as much as another one while there is
+    enough for all; then capacity falls so far that only one of them can be served.
+    """
+    shares = FairShares(4.0)
+    for step in range(1000):
+        now = 0.01 * step
+        shares.record_service("much", 4_000, now)
+        shares.record_service("little", 1_000, now)
+    lost_at = now
+    while shares.read_received("much", now) > shares.read_received("little", now):
+        now += 0.01
+        shares.record_service("little", 1_000, now)
+    assert now - lost_at <= 4.0
