Divide named limits by the fair shares of the workspaces

Change: each workspace counts with its max-min share of what is served, split by its demand at each forwarder. Where requests name no tokens, they are counted as before.

--- a/catkinfork/balancing/_allowance.py
+++ b/catkinfork/balancing/_allowance.py
@@ -19,7 +19,7 @@
 
 
 class DemandShare:
-    """Share of this forwarder in the requests for a service.
+    """Share of this forwarder in the rates of the backend servers of a service.
 
     Load pattern: a load balancer deals most callers of a service to a few forwarders.
     With equal shares of a rate these would send little of it, and the others nothing.
@@ -37,17 +37,21 @@
         """Record the requests of a peer since its previous frame."""
         self.peer_requests.add(n_requests, now)
 
-    def compute(self, n_fresh, n_forwarders, now):
+    def compute(self, local_fraction, n_fresh, n_forwarders, now):
         """Return the share, 0 to 1; those of all forwarders sum up to 1.
 
         The share is an even one at most while a forwarder is silent.
 
+        :param local_fraction: fraction of the fair shares of the workspaces that falls
+            to this forwarder, or None to count requests instead.
         :param n_fresh: forwarders with fresh state, including this one.
         :param n_forwarders: all forwarders that may send requests.
         """
-        n_own = self.own_requests.sum(now) + ASSUMED_REQUESTS
-        n_peers = self.peer_requests.sum(now) + ASSUMED_REQUESTS * (n_forwarders - 1)
-        share = n_own / (n_own + n_peers)
+        n_own = self.own_requests.sum(now)
+        n_all = n_own + self.peer_requests.sum(now)
+        if local_fraction is not None:
+            n_own = local_fraction * n_all
+        share = (n_own + ASSUMED_REQUESTS) / (n_all + ASSUMED_REQUESTS * n_forwarders)
         return share if n_fresh >= n_forwarders else min(share, 1.0 / n_forwarders)
 
 
--- a/catkinfork/balancing/_rates.py
+++ b/catkinfork/balancing/_rates.py
@@ -28,6 +28,7 @@
     def __init__(self, registry, pool, peers, rng, now):
         self.rate_limits = registry.rate_limits
         self.demand = pool.demand
+        self.shares = pool.shares
         self.peers = peers
         self.rng = rng
         self.now = now
@@ -69,8 +70,12 @@
         :param limit: requests per second.
         """
         if self.share is None:
-            n_fresh = self.peers.count_fresh(self.now)
-            self.share = self.demand.compute(n_fresh, self.n_forwarders, self.now)
+            self.share = self.demand.compute(
+                self.shares.compute_local_fraction(self.now),
+                self.peers.count_fresh(self.now),
+                self.n_forwarders,
+                self.now,
+            )
         return compute_share_interval_s(limit, self.share)
 
     def allows(self, backend, state):
--- a/catkinfork/balancing/_shares.py
+++ b/catkinfork/balancing/_shares.py
@@ -166,6 +166,26 @@
         # Without a published throughput, capacity is unknown until the first service.
         self.level = compute_max_min_level(demands, capacity) if capacity > 0 else inf
 
+    def compute_local_fraction(self, now):
+        """Return the fraction of all fair shares that falls to this forwarder.
+
+        Load pattern: a workspace floods a few forwarders while the backend servers are
+        limited to less than the others ask for.
+
+        :returns: 0 to 1, or None if nothing is asked for in tokens.
+        """
+        n_received_tokens = sum(use.received.read(now) for use in self.uses.values())
+        demands = sorted(use.demand.read(now) for use in self.uses.values())
+        level = compute_max_min_level(demands, n_received_tokens)
+        n_all = n_local = 0.0
+        for use in self.uses.values():
+            demand = use.demand.read(now)
+            if demand > 0:
+                n_fair = min(demand, level)
+                n_all += n_fair
+                n_local += n_fair * min(1.0, use.local_demand.read(now) / demand)
+        return n_local / n_all if n_all > 0 else None
+
     def compute_entitlement(self, workspace, now):
         """Return the :class:`Entitlement` of a workspace at this forwarder.
 
--- a/catkinfork/peering/tests/test_rate_limits.py
+++ b/catkinfork/peering/tests/test_rate_limits.py
@@ -11,6 +11,7 @@
     RateAllowance,
     compute_share_interval_s,
 )
+from catkinfork.balancing._shares import FairShares
 from catkinfork.balancing.tests.support import PLAIN, build_job
 from catkinfork.peering.tests.nodes import build_nodes, run
 
@@ -182,7 +183,7 @@
                 share.record_request(now)
                 # What the peers have told lags by 0.2 s.
                 share.record_peer_requests((n_forwarders - 1) * (step > 0), now)
-            part = share.compute(n_forwarders, n_forwarders, now)
+            part = share.compute(None, n_forwarders, n_forwarders, now)
             interval_s = compute_share_interval_s(rate, part)
             if allowance.allows(interval_s, rng, now):
                 allowance.record_request(interval_s)
@@ -191,3 +192,29 @@
     assert count_most(sent) <= allowed
     # At one request a second, chance decides how many of a few are sent.
     assert rate < 20.0 or len(sent) >= 0.75 * rate * 8.0
+
+
+def test_limits_are_divided_by_fair_shares():
+    """Guards against limits that go to the host of a workspace with a flood (FAIR).
+
+    Load pattern: eight of nine requests come from one workspace at one host, and all
+    backend servers together can serve a quarter of them.
+    """
+    shares = {"few": FairShares(4.0), "many": FairShares(4.0)}
+    demands = {"few": DemandShare(), "many": DemandShare()}
+    peers = {"few": "many", "many": "few"}
+    for name, n_requests in (("few", 10), ("many", 80)):
+        demand, peer = demands[name], peers[name]
+        for _ in range(n_requests):
+            shares[name].record_demand(name, 10_000, 1.0)
+            shares[peer].record_peer_usage(name, 10_000, 2_500, 1.0)
+            shares[name].record_service(name, 2_500, 1.0)
+            demand.record_request(1.0)
+            demands[peer].record_peer_requests(1, 1.0)
+    parts = {
+        name: demands[name].compute(one.compute_local_fraction(1.0), 2, 2, 1.0)
+        for name, one in shares.items()
+    }
+    assert sum(parts.values()) == pytest.approx(1.0)
+    # The small one asks for less than half of the capacity, and would get a ninth.
+    assert parts["few"] >= 0.4
