--- a/catkinfork/processes/_base.py
+++ b/catkinfork/processes/_base.py
@@ -12,14 +12,10 @@
     HttpConfigurationSource,
     HttpHostList,
 )
-from catkinfork.membership import (
-    PeerTable,
-    ReplaceConnection,
-    choose_dispatchers,
-    rank_candidates,
-)
+from catkinfork.membership import PeerTable, ReplaceConnection
 from catkinfork.observability import EventLog, LogEvent, log_event
 from catkinfork.processes._admin import AdminApplication
+from catkinfork.processes._dispatchers import DispatcherReview
 from catkinfork.processes._events import (
     FRAME_REJECTED,
     FRAME_UNSENDABLE,
@@ -86,9 +82,7 @@
         )
         self.status = StatusCollector(self)
         self.hosts = []
-        self.dispatchers = {}
-        self.ranked_routers = set()
-        self.rankings = {}
+        self.dispatcher_review = DispatcherReview(self)
         self.has_started = False
         self.is_draining = False
         self.stop = anyio.Event()
@@ -213,7 +207,7 @@
                 self.replace_link(action.destination)
             elif isinstance(action, AdoptDocument):
                 self.execute_actions(self.adopt(action.view, now), now)
-                self.review_dispatchers(now)
+                self.dispatcher_review.run(now)
             else:
                 self.execute_role_action(action, now)
 
@@ -254,46 +248,10 @@
         """Review dispatchers, peers and hosts at a fixed interval."""
         while True:
             now = time.monotonic()
-            self.review_dispatchers(now)
+            self.dispatcher_review.run(now)
             self.execute_actions(self.review(now), now)
             await anyio.sleep(REVIEW_INTERVAL_S)
 
-    def review_dispatchers(self, now):
-        """Choose the dispatchers of each pool and the peers to probe for liveness."""
-        routers = set(self.list_routers())
-        live = {name for name in routers if self.can_dispatch(name, now)}
-        dead = {name for name in routers - live if name in self.peers.peers}
-        probe_targets = set()
-        for pool in self.list_pools():
-            ranked = self.rank_routers(pool, routers)
-            chosen, probed = choose_dispatchers(ranked, live, dead)
-            probe_targets.update(probed)
-            if chosen != self.dispatchers.get(pool):
-                self.dispatchers[pool] = chosen
-                self.execute_actions(self.set_dispatchers(pool, chosen, now), now)
-        if self.configuration.view is None:
-            probe_targets.update(routers)
-        probe_targets.discard(self.fleet.address)
-        self.peers.set_probe_targets(probe_targets, now)
-
-    def rank_routers(self, pool, routers):
-        """Return the routers ranked for a pool; cached while the routers are equal."""
-        if routers != self.ranked_routers:
-            self.ranked_routers = routers
-            self.rankings = {}
-        if pool not in self.rankings:
-            self.rankings[pool] = rank_candidates(pool, routers)
-        return self.rankings[pool]
-
-    def can_dispatch(self, address, now):
-        """Return whether a router may act as dispatcher."""
-        if address == self.fleet.address:
-            return not self.is_draining
-        peer = self.peers.peers.get(address)
-        if peer is not None and peer.is_leaving:
-            return False
-        return self.peers.is_live(address, now)
-
     def handle_document(self, content):
         """Handle a document from the configuration service."""
         now = time.monotonic()
@@ -304,7 +262,7 @@
     def handle_host_list(self, hosts):
         """Apply a new host list."""
         self.hosts = hosts
-        self.review_dispatchers(time.monotonic())
+        self.dispatcher_review.run(time.monotonic())
 
     # Start and stop.
 
