Bound the age of a limit that a peer tells

Cause: found in reading; a negative age would date a limit into the future, where no response of the backend server could change it.

--- a/catkinfork/peering/_backend_notices.py
+++ b/catkinfork/peering/_backend_notices.py
@@ -97,7 +97,7 @@
             started_ms = backend.entry.started_ms
             entry = told.get((self.compute_hash(backend.name), started_ms))
             if entry is not None:
-                stated_at = now - entry.age_ms / 1000
+                stated_at = now - max(0, entry.age_ms) / 1000
                 registry.rate_limits.record(
                     backend.entry, entry.rate, stated_at, peer.address, now
                 )
--- a/catkinfork/peering/tests/test_rate_limits.py
+++ b/catkinfork/peering/tests/test_rate_limits.py
@@ -13,6 +13,8 @@
 )
 from catkinfork.balancing._shares import FairShares
 from catkinfork.balancing.tests.support import PLAIN, build_job
+from catkinfork.peering._frames import RateLimitEntry
+from catkinfork.peering._peers import Peer
 from catkinfork.peering.tests.nodes import build_nodes, run
 
 STEP_S = 0.01
@@ -134,6 +136,22 @@
     assert limit.is_lifted
 
 
+@pytest.mark.parametrize("rate", [-1.0, 0.0, float("nan"), 1e300])
+def test_bad_limit_of_a_peer_is_bounded(rate):
+    """Guards against a peer that takes a server out, or fixes its limit for ever."""
+    fleet = LimitedFleet(2, 1)
+    node = next(iter(fleet.nodes.values()))
+    backend = node.balancer.registry.backends["b0"]
+    name = node.exchange.compute_hash("b0")
+    entry = RateLimitEntry(name, backend.entry.started_ms, rate, -(10**9))
+    peer = Peer("10.0.0.2", 0.0)
+    node.exchange.notices.record_rate_limits(peer, [entry], fleet.now)
+    limits = node.balancer.registry.rate_limits
+    assert limits.find(backend.entry).rate >= 0.5
+    node.balancer.record_rate_limit(backend, 7.0, fleet.now + 0.1)
+    assert limits.find(backend.entry).rate == 7.0
+
+
 def test_limit_does_not_pass_to_the_next_start():
     """Guards against a new server that is held to the limit of the one before."""
     fleet = LimitedFleet(2, 1)
