State the versions of backend servers in the log

The version of an entry was decoded and dropped, and Resumes was not read at all.

Entries carry their version; it stands in backend_added, attempt_ended, request_finished (with the id in Resumes) and /status. Placement is unchanged.

--- a/catkinfork/forwarder/_status.py
+++ b/catkinfork/forwarder/_status.py
@@ -60,6 +60,7 @@
             {
                 "name": backend.name,
                 "service": backend.service,
+                "version": backend.entry.version,
                 "address": backend.entry.address,
                 "data_centre": backend.data_centre,
                 "is_ready": backend.is_ready,
--- a/catkinfork/forwarding/_events.py
+++ b/catkinfork/forwarding/_events.py
@@ -16,6 +16,8 @@
         "outcome",
         "detail",
         "backend_servers",
+        "backend_version",
+        "resumes",
         "n_runs",
         "framing",
         "waited_s",
@@ -37,6 +39,7 @@
     (
         "request_id",
         "backend_server",
+        "backend_version",
         "outcome",
         "detail",
         "framing",
--- a/catkinfork/forwarding/_names.py
+++ b/catkinfork/forwarding/_names.py
@@ -19,6 +19,8 @@
     :param token_counts: number of prompt tokens and maximum number of output tokens.
     :param length_hint: the caller's estimate of the number of output tokens.
     :param last_event_id: id of the last event that the caller has received.
+    :param resumed_id: id of the request that brought the first event of the stream that
+        a caller resumes.
     :param reserved: headers that are removed from the requests of callers.
     """
 
@@ -34,4 +36,5 @@
     token_counts: bytes = b"x-token-counts"
     length_hint: bytes = b"x-length-hint"
     last_event_id: bytes = b"last-event-id"
+    resumed_id: bytes = b"resumes"
     reserved: frozenset = frozenset()
--- a/catkinfork/forwarding/_request_events.py
+++ b/catkinfork/forwarding/_request_events.py
@@ -3,6 +3,8 @@
 from catkinfork.forwarding._events import ATTEMPT_ENDED, REQUEST_FINISHED
 from catkinfork.observability import log_event
 
+MAX_LOGGED_BYTES = 64
+
 
 def build_request_event(exchange, outcome, detail, now):
     """Return the log event of a finished request.
@@ -25,6 +27,8 @@
         outcome=outcome,
         detail=detail,
         backend_servers=",".join(job.tried_backends) if job else "",
+        backend_version=placement.backend.entry.version if placement else "",
+        resumes=find_resumed_id(exchange),
         n_runs=job.n_runs if job else 0,
         framing=exchange.framing,
         waited_s=round((exchange.placed_at or now) - arrived_at, 4),
@@ -49,6 +53,7 @@
         ATTEMPT_ENDED,
         request_id=exchange.job.request_id,
         backend_server=placement.backend.name,
+        backend_version=placement.backend.entry.version,
         outcome=outcome,
         detail=detail,
         framing=exchange.framing,
@@ -56,3 +61,9 @@
         is_repeated=is_repeated,
         last_event_id=last_event_id.decode("latin-1"),
     )
+
+
+def find_resumed_id(exchange):
+    """Return the id of the request whose stream a request resumes, empty if none."""
+    value = exchange.request.find_header(exchange.server.names.resumed_id) or b""
+    return value[:MAX_LOGGED_BYTES].decode("latin-1")
--- a/catkinfork/forwarding/tests/world.py
+++ b/catkinfork/forwarding/tests/world.py
@@ -116,14 +116,22 @@
             self.server.sweep()
             await anyio.sleep(SWEEP_INTERVAL_S)
 
-    async def start(self, service, *scripts):
+    async def start(self, service, *scripts, version="v1"):
         """Start one backend server per script; placement prefers them in this order."""
         for script in scripts:
             backend = ScriptedBackend(script)
             await backend.open()
             name = f"{service}-{len(self.backends)}"
             entry = BackendEntry(
-                name, service, backend.address, "gasabo", 8, READY, 0.0, 1
+                name,
+                service,
+                backend.address,
+                "gasabo",
+                8,
+                READY,
+                0.0,
+                1,
+                version=version,
             )
             self.registry.apply_entry(entry, self.loop.time(), "test")
             self.backends.append(backend)
--- a/catkinfork/platform/_documents.py
+++ b/catkinfork/platform/_documents.py
@@ -178,6 +178,7 @@
             cold_s=document.cold_remaining_ms / 1000,
             sequence=document.sequence,
             started_ms=document.born,
+            version=document.version,
         )
         return EntryItem(name, entry)
 
--- a/catkinfork/platform/_names.py
+++ b/catkinfork/platform/_names.py
@@ -15,6 +15,7 @@
     token_counts=b"x-catkinfork-token-usage",
     length_hint=b"x-catkinfork-length-hint",
     last_event_id=b"last-event-id",
+    resumed_id=b"resumes",
     reserved=frozenset(
         {
             b"x-catkinfork-kv-hold",
--- a/catkinfork/platform/tests/test_documents.py
+++ b/catkinfork/platform/tests/test_documents.py
@@ -48,6 +48,7 @@
     entry = decoded.entry
     assert (entry.name, entry.data_centre, entry.cold_s) == ("i-1", "gasabo", 1.5)
     assert (entry.sequence, entry.started_ms) == (3, 1700000000000)
+    assert entry.version == "v1"
 
 
 @pytest.mark.parametrize(
--- a/catkinfork/topology/_events.py
+++ b/catkinfork/topology/_events.py
@@ -21,7 +21,7 @@
     "info",
     "backend_added",
     "a backend server has been added and receives requests",
-    ("backend_server", "service", "address", "data_centre", "cold_s"),
+    ("backend_server", "service", "version", "address", "data_centre", "cold_s"),
 )
 BACKEND_LEAVING = Event(
     803,
--- a/catkinfork/topology/_registry.py
+++ b/catkinfork/topology/_registry.py
@@ -126,6 +126,7 @@
                 BACKEND_ADDED,
                 backend_server=entry.name,
                 service=entry.service,
+                version=entry.version,
                 address=entry.address,
                 data_centre=entry.data_centre,
                 cold_s=entry.cold_s,
--- a/catkinfork/topology/_types.py
+++ b/catkinfork/topology/_types.py
@@ -147,6 +147,7 @@
     :param cold_s: remaining warm-up time when the entry was written, seconds.
     :param sequence: sequence number of the entry since the start.
     :param started_ms: Unix time of its start in milliseconds, or 0 if unknown.
+    :param version: version of its software, which several backend servers may share.
     """
 
     name: str
@@ -158,3 +159,4 @@
     cold_s: float
     sequence: int
     started_ms: int = 0
+    version: str = ""
