Resume a stream only at the version that began it

Cause: a host resumes a stream that broke off at the server with the lowest cost. The version of an entry was not known to placement. In the history of the incident the same host sends a stream of v1 to v1.2 4 ms after the crash.

Change: the first event binds a job to the version of its server; only servers of that version are candidates, also after a wait for a connection. Without one, the stream is broken off at once, and queued streams are refused when the last server of their version is gone.

A stream that its caller resumes is still open.

--- a/catkinfork/balancing/_candidates.py
+++ b/catkinfork/balancing/_candidates.py
@@ -91,13 +91,9 @@
 
         If all are ejected, those not marked as unreachable are returned.
         """
-        tried = job.tried_backends
-        if not tried:
+        if not job.tried_backends and job.version is None:
             return self.healthy or self.ejected
-        healthy = [one for one in self.healthy if one.backend.name not in tried]
-        if healthy:
-            return healthy
-        return [one for one in self.ejected if one.backend.name not in tried]
+        return select_eligible(self.healthy, job) or select_eligible(self.ejected, job)
 
     def choose(self, job, rank):
         """Return the :class:`Candidate` with the lowest cost, or None.
@@ -135,3 +131,13 @@
                     entry.base_cost += cost
                     entries.sort(key=BASE_COST)
                     return
+
+
+def select_eligible(entries, job):
+    """Return the entries of untried backend servers whose version fits a job."""
+    tried = job.tried_backends
+    return [
+        one
+        for one in entries
+        if one.backend.name not in tried and job.accepts(one.backend)
+    ]
--- a/catkinfork/balancing/_dispatch.py
+++ b/catkinfork/balancing/_dispatch.py
@@ -80,12 +80,27 @@
             for job in self.list_jobs():
                 self.decide(job, refusal)
             return
+        self.refuse_without_version(candidates)
         n_left = MAX_JOBS_PER_PASS
         for priority, workspace in self.pool.queue.list_priorities(self.now):
             n_left -= self.place_workspace(workspace, priority, candidates, n_left)
             if not n_left:
                 return
 
+    def refuse_without_version(self, candidates):
+        """Refuse streams that no backend server of their version can resume any more.
+
+        Load pattern: the last server of a version leaves or crashes while streams that
+        broke off wait to go on. Callers learn of it at once, not at their deadline.
+
+        :param candidates: :class:`CandidateList`.
+        """
+        if not self.pool.queue.n_bound:
+            return
+        for job in self.list_jobs():
+            if job.version is not None and not candidates.list_eligible(job):
+                self.decide(job, self.balancer.refusals.refuse_without_backend())
+
     def place_workspace(self, workspace, priority, candidates, n_left):
         """Place jobs of one workspace.
 
--- a/catkinfork/balancing/_jobs.py
+++ b/catkinfork/balancing/_jobs.py
@@ -29,6 +29,8 @@
     as received by its workspace.
     ``next_event_deadline_at`` is the monotonic time at which the caller of a stream
     disconnects unless it receives an event before.
+    ``version`` is that of the backend servers at which it has to run, or None. What two
+    versions write does not fit together, so a stream goes on where it began.
     """
 
     __slots__ = (
@@ -48,6 +50,7 @@
         "route",
         "service",
         "tried_backends",
+        "version",
         "workspace",
     )
 
@@ -67,6 +70,7 @@
         self.is_charged = False
         self.has_arrived = False
         self.tried_backends = []
+        self.version = None
         self.n_runs = 0
         self.n_retries = 0
 
@@ -75,6 +79,10 @@
         """Return the requested service tokens; a generated token counts twice."""
         return self.n_prompt_tokens + 2 * self.n_output_tokens
 
+    def accepts(self, backend):
+        """Return whether the version of a :class:`Backend` fits."""
+        return self.version is None or self.version == backend.entry.version
+
     @property
     def shared_parts(self):
         """Return the ids of the parts of its prompt that other requests may have."""
--- a/catkinfork/balancing/_queue.py
+++ b/catkinfork/balancing/_queue.py
@@ -81,9 +81,12 @@
     those that always have new jobs.
 
     :param shares: :class:`FairShares`.
+
+    ``n_bound`` is the number of jobs that have to run at a certain version.
     """
 
     def __init__(self, shares):
+        self.n_bound = 0
         self.shares = shares
         self.by_workspace = {}
         self.n_jobs = 0
@@ -96,6 +99,7 @@
             queue = self.by_workspace[job.workspace] = WorkspaceQueue()
         queue.add(job)
         self.n_jobs += 1
+        self.n_bound += job.version is not None
         self.n_tokens += job.n_service_tokens
 
     def remove(self, job):
@@ -109,6 +113,7 @@
         if not queue.jobs:
             del self.by_workspace[job.workspace]
         self.n_jobs -= 1
+        self.n_bound -= job.version is not None
         self.n_tokens -= job.n_service_tokens
         return True
 
--- a/catkinfork/balancing/tests/support.py
+++ b/catkinfork/balancing/tests/support.py
@@ -81,10 +81,20 @@
     return balancer
 
 
-def add_backend(balancer, name, n_slots=64, data_centre="gasabo", cold_s=0.0):
+def add_backend(
+    balancer, name, n_slots=64, data_centre="gasabo", cold_s=0.0, version="v1"
+):
     """Add a backend server."""
     entry = BackendEntry(
-        name, "s", "127.0.0.1:1", data_centre, n_slots, READY, cold_s, 1
+        name,
+        "s",
+        "127.0.0.1:1",
+        data_centre,
+        n_slots,
+        READY,
+        cold_s,
+        1,
+        version=version,
     )
     balancer.registry.apply_entry(entry, 0.0, "test")
 
--- /dev/null
+++ b/catkinfork/balancing/tests/test_versions.py
@@ -0,0 +1,78 @@
+"""Placement of streams that have to go on at the version that began them."""
+
+from catkinfork.balancing import BROKEN, NO_BACKEND, Placement, Refusal
+from catkinfork.balancing.tests.support import (
+    add_backend,
+    build_balancer,
+    build_job,
+    serve,
+)
+
+
+def build_versions(n_slots=64):
+    """Return a balancer with two backend servers of v1 and two of v2."""
+    balancer = build_balancer(n_backends=0, n_slots=n_slots)
+    for name, version in (("a0", "v1"), ("a1", "v1"), ("b0", "v2"), ("b1", "v2")):
+        add_backend(balancer, name, n_slots, version=version)
+    return balancer
+
+
+def remove_version(balancer, *names):
+    """Remove the entries of backend servers."""
+    for name in names:
+        balancer.registry.remove(name, 0.0, 0.0)
+
+
+def test_bound_job_runs_at_its_version_only():
+    """Guards against a cheaper backend server of another version."""
+    balancer = build_versions()
+    for name in ("a0", "a1"):
+        balancer.pools["s"].find(name).load.n_pending_tokens = 9000
+    placement = balancer.submit(build_job(version="v1"), 0.0)
+    assert placement.backend.entry.version == "v1"
+
+
+def test_bound_job_without_backend_is_refused_at_once():
+    """Guards against a job that waits for a version which nobody serves any more."""
+    balancer = build_versions()
+    remove_version(balancer, "a0", "a1")
+    refusal = balancer.submit(build_job(version="v1"), 0.0)
+    assert isinstance(refusal, Refusal)
+    assert refusal.reason == NO_BACKEND
+    assert refusal.retry_after_s > 0
+
+
+def test_tried_backends_of_a_version_leave_none():
+    """Guards against another version once all servers of the own one were tried."""
+    balancer = build_versions()
+    job = build_job()
+    placement = balancer.submit(job, 0.0)
+    balancer.record_first_event(placement, 0.1)
+    job.version = placement.backend.entry.version
+    balancer.handle_attempt_end(placement, BROKEN, 0.2)
+    second = balancer.resubmit(job, 0.2)
+    assert second.backend.entry.version == job.version
+    balancer.handle_attempt_end(second, BROKEN, 0.3)
+    assert isinstance(balancer.resubmit(job, 0.3), Refusal)
+
+
+def test_queued_bound_jobs_are_refused_when_their_version_leaves():
+    """Guards against jobs that wait until their deadline for a version that left.
+
+    Load pattern: all engines are full, and streams that broke off wait behind others.
+    """
+    balancer = build_versions(n_slots=1)
+    running = [balancer.submit(build_job(), 0.0) for _ in range(4)]
+    bound = build_job(0.1, version="v1")
+    free = build_job(0.1)
+    assert balancer.submit(bound, 0.1) is None
+    assert balancer.submit(free, 0.1) is None
+    remove_version(balancer, "a0", "a1")
+    ((job, decision),) = balancer.dispatch_queued(0.2)
+    assert job is bound
+    assert decision.reason == NO_BACKEND
+    serve(balancer, next(one for one in running if one.backend.name == "b0"), 0.3)
+    ((job, decision),) = balancer.dispatch_queued(0.3)
+    assert job is free
+    assert isinstance(decision, Placement)
+    assert not balancer.pools["s"].queue.n_bound
--- a/catkinfork/forwarding/_attempt.py
+++ b/catkinfork/forwarding/_attempt.py
@@ -20,6 +20,8 @@
 
     :param exchange: :class:`Exchange`.
     :param placement: :class:`Placement`.
+
+    ``version`` is that of the backend server when the request was sent, or None.
     """
 
     def __init__(self, exchange, placement):
@@ -27,6 +29,7 @@
         self.server = exchange.server
         self.placement = placement
         self.connection = None
+        self.version = None
         self.is_awaiting_response = False
         self.read_timeout_at = inf
 
@@ -75,11 +78,13 @@
             exchange.withdraw(now)
             return
         backend = self.placement.backend
-        if not self.server.balancer.registry.is_usable(backend, now):
+        is_usable = self.server.balancer.registry.is_usable(backend, now)
+        if not is_usable or not job.accepts(backend):
             connection.pool.release(connection)
             exchange.place_anew(now)
             return
         self.connection = connection
+        self.version = backend.entry.version
         self.is_awaiting_response = True
         exchange.framing = ""
         data = encode_request(
--- a/catkinfork/forwarding/_exchange.py
+++ b/catkinfork/forwarding/_exchange.py
@@ -214,6 +214,7 @@
         """Record that a part of the response was relayed."""
         if self.first_data_at is None:
             self.first_data_at = now
+            self.job.version = self.attempt.version
             self.record_response_started()
         else:
             self.max_pause_s = max(self.max_pause_s, now - self.last_data_at)
