Let callers resume streams only where they began

Cause: a stream's version was known to the host that carried it, if at all, and Resumes was not read.

Change: when a host relays the first event of a stream that may be resumed, it records service and version under a key of workspace and request id, and tells its peers with the next two frames (12 bytes a stream, bounded lifetime and number). A request with Last-Event-Id is bound to the recorded origin; a host without it asks its peers. Without a record the origin is certain only if no other version can have served the route for as long as streams last, as seen by this process; otherwise the request is refused at once with a true 503.

--- a/catkinfork/balancing/__init__.py
+++ b/catkinfork/balancing/__init__.py
@@ -17,6 +17,8 @@
     REJECTED,
     SERVED,
     SILENT,
+    STREAM_ELSEWHERE,
+    STREAM_UNKNOWN,
     SUSPECT,
     UNREACHABLE,
     Job,
@@ -25,7 +27,12 @@
     Refusal,
 )
 from catkinfork.balancing._loads import LoadFigures
+from catkinfork.balancing._resumption import (
+    MIN_STREAM_AGE_S,
+    UNCERTAIN,
+)
 from catkinfork.balancing._settings import BalancerSettings, RetryBudgetSettings
+from catkinfork.balancing._streams import StreamOrigin, compute_stream_key
 from catkinfork.balancing._suspect_parts import PartCrash
 
 __all__ = [
@@ -41,18 +48,24 @@
     "REJECTED",
     "SERVED",
     "SILENT",
+    "STREAM_ELSEWHERE",
+    "STREAM_UNKNOWN",
     "SUSPECT",
+    "UNCERTAIN",
     "UNREACHABLE",
     "Balancer",
     "BalancerSettings",
     "Job",
     "LoadFigures",
+    "MIN_STREAM_AGE_S",
     "MISDIRECTED",
     "PartCrash",
     "Placement",
     "PromptPart",
     "Refusal",
     "RetryBudgetSettings",
+    "StreamOrigin",
+    "compute_stream_key",
     "hash_name",
     "pop_items",
 ]
--- a/catkinfork/balancing/_balancer.py
+++ b/catkinfork/balancing/_balancer.py
@@ -17,7 +17,9 @@
 from catkinfork.balancing._pool import ServicePool
 from catkinfork.balancing._rates import SendRates
 from catkinfork.balancing._refusals import RefusalBuilder
+from catkinfork.balancing._resumption import OriginFinder
 from catkinfork.balancing._retries import is_retryable
+from catkinfork.balancing._streams import StreamTable
 from catkinfork.balancing._waits import estimate_wait
 
 # Queue limit of one service at one forwarder, in jobs.
@@ -46,6 +48,8 @@
         self.changes = ChangeSet()
         self.refusals = RefusalBuilder(rng)
         self.crash_guard = CrashGuard(self.changes, rng, write_log)
+        self.streams = StreamTable()
+        self.origins = OriginFinder(registry, self.streams)
         self.tokens_per_s = 0.0
         self.workspaces = ()
 
--- a/catkinfork/balancing/_jobs.py
+++ b/catkinfork/balancing/_jobs.py
@@ -144,6 +144,8 @@
 EXPIRED = "cannot_meet_deadline"
 SUSPECT = "crashed_backend_servers"
 NO_RETRY = "no_repeat_left"
+STREAM_UNKNOWN = "stream_origin_unknown"
+STREAM_ELSEWHERE = "stream_service_changed"
 
 # Attempt outcomes.
 SERVED = "served"
--- a/catkinfork/balancing/_refusals.py
+++ b/catkinfork/balancing/_refusals.py
@@ -15,6 +15,7 @@
 NO_BACKEND_RETRY_AFTER_S = 0.5
 NO_RETRY_RETRY_AFTER_S = 0.5
 FULL_QUEUE_RETRY_AFTER_S = 1.0
+STREAM_RETRY_AFTER_S = 0.5
 # Maximum relative jitter.
 JITTER = 0.5
 # Maximum time added to the pause that backend servers ask for, seconds.
@@ -43,6 +44,13 @@
         """Return the refusal of a request whose retry exceeds the budget."""
         return Refusal(NO_RETRY, self.add_jitter(NO_RETRY_RETRY_AFTER_S))
 
+    def refuse_stream(self, reason):
+        """Return the refusal of a stream that cannot go on where it began.
+
+        :param reason: refusal code.
+        """
+        return Refusal(reason, self.add_jitter(STREAM_RETRY_AFTER_S))
+
     def refuse_full_queue(self, n_waiting):
         """Return the refusal of a request that finds the queue full."""
         retry_after_s = self.add_jitter(FULL_QUEUE_RETRY_AFTER_S)
--- /dev/null
+++ b/catkinfork/balancing/_resumption.py
@@ -0,0 +1,92 @@
+"""Where a stream that its caller resumes may go on."""
+
+from math import inf
+from typing import NamedTuple
+
+from catkinfork.balancing._streams import StreamOrigin
+
+# Age that any stream may have at least, and as a multiple of the timeout of its route:
+# a caller may have resumed it before.
+MIN_STREAM_AGE_S = 60.0
+STREAM_AGE_PER_TIMEOUT = 4.0
+
+# How the origin of a stream is known, for the log.
+RECORDED = "recorded"
+ONLY_VERSION = "only_version"
+UNCERTAIN = "uncertain"
+UNKNOWN = "unknown"
+
+
+class OriginFinding(NamedTuple):
+    """What a forwarder knows of the origin of a stream.
+
+    :param origin: :class:`StreamOrigin`, or None.
+    :param source: ``recorded``, ``only_version``, ``uncertain`` if there are two
+        records that differ, or ``unknown``.
+    """
+
+    origin: StreamOrigin | None
+    source: str
+
+
+class OriginFinder:
+    """Finds the origin of a stream that its caller resumes.
+
+    The record of the stream comes first. Without one, the origin is certain only if no
+    other version can have served the route for as long as a stream may last.
+
+    Load pattern: all forwarders are killed at once while two versions serve, or when
+    the last server of the older version has just left. None of them knows the streams
+    from before, and the store lists a single version.
+
+    :param registry: :class:`BackendRegistry`.
+    :param streams: :class:`StreamTable`.
+    """
+
+    def __init__(self, registry, streams):
+        self.registry = registry
+        self.streams = streams
+        self.targets = {}
+        self.targets_changed_at = {}
+
+    def apply_configuration(self, configuration, now):
+        """Record which routes have changed their targets.
+
+        :param configuration: :class:`Configuration`.
+        """
+        targets = {
+            (route.host, route.prefix): route.targets for route in configuration.routes
+        }
+        for key in targets:
+            if targets[key] != self.targets.get(key):
+                self.targets_changed_at[key] = now
+        self.targets = targets
+
+    def find(self, route, key, now):
+        """Return the :class:`OriginFinding` of a stream.
+
+        :param route: :class:`Route` on which it is resumed.
+        :param key: key of the stream, or None if its caller does not name it.
+        """
+        record = None if key is None else self.streams.find(key, now)
+        if record is None:
+            return self.find_only_origin(route, now)
+        if record.origin is None:
+            return OriginFinding(None, UNCERTAIN)
+        return OriginFinding(record.origin, RECORDED)
+
+    def find_only_origin(self, route, now):
+        """Return the finding without a record of the stream."""
+        age_s = max(MIN_STREAM_AGE_S, STREAM_AGE_PER_TIMEOUT * route.timeout_s)
+        since = now - age_s
+        unknown = OriginFinding(None, UNKNOWN)
+        if self.targets_changed_at.get((route.host, route.prefix), inf) > since:
+            return unknown
+        services = {share.service for share in route.targets if share.weight > 0}
+        if len(services) != 1:
+            return unknown
+        (service,) = services
+        version = self.registry.find_only_version(service, since, now)
+        if version is None:
+            return unknown
+        return OriginFinding(StreamOrigin(service, version), ONLY_VERSION)
--- /dev/null
+++ b/catkinfork/balancing/_streams.py
@@ -0,0 +1,120 @@
+"""Origins of streams: the service and the version that began each of them."""
+
+from hashlib import blake2b
+from typing import NamedTuple
+
+from catkinfork.topology import RecentTable
+
+# Streams whose origin is kept; beyond it, the origins recorded first are forgotten.
+MAX_STREAMS = 32_768
+# Frames in which an origin is told, since datagrams may be lost.
+N_TELLINGS = 2
+# Limits of what waits to be told or asked; in a flood, the oldest are dropped.
+MAX_UNSENT = 4_096
+MAX_QUESTIONS = 512
+
+
+class StreamOrigin(NamedTuple):
+    """Where a stream began.
+
+    :param service: name of the service.
+    :param version: version of the backend server that sent the first event.
+    """
+
+    service: str
+    version: str
+
+
+class StreamRecord(NamedTuple):
+    """What is known of a stream.
+
+    :param origin: :class:`StreamOrigin`, or None if two different ones were recorded.
+    :param expires_at: monotonic time after which its caller has given it up, seconds.
+    """
+
+    origin: StreamOrigin | None
+    expires_at: float
+
+
+class StreamTable:
+    """Origins of the streams that callers may resume at any forwarder.
+
+    A forwarder records the origin when it relays the first event of a stream, and tells
+    its peers, so that the origin survives that forwarder. A backend server keeps no
+    such record, and a caller only sends the id of the request.
+
+    Load pattern: every stream is recorded and few are resumed, so that a record is
+    small, of bounded lifetime and told together with loads.
+
+    ``unsent`` has the keys to tell and the number of frames left for each, and
+    ``questions`` the keys that peers are asked for.
+    """
+
+    def __init__(self):
+        self.records = RecentTable(MAX_STREAMS)
+        self.unsent = RecentTable(MAX_UNSENT)
+        self.questions = RecentTable(MAX_QUESTIONS)
+
+    @property
+    def has_news(self):
+        """Return whether there is anything to tell or to ask."""
+        return bool(self.unsent or self.questions)
+
+    def record(self, key, origin, lifetime_s, now):
+        """Record the origin of a stream and tell it to the peers.
+
+        :param key: result of :func:`compute_stream_key`.
+        :param origin: :class:`StreamOrigin`, or None if it is uncertain.
+        :param lifetime_s: time for which its caller may resume it, seconds.
+        """
+        self.record_told(key, origin, lifetime_s, now)
+        self.unsent[key] = N_TELLINGS
+
+    def record_told(self, key, origin, lifetime_s, now):
+        """Record the origin of a stream as told by a peer.
+
+        Two different origins for one stream leave it without a certain one.
+        """
+        expires_at = now + lifetime_s
+        known = self.find(key, now)
+        if known is not None:
+            expires_at = max(expires_at, known.expires_at)
+            if known.origin != origin:
+                origin = None
+        self.records[key] = StreamRecord(origin, expires_at)
+        self.questions.pop(key, None)
+        self.remove_expired(now)
+
+    def find(self, key, now):
+        """Return the :class:`StreamRecord` of a stream, or None."""
+        record = self.records.get(key)
+        return record if record is not None and now < record.expires_at else None
+
+    def ask(self, key):
+        """Ask the peers for the origin of a stream."""
+        self.questions[key] = True
+
+    def answer(self, key, now):
+        """Tell the origin of a stream for which a peer asks, if it is known."""
+        if self.find(key, now) is not None and key not in self.unsent:
+            self.unsent[key] = 1
+
+    def remove_expired(self, now):
+        """Remove the records set first as long as they have expired."""
+        while self.records:
+            key = next(iter(self.records))
+            if now < self.records[key].expires_at:
+                return
+            del self.records[key]
+
+
+def compute_stream_key(workspace, request_id):
+    """Return the 64-bit key of a stream.
+
+    It includes the workspace, so that a caller cannot resume streams of others.
+
+    :param request_id: id of the request that brought the first event, as bytes.
+    """
+    digest = blake2b(workspace.encode(), digest_size=8)
+    digest.update(b"\0" + request_id)
+    return int.from_bytes(digest.digest(), "big")
--- /dev/null
+++ b/catkinfork/balancing/tests/test_streams.py
@@ -0,0 +1,182 @@
+"""Records of where streams began, and what is concluded without one."""
+
+from math import inf
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from catkinfork.balancing import MIN_STREAM_AGE_S, StreamOrigin, compute_stream_key
+from catkinfork.balancing._resumption import (
+    ONLY_VERSION,
+    RECORDED,
+    UNCERTAIN,
+    UNKNOWN,
+    OriginFinder,
+)
+from catkinfork.balancing._streams import MAX_STREAMS, StreamTable
+from catkinfork.balancing.tests.support import (
+    add_backend,
+    build_balancer,
+    build_route,
+)
+from catkinfork.topology import (
+    CallerLimits,
+    Configuration,
+    Service,
+    TrafficShare,
+)
+
+V1 = StreamOrigin("s", "v1")
+V2 = StreamOrigin("s", "v2")
+ROUTE = build_route()
+KEY = compute_stream_key("a", b"r1")
+LONG_AFTER = 1000.0
+
+
+def build_finder(*versions, known_since=0.0, routes=(ROUTE,)):
+    """Return an :class:`OriginFinder` with one backend server of each version."""
+    balancer = build_balancer(n_backends=0)
+    for number, version in enumerate(versions):
+        add_backend(balancer, f"b{number}", version=version)
+    history = balancer.registry.versions
+    history.known_since, history.read_at = known_since, LONG_AFTER
+    finder = OriginFinder(balancer.registry, balancer.streams)
+    apply_routes(finder, 0.0, *routes)
+    return finder
+
+
+def apply_routes(finder, now, *routes):
+    """Put a configuration with some routes in force."""
+    services = {"s": Service("s"), "t": Service("t")}
+    configuration = Configuration(1, routes, services, CallerLimits(), ())
+    finder.apply_configuration(configuration, now)
+
+
+def find(finder, key=KEY, route=ROUTE, now=LONG_AFTER):
+    """Return the origin of a stream and how it is known."""
+    return tuple(finder.find(route, key, now))
+
+
+def test_record_goes_before_the_list_of_versions():
+    """Guards against the version that serves now for a stream of one that left."""
+    finder = build_finder("v2")
+    finder.streams.record(KEY, V1, 10.0, LONG_AFTER)
+    assert find(finder) == (V1, RECORDED)
+
+
+def test_record_expires_with_the_deadline_of_its_caller():
+    """Guards against records that stay for good."""
+    finder = build_finder("v1", "v2")
+    finder.streams.record(KEY, V1, 10.0, LONG_AFTER - 11.0)
+    assert find(finder) == (None, UNKNOWN)
+
+
+def test_all_forwarders_killed_while_two_versions_serve():
+    """Guards against a guess by forwarders that have lost all records."""
+    assert find(build_finder("v1", "v2")) == (None, UNKNOWN)
+
+
+def test_all_forwarders_killed_after_the_older_version_left():
+    """Guards against the only version listed at the start of a forwarder.
+
+    Load pattern: the last servers of the older version leave, all forwarders are killed
+    and start again, and callers resume the streams that broke off.
+    """
+    started_at = LONG_AFTER - 3.0
+    finder = build_finder("v2", known_since=started_at)
+    assert find(finder) == (None, UNKNOWN)
+
+
+def test_single_version_for_a_long_time_is_certain():
+    """Guards against streams that are refused though no other version can have served.
+
+    Its forwarder was killed before it had told its peers, so that no record is left.
+    """
+    assert find(build_finder("v1", "v1")) == (V1, ONLY_VERSION)
+    assert find(build_finder("v1"), key=None) == (V1, ONLY_VERSION)
+
+
+def test_route_that_was_moved_is_not_certain():
+    """Guards against the new service of a route for a stream of the former one."""
+    finder = build_finder("v1")
+    moved = ROUTE._replace(targets=(TrafficShare("t", 1.0),))
+    apply_routes(finder, LONG_AFTER - 30.0, moved)
+    apply_routes(finder, LONG_AFTER - 20.0, ROUTE)
+    assert find(finder) == (None, UNKNOWN)
+    later = LONG_AFTER + MIN_STREAM_AGE_S
+    finder.registry.versions.read_at = later
+    assert find(finder, now=later) == (V1, ONLY_VERSION)
+
+
+def test_route_with_two_services_is_not_certain():
+    """Guards against one of several services for a stream without a record."""
+    shares = (TrafficShare("s", 1.0), TrafficShare("t", 1.0))
+    route = ROUTE._replace(targets=shares)
+    finder = build_finder("v1", routes=(route,))
+    assert find(finder, route=route) == (None, UNKNOWN)
+
+
+def test_two_records_that_differ_are_uncertain():
+    """Guards against one of two origins for an id that was used twice."""
+    finder = build_finder("v1")
+    finder.streams.record(KEY, V1, 10.0, LONG_AFTER)
+    finder.streams.record_told(KEY, V2, 10.0, LONG_AFTER)
+    assert find(finder) == (None, UNCERTAIN)
+    finder.streams.record_told(KEY, V1, 10.0, LONG_AFTER)
+    assert find(finder) == (None, UNCERTAIN)
+
+
+def test_streams_of_another_workspace_are_not_found():
+    """Guards against a caller that resumes a stream of another workspace."""
+    finder = build_finder("v1", "v2")
+    finder.streams.record(KEY, V1, 10.0, LONG_AFTER)
+    assert find(finder, key=compute_stream_key("b", b"r1")) == (None, UNKNOWN)
+
+
+def test_number_of_records_is_bounded():
+    """Guards against memory that grows with the rate of streams."""
+    table = StreamTable()
+    for key in range(MAX_STREAMS + 10):
+        table.record(key, V1, 600.0, 0.0)
+    assert len(table.records) == MAX_STREAMS
+    assert table.find(9, 0.0) is None
+    assert table.find(10, 0.0) is not None
+
+
+def test_expired_records_are_removed():
+    """Guards against expired records that fill the table."""
+    table = StreamTable()
+    for key in range(100):
+        table.record(key, V1, 1.0, 0.0)
+    table.record(100, V1, 1.0, 2.0)
+    assert len(table.records) == 1
+
+
+@pytest.mark.parametrize("n_keys", [1, 3])
+@given(
+    steps=st.lists(
+        st.tuples(
+            st.integers(0, 2),
+            st.sampled_from([V1, V2, None]),
+            st.sampled_from([0.5, 3.0, inf]),
+            st.booleans(),
+        )
+    )
+)
+def test_no_stream_has_an_origin_that_was_contradicted(n_keys, steps):
+    """Guards against any order of records, repeats and expiry that yields a guess."""
+    table = StreamTable()
+    told = {}
+    for now, (key, origin, lifetime_s, is_own) in enumerate(steps):
+        key %= n_keys
+        told = {k: v for k, v in told.items() if now < v[1]}
+        origins, expires_at = told.get(key, (set(), -inf))
+        told[key] = (origins | {origin}, max(expires_at, now + lifetime_s))
+        record = table.record if is_own else table.record_told
+        record(key, origin, lifetime_s, float(now))
+        for one, (origins, _) in told.items():
+            found = table.find(one, float(now))
+            expected = next(iter(origins)) if len(origins) == 1 else None
+            assert found is not None
+            assert found.origin == expected
--- a/catkinfork/explanation/_causes.py
+++ b/catkinfork/explanation/_causes.py
@@ -20,6 +20,14 @@
     "no_repeat_left": (
         "An attempt failed, and the retry budget of the service was exhausted."
     ),
+    "stream_origin_unknown": (
+        "Refused: its caller resumes a stream, and no host knows the version of the "
+        "backend server that began it."
+    ),
+    "stream_service_changed": (
+        "Refused: its caller resumes a stream of a service to which the route does not "
+        "lead any more."
+    ),
     "not_configured": "Refused: the host knew no configuration yet.",
     "caller_gone": "The caller disconnected before the response was complete. {detail}",
     "timeout": "The deadline of the request, or the timeout of its route, passed.",
--- a/catkinfork/forwarding/_events.py
+++ b/catkinfork/forwarding/_events.py
@@ -18,6 +18,7 @@
         "backend_servers",
         "backend_version",
         "resumes",
+        "version_source",
         "n_runs",
         "framing",
         "waited_s",
--- a/catkinfork/forwarding/_exchange.py
+++ b/catkinfork/forwarding/_exchange.py
@@ -25,6 +25,11 @@
 )
 from catkinfork.forwarding._requests import build_job
 from catkinfork.forwarding._responses import find_fault
+from catkinfork.forwarding._resumption import (
+    StreamResumption,
+    is_resumption,
+    record_origin,
+)
 from catkinfork.topology import STREAMING
 
 # Lag of the event loop above which the connection of a caller is checked before its
@@ -51,6 +56,7 @@
         self.attempt = None
         self.first_placement = None
         self.relay = None
+        self.resumption = None
         self.is_done = False
         self.is_waiting = False
         self.expires_at = inf
@@ -100,7 +106,15 @@
         # The request may have waited in its socket for as long as the loop was behind.
         self.job.deadline_at -= server.lag.lag_s
         server.add_exchange(self)
-        self.handle_decision(server.balancer.submit(self.job, now))
+        if is_resumption(self):
+            self.resumption = StreamResumption(self)
+            self.resumption.start(now)
+        else:
+            self.submit(now)
+
+    def submit(self, now):
+        """Submit the request to the balancer."""
+        self.handle_decision(self.server.balancer.submit(self.job, now))
 
     def has_caller_left(self):
         """Return whether the caller has closed its connection while the loop lagged.
@@ -215,6 +229,7 @@
         if self.first_data_at is None:
             self.first_data_at = now
             self.job.version = self.attempt.version
+            record_origin(self, now)
             self.record_response_started()
         else:
             self.max_pause_s = max(self.max_pause_s, now - self.last_data_at)
--- a/catkinfork/forwarding/_request_events.py
+++ b/catkinfork/forwarding/_request_events.py
@@ -29,6 +29,7 @@
         backend_servers=",".join(job.tried_backends) if job else "",
         backend_version=placement.backend.entry.version if placement else "",
         resumes=find_resumed_id(exchange),
+        version_source=exchange.resumption.source if exchange.resumption else "",
         n_runs=job.n_runs if job else 0,
         framing=exchange.framing,
         waited_s=round((exchange.placed_at or now) - arrived_at, 4),
--- a/catkinfork/forwarding/_server.py
+++ b/catkinfork/forwarding/_server.py
@@ -57,6 +57,7 @@
         self.limits = CallerLimits()
         self.callers = set()
         self.exchanges = {}
+        self.resumptions = set()
         self.pools = {}
         self.listeners = []
         self.lag = LagMonitor()
@@ -78,6 +79,9 @@
         self.routes = routes
         self.limits = routes.configuration.limits
         self.balancer.apply_configuration(routes.configuration)
+        self.balancer.origins.apply_configuration(
+            routes.configuration, self.loop.time()
+        )
 
     async def listen(self, address):
         """Start to accept connections.
@@ -250,6 +254,9 @@
         for exchange in list(self.exchanges.values()):
             if now >= exchange.expires_at or now >= exchange.read_timeout_at:
                 exchange.handle_timeouts(now)
+        for resumption in list(self.resumptions):
+            if resumption.check(now):
+                self.resumptions.discard(resumption)
         self.schedule_dispatch()
         if now >= self.next_idle_sweep_at:
             self.next_idle_sweep_at = now + IDLE_SWEEP_INTERVAL_S
--- a/catkinfork/forwarding/tests/test_streams.py
+++ b/catkinfork/forwarding/tests/test_streams.py
@@ -108,6 +108,7 @@
 
     async def test(world):
         (backend,) = await world.start("engine", stream(1, 8))
+        world.set_long_running()
         reply = await world.call("/draft/", headers=[*PROMPT, "Last-Event-Id: 5"])
         assert reply.body == join(6, 8)
         assert backend.requests[0].headers["last-event-id"] == "5"
--- a/catkinfork/forwarding/tests/test_versions.py
+++ b/catkinfork/forwarding/tests/test_versions.py
@@ -1,10 +1,20 @@
 """Streams while backend servers of several versions serve."""
 
 import anyio
+import pytest
 
-from catkinfork.forwarding.tests.scripted import in_turn, reset, stream
+from catkinfork.balancing import StreamOrigin, compute_stream_key
+from catkinfork.forwarding.tests.scripted import event, in_turn, reset, stream
 from catkinfork.forwarding.tests.test_streams import join
-from catkinfork.forwarding.tests.world import PROMPT, run_world
+from catkinfork.forwarding.tests.world import (
+    KEY,
+    PROMPT,
+    ROUTES,
+    SingleForwarderDirectory,
+    build_configuration,
+    run_world,
+)
+from catkinfork.topology import RouteTable, TrafficShare, Workspace
 
 
 def test_log_states_versions():
@@ -12,6 +22,7 @@
 
     async def test(world):
         await world.start("engine", stream(1, 3, then=reset), version="v1")
+        world.set_long_running()
         headers = [*PROMPT, "Last-Event-Id: 1", "Resumes: r0"]
         await world.call("/draft/", headers=headers)
         (added,) = world.list_events("backend_added")
@@ -70,22 +81,210 @@
     """
 
     async def test(world):
-        slow = stream(1, 99, gap_s=0.02)
-        (older,) = await world.start(
-            "engine", in_turn(slow, stream(1, 9)), version="v1"
-        )
-        (newer,) = await world.start("engine", stream(1, 9), version="v2")
-        caller = await world.connect()
-        await caller.send("/draft/", headers=PROMPT, request_id="r-first")
-        await caller.read_some()
-        caller.close()
+        older, newer = await start_versions(world)
+        await break_off(world)
         world.balancer.pools["engine"].find("engine-0").load.n_pending_tokens += 5000
-        reply = await world.call(
-            "/draft/",
-            headers=[*PROMPT, "Last-Event-Id: 4", "Resumes: r-first"],
-            request_id="r-second",
-        )
+        reply = await resume(world, "Resumes: r-first")
         assert (reply.body, reply.is_whole) == (join(5, 9), True)
         assert (len(older.requests), len(newer.requests)) == (2, 0)
 
     run_world(test)
+
+
+async def resume(world, *headers, path="/draft/", key=KEY):
+    """Resume a stream after its fourth event."""
+    headers = [*PROMPT, "Last-Event-Id: 4", *headers]
+    return await world.call(path, headers=headers, key=key, request_id="r-again")
+
+
+async def break_off(world):
+    """Let a caller begin a stream and lose its connection."""
+    caller = await world.connect()
+    await caller.send("/draft/", headers=PROMPT, request_id="r-first")
+    await caller.read_some()
+    caller.close()
+
+
+async def start_versions(world):
+    """Start a backend server of v1, which placement prefers, and one of v2."""
+    slow = stream(1, 99, gap_s=0.02)
+    (older,) = await world.start("engine", in_turn(slow, stream(1, 9)), version="v1")
+    (newer,) = await world.start("engine", stream(1, 9), version="v2")
+    return older, newer
+
+
+@pytest.mark.parametrize(
+    "headers",
+    [
+        (),
+        ("Resumes: r-unknown",),
+        ("Resumes: ",),
+        ("Resumes: " + "x" * 300,),
+        ("Resumes: r-first", "Resumes: r-other"),
+        ("Resumes: r-first, r-other",),
+    ],
+    ids=["missing", "unknown", "empty", "overlong", "twice", "list"],
+)
+@pytest.mark.parametrize("path", ["/draft/", "/chat/"])
+def test_stream_of_unknown_origin_is_refused_at_once(path, headers):
+    """Guards against a stream that goes on at one of two versions by chance."""
+
+    async def test(world):
+        backends = await start_versions(world)
+        world.set_long_running()
+        await break_off(world)
+        n_before = sum(len(backend.requests) for backend in backends)
+        with anyio.fail_after(1.0):
+            reply = await resume(world, *headers, path=path)
+        assert reply.status == 503
+        assert float(reply.headers["retry-after"]) > 0
+        assert sum(len(backend.requests) for backend in backends) == n_before
+        assert world.list_events("request_finished")[-1]["version_source"] == "unknown"
+
+    run_world(test)
+
+
+def test_stream_of_another_workspace_is_not_resumed():
+    """Guards against a caller that names a request of another workspace."""
+
+    async def test(world):
+        older, newer = await start_versions(world)
+        world.set_long_running()
+        await break_off(world)
+        world.server.apply_configuration(build_two_workspaces())
+        reply = await resume(world, "Resumes: r-first", key="key-of-b")
+        assert reply.status == 503
+        assert (len(older.requests), len(newer.requests)) == (1, 0)
+
+    run_world(test)
+
+
+def test_stream_whose_service_left_the_route_is_refused():
+    """Guards against a stream that goes on at the new service of its route."""
+
+    async def test(world):
+        await start_versions(world)
+        (other,) = await world.start("plain", stream(1, 9), version="v1")
+        await break_off(world)
+        moved = [
+            route._replace(targets=(TrafficShare("plain", 1.0),))
+            if route.name == "draft"
+            else route
+            for route in ROUTES
+        ]
+        configuration = build_configuration(version=2, routes=tuple(moved))
+        world.server.apply_configuration(RouteTable(configuration))
+        reply = await resume(world, "Resumes: r-first")
+        assert reply.status == 503
+        assert not other.requests
+
+    run_world(test)
+
+
+def test_resumed_stream_is_resumed_again_at_its_version():
+    """Guards against a second resumption by the caller elsewhere.
+
+    Three generations serve; each resumption names the request that began the stream.
+    """
+
+    async def test(world):
+        scripts = [stream(1, 99, gap_s=0.02)] * 3
+        (first,) = await world.start("engine", in_turn(*scripts), version="v1")
+        others = []
+        for version in ("v1.1", "v1.2"):
+            others += await world.start("engine", stream(1, 99), version=version)
+        await break_off(world)
+        for number in range(2):
+            world.balancer.pools["engine"].find(
+                "engine-0"
+            ).load.n_pending_tokens += 5000
+            caller = await world.connect()
+            await caller.send(
+                "/draft/",
+                headers=[*PROMPT, f"Last-Event-Id: {number + 4}", "Resumes: r-first"],
+                request_id=f"r-again-{number}",
+            )
+            assert event(number + 5) in await caller.read_some()
+            caller.close()
+        assert len(first.requests) == 3
+        assert not any(other.requests for other in others)
+
+    run_world(test)
+
+
+def test_stream_without_event_at_its_caller_is_begun_anew():
+    """Guards against a caller that is bound although it has received no event."""
+
+    async def test(world):
+        await world.start("engine", stream(1, 9), version="v1")
+        await world.start("engine", stream(1, 9), version="v2")
+        headers = [*PROMPT, "Resumes: r-unknown"]
+        reply = await world.call("/draft/", headers=headers)
+        assert (reply.body, reply.is_whole) == (join(1, 9), True)
+
+    run_world(test)
+
+
+@pytest.mark.parametrize("is_known", [True, False])
+def test_caller_resumes_at_another_host(is_known):
+    """Guards against a host without a record that goes on at another version.
+
+    The host asks its peers; it refuses the stream if none of them knows it.
+    """
+
+    async def test(world):
+        older, newer = await start_versions(world)
+        asked = world.balancer.streams.questions
+        world.balancer.peers = TwoForwarders()
+        headers = [*PROMPT, "Last-Event-Id: 4", "Resumes: r-first"]
+        caller = await world.connect()
+        await caller.send("/draft/", headers=headers)
+        while not asked:
+            await anyio.sleep(0.01)
+        ((key, _),) = asked.items()
+        assert key == compute_stream_key("a", b"r-first")
+        if is_known:
+            origin = StreamOrigin("engine", "v2")
+            now = world.loop.time()
+            world.balancer.streams.record_told(key, origin, 5.0, now)
+        reply = await caller.read()
+        if is_known:
+            assert (reply.body, reply.is_whole) == (join(5, 9), True)
+        else:
+            assert reply.status == 503
+        assert (len(older.requests), len(newer.requests)) == (0, int(is_known))
+
+    run_world(test)
+
+
+def test_caller_that_leaves_while_peers_are_asked_is_forgotten():
+    """Guards against a request that is sent for a caller that has left."""
+
+    async def test(world):
+        older, newer = await start_versions(world)
+        world.balancer.peers = TwoForwarders()
+        caller = await world.connect()
+        headers = [*PROMPT, "Last-Event-Id: 4", "Resumes: r-first"]
+        await caller.send("/draft/", headers=headers)
+        await anyio.sleep(0.05)
+        caller.close()
+        await anyio.sleep(0.6)
+        assert not world.server.resumptions
+        assert (len(older.requests), len(newer.requests)) == (0, 0)
+
+    run_world(test)
+
+
+class TwoForwarders(SingleForwarderDirectory):
+    """Peer directory of a fleet with one more forwarder."""
+
+    def count_fresh(self, now):
+        """Return the number of forwarders with fresh state."""
+        return 2
+
+
+def build_two_workspaces():
+    """Return the routes for two workspaces."""
+    workspaces = (Workspace("a", (KEY,)), Workspace("b", ("key-of-b",)))
+    configuration = build_configuration(version=2)._replace(workspaces=workspaces)
+    return RouteTable(configuration)
--- a/catkinfork/forwarding/tests/world.py
+++ b/catkinfork/forwarding/tests/world.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+from math import inf
 from typing import NamedTuple
 
 import anyio
@@ -140,6 +141,14 @@
             self.port = self.server.listeners[0].sockets[0].getsockname()[1]
         return self.backends[-len(scripts) :]
 
+    def set_long_running(self):
+        """Let the forwarder know the versions and routes of a long time."""
+        now = self.loop.time()
+        history = self.registry.versions
+        history.known_since, history.read_at = -inf, now
+        for route in self.balancer.origins.targets:
+            self.balancer.origins.targets_changed_at[route] = -inf
+
     async def connect(self):
         """Open a connection as a caller."""
         return Caller(*await asyncio.open_connection("127.0.0.1", self.port))
--- a/catkinfork/peering/_frames.py
+++ b/catkinfork/peering/_frames.py
@@ -105,6 +105,19 @@
     age_ms: int
 
 
+class StreamEntry(NamedTuple):
+    """Streams that began at one version of a service.
+
+    :param version: version of the backend server, empty if it is uncertain.
+    :param streams: pairs of the key of a stream and the time for which its caller may
+        resume it, milliseconds.
+    """
+
+    service: int
+    version: str
+    streams: list[tuple[int, int]]
+
+
 class Frame(msgspec.Struct, array_like=True):
     """State of one forwarder for its peers.
 
@@ -120,6 +133,7 @@
     :param is_full: whether the loads cover all backend servers at which the sender has
         requests in flight.
     :param peers: IP addresses of forwarders that the sender knows.
+    :param stream_questions: keys of streams whose origin the sender asks for.
     """
 
     sender: str
@@ -141,6 +155,8 @@
     era: int = 0
     leaving: list[LeavingEntry] = []
     rate_limits: list[RateLimitEntry] = []
+    streams: list[StreamEntry] = []
+    stream_questions: list[int] = []
 
 
 _ENCODER = msgspec.msgpack.Encoder()
--- a/catkinfork/peering/_state.py
+++ b/catkinfork/peering/_state.py
@@ -24,6 +24,7 @@
     UsageEntry,
     encode_frame,
 )
+from catkinfork.peering._stream_notices import StreamNotices
 
 # Limit of datagrams from one forwarder to all peers together.
 MAX_FRAMES_PER_S = 400.0
@@ -73,6 +74,7 @@
         self.pools = {}
         self.states = {}
         self.notices = BackendNotices(balancer, self.compute_hash)
+        self.stream_notices = StreamNotices(balancer, self.compute_hash)
 
     def compute_hash(self, name):
         """Return the 32-bit hash of a name, from a cache."""
@@ -87,7 +89,8 @@
         :returns: pairs of IP address and datagram.
         """
         self.remove_silent_peers(now)
-        is_due = now >= self.next_frame_at and not self.balancer.changes.is_empty
+        has_news = not self.balancer.changes.is_empty or self.balancer.streams.has_news
+        is_due = now >= self.next_frame_at and has_news
         if not is_due and now < self.next_heartbeat_at:
             return []
         addresses = self.directory.list_addresses()
@@ -152,6 +155,7 @@
             self.balancer.crash_guard.repeat_part_crashes()
         self.fill_part_crashes(frame, now)
         self.notices.fill(frame, is_full, now)
+        self.stream_notices.fill(frame, now)
         for _, backend, parts in changes.parts[-MAX_PARTS_PER_FRAME:]:
             name = self.compute_hash(backend)
             frame.parts += [PartEntry(name, part, n) for part, n in parts]
@@ -249,6 +253,7 @@
                 peer.address, fingerprint, n_crashes, now
             )
         self.notices.record(peer, frame, now)
+        self.stream_notices.record(frame, now)
         for part, age_ms in frame.served_parts:
             self.balancer.crash_guard.parts.record_served(part, now - age_ms / 1000)
         for part, backend, age_ms in frame.part_crashes:
--- a/catkinfork/topology/__init__.py
+++ b/catkinfork/topology/__init__.py
@@ -7,6 +7,7 @@
     ERA_IGNORED,
     EVENTS,
 )
+from catkinfork.topology._recent import RecentTable
 from catkinfork.topology._registry import (
     RECOVERY_S,
     Backend,
@@ -72,6 +73,7 @@
     "Item",
     "Position",
     "READY",
+    "RecentTable",
     "RECOVERY_S",
     "Route",
     "RouteTable",
--- a/catkinfork/topology/_registry.py
+++ b/catkinfork/topology/_registry.py
@@ -14,6 +14,7 @@
 from catkinfork.topology._recent import RecentTable
 from catkinfork.topology._source import Departure
 from catkinfork.topology._types import DRAINING, READY
+from catkinfork.topology._versions import VersionHistory
 
 MAX_DEPARTED = 1024
 MAX_LEAVING = 1024
@@ -90,6 +91,7 @@
         self.leaving = RecentTable(MAX_LEAVING)
         self.throttled = RecentTable(MAX_THROTTLED)
         self.rate_limits = RateLimitTable(write_log)
+        self.versions = VersionHistory()
 
     def list_ready(self, service):
         """Return the backend servers of a service that may receive new requests."""
@@ -137,6 +139,8 @@
         """Replace the entry of a known backend server."""
         if entry.state == DRAINING and backend.entry.state == READY:
             self.log_leaving(backend, DRAINING)
+        if (entry.service, entry.version) != (backend.service, backend.entry.version):
+            self.versions.record_left(backend.entry, now)
         if entry.service != backend.service:
             self.backends[entry.name] = Backend(entry, now)
         else:
@@ -219,6 +223,7 @@
                 backend.expires_at = expires_at
             return
         del self.backends[name]
+        self.versions.record_left(backend.entry, now)
         self.record_departure(backend.entry)
         self.log_leaving(backend, "gone")
         self.rebuild_index()
@@ -252,6 +257,20 @@
             if backend.expires_at is not None and now >= backend.expires_at:
                 self.remove(backend.name, now, now)
 
+    def find_only_version(self, service, since, now):
+        """Return the version of a service if no other one can have served.
+
+        :param since: monotonic time from which on this must hold, seconds.
+        :returns: version, or None if there are others, or may have been.
+        """
+        if not self.versions.is_complete(since, now):
+            return None
+        versions = self.versions.list_left(service, since)
+        for backend in self.backends.values():
+            if backend.service == service:
+                versions.add(backend.entry.version)
+        return versions.pop() if len(versions) == 1 else None
+
     def set_evacuated(self, data_centres):
         """Set the data centres whose backend servers receive no new requests."""
         if data_centres == self.evacuated:
--- /dev/null
+++ b/catkinfork/topology/_versions.py
@@ -0,0 +1,48 @@
+"""Versions of backend servers that may have served recently."""
+
+from math import inf
+
+from catkinfork.topology._recent import RecentTable
+
+MAX_LEFT = 1024
+# Longest time between two reads of the store within which no backend server is missed,
+# seconds. Each one is published for longer before it serves and leaves.
+MAX_READ_GAP_S = 4.0
+
+
+class VersionHistory:
+    """When the versions of each service were last published.
+
+    ``known_since`` is the monotonic time since which it is complete, infinite before
+    the first read of the store, and ``read_at`` that of the last read.
+    """
+
+    def __init__(self):
+        self.left = RecentTable(MAX_LEFT)
+        self.known_since = inf
+        self.read_at = -inf
+
+    def record_read(self, now):
+        """Record that the entries of all backend servers are known as of now."""
+        if now - self.read_at > MAX_READ_GAP_S:
+            self.known_since = now
+        self.read_at = now
+
+    def record_left(self, entry, now):
+        """Record that a backend server has left, or has started again.
+
+        :param entry: its last :class:`BackendEntry`.
+        """
+        self.left[(entry.service, entry.version)] = now
+
+    def is_complete(self, since, now):
+        """Return whether all versions that served since a monotonic time are known."""
+        return self.known_since <= since and now - self.read_at <= MAX_READ_GAP_S
+
+    def list_left(self, service, since):
+        """Return the versions of a service whose servers left since then."""
+        return {
+            version
+            for (name, version), left_at in self.left.items()
+            if name == service and left_at >= since
+        }
--- a/catkinfork/topology/_watcher.py
+++ b/catkinfork/topology/_watcher.py
@@ -110,6 +110,7 @@
             raise SourceError("the era of the store is older than that of a peer")
         self.read_at = time.monotonic()
         self.apply(changes, self.source.name)
+        self.state.registry.versions.record_read(self.read_at)
         if changes.items or changes.is_full:
             self.on_change()
 
