Ask the engines for the origin of a stream after a loss of all hosts

Cause: the records of origins live in the hosts only, and the store keeps neither streams nor, for servers that were warm for long, versions that left.

Change: a host without a record, whose peers have none either, asks the engines which of them keeps the last part of the prompt. That part belongs to one request or session, so engines of the version that began the stream keep it. If several versions keep it, or one of another version does not answer, the request is refused as before. All callers of a second share one round.

The new tests are refused (503) on the code before and pass.

--- a/catkinfork/balancing/__init__.py
+++ b/catkinfork/balancing/__init__.py
@@ -29,7 +29,8 @@
 from catkinfork.balancing._loads import LoadFigures
 from catkinfork.balancing._resumption import (
     MIN_STREAM_AGE_S,
-    UNCERTAIN,
+    UNKNOWN,
+    EngineCache,
 )
 from catkinfork.balancing._settings import BalancerSettings, RetryBudgetSettings
 from catkinfork.balancing._streams import StreamOrigin, compute_stream_key
@@ -40,6 +41,7 @@
     "BROKEN",
     "CONNECTION_REFUSED",
     "EVENTS",
+    "EngineCache",
     "EXPIRED",
     "FAILED",
     "NO_BACKEND",
@@ -51,7 +53,7 @@
     "STREAM_ELSEWHERE",
     "STREAM_UNKNOWN",
     "SUSPECT",
-    "UNCERTAIN",
+    "UNKNOWN",
     "UNREACHABLE",
     "Balancer",
     "BalancerSettings",
--- a/catkinfork/balancing/_resumption.py
+++ b/catkinfork/balancing/_resumption.py
@@ -13,6 +13,7 @@
 # How the origin of a stream is known, for the log.
 RECORDED = "recorded"
 ONLY_VERSION = "only_version"
+CACHED = "cached"
 UNCERTAIN = "uncertain"
 UNKNOWN = "unknown"
 
@@ -21,14 +22,25 @@
     """What a forwarder knows of the origin of a stream.
 
     :param origin: :class:`StreamOrigin`, or None.
-    :param source: ``recorded``, ``only_version``, ``uncertain`` if there are two
-        records that differ, or ``unknown``.
+    :param source: ``recorded``, ``only_version``, ``cached`` by engines,
+        ``uncertain`` if there are two records that differ, or ``unknown``.
     """
 
     origin: StreamOrigin | None
     source: str
 
 
+class EngineCache(NamedTuple):
+    """Prompt parts that an engine keeps.
+
+    :param version: version of the engine.
+    :param parts: ids of the parts, or None if it did not answer.
+    """
+
+    version: str
+    parts: frozenset | None
+
+
 class OriginFinder:
     """Finds the origin of a stream that its caller resumes.
 
@@ -75,6 +87,29 @@
             return OriginFinding(None, UNCERTAIN)
         return OriginFinding(record.origin, RECORDED)
 
+    def find_by_caches(self, job, caches):
+        """Return the finding from what the engines keep.
+
+        The last part of a prompt belongs to one request or session, so that only
+        engines of the version that began the stream keep it. If engines of several
+        versions keep it, or one of another version did not answer, nothing is certain.
+
+        :param job: :class:`Job`.
+        :param caches: service name and :class:`EngineCache` entries, by service.
+        """
+        last_part = job.parts[-1].name
+        keeping = set()
+        silent = set()
+        for service, entries in caches:
+            for version, parts in entries:
+                if parts is None:
+                    silent.add(StreamOrigin(service, version))
+                elif last_part in parts:
+                    keeping.add(StreamOrigin(service, version))
+        if len(keeping) != 1 or silent - keeping:
+            return OriginFinding(None, UNKNOWN)
+        return OriginFinding(keeping.pop(), CACHED)
+
     def find_only_origin(self, route, now):
         """Return the finding without a record of the stream."""
         age_s = max(MIN_STREAM_AGE_S, STREAM_AGE_PER_TIMEOUT * route.timeout_s)
--- a/catkinfork/balancing/tests/test_streams.py
+++ b/catkinfork/balancing/tests/test_streams.py
@@ -6,8 +6,14 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from catkinfork.balancing import MIN_STREAM_AGE_S, StreamOrigin, compute_stream_key
+from catkinfork.balancing import (
+    MIN_STREAM_AGE_S,
+    EngineCache,
+    StreamOrigin,
+    compute_stream_key,
+)
 from catkinfork.balancing._resumption import (
+    CACHED,
     ONLY_VERSION,
     RECORDED,
     UNCERTAIN,
@@ -18,6 +24,7 @@
 from catkinfork.balancing.tests.support import (
     add_backend,
     build_balancer,
+    build_job,
     build_route,
 )
 from catkinfork.topology import (
@@ -180,3 +187,44 @@
             expected = next(iter(origins)) if len(origins) == 1 else None
             assert found is not None
             assert found.origin == expected
+
+
+PART = 0xB2
+CACHES = {
+    "kept by one version": (
+        [("v1", {PART}), ("v1", set()), ("v2", {0xA1})],
+        (V1, CACHED),
+    ),
+    "kept by two engines of one version": (
+        [("v1", {PART}), ("v1", {PART}), ("v2", set())],
+        (V1, CACHED),
+    ),
+    "kept by two versions": ([("v1", {PART}), ("v2", {PART})], (None, UNKNOWN)),
+    "kept by none": ([("v1", {0xA1}), ("v2", set())], (None, UNKNOWN)),
+    "another version is silent": ([("v1", {PART}), ("v2", None)], (None, UNKNOWN)),
+    "one of the same version is silent": (
+        [("v1", {PART}), ("v1", None), ("v2", set())],
+        (V1, CACHED),
+    ),
+    "no engine": ([], (None, UNKNOWN)),
+}
+
+
+@pytest.mark.parametrize("name", CACHES)
+def test_origin_by_what_engines_keep(name):
+    """Guards against a guess where what the engines keep does not tell one version.
+
+    Load pattern: all forwarders lose power while two versions serve, and the callers of
+    all their streams come back.
+    """
+    entries, expected = CACHES[name]
+    caches = [("s", [EngineCache(*entry) for entry in entries])]
+    job = build_job(parts=[(0xA1, 60), (PART, 40)])
+    assert tuple(build_finder("v1").find_by_caches(job, caches)) == expected
+
+
+def test_origin_is_unknown_if_engines_of_two_services_keep_the_prompt():
+    """Guards against one of two services whose engines have the same version."""
+    caches = [(name, [EngineCache("v1", {PART})]) for name in "st"]
+    job = build_job(parts=[(PART, 40)])
+    assert build_finder("v1").find_by_caches(job, caches).origin is None
--- a/catkinfork/forwarder/_process.py
+++ b/catkinfork/forwarder/_process.py
@@ -31,12 +31,19 @@
     READINESS_CHANGED,
     SWEEP_INTERVAL_S,
     AdminServer,
+    CacheLookup,
     ForwardingServer,
     HttpClient,
 )
 from catkinfork.observability import build_buffered_log, log_event
 from catkinfork.peering import PeerDirectory, PeerExchange, PeerSocket
-from catkinfork.platform import HEADERS, READY_PATH, PlatformDecoder, StoreSource
+from catkinfork.platform import (
+    HEADERS,
+    READY_PATH,
+    EngineCacheSource,
+    PlatformDecoder,
+    StoreSource,
+)
 from catkinfork.topology import (
     BackendRegistry,
     TopologyState,
@@ -104,6 +111,9 @@
             self.log.write,
             self.tasks.start_soon,
         )
+        self.server.cache_lookup = CacheLookup(
+            self.registry, EngineCacheSource(self.loop), self.tasks.start_soon
+        )
         self.peer_exchange = PeerExchange(
             self.balancer, self.directory, self.incarnation, self.log.write
         )
--- a/catkinfork/forwarding/__init__.py
+++ b/catkinfork/forwarding/__init__.py
@@ -1,6 +1,7 @@
 """HTTP/1.1 proxying between callers and backend servers, with streaming responses."""
 
 from catkinfork.forwarding._admin import AdminResponse, AdminServer
+from catkinfork.forwarding._cache_lookup import BasePromptPartSource, CacheLookup
 from catkinfork.forwarding._client import FetchedResponse, FetchError, HttpClient
 from catkinfork.forwarding._events import (
     CALLBACK_FAILED,
@@ -15,6 +16,7 @@
 )
 from catkinfork.forwarding._messages import ResponseHead
 from catkinfork.forwarding._names import HeaderNames
+from catkinfork.forwarding._numbers import parse_part_name
 from catkinfork.forwarding._server import SWEEP_INTERVAL_S, ForwardingServer
 
 __all__ = [
@@ -30,10 +32,13 @@
     "SWEEP_INTERVAL_S",
     "AdminResponse",
     "AdminServer",
+    "BasePromptPartSource",
+    "CacheLookup",
     "FetchError",
     "FetchedResponse",
     "ForwardingServer",
     "HeaderNames",
     "HttpClient",
     "ResponseHead",
+    "parse_part_name",
 ]
--- /dev/null
+++ b/catkinfork/forwarding/_cache_lookup.py
@@ -0,0 +1,81 @@
+"""Lookup of the engines that keep the prompt of a stream."""
+
+from abc import ABC, abstractmethod
+
+import anyio
+
+from catkinfork.balancing import EngineCache
+
+# Time for which the answers of engines are used, seconds. A stream that began later is
+# known to the forwarder that carries it.
+MAX_LIST_AGE_S = 1.0
+
+
+class BasePromptPartSource(ABC):
+    """Lists the prompt parts that an engine keeps."""
+
+    @abstractmethod
+    async def list_parts(self, address):
+        """Return the ids of the parts as a set of numbers, or None without an answer.
+
+        :param address: ``host:port`` of the engine.
+        """
+
+
+class CacheLookup:
+    """Asks all engines of a service for the prompt parts that they keep.
+
+    Load pattern: all forwarders lose power, and the callers of all their streams come
+    back within some seconds. Engines are asked once for all of them.
+
+    :param registry: :class:`BackendRegistry`.
+    :param source: :class:`BasePromptPartSource`.
+    :param spawn: callable that starts a coroutine function with arguments as a task.
+
+    ``listed`` has the monotonic time of the latest answers of a service and a
+    :class:`EngineCache` for each engine, and ``pending`` the services that are asked.
+    """
+
+    def __init__(self, registry, source, spawn):
+        self.registry = registry
+        self.source = source
+        self.spawn = spawn
+        self.listed = {}
+        self.pending = set()
+
+    def request(self, service, now):
+        """Ask the engines of a service, unless this was done just before."""
+        if service not in self.pending and self.find(service, now) is None:
+            self.pending.add(service)
+            self.spawn(self.list_service, service, now)
+
+    def find(self, service, now):
+        """Return an :class:`EngineCache` for each engine, None without such answers."""
+        listed_at, caches = self.listed.get(service, (None, None))
+        if listed_at is None or now - listed_at > MAX_LIST_AGE_S:
+            return None
+        return caches
+
+    async def list_service(self, service, now):
+        """Ask all engines of a service at once.
+
+        :param now: monotonic time, seconds.
+        """
+        caches = []
+        backends = [
+            backend
+            for backend in self.registry.backends.values()
+            if backend.service == service
+        ]
+        try:
+            async with anyio.create_task_group() as tasks:
+                for backend in backends:
+                    tasks.start_soon(self.list_engine, backend.entry, caches)
+        finally:
+            self.pending.discard(service)
+        self.listed[service] = (now, caches)
+
+    async def list_engine(self, entry, caches):
+        """Ask one engine and append its :class:`EngineCache`."""
+        parts = await self.source.list_parts(entry.address)
+        caches.append(EngineCache(entry.version, parts))
--- a/catkinfork/forwarding/_resumption.py
+++ b/catkinfork/forwarding/_resumption.py
@@ -5,7 +5,7 @@
 from catkinfork.balancing import (
     STREAM_ELSEWHERE,
     STREAM_UNKNOWN,
-    UNCERTAIN,
+    UNKNOWN,
     StreamOrigin,
     compute_stream_key,
 )
@@ -15,6 +15,8 @@
 
 # Time for which the answer of a peer is awaited, seconds: two frames of a large fleet.
 ORIGIN_TIMEOUT_S = 0.4
+# Time for which the answers of the engines are awaited, seconds.
+LOOKUP_TIMEOUT_S = 0.8
 # Time beyond the deadline of its caller for which the origin of a stream is kept, and
 # the longest time that is kept at all, seconds.
 RECORD_MARGIN_S = 2.0
@@ -24,36 +26,55 @@
 class StreamResumption:
     """Finds where a stream goes on that its caller resumes, then submits its job.
 
-    A peer is asked if this forwarder does not know, as it may have started later. A
-    stream of unknown origin is refused: joined from two versions, its text would be
-    wrong without a sign of it.
+    If this forwarder does not know, as it may have started later, it asks its peers,
+    and then the engines, one of which keeps the prompt of the stream. A stream of
+    unknown origin is refused: joined from two versions, its text would be wrong without
+    a sign of it.
 
     :param exchange: :class:`Exchange`.
 
-    ``source`` states how the origin became known, for the log, and ``expires_at`` is
-    the monotonic time until which an answer of the peers is awaited.
+    ``source`` states how the origin became known, for the log. ``expires_at`` is the
+    monotonic time until which answers are awaited, of the engines once
+    ``is_looking_up`` is set and of the peers before.
     """
 
     def __init__(self, exchange):
         self.exchange = exchange
+        self.server = exchange.server
         self.key = find_resumed_key(exchange)
+        self.services = list_services(exchange.job.route)
         self.expires_at = inf
+        self.is_looking_up = False
         self.source = ""
 
     def start(self, now):
-        """Submit the job, refuse it, or ask the peers."""
+        """Submit the job, refuse it, or ask the peers or engines."""
         if self.decide(now):
             return
-        server = self.exchange.server
-        if self.key is None or server.balancer.peers.count_fresh(now) < 2:
-            self.refuse(STREAM_UNKNOWN)
+        if self.key is not None and self.server.balancer.peers.count_fresh(now) > 1:
+            self.server.balancer.streams.ask(self.key)
+            self.expires_at = now + ORIGIN_TIMEOUT_S
+        elif not self.look_up(now):
             return
-        server.balancer.streams.ask(self.key)
-        self.expires_at = now + ORIGIN_TIMEOUT_S
-        server.resumptions.add(self)
+        self.server.resumptions.add(self)
+
+    def look_up(self, now):
+        """Ask the engines, or refuse the job if they cannot tell.
+
+        :returns: whether they are asked.
+        """
+        lookup = self.server.cache_lookup
+        if lookup is None or not self.exchange.job.parts:
+            self.refuse(STREAM_UNKNOWN)
+            return False
+        self.is_looking_up = True
+        self.expires_at = now + LOOKUP_TIMEOUT_S
+        for service in self.services:
+            lookup.request(service, now)
+        return True
 
     def check(self, now):
-        """Decide once a peer has answered, or refuse the job after the timeout.
+        """Decide once enough is known, or go on to the next source after a timeout.
 
         :returns: whether the resumption has been decided.
         """
@@ -61,6 +82,8 @@
             return True
         if now < self.expires_at:
             return False
+        if not self.is_looking_up:
+            return not self.look_up(now)
         self.refuse(STREAM_UNKNOWN)
         return True
 
@@ -70,25 +93,41 @@
         :returns: whether it was decided.
         """
         job = self.exchange.job
-        finding = self.exchange.server.balancer.origins.find(job.route, self.key, now)
+        finding = self.server.balancer.origins.find(job.route, self.key, now)
+        if finding.source == UNKNOWN and self.is_looking_up:
+            caches = self.list_caches(now)
+            if caches is None:
+                return False
+            finding = self.server.balancer.origins.find_by_caches(job, caches)
         self.source = finding.source
-        if finding.source == UNCERTAIN:
-            self.refuse(STREAM_UNKNOWN)
-            return True
         if finding.origin is None:
-            return False
-        services = {share.service for share in job.route.targets if share.weight > 0}
-        if finding.origin.service not in services:
+            if finding.source == UNKNOWN and not self.is_looking_up:
+                return False
+            self.refuse(STREAM_UNKNOWN)
+        elif finding.origin.service not in self.services:
             self.refuse(STREAM_ELSEWHERE)
-            return True
-        job.service, job.version = finding.origin
-        self.exchange.submit(now)
+        else:
+            job.service, job.version = finding.origin
+            self.exchange.submit(now)
         return True
 
+    def list_caches(self, now):
+        """Return pairs of service and what its engines keep, None until all answered.
+
+        :returns: pairs of name and :class:`EngineCache` entries.
+        """
+        lookup = self.server.cache_lookup
+        caches = [(service, lookup.find(service, now)) for service in self.services]
+        return None if any(entries is None for _, entries in caches) else caches
+
     def refuse(self, reason):
         """Refuse the request, which has not run."""
-        exchange = self.exchange
-        exchange.refuse(exchange.server.balancer.refusals.refuse_stream(reason))
+        self.exchange.refuse(self.server.balancer.refusals.refuse_stream(reason))
+
+
+def list_services(route):
+    """Return the names of the services to which a route leads."""
+    return {share.service for share in route.targets if share.weight > 0}
 
 
 def is_resumption(exchange):
--- a/catkinfork/forwarding/_server.py
+++ b/catkinfork/forwarding/_server.py
@@ -43,6 +43,8 @@
     :param rng: ``random.Random``.
     :param write_log: callable that takes a :class:`LogEvent`.
     :param spawn: callable that starts a coroutine function with arguments as a task.
+
+    ``cache_lookup`` is the :class:`CacheLookup` of the engines, or None.
     """
 
     def __init__(self, balancer, names, loop, rng, write_log, spawn):
@@ -58,6 +60,7 @@
         self.callers = set()
         self.exchanges = {}
         self.resumptions = set()
+        self.cache_lookup = None
         self.pools = {}
         self.listeners = []
         self.lag = LagMonitor()
--- a/catkinfork/forwarding/tests/test_versions.py
+++ b/catkinfork/forwarding/tests/test_versions.py
@@ -4,6 +4,7 @@
 import pytest
 
 from catkinfork.balancing import StreamOrigin, compute_stream_key
+from catkinfork.forwarding import BasePromptPartSource, CacheLookup
 from catkinfork.forwarding.tests.scripted import event, in_turn, reset, stream
 from catkinfork.forwarding.tests.test_streams import join
 from catkinfork.forwarding.tests.world import (
@@ -288,3 +289,73 @@
     workspaces = (Workspace("a", (KEY,)), Workspace("b", ("key-of-b",)))
     configuration = build_configuration(version=2)._replace(workspaces=workspaces)
     return RouteTable(configuration)
+
+
+class ListedParts(BasePromptPartSource):
+    """Stand-in for engines that list the prompt parts that they keep.
+
+    :param parts: ids of the parts, or None for no answer, by address.
+    """
+
+    def __init__(self, parts):
+        self.parts = parts
+        self.n_lists = 0
+
+    async def list_parts(self, address):
+        """Return the ids of the parts that an engine keeps."""
+        self.n_lists += 1
+        await anyio.sleep(0.02)
+        return self.parts[address]
+
+
+@pytest.mark.parametrize("n_callers", [1, 5])
+def test_streams_go_on_after_all_hosts_lost_power(n_callers):
+    """Guards against streams that are lost although the engines know their prompts.
+
+    The host has just started, as all others have, while two versions serve.
+    """
+
+    async def test(world):
+        (older,) = await world.start("engine", stream(1, 9), version="v1")
+        (newer,) = await world.start("engine", stream(1, 9), version="v2")
+        source = ListedParts({older.address: {0xA1}, newer.address: {0xA1, 0xB2}})
+        world.server.cache_lookup = CacheLookup(
+            world.registry, source, world.server.spawn
+        )
+        replies = []
+
+        async def call():
+            replies.append(await resume(world, "Resumes: r-before"))
+
+        async with anyio.create_task_group() as tasks:
+            for _ in range(n_callers):
+                tasks.start_soon(call)
+        assert [reply.body for reply in replies] == [join(5, 9)] * n_callers
+        assert (len(older.requests), len(newer.requests)) == (0, n_callers)
+        assert source.n_lists == 2
+        line = world.list_events("request_finished")[-1]
+        assert line["version_source"] == "cached"
+
+    run_world(test)
+
+
+@pytest.mark.parametrize(
+    "parts", [({0xB2}, {0xB2}), (set(), set()), ({0xB2}, None), (None, None)]
+)
+def test_stream_is_refused_if_engines_cannot_tell(parts):
+    """Guards against a guess after all hosts lost power, and against a long wait."""
+
+    async def test(world):
+        (older,) = await world.start("engine", stream(1, 9), version="v1")
+        (newer,) = await world.start("engine", stream(1, 9), version="v2")
+        addresses = (older.address, newer.address)
+        source = ListedParts(dict(zip(addresses, parts, strict=True)))
+        world.server.cache_lookup = CacheLookup(
+            world.registry, source, world.server.spawn
+        )
+        with anyio.fail_after(1.0):
+            reply = await resume(world, "Resumes: r-before")
+        assert reply.status == 503
+        assert (len(older.requests), len(newer.requests)) == (0, 0)
+
+    run_world(test)
--- /dev/null
+++ b/catkinfork/platform/_engines.py
@@ -0,0 +1,58 @@
+"""Prompt parts that the engines of the platform keep."""
+
+import anyio
+import msgspec
+
+from catkinfork.forwarding import (
+    BasePromptPartSource,
+    FetchError,
+    HttpClient,
+    parse_part_name,
+)
+
+LIST_PATH = "/kv-list"
+LIST_TIMEOUT_S = 0.4
+# Engines that are asked at the same time, which bounds the connections of a lookup.
+MAX_CONCURRENT_LISTS = 16
+
+
+class KeptPart(msgspec.Struct, array_like=True):
+    """A part that an engine keeps, in whole or up to some token."""
+
+    label: str
+    name: str
+    n_tokens: float
+
+
+class CacheDocument(msgspec.Struct):
+    """What an engine keeps."""
+
+    held: list[KeptPart]
+
+
+_CACHE = msgspec.json.Decoder(CacheDocument)
+
+
+class EngineCacheSource(BasePromptPartSource):
+    """Reads what engines keep over their own interface.
+
+    :param loop: event loop.
+    """
+
+    def __init__(self, loop):
+        self.loop = loop
+        self.limiter = anyio.CapacityLimiter(MAX_CONCURRENT_LISTS)
+
+    async def list_parts(self, address):
+        async with self.limiter:
+            client = HttpClient(address, self.loop)
+            try:
+                response = await client.fetch(LIST_PATH, LIST_TIMEOUT_S)
+                if response.status != 200:
+                    return None
+                held = _CACHE.decode(response.body).held
+                return {parse_part_name(part.name.encode()) for part in held}
+            except (FetchError, msgspec.DecodeError, ValueError, RecursionError):
+                return None
+            finally:
+                client.close()
--- /dev/null
+++ b/catkinfork/platform/tests/test_engines.py
@@ -0,0 +1,67 @@
+"""Reading of what the engines of the platform keep."""
+
+import asyncio
+
+import anyio
+import pytest
+
+from catkinfork.platform import EngineCacheSource
+from catkinfork.platform.tests.standins import list_unused_ports, read_head, serve_port
+
+BODIES = {
+    "two parts": (
+        b'{"epoch":1,"held":[["","b2",40,"m"],["","a1",60,"m"]]}',
+        {0xB2, 0xA1},
+    ),
+    "none": (b'{"epoch":1,"next":4,"held":[]}', set()),
+    "more fields": (b'{"held":[["","b2",40,"m",1]],"lost":true}', {0xB2}),
+    "no list": (b'{"epoch":1}', None),
+    "odd entry": (b'{"held":[["","zz",40,"m"]]}', None),
+    "no name": (b'{"held":[["",7,40,"m"]]}', None),
+    "nested": (b'{"held":' + b"[" * 100_000, None),
+    "no JSON": (b"\xff", None),
+}
+
+
+async def list_parts(status, body):
+    """Return the parts that a stand-in for an engine lists with a response."""
+    targets = []
+
+    async def respond(reader, writer):
+        start_line, _ = await read_head(reader)
+        targets.append(start_line.split(" ")[1])
+        head = f"HTTP/1.1 {status} Text\r\ncontent-length: {len(body)}\r\n\r\n"
+        writer.write(head.encode() + body)
+        await writer.drain()
+
+    server = await serve_port(respond)
+    port = server.sockets[0].getsockname()[1]
+    source = EngineCacheSource(asyncio.get_running_loop())
+    parts = await source.list_parts(f"127.0.0.1:{port}")
+    server.close()
+    assert targets == ["/kv-list"]
+    return parts
+
+
+@pytest.mark.parametrize("name", BODIES)
+def test_parts_are_read(name):
+    """Guards against an engine whose answer is misread or ends the process."""
+    body, expected = BODIES[name]
+    assert anyio.run(list_parts, 200, body) == expected
+
+
+@pytest.mark.parametrize("status", [404, 429, 503])
+def test_engine_that_refuses_lists_nothing(status):
+    """Guards against a refusal that is taken for an empty list."""
+    assert anyio.run(list_parts, status, b'{"held":[]}') is None
+
+
+def test_engine_that_is_down_lists_nothing():
+    """Guards against an engine that does not answer and is taken to keep nothing."""
+
+    async def list_of_none():
+        (port,) = list_unused_ports(1)
+        source = EngineCacheSource(asyncio.get_running_loop())
+        return await source.list_parts(f"127.0.0.1:{port}")
+
+    assert anyio.run(list_of_none) is None
