Put streams that broke off first in the queue of their workspace

Cause: a workspace that asks for more than it gets has a queue, and a stream that broke off waits behind all new requests of it, in the estimate as well.

Change: within a workspace, jobs that are bound to a version go first and wait for each other only. They are tried apart from the others, so that a full version does not hold up jobs that may run at another one. The order between workspaces is the same.

Both new tests fail on the code before.

--- a/catkinfork/balancing/_dispatch.py
+++ b/catkinfork/balancing/_dispatch.py
@@ -106,11 +106,21 @@
 
         :param candidates: :class:`CandidateList`.
         :param n_left: number of jobs to try at most.
+        :returns: number of jobs tried.
+        """
+        n_tried = 0
+        for jobs in self.pool.queue.list_groups(workspace, self.now):
+            n_tried += self.place_jobs(jobs[: n_left - n_tried], priority, candidates)
+        return n_tried
+
+    def place_jobs(self, jobs, priority, candidates):
+        """Place some jobs of one workspace until several in a row find no room.
+
         :returns: number of jobs tried.
         """
         n_tried = 0
         n_without_room = 0
-        for job in self.pool.queue.list_jobs(workspace, self.now)[:n_left]:
+        for job in jobs:
             n_tried += 1
             placement = self.balancer.place(
                 self.pool, job, candidates, priority, self.now
--- a/catkinfork/balancing/_queue.py
+++ b/catkinfork/balancing/_queue.py
@@ -8,25 +8,45 @@
 
 
 class WorkspaceQueue:
-    """Queued jobs of one workspace, by latency target.
+    """Queued jobs of one workspace: streams that go on first, then by latency target.
 
     Load pattern: under a flood, some hundred jobs wait and each request asks for the
-    tokens ahead of it. These are therefore kept as a sum.
+    tokens ahead of it. These are therefore kept as sums.
 
-    ``jobs`` has the late jobs first, ``n_late`` is their number and ``late_until`` the
-    monotonic time for which it holds, seconds.
+    ``bound`` has the jobs of streams that broke off and have to go on at a certain
+    version, in order of arrival. Of ``jobs``, the late ones come first in the list;
+    ``n_late`` is their number and ``late_until`` the monotonic time for which it holds,
+    seconds.
     """
 
-    __slots__ = ("jobs", "late_until", "n_late", "n_on_time_tokens")
+    __slots__ = (
+        "bound",
+        "jobs",
+        "late_until",
+        "n_bound_tokens",
+        "n_late",
+        "n_on_time_tokens",
+    )
 
     def __init__(self):
+        self.bound = []
         self.jobs = []
         self.n_late = 0
         self.late_until = -inf
+        self.n_bound_tokens = 0
         self.n_on_time_tokens = 0
 
+    @property
+    def is_empty(self):
+        """Return whether no job is queued."""
+        return not self.jobs and not self.bound
+
     def add(self, job):
         """Add a job."""
+        if job.version is not None:
+            self.bound.append(job)
+            self.n_bound_tokens += count_queue_tokens(job)
+            return
         insort(self.jobs, job, key=LATENCY_TARGET)
         if job.latency_target_at <= self.late_until:
             self.n_late += 1
@@ -38,6 +58,8 @@
 
         :returns: whether it was queued.
         """
+        if job.version is not None:
+            return self.remove_bound(job)
         target_at = job.latency_target_at
         index = bisect_left(self.jobs, target_at, key=LATENCY_TARGET)
         try:
@@ -50,6 +72,18 @@
             self.n_on_time_tokens -= count_queue_tokens(job)
         return True
 
+    def remove_bound(self, job):
+        """Remove the job of a stream that broke off.
+
+        :returns: whether it was queued.
+        """
+        try:
+            self.bound.remove(job)
+        except ValueError:
+            return False
+        self.n_bound_tokens -= count_queue_tokens(job)
+        return True
+
     def advance(self, now):
         """Move the jobs whose latency target has passed to the late ones."""
         self.late_until = now
@@ -60,13 +94,18 @@
             self.n_late += 1
             self.n_on_time_tokens -= count_queue_tokens(job)
 
-    def count_on_time_tokens(self, now):
-        """Return the service tokens of the jobs before their latency target."""
+    def count_tokens_ahead(self, job, now):
+        """Return the service tokens of the jobs of its kind ahead of a new job.
+
+        Streams that broke off delay other jobs only while their version has room.
+        """
+        if job.version is not None:
+            return self.n_bound_tokens
         self.advance(now)
         return self.n_on_time_tokens
 
-    def list_in_order(self, now):
-        """Return the jobs in queue order: those that are late come last."""
+    def list_unbound(self, now):
+        """Return the other jobs in queue order: those that are late come last."""
         self.advance(now)
         return self.jobs[self.n_late :] + self.jobs[: self.n_late]
 
@@ -76,7 +115,8 @@
 
     The workspace that has recently received the least service over all forwarders goes
     first; this service in tokens is the priority value of its jobs. Within a workspace,
-    jobs before their latency target go ahead of late ones, ordered by target. Lateness
+    streams that broke off go first, since what their callers received would be lost,
+    then jobs before their latency target, ordered by target, and late ones. Lateness
     does not count between workspaces: one whose jobs are all late would starve behind
     those that always have new jobs.
 
@@ -110,7 +150,7 @@
         queue = self.by_workspace.get(job.workspace)
         if queue is None or not queue.remove(job):
             return False
-        if not queue.jobs:
+        if queue.is_empty:
             del self.by_workspace[job.workspace]
         self.n_jobs -= 1
         self.n_bound -= job.version is not None
@@ -120,18 +160,19 @@
     def count_tokens_ahead(self, job, now):
         """Return the queued service tokens of its workspace ahead of a new job."""
         queue = self.by_workspace.get(job.workspace)
-        return 0 if queue is None else queue.count_on_time_tokens(now)
+        return 0 if queue is None else queue.count_tokens_ahead(job, now)
 
     def list_by_workspace(self, now):
         """Return pairs of workspace and its jobs in queue order."""
         return [
-            (workspace, queue.list_in_order(now))
+            (workspace, queue.bound + queue.list_unbound(now))
             for workspace, queue in self.by_workspace.items()
         ]
 
-    def list_jobs(self, workspace, now):
-        """Return the jobs of a workspace in queue order."""
-        return self.by_workspace[workspace].list_in_order(now)
+    def list_groups(self, workspace, now):
+        """Return the streams that broke off, and the other jobs, of a workspace."""
+        queue = self.by_workspace[workspace]
+        return list(queue.bound), queue.list_unbound(now)
 
     def list_priorities(self, now):
         """Return pairs of priority and workspace, the next one first."""
--- a/catkinfork/balancing/_waits.py
+++ b/catkinfork/balancing/_waits.py
@@ -59,16 +59,20 @@
 def list_infeasible(pool, now, share):
     """Return the queued jobs that cannot meet their deadlines.
 
+    Streams that broke off do not count ahead of other jobs: while their version is
+    full, others find room.
+
     :param share: fraction of the estimated wait and duration to allow for.
     """
     infeasible = []
-    for workspace, jobs in pool.queue.list_by_workspace(now):
+    for workspace in pool.queue.by_workspace:
         wait = estimate_wait(pool, workspace, now)
-        n_tokens_ahead = 0
-        for job in jobs:
-            placed_at = now + share * wait.compute(n_tokens_ahead)
-            if pool.can_meet_deadline(job, placed_at, share):
-                n_tokens_ahead += count_queue_tokens(job)
-            else:
-                infeasible.append(job)
+        for jobs in pool.queue.list_groups(workspace, now):
+            n_tokens_ahead = 0
+            for job in jobs:
+                placed_at = now + share * wait.compute(n_tokens_ahead)
+                if pool.can_meet_deadline(job, placed_at, share):
+                    n_tokens_ahead += count_queue_tokens(job)
+                else:
+                    infeasible.append(job)
     return infeasible
--- a/catkinfork/balancing/tests/test_versions.py
+++ b/catkinfork/balancing/tests/test_versions.py
@@ -76,3 +76,44 @@
     assert job is free
     assert isinstance(decision, Placement)
     assert not balancer.pools["s"].queue.n_bound
+
+
+def test_stream_that_broke_off_goes_ahead_of_new_ones_of_its_workspace():
+    """Guards against streams that are refused behind the new ones of their workspace.
+
+    Load pattern: a workspace asks for more than it gets, and its streams come back
+    after all hosts have lost power.
+    """
+    balancer = build_balancer(n_backends=1, n_slots=1, tokens_per_s=2000.0)
+    running = balancer.submit(build_job(), 0.0)
+    n_queued = 0
+    while balancer.submit(build_job(0.1), 0.1) is None:
+        n_queued += 1
+    assert n_queued > 5
+    bound = build_job(0.1, version="v1")
+    assert balancer.submit(bound, 0.1) is None
+    serve(balancer, running, 0.3)
+    ((job, decision),) = balancer.dispatch_queued(0.3)
+    assert job is bound
+    assert isinstance(decision, Placement)
+
+
+def test_streams_that_wait_for_a_full_version_do_not_hold_up_others():
+    """Guards against capacity of one version that idles while another one is full.
+
+    Load pattern: an older version has few servers left, and many of its streams broke
+    off at once.
+    """
+    balancer = build_versions(n_slots=1)
+    running = [balancer.submit(build_job(), 0.0) for _ in range(4)]
+    new = build_job(0.1, workspace="b")
+    same_workspace = build_job(0.1)
+    bound = [build_job(0.1, version="v1") for _ in range(80)]
+    for job in [*bound, new, same_workspace]:
+        balancer.pools["s"].queue.add(job)
+    for placement in running:
+        if placement.backend.entry.version == "v2":
+            serve(balancer, placement, 0.2)
+    decisions = balancer.dispatch_queued(0.2)
+    placed = {job for job, one in decisions if isinstance(one, Placement)}
+    assert placed == {new, same_workspace}
