--- a/catkinfork/forwarding/_resumption.py
+++ b/catkinfork/forwarding/_resumption.py
@@ -13,8 +13,10 @@
 from catkinfork.forwarding._requests import MAX_REQUEST_ID_BYTES
 from catkinfork.topology import STREAMING
 
-# Time for which the answer of a peer is awaited, seconds: two frames of a large fleet.
-ORIGIN_TIMEOUT_S = 0.4
+# Time for which the answer of a peer is awaited, seconds, and what each forwarder adds
+# to it: frames are sent less often in a larger fleet, and it takes two of them.
+MIN_ORIGIN_TIMEOUT_S = 0.1
+ORIGIN_TIMEOUT_PER_FORWARDER_S = 0.005
 # Time for which the answers of the engines are awaited, seconds.
 LOOKUP_TIMEOUT_S = 0.8
 # Time beyond the deadline of its caller for which the origin of a stream is kept, and
@@ -51,9 +53,10 @@
         """Submit the job, refuse it, or ask the peers or engines."""
         if self.decide(now):
             return
-        if self.key is not None and self.server.balancer.peers.count_fresh(now) > 1:
+        peers = self.server.balancer.peers
+        if self.key is not None and peers.count_fresh(now) > 1:
             self.server.balancer.streams.ask(self.key)
-            self.expires_at = now + ORIGIN_TIMEOUT_S
+            self.expires_at = now + compute_origin_timeout_s(peers, now)
         elif not self.look_up(now):
             return
         self.server.resumptions.add(self)
@@ -125,6 +128,15 @@
         self.exchange.refuse(self.server.balancer.refusals.refuse_stream(reason))
 
 
+def compute_origin_timeout_s(peers, now):
+    """Return the time for which the answer of a peer is awaited, seconds.
+
+    :param peers: source of peer statistics.
+    """
+    n_forwarders = peers.count_forwarders(now)
+    return MIN_ORIGIN_TIMEOUT_S + ORIGIN_TIMEOUT_PER_FORWARDER_S * n_forwarders
+
+
 def list_services(route):
     """Return the names of the services to which a route leads."""
     return {share.service for share in route.targets if share.weight > 0}
