Doubt the version of streams that began as their server started again

A backend server may start again under its id with another version, before its entry is read.

When the version of an entry changes, the streams that began there within 5 s before are told as uncertain: neither the host nor their callers resume them. Earlier ones keep their version. The two new tests give 200 and a resumed answer on the code before. Open: a stream that goes on at such a server before its new entry is read is joined without a sign.

--- a/catkinfork/balancing/_streams.py
+++ b/catkinfork/balancing/_streams.py
@@ -1,5 +1,6 @@
 """Origins of streams: the service and the version that began each of them."""
 
+from collections import deque
 from hashlib import blake2b
 from typing import NamedTuple
 
@@ -12,6 +13,10 @@
 # Limits of what waits to be told or asked; in a flood, the oldest are dropped.
 MAX_UNSENT = 4_096
 MAX_QUESTIONS = 512
+# Longest time between the start of a backend server and the reading of its entry,
+# seconds, and the streams at one backend server that are remembered for it.
+ENTRY_LAG_S = 5.0
+MAX_RECENT_STREAMS = 512
 
 
 class StreamOrigin(NamedTuple):
@@ -46,14 +51,16 @@
     Load pattern: every stream is recorded and few are resumed, so that a record is
     small, of bounded lifetime and told together with loads.
 
-    ``unsent`` has the keys to tell and the number of frames left for each, and
-    ``questions`` the keys that peers are asked for.
+    ``unsent`` has the keys to tell and the number of frames left for each,
+    ``questions`` the keys that peers are asked for, and ``recent`` the keys of streams
+    that began here, with their times, by backend server.
     """
 
     def __init__(self):
         self.records = RecentTable(MAX_STREAMS)
         self.unsent = RecentTable(MAX_UNSENT)
         self.questions = RecentTable(MAX_QUESTIONS)
+        self.recent = {}
 
     @property
     def has_news(self):
@@ -70,6 +77,24 @@
         self.record_told(key, origin, lifetime_s, now)
         self.unsent[key] = N_TELLINGS
 
+    def record_begun(self, key, backend_name, now):
+        """Record at which backend server a stream began."""
+        recent = self.recent.get(backend_name)
+        if recent is None:
+            recent = self.recent[backend_name] = deque(maxlen=MAX_RECENT_STREAMS)
+        recent.append((key, now))
+
+    def invalidate(self, backend_name, now):
+        """Make the origins uncertain of streams that have just begun at a server.
+
+        It has started again under its id with another version, and may have done so
+        before they began. Streams that began earlier are of the former version.
+        """
+        for key, begun_at in self.recent.pop(backend_name, ()):
+            record = self.find(key, now)
+            if record is not None and now - begun_at < ENTRY_LAG_S:
+                self.record(key, None, record.expires_at - now, now)
+
     def record_told(self, key, origin, lifetime_s, now):
         """Record the origin of a stream as told by a peer.
 
--- a/catkinfork/forwarding/_exchange.py
+++ b/catkinfork/forwarding/_exchange.py
@@ -27,6 +27,7 @@
 from catkinfork.forwarding._responses import find_fault
 from catkinfork.forwarding._resumption import (
     StreamResumption,
+    has_uncertain_origin,
     is_resumption,
     record_origin,
 )
@@ -300,7 +301,9 @@
             return False
         if not self.has_response_started:
             return True
-        return isinstance(self.relay, ResumableStreamRelay)
+        if not isinstance(self.relay, ResumableStreamRelay):
+            return False
+        return not has_uncertain_origin(self, self.server.loop.time())
 
     def send_failure(self, outcome, detail):
         """Send the final response after a failed attempt that is not retried."""
--- a/catkinfork/forwarding/_resumption.py
+++ b/catkinfork/forwarding/_resumption.py
@@ -171,12 +171,26 @@
     job = exchange.job
     if not job.route.is_resumable:
         return
-    key = exchange.resumption.key if exchange.resumption is not None else None
-    if key is None:
-        key = compute_stream_key(job.workspace, job.request_id.encode("latin-1"))
+    streams = exchange.server.balancer.streams
+    key = compute_exchange_key(exchange)
     origin = StreamOrigin(job.service, job.version)
-    lifetime_s = compute_record_lifetime_s(exchange)
-    exchange.server.balancer.streams.record(key, origin, lifetime_s, now)
+    streams.record(key, origin, compute_record_lifetime_s(exchange), now)
+    streams.record_begun(key, exchange.attempt.placement.backend.name, now)
+
+
+def has_uncertain_origin(exchange, now):
+    """Return whether the stream of an exchange may have begun at another version."""
+    key = compute_exchange_key(exchange)
+    record = exchange.server.balancer.streams.find(key, now)
+    return record is not None and record.origin is None
+
+
+def compute_exchange_key(exchange):
+    """Return the key of the stream that a caller resumes, or begins."""
+    if exchange.resumption is not None and exchange.resumption.key is not None:
+        return exchange.resumption.key
+    job = exchange.job
+    return compute_stream_key(job.workspace, job.request_id.encode("latin-1"))
 
 
 def compute_record_lifetime_s(exchange):
--- a/catkinfork/forwarding/tests/test_versions.py
+++ b/catkinfork/forwarding/tests/test_versions.py
@@ -291,6 +291,56 @@
     return RouteTable(configuration)
 
 
+@pytest.mark.parametrize("n_before", [0, 1])
+def test_backend_starts_again_under_its_id_with_another_version(n_before):
+    """Guards against a stream of the restarted server that counts for its former entry.
+
+    The entry is read after the stream has begun. An earlier one is of the former
+    version, and goes on.
+    """
+
+    async def test(world):
+        slow = stream(1, 99, gap_s=0.02, then=reset)
+        (first,) = await world.start("engine", slow, version="v1")
+        (other,) = await world.start("engine", stream(1, 9), version="v1")
+        world.balancer.follow_versions(world.loop.time())
+        await break_off(world)
+        if n_before:
+            recent = world.balancer.streams.recent["engine-0"]
+            recent[0] = (recent[0][0], world.loop.time() - 30.0)
+        entry = world.registry.backends["engine-0"].entry
+        entry = entry._replace(version="v2", started_ms=5, sequence=1)
+        world.registry.apply_entry(entry, world.loop.time(), "test")
+        world.balancer.follow_versions(world.loop.time())
+        reply = await resume(world, "Resumes: r-first")
+        assert reply.status == (200 if n_before else 503)
+        assert len(other.requests) == n_before
+
+    run_world(test)
+
+
+def test_answer_of_uncertain_origin_is_not_resumed():
+    """Guards against an answer that is resumed after a restart under the same id."""
+
+    async def test(world):
+        broken = stream(1, 20, gap_s=0.02, then=reset)
+        await world.start("engine", broken, version="v1")
+        (other,) = await world.start("engine", stream(1, 30), version="v1")
+        world.balancer.follow_versions(world.loop.time())
+        caller = await world.connect()
+        await caller.send("/draft/", headers=PROMPT)
+        await anyio.sleep(0.1)
+        entry = world.registry.backends["engine-0"].entry
+        entry = entry._replace(version="v2", started_ms=5, sequence=1)
+        world.registry.apply_entry(entry, world.loop.time(), "test")
+        world.balancer.follow_versions(world.loop.time())
+        reply = await caller.read()
+        assert not reply.is_whole
+        assert not other.requests
+
+    run_world(test)
+
+
 class ListedParts(BasePromptPartSource):
     """Stand-in for engines that list the prompt parts that they keep.
 
