Count the generated tokens an engine keeps as proof of a stream

Found in reading: an engine of another version that had only read the prompt of a request, for an attempt without an event, or for an earlier request of the same session, looked as if it had begun the stream.

An engine now counts only if it keeps at least one token more than the part for each event that the caller has received. The cases 'only read' and 'fewer events' fail on the code before.

--- a/catkinfork/balancing/_resumption.py
+++ b/catkinfork/balancing/_resumption.py
@@ -34,11 +34,12 @@
     """Prompt parts that an engine keeps.
 
     :param version: version of the engine.
-    :param parts: ids of the parts, or None if it did not answer.
+    :param parts: tokens kept by id of the part, or None if it did not answer. Those
+        that were generated after the last part of a prompt count with it.
     """
 
     version: str
-    parts: frozenset | None
+    parts: dict | None
 
 
 class OriginFinder:
@@ -87,24 +88,27 @@
             return OriginFinding(None, UNCERTAIN)
         return OriginFinding(record.origin, RECORDED)
 
-    def find_by_caches(self, job, caches):
+    def find_by_caches(self, job, n_events, caches):
         """Return the finding from what the engines keep.
 
-        The last part of a prompt belongs to one request or session, so that only
-        engines of the version that began the stream keep it. If engines of several
-        versions keep it, or one of another version did not answer, nothing is certain.
+        The last part of a prompt belongs to one request or session, and an engine keeps
+        what it generated after it: at least one token for each event. An engine that
+        has only read the prompt did not send them. If engines of several versions may
+        have sent them, or one of another version did not answer, nothing is certain.
 
         :param job: :class:`Job`.
+        :param n_events: events that the caller has received.
         :param caches: service name and :class:`EngineCache` entries, by service.
         """
-        last_part = job.parts[-1].name
+        last_part = job.parts[-1]
+        n_tokens = last_part.n_tokens + max(1, n_events)
         keeping = set()
         silent = set()
         for service, entries in caches:
             for version, parts in entries:
                 if parts is None:
                     silent.add(StreamOrigin(service, version))
-                elif last_part in parts:
+                elif parts.get(last_part.name, 0) >= n_tokens:
                     keeping.add(StreamOrigin(service, version))
         if len(keeping) != 1 or silent - keeping:
             return OriginFinding(None, UNKNOWN)
--- a/catkinfork/balancing/tests/test_streams.py
+++ b/catkinfork/balancing/tests/test_streams.py
@@ -189,21 +189,27 @@
             assert found.origin == expected
 
 
+# The last part of a prompt, of 40 tokens; its stream has sent 5 events.
 PART = 0xB2
+SENT = {0xA1: 60.0, PART: 45.0}
+READ = {0xA1: 60.0, PART: 40.0}
 CACHES = {
     "kept by one version": (
-        [("v1", {PART}), ("v1", set()), ("v2", {0xA1})],
+        [("v1", SENT), ("v1", {}), ("v2", {0xA1: 60.0})],
         (V1, CACHED),
     ),
     "kept by two engines of one version": (
-        [("v1", {PART}), ("v1", {PART}), ("v2", set())],
+        [("v1", SENT), ("v1", SENT), ("v2", {})],
         (V1, CACHED),
     ),
-    "kept by two versions": ([("v1", {PART}), ("v2", {PART})], (None, UNKNOWN)),
-    "kept by none": ([("v1", {0xA1}), ("v2", set())], (None, UNKNOWN)),
-    "another version is silent": ([("v1", {PART}), ("v2", None)], (None, UNKNOWN)),
+    "kept by two versions": ([("v1", SENT), ("v2", SENT)], (None, UNKNOWN)),
+    "only read by another version": ([("v1", SENT), ("v2", READ)], (V1, CACHED)),
+    "only read": ([("v1", READ), ("v2", {})], (None, UNKNOWN)),
+    "fewer events": ([("v1", {PART: 44.0}), ("v2", {})], (None, UNKNOWN)),
+    "kept by none": ([("v1", {0xA1: 60.0}), ("v2", {})], (None, UNKNOWN)),
+    "another version is silent": ([("v1", SENT), ("v2", None)], (None, UNKNOWN)),
     "one of the same version is silent": (
-        [("v1", {PART}), ("v1", None), ("v2", set())],
+        [("v1", SENT), ("v1", None), ("v2", {})],
         (V1, CACHED),
     ),
     "no engine": ([], (None, UNKNOWN)),
@@ -220,11 +226,11 @@
     entries, expected = CACHES[name]
     caches = [("s", [EngineCache(*entry) for entry in entries])]
     job = build_job(parts=[(0xA1, 60), (PART, 40)])
-    assert tuple(build_finder("v1").find_by_caches(job, caches)) == expected
+    assert tuple(build_finder("v1").find_by_caches(job, 5, caches)) == expected
 
 
 def test_origin_is_unknown_if_engines_of_two_services_keep_the_prompt():
     """Guards against one of two services whose engines have the same version."""
-    caches = [(name, [EngineCache("v1", {PART})]) for name in "st"]
+    caches = [(name, [EngineCache("v1", SENT)]) for name in "st"]
     job = build_job(parts=[(PART, 40)])
-    assert build_finder("v1").find_by_caches(job, caches).origin is None
+    assert build_finder("v1").find_by_caches(job, 5, caches).origin is None
--- a/catkinfork/forwarding/_cache_lookup.py
+++ b/catkinfork/forwarding/_cache_lookup.py
@@ -16,7 +16,9 @@
 
     @abstractmethod
     async def list_parts(self, address):
-        """Return the ids of the parts as a set of numbers, or None without an answer.
+        """Return the tokens that are kept by id of the part, or None without an answer.
+
+        The tokens that were generated after the last part of a prompt count with it.
 
         :param address: ``host:port`` of the engine.
         """
--- a/catkinfork/forwarding/_resumption.py
+++ b/catkinfork/forwarding/_resumption.py
@@ -9,7 +9,7 @@
     StreamOrigin,
     compute_stream_key,
 )
-from catkinfork.forwarding._numbers import parse_number
+from catkinfork.forwarding._numbers import parse_event_number, parse_number
 from catkinfork.forwarding._requests import MAX_REQUEST_ID_BYTES
 from catkinfork.topology import STREAMING
 
@@ -101,7 +101,9 @@
             caches = self.list_caches(now)
             if caches is None:
                 return False
-            finding = self.server.balancer.origins.find_by_caches(job, caches)
+            finding = self.server.balancer.origins.find_by_caches(
+                job, self.count_events(), caches
+            )
         self.source = finding.source
         if finding.origin is None:
             if finding.source == UNKNOWN and not self.is_looking_up:
@@ -123,6 +125,11 @@
         caches = [(service, lookup.find(service, now)) for service in self.services]
         return None if any(entries is None for _, entries in caches) else caches
 
+    def count_events(self):
+        """Return the number of events that the caller has received, 1 if unknown."""
+        name = self.server.names.last_event_id
+        return parse_event_number(self.exchange.request.find_header(name)) or 1
+
     def refuse(self, reason):
         """Refuse the request, which has not run."""
         self.exchange.refuse(self.server.balancer.refusals.refuse_stream(reason))
--- a/catkinfork/forwarding/tests/test_versions.py
+++ b/catkinfork/forwarding/tests/test_versions.py
@@ -344,7 +344,7 @@
 class ListedParts(BasePromptPartSource):
     """Stand-in for engines that list the prompt parts that they keep.
 
-    :param parts: ids of the parts, or None for no answer, by address.
+    :param parts: tokens kept by id of the part, or None for no answer, by address.
     """
 
     def __init__(self, parts):
@@ -352,7 +352,7 @@
         self.n_lists = 0
 
     async def list_parts(self, address):
-        """Return the ids of the parts that an engine keeps."""
+        """Return the tokens that an engine keeps by id of the part."""
         self.n_lists += 1
         await anyio.sleep(0.02)
         return self.parts[address]
@@ -368,7 +368,9 @@
     async def test(world):
         (older,) = await world.start("engine", stream(1, 9), version="v1")
         (newer,) = await world.start("engine", stream(1, 9), version="v2")
-        source = ListedParts({older.address: {0xA1}, newer.address: {0xA1, 0xB2}})
+        source = ListedParts(
+            {older.address: {0xA1: 60}, newer.address: {0xA1: 60, 0xB2: 44}}
+        )
         world.server.cache_lookup = CacheLookup(
             world.registry, source, world.server.spawn
         )
@@ -390,7 +392,14 @@
 
 
 @pytest.mark.parametrize(
-    "parts", [({0xB2}, {0xB2}), (set(), set()), ({0xB2}, None), (None, None)]
+    "parts",
+    [
+        ({0xB2: 44}, {0xB2: 60}),
+        ({0xB2: 40}, {}),
+        ({}, {}),
+        ({0xB2: 44}, None),
+        (None, None),
+    ],
 )
 def test_stream_is_refused_if_engines_cannot_tell(parts):
     """Guards against a guess after all hosts lost power, and against a long wait."""
--- a/catkinfork/platform/_engines.py
+++ b/catkinfork/platform/_engines.py
@@ -17,7 +17,10 @@
 
 
 class KeptPart(msgspec.Struct, array_like=True):
-    """A part that an engine keeps, in whole or up to some token."""
+    """A part that an engine keeps, in whole or up to some token.
+
+    ``n_tokens`` includes what was generated after the last part of a prompt.
+    """
 
     label: str
     name: str
@@ -51,7 +54,9 @@
                 if response.status != 200:
                     return None
                 held = _CACHE.decode(response.body).held
-                return {parse_part_name(part.name.encode()) for part in held}
+                return {
+                    parse_part_name(part.name.encode()): part.n_tokens for part in held
+                }
             except (FetchError, msgspec.DecodeError, ValueError, RecursionError):
                 return None
             finally:
--- a/catkinfork/platform/tests/test_engines.py
+++ b/catkinfork/platform/tests/test_engines.py
@@ -11,10 +11,10 @@
 BODIES = {
     "two parts": (
         b'{"epoch":1,"held":[["","b2",40,"m"],["","a1",60,"m"]]}',
-        {0xB2, 0xA1},
+        {0xB2: 40, 0xA1: 60},
     ),
-    "none": (b'{"epoch":1,"next":4,"held":[]}', set()),
-    "more fields": (b'{"held":[["","b2",40,"m",1]],"lost":true}', {0xB2}),
+    "none": (b'{"epoch":1,"next":4,"held":[]}', {}),
+    "more fields": (b'{"held":[["","b2",40,"m",1]],"lost":true}', {0xB2: 40}),
     "no list": (b'{"epoch":1}', None),
     "odd entry": (b'{"held":[["","zz",40,"m"]]}', None),
     "no name": (b'{"held":[["",7,40,"m"]]}', None),
