Report deeply nested items as unreadable

Callers of other operators saw machines end again and again after another writer had left an odd entry in the store (processes that end by themselves).

Cause: an item that is nested deeper than the interpreter recurses, also within an unknown field, makes the JSON decoder raise RecursionError. PlatformDecoder caught DecodeError and ValueError only, so the error left TopologyState.apply, Watcher.read and the task group, which ended the process; after a restart the same item was read again.

Change: RecursionError and OverflowError make an item unreadable like other errors. An unreadable entry names no backend server, and the configuration in force stays.

--- a/catkinfork/platform/_documents.py
+++ b/catkinfork/platform/_documents.py
@@ -123,6 +123,10 @@
     born: int = 0
 
 
+# Errors of values that cannot be decoded or cannot be right; nested ones exceed the
+# depth of recursion.
+UNREADABLE = (msgspec.DecodeError, ValueError, OverflowError, RecursionError)
+
 _CONFIGURATION = msgspec.json.Decoder(ConfigurationDocument)
 _ENTRY = msgspec.json.Decoder(EntryDocument)
 
@@ -140,7 +144,7 @@
                 return self.decode_configuration(item)
             if key.startswith(ENTRY_PREFIX):
                 return self.decode_entry(key[len(ENTRY_PREFIX) :], item)
-        except (msgspec.DecodeError, ValueError) as error:
+        except UNREADABLE as error:
             name = key[len(ENTRY_PREFIX) :] if key.startswith(ENTRY_PREFIX) else ""
             return UnreadableItem(name, str(error))
         if key.startswith(EVACUATION_PREFIX):
