Check the values of entries before they are used

Callers of other operators saw machines end, or stop following the list, after another writer had left an entry with a number too large or an odd address. On the code before, forwarder processes were tried with one such entry, in the data centre that is preferred:

- address "a..b:8000", or one with a label of 70 characters: the first request to that server raised UnicodeError in the connection attempt, which is no OSError.
Both processes ended, and the caller got no answer.
- start or sequence of 2**64: after the entry was removed, /state was cut without an answer, as the departure does not fit the message.
Peers could not read the state any more.
- id with CR LF: it is sent in a header of each request to that server.

Cause: the decoder checked the types of the fields and the port of the address, and took any value of the right type.

Change: one check for each kind of value, with its bounds as constants, in topology/_checks.py: texts (service, zone, version: 1 to 200 printable characters), ids (ASCII as well, without spaces and slashes), integers that fit 64 bit, numbers without a sign, and addresses whose host is a name of valid labels, an IPv4 address, or an IPv6 address in brackets (now without them in the connection). An entry may have 64 KiB. An entry with any other value is unreadable: it names no backend server, and the others hold. The data centre of an evacuation is checked as a text. Details in the log are cut at 200 characters.

UnreadableItem says whether it is an entry, as the id may be empty: such an item was logged as a rejected configuration.

--- a/catkinfork/forwarding/_pool.py
+++ b/catkinfork/forwarding/_pool.py
@@ -25,7 +25,8 @@
 
     def __init__(self, address, names, loop, on_head=None):
         self.address = address
-        self.host, self.port = split_address(address)
+        host, self.port = split_address(address)
+        self.host = host.strip("[]")
         self.names = names
         self.loop = loop
         self.on_head = on_head
--- a/catkinfork/platform/_documents.py
+++ b/catkinfork/platform/_documents.py
@@ -6,6 +6,8 @@
 import msgspec
 
 from catkinfork.topology import (
+    MAX_DURATION_S,
+    MAX_SLOTS,
     STREAMING,
     BackendEntry,
     BaseDecoder,
@@ -20,6 +22,11 @@
     TrafficShare,
     UnreadableItem,
     Workspace,
+    check_id,
+    check_integer,
+    check_number,
+    check_text,
+    limit_detail,
     split_address,
 )
 
@@ -34,6 +41,10 @@
 CALLER_TIMEOUT_PER_AIM = 4.0
 CALLER_TIMEOUT_PER_PAUSE = 8.0
 
+# Largest entry that is read. One has some 300 bytes, so that newer software may add
+# much to it.
+MAX_ENTRY_BYTES = 65_536
+
 
 class TrafficSplitDocument(msgspec.Struct):
     """A target of a route and its weight."""
@@ -144,12 +155,13 @@
                 return self.decode_configuration(item)
             if key.startswith(ENTRY_PREFIX):
                 return self.decode_entry(key[len(ENTRY_PREFIX) :], item)
+            if key.startswith(EVACUATION_PREFIX):
+                name = check_text(key[len(EVACUATION_PREFIX) :], "data centre")
+                return EvacuationItem(name, item.value is not None)
         except UNREADABLE as error:
-            name = key[len(ENTRY_PREFIX) :] if key.startswith(ENTRY_PREFIX) else ""
-            return UnreadableItem(name, str(error))
-        if key.startswith(EVACUATION_PREFIX):
-            is_evacuated = item.value is not None
-            return EvacuationItem(key[len(EVACUATION_PREFIX) :], is_evacuated)
+            is_entry = key.startswith(ENTRY_PREFIX)
+            name = key[len(ENTRY_PREFIX) :] if is_entry else ""
+            return UnreadableItem(name, limit_detail(str(error)), is_entry)
         return None
 
     def decode_configuration(self, item):
@@ -164,14 +176,15 @@
     def decode_entry(self, name, item):
         """Return the decoded entry of a backend server, or its removal.
 
-        :raises ValueError: if the service is not configured or the address is invalid.
+        :raises ValueError: if the service is not configured or a value is invalid.
         """
         if item.value is None:
             return EntryItem(name, None)
-        document = _ENTRY.decode(item.value)
+        check_id(name, "id")
+        check_integer(len(item.value), "size in bytes", 0, MAX_ENTRY_BYTES)
+        document = check_entry(_ENTRY.decode(item.value))
         if self.services and document.service not in self.services:
             raise ValueError(f"service {document.service!r} is not configured")
-        split_address(document.address)
         entry = BackendEntry(
             name=name,
             service=document.service,
@@ -186,6 +199,22 @@
         return EntryItem(name, entry)
 
 
+def check_entry(document):
+    """Check the values of an entry, of which another writer may have written any.
+
+    :raises ValueError: if one cannot be right.
+    """
+    check_text(document.service, "service")
+    check_text(document.zone, "zone")
+    check_text(document.version, "version")
+    check_integer(document.slots, "slots", 1, MAX_SLOTS)
+    check_integer(document.sequence, "sequence")
+    check_integer(document.born, "born")
+    check_number(document.cold_remaining_ms, "cold_remaining_ms", 1000 * MAX_DURATION_S)
+    split_address(document.address)
+    return document
+
+
 def convert_configuration(document):
     """Convert a document to a :class:`Configuration`."""
     limits = document.limits
--- a/catkinfork/topology/__init__.py
+++ b/catkinfork/topology/__init__.py
@@ -1,6 +1,18 @@
 """Configuration and service discovery: routes, workspaces and backend servers."""
 
-from catkinfork.topology._addresses import split_address
+from catkinfork.topology._addresses import is_ip_address, split_address
+from catkinfork.topology._checks import (
+    MAX_DURATION_S,
+    MAX_INTEGER,
+    MAX_NAME_LENGTH,
+    MAX_SLOTS,
+    InvalidValueError,
+    check_id,
+    check_integer,
+    check_number,
+    check_text,
+    limit_detail,
+)
 from catkinfork.topology._events import (
     CONFIGURATION_ADOPTED,
     CONFIGURATION_REJECTED,
@@ -69,7 +81,12 @@
     "EraChangedError",
     "EvacuationItem",
     "HistoryLostError",
+    "InvalidValueError",
     "Item",
+    "MAX_DURATION_S",
+    "MAX_INTEGER",
+    "MAX_NAME_LENGTH",
+    "MAX_SLOTS",
     "Position",
     "READY",
     "RECOVERY_S",
@@ -85,6 +102,12 @@
     "UnreadableItem",
     "Watcher",
     "Workspace",
+    "check_id",
+    "check_integer",
+    "check_number",
+    "check_text",
     "choose_target",
+    "is_ip_address",
+    "limit_detail",
     "split_address",
 ]
--- a/catkinfork/topology/_source.py
+++ b/catkinfork/topology/_source.py
@@ -154,10 +154,13 @@
 
     :param name: name of the backend server whose entry it is, empty for other items.
     :param detail: cause of the failure.
+    :param is_entry: whether it is an entry of a backend server, rather than a
+        configuration or an evacuation.
     """
 
     name: str
     detail: str
+    is_entry: bool = False
 
 
 class BaseDecoder(ABC):
@@ -165,4 +168,8 @@
 
     @abstractmethod
     def decode(self, item):
-        """Return the typed form of an :class:`Item`, or None if it is irrelevant."""
+        """Return the typed form of an :class:`Item`, or None if it is irrelevant.
+
+        A value that cannot be decoded, or cannot be right, is returned as an
+        :class:`UnreadableItem`.
+        """
--- a/catkinfork/topology/_state.py
+++ b/catkinfork/topology/_state.py
@@ -247,7 +247,7 @@
 
         If it is the entry of a backend server, that backend server is removed at once.
         """
-        if decoded.name:
+        if decoded.is_entry:
             self.registry.log_ignored(item.key, source, decoded.detail)
             self.registry.remove(decoded.name, now, now)
             return
--- a/catkinfork/topology/tests/test_state.py
+++ b/catkinfork/topology/tests/test_state.py
@@ -45,7 +45,7 @@
         if item.value is None:
             return EntryItem(item.key, None)
         if item.value == b"bad":
-            return UnreadableItem(item.key, "bad")
+            return UnreadableItem(item.key, "bad", is_entry=True)
         return EntryItem(item.key, build_entry(item.key, sequence=int(item.value)))
 
 
