Check the numbers and names of a configuration

A configuration with a negative time, a version beyond 64 bit or a tenant whose name has a line break replaced the one in force. Only types were checked. A version beyond 64 bit does not fit a frame, so that the task that sends frames would end the process; the name of a tenant is sent in a header of each request.

The checks of entries now hold for configurations as well, with bounds that only reject what cannot be right (numbers without a sign up to 64 bit, texts of 1 to 200 printable characters): a scaled deployment may publish large ones.

--- a/catkinfork/platform/_documents.py
+++ b/catkinfork/platform/_documents.py
@@ -216,10 +216,15 @@
 
 
 def convert_configuration(document):
-    """Convert a document to a :class:`Configuration`."""
+    """Convert a document to a :class:`Configuration`.
+
+    :raises ValueError: if a value cannot be right.
+    """
     limits = document.limits
+    for what in LimitsDocument.__struct_fields__:
+        check_number(getattr(limits, what), what)
     return Configuration(
-        version=document.version,
+        version=check_integer(document.version, "version"),
         routes=tuple(convert_route(route) for route in document.routes),
         services={
             service.name: convert_service(service) for service in document.services
@@ -232,7 +237,7 @@
             tokens_per_s=limits.tokens_per_s,
         ),
         workspaces=tuple(
-            Workspace(tenant.name, tuple(tenant.api_keys))
+            Workspace(check_text(tenant.name, "tenant"), tuple(tenant.api_keys))
             for tenant in document.tenants
         ),
     )
@@ -241,10 +246,15 @@
 def convert_route(route):
     """Convert a document to a :class:`Route`.
 
-    :raises ValueError: if the route has neither a service nor a traffic split.
+    :raises ValueError: if the route has neither a service nor a traffic split, or a
+        value cannot be right.
     """
+    check_integer(route.max_attempts, "max_attempts")
+    for what in ("timeout_ms", "aim_ms", "gap_target_ms"):
+        check_number(getattr(route, what), what)
     targets = [
-        TrafficShare(split.service, split.weight) for split in route.traffic_split
+        TrafficShare(split.service, check_number(split.weight, "weight"))
+        for split in route.traffic_split
     ]
     if not targets:
         if route.service is None:
@@ -277,9 +287,14 @@
 
 
 def convert_service(service):
-    """Convert a document to a :class:`Service`."""
+    """Convert a document to a :class:`Service`.
+
+    :raises ValueError: if a value cannot be right.
+    """
+    for what in ("max_connections", "cold_s", "cold_per_s"):
+        check_number(getattr(service, what), what)
     return Service(
-        name=service.name,
+        name=check_text(service.name, "service"),
         health_path=service.health_path,
         max_connections=max(1, int(service.max_connections)),
         cold_s=service.cold_s,
@@ -289,7 +304,12 @@
 
 
 def convert_engine(engine):
-    """Convert a document to an :class:`Engine`, or None to None."""
+    """Convert a document to an :class:`Engine`, or None to None.
+
+    :raises ValueError: if a value cannot be right.
+    """
     if engine is None:
         return None
-    return Engine(max(1, int(engine.slots)), max(1, int(engine.kv_capacity)))
+    n_slots = int(check_number(engine.slots, "slots"))
+    n_memory_tokens = int(check_number(engine.kv_capacity, "kv_capacity"))
+    return Engine(max(1, n_slots), max(1, n_memory_tokens))
