Use the rest of a page of the store beside an odd item

One item with a field of another type, or without one, made the whole page of the store unreadable: the read failed, and so did each one after it, so that the machine stopped following the list. A value of characters that are not ASCII raised ValueError, and a nested page RecursionError; either left the read as an exception that ends the process.

A page that cannot be decoded as a whole is now decoded item by item. An odd item counts as written at the revision of the page, with an empty value: the decoder reports it as unreadable with its key. One without a key is left out. Revisions have to fit 64 bit, since frames tell them to peers. A page that is odd as a whole is a failure of the source, as before.

Whole pages are decoded at once as before, so that the usual case costs nothing.

--- a/catkinfork/platform/_store.py
+++ b/catkinfork/platform/_store.py
@@ -1,8 +1,7 @@
 """Client for the platform's key-value store."""
 
 import base64
-import binascii
-from typing import NamedTuple
+from typing import Annotated, Generic, NamedTuple, TypeVar
 from urllib.parse import urlencode
 
 import msgspec
@@ -11,6 +10,7 @@
 from catkinfork.observability import log_event
 from catkinfork.topology import (
     ERA_IGNORED,
+    MAX_INTEGER,
     BaseSource,
     Changes,
     EraChangedError,
@@ -32,28 +32,85 @@
 MAX_ERA_DIGITS = 18
 
 
+# Errors of a response that cannot be decoded. A nested one exceeds the recursion limit.
+MALFORMED = (msgspec.DecodeError, RecursionError)
+
+Revision = Annotated[int, msgspec.Meta(ge=0, le=MAX_INTEGER)]
+ItemType = TypeVar("ItemType")
+
+
 class ItemDocument(msgspec.Struct):
     """An item or its removal."""
 
     key: str
-    revision: int
+    revision: Revision
     value: str = ""
     removed: bool = False
 
 
-class RangeDocument(msgspec.Struct):
+class KeyDocument(msgspec.Struct):
+    """The key of an item whose other fields cannot be read."""
+
+    key: str
+
+
+class RangeDocument(msgspec.Struct, Generic[ItemType]):
     """A page of items. ``current_rev`` is the revision of the store."""
 
-    items: list[ItemDocument]
-    current_rev: int
+    items: list[ItemType]
+    current_rev: Revision
     more_pages: bool = False
 
 
-class WatchDocument(msgspec.Struct):
+class WatchDocument(msgspec.Struct, Generic[ItemType]):
     """Changes since a revision."""
 
-    events: list[ItemDocument]
-    current_rev: int
+    current_rev: Revision
+    items: list[ItemType] = msgspec.field(name="events")
+
+
+class PageDecoder:
+    """Decodes pages of items, of which some may be odd.
+
+    :param document_type: generic type of the page.
+    """
+
+    def __init__(self, document_type):
+        self.strict = msgspec.json.Decoder(document_type[ItemDocument])
+        self.lenient = msgspec.json.Decoder(document_type[msgspec.Raw])
+
+    def decode(self, body):
+        """Return the decoded page.
+
+        An item that cannot be read counts as written at the revision of the page, with
+        an empty value; one without a key is left out.
+
+        :raises MALFORMED: if the page cannot be read.
+        """
+        try:
+            return self.strict.decode(body)
+        except MALFORMED:
+            page = self.lenient.decode(body)
+        items = [decode_item(raw, page.current_rev) for raw in page.items]
+        page.items = [item for item in items if item is not None]
+        return page
+
+
+def decode_item(raw, revision):
+    """Return an item of a page, without its value if it cannot be read, or None.
+
+    :param raw: the item as JSON.
+    :param revision: revision of the page.
+    """
+    try:
+        return msgspec.json.decode(raw, type=ItemDocument)
+    except MALFORMED:
+        pass
+    try:
+        key = msgspec.json.decode(raw, type=KeyDocument).key
+    except MALFORMED:
+        return None
+    return ItemDocument(key, revision)
 
 
 class Page(NamedTuple):
@@ -66,8 +123,8 @@
     era: int
 
 
-_RANGE = msgspec.json.Decoder(RangeDocument)
-_WATCH = msgspec.json.Decoder(WatchDocument)
+_RANGE = PageDecoder(RangeDocument)
+_WATCH = PageDecoder(WatchDocument)
 
 
 class StoreSource(BaseSource):
@@ -120,7 +177,7 @@
         page = await self.read("/kv-watch", query, _WATCH, timeout_s)
         if self.era != era:
             raise EraChangedError("the era of the store has changed during a watch")
-        items = [convert_item(item) for item in page.events]
+        items = [convert_item(item) for item in page.items]
         return Changes(items, page.current_rev, is_full=False, era=era)
 
     async def read(self, path, query, decoder, timeout_s):
@@ -143,7 +200,7 @@
             raise SourceError(f"unexpected status {response.status}")
         try:
             return decoder.decode(response.body)
-        except (msgspec.DecodeError, binascii.Error) as error:
+        except MALFORMED as error:
             raise SourceError(f"malformed response: {error}") from error
 
     def record_era(self, value):
@@ -183,7 +240,8 @@
         return Item(document.key, None, document.revision)
     try:
         value = base64.b64decode(document.value, validate=True)
-    except binascii.Error:
-        # An empty value makes the decoder report the item with its key.
+    except ValueError:
+        # Malformed, or not ASCII. An empty value makes the decoder report the item with
+        # its key.
         value = b""
     return Item(document.key, value, document.revision)
