Keep following the store after an unexpected failure

The loops that follow the store and the peers are tasks of the process: an exception that they did not expect, such as the RecursionError of a nested item, ended the process, and again after each restart.

- An item that the decoder fails on names nothing; the items after it are applied.
This holds for a restored store as well.
- Any other exception of an update is logged (event 813 update_failed, at most one line in 10 s, with its location), the list is read again in full, and the state known so far stays in force.
The same holds for the state of a peer.
Typed errors of the source are handled as before.
- An entry that is ignored at each heartbeat is logged once a minute for its key (804 entry_ignored has n_unlogged), and its key is cut and kept on one line: another writer could fill the log.

--- a/catkinfork/topology/_events.py
+++ b/catkinfork/topology/_events.py
@@ -34,8 +34,9 @@
     804,
     "warning",
     "entry_ignored",
-    "an entry of a backend server is malformed or older than the known one",
-    ("key", "source", "detail"),
+    "an entry of a backend server is malformed or older than the known one; n_unlogged "
+    "entries since the last line with this key have none",
+    ("key", "source", "detail", "n_unlogged"),
 )
 EVACUATION_CHANGED = Event(
     805,
@@ -103,6 +104,15 @@
     "one before stays in force",
     ("backend_server", "service", "value"),
 )
+UPDATE_FAILED = Event(
+    813,
+    "error",
+    "update_failed",
+    "an update of the topology has failed unexpectedly; the last known state stays in "
+    "force, and the next update is tried; n_unlogged failures since the last line have "
+    "none",
+    ("source", "detail", "location", "n_unlogged"),
+)
 
 EVENTS = (
     CONFIGURATION_ADOPTED,
@@ -118,4 +128,5 @@
     BACKEND_THROTTLED,
     BACKEND_LIMITED,
     RATE_LIMIT_IGNORED,
+    UPDATE_FAILED,
 )
--- a/catkinfork/topology/_registry.py
+++ b/catkinfork/topology/_registry.py
@@ -3,6 +3,7 @@
 from math import inf
 
 from catkinfork.observability import log_event
+from catkinfork.topology._checks import limit_detail
 from catkinfork.topology._events import (
     BACKEND_ADDED,
     BACKEND_LEAVING,
@@ -18,6 +19,10 @@
 MAX_DEPARTED = 1024
 MAX_LEAVING = 1024
 MAX_THROTTLED = 1024
+MAX_IGNORED = 1024
+# Time between two log lines on ignored entries with one key, which another writer may
+# write with each heartbeat, seconds.
+IGNORED_LOG_INTERVAL_S = 60.0
 # Longest pause that a backend server may ask for, seconds.
 MAX_PAUSE_S = 300.0
 # Time after a pause within which the rate of requests is limited, seconds.
@@ -89,6 +94,7 @@
         self.departed = RecentTable(MAX_DEPARTED)
         self.leaving = RecentTable(MAX_LEAVING)
         self.throttled = RecentTable(MAX_THROTTLED)
+        self.ignored = RecentTable(MAX_IGNORED)
         self.rate_limits = RateLimitTable(write_log)
 
     def list_ready(self, service):
@@ -108,7 +114,7 @@
         if known is None:
             self.add(entry, now)
         elif compute_entry_order(entry) < compute_entry_order(known.entry):
-            self.log_ignored(entry.name, source, "older than the known entry")
+            self.log_ignored(entry.name, source, "older than the known entry", now)
             return
         else:
             self.replace(known, entry, now)
@@ -200,9 +206,22 @@
             return False
         return backend.is_ready and not backend.is_throttled(now)
 
-    def log_ignored(self, key, source, detail):
-        """Log that an entry is ignored."""
-        self.write_log(log_event(ENTRY_IGNORED, key=key, source=source, detail=detail))
+    def log_ignored(self, key, source, detail, now):
+        """Log that an entry is ignored, once in a while for each key."""
+        logged_at, n_unlogged = self.ignored.get(key, (-inf, 0))
+        if now - logged_at < IGNORED_LOG_INTERVAL_S:
+            self.ignored[key] = (logged_at, n_unlogged + 1)
+            return
+        self.ignored[key] = (now, 0)
+        self.write_log(
+            log_event(
+                ENTRY_IGNORED,
+                key=limit_detail(key),
+                source=source,
+                detail=detail,
+                n_unlogged=n_unlogged,
+            )
+        )
 
     def remove(self, name, now, expires_at):
         """Handle the removal of an entry.
--- a/catkinfork/topology/_state.py
+++ b/catkinfork/topology/_state.py
@@ -1,6 +1,7 @@
 """Local replica of the published items."""
 
 from catkinfork.observability import log_event
+from catkinfork.topology._checks import limit_detail
 from catkinfork.topology._events import (
     CONFIGURATION_ADOPTED,
     CONFIGURATION_REJECTED,
@@ -119,12 +120,13 @@
     def apply_copied_item(self, item, source, now, expires_at):
         """Apply an item of a store that was restored from a copy."""
         self.items[item.key] = item
-        decoded = self.decoder.decode(item)
+        decoded = self.decode(item)
         if isinstance(decoded, EvacuationItem):
             self.evacuated.add(decoded.data_centre)
             return
         if isinstance(decoded, EntryItem) and self.registry.has_departed(decoded.entry):
-            self.registry.log_ignored(item.key, source, "the backend server is gone")
+            detail = "the backend server is gone"
+            self.registry.log_ignored(item.key, source, detail, now)
             return
         self.apply_decoded(decoded, item, source, now, expires_at)
 
@@ -134,7 +136,7 @@
             self.items[key] = self.configuration_item._replace(revision=0)
             return
         gone = Item(key, None, self.revision)
-        decoded = self.decoder.decode(gone)
+        decoded = self.decode(gone)
         if not isinstance(decoded, EvacuationItem):
             self.apply_decoded(decoded, gone, source, now, expires_at)
 
@@ -153,7 +155,7 @@
         :param changes: :class:`Changes` read from the peer.
         """
         for item in changes.items:
-            decoded = self.decoder.decode(item)
+            decoded = self.decode(item)
             if isinstance(decoded, ConfigurationItem):
                 known = self.items.get(item.key)
                 revision = known.revision if known is not None else 0
@@ -187,9 +189,19 @@
             self.items.pop(item.key, None)
         else:
             self.items[item.key] = item
-        decoded = self.decoder.decode(item)
+        decoded = self.decode(item)
         self.apply_decoded(decoded, item, source, now, expires_at)
 
+    def decode(self, item):
+        """Return the typed form of an item, or None if it is irrelevant.
+
+        An item that the decoder fails on names nothing, and the others hold.
+        """
+        try:
+            return self.decoder.decode(item)
+        except Exception as error:
+            return UnreadableItem("", limit_detail(repr(error)), is_entry=True)
+
     def apply_decoded(self, decoded, item, source, now, expires_at):
         """Apply the typed form of an item."""
         if isinstance(decoded, ConfigurationItem):
@@ -211,10 +223,11 @@
             known = self.configuration_item
             self.items[item.key] = known._replace(revision=item.revision)
             return
+        routes = RouteTable(configuration)
         self.configuration_item = item
         self.items[item.key] = item
-        self.routes = RouteTable(configuration)
-        self.on_configuration(self.routes)
+        self.routes = routes
+        self.on_configuration(routes)
         self.write_log(
             log_event(
                 CONFIGURATION_ADOPTED,
@@ -248,7 +261,7 @@
         If it is the entry of a backend server, that backend server is removed at once.
         """
         if decoded.is_entry:
-            self.registry.log_ignored(item.key, source, decoded.detail)
+            self.registry.log_ignored(item.key, source, decoded.detail, now)
             self.registry.remove(decoded.name, now, now)
             return
         self.write_log(
--- a/catkinfork/topology/_watcher.py
+++ b/catkinfork/topology/_watcher.py
@@ -1,11 +1,19 @@
 """Updates the topology from the store, with peers as the fallback source."""
 
 import time
+import traceback
+from functools import partial
+from math import inf
 
 import anyio
 
 from catkinfork.observability import log_event
-from catkinfork.topology._events import SOURCE_LOST, SOURCE_REGAINED
+from catkinfork.topology._checks import limit_detail
+from catkinfork.topology._events import (
+    SOURCE_LOST,
+    SOURCE_REGAINED,
+    UPDATE_FAILED,
+)
 from catkinfork.topology._source import HistoryLostError, SourceError
 
 # Pause between two reads of changes, which batches the heartbeats of backend servers.
@@ -28,6 +36,8 @@
 START_PEER_POLL_INTERVAL_S = 0.02
 # Time for which a peer has a newer configuration until it is read from that peer.
 CONFIGURATION_LAG_S = 0.5
+# Time between two log lines on unexpected failures, which may occur at each update.
+FAILURE_LOG_INTERVAL_S = 10.0
 
 
 class Watcher:
@@ -63,6 +73,8 @@
         self.backoff_s = MIN_BACKOFF_S
         self.read_at = None
         self.n_reads = 0
+        self.failure_logged_at = -inf
+        self.n_unlogged_failures = 0
 
     def compute_expiry(self, now):
         """Return the time at which a backend server with a missing entry is removed.
@@ -91,13 +103,42 @@
             return 0.0
         except SourceError as error:
             self.record_failure(error)
-            backoff_s = self.backoff_s
-            self.backoff_s = min(MAX_BACKOFF_S, 2 * backoff_s)
-            return backoff_s * (0.5 + self.rng.random())
+            return self.back_off()
+        except Exception as error:
+            # An exception that leaves the loop would end the process, and what caused
+            # it may be there again after a restart.
+            self.has_full_list = False
+            self.log_unexpected(error, self.source.name)
+            return self.back_off()
         self.record_success()
         self.backoff_s = MIN_BACKOFF_S
         return compute_read_interval_s(self.peers.count_forwarders())
 
+    def back_off(self):
+        """Return the time until the next read after a failure, seconds."""
+        backoff_s = self.backoff_s
+        self.backoff_s = min(MAX_BACKOFF_S, 2 * backoff_s)
+        return backoff_s * (0.5 + self.rng.random())
+
+    def log_unexpected(self, error, source):
+        """Log a failure that no source announces, at most once in a while."""
+        now = time.monotonic()
+        if now - self.failure_logged_at < FAILURE_LOG_INTERVAL_S:
+            self.n_unlogged_failures += 1
+            return
+        frame = traceback.extract_tb(error.__traceback__)[-1]
+        self.write_log(
+            log_event(
+                UPDATE_FAILED,
+                source=source,
+                detail=limit_detail(repr(error)),
+                location=f"{frame.filename}:{frame.lineno}",
+                n_unlogged=self.n_unlogged_failures,
+            )
+        )
+        self.failure_logged_at = now
+        self.n_unlogged_failures = 0
+
     async def read(self):
         """Read a full snapshot or the changes since the last read, and apply them."""
         self.n_reads += 1
@@ -125,13 +166,26 @@
         if not self.peers.has_any():
             return
         with anyio.move_on_after(START_PEER_WAIT_S):
-            while True:
-                source = self.peers.find_newer_configuration(0)
-                if source is not None:
-                    await self.read_peer(source)
-                    return
+            find_source = partial(self.peers.find_newer_configuration, 0)
+            while not await self.update_from_peer(find_source):
                 await anyio.sleep(START_PEER_POLL_INTERVAL_S)
 
+    async def update_from_peer(self, find_source):
+        """Read the state of a peer, if there is one to read.
+
+        :param find_source: callable that returns a :class:`BaseSource` or None.
+        :returns: whether a peer was found.
+        """
+        try:
+            source = find_source()
+            if source is not None:
+                await self.read_peer(source)
+        except Exception as error:
+            # As in update.
+            self.log_unexpected(error, "peer")
+            return False
+        return source is not None
+
     async def read_peer(self, source):
         """Read the state of a peer and apply what is newer."""
         try:
@@ -177,9 +231,8 @@
         """Read newer state of peers in a loop while the store does not provide it."""
         while True:
             await anyio.sleep(PEER_POLL_INTERVAL_S)
-            source = self.find_peer_source(time.monotonic())
-            if source is not None:
-                await self.read_peer(source)
+            find_source = partial(self.find_peer_source, time.monotonic())
+            await self.update_from_peer(find_source)
 
     def find_peer_source(self, now):
         """Return the source of a peer to read now, or None.
