--- a/catkinfork/forwarding/_pool.py
+++ b/catkinfork/forwarding/_pool.py
@@ -49,13 +49,17 @@
         """Open a connection.
 
         :returns: :class:`BackendConnection`.
-        :raises OSError: if the connection is refused.
+        :raises OSError: if the connection is refused, or the host cannot be resolved.
         :raises TimeoutError: if it is not established within the timeout.
         """
-        with fail_after(CONNECT_TIMEOUT_S):
-            _, connection = await self.loop.create_connection(
-                lambda: BackendConnection(self), self.host, self.port
-            )
+        try:
+            with fail_after(CONNECT_TIMEOUT_S):
+                _, connection = await self.loop.create_connection(
+                    lambda: BackendConnection(self), self.host, self.port
+                )
+        except ValueError as error:
+            # A host name that cannot be encoded raises UnicodeError.
+            raise OSError(f"host {self.host!r}: {error}") from error
         return connection
 
     def remove(self, connection):
