Leave out what a frame of a peer cannot mean

Frames were checked for types only. One entry of another type made the whole frame malformed, and any value of the right type was taken:

- an address that is none (among the peers, or as the sender): sending to it raises ValueError in the task that sends frames, which ends the process;
- a deeply nested datagram: RecursionError;
- negative loads, totals and numbers of crashes, negative ages (times in the future, which clear a prompt part of later crashes), a priority or rate that is no number, and totals that go back within one start of the sender;
- any number of made-up peers.

Change: the types of a frame state the bounds, so that the check is part of the decoding. A frame that doesn't fit them is decoded field by field, and odd entries of its lists are left out; odd numbers in its head make it malformed. Addresses have to be IP addresses, at most 4096 peers are known, and totals that go back are not counted. An address that cannot be sent to is counted as an error of the socket.

--- a/catkinfork/peering/_frames.py
+++ b/catkinfork/peering/_frames.py
@@ -1,45 +1,60 @@
 """Datagram format of the state exchange between forwarders."""
 
-from typing import NamedTuple
+from typing import Annotated, NamedTuple, get_args, get_origin
 
 import msgspec
 
+from catkinfork.topology import MAX_INTEGER, is_ip_address
+
 # Largest datagram that no link fragments.
 MAX_FRAME_BYTES = 1400
+# Bounds of what a peer tells. Sums and differences of these values keep all digits in
+# floating point.
+MAX_TOTAL = 2**53
+MAX_HASH = 2**32 - 1
+
+Hash = Annotated[int, msgspec.Meta(ge=0, le=MAX_HASH)]
+# Hash of 64 bit, without a sign.
+LongHash = Annotated[int, msgspec.Meta(ge=0)]
+Total = Annotated[int, msgspec.Meta(ge=0, le=MAX_TOTAL)]
+Integer = Annotated[int, msgspec.Meta(ge=0, le=MAX_INTEGER)]
+Priority = Annotated[float, msgspec.Meta(ge=0.0, le=float(MAX_TOTAL))]
+# Not a number is no rate either; infinity is.
+Rate = Annotated[float, msgspec.Meta(ge=0.0)]
 
 
 class LoadEntry(NamedTuple):
     """Load from the sender at a backend server."""
 
-    backend: int
-    n_in_flight: int
-    n_pending_tokens: int
-    n_memory_tokens: int
+    backend: Hash
+    n_in_flight: Total
+    n_pending_tokens: Total
+    n_memory_tokens: Total
 
 
 class UsageEntry(NamedTuple):
     """Service tokens requested and received by a workspace since the sender's start."""
 
-    service: int
-    workspace: int
-    n_requested_tokens: int
-    n_received_tokens: int
+    service: Hash
+    workspace: Hash
+    n_requested_tokens: Total
+    n_received_tokens: Total
 
 
 class RetryEntry(NamedTuple):
     """Requests and retries of a service since the sender's start."""
 
-    service: int
-    n_requests: int
-    n_retries: int
+    service: Hash
+    n_requests: Total
+    n_retries: Total
 
 
 class PartEntry(NamedTuple):
     """A prompt part that the sender has placed at a backend server."""
 
-    backend: int
-    part: int
-    n_tokens: int
+    backend: Hash
+    part: LongHash
+    n_tokens: Total
 
 
 class PriorityEntry(NamedTuple):
@@ -48,15 +63,15 @@
     :param priority: recent service of its workspace in tokens; lower values go first.
     """
 
-    service: int
-    priority: float
+    service: Hash
+    priority: Priority
 
 
 class SuspectEntry(NamedTuple):
     """Crashes that the sender has seen for a fingerprint; 0 once a request succeeds."""
 
-    fingerprint: int
-    n_crashes: int
+    fingerprint: LongHash
+    n_crashes: Total
 
 
 class PartCrashEntry(NamedTuple):
@@ -66,9 +81,9 @@
     :param age_ms: time since the crash, milliseconds.
     """
 
-    part: int
-    backend: int
-    age_ms: int
+    part: LongHash
+    backend: Hash
+    age_ms: Total
 
 
 class ServedPartEntry(NamedTuple):
@@ -77,8 +92,8 @@
     :param age_ms: time since its response began, milliseconds.
     """
 
-    part: int
-    age_ms: int
+    part: LongHash
+    age_ms: Total
 
 
 class LeavingEntry(NamedTuple):
@@ -87,8 +102,8 @@
     :param started_ms: Unix time of its start, milliseconds.
     """
 
-    backend: int
-    started_ms: int
+    backend: Hash
+    started_ms: Integer
 
 
 class RateLimitEntry(NamedTuple):
@@ -99,10 +114,10 @@
     :param age_ms: time since the latest response that stated it, milliseconds.
     """
 
-    backend: int
-    started_ms: int
-    rate: float
-    age_ms: int
+    backend: Hash
+    started_ms: Integer
+    rate: Rate
+    age_ms: Total
 
 
 class Frame(msgspec.Struct, array_like=True):
@@ -123,11 +138,11 @@
     """
 
     sender: str
-    incarnation: int
-    sequence: int
+    incarnation: Integer
+    sequence: Integer
     is_leaving: bool
-    version: int
-    revision: int
+    version: Integer
+    revision: Integer
     is_full: bool = False
     peers: list[str] = []
     loads: list[LoadEntry] = []
@@ -138,13 +153,16 @@
     turns: list[PriorityEntry] = []
     part_crashes: list[PartCrashEntry] = []
     served_parts: list[ServedPartEntry] = []
-    era: int = 0
+    era: Integer = 0
     leaving: list[LeavingEntry] = []
     rate_limits: list[RateLimitEntry] = []
 
 
 _ENCODER = msgspec.msgpack.Encoder()
 _DECODER = msgspec.msgpack.Decoder(Frame)
+_LENIENT_DECODER = msgspec.msgpack.Decoder(list[msgspec.Raw])
+# Errors of a frame that cannot be decoded; a nested one exceeds the recursion limit.
+MALFORMED = (msgspec.DecodeError, RecursionError)
 
 
 def encode_frame(frame):
@@ -153,8 +171,48 @@
 
 
 def decode_frame(data):
-    """Return the frame of a datagram, or None if it is malformed."""
+    """Return the frame of a datagram, or None if it is malformed.
+
+    Entries with values that cannot be right are left out.
+    """
+    try:
+        frame = _DECODER.decode(data)
+    except MALFORMED:
+        frame = decode_valid_entries(data)
+    if frame is None or not is_ip_address(frame.sender):
+        return None
+    frame.peers = [address for address in frame.peers if is_ip_address(address)]
+    return frame
+
+
+def decode_valid_entries(data):
+    """Return the frame of a datagram without its odd entries, or None.
+
+    The fields that are not lists have to be right.
+    """
     try:
-        return _DECODER.decode(data)
-    except msgspec.DecodeError:
+        values = _LENIENT_DECODER.decode(data)
+        fields = msgspec.structs.fields(Frame)
+        pairs = zip(values, fields, strict=False)
+        return Frame(*[decode_field(value, field.type) for value, field in pairs])
+    except (*MALFORMED, TypeError):
+        # TypeError if fields are missing.
         return None
+
+
+def decode_field(value, field_type):
+    """Return a field of a frame; a list without its odd entries.
+
+    :param value: field as MessagePack.
+    :raises MALFORMED: if it is malformed.
+    """
+    if get_origin(field_type) is not list:
+        return msgspec.msgpack.decode(value, type=field_type)
+    decoder = msgspec.msgpack.Decoder(*get_args(field_type))
+    entries = []
+    for entry in _LENIENT_DECODER.decode(value):
+        try:
+            entries.append(decoder.decode(entry))
+        except MALFORMED:
+            continue
+    return entries
--- a/catkinfork/peering/_peers.py
+++ b/catkinfork/peering/_peers.py
@@ -8,6 +8,8 @@
 REMOVAL_TIMEOUT_S = 60.0
 # Lower bound of the assumed number of forwarders.
 MIN_FORWARDERS = 2
+# Peers that are known at once, many times as many as a fleet has.
+MAX_PEERS = 4096
 
 
 class Peer:
@@ -50,19 +52,23 @@
     def add(self, addresses, now):
         """Add peers that are not known yet."""
         for address in addresses:
-            if address != self.own_address and address not in self.peers:
+            if address == self.own_address or address in self.peers:
+                continue
+            if len(self.peers) < MAX_PEERS:
                 self.peers[address] = Peer(address, now)
 
     def handle_header(self, frame, now):
         """Update a peer from the header fields of its frame.
 
-        :returns: the :class:`Peer`, or None if the frame is outdated, a duplicate or
-            from this forwarder.
+        :returns: the :class:`Peer`, or None if the frame is outdated, a duplicate, from
+            this forwarder or from one too many.
         """
         if frame.sender == self.own_address:
             return None
         self.add([frame.sender], now)
-        peer = self.peers[frame.sender]
+        peer = self.peers.get(frame.sender)
+        if peer is None:
+            return None
         if frame.incarnation < peer.incarnation:
             return None
         if frame.incarnation > peer.incarnation:
--- a/catkinfork/peering/_socket.py
+++ b/catkinfork/peering/_socket.py
@@ -35,4 +35,8 @@
 
     def send(self, address, data):
         """Send a datagram to a peer."""
-        self.transport.sendto(data, (address, self.port))
+        try:
+            self.transport.sendto(data, (address, self.port))
+        except (OSError, ValueError):
+            # An address of another family, which peers may name.
+            self.n_errors += 1
--- a/catkinfork/peering/_state.py
+++ b/catkinfork/peering/_state.py
@@ -278,8 +278,11 @@
             if before is None or service not in pools:
                 continue
             n_new = n_requests - before[0]
+            n_new_retries = n_retries - before[1]
+            if n_new < 0 or n_new_retries < 0:
+                continue
             pool = pools[service]
-            pool.retry_budget.record_peer_requests(n_new, n_retries - before[1], now)
+            pool.retry_budget.record_peer_requests(n_new, n_new_retries, now)
             pool.demand.record_peer_requests(n_new, now)
 
     def record_usage(self, peer, frame, pools, now):
@@ -290,13 +293,12 @@
             peer.uses[key] = (n_requested_tokens, n_received_tokens)
             if before is None or service not in pools:
                 continue
+            n_requested = n_requested_tokens - before[0]
+            n_received = n_received_tokens - before[1]
             name = self.find_workspace(workspace)
-            if name is not None:
+            if name is not None and min(n_requested, n_received) >= 0:
                 pools[service].shares.record_peer_usage(
-                    name,
-                    n_requested_tokens - before[0],
-                    n_received_tokens - before[1],
-                    now,
+                    name, n_requested, n_received, now
                 )
 
     def find_workspace(self, hashed):
