Leave out odd items of the state of a peer

The state that is read from a peer while the store fails was checked for types only. One item or departure of another type made it unreadable as a whole, negative and too large numbers were taken (an era of 2**64 - 1 is never reached by the store, so that the forwarder would reject the store for good), and a nested field of a newer peer raises RecursionError, which ended the process. A peer with an IPv6 address had no valid control address.

The types state the bounds, odd items and departures are left out, and a state that is odd as a whole is a failure of the source.

--- a/catkinfork/forwarder/_peer_source.py
+++ b/catkinfork/forwarder/_peer_source.py
@@ -1,9 +1,13 @@
 """Topology state of peers, used while the store cannot be read."""
 
+from typing import Annotated, Generic, NamedTuple, TypeVar
+
 import msgspec
 
 from catkinfork.forwarding import AdminResponse, FetchError, HttpClient
 from catkinfork.topology import (
+    MAX_ERA,
+    MAX_INTEGER,
     BasePeers,
     BaseSource,
     Changes,
@@ -14,19 +18,38 @@
 
 STATE_PATH = "/state"
 READ_TIMEOUT_S = 0.8
+# Errors of a state that cannot be decoded; a nested one exceeds the recursion limit.
+MALFORMED = (msgspec.DecodeError, RecursionError)
+
+Integer = Annotated[int, msgspec.Meta(ge=0, le=MAX_INTEGER)]
+Era = Annotated[int, msgspec.Meta(ge=0, le=MAX_ERA)]
+StateItem = tuple[str, bytes, Integer]
+EntryType = TypeVar("EntryType")
+DepartureType = TypeVar("DepartureType")
+
+
+class DepartureDocument(NamedTuple):
+    """A :class:`Departure`."""
+
+    name: str
+    started_ms: Integer
+    sequence: Integer
 
 
-class StateDocument(msgspec.Struct, array_like=True):
+class StateDocument(msgspec.Struct, Generic[EntryType, DepartureType], array_like=True):
     """Items of the store as known to one forwarder."""
 
-    revision: int
-    items: list[tuple[str, bytes, int]]
-    era: int = 0
-    departed: list[Departure] = []
+    revision: Integer
+    items: list[EntryType]
+    era: Era = 0
+    departed: list[DepartureType] = []
 
 
 _ENCODER = msgspec.msgpack.Encoder()
-_DECODER = msgspec.msgpack.Decoder(StateDocument)
+_DECODER = msgspec.msgpack.Decoder(StateDocument[StateItem, DepartureDocument])
+_LENIENT_DECODER = msgspec.msgpack.Decoder(StateDocument[msgspec.Raw, msgspec.Raw])
+_ITEM_DECODER = msgspec.msgpack.Decoder(StateItem)
+_DEPARTURE_DECODER = msgspec.msgpack.Decoder(DepartureDocument)
 
 
 def build_state_response(state):
@@ -38,6 +61,31 @@
     return AdminResponse(200, b"application/msgpack", _ENCODER.encode(document))
 
 
+def decode_state(data):
+    """Return the :class:`StateDocument` of a peer, without odd items and departures.
+
+    :raises MALFORMED: if the state is malformed as a whole.
+    """
+    try:
+        return _DECODER.decode(data)
+    except MALFORMED:
+        document = _LENIENT_DECODER.decode(data)
+    document.items = decode_valid(document.items, _ITEM_DECODER)
+    document.departed = decode_valid(document.departed, _DEPARTURE_DECODER)
+    return document
+
+
+def decode_valid(values, decoder):
+    """Return the decoded form of those values that are not malformed."""
+    decoded = []
+    for value in values:
+        try:
+            decoded.append(decoder.decode(value))
+        except MALFORMED:
+            continue
+    return decoded
+
+
 class PeerSource(BaseSource):
     """Reads the topology state of a peer.
 
@@ -51,10 +99,10 @@
     async def list_all(self):
         try:
             response = await self.client.fetch(STATE_PATH, READ_TIMEOUT_S)
-            document = _DECODER.decode(response.body)
+            document = decode_state(response.body)
         except FetchError as error:
             raise SourceError(error.detail) from error
-        except msgspec.DecodeError as error:
+        except MALFORMED as error:
             raise SourceError(f"malformed state: {error}") from error
         items = [Item(*fields) for fields in document.items]
         return Changes(
@@ -62,7 +110,7 @@
             document.revision,
             is_full=True,
             era=document.era,
-            departed=tuple(document.departed),
+            departed=tuple(Departure(*fields) for fields in document.departed),
         )
 
     async def wait(self, revision):
@@ -105,7 +153,8 @@
         """Return the source of a peer; the last one is kept open."""
         if peer is None:
             return None
-        address = f"{peer.address}:{self.control_port}"
+        host = f"[{peer.address}]" if ":" in peer.address else peer.address
+        address = f"{host}:{self.control_port}"
         if self.source is None or self.source.client.address != address:
             if self.source is not None:
                 self.source.client.close()
--- a/catkinfork/platform/_store.py
+++ b/catkinfork/platform/_store.py
@@ -10,6 +10,7 @@
 from catkinfork.observability import log_event
 from catkinfork.topology import (
     ERA_IGNORED,
+    MAX_ERA,
     MAX_INTEGER,
     BaseSource,
     Changes,
@@ -29,7 +30,7 @@
 MAX_PAGES = 1000
 # Counts the restores of the store from a copy.
 ERA_HEADER = b"store-era"
-MAX_ERA_DIGITS = 18
+MAX_ERA_DIGITS = len(str(MAX_ERA))
 
 
 # Errors of a response that cannot be decoded. A nested one exceeds the recursion limit.
--- a/catkinfork/topology/__init__.py
+++ b/catkinfork/topology/__init__.py
@@ -3,6 +3,7 @@
 from catkinfork.topology._addresses import is_ip_address, split_address
 from catkinfork.topology._checks import (
     MAX_DURATION_S,
+    MAX_ERA,
     MAX_INTEGER,
     MAX_NAME_LENGTH,
     MAX_SLOTS,
@@ -84,6 +85,7 @@
     "InvalidValueError",
     "Item",
     "MAX_DURATION_S",
+    "MAX_ERA",
     "MAX_INTEGER",
     "MAX_NAME_LENGTH",
     "MAX_SLOTS",
--- a/catkinfork/topology/_checks.py
+++ b/catkinfork/topology/_checks.py
@@ -9,6 +9,8 @@
 MAX_NAME_LENGTH = 200
 # Largest signed integer of 64 bit, which the messages between forwarders can hold.
 MAX_INTEGER = 2**63 - 1
+# Largest era of the store, of 18 digits.
+MAX_ERA = 10**18 - 1
 # Bounds far above what a backend server has: requests at once, and seconds until it is
 # warm.
 MAX_SLOTS = 1_000_000
