Keep the services of the newest configuration when an older one is read

A store that is restored from a copy may list an older configuration. The newer one stayed in force, but the decoder took the services of the one that it had read last: entries of a service that only the newer one names counted as unreadable, and their servers were removed at once.

The decoder now keeps the services of the greatest version. test_older_configuration_does_not_withdraw_services failed before.

--- a/catkinfork/platform/_documents.py
+++ b/catkinfork/platform/_documents.py
@@ -143,9 +143,14 @@
 
 
 class PlatformDecoder(BaseDecoder):
-    """Decodes items of the platform's store."""
+    """Decodes items of the platform's store.
+
+    ``services`` has the names of the services in the newest configuration, and
+    ``version`` its version.
+    """
 
     def __init__(self):
+        self.version = 0
         self.services = set()
 
     def decode(self, item):
@@ -170,7 +175,9 @@
             return None
         document = _CONFIGURATION.decode(item.value)
         configuration = convert_configuration(document)
-        self.services = set(configuration.services)
+        if configuration.version >= self.version:
+            self.version = configuration.version
+            self.services = set(configuration.services)
         return ConfigurationItem(configuration)
 
     def decode_entry(self, name, item):
--- a/catkinfork/platform/tests/test_odd_configurations.py
+++ b/catkinfork/platform/tests/test_odd_configurations.py
@@ -6,10 +6,12 @@
 
 from catkinfork.platform import PlatformDecoder
 from catkinfork.platform.tests.standins import build_config
+from catkinfork.platform.tests.test_documents import ENTRY
 from catkinfork.platform.tests.test_odd_documents import NESTED
 from catkinfork.topology import (
     MAX_INTEGER,
     ConfigurationItem,
+    EntryItem,
     Item,
     UnreadableItem,
 )
@@ -76,3 +78,19 @@
     """Guards against a bound that rejects a configuration in full."""
     decoded = decode(change_config(*path, value=str(10**12)))
     assert isinstance(decoded, ConfigurationItem), decoded
+
+
+def test_older_configuration_does_not_withdraw_services():
+    """Guards against servers that are removed as a restored store lists an older one.
+
+    The newer configuration stays in force; its services are configured.
+    """
+    decoder = PlatformDecoder()
+    newer = build_config(7)
+    newer["services"].append(newer["services"][0] | {"name": "added"})
+    entry = Item("servers/i-1", json.dumps(ENTRY | {"service": "added"}).encode(), 3)
+    for config in (newer, build_config(5)):
+        decoder.decode(Item("op/config", json.dumps(config).encode(), 1))
+        assert isinstance(decoder.decode(entry), EntryItem)
+    decoder.decode(Item("op/config", json.dumps(build_config(8)).encode(), 4))
+    assert isinstance(decoder.decode(entry), UnreadableItem)
