--- a/catkinfork/platform/_documents.py
+++ b/catkinfork/platform/_documents.py
@@ -6,6 +6,8 @@
 import msgspec
 
 from catkinfork.topology import (
+    MAX_DURATION_S,
+    MAX_SLOTS,
     STREAMING,
     BackendEntry,
     BaseDecoder,
@@ -20,6 +22,11 @@
     TrafficShare,
     UnreadableItem,
     Workspace,
+    check_id,
+    check_integer,
+    check_number,
+    check_text,
+    limit_detail,
     split_address,
 )
 
@@ -34,6 +41,10 @@
 CALLER_TIMEOUT_PER_AIM = 4.0
 CALLER_TIMEOUT_PER_PAUSE = 8.0
 
+# Largest entry that is read. One has some 300 bytes, so that newer software may add
+# much to it.
+MAX_ENTRY_BYTES = 65_536
+
 
 class TrafficSplitDocument(msgspec.Struct):
     """A target of a route and its weight."""
@@ -123,14 +134,23 @@
     born: int = 0
 
 
+# Errors of values that cannot be decoded or cannot be right; nested ones exceed the
+# depth of recursion.
+UNREADABLE = (msgspec.DecodeError, ValueError, OverflowError, RecursionError)
+
 _CONFIGURATION = msgspec.json.Decoder(ConfigurationDocument)
 _ENTRY = msgspec.json.Decoder(EntryDocument)
 
 
 class PlatformDecoder(BaseDecoder):
-    """Decodes items of the platform's store."""
+    """Decodes items of the platform's store.
+
+    ``services`` has the names of the services in the newest configuration, and
+    ``version`` its version.
+    """
 
     def __init__(self):
+        self.version = 0
         self.services = set()
 
     def decode(self, item):
@@ -140,12 +160,13 @@
                 return self.decode_configuration(item)
             if key.startswith(ENTRY_PREFIX):
                 return self.decode_entry(key[len(ENTRY_PREFIX) :], item)
-        except (msgspec.DecodeError, ValueError) as error:
-            name = key[len(ENTRY_PREFIX) :] if key.startswith(ENTRY_PREFIX) else ""
-            return UnreadableItem(name, str(error))
-        if key.startswith(EVACUATION_PREFIX):
-            is_evacuated = item.value is not None
-            return EvacuationItem(key[len(EVACUATION_PREFIX) :], is_evacuated)
+            if key.startswith(EVACUATION_PREFIX):
+                name = check_text(key[len(EVACUATION_PREFIX) :], "data centre")
+                return EvacuationItem(name, item.value is not None)
+        except UNREADABLE as error:
+            is_entry = key.startswith(ENTRY_PREFIX)
+            name = key[len(ENTRY_PREFIX) :] if is_entry else ""
+            return UnreadableItem(name, limit_detail(str(error)), is_entry)
         return None
 
     def decode_configuration(self, item):
@@ -154,20 +175,23 @@
             return None
         document = _CONFIGURATION.decode(item.value)
         configuration = convert_configuration(document)
-        self.services = set(configuration.services)
+        if configuration.version >= self.version:
+            self.version = configuration.version
+            self.services = set(configuration.services)
         return ConfigurationItem(configuration)
 
     def decode_entry(self, name, item):
         """Return the decoded entry of a backend server, or its removal.
 
-        :raises ValueError: if the service is not configured or the address is invalid.
+        :raises ValueError: if the service is not configured or a value is invalid.
         """
         if item.value is None:
             return EntryItem(name, None)
-        document = _ENTRY.decode(item.value)
+        check_id(name, "id")
+        check_integer(len(item.value), "size in bytes", 0, MAX_ENTRY_BYTES)
+        document = check_entry(_ENTRY.decode(item.value))
         if self.services and document.service not in self.services:
             raise ValueError(f"service {document.service!r} is not configured")
-        split_address(document.address)
         entry = BackendEntry(
             name=name,
             service=document.service,
@@ -183,11 +207,32 @@
         return EntryItem(name, entry)
 
 
+def check_entry(document):
+    """Check the values of an entry, of which another writer may have written any.
+
+    :raises ValueError: if one cannot be right.
+    """
+    check_text(document.service, "service")
+    check_text(document.zone, "zone")
+    check_text(document.version, "version")
+    check_integer(document.slots, "slots", 1, MAX_SLOTS)
+    check_integer(document.sequence, "sequence")
+    check_integer(document.born, "born")
+    check_number(document.cold_remaining_ms, "cold_remaining_ms", 1000 * MAX_DURATION_S)
+    split_address(document.address)
+    return document
+
+
 def convert_configuration(document):
-    """Convert a document to a :class:`Configuration`."""
+    """Convert a document to a :class:`Configuration`.
+
+    :raises ValueError: if a value cannot be right.
+    """
     limits = document.limits
+    for what in LimitsDocument.__struct_fields__:
+        check_number(getattr(limits, what), what)
     return Configuration(
-        version=document.version,
+        version=check_integer(document.version, "version"),
         routes=tuple(convert_route(route) for route in document.routes),
         services={
             service.name: convert_service(service) for service in document.services
@@ -200,7 +245,7 @@
             tokens_per_s=limits.tokens_per_s,
         ),
         workspaces=tuple(
-            Workspace(tenant.name, tuple(tenant.api_keys))
+            Workspace(check_text(tenant.name, "tenant"), tuple(tenant.api_keys))
             for tenant in document.tenants
         ),
     )
@@ -209,10 +254,15 @@
 def convert_route(route):
     """Convert a document to a :class:`Route`.
 
-    :raises ValueError: if the route has neither a service nor a traffic split.
+    :raises ValueError: if the route has neither a service nor a traffic split, or a
+        value cannot be right.
     """
+    check_integer(route.max_attempts, "max_attempts")
+    for what in ("timeout_ms", "aim_ms", "gap_target_ms"):
+        check_number(getattr(route, what), what)
     targets = [
-        TrafficShare(split.service, split.weight) for split in route.traffic_split
+        TrafficShare(split.service, check_number(split.weight, "weight"))
+        for split in route.traffic_split
     ]
     if not targets:
         if route.service is None:
@@ -245,9 +295,14 @@
 
 
 def convert_service(service):
-    """Convert a document to a :class:`Service`."""
+    """Convert a document to a :class:`Service`.
+
+    :raises ValueError: if a value cannot be right.
+    """
+    for what in ("max_connections", "cold_s", "cold_per_s"):
+        check_number(getattr(service, what), what)
     return Service(
-        name=service.name,
+        name=check_text(service.name, "service"),
         health_path=service.health_path,
         max_connections=max(1, int(service.max_connections)),
         cold_s=service.cold_s,
@@ -257,7 +312,12 @@
 
 
 def convert_engine(engine):
-    """Convert a document to an :class:`Engine`, or None to None."""
+    """Convert a document to an :class:`Engine`, or None to None.
+
+    :raises ValueError: if a value cannot be right.
+    """
     if engine is None:
         return None
-    return Engine(max(1, int(engine.slots)), max(1, int(engine.kv_capacity)))
+    n_slots = int(check_number(engine.slots, "slots"))
+    n_memory_tokens = int(check_number(engine.kv_capacity, "kv_capacity"))
+    return Engine(max(1, n_slots), max(1, n_memory_tokens))
