Place by what engines say they keep after a lookup

Cause: forwarders that have just started know nothing of the engines' caches and place all requests without regard to them.

Change: the lists of a lookup are recorded in the estimate of cached parts. No list is read for this alone.

The assertion added to the test of a loss of all hosts fails without the change.

--- a/catkinfork/balancing/_balancer.py
+++ b/catkinfork/balancing/_balancer.py
@@ -12,6 +12,7 @@
     UNEXECUTED_OUTCOMES,
     UNSENT_OUTCOMES,
     Placement,
+    PromptPart,
 )
 from catkinfork.balancing._models import QueueRank
 from catkinfork.balancing._pool import ServicePool
@@ -80,6 +81,20 @@
             del self.streams.recent[name]
         self.versions = versions
 
+    def record_cached_parts(self, backend, parts):
+        """Record the prompt parts that an engine says it keeps.
+
+        Load pattern: forwarders that have just started place all requests without
+        regard to what the engines have read, so that these read it again.
+
+        :param backend: :class:`Backend`.
+        :param parts: tokens kept by id of the part.
+        """
+        pool = self.pools.get(backend.service)
+        if pool is not None:
+            kept = [PromptPart(*part) for part in parts.items()]
+            pool.find(backend.name).load.prefixes.record_use(kept)
+
     def apply_settings(self, settings):
         """Put changed retry budget settings in force.
 
--- a/catkinfork/forwarder/_process.py
+++ b/catkinfork/forwarder/_process.py
@@ -112,7 +112,7 @@
             self.tasks.start_soon,
         )
         self.server.cache_lookup = CacheLookup(
-            self.registry, EngineCacheSource(self.loop), self.tasks.start_soon
+            self.balancer, EngineCacheSource(self.loop), self.tasks.start_soon
         )
         self.peer_exchange = PeerExchange(
             self.balancer, self.directory, self.incarnation, self.log.write
--- a/catkinfork/forwarding/_cache_lookup.py
+++ b/catkinfork/forwarding/_cache_lookup.py
@@ -30,7 +30,10 @@
     Load pattern: all forwarders lose power, and the callers of all their streams come
     back within some seconds. Engines are asked once for all of them.
 
-    :param registry: :class:`BackendRegistry`.
+    What they keep is also recorded for placement, as a forwarder that asks has usually
+    just started.
+
+    :param balancer: :class:`Balancer`.
     :param source: :class:`BasePromptPartSource`.
     :param spawn: callable that starts a coroutine function with arguments as a task.
 
@@ -38,8 +41,8 @@
     :class:`EngineCache` for each engine, and ``pending`` the services that are asked.
     """
 
-    def __init__(self, registry, source, spawn):
-        self.registry = registry
+    def __init__(self, balancer, source, spawn):
+        self.balancer = balancer
         self.source = source
         self.spawn = spawn
         self.listed = {}
@@ -66,18 +69,24 @@
         caches = []
         backends = [
             backend
-            for backend in self.registry.backends.values()
+            for backend in self.balancer.registry.backends.values()
             if backend.service == service
         ]
         try:
             async with anyio.create_task_group() as tasks:
                 for backend in backends:
-                    tasks.start_soon(self.list_engine, backend.entry, caches)
+                    tasks.start_soon(self.list_engine, backend, caches)
         finally:
             self.pending.discard(service)
         self.listed[service] = (now, caches)
 
-    async def list_engine(self, entry, caches):
-        """Ask one engine and append its :class:`EngineCache`."""
-        parts = await self.source.list_parts(entry.address)
-        caches.append(EngineCache(entry.version, parts))
+    async def list_engine(self, backend, caches):
+        """Ask one engine and append its :class:`EngineCache`.
+
+        :param backend: :class:`Backend`.
+        """
+        version = backend.entry.version
+        parts = await self.source.list_parts(backend.entry.address)
+        caches.append(EngineCache(version, parts))
+        if parts is not None:
+            self.balancer.record_cached_parts(backend, parts)
--- a/catkinfork/forwarding/tests/test_versions.py
+++ b/catkinfork/forwarding/tests/test_versions.py
@@ -3,7 +3,7 @@
 import anyio
 import pytest
 
-from catkinfork.balancing import StreamOrigin, compute_stream_key
+from catkinfork.balancing import PromptPart, StreamOrigin, compute_stream_key
 from catkinfork.forwarding import BasePromptPartSource, CacheLookup
 from catkinfork.forwarding.tests.scripted import event, in_turn, reset, stream
 from catkinfork.forwarding.tests.test_streams import join
@@ -372,7 +372,7 @@
             {older.address: {0xA1: 60}, newer.address: {0xA1: 60, 0xB2: 44}}
         )
         world.server.cache_lookup = CacheLookup(
-            world.registry, source, world.server.spawn
+            world.balancer, source, world.server.spawn
         )
         replies = []
 
@@ -385,6 +385,8 @@
         assert [reply.body for reply in replies] == [join(5, 9)] * n_callers
         assert (len(older.requests), len(newer.requests)) == (0, n_callers)
         assert source.n_lists == 2
+        load = world.balancer.pools["engine"].find("engine-1").load
+        assert load.prefixes.count_cached_tokens([PromptPart(0xB2, 40)]) == 40
         line = world.list_events("request_finished")[-1]
         assert line["version_source"] == "cached"
 
@@ -395,7 +397,7 @@
     "parts",
     [
         ({0xB2: 44}, {0xB2: 60}),
-        ({0xB2: 40}, {}),
+        ({0xB2: 40}, {0xB2: 43}),
         ({}, {}),
         ({0xB2: 44}, None),
         (None, None),
@@ -410,7 +412,7 @@
         addresses = (older.address, newer.address)
         source = ListedParts(dict(zip(addresses, parts, strict=True)))
         world.server.cache_lookup = CacheLookup(
-            world.registry, source, world.server.spawn
+            world.balancer, source, world.server.spawn
         )
         with anyio.fail_after(1.0):
             reply = await resume(world, "Resumes: r-before")
