Let streams go on at the only version that has read their prompt

Cause: the engine that began such a stream is gone, and one that was to go on with it has read the prompt and generated nothing. Since generated tokens count as proof, it counted for nothing.

Change: if no engine keeps what it generated, the version of those that have read the prompt counts, unless there are several.

--- a/catkinfork/balancing/_resumption.py
+++ b/catkinfork/balancing/_resumption.py
@@ -92,9 +92,10 @@
         """Return the finding from what the engines keep.
 
         The last part of a prompt belongs to one request or session, and an engine keeps
-        what it generated after it: at least one token for each event. An engine that
-        has only read the prompt did not send them. If engines of several versions may
-        have sent them, or one of another version did not answer, nothing is certain.
+        what it generated after it: at least one token for each event. If none does, one
+        that has only read the prompt was to go on with the stream, as forwarders send
+        it to its own version only. If engines of several versions qualify, or one of
+        another version did not answer, nothing is certain.
 
         :param job: :class:`Job`.
         :param n_events: events that the caller has received.
@@ -102,17 +103,22 @@
         """
         last_part = job.parts[-1]
         n_tokens = last_part.n_tokens + max(1, n_events)
-        keeping = set()
+        sending = set()
+        reading = set()
         silent = set()
         for service, entries in caches:
             for version, parts in entries:
+                origin = StreamOrigin(service, version)
                 if parts is None:
-                    silent.add(StreamOrigin(service, version))
-                elif parts.get(last_part.name, 0) >= n_tokens:
-                    keeping.add(StreamOrigin(service, version))
-        if len(keeping) != 1 or silent - keeping:
+                    silent.add(origin)
+                elif last_part.name in parts:
+                    reading.add(origin)
+                    if parts[last_part.name] >= n_tokens:
+                        sending.add(origin)
+        origins = sending or reading
+        if len(origins) != 1 or silent - origins:
             return OriginFinding(None, UNKNOWN)
-        return OriginFinding(keeping.pop(), CACHED)
+        return OriginFinding(origins.pop(), CACHED)
 
     def find_only_origin(self, route, now):
         """Return the finding without a record of the stream."""
