--- a/catkinfork/peering/_frames.py
+++ b/catkinfork/peering/_frames.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from catkinfork.topology import MAX_INTEGER, is_ip_address
+from catkinfork.topology import MAX_INTEGER, MAX_NAME_LENGTH, is_ip_address
 
 # Largest datagram that no link fragments.
 MAX_FRAME_BYTES = 1400
@@ -19,6 +19,7 @@
 Total = Annotated[int, msgspec.Meta(ge=0, le=MAX_TOTAL)]
 Integer = Annotated[int, msgspec.Meta(ge=0, le=MAX_INTEGER)]
 Priority = Annotated[float, msgspec.Meta(ge=0.0, le=float(MAX_TOTAL))]
+Version = Annotated[str, msgspec.Meta(max_length=MAX_NAME_LENGTH)]
 # Not a number is no rate either; infinity is.
 Rate = Annotated[float, msgspec.Meta(ge=0.0)]
 
@@ -128,9 +129,9 @@
         resume it, milliseconds.
     """
 
-    service: int
-    version: str
-    streams: list[tuple[int, int]]
+    service: Hash
+    version: Version
+    streams: list[tuple[LongHash, Total]]
 
 
 class Frame(msgspec.Struct, array_like=True):
@@ -171,7 +172,7 @@
     leaving: list[LeavingEntry] = []
     rate_limits: list[RateLimitEntry] = []
     streams: list[StreamEntry] = []
-    stream_questions: list[int] = []
+    stream_questions: list[LongHash] = []
 
 
 _ENCODER = msgspec.msgpack.Encoder()
--- a/catkinfork/peering/_stream_notices.py
+++ b/catkinfork/peering/_stream_notices.py
@@ -6,7 +6,6 @@
 # Streams told, and asked for, in one frame; the others follow in the next ones.
 MAX_STREAMS_PER_FRAME = 32
 MAX_QUESTIONS_PER_FRAME = 24
-MAX_VERSION_LENGTH = 64
 # Longest time for which the origin of a stream is kept on the word of a peer.
 MAX_LIFETIME_MS = 600_000
 
@@ -66,11 +65,11 @@
         origin = None
         if entry.version:
             service = self.find_service(entry.service)
-            if service is None or len(entry.version) > MAX_VERSION_LENGTH:
+            if service is None:
                 return
             origin = StreamOrigin(service, entry.version)
         for key, lifetime_ms in entry.streams:
-            lifetime_s = min(MAX_LIFETIME_MS, max(0, lifetime_ms)) / 1000
+            lifetime_s = min(MAX_LIFETIME_MS, lifetime_ms) / 1000
             self.streams.record_told(key, origin, lifetime_s, now)
 
     def find_service(self, hashed):
--- a/catkinfork/peering/tests/test_odd_frames.py
+++ b/catkinfork/peering/tests/test_odd_frames.py
@@ -262,3 +262,35 @@
             frame = decode_frame(data)
             assert encode_frame(frame) == data
     assert node.balancer.dispatch_queued(now) is not None
+
+
+ODD_STREAMS = [
+    None,
+    7,
+    [7, "v1"],
+    [7, 5, [[1, 1000]]],
+    [-1, "v1", [[1, 1000]]],
+    [2**32, "v1", [[1, 1000]]],
+    [7, "x" * 1000, [[1, 1000]]],
+    [7, "v1", [[-1, 1000]]],
+    [7, "v1", [["a", 1000]]],
+    [7, "v1", [[1, -5]]],
+    [7, "v1", [[1, 0.5]]],
+    [7, "v1", [[1, 2**60]]],
+    [7, "v1", [[1]]],
+]
+
+
+@pytest.mark.parametrize("odd", ODD_STREAMS, ids=str)
+def test_odd_streams_are_left_out_and_the_others_hold(odd):
+    """Guards against an origin of a stream that no forwarder can have meant."""
+    sound = [7, "v1", [(2**64 - 1, 14_000)]]
+    frame = decode_frame(encode(build_values() | {"streams": [odd, sound]}))
+    assert [list(found) for found in frame.streams] == [sound]
+
+
+@pytest.mark.parametrize("odd", [None, -1, 0.5, "a", []])
+def test_odd_questions_are_left_out(odd):
+    """Guards against a question of a peer that stops the exchange."""
+    frame = decode_frame(encode(build_values() | {"stream_questions": [odd, 5]}))
+    assert frame.stream_questions == [5]
