Start one request of a caller at a time

A caller that sends requests without waiting for responses could get them in the wrong order, and so one for another request. After a response, the next request starts in a later iteration of the event loop; a request that arrived in between started one as well, and both were in progress.

test_request_that_arrives_between_two_others_does_not_overtake failed before: responses r2, r4, r3 to the requests r2, r3, r4.

--- a/catkinfork/forwarding/_caller.py
+++ b/catkinfork/forwarding/_caller.py
@@ -178,7 +178,7 @@
 
     def start_next(self):
         """Start the next request of the queue."""
-        if self.requests and not self.is_discarding:
+        if self.requests and self.exchange is None and not self.is_discarding:
             self.exchange = self.server.open_exchange(self, self.requests.popleft())
             self.exchange.start()
 
