Answer the requests behind another one before the connection closes

A caller may send further requests before the response to the first one. A host in a planned stop, or one that is behind, closed the connection after the next response: requests behind it, which had been read whole, got no answer (LOST).

Now such a connection closes after the response to the last request that has arrived, and only this response announces it. An invalid request is answered after those ahead of it; it got no answer before if one of them was in progress.

--- a/catkinfork/forwarding/_caller.py
+++ b/catkinfork/forwarding/_caller.py
@@ -46,6 +46,7 @@
         self.exchange = None
         self.requests = deque()
         self.request = None
+        self.rejection = None
         self.url = b""
         self.headers = []
         self.body_parts = []
@@ -82,7 +83,9 @@
 
     def is_idle(self):
         """Return whether no request is in progress, being read or waiting unread."""
-        if self.exchange is not None or self.is_reading_head or self.is_reading_body:
+        if self.exchange is not None or self.requests:
+            return False
+        if self.is_reading_head or self.is_reading_body:
             return False
         if self.is_lost or self.transport.is_closing():
             return True
@@ -178,18 +181,27 @@
 
     def start_next(self):
         """Start the next request of the queue."""
-        if self.requests and self.exchange is None and not self.is_discarding:
+        if self.requests and self.exchange is None:
             self.exchange = self.server.open_exchange(self, self.requests.popleft())
             self.exchange.start()
 
     def reject(self, status, code):
-        """Reject an invalid request and close the connection."""
+        """Reject an invalid request and close the connection.
+
+        The requests ahead of it are answered first.
+        """
         self.is_discarding = True
         self.server.log_rejection(self, status, code)
-        if self.exchange is None:
-            body = b'{"error":"%s"}' % code.encode()
-            self.write(encode_local_response(status, body, (), is_closing=True))
-            self.linger()
+        self.rejection = (status, code)
+        if self.exchange is None and not self.requests:
+            self.send_rejection()
+
+    def send_rejection(self):
+        """Send the response to an invalid request and close the connection."""
+        status, code = self.rejection
+        body = b'{"error":"%s"}' % code.encode()
+        self.write(encode_local_response(status, body, (), is_closing=True))
+        self.linger()
 
     def write(self, data):
         """Write data unless the connection is lost."""
@@ -203,15 +215,17 @@
         """
         self.exchange = None
         self.last_active_at = self.loop.time()
-        if self.is_discarding or not is_keep_alive:
+        if not is_keep_alive:
             self.linger()
-            return
-        if self.requests:
+        elif self.requests:
             self.loop.call_soon(self.start_next)
+        elif self.rejection is not None:
+            self.send_rejection()
 
     def linger(self):
         """Perform a lingering close, so that the caller receives the last response."""
         self.is_discarding = True
+        self.requests.clear()
         if self.is_lost:
             return
         if self.transport.can_write_eof():
@@ -239,7 +253,7 @@
 
         :param now: monotonic seconds.
         """
-        if self.exchange is not None or self.is_discarding:
+        if self.exchange is not None or self.requests or self.is_discarding:
             return
         limits = self.server.limits
         idle_s = now - self.last_active_at
--- a/catkinfork/forwarding/_exchange.py
+++ b/catkinfork/forwarding/_exchange.py
@@ -189,13 +189,14 @@
     def is_keep_alive(self):
         """Return whether the connection of the caller accepts another request.
 
-        A host that is behind closes connections, so that its callers reach other hosts.
+        A host that drains or is behind closes connections, so that its callers reach
+        other hosts, once all requests that have arrived on them are answered.
         """
-        if self.server.is_draining or self.server.lag.is_behind:
+        if self.request.version != "1.1" or not self.request.is_keep_alive:
             return False
-        if self.request.version != "1.1":
-            return False
-        return self.request.is_keep_alive
+        if self.caller.requests:
+            return True
+        return not (self.server.is_draining or self.server.lag.is_behind)
 
     def handle_data(self, data):
         """Relay a part of the body."""
@@ -240,7 +241,7 @@
         outcome = SERVED if head.status < 500 else FAILED
         self.finish_attempt(outcome, now)
         self.close(head.status, outcome, "")
-        self.caller.finish(self.is_keep_alive())
+        self.caller.finish(self.is_keep_alive() and not self.relay.is_closing)
 
     def drop_attempt(self, outcome, detail):
         """End an attempt whose response is not relayed."""
--- a/catkinfork/forwarding/tests/test_pipelining.py
+++ b/catkinfork/forwarding/tests/test_pipelining.py
@@ -1,10 +1,69 @@
 """Requests that arrive on a connection behind another one."""
 
+import anyio
+import pytest
+
 from catkinfork.balancing import ABANDONED
+from catkinfork.forwarding._caller import MAX_PIPELINED
 from catkinfork.forwarding.tests.scripted import answer, in_turn
 from catkinfork.forwarding.tests.world import run_world
 
 
+@pytest.mark.parametrize("is_draining", [True, False])
+def test_requests_behind_another_one_are_answered_before_the_close(is_draining):
+    """Guards against requests that are dropped as a host hands its callers over.
+
+    The host is in a planned stop, or behind.
+    """
+
+    async def test(world):
+        await world.start("plain", answer(delay_s=0.1))
+        caller = await world.connect()
+        for _ in range(3):
+            await caller.send("/order/")
+        await anyio.sleep(0.05)
+        world.server.is_draining = is_draining
+        world.server.lag.is_behind = not is_draining
+        replies = [await caller.read() for _ in range(3)]
+        assert [reply.status for reply in replies] == [200, 200, 200]
+        connections = [reply.headers.get("connection") for reply in replies]
+        assert connections == [None, None, "close"]
+
+    run_world(test)
+
+
+def test_requests_ahead_of_a_malformed_one_are_answered():
+    """Guards against requests that are dropped because of bytes that follow them."""
+
+    async def test(world):
+        (backend,) = await world.start("plain", answer(delay_s=0.1))
+        caller = await world.connect()
+        for _ in range(3):
+            await caller.send("/order/")
+        await caller.send_raw(b"\x00\x00 nonsense\r\n\r\n")
+        replies = [await caller.read() for _ in range(4)]
+        assert [reply.status for reply in replies] == [200, 200, 200, 400]
+        assert len(backend.requests) == 3
+
+    run_world(test)
+
+
+def test_requests_ahead_of_one_too_many_are_answered():
+    """Guards against whole requests that are dropped with the one beyond the limit."""
+
+    async def test(world):
+        (backend,) = await world.start("plain", answer(delay_s=0.02))
+        caller = await world.connect()
+        for _ in range(MAX_PIPELINED + 2):
+            await caller.send("/order/")
+        n_whole = MAX_PIPELINED + 1
+        replies = [await caller.read() for _ in range(n_whole + 1)]
+        assert [reply.status for reply in replies] == [200] * n_whole + [429]
+        assert len(backend.requests) == n_whole
+
+    run_world(test)
+
+
 def test_request_that_arrives_between_two_others_does_not_overtake():
     """Guards against responses in the wrong order, of two requests in progress at once.
 
