Answer every request before a planned stop ends

Shortly before the end of the grace a forwarder exited with whatever was in progress: requests that were queued, that a backend server still ran, or that were being uploaded ended with a closed connection and no answer, among them requests that may not be repeated (LOST). The last bytes of responses to slow readers were lost too, also in a stop without load: the process waited for requests to end, not for their responses to be sent.

Now requests that are in progress 0.7 s before the forced termination get their final answer: 503 if they were never sent, 502 if a backend server may run them; a stream that has begun is broken off. Uploads are waited for up to then, and refused with 503. The process exits once its callers have the responses, at the latest 0.15 s before the forced termination.

Five of six tests in test_planned_stop.py failed before: the callers got no response, or none of 60,000 bytes.

--- a/catkinfork/balancing/_jobs.py
+++ b/catkinfork/balancing/_jobs.py
@@ -136,6 +136,7 @@
 EXPIRED = "cannot_meet_deadline"
 SUSPECT = "crashed_backend_servers"
 NO_RETRY = "no_repeat_left"
+STOPPING = "draining"
 
 # Attempt outcomes.
 SERVED = "served"
--- a/catkinfork/explanation/_causes.py
+++ b/catkinfork/explanation/_causes.py
@@ -21,6 +21,7 @@
         "An attempt failed, and the retry budget of the service was exhausted."
     ),
     "not_configured": "Refused: the host knew no configuration yet.",
+    "draining": "The host was stopping, and too little time was left.",
     "caller_gone": "The caller disconnected before the response was complete. {detail}",
     "timeout": "The deadline of the request, or the timeout of its route, passed.",
     "served": "The response was relayed as complete.",
--- a/catkinfork/forwarder/_drain.py
+++ b/catkinfork/forwarder/_drain.py
@@ -12,8 +12,10 @@
 ACCEPT_PERIOD_S = 2.6
 # Maximum time for which waiting connections are still accepted after it, seconds.
 BACKLOG_PERIOD_S = 1.0
-# Time before the forced termination at which requests in flight are abandoned, seconds.
+# Time before the forced termination at which requests in flight are ended, seconds.
 FORCED_STOP_MARGIN_S = 0.7
+# Time before the forced termination at which the process exits at the latest, seconds.
+EXIT_MARGIN_S = 0.15
 POLL_INTERVAL_S = 0.05
 
 
@@ -30,7 +32,9 @@
 
 
 async def drain(process):
-    """Report the process as not ready, then wait for the requests in flight.
+    """Report the process as not ready, then wait until all requests are answered.
+
+    Those that are in progress shortly before the forced termination are ended.
 
     :param process: :class:`ForwarderProcess`.
     """
@@ -56,13 +60,26 @@
     server.close_listener()
     while anyio.current_time() < ends_at:
         server.close_idle_callers()
-        if not server.exchanges:
+        if not server.has_requests():
             break
         await anyio.sleep(POLL_INTERVAL_S)
+    n_requests_left = len(server.exchanges)
+    server.end_requests()
+    await flush(server, started_at + grace_s - EXIT_MARGIN_S)
     process.log.write(
         log_event(
             FORWARDER_STOPPED,
-            n_requests_left=len(server.exchanges),
+            n_requests_left=n_requests_left,
             waited_s=round(anyio.current_time() - started_at, 3),
         )
     )
+
+
+async def flush(server, ends_at):
+    """Wait until the callers have the last responses: an exit would cut them.
+
+    :param server: :class:`ForwardingServer`.
+    :param ends_at: monotonic time up to which to wait, seconds.
+    """
+    while server.callers and anyio.current_time() < ends_at:
+        await anyio.sleep(POLL_INTERVAL_S)
--- /dev/null
+++ b/catkinfork/forwarder/tests/test_planned_stop.py
@@ -0,0 +1,152 @@
+"""Requests that are in progress, or arrive late, in a planned stop."""
+
+import asyncio
+import socket
+from types import SimpleNamespace
+
+import anyio
+import pytest
+
+from catkinfork.forwarder._drain import drain
+from catkinfork.forwarding.tests.scripted import answer, silence, stream
+from catkinfork.forwarding.tests.world import KEY, PROMPT, Caller, run_world
+from catkinfork.topology import CallerLimits
+
+GRACE_S = 2.0
+# Limits that allow slow uploads.
+PATIENT = CallerLimits(4096, 10_000, 10.0, 10.0, 100_000.0)
+HEAD = (
+    b"POST /order/ HTTP/1.1\r\nHost: site.example\r\nX-Request-Id: late\r\n"
+    b"Authorization: Bearer %s\r\nContent-Length: 4\r\n\r\n" % KEY.encode()
+)
+
+
+async def stop(world, grace_s=GRACE_S):
+    """Drain the server of a world as a process does on SIGTERM."""
+    forwarder = SimpleNamespace(grace_s=grace_s)
+    process = SimpleNamespace(
+        server=world.server,
+        settings=SimpleNamespace(forwarder=forwarder),
+        peer_exchange=SimpleNamespace(is_leaving=False),
+        log=SimpleNamespace(write=world.events.append),
+    )
+    await drain(process)
+    # The process exits here: whatever has not left it is lost.
+    for caller in list(world.server.callers):
+        caller.transport.abort()
+
+
+async def call_during_stop(world, path, headers=()):
+    """Send a request just before a stop and return the :class:`Reply`."""
+    caller = await world.connect()
+    await caller.send(path, headers=headers)
+    await anyio.sleep(0.1)
+    replies = []
+
+    async def read():
+        replies.append(await caller.read())
+
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(read)
+        await stop(world)
+    return replies[0]
+
+
+@pytest.mark.parametrize("path", ["/order/", "/read/"])
+def test_request_that_outlasts_the_grace_is_answered(path):
+    """Guards against requests in flight that are cut as the process exits."""
+
+    async def test(world):
+        await world.start("plain", silence)
+        reply = await call_during_stop(world, path)
+        assert reply.status in (502, 504)
+        assert reply.is_whole
+
+    run_world(test)
+
+
+def test_request_that_waits_is_refused_before_the_process_exits():
+    """Guards against a queued request that is cut without a refusal."""
+
+    async def test(world):
+        (backend,) = await world.start("plain", silence)
+        callers = []
+        while not world.balancer.has_waiting():
+            callers.append(await world.connect())
+            await callers[-1].send("/order/")
+            await anyio.sleep(0.02)
+        n_sent = len(backend.requests)
+        reply = await call_during_stop(world, "/order/")
+        assert reply.status == 503
+        assert float(reply.headers["retry-after"]) > 0
+        assert len(backend.requests) == n_sent
+
+    run_world(test)
+
+
+def test_stream_that_outlasts_the_grace_is_visibly_incomplete():
+    """Guards against a stream that looks complete because the process exits."""
+
+    async def test(world):
+        await world.start("engine", stream(1, 100, gap_s=0.1))
+        reply = await call_during_stop(world, "/chat/", PROMPT)
+        assert (reply.status, reply.is_whole) == (200, False)
+
+    run_world(test)
+
+
+def test_upload_that_never_ends_is_refused_before_the_process_exits():
+    """Guards against a caller whose upload is cut without any response."""
+
+    async def test(world):
+        await world.start("plain", answer())
+        caller = await world.connect()
+        await caller.send_raw(HEAD + b"b")
+        replies = []
+
+        async def read():
+            replies.append(await caller.read())
+
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(read)
+            await anyio.sleep(0.1)
+            await stop(world)
+        assert replies[0].status == 503
+
+    run_world(test, limits=PATIENT)
+
+
+def test_response_to_a_slow_reader_is_sent_before_the_process_exits():
+    """Guards against the end of a response that is lost in the exiting process.
+
+    The forwarder has the whole response, and the caller does not read it at first.
+    """
+
+    async def test(world):
+        await world.start("plain", answer(body=b"x" * 60_000))
+        sock = socket.socket()
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+        sock.connect(("127.0.0.1", world.port))
+        caller = Caller(*await asyncio.open_connection(sock=sock))
+        caller.writer.transport.pause_reading()
+        await anyio.sleep(0.05)
+        (connection,) = world.server.callers
+        server_socket = connection.transport.get_extra_info("socket")
+        server_socket.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+        await caller.send("/order/")
+        await anyio.sleep(0.2)
+        assert not world.server.exchanges
+        assert connection.transport.get_write_buffer_size()
+        replies = []
+
+        async def read():
+            await anyio.sleep(1.0)
+            caller.writer.transport.resume_reading()
+            replies.append(await caller.read())
+
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(read)
+            await stop(world)
+        assert len(replies[0].body) == 60_000
+
+    run_world(test)
--- a/catkinfork/forwarding/_exchange.py
+++ b/catkinfork/forwarding/_exchange.py
@@ -82,8 +82,8 @@
         """Route the request and submit it to the balancer."""
         server = self.server
         now = server.loop.time()
-        if server.routes is None:
-            self.reply(503, "not_configured", NOT_READY_RETRY_AFTER_S)
+        if server.unavailable_because:
+            self.reply(503, server.unavailable_because, NOT_READY_RETRY_AFTER_S)
             return
         if self.has_caller_left():
             self.close(0, "caller_gone", f"loop_lag_s={server.lag.lag_s:.3f}")
@@ -359,18 +359,26 @@
 
     def expire(self, now):
         """Send the final response when the deadline of the request has passed."""
+        self.end(SILENT, 504, "timeout", now)
+
+    def end(self, outcome, status, code, now):
+        """Send the final response, whatever the state of the request.
+
+        :param outcome: outcome of the attempt in flight.
+        :param status: status if a backend server may execute the request.
+        """
         if self.is_waiting:
             self.server.balancer.withdraw(self.job)
         attempt = self.attempt
         is_running = attempt is not None and attempt.is_awaiting_response
         was_sent = is_running or self.job.n_runs > 0
-        self.stop_attempt(SILENT, now)
+        self.stop_attempt(outcome, now)
         if self.has_response_started:
-            self.abort_response("timeout", "")
+            self.abort_response(code, "")
         elif was_sent:
-            self.reply(504, "timeout", None)
+            self.reply(status, code, None)
         else:
-            self.reply(503, "timeout", FAILURE_RETRY_AFTER_S)
+            self.reply(503, code, FAILURE_RETRY_AFTER_S)
 
     def fail_over(self, now):
         """Abort a silent attempt if the request can be retried elsewhere."""
--- a/catkinfork/forwarding/_server.py
+++ b/catkinfork/forwarding/_server.py
@@ -6,6 +6,7 @@
 from functools import partial
 from math import inf
 
+from catkinfork.balancing import ABANDONED, STOPPING
 from catkinfork.forwarding._caller import CallerConnection, poll_socket
 from catkinfork.forwarding._events import REQUEST_REJECTED
 from catkinfork.forwarding._exchange import Exchange
@@ -61,6 +62,7 @@
         self.listeners = []
         self.lag = LagMonitor()
         self.is_draining = False
+        self.is_stopping = False
         self.is_dispatch_scheduled = False
         self.next_dispatch_at = 0.0
         self.next_idle_sweep_at = 0.0
@@ -70,6 +72,13 @@
         """Return the version of the configuration in force, 0 if there is none."""
         return self.routes.version if self.routes is not None else 0
 
+    @property
+    def unavailable_because(self):
+        """Return the code with which all requests are refused, or an empty string."""
+        if self.routes is None:
+            return "not_configured"
+        return STOPPING if self.is_stopping else ""
+
     def apply_configuration(self, routes):
         """Apply a configuration.
 
@@ -115,6 +124,26 @@
                 caller.is_discarding = True
                 caller.transport.close()
 
+    def has_requests(self):
+        """Return whether any request is in progress or being read."""
+        return bool(self.exchanges) or any(
+            caller.is_reading_head or caller.is_reading_body or caller.requests
+            for caller in self.callers
+        )
+
+    def end_requests(self):
+        """Send the final response to each request, also to those that are being read.
+
+        From now on, new requests are refused.
+        """
+        self.is_stopping = True
+        now = self.loop.time()
+        for exchange in list(self.exchanges.values()):
+            exchange.end(ABANDONED, 502, STOPPING, now)
+        for caller in list(self.callers):
+            if caller.is_reading_head or caller.is_reading_body:
+                caller.reject(503, STOPPING)
+
     def add_caller(self, caller):
         """Add a connection of a caller."""
         self.callers.add(caller)
