Refuse late requests that a planned stop would cut

Requests that came late in the grace were passed on although nothing let them end in time: from slow uploads, connections that waited to be accepted, and behind other requests. At the end they were cut, or got a 502 that does not say whether they ran (LOST).

Others get 503 at once with a short Retry-After, on a connection that closes. Queued requests that cannot end in time are refused as those that cannot meet their deadline.

test_request_that_is_uploaded_too_late_is_refused_at_once failed before: 502 at the end of the grace, after the request had been sent.

--- a/catkinfork/balancing/__init__.py
+++ b/catkinfork/balancing/__init__.py
@@ -27,6 +27,7 @@
 )
 from catkinfork.balancing._loads import LoadFigures
 from catkinfork.balancing._settings import BalancerSettings, RetryBudgetSettings
+from catkinfork.balancing._stop import StopPlan
 from catkinfork.balancing._suspect_parts import PartCrash
 
 __all__ = [
@@ -55,6 +56,7 @@
     "PromptPart",
     "Refusal",
     "RetryBudgetSettings",
+    "StopPlan",
     "hash_name",
     "pop_items",
 ]
--- a/catkinfork/balancing/_balancer.py
+++ b/catkinfork/balancing/_balancer.py
@@ -48,6 +48,7 @@
         self.crash_guard = CrashGuard(self.changes, rng, write_log)
         self.tokens_per_s = 0.0
         self.workspaces = ()
+        self.stop_plan = None
 
     def apply_configuration(self, configuration):
         """Put a configuration in force.
@@ -83,7 +84,24 @@
         self.changes.services.add(job.service)
         pool.shares.record_demand(job.workspace, job.n_service_tokens, now)
         self.changes.workspaces.add((job.service, job.workspace))
-        return self.crash_guard.check(job, now) or self.admit(pool, job, now)
+        refusal = self.crash_guard.check(job, now) or self.check_stop(pool, job, now)
+        return refusal or self.admit(pool, job, now)
+
+    def begin_stop(self, plan):
+        """Send only requests that can end before a planned stop does.
+
+        :param plan: :class:`StopPlan`.
+        """
+        self.stop_plan = plan
+        for pool in self.pools.values():
+            pool.ends_at = plan.ends_at
+
+    def check_stop(self, pool, job, now):
+        """Return a refusal if a job cannot end before a planned stop does."""
+        plan = self.stop_plan
+        if plan is None or plan.allows(job, pool.durations, now):
+            return None
+        return self.refusals.refuse_at_stop(plan.ends_at - now)
 
     def resubmit(self, job, now):
         """Place, queue or refuse a request whose attempt ended without a response.
--- a/catkinfork/balancing/_pool.py
+++ b/catkinfork/balancing/_pool.py
@@ -54,11 +54,12 @@
 
     ``generation`` changes whenever a backend server is added to or removed from
     ``states``. ``priority`` is that of the first queued job that could not be placed,
-    or None.
+    or None. ``ends_at`` is the monotonic time at which a planned stop ends requests.
     """
 
     def __init__(self, service, settings):
         self.service = service
+        self.ends_at = inf
         self.model = build_load_model(service, settings.data_centre)
         self.states = {}
         self.generation = 0
@@ -123,10 +124,13 @@
     def can_meet_deadline(self, job, placed_at, share=1.0):
         """Return whether a job placed at a given time can meet its deadlines.
 
+        In a planned stop, it has to end before the stop does.
+
         :param share: fraction of the estimated durations to allow for.
         """
         first_at = placed_at + share * self.first_event_durations.estimate_duration(
             job.route
         )
         end_at = placed_at + share * self.durations.estimate_duration(job.route)
-        return first_at <= job.next_event_deadline_at and end_at <= job.deadline_at
+        ends_at = min(self.ends_at, job.deadline_at)
+        return first_at <= job.next_event_deadline_at and end_at <= ends_at
--- a/catkinfork/balancing/_refusals.py
+++ b/catkinfork/balancing/_refusals.py
@@ -5,6 +5,7 @@
     NO_BACKEND,
     NO_RETRY,
     OVERLOADED,
+    STOPPING,
     THROTTLED,
     Refusal,
 )
@@ -14,6 +15,8 @@
 MAX_RETRY_AFTER_S = 5.0
 NO_BACKEND_RETRY_AFTER_S = 0.5
 NO_RETRY_RETRY_AFTER_S = 0.5
+# Other hosts serve at once what a stopping one refuses.
+STOPPING_RETRY_AFTER_S = 0.1
 FULL_QUEUE_RETRY_AFTER_S = 1.0
 # Maximum relative jitter.
 JITTER = 0.5
@@ -43,6 +46,14 @@
         """Return the refusal of a request whose retry exceeds the budget."""
         return Refusal(NO_RETRY, self.add_jitter(NO_RETRY_RETRY_AFTER_S))
 
+    def refuse_at_stop(self, left_s):
+        """Return the refusal of a request that a planned stop would cut.
+
+        :param left_s: time left, seconds.
+        """
+        retry_after_s = self.add_jitter(STOPPING_RETRY_AFTER_S)
+        return Refusal(STOPPING, retry_after_s, f"left_s={left_s:.3f}")
+
     def refuse_full_queue(self, n_waiting):
         """Return the refusal of a request that finds the queue full."""
         retry_after_s = self.add_jitter(FULL_QUEUE_RETRY_AFTER_S)
--- a/catkinfork/forwarder/_drain.py
+++ b/catkinfork/forwarder/_drain.py
@@ -4,6 +4,7 @@
 
 import anyio
 
+from catkinfork.balancing import StopPlan
 from catkinfork.forwarding import DRAIN_STARTED, FORWARDER_STOPPED
 from catkinfork.observability import log_event
 
@@ -42,7 +43,9 @@
     grace_s = process.settings.forwarder.grace_s
     started_at = anyio.current_time()
     ends_at = started_at + grace_s - FORCED_STOP_MARGIN_S
+    accept_s = min(ACCEPT_PERIOD_S, 0.4 * grace_s)
     server.is_draining = True
+    server.balancer.begin_stop(StopPlan(started_at + accept_s, ends_at))
     process.peer_exchange.is_leaving = True
     process.log.write(
         log_event(
@@ -52,7 +55,7 @@
             grace_s=grace_s,
         )
     )
-    await anyio.sleep(min(ACCEPT_PERIOD_S, 0.4 * grace_s))
+    await anyio.sleep(accept_s)
     # Closing the socket resets connections that were not accepted yet.
     with anyio.move_on_after(BACKLOG_PERIOD_S):
         while server.has_backlog():
--- a/catkinfork/forwarder/tests/test_planned_stop.py
+++ b/catkinfork/forwarder/tests/test_planned_stop.py
@@ -8,7 +8,7 @@
 import pytest
 
 from catkinfork.forwarder._drain import drain
-from catkinfork.forwarding.tests.scripted import answer, silence, stream
+from catkinfork.forwarding.tests.scripted import answer, in_turn, silence, stream
 from catkinfork.forwarding.tests.world import KEY, PROMPT, Caller, run_world
 from catkinfork.topology import CallerLimits
 
@@ -95,6 +95,66 @@
     run_world(test)
 
 
+def test_request_that_is_uploaded_too_late_is_refused_at_once():
+    """Guards against a late request that is passed on, and then cut by the exit.
+
+    Its route allows more time than is left, and so does what is known of its duration.
+    """
+
+    async def test(world):
+        script = in_turn(answer(delay_s=1.0), silence)
+        (backend,) = await world.start("plain", script)
+        assert (await world.call("/order/")).status == 200
+        caller = await world.connect()
+        await caller.send_raw(HEAD)
+        replies = []
+
+        async def upload():
+            await anyio.sleep(1.0)
+            await caller.send_raw(b"body")
+            started_at = world.loop.time()
+            replies.append(await caller.read())
+            replies.append(world.loop.time() - started_at)
+
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(upload)
+            await anyio.sleep(0.1)
+            await stop(world)
+        reply, waited_s = replies
+        assert reply.status == 503
+        assert float(reply.headers["retry-after"]) > 0
+        assert reply.headers["connection"] == "close"
+        assert len(backend.requests) == 1
+        assert waited_s < 0.3
+
+    run_world(test, limits=PATIENT)
+
+
+def test_short_request_that_is_uploaded_late_is_served():
+    """Guards against refusals of late requests that can still be served."""
+
+    async def test(world):
+        (backend,) = await world.start("plain", answer(body=b"whole"))
+        assert (await world.call("/order/")).status == 200
+        caller = await world.connect()
+        await caller.send_raw(HEAD)
+        replies = []
+
+        async def upload():
+            await anyio.sleep(1.0)
+            await caller.send_raw(b"body")
+            replies.append(await caller.read())
+
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(upload)
+            await anyio.sleep(0.1)
+            await stop(world)
+        assert (replies[0].status, replies[0].body) == (200, b"whole")
+        assert len(backend.requests) == 2
+
+    run_world(test, limits=PATIENT)
+
+
 def test_upload_that_never_ends_is_refused_before_the_process_exits():
     """Guards against a caller whose upload is cut without any response."""
 
