Keep draining when a further signal arrives

A second SIGTERM or SIGINT during a planned stop ended the process at once, and with it all requests in progress (LOST): the receiver of the signals was closed after the first one, which restores their default action.

--- a/catkinfork/forwarder/_drain.py
+++ b/catkinfork/forwarder/_drain.py
@@ -23,12 +23,15 @@
 async def drain_on_signal(process):
     """Drain and stop the process on SIGTERM or SIGINT.
 
+    Further signals are received up to the end: without a receiver, they would end the
+    process at once.
+
     :param process: :class:`ForwarderProcess`.
     """
     with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
         async for _ in signals:
             break
-    await drain(process)
+        await drain(process)
     process.stop()
 
 
--- a/catkinfork/platform/tests/standins.py
+++ b/catkinfork/platform/tests/standins.py
@@ -304,12 +304,12 @@
         """Return the status and the body of an admin path."""
         return await request(self.ip, self.ports[port_index], f"GET {path}", [])
 
-    async def call(self, path="/read/", key=KEY, request_id="r1"):
+    async def call(self, path="/read/", key=KEY, request_id="r1", deadline_ms=3000):
         """Send a request as a caller and return the status and the body."""
         headers = [
             f"X-Catkinfork-Request-Id: {request_id}",
             f"Authorization: Bearer {key}",
-            "X-Catkinfork-Deadline-Ms: 3000",
+            f"X-Catkinfork-Deadline-Ms: {deadline_ms}",
         ]
         return await request(self.ip, self.ports[0], f"GET {path}", headers)
 
