Close a caller's connection only if the response announced it

A response that began before a planned stop and ended after its start was followed by a close that its head had not announced. The next request of the caller, which took the connection to be open, could cross the close and got no answer.

Such a connection now stays open: its next response announces the close, or it is closed while idle, as before. The same holds for a host that falls behind in the middle of a response.

test_connection_stays_open_if_the_response_did_not_announce_its_close failed before (no response to the second request).

--- a/catkinfork/forwarding/_exchange.py
+++ b/catkinfork/forwarding/_exchange.py
@@ -190,7 +190,8 @@
         """Return whether the connection of the caller accepts another request.
 
         A host that drains or is behind closes connections, so that its callers reach
-        other hosts, once all requests that have arrived on them are answered.
+        other hosts, once all requests that have arrived on them are answered. A
+        response that does not announce the close leaves the connection open.
         """
         if self.request.version != "1.1" or not self.request.is_keep_alive:
             return False
@@ -241,7 +242,7 @@
         outcome = SERVED if head.status < 500 else FAILED
         self.finish_attempt(outcome, now)
         self.close(head.status, outcome, "")
-        self.caller.finish(self.is_keep_alive() and not self.relay.is_closing)
+        self.caller.finish(not self.relay.is_closing)
 
     def drop_attempt(self, outcome, detail):
         """End an attempt whose response is not relayed."""
--- a/catkinfork/forwarding/tests/test_pipelining.py
+++ b/catkinfork/forwarding/tests/test_pipelining.py
@@ -5,8 +5,8 @@
 
 from catkinfork.balancing import ABANDONED
 from catkinfork.forwarding._caller import MAX_PIPELINED
-from catkinfork.forwarding.tests.scripted import answer, in_turn
-from catkinfork.forwarding.tests.world import run_world
+from catkinfork.forwarding.tests.scripted import answer, in_turn, stream
+from catkinfork.forwarding.tests.world import PROMPT, run_world
 
 
 @pytest.mark.parametrize("is_draining", [True, False])
@@ -32,6 +32,30 @@
     run_world(test)
 
 
+@pytest.mark.parametrize("is_draining", [True, False])
+def test_connection_stays_open_if_the_response_did_not_announce_its_close(is_draining):
+    """Guards against a close that the next request of the caller crosses.
+
+    The response begins before the host stops, or falls behind, and ends after it.
+    """
+
+    async def test(world):
+        await world.start("plain", answer())
+        await world.start("engine", stream(1, 4, gap_s=0.05))
+        caller = await world.connect()
+        await caller.send("/chat/", headers=PROMPT)
+        await anyio.sleep(0.1)
+        world.server.is_draining = is_draining
+        world.server.lag.is_behind = not is_draining
+        reply = await caller.read()
+        assert (reply.is_whole, reply.headers.get("connection")) == (True, None)
+        await caller.send("/order/")
+        reply = await caller.read()
+        assert (reply.status, reply.headers.get("connection")) == (200, "close")
+
+    run_world(test)
+
+
 def test_requests_ahead_of_a_malformed_one_are_answered():
     """Guards against requests that are dropped because of bytes that follow them."""
 
