Answer a request whose handling fails

An unexpected error while a request was handled closed the connection of its caller without an answer, left the request until its deadline and then promised with 503 that it had not run, or, in a timer or while a connection was opened, ended the process with all its requests (LOST). Nothing stood between an error and the event loop.

--- a/catkinfork/explanation/_causes.py
+++ b/catkinfork/explanation/_causes.py
@@ -22,6 +22,7 @@
     ),
     "not_configured": "Refused: the host knew no configuration yet.",
     "draining": "The host was stopping, and too little time was left.",
+    "internal_error": "The host failed to handle it; its log has the error.",
     "caller_gone": "The caller disconnected before the response was complete. {detail}",
     "timeout": "The deadline of the request, or the timeout of its route, passed.",
     "served": "The response was relayed as complete.",
--- a/catkinfork/forwarding/_admin.py
+++ b/catkinfork/forwarding/_admin.py
@@ -2,7 +2,7 @@
 
 from typing import NamedTuple
 
-from catkinfork.forwarding._caller import CallerConnection
+from catkinfork.forwarding._caller import CallerConnection, report_error
 from catkinfork.forwarding._messages import REASON_PHRASES
 from catkinfork.topology import CallerLimits
 
@@ -90,6 +90,14 @@
         """Return a new exchange for a request."""
         return AdminExchange(self, caller, request)
 
+    def run(self, exchange, action):
+        """Call a method of an exchange, whose connection is closed if it fails."""
+        try:
+            action()
+        except Exception as error:
+            report_error(self.loop, error)
+            exchange.caller.abort()
+
     def log_rejection(self, caller, status, code):
         """Do nothing: rejected requests of operators are not logged."""
 
--- a/catkinfork/forwarding/_attempt.py
+++ b/catkinfork/forwarding/_attempt.py
@@ -10,6 +10,7 @@
     UNREACHABLE,
 )
 from catkinfork.forwarding._backend import BaseResponseListener
+from catkinfork.forwarding._caller import report_error
 from catkinfork.forwarding._requests import encode_request
 from catkinfork.forwarding._timeouts import compute_read_timeout_s
 from catkinfork.topology import UNSAFE
@@ -49,7 +50,9 @@
         except ConnectionRefusedError as error:
             self.fail_to_connect(CONNECTION_REFUSED, str(error))
             return
-        except (OSError, TimeoutError) as error:
+        except Exception as error:
+            if not isinstance(error, (OSError, TimeoutError)):
+                report_error(self.server.loop, error)
             self.fail_to_connect(UNREACHABLE, str(error) or type(error).__name__)
             return
         if self.exchange.attempt is not self:
@@ -58,12 +61,16 @@
             detail = "connection lost before the request was sent"
             self.fail_to_connect(UNREACHABLE, detail)
         else:
-            self.send(connection)
+            self.run(self.send, connection)
+
+    def run(self, action, *arguments):
+        """Call a method, whose error ends the exchange with a response."""
+        self.server.run(self.exchange, action, *arguments)
 
     def fail_to_connect(self, outcome, detail):
         """End the attempt, whose request was not sent."""
         if self.exchange.attempt is self:
-            self.exchange.end_attempt(outcome, detail)
+            self.run(self.exchange.end_attempt, outcome, detail)
 
     def send(self, connection):
         """Send the request, unless nobody waits for it or it has to go elsewhere."""
@@ -81,6 +88,7 @@
             return
         self.connection = connection
         self.is_awaiting_response = True
+        exchange.was_sent = True
         exchange.framing = ""
         data = encode_request(
             exchange.request,
@@ -110,18 +118,18 @@
         return head.find_header(self.server.names.request_id) is None
 
     def on_head(self, head):
-        self.exchange.handle_head(head)
+        self.run(self.exchange.handle_head, head)
 
     def on_data(self, data):
-        self.exchange.handle_data(data)
+        self.run(self.exchange.handle_data, data)
 
     def on_end(self):
         self.is_awaiting_response = False
-        self.exchange.handle_end()
+        self.run(self.exchange.handle_end)
 
     def on_error(self, detail):
         self.is_awaiting_response = False
-        self.exchange.end_attempt(BROKEN, detail)
+        self.run(self.exchange.end_attempt, BROKEN, detail)
 
     def drop(self, outcome):
         """Discard the response; the connection is kept if the response is sound."""
--- a/catkinfork/forwarding/_caller.py
+++ b/catkinfork/forwarding/_caller.py
@@ -15,6 +15,8 @@
 # data would reset the connection, and the caller would lose the last response.
 LINGER_S = 0.5
 CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
+# Code of requests whose handling has failed.
+INTERNAL_ERROR = "internal_error"
 HEADER_NAME_PATTERN = re.compile(rb"^[!#$%&'*+\-.^_`|~0-9A-Za-z]+$")
 CONTENT_LENGTH_PATTERN = re.compile(rb"^[0-9]{1,15}$")
 
@@ -124,7 +126,8 @@
         """Reject a request for which a parser callback raised an error."""
         cause = error.__context__
         if not isinstance(cause, BadRequestError):
-            raise error
+            report_error(self.loop, cause or error)
+            cause = BadRequestError(503, INTERNAL_ERROR)
         self.reject(cause.status, cause.code)
 
     def on_message_begin(self):
@@ -183,7 +186,7 @@
         """Start the next request of the queue."""
         if self.requests and self.exchange is None:
             self.exchange = self.server.open_exchange(self, self.requests.popleft())
-            self.exchange.start()
+            self.server.run(self.exchange, self.exchange.start)
 
     def reject(self, status, code):
         """Reject an invalid request and close the connection.
@@ -266,6 +269,12 @@
             self.transport.close()
 
 
+def report_error(loop, error):
+    """Report an unexpected error to the handler of the event loop."""
+    message = "a request could not be handled"
+    loop.call_exception_handler({"message": message, "exception": error})
+
+
 def check_head(request, limits):
     """Check the head of a request.
 
--- a/catkinfork/forwarding/_exchange.py
+++ b/catkinfork/forwarding/_exchange.py
@@ -53,6 +53,7 @@
         self.relay = None
         self.is_done = False
         self.is_waiting = False
+        self.was_sent = False
         self.expires_at = inf
         self.placed_at = None
         self.first_data_at = None
@@ -190,8 +191,7 @@
         """Return whether the connection of the caller accepts another request.
 
         A host that drains or is behind closes connections, so that its callers reach
-        other hosts, once all requests that have arrived on them are answered. A
-        response that does not announce the close leaves the connection open.
+        other hosts, once it has answered and announced it to all that has arrived.
         """
         if self.request.version != "1.1" or not self.request.is_keep_alive:
             return False
@@ -372,7 +372,7 @@
             self.server.balancer.withdraw(self.job)
         attempt = self.attempt
         is_running = attempt is not None and attempt.is_awaiting_response
-        was_sent = is_running or self.job.n_runs > 0
+        was_sent = is_running or (self.job is not None and self.job.n_runs > 0)
         self.stop_attempt(outcome, now)
         if self.has_response_started:
             self.abort_response(code, "")
--- a/catkinfork/forwarding/_server.py
+++ b/catkinfork/forwarding/_server.py
@@ -7,7 +7,12 @@
 from math import inf
 
 from catkinfork.balancing import ABANDONED, STOPPING
-from catkinfork.forwarding._caller import CallerConnection, poll_socket
+from catkinfork.forwarding._caller import (
+    INTERNAL_ERROR,
+    CallerConnection,
+    poll_socket,
+    report_error,
+)
 from catkinfork.forwarding._events import REQUEST_REJECTED
 from catkinfork.forwarding._exchange import Exchange
 from catkinfork.forwarding._lag import LagMonitor
@@ -156,6 +161,23 @@
         """Return a new exchange for a request."""
         return Exchange(self, caller, request)
 
+    def run(self, exchange, action, *arguments):
+        """Call a method of an exchange, whose request is answered even if it fails.
+
+        An unexpected error would otherwise close the connection of the caller without a
+        response, leave it without one, or end the process.
+        """
+        try:
+            action(*arguments)
+        except Exception as error:
+            report_error(self.loop, error)
+            try:
+                end_after_error(exchange, self.loop.time())
+            except Exception as further_error:
+                report_error(self.loop, further_error)
+                self.exchanges.pop(exchange.job, None)
+                exchange.caller.abort()
+
     def add_exchange(self, exchange):
         """Add an exchange whose timeouts are checked from now on."""
         self.exchanges[exchange.job] = exchange
@@ -271,14 +293,14 @@
         self.next_dispatch_at = started_at + (1.0 + DISPATCH_PAUSE_RATIO) * duration_s
         decided = [(self.exchanges[job], decision) for job, decision in decisions]
         for exchange, decision in decided:
-            exchange.handle_decision(decision)
+            self.run(exchange, exchange.handle_decision, decision)
 
     def sweep(self):
         """Handle expired timeouts, waiting requests and idle connections."""
         now = self.loop.time()
         for exchange in list(self.exchanges.values()):
             if now >= exchange.expires_at or now >= exchange.read_timeout_at:
-                exchange.handle_timeouts(now)
+                self.run(exchange, exchange.handle_timeouts, now)
         self.schedule_dispatch()
         if now >= self.next_idle_sweep_at:
             self.next_idle_sweep_at = now + IDLE_SWEEP_INTERVAL_S
@@ -287,3 +309,17 @@
             self.close_unused_pools()
             for pool in self.pools.values():
                 pool.close_stale(now)
+
+
+def end_after_error(exchange, now):
+    """Send the final response to a request whose handling has failed.
+
+    Whether it was executed is not known if it was ever sent.
+    """
+    if exchange.is_done:
+        if exchange.caller.exchange is exchange:
+            exchange.caller.abort()
+        return
+    if exchange.was_sent:
+        exchange.job.n_runs = max(1, exchange.job.n_runs)
+    exchange.end(ABANDONED, 502, INTERNAL_ERROR, now)
--- a/catkinfork/forwarding/tests/world.py
+++ b/catkinfork/forwarding/tests/world.py
@@ -232,6 +232,21 @@
         self.writer.close()
 
 
+def collect_errors(world):
+    """Return a list to which the errors that are reported from now on are added.
+
+    Errors of tasks are those of callers and scripted backend servers.
+    """
+    errors = []
+
+    def add(_, context):
+        if "future" not in context:
+            errors.append(context.get("exception"))
+
+    world.loop.set_exception_handler(add)
+    return errors
+
+
 def run_world(test, **options):
     """Run a coroutine function that takes a :class:`World`."""
 
