Give services that only a route names their defaults

RouteTable says that unlisted services get the default values; the balancer did not. The platform's store is said to accept only valid configurations, so that this is not known to have happened.

--- a/catkinfork/balancing/_balancer.py
+++ b/catkinfork/balancing/_balancer.py
@@ -19,6 +19,7 @@
 from catkinfork.balancing._refusals import RefusalBuilder
 from catkinfork.balancing._retries import is_retryable
 from catkinfork.balancing._waits import estimate_wait
+from catkinfork.topology import Service
 
 # Queue limit of one service at one forwarder, in jobs.
 MAX_WAITING = 2000
@@ -53,6 +54,8 @@
     def apply_configuration(self, configuration):
         """Put a configuration in force.
 
+        A service that it names only in a route gets the default values.
+
         :param configuration: :class:`Configuration`.
         """
         self.tokens_per_s = configuration.limits.tokens_per_s
@@ -62,6 +65,11 @@
                 self.pools[name].update(service, self.settings)
             else:
                 self.pools[name] = ServicePool(service, self.settings)
+        for route in configuration.routes:
+            for target in route.targets:
+                if target.service not in self.pools:
+                    unlisted = Service(target.service)
+                    self.pools[target.service] = ServicePool(unlisted, self.settings)
 
     def apply_settings(self, settings):
         """Put changed retry budget settings in force.
--- a/catkinfork/forwarding/tests/test_internal_errors.py
+++ b/catkinfork/forwarding/tests/test_internal_errors.py
@@ -9,7 +9,14 @@
 from catkinfork.forwarding._pool import ConnectionPool
 from catkinfork.forwarding._relay import BodyRelay
 from catkinfork.forwarding.tests.scripted import answer, silence, stream
-from catkinfork.forwarding.tests.world import PROMPT, collect_errors, run_world
+from catkinfork.forwarding.tests.world import (
+    PROMPT,
+    ROUTES,
+    build_configuration,
+    collect_errors,
+    run_world,
+)
+from catkinfork.topology import RouteTable, TrafficShare
 
 
 class PlantedError(Exception):
@@ -129,3 +136,24 @@
         assert (reply.status, reply.is_whole) == (200, False)
 
     run_world(test)
+
+
+def test_route_to_a_service_that_is_not_listed_is_answered():
+    """Guards against a closed connection if a configuration lists no such service."""
+
+    async def test(world):
+        await world.start("plain", answer())
+        target = TrafficShare("unlisted", 1.0)
+        routes = tuple(route._replace(targets=(target,)) for route in ROUTES)
+        errors = collect_errors(world)
+        world.server.apply_configuration(
+            RouteTable(build_configuration(version=2, routes=routes))
+        )
+        reply = await world.call("/order/")
+        assert reply.status == 503
+        assert float(reply.headers["retry-after"]) > 0
+        (line,) = world.list_events("request_finished")
+        assert line["outcome"] == "no_backend_server"
+        assert not errors
+
+    run_world(test)
