Keep a silent attempt until another server has room for its request

A sound server may fall silent for a second or so and go on. After the read timeout its request was given up in any case: then it waited for room elsewhere, and a stream was broken off, or a request ended with 504, if none came in time.

Now the request moves only to a server that has room at that moment; otherwise the attempt goes on. Requests without any response still give up and queue while others are queued, so that they do not stay at a server that hangs under load.

--- a/catkinfork/balancing/__init__.py
+++ b/catkinfork/balancing/__init__.py
@@ -26,6 +26,7 @@
     Refusal,
 )
 from catkinfork.balancing._loads import LoadFigures
+from catkinfork.balancing._moves import may_queue, place_elsewhere
 from catkinfork.balancing._settings import BalancerSettings, RetryBudgetSettings
 from catkinfork.balancing._stop import StopPlan
 from catkinfork.balancing._suspect_parts import PartCrash
@@ -58,5 +59,7 @@
     "RetryBudgetSettings",
     "StopPlan",
     "hash_name",
+    "may_queue",
+    "place_elsewhere",
     "pop_items",
 ]
--- a/catkinfork/forwarding/_attempt.py
+++ b/catkinfork/forwarding/_attempt.py
@@ -7,10 +7,14 @@
     CONNECTION_REFUSED,
     FAILED,
     REJECTED,
+    SILENT,
     UNREACHABLE,
+    may_queue,
+    place_elsewhere,
 )
 from catkinfork.forwarding._backend import BaseResponseListener
 from catkinfork.forwarding._caller import report_error
+from catkinfork.forwarding._request_events import build_attempt_event
 from catkinfork.forwarding._requests import encode_request
 from catkinfork.forwarding._timeouts import compute_read_timeout_s
 from catkinfork.topology import UNSAFE
@@ -107,6 +111,33 @@
         is_started = self.exchange.has_response_started
         self.read_timeout_at = now + compute_read_timeout_s(route, is_started)
 
+    def fail_over(self, now):
+        """Move the request to another backend server that has room for it.
+
+        Otherwise the attempt goes on, as a sound backend server may fall silent for a
+        while: a stream that was given up and had to wait could be cut. A request
+        without any response is given up while others wait, and waits in turn.
+        """
+        exchange = self.exchange
+        balancer = self.server.balancer
+        detail = "no data within the read timeout"
+        moved = None
+        if exchange.is_retryable():
+            moved = place_elsewhere(balancer, self.placement, now)
+        if moved is not None:
+            self.drop(SILENT)
+            exchange.finish_attempt(SILENT, now)
+            self.server.write_log(
+                build_attempt_event(exchange, self.placement, SILENT, detail, True, now)
+            )
+            exchange.start_attempt(moved)
+        elif not exchange.has_response_started and may_queue(
+            balancer, self.placement, now
+        ):
+            exchange.drop_attempt(SILENT, detail)
+        else:
+            self.restart_read_timeout(now)
+
     def is_ambiguous(self, head):
         """Return whether a response may belong to an earlier request.
 
--- a/catkinfork/forwarding/_exchange.py
+++ b/catkinfork/forwarding/_exchange.py
@@ -356,7 +356,7 @@
         if now >= self.expires_at:
             self.expire(now)
         elif now >= self.read_timeout_at:
-            self.fail_over(now)
+            self.attempt.fail_over(now)
 
     def expire(self, now):
         """Send the final response when the deadline of the request has passed."""
@@ -381,13 +381,6 @@
         else:
             self.reply(503, code, FAILURE_RETRY_AFTER_S)
 
-    def fail_over(self, now):
-        """Abort a silent attempt if the request can be retried elsewhere."""
-        if not self.can_retry(SILENT):
-            self.attempt.restart_read_timeout(now)
-            return
-        self.drop_attempt(SILENT, "no data within the read timeout")
-
     def pause(self):
         """Pause reading from the backend server while the caller reads too slowly."""
         if self.attempt is not None:
