Close no idle connection on which a request has arrived

A connection was closed for idleness by the time of the last byte that was read, without a look at what waits in the socket. Where a new configuration shortens idle_timeout_ms, or the event loop is late, a request that had arrived whole was reset without an answer, and an upload whose rest had arrived got 408. A head in progress is now bounded by header_timeout_ms alone; with a shorter idle_timeout_ms it was closed without a response.

Three tests in test_configuration_changes.py failed before (no response; 408).

--- a/catkinfork/forwarding/_caller.py
+++ b/catkinfork/forwarding/_caller.py
@@ -89,9 +89,13 @@
             return False
         if self.is_reading_head or self.is_reading_body:
             return False
+        return not self.has_unread()
+
+    def has_unread(self):
+        """Return whether data, or the end of the connection, was not read yet."""
         if self.is_lost or self.transport.is_closing():
-            return True
-        return not poll_socket(self.transport.get_extra_info("socket"), select.POLLIN)
+            return False
+        return poll_socket(self.transport.get_extra_info("socket"), select.POLLIN)
 
     def handle_disconnect(self):
         """Cancel the requests of a caller that has disconnected."""
@@ -260,11 +264,16 @@
             return
         limits = self.server.limits
         idle_s = now - self.last_active_at
-        if self.is_reading_head and idle_s > limits.header_timeout_s:
+        timeout_s = limits.idle_timeout_s
+        if self.is_reading_head:
+            timeout_s = limits.header_timeout_s
+        if idle_s <= timeout_s or self.has_unread():
+            return
+        if self.is_reading_head:
             self.reject(408, "head_timeout")
-        elif self.is_reading_body and idle_s > limits.idle_timeout_s:
+        elif self.is_reading_body:
             self.reject(408, "body_timeout")
-        elif idle_s > limits.idle_timeout_s:
+        else:
             self.is_discarding = True
             self.transport.close()
 
--- a/catkinfork/forwarding/tests/test_configuration_changes.py
+++ b/catkinfork/forwarding/tests/test_configuration_changes.py
@@ -1,6 +1,7 @@
 """Requests in progress while the configuration changes."""
 
 import random
+import time
 
 import anyio
 import pytest
@@ -128,3 +129,54 @@
         assert not world.server.exchanges
 
     run_world(test)
+
+
+@pytest.mark.parametrize("n_bytes", [None, 30])
+def test_request_that_arrives_as_its_connection_times_out_is_answered(n_bytes):
+    """Guards against a close of an idle connection on which a request has arrived.
+
+    A new configuration has a shorter timeout, and callers do not know it yet. The
+    request, or the first bytes of its head, have arrived but were not read.
+    """
+
+    async def test(world):
+        await world.start("plain", answer(body=b"whole"))
+        caller = await world.connect()
+        await caller.send("/order/")
+        assert (await caller.read()).status == 200
+        await anyio.sleep(0.1)
+        data = b"POST /order/ HTTP/1.1\r\nHost: site.example\r\nX-Request-Id: r2\r\n"
+        data += b"Authorization: Bearer key-of-a\r\nContent-Length: 0\r\n\r\n"
+        caller.writer.write(data[:n_bytes])
+        time.sleep(0.02)
+        limits = CallerLimits(4096, 10_000, 10.0, 0.05, 100_000.0)
+        configuration = build_configuration(limits, version=2)
+        world.server.apply_configuration(RouteTable(configuration))
+        for connection in list(world.server.callers):
+            connection.close_if_idle(world.loop.time())
+        if n_bytes is not None:
+            caller.writer.write(data[n_bytes:])
+        reply = await caller.read()
+        assert (reply.status, reply.body) == (200, b"whole")
+
+    run_world(test)
+
+
+def test_upload_that_has_arrived_is_no_slow_one():
+    """Guards against a timeout of an upload whose rest waits in the socket."""
+
+    async def test(world):
+        await world.start("plain", answer(body=b"whole"))
+        caller = await world.connect()
+        data = b"POST /order/ HTTP/1.1\r\nHost: site.example\r\nX-Request-Id: r2\r\n"
+        data += b"Authorization: Bearer key-of-a\r\nContent-Length: 4\r\n\r\nbody"
+        caller.writer.write(data[:-2])
+        await anyio.sleep(0.1)
+        caller.writer.write(data[-2:])
+        time.sleep(0.02)
+        (connection,) = world.server.callers
+        connection.close_if_idle(connection.last_active_at + 100.0)
+        reply = await caller.read()
+        assert (reply.status, reply.body) == (200, b"whole")
+
+    run_world(test)
