Bound the connections that are kept open for callers

Callers of a flood open a connection for each request and leave it open. With idle_timeout_ms of 15 s a host ran out of descriptors: the event loop then closes connections that it has just accepted, with the requests on them, and connections to backend servers fail with 'Too many open files'.

Connections of callers may now use six tenths of the descriptors. Beyond seven tenths of that, responses close their connection; beyond the limit, those idle for longest are closed, never one with a request on it.

test_connections_that_stay_open_do_not_cost_others_their_answer (a process with 200 descriptors) failed before: no response.

--- a/catkinfork/forwarding/_exchange.py
+++ b/catkinfork/forwarding/_exchange.py
@@ -190,14 +190,14 @@
     def is_keep_alive(self):
         """Return whether the connection of the caller accepts another request.
 
-        A host that drains or is behind closes connections, so that its callers reach
-        other hosts, once it has answered and announced it to all that has arrived.
+        A host that drains, is behind or has many closes connections, once it has
+        answered all that has arrived on them.
         """
         if self.request.version != "1.1" or not self.request.is_keep_alive:
             return False
         if self.caller.requests:
             return True
-        return not (self.server.is_draining or self.server.lag.is_behind)
+        return not self.server.closes_connections()
 
     def handle_data(self, data):
         """Relay a part of the body."""
--- a/catkinfork/forwarding/_server.py
+++ b/catkinfork/forwarding/_server.py
@@ -5,6 +5,7 @@
 import time
 from functools import partial
 from math import inf
+from operator import attrgetter
 
 from catkinfork.balancing import ABANDONED, STOPPING
 from catkinfork.forwarding._caller import (
@@ -13,6 +14,7 @@
     poll_socket,
     report_error,
 )
+from catkinfork.forwarding._connections import ConnectionLimit, count_descriptors
 from catkinfork.forwarding._events import REQUEST_REJECTED
 from catkinfork.forwarding._exchange import Exchange
 from catkinfork.forwarding._lag import LagMonitor
@@ -34,6 +36,7 @@
 SWEEP_INTERVAL_S = 0.025
 LEAVING = b"1"
 RETRY_AFTER = b"retry-after"
+LAST_ACTIVE = attrgetter("last_active_at")
 SERVICE_UNAVAILABLE = 503
 MAX_LOGGED_BYTES = 40
 # Interval between checks of idle connections, seconds.
@@ -62,6 +65,7 @@
         self.routes = None
         self.limits = CallerLimits()
         self.callers = set()
+        self.connection_limit = ConnectionLimit(count_descriptors())
         self.exchanges = {}
         self.pools = {}
         self.listeners = []
@@ -149,9 +153,35 @@
             if caller.is_reading_head or caller.is_reading_body:
                 caller.reject(503, STOPPING)
 
+    def closes_connections(self):
+        """Return whether callers are to use other connections, or other hosts."""
+        return (
+            self.is_draining
+            or self.lag.is_behind
+            or self.connection_limit.is_crowded(len(self.callers))
+        )
+
+    def close_excess_callers(self):
+        """Close the connections that have been idle for longest, if there are many.
+
+        Those whose first request is yet to come stay open.
+        """
+        now = self.loop.time()
+        n_excess = self.connection_limit.count_excess(len(self.callers), now)
+        if not n_excess:
+            return
+        for caller in sorted(self.callers, key=LAST_ACTIVE):
+            if caller.request is not None and caller.is_idle():
+                caller.is_discarding = True
+                caller.transport.close()
+                n_excess -= 1
+                if not n_excess:
+                    return
+
     def add_caller(self, caller):
         """Add a connection of a caller."""
         self.callers.add(caller)
+        self.close_excess_callers()
 
     def remove_caller(self, caller):
         """Remove a connection of a caller."""
