--- a/catkinfork/balancing/__init__.py
+++ b/catkinfork/balancing/__init__.py
@@ -17,6 +17,7 @@
     REJECTED,
     SERVED,
     SILENT,
+    STOPPING,
     STREAM_ELSEWHERE,
     STREAM_UNKNOWN,
     SUSPECT,
@@ -27,12 +28,14 @@
     Refusal,
 )
 from catkinfork.balancing._loads import LoadFigures
+from catkinfork.balancing._moves import may_queue, place_elsewhere
 from catkinfork.balancing._resumption import (
     MIN_STREAM_AGE_S,
     UNKNOWN,
     EngineCache,
 )
 from catkinfork.balancing._settings import BalancerSettings, RetryBudgetSettings
+from catkinfork.balancing._stop import StopPlan
 from catkinfork.balancing._streams import StreamOrigin, compute_stream_key
 from catkinfork.balancing._suspect_parts import PartCrash
 
@@ -50,6 +53,7 @@
     "REJECTED",
     "SERVED",
     "SILENT",
+    "STOPPING",
     "STREAM_ELSEWHERE",
     "STREAM_UNKNOWN",
     "SUSPECT",
@@ -66,8 +70,11 @@
     "PromptPart",
     "Refusal",
     "RetryBudgetSettings",
+    "StopPlan",
     "StreamOrigin",
     "compute_stream_key",
     "hash_name",
+    "may_queue",
+    "place_elsewhere",
     "pop_items",
 ]
--- a/catkinfork/balancing/_balancer.py
+++ b/catkinfork/balancing/_balancer.py
@@ -22,6 +22,7 @@
 from catkinfork.balancing._retries import is_retryable
 from catkinfork.balancing._streams import StreamTable
 from catkinfork.balancing._waits import estimate_wait
+from catkinfork.topology import Service
 
 # Queue limit of one service at one forwarder, in jobs.
 MAX_WAITING = 2000
@@ -54,10 +55,13 @@
         self.versions = {}
         self.tokens_per_s = 0.0
         self.workspaces = ()
+        self.stop_plan = None
 
     def apply_configuration(self, configuration):
         """Put a configuration in force.
 
+        A service that it names only in a route gets the default values.
+
         :param configuration: :class:`Configuration`.
         """
         self.tokens_per_s = configuration.limits.tokens_per_s
@@ -67,6 +71,11 @@
                 self.pools[name].update(service, self.settings)
             else:
                 self.pools[name] = ServicePool(service, self.settings)
+        for route in configuration.routes:
+            for target in route.targets:
+                if target.service not in self.pools:
+                    unlisted = Service(target.service)
+                    self.pools[target.service] = ServicePool(unlisted, self.settings)
 
     def follow_versions(self, now):
         """Follow backend servers that start again under their ids as other versions."""
@@ -116,7 +125,24 @@
         self.changes.services.add(job.service)
         pool.shares.record_demand(job.workspace, job.n_service_tokens, now)
         self.changes.workspaces.add((job.service, job.workspace))
-        return self.crash_guard.check(job, now) or self.admit(pool, job, now)
+        refusal = self.crash_guard.check(job, now) or self.check_stop(pool, job, now)
+        return refusal or self.admit(pool, job, now)
+
+    def begin_stop(self, plan):
+        """Send only requests that can end before a planned stop does.
+
+        :param plan: :class:`StopPlan`.
+        """
+        self.stop_plan = plan
+        for pool in self.pools.values():
+            pool.ends_at = plan.ends_at
+
+    def check_stop(self, pool, job, now):
+        """Return a refusal if a job cannot end before a planned stop does."""
+        plan = self.stop_plan
+        if plan is None or plan.allows(job, pool.durations, now):
+            return None
+        return self.refusals.refuse_at_stop(plan.ends_at - now)
 
     def resubmit(self, job, now):
         """Place, queue or refuse a request whose attempt ended without a response.
--- a/catkinfork/balancing/_jobs.py
+++ b/catkinfork/balancing/_jobs.py
@@ -146,6 +146,7 @@
 NO_RETRY = "no_repeat_left"
 STREAM_UNKNOWN = "stream_origin_unknown"
 STREAM_ELSEWHERE = "stream_service_changed"
+STOPPING = "draining"
 
 # Attempt outcomes.
 SERVED = "served"
--- a/catkinfork/balancing/_pool.py
+++ b/catkinfork/balancing/_pool.py
@@ -54,11 +54,12 @@
 
     ``generation`` changes whenever a backend server is added to or removed from
     ``states``. ``priority`` is that of the first queued job that could not be placed,
-    or None.
+    or None. ``ends_at`` is the monotonic time at which a planned stop ends requests.
     """
 
     def __init__(self, service, settings):
         self.service = service
+        self.ends_at = inf
         self.model = build_load_model(service, settings.data_centre)
         self.states = {}
         self.generation = 0
@@ -124,7 +125,7 @@
         """Return whether a job placed at a given time can meet its deadlines.
 
         A stream that broke off has only its next event to meet: how much of it is left
-        is not known.
+        is not known. In a planned stop, a job has to end before the stop does.
 
         :param share: fraction of the estimated durations to allow for.
         """
@@ -134,4 +135,5 @@
         end_at = placed_at + share * self.durations.estimate_duration(job.route)
         if job.version is not None:
             end_at = first_at
-        return first_at <= job.next_event_deadline_at and end_at <= job.deadline_at
+        ends_at = min(self.ends_at, job.deadline_at)
+        return first_at <= job.next_event_deadline_at and end_at <= ends_at
--- a/catkinfork/forwarder/_drain.py
+++ b/catkinfork/forwarder/_drain.py
@@ -4,6 +4,7 @@
 
 import anyio
 
+from catkinfork.balancing import StopPlan
 from catkinfork.forwarding import DRAIN_STARTED, FORWARDER_STOPPED
 from catkinfork.observability import log_event
 
@@ -12,25 +13,32 @@
 ACCEPT_PERIOD_S = 2.6
 # Maximum time for which waiting connections are still accepted after it, seconds.
 BACKLOG_PERIOD_S = 1.0
-# Time before the forced termination at which requests in flight are abandoned, seconds.
+# Time before the forced termination at which requests in flight are ended, seconds.
 FORCED_STOP_MARGIN_S = 0.7
+# Time before the forced termination at which the process exits at the latest, seconds.
+EXIT_MARGIN_S = 0.15
 POLL_INTERVAL_S = 0.05
 
 
 async def drain_on_signal(process):
     """Drain and stop the process on SIGTERM or SIGINT.
 
+    Further signals are received up to the end: without a receiver, they would end the
+    process at once.
+
     :param process: :class:`ForwarderProcess`.
     """
     with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
         async for _ in signals:
             break
-    await drain(process)
+        await drain(process)
     process.stop()
 
 
 async def drain(process):
-    """Report the process as not ready, then wait for the requests in flight.
+    """Report the process as not ready, then wait until all requests are answered.
+
+    Those that are in progress shortly before the forced termination are ended.
 
     :param process: :class:`ForwarderProcess`.
     """
@@ -38,7 +46,9 @@
     grace_s = process.settings.forwarder.grace_s
     started_at = anyio.current_time()
     ends_at = started_at + grace_s - FORCED_STOP_MARGIN_S
+    accept_s = min(ACCEPT_PERIOD_S, 0.4 * grace_s)
     server.is_draining = True
+    server.balancer.begin_stop(StopPlan(started_at + accept_s, ends_at))
     process.peer_exchange.is_leaving = True
     process.log.write(
         log_event(
@@ -48,7 +58,7 @@
             grace_s=grace_s,
         )
     )
-    await anyio.sleep(min(ACCEPT_PERIOD_S, 0.4 * grace_s))
+    await anyio.sleep(accept_s)
     # Closing the socket resets connections that were not accepted yet.
     with anyio.move_on_after(BACKLOG_PERIOD_S):
         while server.has_backlog():
@@ -56,13 +66,26 @@
     server.close_listener()
     while anyio.current_time() < ends_at:
         server.close_idle_callers()
-        if not server.exchanges:
+        if not server.has_requests():
             break
         await anyio.sleep(POLL_INTERVAL_S)
+    n_requests_left = len(server.exchanges)
+    server.end_requests()
+    await flush(server, started_at + grace_s - EXIT_MARGIN_S)
     process.log.write(
         log_event(
             FORWARDER_STOPPED,
-            n_requests_left=len(server.exchanges),
+            n_requests_left=n_requests_left,
             waited_s=round(anyio.current_time() - started_at, 3),
         )
     )
+
+
+async def flush(server, ends_at):
+    """Wait until the callers have the last responses: an exit would cut them.
+
+    :param server: :class:`ForwardingServer`.
+    :param ends_at: monotonic time up to which to wait, seconds.
+    """
+    while server.callers and anyio.current_time() < ends_at:
+        await anyio.sleep(POLL_INTERVAL_S)
--- a/catkinfork/forwarding/_attempt.py
+++ b/catkinfork/forwarding/_attempt.py
@@ -7,9 +7,14 @@
     CONNECTION_REFUSED,
     FAILED,
     REJECTED,
+    SILENT,
     UNREACHABLE,
+    may_queue,
+    place_elsewhere,
 )
 from catkinfork.forwarding._backend import BaseResponseListener
+from catkinfork.forwarding._caller import report_error
+from catkinfork.forwarding._request_events import build_attempt_event
 from catkinfork.forwarding._requests import encode_request
 from catkinfork.forwarding._timeouts import compute_read_timeout_s
 from catkinfork.topology import UNSAFE
@@ -52,7 +57,9 @@
         except ConnectionRefusedError as error:
             self.fail_to_connect(CONNECTION_REFUSED, str(error))
             return
-        except (OSError, TimeoutError) as error:
+        except Exception as error:
+            if not isinstance(error, (OSError, TimeoutError)):
+                report_error(self.server.loop, error)
             self.fail_to_connect(UNREACHABLE, str(error) or type(error).__name__)
             return
         if self.exchange.attempt is not self:
@@ -61,12 +68,16 @@
             detail = "connection lost before the request was sent"
             self.fail_to_connect(UNREACHABLE, detail)
         else:
-            self.send(connection)
+            self.run(self.send, connection)
+
+    def run(self, action, *arguments):
+        """Call a method, whose error ends the exchange with a response."""
+        self.server.run(self.exchange, action, *arguments)
 
     def fail_to_connect(self, outcome, detail):
         """End the attempt, whose request was not sent."""
         if self.exchange.attempt is self:
-            self.exchange.end_attempt(outcome, detail)
+            self.run(self.exchange.end_attempt, outcome, detail)
 
     def send(self, connection):
         """Send the request, unless nobody waits for it or it has to go elsewhere."""
@@ -86,6 +97,7 @@
         self.connection = connection
         self.version = backend.entry.version
         self.is_awaiting_response = True
+        exchange.was_sent = True
         exchange.framing = ""
         data = encode_request(
             exchange.request,
@@ -104,6 +116,33 @@
         is_started = self.exchange.has_response_started
         self.read_timeout_at = now + compute_read_timeout_s(route, is_started)
 
+    def fail_over(self, now):
+        """Move the request to another backend server that has room for it.
+
+        Otherwise the attempt goes on, as a sound backend server may fall silent for a
+        while: a stream that was given up and had to wait could be cut. A request
+        without any response is given up while others wait, and waits in turn.
+        """
+        exchange = self.exchange
+        balancer = self.server.balancer
+        detail = "no data within the read timeout"
+        moved = None
+        if exchange.is_retryable():
+            moved = place_elsewhere(balancer, self.placement, now)
+        if moved is not None:
+            self.drop(SILENT)
+            exchange.finish_attempt(SILENT, now)
+            self.server.write_log(
+                build_attempt_event(exchange, self.placement, SILENT, detail, True, now)
+            )
+            exchange.start_attempt(moved)
+        elif not exchange.has_response_started and may_queue(
+            balancer, self.placement, now
+        ):
+            exchange.drop_attempt(SILENT, detail)
+        else:
+            self.restart_read_timeout(now)
+
     def is_ambiguous(self, head):
         """Return whether a response may belong to an earlier request.
 
@@ -115,18 +154,18 @@
         return head.find_header(self.server.names.request_id) is None
 
     def on_head(self, head):
-        self.exchange.handle_head(head)
+        self.run(self.exchange.handle_head, head)
 
     def on_data(self, data):
-        self.exchange.handle_data(data)
+        self.run(self.exchange.handle_data, data)
 
     def on_end(self):
         self.is_awaiting_response = False
-        self.exchange.handle_end()
+        self.run(self.exchange.handle_end)
 
     def on_error(self, detail):
         self.is_awaiting_response = False
-        self.exchange.end_attempt(BROKEN, detail)
+        self.run(self.exchange.end_attempt, BROKEN, detail)
 
     def drop(self, outcome):
         """Discard the response; the connection is kept if the response is sound."""
--- a/catkinfork/forwarding/_caller.py
+++ b/catkinfork/forwarding/_caller.py
@@ -15,6 +15,8 @@
 # data would reset the connection, and the caller would lose the last response.
 LINGER_S = 0.5
 CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
+# Code of requests whose handling has failed.
+INTERNAL_ERROR = "internal_error"
 HEADER_NAME_PATTERN = re.compile(rb"^[!#$%&'*+\-.^_`|~0-9A-Za-z]+$")
 CONTENT_LENGTH_PATTERN = re.compile(rb"^[0-9]{1,15}$")
 
@@ -46,6 +48,7 @@
         self.exchange = None
         self.requests = deque()
         self.request = None
+        self.rejection = None
         self.url = b""
         self.headers = []
         self.body_parts = []
@@ -82,11 +85,17 @@
 
     def is_idle(self):
         """Return whether no request is in progress, being read or waiting unread."""
-        if self.exchange is not None or self.is_reading_head or self.is_reading_body:
+        if self.exchange is not None or self.requests:
             return False
+        if self.is_reading_head or self.is_reading_body:
+            return False
+        return not self.has_unread()
+
+    def has_unread(self):
+        """Return whether data, or the end of the connection, was not read yet."""
         if self.is_lost or self.transport.is_closing():
-            return True
-        return not poll_socket(self.transport.get_extra_info("socket"), select.POLLIN)
+            return False
+        return poll_socket(self.transport.get_extra_info("socket"), select.POLLIN)
 
     def handle_disconnect(self):
         """Cancel the requests of a caller that has disconnected."""
@@ -121,7 +130,8 @@
         """Reject a request for which a parser callback raised an error."""
         cause = error.__context__
         if not isinstance(cause, BadRequestError):
-            raise error
+            report_error(self.loop, cause or error)
+            cause = BadRequestError(503, INTERNAL_ERROR)
         self.reject(cause.status, cause.code)
 
     def on_message_begin(self):
@@ -178,18 +188,27 @@
 
     def start_next(self):
         """Start the next request of the queue."""
-        if self.requests and not self.is_discarding:
+        if self.requests and self.exchange is None:
             self.exchange = self.server.open_exchange(self, self.requests.popleft())
-            self.exchange.start()
+            self.server.run(self.exchange, self.exchange.start)
 
     def reject(self, status, code):
-        """Reject an invalid request and close the connection."""
+        """Reject an invalid request and close the connection.
+
+        The requests ahead of it are answered first.
+        """
         self.is_discarding = True
         self.server.log_rejection(self, status, code)
-        if self.exchange is None:
-            body = b'{"error":"%s"}' % code.encode()
-            self.write(encode_local_response(status, body, (), is_closing=True))
-            self.linger()
+        self.rejection = (status, code)
+        if self.exchange is None and not self.requests:
+            self.send_rejection()
+
+    def send_rejection(self):
+        """Send the response to an invalid request and close the connection."""
+        status, code = self.rejection
+        body = b'{"error":"%s"}' % code.encode()
+        self.write(encode_local_response(status, body, (), is_closing=True))
+        self.linger()
 
     def write(self, data):
         """Write data unless the connection is lost."""
@@ -203,15 +222,17 @@
         """
         self.exchange = None
         self.last_active_at = self.loop.time()
-        if self.is_discarding or not is_keep_alive:
+        if not is_keep_alive:
             self.linger()
-            return
-        if self.requests:
+        elif self.requests:
             self.loop.call_soon(self.start_next)
+        elif self.rejection is not None:
+            self.send_rejection()
 
     def linger(self):
         """Perform a lingering close, so that the caller receives the last response."""
         self.is_discarding = True
+        self.requests.clear()
         if self.is_lost:
             return
         if self.transport.can_write_eof():
@@ -239,19 +260,30 @@
 
         :param now: monotonic seconds.
         """
-        if self.exchange is not None or self.is_discarding:
+        if self.exchange is not None or self.requests or self.is_discarding:
             return
         limits = self.server.limits
         idle_s = now - self.last_active_at
-        if self.is_reading_head and idle_s > limits.header_timeout_s:
+        timeout_s = limits.idle_timeout_s
+        if self.is_reading_head:
+            timeout_s = limits.header_timeout_s
+        if idle_s <= timeout_s or self.has_unread():
+            return
+        if self.is_reading_head:
             self.reject(408, "head_timeout")
-        elif self.is_reading_body and idle_s > limits.idle_timeout_s:
+        elif self.is_reading_body:
             self.reject(408, "body_timeout")
-        elif idle_s > limits.idle_timeout_s:
+        else:
             self.is_discarding = True
             self.transport.close()
 
 
+def report_error(loop, error):
+    """Report an unexpected error to the handler of the event loop."""
+    message = "a request could not be handled"
+    loop.call_exception_handler({"message": message, "exception": error})
+
+
 def check_head(request, limits):
     """Check the head of a request.
 
--- a/catkinfork/forwarding/_exchange.py
+++ b/catkinfork/forwarding/_exchange.py
@@ -60,6 +60,7 @@
         self.resumption = None
         self.is_done = False
         self.is_waiting = False
+        self.was_sent = False
         self.expires_at = inf
         self.placed_at = None
         self.first_data_at = None
@@ -89,8 +90,8 @@
         """Route the request and submit it to the balancer."""
         server = self.server
         now = server.loop.time()
-        if server.routes is None:
-            self.reply(503, "not_configured", NOT_READY_RETRY_AFTER_S)
+        if server.unavailable_because:
+            self.reply(503, server.unavailable_because, NOT_READY_RETRY_AFTER_S)
             return
         if self.has_caller_left():
             self.close(0, "caller_gone", f"loop_lag_s={server.lag.lag_s:.3f}")
@@ -204,13 +205,14 @@
     def is_keep_alive(self):
         """Return whether the connection of the caller accepts another request.
 
-        A host that is behind closes connections, so that its callers reach other hosts.
+        A host that drains, is behind or has many closes connections, once it has
+        answered all that has arrived on them.
         """
-        if self.server.is_draining or self.server.lag.is_behind:
+        if self.request.version != "1.1" or not self.request.is_keep_alive:
             return False
-        if self.request.version != "1.1":
-            return False
-        return self.request.is_keep_alive
+        if self.caller.requests:
+            return True
+        return not self.server.closes_connections()
 
     def handle_data(self, data):
         """Relay a part of the body."""
@@ -257,7 +259,7 @@
         outcome = SERVED if head.status < 500 else FAILED
         self.finish_attempt(outcome, now)
         self.close(head.status, outcome, "")
-        self.caller.finish(self.is_keep_alive())
+        self.caller.finish(not self.relay.is_closing)
 
     def drop_attempt(self, outcome, detail):
         """End an attempt whose response is not relayed."""
@@ -373,29 +375,30 @@
         if now >= self.expires_at:
             self.expire(now)
         elif now >= self.read_timeout_at:
-            self.fail_over(now)
+            self.attempt.fail_over(now)
 
     def expire(self, now):
         """Send the final response when the deadline of the request has passed."""
+        self.end(SILENT, 504, "timeout", now)
+
+    def end(self, outcome, status, code, now):
+        """Send the final response, whatever the state of the request.
+
+        :param outcome: outcome of the attempt in flight.
+        :param status: status if a backend server may execute the request.
+        """
         if self.is_waiting:
             self.server.balancer.withdraw(self.job)
         attempt = self.attempt
         is_running = attempt is not None and attempt.is_awaiting_response
-        was_sent = is_running or self.job.n_runs > 0
-        self.stop_attempt(SILENT, now)
+        was_sent = is_running or (self.job is not None and self.job.n_runs > 0)
+        self.stop_attempt(outcome, now)
         if self.has_response_started:
-            self.abort_response("timeout", "")
+            self.abort_response(code, "")
         elif was_sent:
-            self.reply(504, "timeout", None)
+            self.reply(status, code, None)
         else:
-            self.reply(503, "timeout", FAILURE_RETRY_AFTER_S)
-
-    def fail_over(self, now):
-        """Abort a silent attempt if the request can be retried elsewhere."""
-        if not self.can_retry(SILENT):
-            self.attempt.restart_read_timeout(now)
-            return
-        self.drop_attempt(SILENT, "no data within the read timeout")
+            self.reply(503, code, FAILURE_RETRY_AFTER_S)
 
     def pause(self):
         """Pause reading from the backend server while the caller reads too slowly."""
--- a/catkinfork/forwarding/_server.py
+++ b/catkinfork/forwarding/_server.py
@@ -5,8 +5,16 @@
 import time
 from functools import partial
 from math import inf
-
-from catkinfork.forwarding._caller import CallerConnection, poll_socket
+from operator import attrgetter
+
+from catkinfork.balancing import ABANDONED, STOPPING
+from catkinfork.forwarding._caller import (
+    INTERNAL_ERROR,
+    CallerConnection,
+    poll_socket,
+    report_error,
+)
+from catkinfork.forwarding._connections import ConnectionLimit, count_descriptors
 from catkinfork.forwarding._events import REQUEST_REJECTED
 from catkinfork.forwarding._exchange import Exchange
 from catkinfork.forwarding._lag import LagMonitor
@@ -28,6 +36,7 @@
 SWEEP_INTERVAL_S = 0.025
 LEAVING = b"1"
 RETRY_AFTER = b"retry-after"
+LAST_ACTIVE = attrgetter("last_active_at")
 SERVICE_UNAVAILABLE = 503
 MAX_LOGGED_BYTES = 40
 # Interval between checks of idle connections, seconds.
@@ -58,6 +67,7 @@
         self.routes = None
         self.limits = CallerLimits()
         self.callers = set()
+        self.connection_limit = ConnectionLimit(count_descriptors())
         self.exchanges = {}
         self.resumptions = set()
         self.cache_lookup = None
@@ -65,6 +75,7 @@
         self.listeners = []
         self.lag = LagMonitor()
         self.is_draining = False
+        self.is_stopping = False
         self.is_dispatch_scheduled = False
         self.next_dispatch_at = 0.0
         self.next_idle_sweep_at = 0.0
@@ -74,6 +85,13 @@
         """Return the version of the configuration in force, 0 if there is none."""
         return self.routes.version if self.routes is not None else 0
 
+    @property
+    def unavailable_because(self):
+        """Return the code with which all requests are refused, or an empty string."""
+        if self.routes is None:
+            return "not_configured"
+        return STOPPING if self.is_stopping else ""
+
     def apply_configuration(self, routes):
         """Apply a configuration.
 
@@ -122,9 +140,55 @@
                 caller.is_discarding = True
                 caller.transport.close()
 
+    def has_requests(self):
+        """Return whether any request is in progress or being read."""
+        return bool(self.exchanges) or any(
+            caller.is_reading_head or caller.is_reading_body or caller.requests
+            for caller in self.callers
+        )
+
+    def end_requests(self):
+        """Send the final response to each request, also to those that are being read.
+
+        From now on, new requests are refused.
+        """
+        self.is_stopping = True
+        now = self.loop.time()
+        for exchange in list(self.exchanges.values()):
+            exchange.end(ABANDONED, 502, STOPPING, now)
+        for caller in list(self.callers):
+            if caller.is_reading_head or caller.is_reading_body:
+                caller.reject(503, STOPPING)
+
+    def closes_connections(self):
+        """Return whether callers are to use other connections, or other hosts."""
+        return (
+            self.is_draining
+            or self.lag.is_behind
+            or self.connection_limit.is_crowded(len(self.callers))
+        )
+
+    def close_excess_callers(self):
+        """Close the connections that have been idle for longest, if there are many.
+
+        Those whose first request is yet to come stay open.
+        """
+        now = self.loop.time()
+        n_excess = self.connection_limit.count_excess(len(self.callers), now)
+        if not n_excess:
+            return
+        for caller in sorted(self.callers, key=LAST_ACTIVE):
+            if caller.request is not None and caller.is_idle():
+                caller.is_discarding = True
+                caller.transport.close()
+                n_excess -= 1
+                if not n_excess:
+                    return
+
     def add_caller(self, caller):
         """Add a connection of a caller."""
         self.callers.add(caller)
+        self.close_excess_callers()
 
     def remove_caller(self, caller):
         """Remove a connection of a caller."""
@@ -134,6 +198,23 @@
         """Return a new exchange for a request."""
         return Exchange(self, caller, request)
 
+    def run(self, exchange, action, *arguments):
+        """Call a method of an exchange, whose request is answered even if it fails.
+
+        An unexpected error would otherwise close the connection of the caller without a
+        response, leave it without one, or end the process.
+        """
+        try:
+            action(*arguments)
+        except Exception as error:
+            report_error(self.loop, error)
+            try:
+                end_after_error(exchange, self.loop.time())
+            except Exception as further_error:
+                report_error(self.loop, further_error)
+                self.exchanges.pop(exchange.job, None)
+                exchange.caller.abort()
+
     def add_exchange(self, exchange):
         """Add an exchange whose timeouts are checked from now on."""
         self.exchanges[exchange.job] = exchange
@@ -249,17 +330,24 @@
         self.next_dispatch_at = started_at + (1.0 + DISPATCH_PAUSE_RATIO) * duration_s
         decided = [(self.exchanges[job], decision) for job, decision in decisions]
         for exchange, decision in decided:
-            exchange.handle_decision(decision)
+            self.run(exchange, exchange.handle_decision, decision)
+
+    def check_resumption(self, resumption, now):
+        """Check whether it is known by now where a stream goes on.
+
+        :param resumption: :class:`StreamResumption`.
+        """
+        if resumption.check(now):
+            self.resumptions.discard(resumption)
 
     def sweep(self):
         """Handle expired timeouts, waiting requests and idle connections."""
         now = self.loop.time()
         for exchange in list(self.exchanges.values()):
             if now >= exchange.expires_at or now >= exchange.read_timeout_at:
-                exchange.handle_timeouts(now)
+                self.run(exchange, exchange.handle_timeouts, now)
         for resumption in list(self.resumptions):
-            if resumption.check(now):
-                self.resumptions.discard(resumption)
+            self.run(resumption.exchange, self.check_resumption, resumption, now)
         self.schedule_dispatch()
         if now >= self.next_idle_sweep_at:
             self.next_idle_sweep_at = now + IDLE_SWEEP_INTERVAL_S
@@ -268,3 +356,17 @@
             self.close_unused_pools()
             for pool in self.pools.values():
                 pool.close_stale(now)
+
+
+def end_after_error(exchange, now):
+    """Send the final response to a request whose handling has failed.
+
+    Whether it was executed is not known if it was ever sent.
+    """
+    if exchange.is_done:
+        if exchange.caller.exchange is exchange:
+            exchange.caller.abort()
+        return
+    if exchange.was_sent:
+        exchange.job.n_runs = max(1, exchange.job.n_runs)
+    exchange.end(ABANDONED, 502, INTERNAL_ERROR, now)
--- /dev/null
+++ b/catkinfork/forwarding/tests/test_pipelining.py
@@ -0,0 +1,115 @@
+"""Requests that arrive on a connection behind another one."""
+
+import anyio
+import pytest
+
+from catkinfork.balancing import ABANDONED
+from catkinfork.forwarding._caller import MAX_PIPELINED
+from catkinfork.forwarding.tests.scripted import answer, in_turn, stream
+from catkinfork.forwarding.tests.world import PROMPT, run_world
+
+
+@pytest.mark.parametrize("is_draining", [True, False])
+def test_requests_behind_another_one_are_answered_before_the_close(is_draining):
+    """Guards against requests that are dropped as a host hands its callers over.
+
+    The host is in a planned stop, or behind.
+    """
+
+    async def test(world):
+        await world.start("plain", answer(delay_s=0.1))
+        caller = await world.connect()
+        for _ in range(3):
+            await caller.send("/order/")
+        await anyio.sleep(0.05)
+        world.server.is_draining = is_draining
+        world.server.lag.is_behind = not is_draining
+        replies = [await caller.read() for _ in range(3)]
+        assert [reply.status for reply in replies] == [200, 200, 200]
+        connections = [reply.headers.get("connection") for reply in replies]
+        assert connections == [None, None, "close"]
+
+    run_world(test)
+
+
+@pytest.mark.parametrize("is_draining", [True, False])
+def test_connection_stays_open_if_the_response_did_not_announce_its_close(is_draining):
+    """Guards against a close that the next request of the caller crosses.
+
+    The response begins before the host stops, or falls behind, and ends after it.
+    """
+
+    async def test(world):
+        await world.start("plain", answer())
+        await world.start("engine", stream(1, 4, gap_s=0.05))
+        caller = await world.connect()
+        await caller.send("/chat/", headers=PROMPT)
+        await anyio.sleep(0.1)
+        world.server.is_draining = is_draining
+        world.server.lag.is_behind = not is_draining
+        reply = await caller.read()
+        assert (reply.is_whole, reply.headers.get("connection")) == (True, None)
+        await caller.send("/order/")
+        reply = await caller.read()
+        assert (reply.status, reply.headers.get("connection")) == (200, "close")
+
+    run_world(test)
+
+
+def test_requests_ahead_of_a_malformed_one_are_answered():
+    """Guards against requests that are dropped because of bytes that follow them."""
+
+    async def test(world):
+        (backend,) = await world.start("plain", answer(delay_s=0.1))
+        caller = await world.connect()
+        for _ in range(3):
+            await caller.send("/order/")
+        await caller.send_raw(b"\x00\x00 nonsense\r\n\r\n")
+        replies = [await caller.read() for _ in range(4)]
+        assert [reply.status for reply in replies] == [200, 200, 200, 400]
+        assert len(backend.requests) == 3
+
+    run_world(test)
+
+
+def test_requests_ahead_of_one_too_many_are_answered():
+    """Guards against whole requests that are dropped with the one beyond the limit."""
+
+    async def test(world):
+        (backend,) = await world.start("plain", answer(delay_s=0.02))
+        caller = await world.connect()
+        for _ in range(MAX_PIPELINED + 2):
+            await caller.send("/order/")
+        n_whole = MAX_PIPELINED + 1
+        replies = [await caller.read() for _ in range(n_whole + 1)]
+        assert [reply.status for reply in replies] == [200] * n_whole + [429]
+        assert len(backend.requests) == n_whole
+
+    run_world(test)
+
+
+def test_request_that_arrives_between_two_others_does_not_overtake():
+    """Guards against responses in the wrong order, of two requests in progress at once.
+
+    The third request arrives after the first one has ended, before the second one
+    starts.
+    """
+
+    async def test(world):
+        slow = answer(delay_s=0.2)
+        await world.start("plain", in_turn(answer(), answer(), slow, answer()))
+        caller = await world.connect()
+        await caller.send("/order/", request_id="r1")
+        await caller.read()
+        (connection,) = world.server.callers
+        data = b"POST /order/ HTTP/1.1\r\nHost: site.example\r\nX-Request-Id: %s\r\n"
+        data += b"Authorization: Bearer key-of-a\r\nContent-Length: 0\r\n\r\n"
+        connection.data_received(data % b"r2" + data % b"r3")
+        connection.exchange.stop_attempt(ABANDONED, world.loop.time())
+        connection.exchange.reply(503, "test", 1.0)
+        connection.data_received(data % b"r4")
+        replies = [await caller.read() for _ in range(3)]
+        ids = [reply.headers["x-request-id"] for reply in replies]
+        assert ids == ["r2", "r3", "r4"]
+
+    run_world(test)
