--- a/catkinfork/balancing/_balancer.py
+++ b/catkinfork/balancing/_balancer.py
@@ -52,7 +52,6 @@
         self.crash_guard = CrashGuard(self.changes, rng, write_log)
         self.streams = StreamTable()
         self.origins = OriginFinder(registry, self.streams)
-        self.versions = {}
         self.tokens_per_s = 0.0
         self.workspaces = ()
         self.stop_plan = None
@@ -77,19 +76,6 @@
                     unlisted = Service(target.service)
                     self.pools[target.service] = ServicePool(unlisted, self.settings)
 
-    def follow_versions(self, now):
-        """Follow backend servers that start again under their ids as other versions."""
-        versions = {
-            backend.name: backend.entry.version
-            for backend in self.registry.backends.values()
-        }
-        for name, version in versions.items():
-            if self.versions.get(name, version) != version:
-                self.streams.invalidate(name, now)
-        for name in self.streams.recent.keys() - versions:
-            del self.streams.recent[name]
-        self.versions = versions
-
     def record_cached_parts(self, backend, parts):
         """Record the prompt parts that an engine says it keeps.
 
--- a/catkinfork/balancing/_streams.py
+++ b/catkinfork/balancing/_streams.py
@@ -53,7 +53,8 @@
 
     ``unsent`` has the keys to tell and the number of frames left for each,
     ``questions`` the keys that peers are asked for, and ``recent`` the keys of streams
-    that began here, with their times, by backend server.
+    that began here, with their times, by backend server. ``versions`` has the version
+    of each backend server.
     """
 
     def __init__(self):
@@ -61,6 +62,7 @@
         self.unsent = RecentTable(MAX_UNSENT)
         self.questions = RecentTable(MAX_QUESTIONS)
         self.recent = {}
+        self.versions = {}
 
     @property
     def has_news(self):
@@ -84,6 +86,18 @@
             recent = self.recent[backend_name] = deque(maxlen=MAX_RECENT_STREAMS)
         recent.append((key, now))
 
+    def follow_versions(self, versions, now):
+        """Follow backend servers that start again under their ids as other versions.
+
+        :param versions: versions of all known backend servers, by name.
+        """
+        for name, version in versions.items():
+            if self.versions.get(name, version) != version:
+                self.invalidate(name, now)
+        for name in self.recent.keys() - versions:
+            del self.recent[name]
+        self.versions = versions
+
     def invalidate(self, backend_name, now):
         """Make the origins uncertain of streams that have just begun at a server.
 
--- a/catkinfork/forwarder/_process.py
+++ b/catkinfork/forwarder/_process.py
@@ -177,7 +177,9 @@
 
     def handle_topology_change(self):
         """Update the components after a change of the topology."""
-        self.balancer.follow_versions(self.loop.time())
+        self.balancer.streams.follow_versions(
+            self.registry.list_versions(), self.loop.time()
+        )
         self.server.close_unused_pools()
         self.peer_exchange.version = self.server.version
         self.peer_exchange.era = self.topology.era
--- a/catkinfork/forwarding/_exchange.py
+++ b/catkinfork/forwarding/_exchange.py
@@ -143,12 +143,7 @@
 
     def refuse(self, refusal):
         """Refuse the request, with ``Retry-After`` if it was not executed."""
-        if self.has_response_started:
-            self.abort_response(refusal.reason, refusal.detail)
-        elif self.job.n_runs:
-            self.reply(502, refusal.reason, None, refusal.detail)
-        else:
-            self.reply(503, refusal.reason, refusal.retry_after_s, refusal.detail)
+        self.send_failure(refusal.reason, refusal.detail, refusal.retry_after_s)
 
     def start_attempt(self, placement):
         """Start an attempt at a backend server."""
@@ -307,14 +302,18 @@
             return False
         return not has_uncertain_origin(self, self.server.loop.time())
 
-    def send_failure(self, outcome, detail):
-        """Send the final response after a failed attempt that is not retried."""
+    def send_failure(self, code, detail, retry_after_s=FAILURE_RETRY_AFTER_S):
+        """Send the final response to a request that is not attempted again.
+
+        :param code: refusal code, or outcome of the last attempt.
+        :param retry_after_s: value for ``Retry-After`` if it was not executed, seconds.
+        """
         if self.has_response_started:
-            self.abort_response(outcome, detail)
+            self.abort_response(code, detail)
         elif self.job.n_runs:
-            self.reply(502, outcome, None, detail)
+            self.reply(502, code, None, detail)
         else:
-            self.reply(503, outcome, FAILURE_RETRY_AFTER_S, detail)
+            self.reply(503, code, retry_after_s, detail)
 
     def abort_response(self, outcome, detail):
         """Abort the caller's connection because the response cannot be completed."""
--- a/catkinfork/forwarding/tests/test_versions.py
+++ b/catkinfork/forwarding/tests/test_versions.py
@@ -291,6 +291,12 @@
     return RouteTable(configuration)
 
 
+def follow_versions(world):
+    """Follow the versions of the backend servers, as after each read of the store."""
+    versions = world.registry.list_versions()
+    world.balancer.streams.follow_versions(versions, world.loop.time())
+
+
 @pytest.mark.parametrize("n_before", [0, 1])
 def test_backend_starts_again_under_its_id_with_another_version(n_before):
     """Guards against a stream of the restarted server that counts for its former entry.
@@ -303,7 +309,7 @@
         slow = stream(1, 99, gap_s=0.02, then=reset)
         (first,) = await world.start("engine", slow, version="v1")
         (other,) = await world.start("engine", stream(1, 9), version="v1")
-        world.balancer.follow_versions(world.loop.time())
+        follow_versions(world)
         await break_off(world)
         if n_before:
             recent = world.balancer.streams.recent["engine-0"]
@@ -311,7 +317,7 @@
         entry = world.registry.backends["engine-0"].entry
         entry = entry._replace(version="v2", started_ms=5, sequence=1)
         world.registry.apply_entry(entry, world.loop.time(), "test")
-        world.balancer.follow_versions(world.loop.time())
+        follow_versions(world)
         reply = await resume(world, "Resumes: r-first")
         assert reply.status == (200 if n_before else 503)
         assert len(other.requests) == n_before
@@ -326,14 +332,14 @@
         broken = stream(1, 20, gap_s=0.02, then=reset)
         await world.start("engine", broken, version="v1")
         (other,) = await world.start("engine", stream(1, 30), version="v1")
-        world.balancer.follow_versions(world.loop.time())
+        follow_versions(world)
         caller = await world.connect()
         await caller.send("/draft/", headers=PROMPT)
         await anyio.sleep(0.1)
         entry = world.registry.backends["engine-0"].entry
         entry = entry._replace(version="v2", started_ms=5, sequence=1)
         world.registry.apply_entry(entry, world.loop.time(), "test")
-        world.balancer.follow_versions(world.loop.time())
+        follow_versions(world)
         reply = await caller.read()
         assert not reply.is_whole
         assert not other.requests
--- a/catkinfork/topology/_registry.py
+++ b/catkinfork/topology/_registry.py
@@ -276,6 +276,10 @@
             if backend.expires_at is not None and now >= backend.expires_at:
                 self.remove(backend.name, now, now)
 
+    def list_versions(self):
+        """Return the versions of all backend servers by name."""
+        return {name: one.entry.version for name, one in self.backends.items()}
+
     def find_only_version(self, service, since, now):
         """Return the version of a service if no other one can have served.
 
