Keep streams of a full version from holding up other jobs

Found by a review: a pass over the queue tries 64 jobs, and 8 without room of each workspace. Streams of eight workspaces that wait for a full version used up every pass, so that others starved beside idle servers of another version. Within a workspace, streams of one version stood behind those of another one, in the pass and in the estimate of the wait. A pause that all servers of a version ask for was taken for 'no server left', which broke off answers. And a stream that waits for one of several versions made all peers reserve room that it cannot use.

Change: streams wait by version. After eight without room, a version is skipped for the rest of the pass. Answers outlast a pause of their version, callers are told the pause. Only jobs that room anywhere helps make peers reserve some. Whether a version is served is found once for each group, not for each job.

--- a/catkinfork/balancing/_balancer.py
+++ b/catkinfork/balancing/_balancer.py
@@ -194,7 +194,7 @@
         if refusal is not None:
             return refusal
         if not candidates.list_eligible(job):
-            return self.refusals.refuse_without_backend()
+            return self.handle_no_candidate(pool, job, candidates)
         if not pool.queue.n_jobs:
             priority = pool.queue.compute_priority(job.workspace, now)
             placement = self.place(pool, job, candidates, priority, now)
@@ -205,6 +205,24 @@
             pool.queue.add(job)
         return refusal
 
+    def handle_no_candidate(self, pool, job, candidates):
+        """Refuse a job that no backend server may run now.
+
+        An answer that broke off waits if all servers of its version have only asked for
+        a pause; refused, it would be lost.
+
+        :returns: :class:`Refusal`, or None if the job is queued.
+        """
+        pause_s = None
+        if job.version is not None:
+            pause_s = candidates.compute_pause_s(job.version)
+        if pause_s is None:
+            return self.refusals.refuse_without_backend()
+        if not job.tried_backends:
+            return self.refusals.refuse_throttled(pause_s)
+        pool.queue.add(job)
+        return None
+
     def check_throttled(self, candidates):
         """Return a refusal if all backend servers have asked for a pause."""
         pause_s = candidates.compute_pause_s()
--- a/catkinfork/balancing/_candidates.py
+++ b/catkinfork/balancing/_candidates.py
@@ -76,15 +76,23 @@
                 self.ejected.append(entry)
         self.healthy.sort(key=BASE_COST)
         self.ejected.sort(key=BASE_COST)
+        self.versions = {
+            one.backend.entry.version for one in [*self.healthy, *self.ejected]
+        }
 
-    def compute_pause_s(self):
+    def compute_pause_s(self, version=None):
         """Return the time until a backend server may be used, if all are throttled.
 
+        :param version: version that counts alone, or None for all.
         :returns: seconds, or None.
         """
-        if not self.throttled or self.healthy or self.ejected:
-            return None
-        return min(one.throttled_until for one in self.throttled) - self.now
+        throttled = [
+            one.throttled_until
+            for one in self.throttled
+            if version in (None, one.entry.version)
+        ]
+        is_usable = self.versions if version is None else version in self.versions
+        return None if is_usable or not throttled else min(throttled) - self.now
 
     def list_eligible(self, job):
         """Return the entries that may run a job, including full ones.
--- a/catkinfork/balancing/_dispatch.py
+++ b/catkinfork/balancing/_dispatch.py
@@ -23,7 +23,8 @@
     :param now: monotonic time, seconds.
 
     ``decisions`` has pairs of :class:`Job` and its :class:`Placement` or
-    :class:`Refusal`.
+    :class:`Refusal`. ``n_without_room`` counts the streams that found no room by
+    version, and ``full_versions`` has those that are skipped for the rest of the pass.
     """
 
     def __init__(self, balancer, pool, now):
@@ -31,6 +32,8 @@
         self.pool = pool
         self.now = now
         self.decisions = []
+        self.n_without_room = {}
+        self.full_versions = set()
 
     def run(self):
         """Do the pass and return the decisions."""
@@ -44,20 +47,12 @@
         self.pool.queue.remove(job)
         self.decisions.append((job, decision))
 
-    def list_jobs(self):
-        """Return all queued jobs."""
-        return [
-            job
-            for _, jobs in self.pool.queue.list_by_workspace(self.now)
-            for job in jobs
-        ]
-
     def refuse_suspects(self):
         """Refuse jobs with a prompt part that has become known to crash."""
         crash_guard = self.balancer.crash_guard
         if not crash_guard.parts.has_refused(self.now):
             return
-        for job in self.list_jobs():
+        for job in self.pool.queue.list_all(self.now):
             refusal = crash_guard.check(job, self.now)
             if refusal is not None:
                 self.decide(job, refusal)
@@ -77,7 +72,7 @@
         candidates = self.balancer.list_candidates(self.pool, self.now)
         refusal = self.balancer.check_throttled(candidates)
         if refusal is not None:
-            for job in self.list_jobs():
+            for job in self.pool.queue.list_all(self.now):
                 self.decide(job, refusal)
             return
         self.refuse_without_version(candidates)
@@ -97,8 +92,23 @@
         """
         if not self.pool.queue.n_bound:
             return
-        for job in self.list_jobs():
-            if job.version is not None and not candidates.list_eligible(job):
+        for workspace in list(self.pool.queue.by_workspace):
+            for version, jobs in self.pool.queue.list_groups(workspace, self.now):
+                if version is not None:
+                    self.refuse_unservable(version, jobs, candidates)
+
+    def refuse_unservable(self, version, jobs, candidates):
+        """Refuse those streams of one version that no backend server can resume.
+
+        :param candidates: :class:`CandidateList`.
+        """
+        if candidates.compute_pause_s(version) is not None:
+            return
+        is_served = version in candidates.versions
+        for job in jobs:
+            if is_served and not job.tried_backends:
+                continue
+            if not candidates.list_eligible(job):
                 self.decide(job, self.balancer.refusals.refuse_without_backend())
 
     def place_workspace(self, workspace, priority, candidates, n_left):
@@ -109,15 +119,21 @@
         :returns: number of jobs tried.
         """
         n_tried = 0
-        for jobs in self.pool.queue.list_groups(workspace, self.now):
-            n_tried += self.place_jobs(jobs[: n_left - n_tried], priority, candidates)
+        for version, jobs in self.pool.queue.list_groups(workspace, self.now):
+            if version in self.full_versions:
+                continue
+            tried = jobs[: n_left - n_tried]
+            n_tried += self.place_jobs(tried, priority, candidates, version)
         return n_tried
 
-    def place_jobs(self, jobs, priority, candidates):
+    def place_jobs(self, jobs, priority, candidates, version):
         """Place some jobs of one workspace until several in a row find no room.
 
+        :param version: version to which all of them are bound, or None.
         :returns: number of jobs tried.
         """
+        # Room at other versions does not help a stream that goes on at one of several.
+        is_any_room_of_use = version is None or candidates.versions == {version}
         n_tried = 0
         n_without_room = 0
         for job in jobs:
@@ -129,9 +145,21 @@
                 n_without_room = 0
                 self.decide(job, placement)
                 continue
-            if self.pool.priority is None:
+            if self.pool.priority is None and is_any_room_of_use:
                 self.pool.priority = priority
             n_without_room += 1
+            if version is not None:
+                self.record_no_room(version)
             if n_without_room == MAX_JOBS_WITHOUT_ROOM:
                 break
         return n_tried
+
+    def record_no_room(self, version):
+        """Record that a stream found no room, and skip its version after several.
+
+        Load pattern: many workspaces have streams that wait for a full version, and
+        others have jobs for which another one has room.
+        """
+        self.n_without_room[version] = self.n_without_room.get(version, 0) + 1
+        if self.n_without_room[version] >= MAX_JOBS_WITHOUT_ROOM:
+            self.full_versions.add(version)
--- a/catkinfork/balancing/_queue.py
+++ b/catkinfork/balancing/_queue.py
@@ -7,33 +7,53 @@
 LATENCY_TARGET = attrgetter("latency_target_at")
 
 
+class BoundJobs:
+    """Queued streams of one workspace that go on at one version, in order of arrival.
+
+    ``n_tokens`` is the sum of their service tokens.
+    """
+
+    __slots__ = ("jobs", "n_tokens")
+
+    def __init__(self):
+        self.jobs = []
+        self.n_tokens = 0
+
+    def add(self, job):
+        """Add a job."""
+        self.jobs.append(job)
+        self.n_tokens += count_queue_tokens(job)
+
+    def remove(self, job):
+        """Remove a job.
+
+        :returns: whether it was queued.
+        """
+        if job not in self.jobs:
+            return False
+        self.jobs.remove(job)
+        self.n_tokens -= count_queue_tokens(job)
+        return True
+
+
 class WorkspaceQueue:
     """Queued jobs of one workspace: streams that go on first, then by latency target.
 
     Load pattern: under a flood, some hundred jobs wait and each request asks for the
     tokens ahead of it. These are therefore kept as sums.
 
-    ``bound`` has the jobs of streams that broke off and have to go on at a certain
-    version, in order of arrival. Of ``jobs``, the late ones come first in the list;
-    ``n_late`` is their number and ``late_until`` the monotonic time for which it holds,
-    seconds.
+    ``bound`` has the streams that broke off by version: those of a full one do not hold
+    up others. Of ``jobs``, the late ones come first in the list; ``n_late`` is their
+    number and ``late_until`` the monotonic time for which it holds, seconds.
     """
 
-    __slots__ = (
-        "bound",
-        "jobs",
-        "late_until",
-        "n_bound_tokens",
-        "n_late",
-        "n_on_time_tokens",
-    )
+    __slots__ = ("bound", "jobs", "late_until", "n_late", "n_on_time_tokens")
 
     def __init__(self):
-        self.bound = []
+        self.bound = {}
         self.jobs = []
         self.n_late = 0
         self.late_until = -inf
-        self.n_bound_tokens = 0
         self.n_on_time_tokens = 0
 
     @property
@@ -44,8 +64,7 @@
     def add(self, job):
         """Add a job."""
         if job.version is not None:
-            self.bound.append(job)
-            self.n_bound_tokens += count_queue_tokens(job)
+            self.bound.setdefault(job.version, BoundJobs()).add(job)
             return
         insort(self.jobs, job, key=LATENCY_TARGET)
         if job.latency_target_at <= self.late_until:
@@ -73,15 +92,15 @@
         return True
 
     def remove_bound(self, job):
-        """Remove the job of a stream that broke off.
+        """Remove a stream that broke off.
 
         :returns: whether it was queued.
         """
-        try:
-            self.bound.remove(job)
-        except ValueError:
+        bound = self.bound.get(job.version)
+        if bound is None or not bound.remove(job):
             return False
-        self.n_bound_tokens -= count_queue_tokens(job)
+        if not bound.jobs:
+            del self.bound[job.version]
         return True
 
     def advance(self, now):
@@ -100,14 +119,22 @@
         Streams that broke off delay other jobs only while their version has room.
         """
         if job.version is not None:
-            return self.n_bound_tokens
+            bound = self.bound.get(job.version)
+            return 0 if bound is None else bound.n_tokens
         self.advance(now)
         return self.n_on_time_tokens
 
-    def list_unbound(self, now):
-        """Return the other jobs in queue order: those that are late come last."""
+    def list_groups(self, now):
+        """Return the streams that broke off by version, then the other jobs.
+
+        Of the other jobs, those that are late come last.
+
+        :returns: pairs of version, or None, and list of jobs.
+        """
         self.advance(now)
-        return self.jobs[self.n_late :] + self.jobs[: self.n_late]
+        groups = [(version, list(one.jobs)) for version, one in self.bound.items()]
+        others = self.jobs[self.n_late :] + self.jobs[: self.n_late]
+        return [*groups, (None, others)]
 
 
 class WaitingQueue:
@@ -162,17 +189,21 @@
         queue = self.by_workspace.get(job.workspace)
         return 0 if queue is None else queue.count_tokens_ahead(job, now)
 
-    def list_by_workspace(self, now):
-        """Return pairs of workspace and its jobs in queue order."""
+    def list_all(self, now):
+        """Return all queued jobs."""
         return [
-            (workspace, queue.bound + queue.list_unbound(now))
-            for workspace, queue in self.by_workspace.items()
+            job
+            for workspace in self.by_workspace
+            for _, jobs in self.list_groups(workspace, now)
+            for job in jobs
         ]
 
     def list_groups(self, workspace, now):
-        """Return the streams that broke off, and the other jobs, of a workspace."""
-        queue = self.by_workspace[workspace]
-        return list(queue.bound), queue.list_unbound(now)
+        """Return the groups of jobs of a workspace that wait for each other.
+
+        :returns: pairs of version, or None, and list of jobs.
+        """
+        return self.by_workspace[workspace].list_groups(now)
 
     def list_priorities(self, now):
         """Return pairs of priority and workspace, the next one first."""
--- a/catkinfork/balancing/_waits.py
+++ b/catkinfork/balancing/_waits.py
@@ -67,7 +67,7 @@
     infeasible = []
     for workspace in pool.queue.by_workspace:
         wait = estimate_wait(pool, workspace, now)
-        for jobs in pool.queue.list_groups(workspace, now):
+        for _, jobs in pool.queue.list_groups(workspace, now):
             n_tokens_ahead = 0
             for job in jobs:
                 placed_at = now + share * wait.compute(n_tokens_ahead)
--- a/catkinfork/balancing/tests/test_versions.py
+++ b/catkinfork/balancing/tests/test_versions.py
@@ -1,6 +1,7 @@
 """Placement of streams that have to go on at the version that began them."""
 
 from catkinfork.balancing import BROKEN, NO_BACKEND, Placement, Refusal
+from catkinfork.balancing._jobs import THROTTLED
 from catkinfork.balancing.tests.support import (
     add_backend,
     build_balancer,
@@ -136,3 +137,111 @@
     assert balancer.submit(bound, 0.1) is None
     balancer.dispatch_queued(0.2)
     assert pool.queue.n_bound == 1
+
+
+def test_streams_of_a_full_version_do_not_hold_up_those_of_another():
+    """Guards against streams of an idle version that wait behind those of a full one.
+
+    Load pattern: an older version has few servers left, many of its streams broke off
+    at once, and one of a newer version broke off just after them.
+    """
+    balancer = build_versions(n_slots=1)
+    running = [balancer.submit(build_job(), 0.0) for _ in range(4)]
+    older = [build_job(0.1, version="v1") for _ in range(10)]
+    newer = build_job(0.1, version="v2")
+    for job in [*older, newer]:
+        balancer.pools["s"].queue.add(job)
+    for placement in running:
+        if placement.backend.entry.version == "v2":
+            serve(balancer, placement, 0.2)
+    decisions = balancer.dispatch_queued(0.2)
+    placed = {job for job, one in decisions if isinstance(one, Placement)}
+    assert placed == {newer}
+
+
+def test_stream_of_an_idle_version_is_not_refused_behind_a_full_one():
+    """Guards against a stream that is refused for the wait of another version."""
+    balancer = build_versions(n_slots=1)
+    balancer.tokens_per_s = 2000.0
+    running = [balancer.submit(build_job(), 0.0) for _ in range(4)]
+    for placement in running:
+        if placement.backend.entry.version == "v2":
+            serve(balancer, placement, 0.2)
+    n_older = 0
+    while balancer.submit(build_job(0.3, version="v1"), 0.3) is None:
+        n_older += 1
+    assert n_older
+    decision = balancer.submit(build_job(0.3, version="v2"), 0.3)
+    assert decision is None or isinstance(decision, Placement)
+
+
+def test_stream_whose_version_pauses_is_told_the_pause():
+    """Guards against a stream that is refused as if no server of its version were left.
+
+    Its only server has asked for a pause, and one of another version has not.
+    """
+    balancer = build_balancer(n_backends=0)
+    add_backend(balancer, "a0", version="v1")
+    add_backend(balancer, "b0", version="v2")
+    backend = balancer.registry.backends["a0"]
+    balancer.registry.throttle(backend, 0.2, "0.2", 0.0)
+    refusal = balancer.submit(build_job(version="v1"), 0.0)
+    assert refusal.reason == THROTTLED
+    assert 0.2 <= refusal.retry_after_s <= 0.4
+
+
+def test_queued_stream_outlives_a_short_pause_of_its_version():
+    """Guards against queued streams that are all ended by a pause of their server."""
+    balancer = build_balancer(n_backends=0, n_slots=1)
+    add_backend(balancer, "a0", 1, version="v1")
+    add_backend(balancer, "b0", 1, version="v2")
+    for _ in range(2):
+        balancer.submit(build_job(), 0.0)
+    bound = build_job(0.1, version="v1")
+    assert balancer.submit(bound, 0.1) is None
+    backend = balancer.registry.backends["a0"]
+    balancer.registry.throttle(backend, 0.1, "0.1", 0.1)
+    assert [decision.reason for _, decision in balancer.dispatch_queued(0.15)] in (
+        [],
+        [THROTTLED],
+    )
+
+
+def test_full_version_reserves_no_capacity_of_another():
+    """Guards against peers that keep room free which the waiting job may not use.
+
+    The priority of a queued job makes peers reserve capacity at all servers of the
+    service. Here the server of another version is idle, so no capacity helps the job.
+    """
+    balancer = build_balancer(n_backends=0, n_slots=1)
+    add_backend(balancer, "a0", 1, version="v1")
+    add_backend(balancer, "b0", 1, version="v2")
+    running = [balancer.submit(build_job(), 0.0) for _ in range(2)]
+    bound = build_job(0.1, version="v1")
+    assert balancer.submit(bound, 0.1) is None
+    serve(balancer, next(one for one in running if one.backend.name == "b0"), 0.2)
+    assert not balancer.dispatch_queued(0.2)
+    assert balancer.pools["s"].priority is None
+
+
+def test_streams_of_a_full_version_leave_a_pass_for_other_workspaces():
+    """Guards against workspaces that starve while the servers of a version are idle.
+
+    Load pattern: an older version has few servers left, which are full, and streams of
+    eight workspaces broke off there. Each of these has received less than another one,
+    whose new requests fit the newer version.
+    """
+    balancer = build_versions(n_slots=1)
+    running = [balancer.submit(build_job(workspace="i"), 0.0) for _ in range(4)]
+    for workspace in "abcdefgh":
+        for _ in range(8):
+            job = build_job(0.1, workspace=workspace, version="v1")
+            balancer.pools["s"].queue.add(job)
+    free = build_job(0.1, workspace="i")
+    balancer.pools["s"].queue.add(free)
+    for placement in running:
+        if placement.backend.entry.version == "v2":
+            serve(balancer, placement, 0.2)
+    decisions = balancer.dispatch_queued(0.2)
+    placed = {job for job, one in decisions if isinstance(one, Placement)}
+    assert placed == {free}
