--- a/catkinfork/balancing/_jobs.py
+++ b/catkinfork/balancing/_jobs.py
@@ -83,6 +83,15 @@
         """Return whether the version of a :class:`Backend` fits."""
         return self.version is None or self.version == backend.entry.version
 
+    @property
+    def has_all_parts(self):
+        """Return whether the parts are those of the whole prompt.
+
+        The last one then belongs to this request or its session.
+        """
+        n_tokens = sum(part.n_tokens for part in self.parts)
+        return bool(self.parts) and n_tokens == self.n_prompt_tokens
+
     @property
     def shared_parts(self):
         """Return the ids of the parts of its prompt that other requests may have."""
--- a/catkinfork/balancing/_resumption.py
+++ b/catkinfork/balancing/_resumption.py
@@ -63,27 +63,32 @@
         self.targets_changed_at = {}
 
     def apply_configuration(self, configuration, now):
-        """Record which routes have changed their targets.
+        """Record for which hosts of routes a target has changed.
+
+        A request may match another route of its host than before if one was removed.
 
         :param configuration: :class:`Configuration`.
         """
-        targets = {
-            (route.host, route.prefix): route.targets for route in configuration.routes
-        }
-        for key in targets:
-            if targets[key] != self.targets.get(key):
-                self.targets_changed_at[key] = now
+        targets = {}
+        for route in configuration.routes:
+            targets.setdefault(route.host, {})[route.prefix] = route.targets
+        for host in targets:
+            if targets[host] != self.targets.get(host):
+                self.targets_changed_at[host] = now
         self.targets = targets
+        for host in self.targets_changed_at.keys() - targets:
+            del self.targets_changed_at[host]
 
-    def find(self, route, key, now):
+    def find(self, route, key, stated_s, now):
         """Return the :class:`OriginFinding` of a stream.
 
         :param route: :class:`Route` on which it is resumed.
         :param key: key of the stream, or None if its caller does not name it.
+        :param stated_s: time that its caller will wait, seconds.
         """
         record = None if key is None else self.streams.find(key, now)
         if record is None:
-            return self.find_only_origin(route, now)
+            return self.find_only_origin(route, stated_s, now)
         if record.origin is None:
             return OriginFinding(None, UNCERTAIN)
         return OriginFinding(record.origin, RECORDED)
@@ -120,12 +125,12 @@
             return OriginFinding(None, UNKNOWN)
         return OriginFinding(origins.pop(), CACHED)
 
-    def find_only_origin(self, route, now):
+    def find_only_origin(self, route, stated_s, now):
         """Return the finding without a record of the stream."""
-        age_s = max(MIN_STREAM_AGE_S, STREAM_AGE_PER_TIMEOUT * route.timeout_s)
-        since = now - age_s
+        by_timeout_s = STREAM_AGE_PER_TIMEOUT * route.timeout_s
+        since = now - max(MIN_STREAM_AGE_S, by_timeout_s, stated_s)
         unknown = OriginFinding(None, UNKNOWN)
-        if self.targets_changed_at.get((route.host, route.prefix), inf) > since:
+        if self.targets_changed_at.get(route.host, inf) > since:
             return unknown
         services = {share.service for share in route.targets if share.weight > 0}
         if len(services) != 1:
--- a/catkinfork/balancing/_streams.py
+++ b/catkinfork/balancing/_streams.py
@@ -13,10 +13,12 @@
 # Limits of what waits to be told or asked; in a flood, the oldest are dropped.
 MAX_UNSENT = 4_096
 MAX_QUESTIONS = 512
-# Longest time between the start of a backend server and the reading of its entry,
-# seconds, and the streams at one backend server that are remembered for it.
+# Longest time between the start of a backend server and the reading of its entry while
+# the store is read, seconds: it is published within a heartbeat or two.
 ENTRY_LAG_S = 5.0
-MAX_RECENT_STREAMS = 512
+# Streams at one backend server, and backend servers, that are remembered for it.
+MAX_RECENT_STREAMS = 256
+MAX_BACKENDS = 1_024
 
 
 class StreamOrigin(NamedTuple):
@@ -61,8 +63,8 @@
         self.records = RecentTable(MAX_STREAMS)
         self.unsent = RecentTable(MAX_UNSENT)
         self.questions = RecentTable(MAX_QUESTIONS)
-        self.recent = {}
-        self.versions = {}
+        self.recent = RecentTable(MAX_BACKENDS)
+        self.versions = RecentTable(MAX_BACKENDS)
 
     @property
     def has_news(self):
@@ -86,27 +88,30 @@
             recent = self.recent[backend_name] = deque(maxlen=MAX_RECENT_STREAMS)
         recent.append((key, now))
 
-    def follow_versions(self, versions, now):
+    def follow_versions(self, versions, gap_s, now):
         """Follow backend servers that start again under their ids as other versions.
 
+        Those whose entries are missing for a while are remembered.
+
         :param versions: versions of all known backend servers, by name.
+        :param gap_s: time for which no entries were read before, seconds.
         """
         for name, version in versions.items():
             if self.versions.get(name, version) != version:
-                self.invalidate(name, now)
-        for name in self.recent.keys() - versions:
-            del self.recent[name]
-        self.versions = versions
+                self.invalidate(name, now - ENTRY_LAG_S - gap_s, now)
+            self.versions[name] = version
 
-    def invalidate(self, backend_name, now):
-        """Make the origins uncertain of streams that have just begun at a server.
+    def invalidate(self, backend_name, since, now):
+        """Make the origins uncertain of streams that began at a server since a time.
 
         It has started again under its id with another version, and may have done so
         before they began. Streams that began earlier are of the former version.
+
+        :param since: monotonic time, seconds.
         """
         for key, begun_at in self.recent.pop(backend_name, ()):
             record = self.find(key, now)
-            if record is not None and now - begun_at < ENTRY_LAG_S:
+            if record is not None and begun_at > since:
                 self.record(key, None, record.expires_at - now, now)
 
     def record_told(self, key, origin, lifetime_s, now):
--- a/catkinfork/balancing/tests/test_streams.py
+++ b/catkinfork/balancing/tests/test_streams.py
@@ -60,9 +60,9 @@
     finder.apply_configuration(configuration, now)
 
 
-def find(finder, key=KEY, route=ROUTE, now=LONG_AFTER):
+def find(finder, key=KEY, route=ROUTE, stated_s=0.0, now=LONG_AFTER):
     """Return the origin of a stream and how it is known."""
-    return tuple(finder.find(route, key, now))
+    return tuple(finder.find(route, key, stated_s, now))
 
 
 def test_record_goes_before_the_list_of_versions():
@@ -116,6 +116,18 @@
     assert find(finder, now=later) == (V1, ONLY_VERSION)
 
 
+def test_only_version_holds_for_the_time_that_a_caller_states():
+    """Guards against the version that is left for a stream which began before it.
+
+    The caller states 300 s, for which origins are recorded, and all forwarders were
+    killed 70 s ago.
+    """
+    finder = build_finder("v2", known_since=LONG_AFTER - 70.0)
+    finder.targets_changed_at[ROUTE.host] = LONG_AFTER - 70.0
+    assert find(finder) == (StreamOrigin("s", "v2"), ONLY_VERSION)
+    assert find(finder, stated_s=300.0) == (None, UNKNOWN)
+
+
 def test_route_with_two_services_is_not_certain():
     """Guards against one of several services for a stream without a record."""
     shares = (TrafficShare("s", 1.0), TrafficShare("t", 1.0))
@@ -242,3 +254,63 @@
     caches = [(name, [EngineCache("v1", SENT)]) for name in "st"]
     job = build_job(parts=[(PART, 40)])
     assert build_finder("v1").find_by_caches(job, 5, caches).origin is None
+
+
+def follow_versions(balancer, now):
+    """Follow the versions of the backend servers, as after each read of the store."""
+    registry = balancer.registry
+    balancer.streams.follow_versions(
+        registry.list_versions(), registry.versions.gap_s, now
+    )
+
+
+def test_service_of_a_removed_longer_route_is_not_certain():
+    """Guards against the service of a route that was not that of the stream.
+
+    The stream began on a route with a longer prefix, which the operator has removed
+    since; its requests match the shorter one now.
+    """
+    finder = build_finder("v1")
+    targets = (TrafficShare("t", 1.0),)
+    longer = ROUTE._replace(prefix="/r/x/", targets=targets)
+    apply_routes(finder, 0.0, ROUTE, longer)
+    apply_routes(finder, LONG_AFTER - 2.0, ROUTE)
+    assert find(finder)[0] is None
+
+
+def test_version_of_a_restart_is_doubted_after_a_gap_in_its_entries():
+    """Guards against streams of a restarted server that count for its former version.
+
+    The former entry expires before the new one is read.
+    """
+    balancer = build_balancer(n_backends=0)
+    add_backend(balancer, "a0", version="v1")
+    add_backend(balancer, "a1", version="v1")
+    follow_versions(balancer, 0.0)
+    streams = balancer.streams
+    streams.record(7, StreamOrigin("s", "v1"), 10.0, 1.0)
+    streams.record_begun(7, "a0", 1.0)
+    balancer.registry.remove("a0", 1.5, 1.5)
+    follow_versions(balancer, 1.5)
+    add_backend(balancer, "a0", version="v2")
+    follow_versions(balancer, 2.0)
+    assert streams.find(7, 2.0).origin is None
+
+
+def test_restart_during_a_store_outage_leaves_no_certain_origin():
+    """Guards against streams of a restarted server that count for its former version.
+
+    The store is down for 9 s, within which the server starts again under its id; its
+    entry is read after the outage. The streams that began there are of either version.
+    """
+    balancer = build_balancer(n_backends=0)
+    add_backend(balancer, "a0", version="v1")
+    add_backend(balancer, "a1", version="v1")
+    balancer.registry.versions.record_read(0.0)
+    follow_versions(balancer, 0.0)
+    balancer.streams.record(7, StreamOrigin("s", "v1"), 20.0, 2.0)
+    balancer.streams.record_begun(7, "a0", 2.0)
+    add_backend(balancer, "a0", version="v2")
+    balancer.registry.versions.record_read(9.0)
+    follow_versions(balancer, 9.0)
+    assert balancer.streams.find(7, 9.0).origin is None
--- a/catkinfork/forwarder/_process.py
+++ b/catkinfork/forwarder/_process.py
@@ -178,7 +178,9 @@
     def handle_topology_change(self):
         """Update the components after a change of the topology."""
         self.balancer.streams.follow_versions(
-            self.registry.list_versions(), self.loop.time()
+            self.registry.list_versions(),
+            self.registry.versions.gap_s,
+            self.loop.time(),
         )
         self.server.close_unused_pools()
         self.peer_exchange.version = self.server.version
--- a/catkinfork/forwarding/_attempt.py
+++ b/catkinfork/forwarding/_attempt.py
@@ -3,11 +3,13 @@
 from math import inf
 
 from catkinfork.balancing import (
+    ABANDONED,
     BROKEN,
     CONNECTION_REFUSED,
     FAILED,
     REJECTED,
     SILENT,
+    STREAM_UNKNOWN,
     UNREACHABLE,
     may_queue,
     place_elsewhere,
@@ -16,6 +18,7 @@
 from catkinfork.forwarding._caller import report_error
 from catkinfork.forwarding._request_events import build_attempt_event
 from catkinfork.forwarding._requests import encode_request
+from catkinfork.forwarding._resumption import has_uncertain_origin
 from catkinfork.forwarding._timeouts import compute_read_timeout_s
 from catkinfork.topology import UNSAFE
 
@@ -88,6 +91,11 @@
             connection.pool.release(connection)
             exchange.withdraw(now)
             return
+        if job.version is not None and has_uncertain_origin(exchange, now):
+            connection.pool.release(connection)
+            exchange.finish_attempt(ABANDONED, now)
+            exchange.send_failure(STREAM_UNKNOWN, "")
+            return
         backend = self.placement.backend
         is_usable = self.server.balancer.registry.is_usable(backend, now)
         if not is_usable or not job.accepts(backend):
--- a/catkinfork/forwarding/_cache_lookup.py
+++ b/catkinfork/forwarding/_cache_lookup.py
@@ -52,7 +52,7 @@
         """Ask the engines of a service, unless this was done just before."""
         if service not in self.pending and self.find(service, now) is None:
             self.pending.add(service)
-            self.spawn(self.list_service, service, now)
+            self.spawn(self.list_service, service)
 
     def find(self, service, now):
         """Return an :class:`EngineCache` for each engine, None without such answers."""
@@ -61,11 +61,8 @@
             return None
         return caches
 
-    async def list_service(self, service, now):
-        """Ask all engines of a service at once.
-
-        :param now: monotonic time, seconds.
-        """
+    async def list_service(self, service):
+        """Ask all engines of a service at once."""
         caches = []
         backends = [
             backend
@@ -78,7 +75,7 @@
                     tasks.start_soon(self.list_engine, backend, caches)
         finally:
             self.pending.discard(service)
-        self.listed[service] = (now, caches)
+        self.listed[service] = (anyio.current_time(), caches)
 
     async def list_engine(self, backend, caches):
         """Ask one engine and append its :class:`EngineCache`.
--- a/catkinfork/forwarding/_exchange.py
+++ b/catkinfork/forwarding/_exchange.py
@@ -217,6 +217,10 @@
         except OversizedEventError:
             self.drop_attempt(BROKEN, "event without an end")
             return
+        if self.has_response_started and self.job.version is None:
+            # Also by an event without data, as the caller has the head then.
+            self.job.version = self.attempt.version
+            record_origin(self, now)
         if has_progress:
             self.record_progress(now)
         if self.caller.is_paused:
@@ -226,8 +230,6 @@
         """Record that a part of the response was relayed."""
         if self.first_data_at is None:
             self.first_data_at = now
-            self.job.version = self.attempt.version
-            record_origin(self, now)
             self.record_response_started()
         else:
             self.max_pause_s = max(self.max_pause_s, now - self.last_data_at)
--- a/catkinfork/forwarding/_resumption.py
+++ b/catkinfork/forwarding/_resumption.py
@@ -17,6 +17,8 @@
 # to it: frames are sent less often in a larger fleet, and it takes two of them.
 MIN_ORIGIN_TIMEOUT_S = 0.1
 ORIGIN_TIMEOUT_PER_FORWARDER_S = 0.005
+# Callers leave after 2 s without an event, or later; the engines are asked as well.
+MAX_ORIGIN_TIMEOUT_S = 0.8
 # Time for which the answers of the engines are awaited, seconds.
 LOOKUP_TIMEOUT_S = 0.8
 # Time beyond the deadline of its caller for which the origin of a stream is kept, and
@@ -53,6 +55,10 @@
         """Submit the job, refuse it, or ask the peers or engines."""
         if self.decide(now):
             return
+        if not self.exchange.job.route.is_resumable:
+            # Streams of this route are not recorded anywhere.
+            self.refuse(STREAM_UNKNOWN)
+            return
         peers = self.server.balancer.peers
         if self.key is not None and peers.count_fresh(now) > 1:
             self.server.balancer.streams.ask(self.key)
@@ -67,7 +73,7 @@
         :returns: whether they are asked.
         """
         lookup = self.server.cache_lookup
-        if lookup is None or not self.exchange.job.parts:
+        if lookup is None or not self.exchange.job.has_all_parts:
             self.refuse(STREAM_UNKNOWN)
             return False
         self.is_looking_up = True
@@ -96,7 +102,8 @@
         :returns: whether it was decided.
         """
         job = self.exchange.job
-        finding = self.server.balancer.origins.find(job.route, self.key, now)
+        stated_s = read_stated_s(self.exchange)
+        finding = self.server.balancer.origins.find(job.route, self.key, stated_s, now)
         if finding.source == UNKNOWN and self.is_looking_up:
             caches = self.list_caches(now)
             if caches is None:
@@ -141,7 +148,8 @@
     :param peers: source of peer statistics.
     """
     n_forwarders = peers.count_forwarders(now)
-    return MIN_ORIGIN_TIMEOUT_S + ORIGIN_TIMEOUT_PER_FORWARDER_S * n_forwarders
+    timeout_s = MIN_ORIGIN_TIMEOUT_S + ORIGIN_TIMEOUT_PER_FORWARDER_S * n_forwarders
+    return min(MAX_ORIGIN_TIMEOUT_S, timeout_s)
 
 
 def list_services(route):
@@ -205,7 +213,11 @@
 
     A caller may wait for longer than the timeout of the route, which ends one request.
     """
-    value = exchange.request.find_header(exchange.server.names.deadline_ms) or b""
-    stated_s = (parse_number(value) or 0) / 1000
-    longest_s = max(stated_s, exchange.job.route.timeout_s)
+    longest_s = max(read_stated_s(exchange), exchange.job.route.timeout_s)
     return min(MAX_RECORD_S, longest_s) + RECORD_MARGIN_S
+
+
+def read_stated_s(exchange):
+    """Return the time that a caller states it will wait, seconds, 0 if it does not."""
+    value = exchange.request.find_header(exchange.server.names.deadline_ms) or b""
+    return (parse_number(value) or 0) / 1000
--- a/catkinfork/forwarding/tests/test_versions.py
+++ b/catkinfork/forwarding/tests/test_versions.py
@@ -294,7 +294,7 @@
 def follow_versions(world):
     """Follow the versions of the backend servers, as after each read of the store."""
     versions = world.registry.list_versions()
-    world.balancer.streams.follow_versions(versions, world.loop.time())
+    world.balancer.streams.follow_versions(versions, 0.0, world.loop.time())
 
 
 @pytest.mark.parametrize("n_before", [0, 1])
--- a/catkinfork/forwarding/tests/world.py
+++ b/catkinfork/forwarding/tests/world.py
@@ -146,8 +146,8 @@
         now = self.loop.time()
         history = self.registry.versions
         history.known_since, history.read_at = -inf, now
-        for route in self.balancer.origins.targets:
-            self.balancer.origins.targets_changed_at[route] = -inf
+        for host in self.balancer.origins.targets:
+            self.balancer.origins.targets_changed_at[host] = -inf
 
     async def connect(self):
         """Open a connection as a caller."""
--- a/catkinfork/peering/_state.py
+++ b/catkinfork/peering/_state.py
@@ -106,8 +106,9 @@
     def build_datagram(self, is_full, now):
         """Return a datagram with all totals or with the changed ones.
 
-        Parts, then usage entries are dropped until it fits into the maximum size.
-        Usage orders the queues of all forwarders; a lost part only costs a prefill.
+        Parts are dropped, then streams left to the next frame, then usage entries
+        dropped until it fits into the maximum size. Usage orders the queues of all
+        forwarders; a lost part only costs a prefill.
         """
         self.sequence += 1
         frame = Frame(
@@ -122,9 +123,13 @@
         self.fill_frame(frame, is_full, now)
         self.balancer.changes.clear()
         data = encode_frame(frame)
-        while len(data) > MAX_FRAME_BYTES and (frame.parts or frame.uses):
+        while len(data) > MAX_FRAME_BYTES and (
+            frame.parts or frame.streams or frame.uses
+        ):
             if frame.parts:
                 frame.parts = frame.parts[len(frame.parts) // 2 + 1 :]
+            elif frame.streams or frame.stream_questions:
+                self.stream_notices.defer(frame)
             else:
                 frame.uses = frame.uses[: len(frame.uses) // 2]
             data = encode_frame(frame)
--- a/catkinfork/peering/_stream_notices.py
+++ b/catkinfork/peering/_stream_notices.py
@@ -28,6 +28,16 @@
         questions = pop_items(self.streams.questions, MAX_QUESTIONS_PER_FRAME)
         frame.stream_questions = [key for key, _ in questions]
 
+    def defer(self, frame):
+        """Leave the origins and questions of a frame that is too large to the next."""
+        for entry in frame.streams:
+            for key, _ in entry.streams:
+                self.streams.unsent.setdefault(key, 1)
+        for key in frame.stream_questions:
+            self.streams.ask(key)
+        frame.streams = []
+        frame.stream_questions = []
+
     def list_origins(self, now):
         """Return the entries of the next streams to tell."""
         by_origin = {}
--- a/catkinfork/peering/tests/test_streams.py
+++ b/catkinfork/peering/tests/test_streams.py
@@ -5,7 +5,7 @@
 import pytest
 
 from catkinfork.balancing import StreamOrigin
-from catkinfork.peering import Frame
+from catkinfork.peering import Frame, decode_frame
 from catkinfork.peering._frames import MAX_FRAME_BYTES, StreamEntry
 from catkinfork.peering._stream_notices import MAX_STREAMS_PER_FRAME
 from catkinfork.peering.tests.nodes import Node, build_nodes, deliver, run
@@ -145,3 +145,26 @@
     frame = Frame("10.0.0.2", 1, 1, False, 1, 1, streams=[entry])
     node.exchange.handle_frame(frame, 5.0)
     assert node.balancer.streams.find(7, 5.0).expires_at <= 605.0
+
+
+def test_usage_is_told_beside_a_flood_of_streams():
+    """Guards against fair shares that are dropped from frames for the sake of streams.
+
+    Usage orders the queues of all forwarders, and is cleared once a frame is built.
+    """
+    node = Node("10.0.0.1", ["10.0.0.2"])
+    for key in range(400):
+        key += 1 << 63
+        origin = StreamOrigin("s", f"v1.{key % 8}")
+        node.balancer.streams.record(key, origin, LIFETIME_S, 1.0)
+    for key in range(200):
+        node.balancer.streams.ask((1 << 62) + key)
+    workspaces = [("s", f"workspace-{number}") for number in range(60)]
+    shares = node.balancer.pools["s"].shares
+    for service, workspace in workspaces:
+        shares.record_demand(workspace, 200_000, 1.0)
+        shares.record_service(workspace, 100_000, 1.0)
+        node.balancer.changes.workspaces.add((service, workspace))
+    node.exchange.next_refresh_at = 100.0
+    ((_, data),) = node.exchange.tick(1.0)
+    assert len(decode_frame(data).uses) == len(workspaces)
--- a/catkinfork/platform/_engines.py
+++ b/catkinfork/platform/_engines.py
@@ -11,9 +11,9 @@
 )
 
 LIST_PATH = "/kv-list"
-LIST_TIMEOUT_S = 0.4
+LIST_TIMEOUT_S = 0.3
 # Engines that are asked at the same time, which bounds the connections of a lookup.
-MAX_CONCURRENT_LISTS = 16
+MAX_CONCURRENT_LISTS = 64
 
 
 class KeptPart(msgspec.Struct, array_like=True):
--- a/catkinfork/topology/_types.py
+++ b/catkinfork/topology/_types.py
@@ -138,7 +138,7 @@
 class BackendEntry(NamedTuple):
     """Registration that a backend server publishes about itself.
 
-    :param name: id of the backend server instance, unique for each start.
+    :param name: id of the backend server, under which it may start again.
     :param service: name of its service.
     :param address: ``host:port``.
     :param data_centre: name of its data centre.
--- a/catkinfork/topology/_versions.py
+++ b/catkinfork/topology/_versions.py
@@ -5,8 +5,8 @@
 from catkinfork.topology._recent import RecentTable
 
 MAX_LEFT = 1024
-# Longest time between two reads of the store within which no backend server is missed,
-# seconds. Each one is published for longer before it serves and leaves.
+# Longest time between two reads of the store within which hardly any backend server is
+# missed, seconds: one that starts, serves and leaves in between.
 MAX_READ_GAP_S = 4.0
 
 
@@ -14,17 +14,20 @@
     """When the versions of each service were last published.
 
     ``known_since`` is the monotonic time since which it is complete, infinite before
-    the first read of the store, and ``read_at`` that of the last read.
+    the first read of the store, ``read_at`` that of the last read, and ``gap_s`` the
+    time between the last two reads.
     """
 
     def __init__(self):
         self.left = RecentTable(MAX_LEFT)
         self.known_since = inf
         self.read_at = -inf
+        self.gap_s = 0.0
 
     def record_read(self, now):
         """Record that the entries of all backend servers are known as of now."""
-        if now - self.read_at > MAX_READ_GAP_S:
+        self.gap_s = now - self.read_at
+        if self.gap_s > MAX_READ_GAP_S:
             self.known_since = now
         self.read_at = now
 
