--- a/catkinfork/balancing/_balancer.py
+++ b/catkinfork/balancing/_balancer.py
@@ -1,9 +1,10 @@
 """Admission control and placement of the requests of one forwarder."""
 
+from catkinfork.balancing._admission import AdmissionControl
 from catkinfork.balancing._candidates import CandidateList
 from catkinfork.balancing._changes import ChangeSet
 from catkinfork.balancing._crashes import CrashGuard
-from catkinfork.balancing._dispatch import EXPIRY_SHARE, DispatchPass
+from catkinfork.balancing._dispatch import DispatchPass
 from catkinfork.balancing._health import build_ejection_event
 from catkinfork.balancing._jobs import (
     ABANDONED,
@@ -21,12 +22,8 @@
 from catkinfork.balancing._resumption import OriginFinder
 from catkinfork.balancing._retries import is_retryable
 from catkinfork.balancing._streams import StreamTable
-from catkinfork.balancing._waits import estimate_wait
 from catkinfork.topology import Service
 
-# Queue limit of one service at one forwarder, in jobs.
-MAX_WAITING = 2000
-
 
 class Balancer:
     """Places requests at backend servers, queues them or refuses them.
@@ -49,6 +46,7 @@
         self.pools = {}
         self.changes = ChangeSet()
         self.refusals = RefusalBuilder(rng)
+        self.admission = AdmissionControl(self.refusals)
         self.crash_guard = CrashGuard(self.changes, rng, write_log)
         self.streams = StreamTable()
         self.origins = OriginFinder(registry, self.streams)
@@ -190,61 +188,23 @@
     def admit(self, pool, job, now):
         """Place, queue or refuse a job."""
         candidates = self.list_candidates(pool, now)
-        refusal = self.check_throttled(candidates)
+        refusal = self.admission.check_throttled(candidates)
         if refusal is not None:
             return refusal
         if not candidates.list_eligible(job):
-            return self.handle_no_candidate(pool, job, candidates)
-        if not pool.queue.n_jobs:
-            priority = pool.queue.compute_priority(job.workspace, now)
-            placement = self.place(pool, job, candidates, priority, now)
-            if placement is not None:
-                return placement
-        refusal = self.check_wait(pool, job, now)
+            refusal = self.admission.check_without_candidate(job, candidates)
+        else:
+            if not pool.queue.n_jobs:
+                priority = pool.queue.compute_priority(job.workspace, now)
+                placement = self.place(pool, job, candidates, priority, now)
+                if placement is not None:
+                    return placement
+            pool.shares.update_level(self.tokens_per_s, now)
+            refusal = self.admission.check_wait(pool, job, now)
         if refusal is None:
             pool.queue.add(job)
         return refusal
 
-    def handle_no_candidate(self, pool, job, candidates):
-        """Refuse a job that no backend server may run now.
-
-        An answer that broke off waits if all servers of its version have only asked for
-        a pause; refused, it would be lost.
-
-        :returns: :class:`Refusal`, or None if the job is queued.
-        """
-        pause_s = None
-        if job.version is not None:
-            pause_s = candidates.compute_pause_s(job.version)
-        if pause_s is None:
-            return self.refusals.refuse_without_backend()
-        if not job.tried_backends:
-            return self.refusals.refuse_throttled(pause_s)
-        pool.queue.add(job)
-        return None
-
-    def check_throttled(self, candidates):
-        """Return a refusal if all backend servers have asked for a pause."""
-        pause_s = candidates.compute_pause_s()
-        if pause_s is None:
-            return None
-        return self.refusals.refuse_throttled(pause_s)
-
-    def check_wait(self, pool, job, now):
-        """Return a refusal if a job cannot meet its deadline behind the queued jobs."""
-        pool.shares.update_level(self.tokens_per_s, now)
-        queue = pool.queue
-        if queue.n_jobs >= MAX_WAITING:
-            return self.refusals.refuse_full_queue(queue.n_jobs)
-        wait = estimate_wait(pool, job.workspace, now)
-        wait_s = wait.compute(queue.count_tokens_ahead(job, now))
-        # What the caller of a stream that broke off has received is lost if it is
-        # refused, so that a fair chance is enough.
-        share = 1.0 if job.version is None else EXPIRY_SHARE
-        if pool.can_meet_deadline(job, now + share * wait_s, share):
-            return None
-        return self.refusals.refuse_long_wait(wait_s, queue.n_jobs)
-
     def place(self, pool, job, candidates, priority, now):
         """Place a job at the backend server with the lowest cost.
 
--- a/catkinfork/balancing/_dispatch.py
+++ b/catkinfork/balancing/_dispatch.py
@@ -70,7 +70,7 @@
         """Place jobs in order of priority."""
         self.pool.priority = None
         candidates = self.balancer.list_candidates(self.pool, self.now)
-        refusal = self.balancer.check_throttled(candidates)
+        refusal = self.balancer.admission.check_throttled(candidates)
         if refusal is not None:
             for job in self.pool.queue.list_all(self.now):
                 self.decide(job, refusal)
--- a/catkinfork/forwarding/_messages.py
+++ b/catkinfork/forwarding/_messages.py
@@ -146,6 +146,20 @@
     return b"\r\n".join(lines) + body
 
 
+def encode_refusal(status, code, request_id, retry_after_s, is_keep_alive):
+    """Return the response to a request that gets none of a backend server, as bytes.
+
+    :param code: refusal code.
+    :param request_id: name and value of its header; the value may be None.
+    :param retry_after_s: value for ``Retry-After``, seconds, or None.
+    """
+    headers = [request_id] if request_id[1] else []
+    if retry_after_s is not None:
+        headers.append((b"retry-after", b"%.2f" % retry_after_s))
+    body = b'{"error":"%s"}' % code.encode()
+    return encode_local_response(status, body, headers, is_closing=not is_keep_alive)
+
+
 def encode_chunk(data):
     """Return data as one chunk of a chunked body."""
     return b"%x\r\n%b\r\n" % (len(data), data)
--- a/catkinfork/forwarding/_responses.py
+++ b/catkinfork/forwarding/_responses.py
@@ -33,7 +33,7 @@
         return ResponseFault(BROKEN, f"{status} without request id")
     if rejection is not None:
         return ResponseFault(rejection, status)
-    if head.status >= 500 and exchange.can_retry(FAILED):
+    if head.status >= 500 and can_retry(exchange):
         return ResponseFault(FAILED, status)
     if head.status in PROMISE_STATUSES and not exchange.job.route.is_repeatable:
         # Relayed, it would promise what the backend server does not state.
@@ -45,6 +45,13 @@
     return None
 
 
+def can_retry(exchange):
+    """Return whether the request would be retried if its attempt fails."""
+    now = exchange.server.loop.time()
+    placement = exchange.attempt.placement
+    return exchange.server.balancer.can_retry(placement, FAILED, now)
+
+
 def find_rejection(head, names):
     """Return the outcome of a request that was not executed, or None.
 
--- a/catkinfork/forwarding/_resumption.py
+++ b/catkinfork/forwarding/_resumption.py
@@ -178,12 +178,14 @@
     return compute_stream_key(exchange.job.workspace, ids[0])
 
 
-def record_origin(exchange, now):
-    """Record where a stream began when its first event is relayed.
+def bind_stream(exchange, now):
+    """Bind a request to the version that began its response, and record the origin.
 
-    A stream that is resumed keeps the id of the request that began it.
+    An event without data does so as well, since the caller has the head then. A stream
+    that is resumed keeps the id of the request that began it.
     """
     job = exchange.job
+    job.version = exchange.attempt.version
     if not job.route.is_resumable:
         return
     streams = exchange.server.balancer.streams
