Log the tokens of a request

Change: request_finished has n_tokens, the tokens for which a request counts in the fair shares.

test_log_tells_the_tokens_of_a_request failed before (KeyError: 'n_tokens').

--- a/catkinfork/forwarding/_events.py
+++ b/catkinfork/forwarding/_events.py
@@ -22,6 +22,7 @@
         "first_s",
         "total_s",
         "max_pause_s",
+        "n_tokens",
         "cost",
         "n_missing_tokens",
         "n_candidates",
--- a/catkinfork/forwarding/_request_events.py
+++ b/catkinfork/forwarding/_request_events.py
@@ -31,6 +31,7 @@
         first_s=round((exchange.first_data_at or now) - arrived_at, 4),
         total_s=round(now - arrived_at, 4),
         max_pause_s=round(exchange.max_pause_s, 4),
+        n_tokens=job.n_service_tokens if job else 0,
         cost=round(placement.cost, 1) if placement else 0,
         n_missing_tokens=placement.n_missing_tokens if placement else 0,
         n_candidates=placement.n_candidates if placement else 0,
--- a/catkinfork/forwarding/tests/test_attempts.py
+++ b/catkinfork/forwarding/tests/test_attempts.py
@@ -12,6 +12,7 @@
     silence,
 )
 from catkinfork.forwarding.tests.world import (
+    PROMPT,
     run_world,
 )
 
@@ -267,6 +268,18 @@
     run_world(test)
 
 
+def test_log_tells_the_tokens_of_a_request():
+    """Guards against a log from which nobody can tell what a workspace asked for."""
+
+    async def test(world):
+        await world.start("engine", answer())
+        await world.call("/chat/", headers=PROMPT)
+        (line,) = world.list_events("request_finished")
+        assert line["n_tokens"] == 100 + 2 * 20
+
+    run_world(test)
+
+
 def test_backend_that_starts_again_elsewhere_is_reached():
     """Guards against connections to the old address of a server that kept its id."""
 
