Count service in the order only as far as others lack it

Cause: the queues go by what each workspace has received in a decaying sum. One that was served all that it asked for while the others asked for little is far ahead at the moment at which capacity falls and the others ask for more: it gets nothing until its sum has decayed to theirs, for the time constant times ln(1 + its rate before / theirs after). Class: service that took nothing from anybody is held against the one who got it.

Change: the order counts the service of a workspace up to 1.25 times the mean of those that lack some. Leads, shortfalls and entitlements go by all service.

--- a/catkinfork/balancing/_queue.py
+++ b/catkinfork/balancing/_queue.py
@@ -75,10 +75,10 @@
     """Queued jobs by workspace.
 
     The workspace that has recently received the least service over all forwarders goes
-    first; this service in tokens is the priority value of its jobs. Within a workspace,
-    jobs before their latency target go ahead of late ones, ordered by target. Lateness
-    does not count between workspaces: one whose jobs are all late would starve behind
-    those that always have new jobs.
+    first; this service in tokens, as far as it counts, is the priority value of its
+    jobs. Within a workspace, jobs before their latency target go ahead of late ones,
+    ordered by target. Lateness does not count between workspaces: one whose jobs are
+    all late would starve behind those that always have new jobs.
 
     :param shares: :class:`FairShares`.
     """
@@ -137,7 +137,7 @@
 
     def compute_priority(self, workspace, now):
         """Return the priority of a workspace's jobs; lower values go first."""
-        return self.shares.read_received(workspace, now)
+        return self.shares.read_counted(workspace, now)
 
 
 def count_queue_tokens(job):
--- a/catkinfork/balancing/_shares.py
+++ b/catkinfork/balancing/_shares.py
@@ -15,6 +15,9 @@
 # Service tokens, of a few long prompts, that it has to lack for that. One that lacks
 # less is only waiting for a moment.
 MIN_SHORTFALL_TOKENS = 30_000
+# Service that counts in the order of the queues at most, as a multiple of the mean of
+# the workspaces that lack service.
+MAX_COUNTED_RATIO = 1.25
 # Time constant as a fraction of the window over which service is compared: the amounts
 # in a decaying sum are then as old on average as those in a window of that length.
 TIME_CONSTANT_SHARE = 0.5
@@ -34,9 +37,13 @@
 
 
 class WorkspaceUsage:
-    """Recent demand and received service of one workspace, in service tokens."""
+    """Recent demand and received service of one workspace, in service tokens.
+
+    ``counted`` is the received service that counts in the order of the queues.
+    """
 
     __slots__ = (
+        "counted",
         "demand",
         "local_demand",
         "n_requested_tokens",
@@ -48,9 +55,15 @@
         self.demand = DecayingSum(time_constant_s)
         self.local_demand = DecayingSum(time_constant_s)
         self.received = DecayingSum(time_constant_s)
+        self.counted = DecayingSum(time_constant_s)
         self.n_requested_tokens = 0
         self.n_received_tokens = 0
 
+    def add_received(self, n_tokens, now):
+        """Add service at this forwarder or a peer."""
+        self.received.add(n_tokens, now)
+        self.counted.add(n_tokens, now)
+
 
 class FairShares:
     """Max-min fair shares: a demand below the fair share is met in full.
@@ -92,18 +105,22 @@
         """Add the service of a request that this forwarder has placed."""
         use = self.find(workspace)
         use.n_received_tokens += n_tokens
-        use.received.add(n_tokens, now)
+        use.add_received(n_tokens, now)
 
     def record_peer_usage(self, workspace, n_requested_tokens, n_received_tokens, now):
         """Add the demand and service at a peer since its previous frame."""
         use = self.find(workspace)
         use.demand.add(n_requested_tokens, now)
-        use.received.add(n_received_tokens, now)
+        use.add_received(n_received_tokens, now)
 
     def read_received(self, workspace, now):
         """Return the recent service of a workspace in tokens."""
         return self.find(workspace).received.read(now)
 
+    def read_counted(self, workspace, now):
+        """Return the service that counts in the order of the queues, in tokens."""
+        return self.find(workspace).counted.read(now)
+
     def is_underserved(self, workspace, now):
         """Return whether a workspace receives far less than others.
 
@@ -135,6 +152,25 @@
             return 0.0
         return 1.0 - self.least_received / received
 
+    def limit_counted(self, now):
+        """Forget, in the order, service far above that of workspaces that lack service.
+
+        Load pattern: a workspace uses most of the capacity while the others ask for
+        little, and then these ask for more than is left. It would get nothing until
+        they have caught up with it.
+        """
+        amounts = [
+            use.counted.read(now)
+            for use in self.uses.values()
+            if MIN_EVEN_SHARE * use.demand.read(now) - use.received.read(now)
+            > MIN_SHORTFALL_TOKENS
+        ]
+        if not amounts:
+            return
+        limit = MAX_COUNTED_RATIO * sum(amounts) / len(amounts)
+        for use in self.uses.values():
+            use.counted.limit(limit, now)
+
     def update_extremes(self, now):
         """Find the best served workspace, and the worst served that lacks service."""
         uses = self.uses.values()
@@ -159,6 +195,7 @@
         if now < self.next_update_at:
             return
         self.next_update_at = now + LEVEL_UPDATE_INTERVAL_S
+        self.limit_counted(now)
         self.update_extremes(now)
         demands = sorted(use.demand.read(now) for use in self.uses.values())
         n_received_tokens = sum(use.received.read(now) for use in self.uses.values())
--- a/catkinfork/balancing/_windows.py
+++ b/catkinfork/balancing/_windows.py
@@ -67,3 +67,7 @@
         """Add an amount at the given time."""
         self.read(now)
         self.value += amount
+
+    def limit(self, most, now):
+        """Reduce the sum to a limit if it is above."""
+        self.value = min(self.read(now), most)
--- a/catkinfork/balancing/tests/test_fairness.py
+++ b/catkinfork/balancing/tests/test_fairness.py
@@ -4,6 +4,7 @@
 
 from catkinfork.balancing import LoadFigures
 from catkinfork.balancing._models import QueueRank, compute_reserved_token_share
+from catkinfork.balancing._queue import WaitingQueue
 from catkinfork.balancing._shares import FairShares
 from catkinfork.balancing.tests.support import (
     PLAIN,
@@ -129,3 +130,46 @@
         now += 0.01
         shares.record_service("little", 1_000, now)
     assert now - lost_at <= 4.0
+
+
+@pytest.mark.parametrize("n_others", [1, 4, 10])
+def test_service_while_others_asked_for_little_does_not_stop_a_workspace(n_others):
+    """Guards against a workspace that gets nothing until others have caught up (FAIR).
+
+    Load pattern: a workspace is served all that it asks for; then capacity falls to
+    half, and others begin to ask for more than is left.
+    """
+    shares = FairShares(4.0)
+    queue = WaitingQueue(shares)
+    others = [f"other-{number}" for number in range(n_others)]
+    for step in range(1000):
+        now = 0.01 * step
+        shares.record_demand("first", 8_000, now)
+        shares.record_service("first", 8_000, now)
+        shares.update_level(0.0, now)
+    counts = dict.fromkeys(["first", *others], 0)
+    for step in range(600):
+        now = 10.0 + 0.01 * step
+        for workspace in counts:
+            shares.record_demand(workspace, 8_000, now)
+        shares.update_level(0.0, now)
+        best = min(counts, key=lambda name: (queue.compute_priority(name, now), name))
+        shares.record_service(best, 4_000, now)
+        counts[best] += 1
+    assert counts["first"] >= 0.5 * max(counts.values())
+
+
+def test_lead_counts_all_service():
+    """Guards against limits on service that hide how far a workspace is ahead."""
+    shares = FairShares(4.0)
+    for step in range(1000):
+        now = 0.01 * step
+        for workspace, n_tokens in (("little", 500), ("much", 6_000)):
+            shares.record_demand(workspace, 8_000, now)
+            shares.record_service(workspace, n_tokens, now)
+        shares.update_level(0.0, now)
+    queue = WaitingQueue(shares)
+    priorities = [queue.compute_priority(name, now) for name in ("little", "much")]
+    assert priorities == sorted(priorities)
+    assert shares.is_underserved("little", now)
+    assert shares.compute_lead("much", now) >= 0.9
--- a/catkinfork/peering/tests/test_fair_order.py
+++ b/catkinfork/peering/tests/test_fair_order.py
@@ -91,6 +91,24 @@
             for _, decision in node.balancer.dispatch_queued(self.now):
                 self.start(node, decision)
 
+    def drive(self, end, capacity, demands):
+        """Submit requests at random until a time.
+
+        :param capacity: requests per second that all engines can read.
+        :param demands: workspaces, their demands as fractions of the capacity, and the
+            addresses of the forwarders that they use.
+        """
+        while self.now < end:
+            for workspace, share, hosts in demands:
+                if self.rng.random() < share * capacity * STEP_S:
+                    self.submit(workspace, self.rng.choice(hosts))
+            self.advance()
+
+    def remove_engine(self, name):
+        """Let an engine leave; it ends the requests that it has."""
+        for node in self.nodes.values():
+            node.balancer.registry.remove(name, 0.0, 0.0)
+
     def count_starts(self, workspace, start, end):
         """Return how many requests of a workspace began to run in a span of time."""
         return sum(name == workspace and start <= at < end for at, name in self.starts)
@@ -114,17 +132,40 @@
     fleet.pass_intervals_s[addresses[-1]] = pass_interval_s
     capacity = n_engines * READING_RATE / N_PROMPT_TOKENS
     starts_at = fleet.now + SETTLE_S
-    while fleet.now < starts_at + SPAN_S:
-        for workspace, share, hosts in (
-            ("a", 0.95, addresses[-1:]),
-            ("b", 0.95, addresses),
-            ("c", 0.1, addresses),
-        ):
-            if fleet.rng.random() < share * capacity * STEP_S:
-                fleet.submit(workspace, fleet.rng.choice(hosts))
-        fleet.advance()
+    fleet.drive(
+        starts_at + SPAN_S,
+        capacity,
+        (("a", 0.95, addresses[-1:]), ("b", 0.95, addresses), ("c", 0.1, addresses)),
+    )
     n_one_host, n_all_hosts, _ = counts = [
         fleet.count_starts(name, starts_at, fleet.now) for name in "abc"
     ]
     assert n_one_host >= 0.5 * n_all_hosts
     assert sum(counts) >= 0.9 * capacity * SPAN_S
+
+
+@pytest.mark.parametrize(("n_nodes", "seed"), [(4, 0), (4, 1), (12, 0), (12, 1)])
+def test_workspace_that_used_most_is_served_as_capacity_falls(n_nodes, seed):
+    """Guards against a workspace that gets nothing until others have caught up (FAIR).
+
+    Load pattern: one workspace uses most of the capacity through one host, while the
+    others ask for little. Then half of the engines leave, and four others ask for more
+    than is left.
+    """
+    n_engines = 8
+    fleet = SaturatedFleet(n_nodes, n_engines, seed)
+    addresses = list(fleet.nodes)
+    capacity = n_engines * READING_RATE / N_PROMPT_TOKENS
+    first = ("a", 0.9, addresses[-1:])
+    fleet.drive(fleet.now + 2 * SETTLE_S, capacity, (first,))
+    for number in range(n_engines // 2):
+        fleet.remove_engine(f"b{number}")
+    falls_at = fleet.now
+    others = [(name, 0.4, addresses) for name in "bcde"]
+    fleet.drive(falls_at + SPAN_S, capacity, (first, *others))
+    n_first, *n_others = counts = [
+        fleet.count_starts(name, falls_at, fleet.now) for name in "abcde"
+    ]
+    # The rule allows three of the largest requests less.
+    assert n_first + 3 >= 0.5 * max(n_others)
+    assert sum(counts) >= 0.9 * capacity / 2 * SPAN_S
