Test which reads complete the history of versions

Without the call of record_read in the watcher, a single version would never be certain, and callers of streams without a record would be refused. The tests of the watcher did not cover it. A list and the changes after it count, a failed read and a read of a peer do not. The tests call the watcher with a manual clock.

Both pass on the unchanged code.

--- a/catkinfork/topology/tests/test_state.py
+++ b/catkinfork/topology/tests/test_state.py
@@ -2,6 +2,7 @@
 
 import time
 from collections import Counter
+from math import inf
 
 import anyio
 import pytest
@@ -21,6 +22,7 @@
     TopologyState,
     UnreadableItem,
     Watcher,
+    _watcher,
     choose_target,
 )
 from catkinfork.topology._watcher import (
@@ -210,22 +212,24 @@
         return None
 
 
+class FixedRandom:
+    """Draws the same number always."""
+
+    def random(self):
+        return 0.0
+
+
+def build_watcher(state, source, peer_source=None):
+    """Return a watcher of a source."""
+    peers = StubPeers(peer_source)
+    return Watcher(state, source, peers, lambda: None, FixedRandom(), lambda _: None)
+
+
 def run_watcher(state, source, peer_source=None, seconds=1.0):
     """Run a watcher for a given time and return it."""
 
-    class FixedRandom:
-        def random(self):
-            return 0.0
-
     async def main():
-        watcher = Watcher(
-            state,
-            source,
-            StubPeers(peer_source),
-            lambda: None,
-            FixedRandom(),
-            lambda _: None,
-        )
+        watcher = build_watcher(state, source, peer_source)
         with anyio.move_on_after(seconds):
             async with anyio.create_task_group() as tasks:
                 tasks.start_soon(watcher.run)
@@ -277,6 +281,68 @@
     assert backend.expires_at == watcher.recovered_at + REREGISTRATION_TIME_S
 
 
+class ManualClock:
+    """Stands in for the time module."""
+
+    def __init__(self):
+        self.now = 0.0
+
+    def monotonic(self):
+        return self.now
+
+
+@pytest.fixture
+def clock(monkeypatch):
+    clock = ManualClock()
+    monkeypatch.setattr(_watcher, "time", clock)
+    return clock
+
+
+def test_versions_are_known_from_reads_of_the_store(state, clock):
+    """Guards against streams that are refused although the store lists one version.
+
+    A list and the changes after it count as reads, and a failed read does not.
+    """
+    versions = state.registry.versions
+    listed = Changes([Item("b1", b"1", 1)], 1, True)
+    updates = [Changes([], 1, False), SourceError("down")]
+    watcher = build_watcher(state, ScriptedSource([listed], updates))
+
+    async def main():
+        for now, read_at in ((10.0, 10.0), (12.0, 12.0), (14.0, 12.0)):
+            clock.now = now
+            await watcher.update()
+            assert (versions.known_since, versions.read_at) == (10.0, read_at)
+
+    anyio.run(main)
+    assert state.registry.find_only_version("read", 10.0, 14.0) == ""
+    assert state.registry.find_only_version("read", 9.0, 14.0) is None
+
+
+def test_read_of_a_peer_does_not_complete_the_versions(state, clock):
+    """Guards against a version that is taken for the only one on the word of a peer.
+
+    The peer may not have read the store itself for some time.
+    """
+    versions = state.registry.versions
+    listed = Changes([Item("b1", b"1", 1)], 1, True)
+    watcher = build_watcher(state, ScriptedSource([listed]))
+    peer = ScriptedSource([Changes([Item("b2", b"1", n)], n, True) for n in (1, 2)])
+
+    async def main():
+        clock.now = 10.0
+        await watcher.read_peer(peer)
+        assert len(state.registry.list_ready("read")) == 1
+        assert (versions.known_since, versions.read_at) == (inf, -inf)
+        clock.now = 11.0
+        await watcher.update()
+        clock.now = 12.0
+        await watcher.read_peer(peer)
+        assert (versions.known_since, versions.read_at) == (11.0, 11.0)
+
+    anyio.run(main)
+
+
 @pytest.mark.parametrize("n_forwarders", [1, 5, 27, 68, 300])
 def test_calls_of_all_forwarders_do_not_grow_with_the_fleet(n_forwarders):
     """Guards against a store that a large fleet drives over its rate of calls."""
