--- a/tests/test_mixed_builds.py
+++ b/tests/test_mixed_builds.py
@@ -44,10 +44,10 @@
 import sys
 from catkinfork.peering import Frame, decode_frame, encode_frame
 values = [
-    "10.0.0.5", 1700000000000, 7, True, 3, 42, True, ["10.0.0.6:7300"],
+    "10.0.0.5", 1700000000000, 7, True, 3, 42, True, ["10.0.0.6"],
     [(1, 2, 3, 4)], [(5, 6, 7, 8)], [(9, 10, 11)], [(12, 13, 14)], [(15, 2)],
     [(16, 0.25)], [(17, 18, 19)], [(20, 21)], 22, [(23, 24)],
-    [(25, 26, 2.5, 27)],
+    [(25, 26, 2.5, 27)], [(28, "v1", [(29, 30)])], [31],
 ]
 names = Frame.__struct_fields__
 values = values[:len(names)]
