Record the origin of streams that callers resume

One whose origin the engines had told was unknown again when it broke off next.

The assertion added to the test of a loss of all hosts fails before.

--- a/catkinfork/forwarding/_exchange.py
+++ b/catkinfork/forwarding/_exchange.py
@@ -58,6 +58,7 @@
         self.first_placement = None
         self.relay = None
         self.resumption = None
+        self.is_bound = False
         self.is_done = False
         self.is_waiting = False
         self.was_sent = False
@@ -211,7 +212,8 @@
         except OversizedEventError:
             self.drop_attempt(BROKEN, "event without an end")
             return
-        if self.has_response_started and self.job.version is None:
+        if self.has_response_started and not self.is_bound:
+            self.is_bound = True
             bind_stream(self, now)
         if has_progress:
             self.record_progress(now)
--- a/catkinfork/forwarding/tests/test_versions.py
+++ b/catkinfork/forwarding/tests/test_versions.py
@@ -391,6 +391,9 @@
         assert [reply.body for reply in replies] == [join(5, 9)] * n_callers
         assert (len(older.requests), len(newer.requests)) == (0, n_callers)
         assert source.n_lists == 2
+        key = compute_stream_key("a", b"r-before")
+        record = world.balancer.streams.find(key, world.loop.time())
+        assert record.origin == StreamOrigin("engine", "v2")
         load = world.balancer.pools["engine"].find("engine-0").load
         assert load.prefixes.count_cached_tokens([PromptPart(0xA1, 60)]) == 60
         line = world.list_events("request_finished")[-1]
