Keep an unexpected error in the list of an engine from ending the process

Found in reading: the list of an engine is read in a task of the process, whose unexpected errors end it with all its requests. The error is reported now, and the engine counts as silent. The new test fails before.

--- a/catkinfork/forwarding/_cache_lookup.py
+++ b/catkinfork/forwarding/_cache_lookup.py
@@ -1,10 +1,12 @@
 """Lookup of the engines that keep the prompt of a stream."""
 
+import asyncio
 from abc import ABC, abstractmethod
 
 import anyio
 
 from catkinfork.balancing import EngineCache
+from catkinfork.forwarding._caller import report_error
 
 # Time for which the answers of engines are used, seconds. A stream that began later is
 # known to the forwarder that carries it.
@@ -83,7 +85,12 @@
         :param backend: :class:`Backend`.
         """
         version = backend.entry.version
-        parts = await self.source.list_parts(backend.entry.address)
+        parts = None
+        try:
+            parts = await self.source.list_parts(backend.entry.address)
+        except Exception as error:
+            # Unexpected; without this, it would end the process.
+            report_error(asyncio.get_running_loop(), error)
         caches.append(EngineCache(version, parts))
         if parts is not None:
             self.balancer.record_cached_parts(backend, parts)
--- a/catkinfork/forwarding/tests/test_uncertain_versions.py
+++ b/catkinfork/forwarding/tests/test_uncertain_versions.py
@@ -4,6 +4,7 @@
 import pytest
 
 from catkinfork.balancing import StreamOrigin, compute_stream_key
+from catkinfork.forwarding import BasePromptPartSource, CacheLookup
 from catkinfork.forwarding._resumption import (
     LOOKUP_TIMEOUT_S,
     compute_origin_timeout_s,
@@ -17,6 +18,7 @@
 from catkinfork.forwarding.tests.world import (
     PROMPT,
     SingleForwarderDirectory,
+    collect_errors,
     run_world,
 )
 
@@ -161,3 +163,29 @@
         assert world.loop.time() - started_at < 0.05
 
     run_world(test)
+
+
+class FailingParts(BasePromptPartSource):
+    """Stand-in for a source with a fault."""
+
+    async def list_parts(self, address):
+        """Raise an error that no caller expects."""
+        raise RuntimeError(address)
+
+
+def test_fault_of_a_lookup_does_not_end_the_process():
+    """Guards against an error in the list of an engine that ends all requests."""
+
+    async def test(world):
+        errors = collect_errors(world)
+        await world.start("engine", stream(1, 9), version="v1")
+        await world.start("engine", stream(1, 9), version="v2")
+        world.server.cache_lookup = CacheLookup(
+            world.balancer, FailingParts(), world.server.spawn
+        )
+        reply = await resume(world, "Resumes: r-before")
+        assert reply.status == 503
+        assert len(errors) == 2
+        assert (await world.call("/draft/", headers=PROMPT)).is_whole
+
+    run_world(test)
