--- a/review/2/case.py
+++ b/review/2/case.py
@@ -14,6 +14,7 @@
 CRASHING = "c0ffee"
 OLD_FIRST = "aaaa01:100"
 NEW_FIRST = "bbbb02:100"
+N_RUNNERS = 5
 DOWN_S = 3.0
 PREFILL_S = 0.03
 INTERVAL_S = 0.5
@@ -57,7 +58,7 @@
 async def case(fleet):
     fleet.crashes = []
     fleet.store.put("op/config", build_configuration())
-    for number in range(6):
+    for number in range(N_RUNNERS):
         runner = CrashingRunner(fleet, f"i-lm-{number}", "v1")
         fleet.runners.append(runner)
         await runner.start()
@@ -82,13 +83,13 @@
     started_at = time.monotonic()
     number = 0
     while time.monotonic() < started_at + LENGTH_S:
+        parts = [NEW_FIRST, f"f{number:05x}:60"]
+        sound.append(launch(f"sound{number}", parts, number))
+        await asyncio.sleep(INTERVAL_S / 2)
         parts = [NEW_FIRST, f"{CRASHING}:40", f"e{number:05x}:60"]
         if TROUBLE:
             launch(f"bad{number}", parts, 3 * number + 1)
         await asyncio.sleep(INTERVAL_S / 2)
-        parts = [NEW_FIRST, f"f{number:05x}:60"]
-        sound.append(launch(f"sound{number}", parts, number))
-        await asyncio.sleep(INTERVAL_S / 2)
         number += 1
     await asyncio.gather(*tasks)
     crashes = fleet.crashes
--- a/review/common.py
+++ b/review/common.py
@@ -557,7 +557,7 @@
                     self.request_line,
                     f"sound-{number}-{n_sent}",
                     [f"{P}Deadline-Ms: 3000"],
-                    b"sound",
+                    f"sound {number}-{n_sent}".encode(),
                 )
                 self.answers[status] = self.answers.get(status, 0) + 1
                 if status != 200:
--- a/review/streams.py
+++ b/review/streams.py
@@ -67,7 +67,7 @@
     async def answer(self, method, target, headers, body, reader, writer):
         request_id = headers[f"{P}Request-Id".lower()]
         after = int(headers.get("last-event-id", 0))
-        n_events = int(body.split(b"=")[1])
+        n_events = int(body.split(b" ")[1])
         self.started.append((request_id, after))
         self.record.write(
             f"{self.name} ({self.version}) runs {request_id} after {after}"
@@ -149,7 +149,7 @@
         if self.events:
             headers.append(f"Last-Event-Id: {self.events[-1][0]}")
             headers.append(f"Resumes: {self.first_id}")
-        body = b"events=%d" % self.n_events
+        body = f"events {self.n_events} prompt of {self.name}".encode()
         headers.append(f"Content-Length: {len(body)}")
         n_before = len(self.events)
         self.status = 0
