Send 100 Continue after the responses to the requests ahead

A caller that pipelines a request with Expect behind one in progress got the 100 response inside the body of the response ahead: the response was broken, and a stream could not be read to its end. The head of the second request was answered as soon as it was parsed, whatever the connection was sending.

The interim response now waits until the responses ahead are complete, and is not sent for a body that has arrived. The first test failed before (the stream was not whole); 9 tests of test_pipelining.py pass.

--- a/catkinfork/forwarding/_caller.py
+++ b/catkinfork/forwarding/_caller.py
@@ -56,6 +56,7 @@
         self.n_head_bytes = 0
         self.is_reading_head = False
         self.is_reading_body = False
+        self.awaits_continue = False
         self.is_discarding = False
         self.is_lost = False
         self.is_paused = False
@@ -143,6 +144,7 @@
         self.n_head_bytes = 0
         self.is_reading_head = True
         self.is_reading_body = False
+        self.awaits_continue = False
         if len(self.requests) >= MAX_PIPELINED:
             raise BadRequestError(429, "too_many_requests_ahead")
 
@@ -166,8 +168,17 @@
         request.is_keep_alive = parser.should_keep_alive()
         self.request = request
         check_head(request, self.server.limits)
-        if request.find_header(b"expect") is not None:
-            self.transport.write(CONTINUE)
+        self.awaits_continue = request.find_header(b"expect") is not None
+        self.send_continue()
+
+    def send_continue(self):
+        """Ask for the body of a request whose caller awaits this.
+
+        The responses to the requests ahead of it are sent first.
+        """
+        if self.awaits_continue and self.exchange is None and not self.requests:
+            self.awaits_continue = False
+            self.write(CONTINUE)
 
     def on_body(self, body):
         """Append a part of the body."""
@@ -179,6 +190,7 @@
     def on_message_complete(self):
         """Start the request, or queue it while another one is in progress."""
         self.is_reading_body = False
+        self.awaits_continue = False
         request = self.request
         request.body = b"".join(self.body_parts)
         self.body_parts = []
@@ -228,6 +240,8 @@
             self.loop.call_soon(self.start_next)
         elif self.rejection is not None:
             self.send_rejection()
+        else:
+            self.send_continue()
 
     def linger(self):
         """Perform a lingering close, so that the caller receives the last response."""
--- a/catkinfork/forwarding/tests/test_pipelining.py
+++ b/catkinfork/forwarding/tests/test_pipelining.py
@@ -113,3 +113,42 @@
         assert ids == ["r2", "r3", "r4"]
 
     run_world(test)
+
+
+def test_continue_is_not_sent_within_the_response_ahead():
+    """Guards against a 100 response inside the body of another response."""
+
+    async def test(world):
+        await world.start("plain", answer())
+        await world.start("engine", stream(1, 4, gap_s=0.05))
+        caller = await world.connect()
+        await caller.send("/chat/", headers=PROMPT)
+        await anyio.sleep(0.05)
+        headers = ["Expect: 100-continue", "Content-Length: 4"]
+        await caller.send("/order/", body=b"", headers=headers)
+        reply = await caller.read()
+        assert (reply.status, reply.is_whole) == (200, True)
+        interim = await caller.reader.readuntil(b"\r\n\r\n")
+        assert interim.startswith(b"HTTP/1.1 100 ")
+        await caller.send_raw(b"body")
+        assert (await caller.read()).status == 200
+
+    run_world(test)
+
+
+def test_continue_is_not_sent_for_a_body_that_has_arrived():
+    """Guards against a 100 response behind the final one of its request."""
+
+    async def test(world):
+        await world.start("plain", answer())
+        await world.start("engine", stream(1, 2, gap_s=0.05))
+        caller = await world.connect()
+        await caller.send("/chat/", headers=PROMPT)
+        await anyio.sleep(0.02)
+        await caller.send("/order/", headers=["Expect: 100-continue"])
+        replies = [await caller.read() for _ in range(2)]
+        assert [reply.status for reply in replies] == [200, 200]
+        await caller.send("/order/")
+        assert (await caller.read()).status == 200
+
+    run_world(test)
