Add a soak of real forwarder processes

Forwarders run as processes on loopback between kept connections of callers and backend servers, while a seeded plan disrupts them from outside: signals, restarts, new configurations, leaving and crashing servers, a silent store and disturbed links.

--- a/Makefile
+++ b/Makefile
@@ -4,8 +4,10 @@
 BIN := $(VENV)/bin
 SEED ?= 1
 SECONDS ?= 60
+KIND ?= hard
 
-.PHONY: help demo test lint format bench bench-processes capacity soak binary clean
+.PHONY: help demo test lint format bench bench-processes capacity soak soak-decisions \
+	binary clean
 
 help:
 	@echo "make demo      set up and run the whole path on loopback"
@@ -14,7 +16,8 @@
 	@echo "make bench     measure the policy against baselines (SEED=$(SEED))"
 	@echo "make bench-processes  the same figures from real processes"
 	@echo "make capacity  measure the slopes behind docs/CAPACITY.md"
-	@echo "make soak      long randomised runs (SECONDS=$(SECONDS) SEED=$(SEED))"
+	@echo "make soak      disrupt real processes (SECONDS=$(SECONDS) SEED=$(SEED) KIND=$(KIND))"
+	@echo "make soak-decisions  long randomised runs of decisions (SECONDS, SEED)"
 	@echo "make binary    build dist/catkinfork"
 
 $(VENV)/installed: requirements.lock pyproject.toml
@@ -54,6 +57,10 @@
 		--sh-boot --python $(BIN)/python -o dist/catkinfork
 
 soak: $(VENV)/installed
+	$(BIN)/python -m catkinfork.platform.tests.soak --seconds $(SECONDS) \
+		--seed $(SEED) --kind $(KIND)
+
+soak-decisions: $(VENV)/installed
 	$(BIN)/python -m benchmarks.soak --seconds $(SECONDS) --seed $(SEED)
 
 format: $(VENV)/installed
--- /dev/null
+++ b/catkinfork/platform/tests/soak/checks.py
@@ -0,0 +1,358 @@
+"""Checks of the promises, decided from the records of callers, servers and processes.
+
+Each excuse is what the platform's rules allow; it stands beside its check.
+"""
+
+from collections import defaultdict
+from itertools import pairwise
+from typing import NamedTuple
+
+from catkinfork.platform.tests.soak import records as r
+from catkinfork.platform.tests.soak.settings import (
+    CONFIG_S,
+    CONTACT_S,
+    GRACE_S,
+    LATE_S,
+    LOSS_SLACK_S,
+)
+
+# Statuses that promise that a request has not run and never will.
+PROMISES = {408, 421, 429, 503}
+# Streams with events of two versions that break no rule.
+MAX_JOINED = 2
+MIN_RESUMED = 12
+MIN_SERVERS = 2
+# Responses that end this shortly before the deadline end at it.
+DEADLINE_SLACK_S = 0.05
+# A stop may cut what runs in the last sixth of the grace and was sent soon enough.
+LAST_PART_S = GRACE_S * 5 / 6
+SENT_EARLY_S = 3.0
+AFTER_GRACE_S = 1.0
+
+
+class Violation(NamedTuple):
+    """A broken promise.
+
+    :param id: request or stream, if there is one.
+    :param hosts: hosts whose logs tell more.
+    """
+
+    rule: str
+    at: float
+    id: str
+    hosts: tuple[str, ...]
+    text: str
+
+
+class Facts:
+    """Records with an index of runs and disruptions."""
+
+    def __init__(self, records):
+        self.records = records
+        self.runs = defaultdict(list)
+        for run in records.runs:
+            if run.outcome != r.REJECTED:
+                self.runs[run.id].append(run)
+        self.spans = defaultdict(list)
+        for span in records.spans:
+            self.spans[span.kind].append(span)
+
+    def list_spans(self, kinds, targets, begin, end):
+        """Return the disruptions of some kinds and targets that overlap a time."""
+        return [
+            span
+            for kind in kinds
+            for span in self.spans[kind]
+            if span.target in targets
+            and span.began_at <= end
+            and span.ended_at >= begin
+        ]
+
+    def is_disturbed(self, request):
+        """Return whether an unplanned disruption held for a request."""
+        begin, end = request.began_at - CONTACT_S, request.ended_at
+        servers = {run.server for run in self.runs[request.id]}
+        return bool(
+            self.list_spans((r.KILL, r.PAUSE, r.LINK), {request.host}, begin, end)
+            or self.list_spans((r.CRASH, r.LINK), servers, begin, end)
+        )
+
+    def is_in_touch(self, host, at):
+        """Return whether a host is in touch, for rules with a bound of time."""
+        kinds = (r.STOP, r.KILL, r.PAUSE, r.LINK, r.STORE)
+        begin = at - CONTACT_S
+        has_started = any(
+            host == one.host and begin <= one.ended_at <= at
+            for one in self.records.exits
+        )
+        targets = {host, r.ALL_HOSTS}
+        return not has_started and not self.list_spans(kinds, targets, begin, at)
+
+
+def find_violations(records):
+    """Return all broken promises in order of time."""
+    facts = Facts(records)
+    found = [
+        *find_lost(facts),
+        *find_repeated(facts),
+        *find_false_refusals(facts),
+        *find_wrong(facts),
+        *find_late(facts),
+        *find_bad_exits(facts),
+        *find_disordered(facts),
+        *find_lost_streams(facts),
+    ]
+    return sorted(found, key=lambda violation: violation.at)
+
+
+def find_lost(facts):
+    """Return the whole requests whose connection ended without a complete response."""
+    return [
+        describe_lost(facts, request)
+        for request in facts.records.requests
+        if request.ending == r.CUT
+        and request.sent_at is not None
+        and not is_loss_excused(facts, request)
+    ]
+
+
+def is_loss_excused(facts, request):
+    """Return whether the rules allow that a request got no complete response."""
+    runs = facts.runs[request.id]
+    if not runs and request.ended_at - request.sent_at <= LOSS_SLACK_S:
+        # A request that crosses the close and is not passed on does not count.
+        return True
+    if not runs and request.after_close:
+        # The response before it announced the close, so it was not accepted.
+        return True
+    if any(run.outcome == r.CRASHED for run in runs):
+        # The server broke off.
+        return True
+    if request.ended_at >= request.deadline_at - DEADLINE_SLACK_S:
+        # The deadline was reached.
+        return True
+    if facts.is_disturbed(request):
+        # An unplanned disruption held from contact_ms before it to its end.
+        return True
+    begin = request.began_at - CONTACT_S
+    hosts = {request.host, r.ALL_HOSTS}
+    if request.kind == r.STREAM and facts.list_spans(
+        (r.STORE,), hosts, begin, request.ended_at
+    ):
+        # Disruption of the store excuses nothing for requests without a key only.
+        return True
+    return any(outlasts_grace(span, request, runs) for span in facts.spans[r.STOP])
+
+
+def outlasts_grace(stop, request, runs):
+    """Return whether a stop may cut a request.
+
+    The server was still at work on it in the last sixth of the grace, and it was sent
+    no later than 3 s after the SIGTERM.
+    """
+    last_part_at = stop.began_at + LAST_PART_S
+    return (
+        stop.target == request.host
+        and request.sent_at <= stop.began_at + SENT_EARLY_S
+        and last_part_at <= request.ended_at <= stop.began_at + GRACE_S + AFTER_GRACE_S
+        and any(run.began_at <= last_part_at <= run.ended_at for run in runs)
+    )
+
+
+def describe_lost(facts, request):
+    """Return the violation of a lost request, with the planned work beside it."""
+    runs = facts.runs[request.id]
+    seen = ", ".join(
+        f"{run.server} {run.began_at:.3f} to {run.ended_at:.3f} {run.outcome}"
+        for run in runs
+    )
+    beside = [
+        span.kind
+        for kind, after_s in (
+            (r.STOP, GRACE_S + AFTER_GRACE_S),
+            (r.RELOAD, CONFIG_S),
+            (r.CONFIGURATION, CONFIG_S + AFTER_GRACE_S),
+        )
+        for span in facts.spans[kind]
+        if span.target in (request.host, r.ALL_HOSTS)
+        and span.began_at <= request.ended_at
+        and request.began_at <= max(span.ended_at, span.began_at + after_s)
+    ]
+    place = ", ".join(sorted(set(beside))) or "nothing planned"
+    text = (
+        f"{request.kind}, request {request.position} of its connection, begun at "
+        f"{request.began_at:.3f}, sent at {request.sent_at:.3f}, cut with status "
+        f"{request.status}, beside {place}; servers: {seen or 'none'}"
+    )
+    return Violation("LOST", request.ended_at, request.id, (request.host,), text)
+
+
+def find_repeated(facts):
+    """Return the unsafe requests that ran more than once. Nothing excuses it."""
+    return [
+        Violation(
+            "TWICE",
+            facts.runs[request.id][1].began_at,
+            request.id,
+            (request.host,),
+            f"ran at {[run.server for run in facts.runs[request.id]]}",
+        )
+        for request in facts.records.requests
+        if request.kind == r.UNSAFE and len(facts.runs[request.id]) > 1
+    ]
+
+
+def find_false_refusals(facts):
+    """Return the unsafe requests that were refused and ran. Nothing excuses it."""
+    return [
+        Violation(
+            "REFUSED",
+            request.ended_at,
+            request.id,
+            (request.host,),
+            f"status {request.status}, ran at "
+            f"{[run.server for run in facts.runs[request.id]]}",
+        )
+        for request in facts.records.requests
+        if request.kind == r.UNSAFE
+        and request.status in PROMISES
+        and facts.runs[request.id]
+    ]
+
+
+def find_wrong(facts):
+    """Return the responses and requests whose body was changed. Nothing excuses it."""
+    found = [
+        Violation("MIXED", one.ended_at, one.id, (one.host,), f"status {one.status}")
+        for one in facts.records.requests
+        if one.ending == r.WRONG
+    ]
+    found += [
+        Violation("UNASKED", run.began_at, run.id, (), f"changed, at {run.server}")
+        for run in facts.records.runs
+        if run.outcome == r.CHANGED
+    ]
+    return found
+
+
+def find_late(facts):
+    """Return the requests without a final response shortly after their deadline."""
+    endings = (r.COMPLETE, r.CUT, r.NO_RESPONSE)
+    return [
+        Violation(
+            "LATE",
+            request.ended_at,
+            request.id,
+            (request.host,),
+            f"{request.kind}, status {request.status}, {request.ending} "
+            f"{request.ended_at - request.deadline_at:.3f} s after the deadline",
+        )
+        for request in facts.records.requests
+        if request.ending in endings
+        and request.ended_at > request.deadline_at + LATE_S
+        # The host stood still, was killed or cut off; or the callers were late.
+        and not facts.is_disturbed(request)
+        and not facts.list_spans(
+            (r.DRIVER,), {r.ALL_HOSTS}, request.began_at, request.ended_at
+        )
+    ]
+
+
+def find_bad_exits(facts):
+    """Return the processes that ended by themselves, or badly in a planned stop."""
+    return [
+        Violation(
+            "EXIT",
+            one.ended_at,
+            "",
+            (one.host,),
+            f"exit code {one.code}, {one.ended_at - one.started_at:.3f} s after the "
+            "start; " + ", ".join(f"{s.name} at {s.at:.3f}" for s in one.signals[-4:]),
+        )
+        for one in facts.records.exits
+        if not is_exit_proper(one)
+    ]
+
+
+def is_exit_proper(one):
+    """Return whether a process ended as its signals demand."""
+    names = [signal.name for signal in one.signals]
+    if "SIGKILL" in names or "SIGSTOP" in names:
+        # A kill or a freeze is no planned stop.
+        return True
+    return one.code == 0 and ("SIGTERM" in names or "SIGINT" in names)
+
+
+def find_disordered(facts):
+    """Return the streams with missing or doubled events, or joined versions."""
+    found, joined = [], []
+    for stream in facts.records.streams:
+        numbers = [0, *(event.number for event in stream.events)]
+        gaps = [pair for pair in pairwise(numbers) if pair[1] != pair[0] + 1]
+        if gaps:
+            found.append(describe_stream(stream, f"numbers {gaps}"))
+        elif stream.is_whole and numbers[-1] != stream.n_expected:
+            found.append(describe_stream(stream, f"ends after {numbers[-1]} events"))
+        if len({event.version for event in stream.events}) > 1:
+            joined.append(describe_stream(stream, "joined from two versions"))
+    # More than two streams with events of two versions break the rule.
+    return found + (joined if len(joined) > MAX_JOINED else [])
+
+
+def describe_stream(stream, text):
+    """Return the violation of a stream."""
+    tries = ", ".join(
+        f"{one.request_id} at {one.host} from {one.n_before} brought {one.n_events}"
+        for one in stream.tries
+    )
+    hosts = tuple(dict.fromkeys(one.host for one in stream.tries))
+    at = stream.tries[-1].began_at
+    return Violation("ORDER", at, stream.name, hosts, f"{text}; {tries}")
+
+
+def find_lost_streams(facts):
+    """Return that too few of the streams that were taken up again went on."""
+    new, resumed = [], []
+    for stream in facts.records.streams:
+        for one in stream.tries:
+            if not facts.is_in_touch(one.host, one.began_at):
+                continue
+            if not one.n_before:
+                new.append(one)
+            elif one.n_before < stream.n_expected and has_servers(facts, stream, one):
+                resumed.append(one)
+    if len(resumed) < MIN_RESUMED:
+        return []
+    share_new = sum(one.n_events > 0 for one in new) / max(1, len(new))
+    failed = [one for one in resumed if not one.n_events]
+    if 1.0 - len(failed) / len(resumed) >= share_new / 2:
+        return []
+    hosts = tuple(dict.fromkeys(one.host for one in failed))
+    text = (
+        f"{len(failed)} of {len(resumed)} streams that were taken up again did not go "
+        f"on; new ones begin in {share_new:.2f}: {[one.request_id for one in failed]}"
+    )
+    return [Violation("LOST streams", failed[0].began_at, "", hosts, text)]
+
+
+def has_servers(facts, stream, one):
+    """Return whether two servers of a stream's version serve when it is taken up."""
+    version = stream.events[0].version
+    counts = [
+        count.n_servers
+        for count in facts.records.version_counts
+        if count.version == version and count.at <= one.began_at
+    ]
+    return bool(counts) and counts[-1] >= MIN_SERVERS
+
+
+def find_unreported_runs(records):
+    """Return the posts that ran to their end and were answered 504: no broken rule."""
+    facts = Facts(records)
+    return [
+        request
+        for request in records.requests
+        if request.kind == r.UNSAFE
+        and request.status == 504
+        and any(run.outcome == r.ANSWERED for run in facts.runs[request.id])
+    ]
--- a/catkinfork/platform/tests/standins.py
+++ b/catkinfork/platform/tests/standins.py
@@ -7,6 +7,8 @@
 import socket
 import sys
 import time
+from bisect import bisect_right
+from operator import itemgetter
 from pathlib import Path
 from urllib.parse import parse_qs, urlsplit
 
@@ -83,6 +85,7 @@
         self.revision = 1
         self.era = 1
         self.refused_ports = set()
+        self.silent_ports = set()
         self.servers = {}
 
     async def open(self):
@@ -129,6 +132,8 @@
                 status, body = 200, self.list_range(query)
             else:
                 status, body = await self.watch(query, port)
+            while port in self.silent_ports:
+                await asyncio.sleep(0.01)
             data = json.dumps(body).encode()
             writer.write(
                 b"HTTP/1.1 %d X\r\nStore-Era: %d\r\nContent-Length: %d\r\n\r\n"
@@ -156,7 +161,8 @@
             return 410, {}
         ends_at = time.monotonic() + int(query["wait_ms"]) / 1000
         while time.monotonic() < ends_at and port not in self.refused_ports:
-            found = [event for event in self.events if event["revision"] > after]
+            n_known = bisect_right(self.events, after, key=itemgetter("revision"))
+            found = self.events[n_known:]
             if found or self.era != era:
                 return 200, {"events": found, "current_rev": self.revision}
             await asyncio.sleep(0.01)
