topology, forwarding: a list read before a caller asked is not certain

A read proves nothing about a server that was published after it started. After a pause the request was handled before the store was read, and before the frames that waited in the socket. The engines were asked on the same ground: all that the outdated list named had answered, and one of the older version had read the prompt. Class of fault: the view of a process is taken for complete as of now, while it is complete as of the start of the last read.

Fix: the list, and the engines that it names, count only once a read has been applied that started after the caller had asked. Peers are asked first; then the store is read on request beside the watch, once for all who asked before; engines that have become known since are asked as well. Peers are asked even if none has been heard, and a recorded stream waits for the read if no known server has its version (a paused host had the record some milliseconds before the entry). Otherwise the stream is refused with a true 503, within 1.8 s.

test_versions_are_known_from_reads_of_the_store required that a list is certain 2 s after the last successful read. That is the fault; it now requires certainty up to the start of the read, and none after it. The other tests only got the new argument.

--- a/catkinfork/balancing/__init__.py
+++ b/catkinfork/balancing/__init__.py
@@ -31,6 +31,8 @@
 from catkinfork.balancing._moves import may_queue, place_elsewhere
 from catkinfork.balancing._resumption import (
     MIN_STREAM_AGE_S,
+    RECORDED,
+    UNCONFIRMED,
     UNKNOWN,
     EngineCache,
 )
@@ -50,6 +52,7 @@
     "NO_BACKEND",
     "NO_RETRY",
     "OVERLOADED",
+    "RECORDED",
     "REJECTED",
     "SERVED",
     "SILENT",
@@ -57,6 +60,7 @@
     "STREAM_ELSEWHERE",
     "STREAM_UNKNOWN",
     "SUSPECT",
+    "UNCONFIRMED",
     "UNKNOWN",
     "UNREACHABLE",
     "Balancer",
--- a/catkinfork/balancing/_resumption.py
+++ b/catkinfork/balancing/_resumption.py
@@ -13,6 +13,7 @@
 # How the origin of a stream is known, for the log.
 RECORDED = "recorded"
 ONLY_VERSION = "only_version"
+UNCONFIRMED = "unconfirmed"
 CACHED = "cached"
 UNCERTAIN = "uncertain"
 UNKNOWN = "unknown"
@@ -23,7 +24,8 @@
 
     :param origin: :class:`StreamOrigin`, or None.
     :param source: ``recorded``, ``only_version``, ``cached`` by engines,
-        ``uncertain`` if there are two records that differ, or ``unknown``.
+        ``uncertain`` if there are two records that differ, ``unconfirmed`` if the store
+        lists one version but was not read since the request, or ``unknown``.
     """
 
     origin: StreamOrigin | None
@@ -50,7 +52,8 @@
 
     Load pattern: all forwarders are killed at once while two versions serve, or when
     the last server of the older version has just left. None of them knows the streams
-    from before, and the store lists a single version.
+    from before, and the store lists a single version. Or this forwarder was cut off or
+    paused for a moment in which servers of another version joined and began streams.
 
     :param registry: :class:`BackendRegistry`.
     :param streams: :class:`StreamTable`.
@@ -79,20 +82,32 @@
         for host in self.targets_changed_at.keys() - targets:
             del self.targets_changed_at[host]
 
-    def find(self, route, key, stated_s, now):
+    def find(self, route, key, stated_s, asked_at, now):
         """Return the :class:`OriginFinding` of a stream.
 
         :param route: :class:`Route` on which it is resumed.
         :param key: key of the stream, or None if its caller does not name it.
         :param stated_s: time that its caller will wait, seconds.
+        :param asked_at: monotonic time at which its caller asked, seconds. The stream
+            began before.
         """
         record = None if key is None else self.streams.find(key, now)
         if record is None:
-            return self.find_only_origin(route, stated_s, now)
+            return self.find_only_origin(route, stated_s, asked_at)
         if record.origin is None:
             return OriginFinding(None, UNCERTAIN)
         return OriginFinding(record.origin, RECORDED)
 
+    def is_served(self, origin):
+        """Return whether a known backend server has the version of an origin.
+
+        :param origin: :class:`StreamOrigin`.
+        """
+        return any(
+            (backend.service, backend.entry.version) == origin
+            for backend in self.registry.backends.values()
+        )
+
     def find_by_caches(self, job, n_events, caches):
         """Return the finding from what the engines keep.
 
@@ -125,10 +140,10 @@
             return OriginFinding(None, UNKNOWN)
         return OriginFinding(origins.pop(), CACHED)
 
-    def find_only_origin(self, route, stated_s, now):
+    def find_only_origin(self, route, stated_s, asked_at):
         """Return the finding without a record of the stream."""
         by_timeout_s = STREAM_AGE_PER_TIMEOUT * route.timeout_s
-        since = now - max(MIN_STREAM_AGE_S, by_timeout_s, stated_s)
+        since = asked_at - max(MIN_STREAM_AGE_S, by_timeout_s, stated_s)
         unknown = OriginFinding(None, UNKNOWN)
         if self.targets_changed_at.get(route.host, inf) > since:
             return unknown
@@ -136,7 +151,9 @@
         if len(services) != 1:
             return unknown
         (service,) = services
-        version = self.registry.find_only_version(service, since, now)
-        if version is None:
+        if self.registry.find_only_version(service, since, -inf) is None:
             return unknown
+        version = self.registry.find_only_version(service, since, asked_at)
+        if version is None:
+            return OriginFinding(None, UNCONFIRMED)
         return OriginFinding(StreamOrigin(service, version), ONLY_VERSION)
--- a/catkinfork/balancing/tests/test_streams.py
+++ b/catkinfork/balancing/tests/test_streams.py
@@ -17,6 +17,7 @@
     ONLY_VERSION,
     RECORDED,
     UNCERTAIN,
+    UNCONFIRMED,
     UNKNOWN,
     OriginFinder,
 )
@@ -47,7 +48,8 @@
     for number, version in enumerate(versions):
         add_backend(balancer, f"b{number}", version=version)
     history = balancer.registry.versions
-    history.known_since, history.read_at = known_since, LONG_AFTER
+    history.known_since = known_since
+    history.read_at = history.asked_at = LONG_AFTER
     finder = OriginFinder(balancer.registry, balancer.streams)
     apply_routes(finder, 0.0, *routes)
     return finder
@@ -60,9 +62,13 @@
     finder.apply_configuration(configuration, now)
 
 
-def find(finder, key=KEY, route=ROUTE, stated_s=0.0, now=LONG_AFTER):
-    """Return the origin of a stream and how it is known."""
-    return tuple(finder.find(route, key, stated_s, now))
+def find(finder, key=KEY, route=ROUTE, stated_s=0.0, now=LONG_AFTER, asked_at=None):
+    """Return the origin of a stream and how it is known.
+
+    :param asked_at: time at which its caller asked, ``now`` by default.
+    """
+    asked_at = now if asked_at is None else asked_at
+    return tuple(finder.find(route, key, stated_s, asked_at, now))
 
 
 def test_record_goes_before_the_list_of_versions():
@@ -104,6 +110,29 @@
     assert find(build_finder("v1"), key=None) == (V1, ONLY_VERSION)
 
 
+def test_list_that_was_read_before_the_caller_asked_is_not_certain():
+    """Guards against the only version that a forwarder out of step knows.
+
+    Load pattern: during a release, a forwarder is cut off or paused for a moment in
+    which servers of a newer version join and begin streams.
+    """
+    finder = build_finder("v1")
+    asked_at = LONG_AFTER + 0.1
+    later = LONG_AFTER + 0.2
+    assert find(finder, now=later, asked_at=asked_at) == (None, UNCONFIRMED)
+    finder.registry.versions.record_read(later, LONG_AFTER)
+    assert find(finder, now=later, asked_at=asked_at) == (None, UNCONFIRMED)
+    finder.registry.versions.record_read(later, asked_at)
+    assert find(finder, now=later, asked_at=asked_at) == (V1, ONLY_VERSION)
+
+
+def test_record_needs_no_read_of_the_store():
+    """Guards against recorded streams that are refused while the store is down."""
+    finder = build_finder("v1")
+    finder.streams.record(KEY, V1, 10.0, LONG_AFTER)
+    assert find(finder, now=LONG_AFTER + 5.0) == (V1, RECORDED)
+
+
 def test_route_that_was_moved_is_not_certain():
     """Guards against the new service of a route for a stream of the former one."""
     finder = build_finder("v1")
@@ -112,7 +141,7 @@
     apply_routes(finder, LONG_AFTER - 20.0, ROUTE)
     assert find(finder) == (None, UNKNOWN)
     later = LONG_AFTER + MIN_STREAM_AGE_S
-    finder.registry.versions.read_at = later
+    finder.registry.versions.asked_at = later
     assert find(finder, now=later) == (V1, ONLY_VERSION)
 
 
--- a/catkinfork/forwarder/_process.py
+++ b/catkinfork/forwarder/_process.py
@@ -80,6 +80,7 @@
             self.build()
             await self.listen()
             self.tasks.start_soon(self.watcher.run)
+            self.tasks.start_soon(self.watcher.read_on_request)
             self.tasks.start_soon(self.watcher.poll_peers)
             self.tasks.start_soon(self.sweep)
             self.tasks.start_soon(self.send_peer_frames)
@@ -131,6 +132,7 @@
             self.rng,
             self.log.write,
         )
+        self.server.request_read = self.watcher.request_read
 
     async def listen(self):
         """Open the listening sockets."""
--- a/catkinfork/forwarding/_cache_lookup.py
+++ b/catkinfork/forwarding/_cache_lookup.py
@@ -39,8 +39,9 @@
     :param source: :class:`BasePromptPartSource`.
     :param spawn: callable that starts a coroutine function with arguments as a task.
 
-    ``listed`` has the monotonic time of the latest answers of a service and a
-    :class:`EngineCache` for each engine, and ``pending`` the services that are asked.
+    ``listed`` has the monotonic time of the latest answers of a service, the starts of
+    the engines that were asked, and a :class:`EngineCache` for each of them;
+    ``pending`` has the services that are asked.
     """
 
     def __init__(self, balancer, source, spawn):
@@ -57,27 +58,33 @@
             self.spawn(self.list_service, service)
 
     def find(self, service, now):
-        """Return an :class:`EngineCache` for each engine, None without such answers."""
-        listed_at, caches = self.listed.get(service, (None, None))
+        """Return an :class:`EngineCache` for each engine, None without such answers.
+
+        An engine that has become known since has to be asked as well.
+        """
+        listed_at, asked, caches = self.listed.get(service, (None, None, None))
         if listed_at is None or now - listed_at > MAX_LIST_AGE_S:
             return None
-        return caches
+        known = {find_start(one) for one in self.list_engines(service)}
+        return caches if known <= asked else None
+
+    def list_engines(self, service):
+        """Return the known engines of a service."""
+        backends = self.balancer.registry.backends.values()
+        return [backend for backend in backends if backend.service == service]
 
     async def list_service(self, service):
         """Ask all engines of a service at once."""
         caches = []
-        backends = [
-            backend
-            for backend in self.balancer.registry.backends.values()
-            if backend.service == service
-        ]
+        backends = self.list_engines(service)
+        asked = {find_start(backend) for backend in backends}
         try:
             async with anyio.create_task_group() as tasks:
                 for backend in backends:
                     tasks.start_soon(self.list_engine, backend, caches)
         finally:
             self.pending.discard(service)
-        self.listed[service] = (anyio.current_time(), caches)
+        self.listed[service] = (anyio.current_time(), asked, caches)
 
     async def list_engine(self, backend, caches):
         """Ask one engine and append its :class:`EngineCache`.
@@ -94,3 +101,11 @@
         caches.append(EngineCache(version, parts))
         if parts is not None:
             self.balancer.record_cached_parts(backend, parts)
+
+
+def find_start(backend):
+    """Return what identifies one start of an engine.
+
+    :param backend: :class:`Backend`.
+    """
+    return backend.name, backend.entry.version, backend.entry.started_ms
--- a/catkinfork/forwarding/_resumption.py
+++ b/catkinfork/forwarding/_resumption.py
@@ -1,10 +1,13 @@
 """Streams that callers resume, and the record of where streams began."""
 
+import time
 from math import inf
 
 from catkinfork.balancing import (
+    RECORDED,
     STREAM_ELSEWHERE,
     STREAM_UNKNOWN,
+    UNCONFIRMED,
     UNKNOWN,
     StreamOrigin,
     compute_stream_key,
@@ -19,8 +22,17 @@
 ORIGIN_TIMEOUT_PER_FORWARDER_S = 0.005
 # Callers leave after 2 s without an event, or later; the engines are asked as well.
 MAX_ORIGIN_TIMEOUT_S = 0.8
+# Time for which a read of the store is awaited, seconds.
+LIST_TIMEOUT_S = 0.6
 # Time for which the answers of the engines are awaited, seconds.
 LOOKUP_TIMEOUT_S = 0.8
+# Time after a request by which all answers must be there, seconds.
+MAX_DECISION_S = 1.8
+# What is awaited.
+NOTHING = ""
+PEERS = "peers"
+LIST = "list"
+ENGINES = "engines"
 # Time beyond the deadline of its caller for which the origin of a stream is kept, and
 # the longest time that is kept at all, seconds.
 RECORD_MARGIN_S = 2.0
@@ -30,16 +42,17 @@
 class StreamResumption:
     """Finds where a stream goes on that its caller resumes, then submits its job.
 
-    If this forwarder does not know, as it may have started later, it asks its peers,
-    and then the engines, one of which keeps the prompt of the stream. A stream of
-    unknown origin is refused: joined from two versions, its text would be wrong without
-    a sign of it.
+    If this forwarder does not know, as it may have started later, or have been paused
+    or cut off, it asks its peers. Then it reads the store, since a backend server that
+    is not known yet may have begun the stream; and then it asks the engines, one of
+    which keeps the prompt. A stream of unknown origin is refused: joined from two
+    versions, its text would be wrong without a sign of it.
 
     :param exchange: :class:`Exchange`.
 
-    ``source`` states how the origin became known, for the log. ``expires_at`` is the
-    monotonic time until which answers are awaited, of the engines once
-    ``is_looking_up`` is set and of the peers before.
+    ``asked_at`` is the monotonic time at which the request was read, ``source`` states
+    how the origin became known, for the log, and ``expires_at`` is the monotonic time
+    until which ``awaited`` is: ``peers``, ``list`` of the store, or ``engines``.
     """
 
     def __init__(self, exchange):
@@ -47,41 +60,75 @@
         self.server = exchange.server
         self.key = find_resumed_key(exchange)
         self.services = list_services(exchange.job.route)
+        # The time of the event loop may be that before a pause of the process.
+        self.asked_at = time.monotonic()
         self.expires_at = inf
-        self.is_looking_up = False
+        self.awaited = PEERS
         self.source = ""
 
     def start(self, now):
-        """Submit the job, refuse it, or ask the peers or engines."""
+        """Submit the job, refuse it, or ask the other sources one after the other."""
         if self.decide(now):
             return
-        if not self.exchange.job.route.is_resumable:
-            # Streams of this route are not recorded anywhere.
-            self.refuse(STREAM_UNKNOWN)
-            return
+        if self.ask_peers(now) or self.read_list(now):
+            self.server.resumptions.add(self)
+
+    def ask_peers(self, now):
+        """Ask the peers, and return whether their answer is awaited.
+
+        One that has not been heard for a moment, as this process was paused, may
+        answer while the store is read.
+        """
+        # Streams of other routes are not recorded anywhere.
+        is_recorded = self.exchange.job.route.is_resumable and self.key is not None
+        if not is_recorded or self.source == RECORDED:
+            return False
         peers = self.server.balancer.peers
-        if self.key is not None and peers.count_fresh(now) > 1:
-            self.server.balancer.streams.ask(self.key)
-            self.expires_at = now + compute_origin_timeout_s(peers, now)
-        elif not self.look_up(now):
-            return
-        self.server.resumptions.add(self)
+        self.server.balancer.streams.ask(self.key)
+        if peers.count_fresh(now) <= 1:
+            return False
+        self.await_source(PEERS, compute_origin_timeout_s(peers, now), now)
+        return True
+
+    def await_source(self, awaited, timeout_s, now):
+        """Set what is awaited, and until when."""
+        self.awaited = awaited
+        self.expires_at = min(now + timeout_s, self.asked_at + MAX_DECISION_S)
+
+    def read_list(self, now):
+        """Have the store read, or refuse the job if its list cannot help.
+
+        :returns: whether it is read, or the engines are asked.
+        """
+        if self.source == UNKNOWN and not self.may_look_up():
+            self.refuse(STREAM_UNKNOWN)
+            return False
+        self.await_source(LIST, LIST_TIMEOUT_S, now)
+        return not self.check(now)
+
+    def may_look_up(self):
+        """Return whether the engines may tell where the stream began."""
+        job = self.exchange.job
+        lookup = self.server.cache_lookup
+        return lookup is not None and job.route.is_resumable and job.has_all_parts
 
     def look_up(self, now):
         """Ask the engines, or refuse the job if they cannot tell.
 
         :returns: whether they are asked.
         """
-        lookup = self.server.cache_lookup
-        if lookup is None or not self.exchange.job.has_all_parts:
+        if not self.may_look_up():
             self.refuse(STREAM_UNKNOWN)
             return False
-        self.is_looking_up = True
-        self.expires_at = now + LOOKUP_TIMEOUT_S
-        for service in self.services:
-            lookup.request(service, now)
+        self.await_source(ENGINES, LOOKUP_TIMEOUT_S, now)
+        self.request_caches(now)
         return True
 
+    def request_caches(self, now):
+        """Ask the engines that have not been asked just before."""
+        for service in self.services:
+            self.server.cache_lookup.request(service, now)
+
     def check(self, now):
         """Decide once enough is known, or go on to the next source after a timeout.
 
@@ -89,12 +136,24 @@
         """
         if self.exchange.is_done or self.decide(now):
             return True
+        if self.awaited == LIST:
+            if self.is_list_read():
+                return not self.look_up(now)
+            if self.server.request_read is not None:
+                self.server.request_read()
         if now < self.expires_at:
             return False
-        if not self.is_looking_up:
-            return not self.look_up(now)
-        self.refuse(STREAM_UNKNOWN)
-        return True
+        if self.awaited == PEERS:
+            return not self.read_list(now)
+        self.awaited = NOTHING
+        return self.decide(now)
+
+    def is_list_read(self):
+        """Return whether a read of the store that started since the request is applied.
+
+        It lists each backend server that may have begun the stream.
+        """
+        return self.server.balancer.registry.versions.asked_at >= self.asked_at
 
     def decide(self, now):
         """Submit or refuse the job if enough is known.
@@ -102,19 +161,21 @@
         :returns: whether it was decided.
         """
         job = self.exchange.job
-        stated_s = read_stated_s(self.exchange)
-        finding = self.server.balancer.origins.find(job.route, self.key, stated_s, now)
-        if finding.source == UNKNOWN and self.is_looking_up:
+        finding = self.server.balancer.origins.find(
+            job.route, self.key, read_stated_s(self.exchange), self.asked_at, now
+        )
+        if finding.source == UNKNOWN and self.awaited == ENGINES:
             caches = self.list_caches(now)
             if caches is None:
+                self.request_caches(now)
                 return False
             finding = self.server.balancer.origins.find_by_caches(
                 job, self.count_events(), caches
             )
         self.source = finding.source
+        if self.must_wait(finding):
+            return False
         if finding.origin is None:
-            if finding.source == UNKNOWN and not self.is_looking_up:
-                return False
             self.refuse(STREAM_UNKNOWN)
         elif finding.origin.service not in self.services:
             self.refuse(STREAM_ELSEWHERE)
@@ -123,6 +184,20 @@
             self.exchange.submit(now)
         return True
 
+    def must_wait(self, finding):
+        """Return whether what is awaited may tell more than a finding does.
+
+        :param finding: :class:`OriginFinding`.
+        """
+        if self.awaited == NOTHING:
+            return False
+        if finding.origin is None:
+            is_open = finding.source in (UNKNOWN, UNCONFIRMED)
+            return is_open and self.awaited != ENGINES
+        # A backend server of the version may have joined just before.
+        origins = self.server.balancer.origins
+        return not self.is_list_read() and not origins.is_served(finding.origin)
+
     def list_caches(self, now):
         """Return pairs of service and what its engines keep, None until all answered.
 
--- a/catkinfork/forwarding/_server.py
+++ b/catkinfork/forwarding/_server.py
@@ -53,7 +53,8 @@
     :param write_log: callable that takes a :class:`LogEvent`.
     :param spawn: callable that starts a coroutine function with arguments as a task.
 
-    ``cache_lookup`` is the :class:`CacheLookup` of the engines, or None.
+    ``cache_lookup`` is the :class:`CacheLookup` of the engines, or None, and
+    ``request_read`` a callable that has the store read soon, or None.
     """
 
     def __init__(self, balancer, names, loop, rng, write_log, spawn):
@@ -71,6 +72,7 @@
         self.exchanges = {}
         self.resumptions = set()
         self.cache_lookup = None
+        self.request_read = None
         self.pools = {}
         self.listeners = []
         self.lag = LagMonitor()
--- a/catkinfork/forwarding/tests/world.py
+++ b/catkinfork/forwarding/tests/world.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+import time
 from math import inf
 from typing import NamedTuple
 
@@ -107,6 +108,7 @@
             tasks.start_soon,
         )
         self.server.apply_configuration(RouteTable(build_configuration(limits)))
+        self.server.request_read = self.read_store
         self.backends = []
         self.port = 0
         tasks.start_soon(self.sweep)
@@ -141,6 +143,10 @@
             self.port = self.server.listeners[0].sockets[0].getsockname()[1]
         return self.backends[-len(scripts) :]
 
+    def read_store(self):
+        """Let the store be read, which lists what the registry has."""
+        self.registry.versions.record_read(time.monotonic())
+
     def set_long_running(self):
         """Let the forwarder know the versions and routes of a long time."""
         now = self.loop.time()
--- a/catkinfork/platform/_store.py
+++ b/catkinfork/platform/_store.py
@@ -26,6 +26,9 @@
 # connection is detected.
 WATCH_TIMEOUT_MS = 1000
 READ_TIMEOUT_S = 1.0
+# Timeout of a watch that is to return at once, milliseconds, and of its response.
+CHECK_WAIT_MS = 1
+CHECK_TIMEOUT_S = 0.5
 WATCH_TIMEOUT_MARGIN_S = 0.6
 MAX_PAGES = 1000
 # Counts the restores of the store from a copy.
@@ -172,9 +175,20 @@
         return pages
 
     async def wait(self, revision):
-        era = self.era
-        query = {"prefix": "", "after": revision, "wait_ms": WATCH_TIMEOUT_MS}
         timeout_s = WATCH_TIMEOUT_MS / 1000 + WATCH_TIMEOUT_MARGIN_S
+        return await self.watch(revision, WATCH_TIMEOUT_MS, timeout_s)
+
+    async def read_changes(self, revision):
+        return await self.watch(revision, CHECK_WAIT_MS, CHECK_TIMEOUT_S)
+
+    async def watch(self, revision, wait_ms, timeout_s):
+        """Return the :class:`Changes` after a revision.
+
+        :param wait_ms: time for which the store waits for a change, milliseconds.
+        :param timeout_s: time for which the response is awaited, seconds.
+        """
+        era = self.era
+        query = {"prefix": "", "after": revision, "wait_ms": wait_ms}
         page = await self.read("/kv-watch", query, _WATCH, timeout_s)
         if self.era != era:
             raise EraChangedError("the era of the store has changed during a watch")
--- a/catkinfork/platform/tests/standins.py
+++ b/catkinfork/platform/tests/standins.py
@@ -263,6 +263,8 @@
     :param ip: loopback address that no other process uses.
     """
 
+    module = "catkinfork"
+
     def __init__(self, folder, ip, ports, peer_port, store_port, seeds):
         self.name = f"edge-{ip}"
         self.ip = ip
@@ -283,7 +285,7 @@
 
     async def start(self):
         """Start the process and wait until its ports are open."""
-        arguments = ["-m", "catkinfork", "forwarder", "--settings", str(self.path)]
+        arguments = ["-m", self.module, "forwarder", "--settings", str(self.path)]
         with self.output.open("ab") as output:
             self.process = await asyncio.create_subprocess_exec(
                 sys.executable, *arguments, cwd=ROOT, stdout=output, stderr=output
--- a/catkinfork/topology/_registry.py
+++ b/catkinfork/topology/_registry.py
@@ -280,13 +280,14 @@
         """Return the versions of all backend servers by name."""
         return {name: one.entry.version for name, one in self.backends.items()}
 
-    def find_only_version(self, service, since, now):
+    def find_only_version(self, service, since, until):
         """Return the version of a service if no other one can have served.
 
         :param since: monotonic time from which on this must hold, seconds.
+        :param until: monotonic time until which this must hold, seconds.
         :returns: version, or None if there are others, or may have been.
         """
-        if not self.versions.is_complete(since, now):
+        if not self.versions.is_complete(since, until):
             return None
         versions = self.versions.list_left(service, since)
         for backend in self.backends.values():
--- a/catkinfork/topology/_source.py
+++ b/catkinfork/topology/_source.py
@@ -102,6 +102,14 @@
         :raises SourceError: if the source fails.
         """
 
+    async def read_changes(self, revision):
+        """Return the changes after a revision, without a wait if there are none.
+
+        :raises HistoryLostError: if the changes are no longer available.
+        :raises SourceError: if the source fails.
+        """
+        return await self.wait(revision)
+
 
 class BasePeers(ABC):
     """The other forwarders, as sources of their state."""
--- a/catkinfork/topology/_versions.py
+++ b/catkinfork/topology/_versions.py
@@ -14,22 +14,31 @@
     """When the versions of each service were last published.
 
     ``known_since`` is the monotonic time since which it is complete, infinite before
-    the first read of the store, ``read_at`` that of the last read, and ``gap_s`` the
-    time between the last two reads.
+    the first read of the store, and ``read_at`` that of the last read. ``asked_at`` is
+    the latest start of a read, as of which the entries are known, and ``gap_s`` the
+    time for which they were not before the last read.
     """
 
     def __init__(self):
         self.left = RecentTable(MAX_LEFT)
         self.known_since = inf
         self.read_at = -inf
+        self.asked_at = -inf
         self.gap_s = 0.0
 
-    def record_read(self, now):
-        """Record that the entries of all backend servers are known as of now."""
-        self.gap_s = now - self.read_at
-        if self.gap_s > MAX_READ_GAP_S:
+    def record_read(self, now, asked_at=None):
+        """Record that the entries of all backend servers were read.
+
+        :param asked_at: monotonic time at which the read started, seconds, ``now`` by
+            default. A response may have waited since, in the network or while this
+            process was paused.
+        """
+        asked_at = now if asked_at is None else asked_at
+        self.gap_s = now - self.asked_at
+        if now - self.read_at > MAX_READ_GAP_S:
             self.known_since = now
         self.read_at = now
+        self.asked_at = max(self.asked_at, asked_at)
 
     def record_left(self, entry, now):
         """Record that a backend server has left, or has started again.
@@ -38,9 +47,16 @@
         """
         self.left[(entry.service, entry.version)] = now
 
-    def is_complete(self, since, now):
-        """Return whether all versions that served since a monotonic time are known."""
-        return self.known_since <= since and now - self.read_at <= MAX_READ_GAP_S
+    def is_complete(self, since, until):
+        """Return whether all versions that served between two times are known.
+
+        A read that started before ``until`` does not show a backend server that was
+        published after it, however short the time between is.
+
+        :param since: monotonic time, seconds.
+        :param until: monotonic time, seconds.
+        """
+        return self.known_since <= since and self.asked_at >= until
 
     def list_left(self, service, since):
         """Return the versions of a service whose servers left since then."""
--- a/catkinfork/topology/_watcher.py
+++ b/catkinfork/topology/_watcher.py
@@ -14,13 +14,19 @@
     SOURCE_REGAINED,
     UPDATE_FAILED,
 )
-from catkinfork.topology._source import HistoryLostError, SourceError
+from catkinfork.topology._source import (
+    EraChangedError,
+    HistoryLostError,
+    SourceError,
+)
 
 # Pause between two reads of changes, which batches the heartbeats of backend servers.
 # It grows with the number of forwarders, so that their calls together do not.
 MIN_READ_INTERVAL_S = 0.15
 MAX_READ_INTERVAL_S = 0.6
 MAX_FLEET_READS_PER_S = 110.0
+# The same for reads on request, which streams wait for that their callers resume.
+MAX_FLEET_REQUESTED_READS_PER_S = 400.0
 # Exponential backoff after failures.
 MIN_BACKOFF_S = 0.1
 MAX_BACKOFF_S = 0.6
@@ -73,6 +79,7 @@
         self.backoff_s = MIN_BACKOFF_S
         self.read_at = None
         self.n_reads = 0
+        self.read_requested = anyio.Event()
         self.failure_logged_at = -inf
         self.n_unlogged_failures = 0
 
@@ -141,20 +148,61 @@
 
     async def read(self):
         """Read a full snapshot or the changes since the last read, and apply them."""
+        asked_at = time.monotonic()
         self.n_reads += 1
         if self.has_full_list and self.source.era == self.state.era:
             changes = await self.source.wait(self.state.revision)
         else:
             changes = await self.source.list_all()
             self.has_full_list = True
+        self.apply_read(changes, asked_at)
+
+    def apply_read(self, changes, asked_at):
+        """Apply what was read from the store.
+
+        :param asked_at: monotonic time at which the read started, seconds.
+        """
         if changes.era < self.state.era:
             raise SourceError("the era of the store is older than that of a peer")
+        if changes.era > self.state.era and not changes.is_full:
+            raise EraChangedError("the changes are those of another era")
         self.read_at = time.monotonic()
         self.apply(changes, self.source.name)
-        self.state.registry.versions.record_read(self.read_at)
+        self.state.registry.versions.record_read(self.read_at, asked_at)
         if changes.items or changes.is_full:
             self.on_change()
 
+    def request_read(self):
+        """Have the changes read soon, beside a watch that may wait for one.
+
+        One read serves all requests that were made before it.
+        """
+        self.read_requested.set()
+
+    async def read_on_request(self):
+        """Read the changes in a loop, each time that this was requested."""
+        while True:
+            await self.read_requested.wait()
+            self.read_requested = anyio.Event()
+            await self.read_once()
+            n_forwarders = self.peers.count_forwarders()
+            await anyio.sleep(compute_requested_interval_s(n_forwarders))
+
+    async def read_once(self):
+        """Read the changes now; a failure is left to the watch, as is a full list."""
+        if not self.has_full_list or self.source.era != self.state.era:
+            return
+        asked_at = time.monotonic()
+        self.n_reads += 1
+        try:
+            changes = await self.source.read_changes(self.state.revision)
+            self.apply_read(changes, asked_at)
+        except SourceError:
+            return
+        except Exception as error:
+            # As in update.
+            self.log_unexpected(error, self.source.name)
+
     def apply(self, changes, source):
         """Apply changes; missing entries are kept for a time after a new era."""
         now = time.monotonic()
@@ -256,5 +304,14 @@
 
 def compute_read_interval_s(n_forwarders):
     """Return the pause between two reads of changes, seconds."""
-    interval_s = n_forwarders / MAX_FLEET_READS_PER_S
+    return limit_interval_s(n_forwarders / MAX_FLEET_READS_PER_S)
+
+
+def compute_requested_interval_s(n_forwarders):
+    """Return the pause between two reads on request, seconds."""
+    return limit_interval_s(n_forwarders / MAX_FLEET_REQUESTED_READS_PER_S)
+
+
+def limit_interval_s(interval_s):
+    """Return an interval between two reads within its bounds, seconds."""
     return min(MAX_READ_INTERVAL_S, max(MIN_READ_INTERVAL_S, interval_s))
--- a/catkinfork/topology/tests/test_state.py
+++ b/catkinfork/topology/tests/test_state.py
@@ -301,7 +301,8 @@
 def test_versions_are_known_from_reads_of_the_store(state, clock):
     """Guards against streams that are refused although the store lists one version.
 
-    A list and the changes after it count as reads, and a failed read does not.
+    A list and the changes after it count as reads, and a failed read does not: another
+    version may have joined since the last one.
     """
     versions = state.registry.versions
     listed = Changes([Item("b1", b"1", 1)], 1, True)
@@ -315,8 +316,9 @@
             assert (versions.known_since, versions.read_at) == (10.0, read_at)
 
     anyio.run(main)
-    assert state.registry.find_only_version("read", 10.0, 14.0) == ""
-    assert state.registry.find_only_version("read", 9.0, 14.0) is None
+    assert state.registry.find_only_version("read", 10.0, 12.0) == ""
+    assert state.registry.find_only_version("read", 9.0, 12.0) is None
+    assert state.registry.find_only_version("read", 10.0, 14.0) is None
 
 
 def test_read_of_a_peer_does_not_complete_the_versions(state, clock):
--- a/catkinfork/topology/tests/test_versions.py
+++ b/catkinfork/topology/tests/test_versions.py
@@ -1,5 +1,7 @@
 """What is known of the versions that served recently."""
 
+import pytest
+
 from catkinfork.topology import BackendRegistry
 from catkinfork.topology._versions import MAX_READ_GAP_S
 from catkinfork.topology.tests.samples import build_entry
@@ -29,6 +31,37 @@
     assert registry.find_only_version("read", 40.0, 100.0) == "v1"
 
 
+def test_read_shows_nothing_that_was_published_after_its_start():
+    """Guards against a response that waited while another version joined.
+
+    The process was paused, or the network held the response back.
+    """
+    registry = build_registry("v1")
+    registry.versions.record_read(103.0, 101.0)
+    assert registry.find_only_version("read", 40.0, 101.0) == "v1"
+    assert registry.find_only_version("read", 40.0, 101.1) is None
+    assert registry.find_only_version("read", 40.0, 103.0) is None
+
+
+def test_late_response_does_not_take_a_newer_read_back():
+    """Guards against streams that are refused as a watch ends after a later read."""
+    registry = build_registry("v1")
+    registry.versions.record_read(101.0, 101.0)
+    registry.versions.record_read(101.5, 100.5)
+    assert registry.find_only_version("read", 40.0, 101.0) == "v1"
+
+
+def test_time_without_entries_counts_from_the_start_of_a_read():
+    """Guards against streams that count for the former version of a restarted server.
+
+    The response of a read was applied long after it had been composed.
+    """
+    registry = build_registry("v1")
+    registry.versions.record_read(103.0, 100.5)
+    registry.versions.record_read(103.2, 103.1)
+    assert registry.versions.gap_s == pytest.approx(2.7)
+
+
 def test_two_versions_leave_none():
     """Guards against a guess between two versions."""
     registry = build_registry("v1", "v2")
