peering: a peer whose clock was ahead at its start is heard again

What callers saw: nothing by itself; every peer ignored a process that had started with its clock ahead and started again once the clock was put right. Origins of streams, crashes and loads that it told were lost for all others until its clock had passed the former start, or they restarted.

Cause: an incarnation is the Unix time of the start, and only a greater one was taken for a newer process.

Fix: incarnations are ordered by their time of start while the current one is heard, and by arrival once it has been silent for 1 s. The last 16 former ones of a peer never count again, so that replayed and late frames do not bring them back.

--- a/catkinfork/peering/_peers.py
+++ b/catkinfork/peering/_peers.py
@@ -1,11 +1,18 @@
 """Directory of the forwarders, with their liveness and freshness."""
 
+from collections import deque
+
 # Silence after which the load of a peer is no longer included.
 FRESHNESS_TIMEOUT_S = 0.5
 # Silence after which a peer no longer counts as a forwarder that uses its share.
 LIVENESS_TIMEOUT_S = 10.0
 # Silence after which a peer that is not a seed is removed.
 REMOVAL_TIMEOUT_S = 60.0
+# Silence after which a peer may come back with a lower incarnation: its clock was ahead
+# when it started before. Datagrams are not late by as much.
+SUCCESSION_TIMEOUT_S = 1.0
+# Former incarnations of a peer that are remembered.
+MAX_FORMER_INCARNATIONS = 16
 # Lower bound of the assumed number of forwarders.
 MIN_FORWARDERS = 2
 # Peers that are known at once, many times as many as a fleet has.
@@ -17,6 +24,8 @@
 
     :param address: IP address of the peer.
     :param now: monotonic time, seconds.
+
+    ``former`` has its incarnations before the current one, which have ended.
     """
 
     def __init__(self, address, now):
@@ -24,6 +33,7 @@
         self.added_at = now
         self.heard_at = None
         self.incarnation = 0
+        self.former = deque(maxlen=MAX_FORMER_INCARNATIONS)
         self.sequence = 0
         self.is_leaving = False
         self.version = 0
@@ -34,6 +44,28 @@
         self.is_fresh = False
         self.fresh_since = 0.0
 
+    def accepts(self, frame, now):
+        """Return whether a frame is news of the current incarnation or of a later one.
+
+        Incarnations are ordered by their time of start while frames of the current one
+        arrive, and by arrival once it is silent.
+        """
+        if frame.incarnation == self.incarnation:
+            return frame.sequence > self.sequence
+        if frame.incarnation in self.former:
+            return False
+        if frame.incarnation > self.incarnation:
+            return True
+        return now - self.heard_at >= SUCCESSION_TIMEOUT_S
+
+    def start_incarnation(self, incarnation):
+        """Forget the totals of the incarnation before."""
+        self.former.append(self.incarnation)
+        self.incarnation = incarnation
+        self.sequence = 0
+        self.repeats = {}
+        self.uses = {}
+
 
 class PeerDirectory:
     """Peers by IP address.
@@ -67,17 +99,10 @@
             return None
         self.add([frame.sender], now)
         peer = self.peers.get(frame.sender)
-        if peer is None:
-            return None
-        if frame.incarnation < peer.incarnation:
-            return None
-        if frame.incarnation > peer.incarnation:
-            peer.incarnation = frame.incarnation
-            peer.sequence = 0
-            peer.repeats = {}
-            peer.uses = {}
-        elif frame.sequence <= peer.sequence:
+        if peer is None or not peer.accepts(frame, now):
             return None
+        if frame.incarnation != peer.incarnation:
+            peer.start_incarnation(frame.incarnation)
         peer.sequence = frame.sequence
         peer.heard_at = now
         peer.is_leaving = frame.is_leaving
