forwarding: a connection to a backend server is read again before its reuse

What callers saw: a 504 at the deadline for a request that had run. The response before it, on the same connection to the backend server, went to a caller that read slowly and whose buffers were filled by the last piece of that response.

Cause: the caller's full buffer pauses reading from the backend server. The exchange ends with that piece, so that nothing resumes it, and the connection goes back to the pool paused. In the same way, a connection whose caller left while it was paused was never read to the end of its response and was aborted after 30 s, with the backend server blocked in its write.

Evidence: both tests failed before: the request after it had no answer within 1 s, and the response of the caller that left needed another connection for the next request (2 in place of 1).

Reading is resumed when a connection is released, and when its listener is detached, so that no state of one response reaches the next request. The other states of a pooled connection were read: the parser, the listener, the body parts and the counted bytes are set for each request; the timer of a detached response is bound to the number of its request; a connection with unsent bytes isn't released.

--- a/catkinfork/forwarding/_backend.py
+++ b/catkinfork/forwarding/_backend.py
@@ -235,6 +235,8 @@
         is_open = not self.is_lost and not self.transport.is_closing()
         is_free = self.is_reusable and is_sent and is_open
         if is_free and not self.is_delimited_by_close:
+            # A slow caller may have paused it with the end of its response.
+            self.resume()
             self.pool.release(self)
         else:
             self.transport.close()
@@ -251,6 +253,7 @@
     def detach(self):
         """Detach the listener; the rest of the response is read and discarded."""
         self.listener = NULL_LISTENER
+        self.resume()
         self.loop.call_later(MAX_DISCARD_TIME_S, self.abort_discarded, self.n_sent)
 
     def abort_discarded(self, n_sent):
@@ -269,12 +272,12 @@
 
     def pause(self):
         """Pause reading."""
-        if not self.is_lost:
+        if not self.is_lost and not self.transport.is_closing():
             self.transport.pause_reading()
 
     def resume(self):
         """Resume reading."""
-        if not self.is_lost:
+        if not self.is_lost and not self.transport.is_closing():
             self.transport.resume_reading()
 
 
