forwarder: signals have handlers from before the imports up to the exit

What callers saw: nothing, but whoever runs the processes saw crashes: SIGTERM or SIGHUP in the first 0.35 s after the start ended a process with -15 or -1, and so did signals without pause in a stop, once its drain was over.

Cause: the handlers were those of the event loop. They exist only from the start of the tasks to their end; before and after, and while the interpreter ends, signals have their default action.

The handlers are plain ones, set before the libraries are imported. Until the process listens, a stop ends it with exit code 0, and a reload is kept until the settings can be read again. The first signal to stop sets all of them to be ignored, which stays in force while the interpreter ends.

--- a/catkinfork/cli/_forwarder.py
+++ b/catkinfork/cli/_forwarder.py
@@ -9,6 +9,7 @@
 import anyio
 import typer
 
+from catkinfork._signals import PROCESS_SIGNALS
 from catkinfork.cli._exit_codes import EXIT_PORT_IN_USE
 from catkinfork.cli._settings import read_or_exit
 from catkinfork.settings import ForwarderSettings
@@ -32,3 +33,5 @@
     except* OSError as group:
         typer.echo(f"{settings}: {group.exceptions[0]}", err=True)
         raise typer.Exit(EXIT_PORT_IN_USE) from None
+    finally:
+        PROCESS_SIGNALS.ignore()
--- a/catkinfork/cli/_main.py
+++ b/catkinfork/cli/_main.py
@@ -5,6 +5,8 @@
 
 import typer
 
+from catkinfork._signals import PROCESS_SIGNALS
+
 # Module and function of each command, in the order of the help text.
 COMMANDS = {
     "router": ("_run", "run_router"),
@@ -52,4 +54,6 @@
     the others do not need.
     """
     name = sys.argv[1] if len(sys.argv) > 1 else ""
+    if name == "forwarder":
+        PROCESS_SIGNALS.install()
     build_app([name] if name in COMMANDS else COMMANDS)()
--- a/catkinfork/forwarder/_drain.py
+++ b/catkinfork/forwarder/_drain.py
@@ -1,7 +1,5 @@
 """Graceful shutdown of a forwarder."""
 
-import signal
-
 import anyio
 
 from catkinfork.balancing import StopPlan
@@ -21,17 +19,12 @@
 
 
 async def drain_on_signal(process):
-    """Drain and stop the process on SIGTERM or SIGINT.
-
-    Further signals are received up to the end: without a receiver, they would end the
-    process at once.
+    """Drain and stop the process once it is asked to.
 
     :param process: :class:`ForwarderProcess`.
     """
-    with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
-        async for _ in signals:
-            break
-        await drain(process)
+    await process.stop_requested.wait()
+    await drain(process)
     process.stop()
 
 
--- a/catkinfork/forwarder/_process.py
+++ b/catkinfork/forwarder/_process.py
@@ -6,6 +6,7 @@
 
 import anyio
 
+from catkinfork._signals import PROCESS_SIGNALS
 from catkinfork.balancing import Balancer, BalancerSettings, RetryBudgetSettings
 from catkinfork.forwarder._drain import drain_on_signal
 from catkinfork.forwarder._peer_source import (
@@ -16,7 +17,7 @@
 from catkinfork.forwarder._reload import (
     SettingsFile,
     reload_on_change,
-    reload_on_signal,
+    reload_settings,
 )
 from catkinfork.forwarder._status import (
     build_metrics_response,
@@ -70,6 +71,7 @@
         self.log = build_buffered_log(settings.log, settings.forwarder.name)
         self.loop = None
         self.tasks = None
+        self.stop_requested = anyio.Event()
         self.was_ready = None
 
     async def run(self):
@@ -78,13 +80,13 @@
         self.loop.set_exception_handler(self.log_exception)
         async with anyio.create_task_group() as self.tasks:
             self.build()
+            PROCESS_SIGNALS.subscribe(self.request_stop, self.request_reload)
             await self.listen()
             self.tasks.start_soon(self.watcher.run)
             self.tasks.start_soon(self.watcher.poll_peers)
             self.tasks.start_soon(self.sweep)
             self.tasks.start_soon(self.send_peer_frames)
             self.tasks.start_soon(drain_on_signal, self)
-            self.tasks.start_soon(reload_on_signal, self)
             self.tasks.start_soon(reload_on_change, self)
         self.log.handler.flush()
 
@@ -274,6 +276,19 @@
             log_event(CALLBACK_FAILED, message=message, error=describe_error(error))
         )
 
+    def request_stop(self):
+        """Start the drain; may be called by a signal handler."""
+        self.loop.call_soon_threadsafe(self.stop_requested.set)
+
+    def request_reload(self):
+        """Reload the settings; may be called by a signal handler."""
+        self.loop.call_soon_threadsafe(self.reload)
+
+    def reload(self):
+        """Reload the settings, whether or not the file has changed."""
+        self.settings_file.has_changed()
+        reload_settings(self)
+
     def stop(self):
         """Cancel all tasks."""
         self.tasks.cancel_scope.cancel()
--- a/catkinfork/forwarder/_reload.py
+++ b/catkinfork/forwarder/_reload.py
@@ -1,7 +1,6 @@
 """Reloading of the settings file at run time."""
 
 import os
-import signal
 
 import anyio
 
@@ -40,14 +39,6 @@
         return file_stat is not None
 
 
-async def reload_on_signal(process):
-    """Reload the settings on SIGHUP."""
-    with anyio.open_signal_receiver(signal.SIGHUP) as signals:
-        async for _ in signals:
-            process.settings_file.has_changed()
-            reload_settings(process)
-
-
 async def reload_on_change(process):
     """Reload the settings when the file changes."""
     while True:
--- a/catkinfork/platform/tests/standins.py
+++ b/catkinfork/platform/tests/standins.py
@@ -281,13 +281,17 @@
         )
         self.process = None
 
-    async def start(self):
-        """Start the process and wait until its ports are open."""
+    async def launch(self):
+        """Start the process."""
         arguments = ["-m", "catkinfork", "forwarder", "--settings", str(self.path)]
         with self.output.open("ab") as output:
             self.process = await asyncio.create_subprocess_exec(
                 sys.executable, *arguments, cwd=ROOT, stdout=output, stderr=output
             )
+
+    async def start(self):
+        """Start the process and wait until its ports are open."""
+        await self.launch()
         await wait_until(lambda: "forwarder_started" in self.read_log())
 
     def read_log(self):
@@ -374,6 +378,12 @@
 
     async def add_forwarders(self, n_forwarders=1):
         """Start forwarders, each with its own port of the store."""
+        for forwarder in await self.create_forwarders(n_forwarders):
+            await forwarder.start()
+        return self.forwarders
+
+    async def create_forwarders(self, n_forwarders=1):
+        """Return new forwarders whose processes are not started yet."""
         ports = list_unused_ports(5)
         ips = [f"127.0.0.{2 + number}" for number in range(n_forwarders)]
         seeds = [f"{ip}:{ports[2]}" for ip in ips[:2]]
@@ -384,7 +394,6 @@
             )
             forwarder.store_port = store_port
             self.forwarders.append(forwarder)
-            await forwarder.start()
         return self.forwarders
 
     async def wait_ready(self):
--- a/catkinfork/platform/tests/test_stops.py
+++ b/catkinfork/platform/tests/test_stops.py
@@ -1,7 +1,10 @@
 """Integration tests of forwarder processes that are stopped."""
 
 import asyncio
+import contextlib
+import random
 import signal
+from pathlib import Path
 
 import pytest
 
@@ -68,3 +71,88 @@
         assert stopped["n_requests_left"] == 0
 
     run_platform(test, tmp_path)
+
+
+def signal_if_running(forwarder, number):
+    """Send a signal to a process unless it has ended."""
+    with contextlib.suppress(ProcessLookupError):
+        forwarder.signal(number)
+
+
+def has_handlers(process):
+    """Return whether a process has handlers for the signals that stop or reload it."""
+    status = Path(f"/proc/{process.pid}/status").read_text()
+    caught = int(status.partition("SigCgt:")[2].split()[0], 16)
+    numbers = (signal.SIGHUP, signal.SIGTERM, signal.SIGINT)
+    return all(caught >> (number - 1) & 1 for number in numbers)
+
+
+def has_event_loop(process):
+    """Return whether a process has imported the library of its event loop."""
+    return "uvloop" in Path(f"/proc/{process.pid}/maps").read_text()
+
+
+async def start_until_handlers(platform):
+    """Start a forwarder up to the moment at which it has handlers for signals.
+
+    In the interpreter's own start before, a signal has its default action.
+    """
+    (forwarder,) = await platform.create_forwarders()
+    await forwarder.launch()
+    while not has_handlers(forwarder.process):
+        await asyncio.sleep(0.001)
+    assert not has_event_loop(forwarder.process)
+    return forwarder
+
+
+@pytest.mark.parametrize("number", [signal.SIGTERM, signal.SIGINT])
+@pytest.mark.parametrize("delay_s", [0.0, 0.05, 0.1, 0.15, 0.2, 0.25, 0.3, 0.35, 0.5])
+def test_signal_to_stop_during_the_start_is_a_planned_stop(tmp_path, number, delay_s):
+    """Guards against a stop during the start that looks like a crash."""
+
+    async def test(platform):
+        forwarder = await start_until_handlers(platform)
+        await asyncio.sleep(delay_s)
+        for _ in range(5):
+            signal_if_running(forwarder, number)
+            await asyncio.sleep(0.002)
+        assert await asyncio.wait_for(forwarder.process.wait(), 5.0) == 0
+
+    run_platform(test, tmp_path)
+
+
+def test_signals_to_reload_during_the_start_have_no_effect(tmp_path):
+    """Guards against a process that a reload during its start ends."""
+
+    async def test(platform):
+        platform.store.put("op/config", build_config())
+        await platform.add_runner("i-1")
+        forwarder = await start_until_handlers(platform)
+        while "forwarder_started" not in forwarder.read_log():
+            forwarder.signal(signal.SIGHUP)
+            await asyncio.sleep(0.005)
+        await platform.wait_ready()
+        assert await forwarder.call() == (200, b"i-1")
+        assert forwarder.list_events("settings_reloaded")
+        assert not forwarder.list_events("callback_failed")
+
+    run_platform(test, tmp_path)
+
+
+@pytest.mark.parametrize("seed", range(3))
+def test_signals_without_pause_during_a_stop_have_no_effect(tmp_path, seed):
+    """Guards against a signal that ends a process whose drain is over."""
+
+    async def test(platform):
+        forwarder = await start(platform, delay_s=0.0)
+        forwarder.signal(signal.SIGTERM)
+        rng = random.Random(seed)
+        while forwarder.process.returncode is None:
+            numbers = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
+            signal_if_running(forwarder, rng.choice(numbers))
+            await asyncio.sleep(rng.random() * 0.002)
+        assert forwarder.process.returncode == 0
+        assert forwarder.list_events("forwarder_stopped")
+        assert not forwarder.list_events("callback_failed")
+
+    run_platform(test, tmp_path)
