Give a starting forwarder the origins of streams that its peers know

Cause: a forwarder tells its peers the origin of a stream in the first two frames after its first event. One that starts later is never told, and the one that carried the stream takes its record along.

Answers of forwarders that have not finished asking do not count, so that two hosts that start at once do not learn from each other only. A forwarder that stops tells its streams once more.

--- a/catkinfork/balancing/_streams.py
+++ b/catkinfork/balancing/_streams.py
@@ -88,6 +88,17 @@
             recent = self.recent[backend_name] = deque(maxlen=MAX_RECENT_STREAMS)
         recent.append((key, now))
 
+    def tell_again(self, now):
+        """Tell the peers once more where the streams began that began here.
+
+        They outlive this forwarder, which is about to stop: datagrams may have been
+        lost, and peers may have started since.
+        """
+        for recent in self.recent.values():
+            for key, _ in recent:
+                if self.find(key, now) is not None:
+                    self.unsent.setdefault(key, 1)
+
     def follow_versions(self, versions, gap_s, now):
         """Follow backend servers that start again under their ids as other versions.
 
--- a/catkinfork/forwarder/_drain.py
+++ b/catkinfork/forwarder/_drain.py
@@ -64,6 +64,7 @@
         while server.has_backlog():
             await anyio.sleep(0)
     server.close_listener()
+    server.balancer.streams.tell_again(anyio.current_time())
     while anyio.current_time() < ends_at:
         server.close_idle_callers()
         if not server.has_requests():
--- a/catkinfork/forwarder/_peer_source.py
+++ b/catkinfork/forwarder/_peer_source.py
@@ -86,6 +86,11 @@
     return decoded
 
 
+def format_control_address(ip, port):
+    """Return the control address of a peer as ``host:port``."""
+    return f"[{ip}]:{port}" if ":" in ip else f"{ip}:{port}"
+
+
 class PeerSource(BaseSource):
     """Reads the topology state of a peer.
 
@@ -153,8 +158,7 @@
         """Return the source of a peer; the last one is kept open."""
         if peer is None:
             return None
-        host = f"[{peer.address}]" if ":" in peer.address else peer.address
-        address = f"{host}:{self.control_port}"
+        address = format_control_address(peer.address, self.control_port)
         if self.source is None or self.source.client.address != address:
             if self.source is not None:
                 self.source.client.close()
--- a/catkinfork/forwarder/_process.py
+++ b/catkinfork/forwarder/_process.py
@@ -8,6 +8,7 @@
 
 from catkinfork.balancing import Balancer, BalancerSettings, RetryBudgetSettings
 from catkinfork.forwarder._drain import drain_on_signal
+from catkinfork.forwarder._joining import SNAPSHOT_PATH, Joining
 from catkinfork.forwarder._peer_source import (
     STATE_PATH,
     PeerSources,
@@ -83,6 +84,7 @@
             self.tasks.start_soon(self.watcher.poll_peers)
             self.tasks.start_soon(self.sweep)
             self.tasks.start_soon(self.send_peer_frames)
+            self.tasks.start_soon(self.joining.run)
             self.tasks.start_soon(drain_on_signal, self)
             self.tasks.start_soon(reload_on_signal, self)
             self.tasks.start_soon(reload_on_change, self)
@@ -132,12 +134,15 @@
             self.log.write,
         )
 
+        self.joining = Joining(self, control_port)
+
     async def listen(self):
         """Open the listening sockets."""
         forwarder = self.settings.forwarder
         handlers = {
             READY_PATH: lambda _: build_readiness_response(self),
             STATE_PATH: lambda _: build_state_response(self.topology),
+            SNAPSHOT_PATH: lambda _: self.joining.build_response(),
             "/status": lambda _: build_status_response(self),
             "/metrics": lambda _: build_metrics_response(self),
         }
@@ -166,7 +171,7 @@
         """Return whether the load balancer may send connections."""
         if self.server.is_draining or self.server.routes is None:
             return False
-        if self.server.lag.is_behind:
+        if self.server.lag.is_behind or not self.joining.is_done:
             return False
         return bool(self.registry.by_service)
 
@@ -256,6 +261,8 @@
         reason = "draining" if self.server.is_draining else ""
         if self.server.routes is None:
             reason = "no configuration"
+        elif not self.joining.is_done:
+            reason = "asking peers"
         if self.server.lag.is_behind:
             reason = "event loop behind"
         self.log.write(log_event(READINESS_CHANGED, is_ready=is_ready, reason=reason))
--- a/catkinfork/forwarding/_events.py
+++ b/catkinfork/forwarding/_events.py
@@ -113,6 +113,13 @@
     "the event loop has fallen behind or caught up",
     ("is_behind", "lag_s", "n_requests", "n_connections"),
 )
+FORWARDER_JOINED = Event(
+    1011,
+    "info",
+    "forwarder_joined",
+    "the process has asked its peers for what they were told before it started",
+    ("n_answers", "n_asked", "waited_s", "known_s", "n_streams"),
+)
 
 EVENTS = (
     REQUEST_FINISHED,
@@ -126,4 +133,5 @@
     LOG_LINES_DROPPED,
     CALLBACK_FAILED,
     LOOP_LAG_CHANGED,
+    FORWARDER_JOINED,
 )
--- a/catkinfork/peering/_frames.py
+++ b/catkinfork/peering/_frames.py
@@ -195,23 +195,27 @@
     try:
         frame = _DECODER.decode(data)
     except MALFORMED:
-        frame = decode_valid_entries(data)
+        frame = decode_valid_entries(data, Frame)
     if frame is None or not is_ip_address(frame.sender):
         return None
     frame.peers = [address for address in frame.peers if is_ip_address(address)]
     return frame
 
 
-def decode_valid_entries(data):
-    """Return the frame of a datagram without its odd entries, or None.
+def decode_valid_entries(data, message_type):
+    """Return a message without its odd entries, or None.
 
     The fields that are not lists have to be right.
+
+    :param message_type: class of the message, such as :class:`Frame`.
     """
     try:
         values = _LENIENT_DECODER.decode(data)
-        fields = msgspec.structs.fields(Frame)
+        fields = msgspec.structs.fields(message_type)
         pairs = zip(values, fields, strict=False)
-        return Frame(*[decode_field(value, field.type) for value, field in pairs])
+        return message_type(
+            *[decode_field(value, field.type) for value, field in pairs]
+        )
     except (*MALFORMED, TypeError):
         # TypeError if fields are missing.
         return None
--- /dev/null
+++ b/catkinfork/peering/_snapshots.py
@@ -0,0 +1,113 @@
+"""What forwarders tell once, as one document for a forwarder that starts."""
+
+from typing import Annotated
+
+import msgspec
+
+from catkinfork.balancing import StreamOrigin
+from catkinfork.peering._ages import compute_age_ms
+from catkinfork.peering._frames import (
+    MALFORMED,
+    LongHash,
+    Total,
+    Version,
+    decode_valid_entries,
+)
+from catkinfork.peering._stream_notices import MAX_LIFETIME_MS
+from catkinfork.topology import MAX_NAME_LENGTH
+
+# Streams of one entry, so that an odd one takes few others out.
+MAX_STREAMS_PER_ENTRY = 64
+
+Name = Annotated[str, msgspec.Meta(max_length=MAX_NAME_LENGTH)]
+# Service and version of a backend server, the version empty if it is uncertain, and
+# pairs of the key of a stream and the time for which its caller may resume it,
+# milliseconds.
+StreamsEntry = tuple[Name, Version, list[tuple[LongHash, Total]]]
+
+
+class Snapshot(msgspec.Struct, array_like=True):
+    """State that a forwarder has been told once, or has told its peers once.
+
+    New fields go to the end: a forwarder of another build ignores those that it does
+    not know.
+
+    :param is_joined: whether the sender itself has finished asking its peers.
+    :param known_ms: time for which the sender has been told everything, directly or by
+        the snapshots of others, milliseconds.
+    :param streams: origins of streams.
+    """
+
+    is_joined: bool
+    known_ms: Total
+    streams: list[StreamsEntry] = []
+
+
+_ENCODER = msgspec.msgpack.Encoder()
+_DECODER = msgspec.msgpack.Decoder(Snapshot)
+
+
+def decode_snapshot(data):
+    """Return the :class:`Snapshot` of a peer without odd entries, or None."""
+    try:
+        return _DECODER.decode(data)
+    except MALFORMED:
+        return decode_valid_entries(data, Snapshot)
+
+
+class SnapshotExchange:
+    """Builds and applies snapshots.
+
+    :param balancer: :class:`Balancer`.
+    :param now: monotonic time at which the process started, seconds.
+
+    ``known_since`` is the monotonic time since which everything is known that was told,
+    and ``is_joined`` states whether the peers have been asked.
+    """
+
+    def __init__(self, balancer, now):
+        self.balancer = balancer
+        self.known_since = now
+        self.is_joined = False
+
+    def build(self, now):
+        """Return the snapshot as MessagePack."""
+        snapshot = Snapshot(
+            self.is_joined,
+            compute_age_ms(self.known_since, now),
+            self.list_streams(now),
+        )
+        return _ENCODER.encode(snapshot)
+
+    def apply(self, snapshot, now):
+        """Record what a peer knows.
+
+        :param snapshot: :class:`Snapshot`.
+        """
+        self.record_streams(snapshot.streams, now)
+        if snapshot.is_joined:
+            known_since = now - snapshot.known_ms / 1000
+            self.known_since = min(self.known_since, known_since)
+
+    def list_streams(self, now):
+        """Return the entries of all streams that may still be resumed."""
+        by_origin = {}
+        for key, (origin, expires_at) in self.balancer.streams.records.items():
+            if now < expires_at:
+                lifetime_ms = int((expires_at - now) * 1000)
+                by_origin.setdefault(origin, []).append((key, lifetime_ms))
+        entries = []
+        for origin, streams in by_origin.items():
+            service, version = origin or ("", "")
+            for start in range(0, len(streams), MAX_STREAMS_PER_ENTRY):
+                some = streams[start : start + MAX_STREAMS_PER_ENTRY]
+                entries.append((service, version, some))
+        return entries
+
+    def record_streams(self, entries, now):
+        """Record the origins of streams."""
+        for service, version, streams in entries:
+            origin = StreamOrigin(service, version) if version else None
+            for key, lifetime_ms in streams:
+                lifetime_s = min(MAX_LIFETIME_MS, lifetime_ms) / 1000
+                self.balancer.streams.record_told(key, origin, lifetime_s, now)
--- /dev/null
+++ b/catkinfork/peering/tests/test_joining.py
@@ -0,0 +1,220 @@
+"""What forwarders are told once, over restarts in turn of all of them."""
+
+import random
+
+import msgspec
+import pytest
+
+from catkinfork.balancing import StreamOrigin
+from catkinfork.peering import JoinPlan, PeerDirectory, SnapshotExchange
+from catkinfork.peering import decode_snapshot as decode
+from catkinfork.peering._joining import (
+    MAX_ANSWERS,
+    MAX_ASKED,
+    MAX_JOIN_S,
+    MAX_KNOWLEDGE_S,
+    SETTLED_MS,
+)
+from catkinfork.peering.tests.joining import JoiningFleet
+from catkinfork.peering.tests.nodes import Node
+
+V1 = StreamOrigin("s", "v1")
+V2 = StreamOrigin("s", "v2")
+LIFETIME_S = 60.0
+N_STREAMS = 40
+
+
+def begin_streams(fleet):
+    """Begin streams of two versions at all forwarders in rotation."""
+    nodes = list(fleet.nodes.values())
+    for key in range(N_STREAMS):
+        origin = V1 if key % 2 else V2
+        streams = nodes[key % len(nodes)].balancer.streams
+        streams.record(key, origin, LIFETIME_S, fleet.now)
+    fleet.run(0.5)
+
+
+def check_origins(fleet):
+    """Check that each forwarder knows where all streams began."""
+    for node in fleet.nodes.values():
+        records = [
+            node.balancer.streams.find(key, fleet.now) for key in range(N_STREAMS)
+        ]
+        origins = [record and record.origin for record in records]
+        assert origins == [V1 if key % 2 else V2 for key in range(N_STREAMS)]
+
+
+@pytest.mark.parametrize(("n_nodes", "n_at_once"), [(2, 1), (4, 1), (5, 2), (9, 4)])
+@pytest.mark.parametrize("seed", [1, 2])
+def test_origins_outlive_a_restart_in_turn(n_nodes, n_at_once, seed):
+    """Guards against streams of two versions that nobody knows after planned work.
+
+    Load pattern: streams last for longer than the restart of all forwarders in turn,
+    one or several at once, in any order.
+    """
+    fleet = JoiningFleet(n_nodes, seed)
+    fleet.run(2.0)
+    begin_streams(fleet)
+    order = list(fleet.addresses)
+    random.Random(seed).shuffle(order)
+    for start in range(0, n_nodes, n_at_once):
+        fleet.restart(order[start : start + n_at_once])
+        check_origins(fleet)
+
+
+def test_forwarders_that_all_start_at_once_wait_for_a_bounded_time():
+    """Guards against a fleet that is not ready as nobody can answer."""
+    fleet = JoiningFleet(6)
+    fleet.run(MAX_JOIN_S + 0.1)
+    assert all(node.joined_at <= MAX_JOIN_S + 0.02 for node in fleet.nodes.values())
+    assert all(node.plan.n_answers == 0 for node in fleet.nodes.values())
+
+
+def test_forwarder_without_peers_is_ready_at_once():
+    """Guards against a wait for peers that do not exist."""
+    plan = JoinPlan(PeerDirectory("10.0.0.1", ["10.0.0.1"], 0.0), 1, random.Random(1))
+    plan.start(5.0)
+    assert plan.is_done(5.0)
+
+
+def test_silent_peers_are_passed_over():
+    """Guards against streams that are unknown as the first peers asked are wedged.
+
+    They send frames and do not answer questions.
+    """
+    fleet = JoiningFleet(6)
+    fleet.run(2.0)
+    begin_streams(fleet)
+    fleet.is_silent = lambda address: address != fleet.addresses[-1]
+    fleet.restart(fleet.addresses[:1])
+    check_origins(fleet)
+
+
+def test_answer_of_a_forwarder_that_has_not_joined_is_not_enough():
+    """Guards against two forwarders that start at once and learn from each other only.
+
+    The one that knows is heard last.
+    """
+    directory = PeerDirectory("10.0.0.1", ["10.0.0.2"], 0.0)
+    plan = JoinPlan(directory, 1, random.Random(1))
+    plan.start(0.0)
+    directory.peers["10.0.0.2"].is_fresh = True
+    assert plan.find_next(0.0) == "10.0.0.2"
+    plan.record_answer("10.0.0.2", False, 0.0)
+    assert plan.find_next(0.01) is None
+    assert not plan.is_done(0.9)
+    directory.add(["10.0.0.3"], 0.9)
+    directory.peers["10.0.0.3"].is_fresh = True
+    asked = {plan.find_next(0.9), plan.find_next(1.1)}
+    assert "10.0.0.3" in asked
+    plan.record_answer("10.0.0.3", True, MAX_KNOWLEDGE_S)
+    assert plan.is_done(1.1)
+
+
+def build_plan(n_peers):
+    """Return a plan of a forwarder that hears some peers."""
+    directory = PeerDirectory("10.0.1.0", [f"10.0.0.{n}" for n in range(n_peers)], 0.0)
+    for peer in directory.peers.values():
+        peer.is_fresh = True
+    plan = JoinPlan(directory, 10 * SETTLED_MS, random.Random(1))
+    plan.start(0.0)
+    return plan, directory.peers
+
+
+def test_peers_that_know_more_are_asked_first():
+    """Guards against answers of peers that are about to stop or have just started."""
+    plan, peers = build_plan(9)
+    for number, peer in enumerate(peers.values()):
+        peer.is_leaving = number < 3
+        peer.incarnation = 10 * SETTLED_MS - (1 if number < 6 else 2 * SETTLED_MS)
+    order = []
+    while len(order) < 8:
+        order.append(plan.find_next(float(len(order))))
+    numbers = [int(address.rpartition(".")[2]) for address in order]
+    assert set(numbers[:3]) == {6, 7, 8}
+    assert set(numbers[3:6]) == {3, 4, 5}
+    assert set(numbers[6:]) < {0, 1, 2}
+
+
+def test_questions_of_a_large_fleet_are_bounded():
+    """Guards against questions to hundreds of peers by each of as many forwarders."""
+    plan, _ = build_plan(200)
+    n_asked = 0
+    for step in range(200):
+        n_asked += plan.find_next(step / 100) is not None
+    assert n_asked <= MAX_ASKED
+    plan, _ = build_plan(200)
+    while not plan.is_done(0.0):
+        plan.record_answer(plan.find_next(0.0), True, 5.0)
+    assert plan.n_answers == MAX_ANSWERS
+
+
+def test_what_a_forwarder_knows_is_dated():
+    """Guards against a forwarder that counts as informed since its start only."""
+    older = SnapshotExchange(Node("10.0.0.1", []).balancer, 100.0)
+    older.is_joined = True
+    younger = SnapshotExchange(Node("10.0.0.2", []).balancer, 150.0)
+    younger.apply(decode(older.build(160.0)), 160.0)
+    assert younger.known_since == pytest.approx(100.0, abs=0.01)
+    unjoined = SnapshotExchange(Node("10.0.0.3", []).balancer, 0.0)
+    younger.apply(decode(unjoined.build(160.0)), 160.0)
+    assert younger.known_since == pytest.approx(100.0, abs=0.01)
+
+
+ODD_STREAMS = [
+    None,
+    7,
+    "x",
+    [],
+    ["s", "v1"],
+    ["s", "v1", [[7, -5]]],
+    ["s", "v1", [[-7, 1000]]],
+    ["s", "v1", [[7, 1.5]]],
+    ["s", "v1", [7]],
+    ["s", "x" * 1000, [[7, 1000]]],
+    ["s" * 1000, "v1", [[7, 1000]]],
+    [7, "v1", [[7, 1000]]],
+]
+
+
+@pytest.mark.parametrize("odd", ODD_STREAMS, ids=lambda odd: str(odd)[:40])
+def test_odd_entry_of_a_snapshot_is_left_out(odd):
+    """Guards against a snapshot that cannot be used for one entry."""
+    sound = ["s", "v2", [[8, 5000]]]
+    data = msgspec.msgpack.encode([True, 1000, [odd, sound, odd], 17, "later field"])
+    exchange = SnapshotExchange(Node("10.0.0.1", []).balancer, 5.0)
+    exchange.apply(decode(data), 5.0)
+    assert exchange.balancer.streams.find(7, 5.0) is None
+    assert exchange.balancer.streams.find(8, 5.0).origin == V2
+
+
+@pytest.mark.parametrize(
+    "data",
+    [
+        b"",
+        b"\xc1",
+        b"[" * 100_000,
+        b"\x91" * 100_000,
+        msgspec.msgpack.encode({}),
+        msgspec.msgpack.encode([]),
+        msgspec.msgpack.encode([True]),
+        msgspec.msgpack.encode([True, -1]),
+        msgspec.msgpack.encode(["x", 1]),
+        msgspec.msgpack.encode([True, 1, 7]),
+    ],
+    ids=range(10),
+)
+def test_malformed_snapshot_is_rejected(data):
+    """Guards against a forwarder that fails at the answer of a peer."""
+    assert decode(data) is None
+
+
+def test_snapshot_of_a_full_table_is_bounded():
+    """Guards against snapshots that grow beyond what a peer reads (docs, section 2)."""
+    exchange = SnapshotExchange(Node("10.0.0.1", []).balancer, 0.0)
+    for key in range(40_000):
+        origin = V1 if key % 2 else V2
+        exchange.balancer.streams.record_told((1 << 63) + key, origin, 600.0, 1.0)
+    data = exchange.build(1.0)
+    assert len(data) < 16 * 32_768
+    assert sum(len(entry[2]) for entry in decode(data).streams) == 32_768
--- a/catkinfork/platform/tests/stream_standins.py
+++ b/catkinfork/platform/tests/stream_standins.py
@@ -241,3 +241,9 @@
 def list_events(version, first, last):
     """Return the events that a runner of a version sends."""
     return [(number, version) for number in range(first, last + 1)]
+
+
+async def stop(forwarder):
+    """Stop a forwarder with SIGTERM, as planned."""
+    forwarder.signal(signal.SIGTERM)
+    await forwarder.process.wait()
--- /dev/null
+++ b/catkinfork/platform/tests/test_restart_in_turn.py
@@ -0,0 +1,160 @@
+"""What forwarder processes know after all of them were restarted in turn."""
+
+import asyncio
+
+import pytest
+
+from catkinfork.platform.tests.standins import run_platform, wait_until
+from catkinfork.platform.tests.stream_standins import (
+    N_EVENTS,
+    N_FIRST_EVENTS,
+    OTHER_PROMPT,
+    PROMPT,
+    add_stream_runner,
+    break_off,
+    build_stream_config,
+    list_events,
+    read_status,
+    restart,
+    resume,
+    stop,
+    wait_in_touch,
+)
+
+pytestmark = pytest.mark.processes
+
+# Streams of each version.
+N_STREAMS = 6
+# A prompt of each version, so that placement prefers no engine for what it has read.
+PROMPTS = {"v1": PROMPT, "v2": OTHER_PROMPT}
+
+
+class Streams:
+    """Forwarders, and streams that began at runners of two versions.
+
+    Both runners keep the last parts of the prompts, so that their lists do not tell
+    where a stream began.
+
+    :param platform: :class:`Platform`.
+    """
+
+    def __init__(self, platform):
+        self.platform = platform
+        self.begun = {}
+
+    async def start(self, n_forwarders):
+        """Start the forwarders, and begin and break off the streams at all of them."""
+        platform = self.platform
+        platform.store.put("op/config", build_stream_config())
+        older = await add_stream_runner(platform, "i-1", "v1", "kicukiro")
+        await platform.add_forwarders(n_forwarders)
+        await wait_in_touch(platform)
+        await self.begin("v1")
+        # The forwarders are in this data centre and prefer it.
+        newer = await add_stream_runner(platform, "i-2", "v2", "gasabo")
+        await self.begin("v2")
+        for runner in (older, newer):
+            runner.lists_kept = True
+            runner.kept |= {"b2": 110, "d4": 110}
+
+    async def begin(self, version):
+        """Begin streams at all forwarders until enough are at the runner of a version.
+
+        Some may go to another one, as requests in flight are told with a delay.
+        """
+        forwarders = self.platform.forwarders
+        while self.count_begun(version) < N_STREAMS:
+            request_id = f"r-{version}-{len(self.begun)}"
+            forwarder = forwarders[len(self.begun) % len(forwarders)]
+            events = await break_off(forwarder, request_id, PROMPTS[version])
+            self.begun[request_id] = events[0][1]
+            assert events == list_events(events[0][1], 1, N_FIRST_EVENTS)
+            assert len(self.begun) < 10 * N_STREAMS
+
+    def count_begun(self, version):
+        """Return the number of streams that began at a version."""
+        return list(self.begun.values()).count(version)
+
+    async def check_all_go_on(self):
+        """Check that all streams go on at their version, at another forwarder each."""
+        forwarders = self.platform.forwarders
+        for number, (request_id, version) in enumerate(self.begun.items()):
+            forwarder = forwarders[(number + 1) % len(forwarders)]
+            rest = list_events(version, N_FIRST_EVENTS + 1, N_EVENTS)
+            prompt = PROMPTS[request_id.split("-")[1]]
+            result = await resume(forwarder, request_id, prompt)
+            assert result == (200, rest)
+
+
+async def restart_planned(*forwarders):
+    """Stop forwarders with SIGTERM, start them and wait until they are ready."""
+    await asyncio.gather(*[stop(forwarder) for forwarder in forwarders])
+    await asyncio.gather(*[restart(forwarder) for forwarder in forwarders])
+    for forwarder in forwarders:
+        await wait_until(forwarder.is_ready)
+
+
+def run_streams(n_forwarders, test, folder):
+    """Run a coroutine function that takes streams and the forwarders."""
+
+    async def main(platform):
+        streams = Streams(platform)
+        await streams.start(n_forwarders)
+        await test(streams, platform.forwarders)
+
+    run_platform(main, folder)
+
+
+@pytest.mark.parametrize("order", [(0, 1, 2), (2, 0, 1)], ids=str)
+def test_streams_go_on_after_a_restart_in_turn(tmp_path, order):
+    """Guards against streams that are refused, or joined, after planned work."""
+
+    async def test(streams, forwarders):
+        for number in order:
+            await restart_planned(forwarders[number])
+        await streams.check_all_go_on()
+
+    run_streams(3, test, tmp_path)
+
+
+def test_streams_go_on_after_restarts_of_two_hosts_at_once(tmp_path):
+    """Guards against two forwarders that start at once and learn nothing."""
+
+    async def test(streams, forwarders):
+        await restart_planned(*forwarders[:2])
+        await restart_planned(*forwarders[2:])
+        await streams.check_all_go_on()
+
+    run_streams(4, test, tmp_path)
+
+
+def test_restarts_that_overlap_leave_no_stream_unknown(tmp_path):
+    """Guards against knowledge that is lost as each host stops while another starts.
+
+    The next one is told to stop before the one before is ready.
+    """
+
+    async def test(streams, forwarders):
+        tasks = []
+        for forwarder in forwarders:
+            tasks.append(asyncio.create_task(restart_planned(forwarder)))
+            await asyncio.sleep(0.7)
+        await asyncio.gather(*tasks)
+        await streams.check_all_go_on()
+
+    run_streams(4, test, tmp_path)
+
+
+def test_forwarder_is_ready_once_it_has_asked(tmp_path):
+    """Guards against a forwarder that takes work before it knows what peers know."""
+
+    async def test(streams, forwarders):
+        await restart_planned(forwarders[0])
+        await wait_until(lambda: forwarders[0].list_events("forwarder_joined"))
+        (joined,) = forwarders[0].list_events("forwarder_joined")
+        assert joined["n_answers"] == len(forwarders) - 1
+        assert joined["n_streams"] == len(streams.begun)
+        assert joined["waited_s"] < 1.0
+        assert (await read_status(forwarders[0]))["is_ready"]
+
+    run_streams(3, test, tmp_path)
