topology: a list that may lack servers is not certain

A host that was out of step while a version joined knows it from the changes of the store, but not from a list if the history or the store's contents were lost meanwhile.

Cause: a full list counted like changes. It does not tell which servers came and went since the last read (at most 4 s before), and after a restore or an outage it lacks servers that live and publish their entries again within about two seconds. A state read from a peer moved the own revision on, without a sign that changes were skipped, and the time for which entries were not known (for servers that start again under their ids) did not include it.

Fix: after more than 2 s without a read, a list starts the history of versions anew. After an outage or a restore, only reads that start 2.5 s later count. Records and, once that time is over, engines still serve.

Measured: topology tests; test_out_of_step, test_versions, test_restore and test_processes of platform pass.

--- a/catkinfork/topology/_source.py
+++ b/catkinfork/topology/_source.py
@@ -58,6 +58,11 @@
     era: int = 0
     departed: tuple = ()
 
+    @property
+    def position(self):
+        """Return the :class:`Position` up to which the result is complete."""
+        return Position(self.era, self.revision)
+
 
 class SourceError(Exception):
     """A source failed or sent an unexpected response.
--- a/catkinfork/topology/_versions.py
+++ b/catkinfork/topology/_versions.py
@@ -8,6 +8,9 @@
 # Longest time between two reads of the store within which hardly any backend server is
 # missed, seconds: one that starts, serves and leaves in between.
 MAX_READ_GAP_S = 4.0
+# The same before a list: it does not tell which servers have come and gone, as changes
+# do. An entry lasts for 1.5 s after its server has written it for the last time.
+MAX_LIST_GAP_S = 2.0
 
 
 class VersionHistory:
@@ -16,7 +19,8 @@
     ``known_since`` is the monotonic time since which it is complete, infinite before
     the first read of the store, and ``read_at`` that of the last read. ``asked_at`` is
     the latest start of a read, as of which the entries are known, and ``gap_s`` the
-    time for which they were not before the last read.
+    time for which they were not before the last read. Until ``settled_at``, entries of
+    servers that live may be missing from the store.
     """
 
     def __init__(self):
@@ -24,6 +28,7 @@
         self.known_since = inf
         self.read_at = -inf
         self.asked_at = -inf
+        self.settled_at = -inf
         self.gap_s = 0.0
 
     def record_read(self, now, asked_at=None):
@@ -38,7 +43,19 @@
         if now - self.read_at > MAX_READ_GAP_S:
             self.known_since = now
         self.read_at = now
-        self.asked_at = max(self.asked_at, asked_at)
+        if asked_at >= self.settled_at:
+            self.asked_at = max(self.asked_at, asked_at)
+
+    def record_list(self, now, settled_at=-inf):
+        """Record that entries were listed, without the changes since the last read.
+
+        :param settled_at: monotonic time by which servers that live are published
+            again, if the store has lost their entries.
+        """
+        self.gap_s = now - self.asked_at
+        if self.gap_s > MAX_LIST_GAP_S and self.known_since < now:
+            self.known_since = now
+        self.settled_at = max(self.settled_at, settled_at)
 
     def record_left(self, entry, now):
         """Record that a backend server has left, or has started again.
--- a/catkinfork/topology/_watcher.py
+++ b/catkinfork/topology/_watcher.py
@@ -33,6 +33,9 @@
 # Time after a store outage within which live backend servers republish entries that
 # expired during the outage.
 REREGISTRATION_TIME_S = 1.7
+# Time after which a list counts that may lack such entries, seconds; they take about
+# two.
+SETTLING_TIME_S = 2.5
 # Duration of a store failure after which the state is read from peers.
 PEER_FALLBACK_DELAY_S = 0.2
 PEER_POLL_INTERVAL_S = 0.3
@@ -167,11 +170,26 @@
         if changes.era > self.state.era and not changes.is_full:
             raise EraChangedError("the changes are those of another era")
         self.read_at = time.monotonic()
+        if changes.is_full:
+            self.record_list(changes, self.read_at)
         self.apply(changes, self.source.name)
         self.state.registry.versions.record_read(self.read_at, asked_at)
         if changes.items or changes.is_full:
             self.on_change()
 
+    def record_list(self, changes, now):
+        """Record a list, which may lack entries after an outage or a restore.
+
+        :param changes: :class:`Changes`, before they are applied.
+        """
+        if changes.position <= self.state.position:
+            return
+        settled_at = -inf
+        is_restored = 0 < self.state.era < changes.era
+        if is_restored or self.failing_since is not None:
+            settled_at = now + SETTLING_TIME_S
+        self.state.registry.versions.record_list(now, settled_at)
+
     def request_read(self):
         """Have the changes read soon, beside a watch that may wait for one.
 
@@ -242,6 +260,7 @@
         except SourceError:
             # Not logged here; a silent peer is detected and logged by peering.
             return
+        self.record_list(changes, time.monotonic())
         self.apply(changes, source.name)
         self.state.offer_configuration(changes, source.name)
         self.on_change()
--- a/catkinfork/topology/tests/test_versions.py
+++ b/catkinfork/topology/tests/test_versions.py
@@ -1,9 +1,11 @@
 """What is known of the versions that served recently."""
 
+from math import inf
+
 import pytest
 
 from catkinfork.topology import BackendRegistry
-from catkinfork.topology._versions import MAX_READ_GAP_S
+from catkinfork.topology._versions import MAX_LIST_GAP_S, MAX_READ_GAP_S
 from catkinfork.topology.tests.samples import build_entry
 
 
@@ -108,3 +110,38 @@
     assert registry.find_only_version("read", 60.0, 120.0) is None
     read(registry, 121.0, 200.0)
     assert registry.find_only_version("read", 140.0, 200.0) == "v1"
+
+
+def test_list_shows_no_version_that_came_and_went_before_it():
+    """Guards against a history that counts as complete after it was lost in part.
+
+    A list names the servers of now, while changes tell those that have left as well.
+    """
+    registry = build_registry("v1")
+    for gap_s, is_known in (
+        (MAX_LIST_GAP_S - 0.1, True),
+        (MAX_LIST_GAP_S + 0.1, False),
+    ):
+        now = registry.versions.asked_at + gap_s
+        registry.versions.record_list(now)
+        registry.versions.record_read(now, now)
+        found = registry.find_only_version("read", 40.0, now)
+        assert found == ("v1" if is_known else None)
+
+
+def test_list_that_may_lack_servers_is_not_certain():
+    """Guards against a version whose entries the store has lost for a moment."""
+    registry = build_registry("v1")
+    registry.versions.record_list(101.0, 103.5)
+    for now, asked_at in ((101.0, 101.0), (103.4, 103.4), (103.6, 103.4)):
+        registry.versions.record_read(now, asked_at)
+        assert registry.find_only_version("read", 40.0, 101.0) is None
+    registry.versions.record_read(103.6, 103.5)
+    assert registry.find_only_version("read", 40.0, 103.5) == "v1"
+
+
+def test_list_before_the_first_read_completes_nothing():
+    """Guards against a process that has only heard of the servers by a peer."""
+    registry = BackendRegistry(lambda event: None)
+    registry.versions.record_list(10.0)
+    assert registry.versions.known_since == inf
