topology: a wrong start or sequence of an entry does not stay in force

What callers would see: a server whose entry once had a far too large `born` or `sequence` (another writer, or its clock was ahead when it started) was used as of that entry for as long as it lived. It got requests while it drained, and if it started again under its id with another version, its streams counted for the former one.

Cause: entries are ordered by start and sequence alone, so that one wrong entry made all later ones outdated. A host that had ignored an entry also took the known version for the only one, while hosts that had started later knew the ignored one alone.

Evidence: both cases of the new test in topology/tests/test_registry.py, and the one on the ignored entry's version, failed on the registry before (with the constant added).

Fix: three entries in a row of one start, with rising sequence, are in force whatever the known one says; a delayed write is a single one and changes nothing. The version of an ignored entry counts as one that may have served.

--- a/catkinfork/topology/_registry.py
+++ b/catkinfork/topology/_registry.py
@@ -1,6 +1,7 @@
 """Registry of the backend servers and their readiness for new requests."""
 
 from math import inf
+from typing import NamedTuple
 
 from catkinfork.observability import log_event
 from catkinfork.topology._checks import limit_detail
@@ -14,13 +15,17 @@
 from catkinfork.topology._rate_limits import RateLimitTable
 from catkinfork.topology._recent import RecentTable
 from catkinfork.topology._source import Departure
-from catkinfork.topology._types import DRAINING, READY
+from catkinfork.topology._types import DRAINING, READY, BackendEntry
 from catkinfork.topology._versions import VersionHistory
 
 MAX_DEPARTED = 1024
 MAX_LEAVING = 1024
 MAX_THROTTLED = 1024
 MAX_IGNORED = 1024
+MAX_SUCCESSIONS = 1024
+# Successive entries of one start of a backend server that are in force though the known
+# one has a later start or sequence: a delayed write is a single one.
+N_SUCCESSIVE_ENTRIES = 3
 # Time between two log lines on ignored entries with one key, which another writer may
 # write with each heartbeat, seconds.
 IGNORED_LOG_INTERVAL_S = 60.0
@@ -30,6 +35,17 @@
 RECOVERY_S = 1.0
 
 
+class Succession(NamedTuple):
+    """Entries of one start of a backend server that are older than the known one.
+
+    :param last: last :class:`BackendEntry`.
+    :param n_entries: entries in a row with rising sequence.
+    """
+
+    last: BackendEntry
+    n_entries: int
+
+
 class Backend:
     """A known backend server.
 
@@ -96,6 +112,7 @@
         self.leaving = RecentTable(MAX_LEAVING)
         self.throttled = RecentTable(MAX_THROTTLED)
         self.ignored = RecentTable(MAX_IGNORED)
+        self.successions = RecentTable(MAX_SUCCESSIONS)
         self.rate_limits = RateLimitTable(write_log)
         self.versions = VersionHistory()
 
@@ -107,7 +124,9 @@
         """Apply an entry unless it is older than the known one.
 
         Entries are ordered by start time and sequence, since a delayed write of an
-        older entry may arrive after a newer one.
+        older entry may arrive after a newer one. Several older ones in a row show that
+        the known one cannot be right, as one of another writer or from a server whose
+        clock was ahead.
 
         :param entry: :class:`BackendEntry`.
         :param source: name of the source of the entry, for the log.
@@ -115,13 +134,30 @@
         known = self.backends.get(entry.name)
         if known is None:
             self.add(entry, now)
-        elif compute_entry_order(entry) < compute_entry_order(known.entry):
+        elif self.is_outdated(entry, known.entry):
+            # Other forwarders may know this entry only, and begin streams there.
+            self.versions.record_left(entry, now)
             self.log_ignored(entry.name, source, "older than the known entry", now)
             return
         else:
+            self.successions.pop(entry.name, None)
             self.replace(known, entry, now)
         self.rebuild_index()
 
+    def is_outdated(self, entry, known):
+        """Return whether an entry is older than the known one, which is right.
+
+        :param entry: :class:`BackendEntry`.
+        :param known: known :class:`BackendEntry` of the same backend server.
+        """
+        if compute_entry_order(entry) >= compute_entry_order(known):
+            return False
+        last, n_entries = self.successions.get(entry.name, (entry, 0))
+        is_next = last.started_ms == entry.started_ms and last.sequence < entry.sequence
+        n_entries = n_entries + 1 if is_next else 1
+        self.successions[entry.name] = Succession(entry, n_entries)
+        return n_entries < N_SUCCESSIVE_ENTRIES
+
     def add(self, entry, now):
         """Add a backend server."""
         backend = self.backends[entry.name] = Backend(entry, now)
--- a/catkinfork/topology/tests/test_registry.py
+++ b/catkinfork/topology/tests/test_registry.py
@@ -2,8 +2,18 @@
 
 import pytest
 
-from catkinfork.topology import DRAINING, BackendRegistry, Departure
-from catkinfork.topology._registry import MAX_DEPARTED, MAX_PAUSE_S
+from catkinfork.topology import (
+    DRAINING,
+    MAX_INTEGER,
+    READY,
+    BackendRegistry,
+    Departure,
+)
+from catkinfork.topology._registry import (
+    MAX_DEPARTED,
+    MAX_PAUSE_S,
+    N_SUCCESSIVE_ENTRIES,
+)
 from catkinfork.topology.tests.samples import build_entry
 
 
@@ -37,6 +47,48 @@
     assert list_names(registry) == []
 
 
+@pytest.mark.parametrize(
+    "wrong", [{"started_ms": MAX_INTEGER}, {"sequence": MAX_INTEGER}]
+)
+def test_entry_that_cannot_be_right_is_followed_by_those_of_the_server(registry, wrong):
+    """Guards against a server that is used as of a wrong entry for as long as it lives.
+
+    Another writer, or a clock that was ahead, left a far too large start or sequence.
+    The server drains, and starts again under its id as another version.
+    """
+    registry.apply_entry(build_entry(version="v1", **wrong), 0.0, "test")
+    for sequence in range(2, 2 + N_SUCCESSIVE_ENTRIES):
+        entry = build_entry(version="v1", state=DRAINING, sequence=sequence)
+        registry.apply_entry(entry, 0.0, "test")
+    assert list_names(registry) == []
+    restarted = build_entry(version="v2", started_ms=2000)
+    registry.apply_entry(restarted, 0.0, "test")
+    assert registry.list_versions() == {"b1": "v2"}
+
+
+def test_delayed_writes_of_other_times_do_not_add_up(registry):
+    """Guards against a draining server that is used again after single late writes."""
+    registry.apply_entry(build_entry(state=DRAINING, sequence=9), 0.0, "test")
+    for sequence in (5, 6, 10, 7, 8, 11, 9, 8, 7):
+        state = DRAINING if sequence > 9 else READY
+        entry = build_entry(state=state, sequence=sequence)
+        registry.apply_entry(entry, 0.0, "test")
+        assert list_names(registry) == []
+
+
+def test_version_of_an_ignored_entry_may_serve(registry):
+    """Guards against the only version of a host that ignores what others use.
+
+    They started later, and know the ignored entry alone.
+    """
+    registry.apply_entry(build_entry(version="v1", started_ms=5000), 0.0, "test")
+    registry.versions.record_read(0.0)
+    registry.versions.record_read(3.0)
+    assert registry.find_only_version("read", 1.0, 3.0) == "v1"
+    registry.apply_entry(build_entry(version="v2", sequence=7), 3.0, "test")
+    assert registry.find_only_version("read", 1.0, 3.0) is None
+
+
 def test_entry_of_a_restarted_backend_is_newer(registry):
     """Guards against ignoring a restarted backend server, whose sequence is lower."""
     registry.apply_entry(build_entry(state=DRAINING, sequence=5), 0.0, "test")
