forwarding: a rejection is not sent on a connection that closes already

What callers saw: their answers; but the planned stop ended with exit code 1, and callers whose last answers were not yet sent were at the mercy of the order of the set.

Cause: at the end of the grace, the request in progress gets its final response, after which the connection is shut down for writing. The part of a second request on that connection was then rejected, and the write after the shutdown raised RuntimeError.

Evidence: the test failed before with "Cannot call write() after write_eof()". The same error came from a malformed request behind one that was answered with a close in the same read.

A connection that closes after its last response sends no rejection.

--- a/catkinfork/forwarder/tests/test_planned_stop.py
+++ b/catkinfork/forwarder/tests/test_planned_stop.py
@@ -210,3 +210,28 @@
         assert len(replies[0].body) == 60_000
 
     run_world(test)
+
+
+def test_part_of_a_second_request_does_not_end_the_stop_with_an_error():
+    """Guards against a stop that fails, and cuts others, for one pipelined request."""
+
+    async def test(world):
+        await world.start("plain", silence)
+        caller = await world.connect()
+        await caller.send_raw(HEAD + b"body" + HEAD)
+        other = await world.connect()
+        await other.send("/read/")
+        await anyio.sleep(0.1)
+        replies = []
+
+        async def read(caller):
+            replies.append(await caller.read())
+
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(read, caller)
+            tasks.start_soon(read, other)
+            await stop(world)
+        assert [reply.status for reply in replies] == [502, 502]
+        assert [reply.headers["connection"] for reply in replies] == ["close", "close"]
+
+    run_world(test, limits=PATIENT)
--- a/catkinfork/forwarding/_caller.py
+++ b/catkinfork/forwarding/_caller.py
@@ -195,8 +195,11 @@
     def reject(self, status, code):
         """Reject an invalid request and close the connection.
 
-        The requests ahead of it are answered first.
+        The requests ahead of it are answered first. On a connection that closes after
+        its last response, it gets none.
         """
+        if self.is_discarding:
+            return
         self.is_discarding = True
         self.server.log_rejection(self, status, code)
         self.rejection = (status, code)
