forwarding: nothing is passed on behind a response that closes its connection

What callers saw: a request that ran, and whose connection ended without an answer. It had arrived in the same read as the one ahead of it, which was refused at once with "Connection: close", as the host drained, was behind or had many connections.

Cause: after that refusal the connection is shut down for writing and later data is discarded, but the rest of the same read was still parsed. The second request was passed on, and its answer could not be written.

Evidence: the test failed before: the backend server received the second request, and the write of its answer raised "Cannot call write() after write_eof()".

A request that becomes complete on such a connection is ignored: its caller has read that the connection closes after the response before it.

--- a/catkinfork/forwarding/_caller.py
+++ b/catkinfork/forwarding/_caller.py
@@ -166,7 +166,7 @@
         request.is_keep_alive = parser.should_keep_alive()
         self.request = request
         check_head(request, self.server.limits)
-        if request.find_header(b"expect") is not None:
+        if request.find_header(b"expect") is not None and not self.is_discarding:
             self.transport.write(CONTINUE)
 
     def on_body(self, body):
@@ -177,8 +177,13 @@
         self.body_parts.append(body)
 
     def on_message_complete(self):
-        """Start the request, or queue it while another one is in progress."""
+        """Start the request, or queue it while another one is in progress.
+
+        One that arrived with another, whose response closes the connection, is ignored.
+        """
         self.is_reading_body = False
+        if self.is_discarding:
+            return
         request = self.request
         request.body = b"".join(self.body_parts)
         self.body_parts = []
--- a/catkinfork/forwarding/tests/test_pipelining.py
+++ b/catkinfork/forwarding/tests/test_pipelining.py
@@ -6,7 +6,7 @@
 from catkinfork.balancing import ABANDONED
 from catkinfork.forwarding._caller import MAX_PIPELINED
 from catkinfork.forwarding.tests.scripted import answer, in_turn, stream
-from catkinfork.forwarding.tests.world import PROMPT, run_world
+from catkinfork.forwarding.tests.world import PROMPT, collect_errors, run_world
 
 
 @pytest.mark.parametrize("is_draining", [True, False])
@@ -113,3 +113,27 @@
         assert ids == ["r2", "r3", "r4"]
 
     run_world(test)
+
+
+def test_request_behind_a_refusal_that_closes_is_not_passed_on():
+    """Guards against a request that runs on a connection without a way to answer it.
+
+    Both requests arrive at once, and the first one is refused at once, while the host
+    closes its connections.
+    """
+
+    async def test(world):
+        (backend,) = await world.start("plain", answer())
+        errors = collect_errors(world)
+        caller = await world.connect()
+        world.server.is_draining = True
+        data = b"POST /%s/ HTTP/1.1\r\nHost: site.example\r\nX-Request-Id: r\r\n"
+        data += b"Authorization: Bearer key-of-a\r\nContent-Length: 0\r\n\r\n"
+        await caller.send_raw(data % b"none" + data % b"order")
+        replies = [await caller.read() for _ in range(2)]
+        assert [reply.status for reply in replies] == [404, 0]
+        assert replies[0].headers["connection"] == "close"
+        await anyio.sleep(0.2)
+        assert (backend.requests, errors) == ([], [])
+
+    run_world(test)
