--- a/catkinfork/forwarding/_caller.py
+++ b/catkinfork/forwarding/_caller.py
@@ -176,7 +176,9 @@
 
         The responses to the requests ahead of it are sent first.
         """
-        if self.awaits_continue and self.exchange is None and not self.requests:
+        if not self.awaits_continue or self.is_discarding:
+            return
+        if self.exchange is None and not self.requests:
             self.awaits_continue = False
             self.write(CONTINUE)
 
@@ -188,9 +190,14 @@
         self.body_parts.append(body)
 
     def on_message_complete(self):
-        """Start the request, or queue it while another one is in progress."""
+        """Start the request, or queue it while another one is in progress.
+
+        One that arrived with another, whose response closes the connection, is ignored.
+        """
         self.is_reading_body = False
         self.awaits_continue = False
+        if self.is_discarding:
+            return
         request = self.request
         request.body = b"".join(self.body_parts)
         self.body_parts = []
@@ -207,8 +214,11 @@
     def reject(self, status, code):
         """Reject an invalid request and close the connection.
 
-        The requests ahead of it are answered first.
+        The requests ahead of it are answered first. On a connection that closes after
+        its last response, it gets none.
         """
+        if self.is_discarding:
+            return
         self.is_discarding = True
         self.server.log_rejection(self, status, code)
         self.rejection = (status, code)
