--- a/catkinfork/platform/tests/soak/checks.py
+++ b/catkinfork/platform/tests/soak/checks.py
@@ -28,6 +28,7 @@
 LAST_PART_S = GRACE_S * 5 / 6
 SENT_EARLY_S = 3.0
 AFTER_GRACE_S = 1.0
+INTERPRETER_START_S = 0.1
 
 
 class Violation(NamedTuple):
@@ -277,12 +278,20 @@
 def is_exit_proper(one):
     """Return whether a process ended as its signals demand."""
     names = [signal.name for signal in one.signals]
+    if any(one.code < 0 and is_too_early(one, signal) for signal in one.signals):
+        # No program handles a signal before its interpreter runs.
+        return True
     if "SIGKILL" in names or "SIGSTOP" in names:
         # A kill or a freeze is no planned stop.
         return True
     return one.code == 0 and ("SIGTERM" in names or "SIGINT" in names)
 
 
+def is_too_early(one, signal):
+    """Return whether a signal came before a process could handle it."""
+    return signal.at - one.started_at < INTERPRETER_START_S
+
+
 def find_disordered(facts):
     """Return the streams with missing or doubled events, or joined versions."""
     found, joined = [], []
--- a/catkinfork/platform/tests/soak/fleet.py
+++ b/catkinfork/platform/tests/soak/fleet.py
@@ -170,6 +170,8 @@
         for task in (*tasks, steps):
             if task in late or task.exception() is not None:
                 task.print_stack()
+        for host in self.hosts:
+            host.is_wanted = False
         stops = [disruptions.stop_host(host) for host in self.hosts]
         await asyncio.wait_for(asyncio.gather(*stops), GRACE_S + 4.0)
 
--- a/catkinfork/platform/tests/soak/records.py
+++ b/catkinfork/platform/tests/soak/records.py
@@ -153,3 +153,8 @@
     def add_span(self, kind, target, began_at):
         """Record a disruption that ends now."""
         self.spans.append(Span(kind, target, began_at, self.now()))
+
+    def write(self, path):
+        """Write all records to a file, one a line."""
+        kinds = (self.requests, self.runs, self.spans, self.exits, self.streams)
+        path.write_text("".join(f"{one}\n" for kind in kinds for one in kind))
--- a/catkinfork/platform/tests/soak/run.py
+++ b/catkinfork/platform/tests/soak/run.py
@@ -21,4 +21,5 @@
             await fleet.run()
     finally:
         await fleet.close()
+        fleet.records.write(folder / "records.txt")
     return make_report(fleet.records)
--- a/catkinfork/platform/tests/soak/test_checks.py
+++ b/catkinfork/platform/tests/soak/test_checks.py
@@ -207,6 +207,13 @@
     assert rules == ([] if is_proper else ["EXIT"])
 
 
+@pytest.mark.parametrize(("signal_at", "is_proper"), [(0.05, True), (0.2, False)])
+def test_signal_before_the_interpreter_runs_is_no_fault(signal_at, is_proper):
+    """Guards against an excuse for signals that the program could have handled."""
+    one = Exit("host-1", 0.0, 0.25, -1, (Signal(signal_at, "SIGHUP"),))
+    assert list_rules(exits=[one]) == ([] if is_proper else ["EXIT"])
+
+
 @pytest.mark.parametrize(
     "stream",
     [
