--- a/catkinfork/platform/tests/soak/disruptions.py
+++ b/catkinfork/platform/tests/soak/disruptions.py
@@ -13,6 +13,7 @@
     RELOAD,
     STOP,
     STORE,
+    TROUBLE,
 )
 from catkinfork.platform.tests.soak.settings import GRACE_S
 
@@ -143,6 +144,18 @@
         name = server.name if step.target % 2 else None
         await self.fleet.add_server(server.service, server.version, name)
 
+    async def disturb_server(self, step):
+        """Let a plain server be silent, lose, truncate or add responses, or refuse."""
+        plain = [one for one in self.fleet.list_servers() if one.service != "lm"]
+        server = self.choose(plain, step)
+        if server is None or server.trouble:
+            return
+        began_at = self.records.now()
+        server.trouble = step.detail
+        await asyncio.sleep(step.duration_s)
+        server.trouble = ""
+        self.records.add_span(TROUBLE, server.name, began_at)
+
     async def silence_store(self, step):
         """Let the store respond to nobody, or not to one host."""
         store = self.fleet.store
--- a/catkinfork/platform/tests/soak/plan.py
+++ b/catkinfork/platform/tests/soak/plan.py
@@ -9,6 +9,7 @@
 P_SERIES = 0.3
 
 SECOND_SIGNALS = ("SIGTERM", "SIGINT", "SIGHUP")
+TROUBLES = ("silent", "lost", "surplus", "busy", "truncated")
 LINKS = ("caller", "store", "server")
 LINK_FAULTS = ("delay", "reset", "silence_in", "silence_out", "cut")
 
@@ -24,6 +25,7 @@
     "kill_host": 3,
     "pause_host": 3,
     "crash_server": 3,
+    "disturb_server": 4,
     "silence_store": 2,
     "restore_store": 1,
 }
@@ -86,6 +88,9 @@
             duration_s = rng.choice([rng.uniform(0.01, 0.6), rng.uniform(0.0, 6.0)])
     elif action == "pause_host":
         duration_s = rng.choice([rng.uniform(0.2, 1.0), rng.uniform(1.0, 4.5)])
+    elif action == "disturb_server":
+        detail = rng.choice(TROUBLES)
+        duration_s = rng.uniform(0.3, 3.0)
     elif action == "crash_server":
         duration_s = rng.uniform(0.5, 3.0)
     elif action == "drain_server":
--- a/catkinfork/platform/tests/soak/servers.py
+++ b/catkinfork/platform/tests/soak/servers.py
@@ -24,6 +24,7 @@
 BIG_BYTES = 3_500_000
 EVENT_S = 0.05
 P_SPLIT = 0.05
+SILENCE_POLL_S = 0.02
 DIGEST_HEADER = "x-body-digest"
 
 
@@ -62,6 +63,7 @@
         self.n_waiting = 0
         self.writers = set()
         self.state = "ready"
+        self.trouble = ""
         self.is_up = False
         self.says_leaving = False
         self.address = None
@@ -159,8 +161,8 @@
             return 404
         return 200 if self.state == "ready" else 503
 
-    def send(self, writer, status, request_id, headers=(), body=b""):
-        """Write a response with a length."""
+    def send(self, writer, status, request_id, headers=(), body=b"", n_missing=0):
+        """Write a response with a length, and leave out its last bytes if asked."""
         lines = [
             f"HTTP/1.1 {status} X",
             f"Content-Length: {len(body)}",
@@ -172,14 +174,16 @@
             lines.append(f"Keep-Alive: timeout={self.idle_s}")
         if self.says_leaving:
             lines.append("Server-Leaving: 1")
-        writer.write("\r\n".join([*lines, "", ""]).encode() + body)
+        head = "\r\n".join([*lines, "", ""]).encode()
+        writer.write(head + body[: len(body) - n_missing])
 
     async def run(self, target, request_id, headers, body, reader, writer):
         """Run a request in a slot, and record its outcome."""
-        if self.n_waiting >= MAX_WAITING + self.n_slots:
+        if self.n_waiting >= MAX_WAITING + self.n_slots or self.trouble == "busy":
             now = self.records.now()
             self.records.runs.append(Run(request_id, self.name, now, now, REJECTED))
-            self.send(writer, 503, request_id, ["X-Catkinfork-Not-Executed: 1"])
+            extra = ["X-Catkinfork-Not-Executed: 1", "Retry-After: 0.5"]
+            self.send(writer, 503, request_id, extra)
             return True
         self.n_waiting += 1
         began_at, outcome = self.records.now(), CRASHED
@@ -211,19 +215,33 @@
         if headers.get(DIGEST_HEADER) != digest(body):
             return CHANGED
         await asyncio.sleep(self.draw_delay_s())
+        while self.trouble == "silent" and self.is_up:
+            await asyncio.sleep(SILENCE_POLL_S)
         if reader.at_eof() or writer.transport.is_closing():
             return ABANDONED
+        if self.trouble == "lost":
+            return self.break_off(writer)
         content = build_content(request_id, body, BIG_BYTES if "big" in target else 800)
-        closes = self.rng.random() < P_CLOSE
         extra = ["X-Catkinfork-Response-Seal: seal"]
+        closes = self.rng.random() < P_CLOSE
         if closes:
             extra.append("Connection: close")
+        if self.trouble == "truncated":
+            self.send(writer, 200, request_id, extra, content, n_missing=9)
+            return self.break_off(writer)
         self.send(writer, 200, request_id, extra, content)
+        if self.trouble == "surplus":
+            self.send(writer, 200, "surplus", extra, content)
         await writer.drain()
         if closes:
             writer.close()
         return ANSWERED
 
+    def break_off(self, writer):
+        """Close a connection in place of a response, or in the middle of one."""
+        writer.close()
+        return CRASHED
+
     def draw_delay_s(self):
         """Return a processing time; a few are long."""
         if self.rng.random() < 0.02:
