--- a/benchmarks/soak.py
+++ b/benchmarks/soak.py
@@ -99,8 +99,8 @@
     try:
         run(seed)
     except Exception:
-        print(f"{name} failed with seed {seed}", file=sys.stderr)
-        print(f"reproduce with: make soak SECONDS=60 SEED={seed}", file=sys.stderr)
+        command = f"make soak-decisions SECONDS=60 SEED={seed}"
+        print(f"{name} failed; reproduce with: {command}", file=sys.stderr)
         raise
 
 
--- a/catkinfork/execution/tests/test_keys.py
+++ b/catkinfork/execution/tests/test_keys.py
@@ -307,8 +307,8 @@
     """Guards against a second run of an opaque key after a restart of the agent.
 
     A router accepts the repeated request within the quiet time, but the request
-    reaches the restarted agent after it. Seen in ``make soak``, seed 9 of the agents'
-    machine.
+    reaches the restarted agent after it. Seen in ``make soak-decisions``, seed 9 of the
+    machine of the agents.
     """
     harness = AgentHarness(quiet_time_s=10.0)
     harness.run_for(12.0)
--- a/catkinfork/platform/tests/soak/callers.py
+++ b/catkinfork/platform/tests/soak/callers.py
@@ -96,31 +96,18 @@
         kind = kind or rng.choice([SAFE, UNSAFE])
         leave_s = rng.uniform(0.0, 0.3) if rng.random() < P_LEAVES else None
         call_id = self.make_id()
-        if kind == SAFE:
-            is_big = rng.random() < P_BIG
-            target = READ_PATH + ("big" if is_big else "a")
-            pause_s = rng.uniform(0.1, 1.0) if is_big else 0.0
-            return Call(
-                call_id,
-                kind,
-                "GET",
-                target,
-                PLAIN_DEADLINE_S,
-                leave_s=leave_s,
-                pause_s=pause_s,
+        call = Call(call_id, kind, "GET", f"{READ_PATH}a", PLAIN_DEADLINE_S)
+        if kind == SAFE and rng.random() < P_BIG:
+            pause_s = rng.uniform(0.1, 1.0)
+            call = call._replace(target=f"{READ_PATH}big", pause_s=pause_s)
+        if kind == UNSAFE:
+            n_bytes = rng.choice([200, 5_000, rng.randrange(MAX_BODY_BYTES)])
+            call = call._replace(
+                method="POST", target=f"{POST_PATH}b", body=rng.randbytes(n_bytes)
             )
-        n_bytes = rng.choice([200, 5_000, rng.randrange(MAX_BODY_BYTES)])
-        gap_s = rng.uniform(0.01, 0.1) if rng.random() < P_SLOW else 0.0
-        return Call(
-            call_id,
-            kind,
-            "POST",
-            f"{POST_PATH}b",
-            PLAIN_DEADLINE_S,
-            body=rng.randbytes(n_bytes),
-            piece_gap_s=gap_s,
-            leave_s=leave_s,
-        )
+            if rng.random() < P_SLOW:
+                call = call._replace(piece_gap_s=rng.uniform(0.01, 0.1))
+        return call._replace(leave_s=leave_s)
 
 
 class StreamCaller(Caller):
@@ -214,12 +201,5 @@
         headers.append(f"Last-Event-Id: {reader.events[-1].number}")
         headers.append(f"Resumes: {first_id}")
     body = f"events {reader.n_expected} of {part}".encode()
-    return Call(
-        call_id,
-        STREAM,
-        "POST",
-        f"{DRAFT_PATH}2f",
-        deadline_s,
-        body=body,
-        headers=tuple(headers),
-    )
+    target = f"{DRAFT_PATH}2f"
+    return Call(call_id, STREAM, "POST", target, deadline_s, body, tuple(headers))
--- a/catkinfork/platform/tests/soak/checks.py
+++ b/catkinfork/platform/tests/soak/checks.py
@@ -45,6 +45,11 @@
     text: str
 
 
+def break_by(rule, request, text):
+    """Return the violation of a rule by a request."""
+    return Violation(rule, request.ended_at, request.id, (request.host,), text)
+
+
 class Facts:
     """Records with an index of runs and disruptions."""
 
@@ -69,10 +74,14 @@
             and span.ended_at >= begin
         ]
 
+    def list_servers(self, request):
+        """Return the servers that ran a request."""
+        return [run.server for run in self.runs[request.id]]
+
     def is_disturbed(self, request):
         """Return whether an unplanned disruption held for a request."""
         begin, end = request.began_at - CONTACT_S, request.ended_at
-        servers = {run.server for run in self.runs[request.id]}
+        servers = set(self.list_servers(request))
         return bool(
             self.list_spans((r.KILL, r.PAUSE, r.LINK), {request.host}, begin, end)
             or self.list_spans((r.CRASH, r.LINK), servers, begin, end)
@@ -185,19 +194,13 @@
         f"{request.began_at:.3f}, sent at {request.sent_at:.3f}, cut with status "
         f"{request.status}, beside {place}; servers: {seen or 'none'}"
     )
-    return Violation("LOST", request.ended_at, request.id, (request.host,), text)
+    return break_by("LOST", request, text)
 
 
 def find_repeated(facts):
     """Return the unsafe requests that ran more than once. Nothing excuses it."""
     return [
-        Violation(
-            "TWICE",
-            facts.runs[request.id][1].began_at,
-            request.id,
-            (request.host,),
-            f"ran at {[run.server for run in facts.runs[request.id]]}",
-        )
+        break_by("TWICE", request, f"ran at {facts.list_servers(request)}")
         for request in facts.records.requests
         if request.kind == r.UNSAFE and len(facts.runs[request.id]) > 1
     ]
@@ -206,13 +209,10 @@
 def find_false_refusals(facts):
     """Return the unsafe requests that were refused and ran. Nothing excuses it."""
     return [
-        Violation(
+        break_by(
             "REFUSED",
-            request.ended_at,
-            request.id,
-            (request.host,),
-            f"status {request.status}, ran at "
-            f"{[run.server for run in facts.runs[request.id]]}",
+            request,
+            f"status {request.status}, ran at {facts.list_servers(request)}",
         )
         for request in facts.records.requests
         if request.kind == r.UNSAFE
@@ -224,7 +224,7 @@
 def find_wrong(facts):
     """Return the responses and requests whose body was changed. Nothing excuses it."""
     found = [
-        Violation("MIXED", one.ended_at, one.id, (one.host,), f"status {one.status}")
+        break_by("MIXED", one, f"status {one.status}")
         for one in facts.records.requests
         if one.ending == r.WRONG
     ]
@@ -240,11 +240,9 @@
     """Return the requests without a final response shortly after their deadline."""
     endings = (r.COMPLETE, r.CUT, r.NO_RESPONSE)
     return [
-        Violation(
+        break_by(
             "LATE",
-            request.ended_at,
-            request.id,
-            (request.host,),
+            request,
             f"{request.kind}, status {request.status}, {request.ending} "
             f"{request.ended_at - request.deadline_at:.3f} s after the deadline",
         )
--- a/catkinfork/platform/tests/soak/connections.py
+++ b/catkinfork/platform/tests/soak/connections.py
@@ -159,19 +159,9 @@
     def record(self, call, progress, ending):
         """Add the record of a request, and close the connection if it is of no use."""
         self.n_requests += 1
-        request = Request(
-            call.id,
-            call.kind,
-            self.host.name,
-            self.n_requests,
-            progress.began_at,
-            progress.sent_at,
-            self.records.now(),
-            progress.began_at + call.deadline_s + call.pause_s,
-            progress.status,
-            ending,
-            self.is_announced,
-        )
+        position, is_announced = self.n_requests, self.is_announced
+        request = make_record(self.host, call, progress, self.records.now(), ending)
+        request = request._replace(position=position, after_close=is_announced)
         self.records.requests.append(request)
         self.is_announced = progress.headers.get("connection", "").lower() == "close"
         if ending != COMPLETE or self.is_announced:
@@ -215,18 +205,24 @@
             reader, writer = await asyncio.open_connection(*host.front)
             return Connection(host, records, reader, writer)
     except (OSError, TimeoutError):
+        progress = Progress(began_at)
         records.requests.append(
-            Request(
-                call.id,
-                call.kind,
-                host.name,
-                0,
-                began_at,
-                None,
-                records.now(),
-                began_at + call.deadline_s,
-                0,
-                NOT_CONNECTED,
-            )
+            make_record(host, call, progress, records.now(), NOT_CONNECTED)
         )
         return None
+
+
+def make_record(host, call, progress, ended_at, ending):
+    """Return the record of a request that was the first of its connection."""
+    return Request(
+        id=call.id,
+        kind=call.kind,
+        host=host.name,
+        position=1,
+        began_at=progress.began_at,
+        sent_at=progress.sent_at,
+        ended_at=ended_at,
+        deadline_at=progress.began_at + call.deadline_s + call.pause_s,
+        status=progress.status,
+        ending=ending,
+    )
--- a/catkinfork/platform/tests/soak/fleet.py
+++ b/catkinfork/platform/tests/soak/fleet.py
@@ -2,7 +2,7 @@
 
 import asyncio
 from contextlib import suppress
-from itertools import count
+from itertools import count, cycle
 from random import Random
 
 from catkinfork.platform.tests.soak.callers import PlainCaller, StreamCaller
@@ -46,11 +46,10 @@
         self.store = SoakStore()
         self.rng = Random(f"{settings.seed}-fleet")
         self.has_links = settings.kind == "links"
-        n_ips = min(250, 3 * settings.n_hosts + 20)
-        self.ips = [f"{IP_PREFIX}.{number}" for number in range(2, n_ips)]
+        self.ips = [f"{IP_PREFIX}.{number}" for number in range(2, 254)]
         self.ports = find_ports(self.ips)
         self.seeds = [f"{ip}:{self.ports['control']}" for ip in self.ips[:N_SEEDS]]
-        self.unused_ips = iter(self.ips)
+        self.unused_ips = cycle(self.ips)
         self.numbers = count(1)
         self.hosts = []
         self.all_hosts = []
--- a/catkinfork/platform/tests/soak/hosts.py
+++ b/catkinfork/platform/tests/soak/hosts.py
@@ -104,15 +104,9 @@
             await self.start()
             code = await self.process.wait()
             self.is_in_rotation = False
-            self.records.exits.append(
-                Exit(
-                    self.name,
-                    self.started_at,
-                    self.records.now(),
-                    code,
-                    tuple(self.signals),
-                )
-            )
+            times = (self.started_at, self.records.now())
+            one = Exit(self.name, *times, code, tuple(self.signals))
+            self.records.exits.append(one)
             await asyncio.sleep(RESTART_DELAY_S)
 
     async def start(self):
