--- a/catkinfork/platform/tests/soak/checks.py
+++ b/catkinfork/platform/tests/soak/checks.py
@@ -3,7 +3,7 @@
 Each excuse is what the platform's rules allow; it stands beside its check.
 """
 
-from collections import defaultdict
+from collections import Counter, defaultdict
 from itertools import pairwise
 from typing import NamedTuple
 
@@ -119,39 +119,54 @@
     """Return the whole requests whose connection ended without a complete response."""
     return [
         describe_lost(facts, request)
-        for request in facts.records.requests
-        if request.ending == r.CUT
-        and request.sent_at is not None
-        and not is_loss_excused(facts, request)
+        for request in list_cut(facts.records)
+        if not find_excuse(facts, request)
     ]
 
 
-def is_loss_excused(facts, request):
-    """Return whether the rules allow that a request got no complete response."""
+def list_cut(records):
+    """Return the whole requests whose connection ended without a complete response."""
+    return [
+        request
+        for request in records.requests
+        if request.ending == r.CUT and request.sent_at is not None
+    ]
+
+
+def count_excuses(records):
+    """Return how many requests of :func:`list_cut` each excuse holds for."""
+    facts = Facts(records)
+    excuses = [find_excuse(facts, request) for request in list_cut(records)]
+    return Counter(excuse for excuse in excuses if excuse)
+
+
+def find_excuse(facts, request):
+    """Return why the rules allow that a request got no complete response, or ""."""
     runs = facts.runs[request.id]
-    if not runs and request.ended_at - request.sent_at <= LOSS_SLACK_S:
-        # A request that crosses the close and is not passed on does not count.
-        return True
-    if not runs and request.after_close:
-        # The response before it announced the close, so it was not accepted.
-        return True
-    if any(run.outcome == r.CRASHED for run in runs):
-        # The server broke off.
-        return True
-    if request.ended_at >= request.deadline_at - DEADLINE_SLACK_S:
-        # The deadline was reached.
-        return True
-    if facts.is_disturbed(request):
-        # An unplanned disruption held from contact_ms before it to its end.
-        return True
-    begin = request.began_at - CONTACT_S
-    hosts = {request.host, r.ALL_HOSTS}
-    if request.kind == r.STREAM and facts.list_spans(
-        (r.STORE,), hosts, begin, request.ended_at
-    ):
-        # Disruption of the store excuses nothing for requests without a key only.
-        return True
-    return any(outlasts_grace(span, request, runs) for span in facts.spans[r.STOP])
+    store = facts.list_spans(
+        (r.STORE,),
+        {request.host, r.ALL_HOSTS},
+        request.began_at - CONTACT_S,
+        request.ended_at,
+    )
+    excuses = {
+        "it crossed the close and was not passed on": not runs
+        and request.ended_at - request.sent_at <= LOSS_SLACK_S,
+        "the response before it announced the close": not runs and request.after_close,
+        "the server broke off": any(run.outcome == r.CRASHED for run in runs),
+        "its deadline was reached": request.ended_at
+        >= request.deadline_at - DEADLINE_SLACK_S,
+        "an unplanned disruption, from contact_ms before it": facts.is_disturbed(
+            request
+        ),
+        # Disruption of the store excuses nothing for requests without a key.
+        "a disruption of the store, with a key": request.kind == r.STREAM
+        and bool(store),
+        "it outlasted the grace of a stop": any(
+            outlasts_grace(span, request, runs) for span in facts.spans[r.STOP]
+        ),
+    }
+    return next((text for text, holds in excuses.items() if holds), "")
 
 
 def outlasts_grace(stop, request, runs):
--- a/catkinfork/platform/tests/soak/plan.py
+++ b/catkinfork/platform/tests/soak/plan.py
@@ -29,10 +29,18 @@
     "silence_store": 2,
     "restore_store": 1,
 }
-LINK = PLANNED | {"disturb_link": 14}
+LINK = PLANNED | {"disturb_link": 26}
 WEIGHTS = {"planned": PLANNED, "hard": HARD, "links": LINK}
 # Actions that may come to several targets in turn.
-SERIAL = {"stop", "reload", "kill_host", "pause_host", "drain_server", "crash_server"}
+SERIAL = {
+    "stop",
+    "reload",
+    "kill_host",
+    "pause_host",
+    "drain_server",
+    "crash_server",
+    "disturb_link",
+}
 
 
 class Step(NamedTuple):
--- a/catkinfork/platform/tests/soak/report.py
+++ b/catkinfork/platform/tests/soak/report.py
@@ -5,6 +5,7 @@
 
 from catkinfork.platform.tests.soak.checks import (
     Violation,
+    count_excuses,
     find_unreported_runs,
     find_violations,
 )
@@ -23,11 +24,13 @@
     :param violations: broken promises.
     :param unreported: posts that ran to their end and were answered 504.
     :param responses: number of requests by kind and status, or ending.
+    :param excuses: number of whole requests without a complete response by excuse.
     """
 
     violations: list[Violation]
     unreported: list[Request]
     responses: Counter
+    excuses: Counter
     n_runs: int
     n_exits: int
     n_streams: int
@@ -39,6 +42,7 @@
         lines = [
             f"disruptions: {dict(sorted(self.n_disruptions.items()))}",
             f"responses: {dict(sorted(self.responses.items()))}",
+            f"excused: {dict(sorted(self.excuses.items()))}",
             f"{self.n_runs} runs at servers, {self.n_exits} ends of processes, "
             f"{self.n_streams} streams, {self.n_resumed} taken up again",
         ]
@@ -62,6 +66,7 @@
         find_violations(records),
         find_unreported_runs(records),
         Counter(describe_ending(request) for request in records.requests),
+        count_excuses(records),
         sum(run.outcome != REJECTED for run in records.runs),
         len(records.exits),
         len(records.streams),
