Doubt what engines keep once a server of another version has left

Cause: without a record of a stream, what engines keep of its prompt was taken as certain if one version alone kept it, although a server of another version, which had begun the stream, had just left with its memory. The last part of a prompt belongs to a session, and an earlier request of it had been read elsewhere.

What engines keep is now certain only if no server of another version of the service has left, or has started again, since the stream may have begun.

After all hosts have lost power at once nobody knows what left before; there the engines are still believed, as the docs state.

The new process test had 200 with events of the other version before, and has 503 now; it removes the server after all forwarders were killed, so that no record exists. Unit tests replay who left when.

--- a/catkinfork/balancing/_resumption.py
+++ b/catkinfork/balancing/_resumption.py
@@ -93,18 +93,21 @@
             return OriginFinding(None, UNCERTAIN)
         return OriginFinding(record.origin, RECORDED)
 
-    def find_by_caches(self, job, n_events, caches):
+    def find_by_caches(self, job, n_events, caches, since):
         """Return the finding from what the engines keep.
 
         The last part of a prompt belongs to one request or session, and an engine keeps
         what it generated after it: at least one token for each event. If none does, one
         that has only read the prompt was to go on with the stream, as forwarders send
         it to its own version only. If engines of several versions qualify, or one of
-        another version did not answer, nothing is certain.
+        another version did not answer, nothing is certain. The same holds if a server
+        of another version has left, or has started again, since the stream may have
+        begun: it may have written the stream, and took its memory along.
 
         :param job: :class:`Job`.
         :param n_events: events that the caller has received.
         :param caches: service name and :class:`EngineCache` entries, by service.
+        :param since: result of :meth:`compute_begin`.
         """
         last_part = job.parts[-1]
         n_tokens = last_part.n_tokens + max(1, n_events)
@@ -121,14 +124,35 @@
                     if parts[last_part.name] >= n_tokens:
                         sending.add(origin)
         origins = sending or reading
-        if len(origins) != 1 or silent - origins:
+        gone = self.list_left({service for service, _ in caches}, since)
+        if len(origins) != 1 or (silent | gone) - origins:
             return OriginFinding(None, UNKNOWN)
         return OriginFinding(origins.pop(), CACHED)
 
+    def list_left(self, services, since):
+        """Return the origins whose servers have left, or have started again.
+
+        :param services: names of services.
+        :param since: monotonic time, seconds.
+        """
+        versions = self.registry.versions
+        return {
+            StreamOrigin(service, version)
+            for service in services
+            for version in versions.list_left(service, since)
+        }
+
+    def compute_begin(self, route, stated_s, now):
+        """Return the monotonic time at which a stream began at the earliest, seconds.
+
+        :param stated_s: time that its caller will wait, seconds.
+        """
+        by_timeout_s = STREAM_AGE_PER_TIMEOUT * route.timeout_s
+        return now - max(MIN_STREAM_AGE_S, by_timeout_s, stated_s)
+
     def find_only_origin(self, route, stated_s, now):
         """Return the finding without a record of the stream."""
-        by_timeout_s = STREAM_AGE_PER_TIMEOUT * route.timeout_s
-        since = now - max(MIN_STREAM_AGE_S, by_timeout_s, stated_s)
+        since = self.compute_begin(route, stated_s, now)
         unknown = OriginFinding(None, UNKNOWN)
         if self.targets_changed_at.get(route.host, inf) > since:
             return unknown
--- a/catkinfork/balancing/tests/support.py
+++ b/catkinfork/balancing/tests/support.py
@@ -82,7 +82,13 @@
 
 
 def add_backend(
-    balancer, name, n_slots=64, data_centre="gasabo", cold_s=0.0, version="v1"
+    balancer,
+    name,
+    n_slots=64,
+    data_centre="gasabo",
+    cold_s=0.0,
+    version="v1",
+    **options,
 ):
     """Add a backend server."""
     entry = BackendEntry(
@@ -95,6 +101,7 @@
         cold_s,
         1,
         version=version,
+        **options,
     )
     balancer.registry.apply_entry(entry, 0.0, "test")
 
--- a/catkinfork/balancing/tests/test_streams.py
+++ b/catkinfork/balancing/tests/test_streams.py
@@ -246,14 +246,59 @@
     entries, expected = CACHES[name]
     caches = [("s", [EngineCache(*entry) for entry in entries])]
     job = build_job(parts=[(0xA1, 60), (PART, 40)])
-    assert tuple(build_finder("v1").find_by_caches(job, 5, caches)) == expected
+    finding = build_finder("v1").find_by_caches(job, 5, caches, LONG_AFTER - 60.0)
+    assert tuple(finding) == expected
+
+
+@pytest.mark.parametrize(
+    ("left", "origin"),
+    [
+        ([("s", "v2", 30.0)], None),
+        ([("s", "v2", 90.0)], V1),
+        ([("s", "v1", 30.0)], V1),
+        ([("t", "v2", 30.0)], V1),
+        ([("s", "v1", 1.0), ("s", "v2", 59.0)], None),
+    ],
+    ids=str,
+)
+@pytest.mark.parametrize("parts", [SENT, READ], ids=["sent", "read"])
+def test_engines_do_not_tell_what_a_server_that_left_has_written(left, origin, parts):
+    """Guards against a text of two versions whose second half is the wrong one.
+
+    Load pattern: sessions whose earlier request one version served and whose stream
+    another one began, and the only server of that one leaves as planned. ``left`` has
+    service, version and the seconds since then.
+    """
+    finder = build_finder("v1")
+    for service, version, age_s in left:
+        finder.registry.versions.record_told(service, version, LONG_AFTER - age_s)
+    caches = [("s", [EngineCache("v1", parts), EngineCache("v3", {})])]
+    job = build_job(parts=[(PART, 40)])
+    begin = finder.compute_begin(ROUTE, 0.0, LONG_AFTER)
+    assert finder.find_by_caches(job, 5, caches, begin).origin == origin
+
+
+def test_server_that_started_again_has_lost_what_it_wrote():
+    """Guards against a text of two versions after a server lost its memory.
+
+    It has the same version as before, and another one has read the same prompt.
+    """
+    balancer = build_balancer(n_backends=0)
+    finder = OriginFinder(balancer.registry, balancer.streams)
+    add_backend(balancer, "b1", version="v2", started_ms=1000)
+    caches = [("s", [EngineCache("v1", SENT), EngineCache("v2", {})])]
+    job = build_job(parts=[(PART, 40)])
+    assert finder.find_by_caches(job, 5, caches, -60.0).origin == V1
+    add_backend(balancer, "b1", version="v2", started_ms=2000)
+    assert finder.find_by_caches(job, 5, caches, -60.0).origin is None
 
 
 def test_origin_is_unknown_if_engines_of_two_services_keep_the_prompt():
     """Guards against one of two services whose engines have the same version."""
     caches = [(name, [EngineCache("v1", SENT)]) for name in "st"]
     job = build_job(parts=[(PART, 40)])
-    assert build_finder("v1").find_by_caches(job, 5, caches).origin is None
+    finder = build_finder("v1")
+    assert finder.find_by_caches(job, 5, caches, 0.0).origin is None
 
 
 def follow_versions(balancer, now):
--- a/catkinfork/forwarding/_resumption.py
+++ b/catkinfork/forwarding/_resumption.py
@@ -103,14 +103,14 @@
         """
         job = self.exchange.job
         stated_s = read_stated_s(self.exchange)
-        finding = self.server.balancer.origins.find(job.route, self.key, stated_s, now)
+        origins = self.server.balancer.origins
+        finding = origins.find(job.route, self.key, stated_s, now)
         if finding.source == UNKNOWN and self.is_looking_up:
             caches = self.list_caches(now)
             if caches is None:
                 return False
-            finding = self.server.balancer.origins.find_by_caches(
-                job, self.count_events(), caches
-            )
+            since = origins.compute_begin(job.route, stated_s, now)
+            finding = origins.find_by_caches(job, self.count_events(), caches, since)
         self.source = finding.source
         if finding.origin is None:
             if finding.source == UNKNOWN and not self.is_looking_up:
--- a/catkinfork/peering/_snapshots.py
+++ b/catkinfork/peering/_snapshots.py
@@ -24,6 +24,9 @@
 # pairs of the key of a stream and the time for which its caller may resume it,
 # milliseconds.
 StreamsEntry = tuple[Name, Version, list[tuple[LongHash, Total]]]
+# Service and version of a backend server that has left or has started again, and the
+# time since then, milliseconds.
+LeftEntry = tuple[Name, Version, Total]
 
 
 class Snapshot(msgspec.Struct, array_like=True):
@@ -36,11 +39,13 @@
     :param known_ms: time for which the sender has been told everything, directly or by
         the snapshots of others, milliseconds.
     :param streams: origins of streams.
+    :param left: versions whose backend servers have left.
     """
 
     is_joined: bool
     known_ms: Total
     streams: list[StreamsEntry] = []
+    left: list[LeftEntry] = []
 
 
 _ENCODER = msgspec.msgpack.Encoder()
@@ -76,6 +81,7 @@
             self.is_joined,
             compute_age_ms(self.known_since, now),
             self.list_streams(now),
+            self.list_left(now),
         )
         return _ENCODER.encode(snapshot)
 
@@ -85,6 +91,9 @@
         :param snapshot: :class:`Snapshot`.
         """
         self.record_streams(snapshot.streams, now)
+        for service, version, age_ms in snapshot.left:
+            left_at = now - age_ms / 1000
+            self.balancer.registry.versions.record_told(service, version, left_at)
         if snapshot.is_joined:
             known_since = now - snapshot.known_ms / 1000
             self.known_since = min(self.known_since, known_since)
@@ -104,6 +113,16 @@
                 entries.append((service, version, some))
         return entries
 
+    def list_left(self, now):
+        """Return the entries of the versions whose backend servers have left."""
+        return [
+            (service, version, compute_age_ms(left_at, now))
+            for (
+                service,
+                version,
+            ), left_at in self.balancer.registry.versions.left.items()
+        ]
+
     def record_streams(self, entries, now):
         """Record the origins of streams."""
         for service, version, streams in entries:
--- a/catkinfork/peering/tests/test_joining.py
+++ b/catkinfork/peering/tests/test_joining.py
@@ -15,6 +15,7 @@
     MAX_KNOWLEDGE_S,
     SETTLED_MS,
 )
+from catkinfork.peering._snapshots import Snapshot
 from catkinfork.peering.tests.joining import JoiningFleet
 from catkinfork.peering.tests.nodes import Node
 
@@ -161,6 +162,21 @@
     assert younger.known_since == pytest.approx(100.0, abs=0.01)
 
 
+def test_versions_that_left_are_in_the_snapshot():
+    """Guards against engines that are believed by a forwarder that has just started.
+
+    A server of another version may have written the stream, and has left.
+    """
+    knowing = SnapshotExchange(Node("10.0.0.1", []).balancer, 0.0)
+    knowing.balancer.registry.versions.record_told("s", "v2", 70.0)
+    joining = SnapshotExchange(Node("10.0.0.2", []).balancer, 100.0)
+    joining.balancer.registry.versions.record_told("s", "v2", 20.0)
+    joining.apply(decode(knowing.build(100.0)), 100.0)
+    versions = joining.balancer.registry.versions
+    assert versions.list_left("s", 69.0) == {"v2"}
+    assert versions.list_left("s", 71.0) == set()
+
+
 ODD_STREAMS = [
     None,
     7,
@@ -181,7 +197,9 @@
 def test_odd_entry_of_a_snapshot_is_left_out(odd):
     """Guards against a snapshot that cannot be used for one entry."""
     sound = ["s", "v2", [[8, 5000]]]
-    data = msgspec.msgpack.encode([True, 1000, [odd, sound, odd], 17, "later field"])
+    others = [[]] * (len(msgspec.structs.fields(Snapshot)) - 3)
+    fields = [True, 1000, [odd, sound, odd], *others, 17, "later field"]
+    data = msgspec.msgpack.encode(fields)
     exchange = SnapshotExchange(Node("10.0.0.1", []).balancer, 5.0)
     exchange.apply(decode(data), 5.0)
     assert exchange.balancer.streams.find(7, 5.0) is None
--- a/catkinfork/platform/tests/test_versions.py
+++ b/catkinfork/platform/tests/test_versions.py
@@ -22,8 +22,10 @@
     kill,
     list_events,
     publish,
+    read_status,
     restart,
     resume,
+    stop,
     wait_in_touch,
 )
 
@@ -239,3 +241,37 @@
             assert not any("last-event-id" in headers for _, headers in runner.requests)
 
     run_versions(test, tmp_path)
+
+
+def test_engines_do_not_tell_what_a_runner_that_left_has_written(tmp_path):
+    """Guards against a text of two versions after the only runner of one has left.
+
+    All forwarders were killed, and the other runner has read the same prompt for an
+    earlier request of the session. One forwarder sees the runner leave, and the other
+    one starts later.
+    """
+
+    async def test(versions, first, second):
+        platform = versions.platform
+        versions.older.lists_kept = versions.newer.lists_kept = True
+        versions.newer.kept |= {"a1": 20, LAST_PART: N_LAST_TOKENS + 100}
+        await restart_all(versions)
+        platform.store.put("servers/i-1", None)
+        for forwarder in (first, second):
+            await wait_until(lambda f=forwarder: has_lost(f, "i-1"))
+        await stop(first)
+        await restart(first)
+        await wait_in_touch(platform)
+        n_before = versions.count_runs()
+        for forwarder in (first, second):
+            assert await resume(forwarder, "r-first") == (503, [])
+            assert await find_source(forwarder, "r-first") == "unknown"
+        assert versions.count_runs() == n_before
+
+    run_versions(test, tmp_path)
+
+
+async def has_lost(forwarder, name):
+    """Return whether a forwarder no longer knows a runner."""
+    backends = (await read_status(forwarder))["backend_servers"]
+    return name not in [one["name"] for one in backends]
--- a/catkinfork/topology/_registry.py
+++ b/catkinfork/topology/_registry.py
@@ -145,7 +145,7 @@
         """Replace the entry of a known backend server."""
         if entry.state == DRAINING and backend.entry.state == READY:
             self.log_leaving(backend, DRAINING)
-        if (entry.service, entry.version) != (backend.service, backend.entry.version):
+        if is_other_start(entry, backend.entry):
             self.versions.record_left(backend.entry, now)
         if entry.service != backend.service:
             self.backends[entry.name] = Backend(entry, now)
@@ -334,3 +334,15 @@
 def compute_entry_order(entry):
     """Return the sort key of an entry among those of one backend server."""
     return (entry.started_ms, entry.sequence)
+
+
+def is_other_start(entry, former):
+    """Return whether an entry is of another start of a server, or of another service.
+
+    What the former start has kept in memory is gone.
+    """
+    return (entry.service, entry.version, entry.started_ms) != (
+        former.service,
+        former.version,
+        former.started_ms,
+    )
--- a/catkinfork/topology/_versions.py
+++ b/catkinfork/topology/_versions.py
@@ -38,6 +38,11 @@
         """
         self.left[(entry.service, entry.version)] = now
 
+    def record_told(self, service, version, left_at):
+        """Record what a peer knows of a server that has left, or has started again."""
+        key = (service, version)
+        self.left[key] = max(left_at, self.left.get(key, left_at))
+
     def is_complete(self, since, now):
         """Return whether all versions that served since a monotonic time are known."""
         return self.known_since <= since and now - self.read_at <= MAX_READ_GAP_S
