--- a/catkinfork/topology/_versions.py
+++ b/catkinfork/topology/_versions.py
@@ -75,6 +75,11 @@
         """
         return self.known_since <= since and self.asked_at >= until
 
+    def record_told(self, service, version, left_at):
+        """Record what a peer knows of a server that has left, or has started again."""
+        key = (service, version)
+        self.left[key] = max(left_at, self.left.get(key, left_at))
+
     def list_left(self, service, since):
         """Return the versions of a service whose servers left since then."""
         return {
