forwarder: requests that are still unread at the end of a drain are served

What callers saw: 503 for a request that lay unread on its connection as the drain ended, though most of the grace was left; a part of a request that was read after that moment was cut at the exit without a response.

Cause: the drain ended once no request was in progress or being read. It didn't wait for connections with data that was not read yet, nor for those that had been accepted in the same iteration of the loop. What was read afterwards was refused if whole, and otherwise left to the exit. A connection counted as idle, and was closed, while its last response was on its way; data that the caller sends after such a close resets the connection and destroys that response.

Evidence: the four tests of test_planned_stop.py failed before (503 in place of 200, no response in place of 503, idle with an unacknowledged response).

The drain now ends once each connection is closed or closing, or at the end of the time for it; what is read later than that is refused at once. A connection is idle only once the caller has acknowledged its last response.

--- a/catkinfork/forwarder/_drain.py
+++ b/catkinfork/forwarder/_drain.py
@@ -58,10 +58,11 @@
             await anyio.sleep(0)
     server.close_listener()
     while anyio.current_time() < ends_at:
+        # Connections that were just accepted are not known before.
+        await anyio.sleep(POLL_INTERVAL_S)
         server.close_idle_callers()
         if not server.has_requests():
             break
-        await anyio.sleep(POLL_INTERVAL_S)
     n_requests_left = len(server.exchanges)
     server.end_requests()
     await flush(server, started_at + grace_s - EXIT_MARGIN_S)
@@ -77,8 +78,12 @@
 async def flush(server, ends_at):
     """Wait until the callers have the last responses: an exit would cut them.
 
+    Requests that arrive meanwhile are refused.
+
     :param server: :class:`ForwardingServer`.
     :param ends_at: monotonic time up to which to wait, seconds.
     """
     while server.callers and anyio.current_time() < ends_at:
         await anyio.sleep(POLL_INTERVAL_S)
+        server.end_requests()
+        server.close_idle_callers()
--- a/catkinfork/forwarder/tests/test_planned_stop.py
+++ b/catkinfork/forwarder/tests/test_planned_stop.py
@@ -235,3 +235,87 @@
         assert [reply.headers["connection"] for reply in replies] == ["close", "close"]
 
     run_world(test, limits=PATIENT)
+
+
+async def call_behind_a_late_read(world, data, later=b""):
+    """Send a request that the host reads only as it is about to exit.
+
+    :param later: data that is sent after it was read.
+    :returns: :class:`Reply`.
+    """
+    caller = await world.connect()
+    await anyio.sleep(0.05)
+    (connection,) = world.server.callers
+    connection.transport.pause_reading()
+    await caller.send_raw(data)
+    replies = []
+
+    async def read():
+        await anyio.sleep(1.2)
+        connection.transport.resume_reading()
+        await anyio.sleep(0.1)
+        await caller.send_raw(later)
+        replies.append(await caller.read())
+
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(read)
+        await stop(world, grace_s=3.0)
+    return replies[0]
+
+
+@pytest.mark.parametrize("n_unsent", [0, 4])
+def test_request_that_is_read_late_is_served_within_the_grace(n_unsent):
+    """Guards against an exit beside a request that waits unread on its connection."""
+
+    async def test(world):
+        (backend,) = await world.start("plain", answer(body=b"whole"))
+        assert (await world.call("/order/")).status == 200
+        data = HEAD + b"body"
+        n_first = len(data) - n_unsent
+        reply = await call_behind_a_late_read(world, data[:n_first], data[n_first:])
+        assert (reply.status, reply.body) == (200, b"whole")
+        assert len(backend.requests) == 2
+
+    run_world(test, limits=PATIENT)
+
+
+def test_part_of_a_request_that_is_read_late_is_refused():
+    """Guards against a connection that is cut without a response as the process exits.
+
+    The rest of the request never comes.
+    """
+
+    async def test(world):
+        await world.start("plain", answer())
+        reply = await call_behind_a_late_read(world, HEAD)
+        assert (reply.status, reply.is_whole) == (503, True)
+
+    run_world(test, limits=PATIENT)
+
+
+def test_connection_is_not_closed_before_its_last_response_has_arrived():
+    """Guards against a close that destroys a response on its way.
+
+    Data that the caller sends after such a close resets the connection.
+    """
+
+    async def test(world):
+        await world.start("plain", answer(body=b"x" * 60_000))
+        sock = socket.socket()
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+        sock.connect(("127.0.0.1", world.port))
+        caller = Caller(*await asyncio.open_connection(sock=sock))
+        caller.writer.transport.pause_reading()
+        await anyio.sleep(0.05)
+        (connection,) = world.server.callers
+        await caller.send("/order/")
+        await anyio.sleep(0.2)
+        assert not world.server.exchanges
+        assert not connection.transport.get_write_buffer_size()
+        assert not connection.is_idle()
+        caller.writer.transport.resume_reading()
+        assert len((await caller.read()).body) == 60_000
+        await anyio.sleep(0.1)
+        assert connection.is_idle()
+
+    run_world(test)
--- a/catkinfork/forwarding/_caller.py
+++ b/catkinfork/forwarding/_caller.py
@@ -1,8 +1,11 @@
 """Connections of callers: parsing of requests and writing of responses."""
 
 import asyncio
+import fcntl
 import re
 import select
+import struct
+import termios
 from collections import deque
 
 import httptools
@@ -84,12 +87,15 @@
         return poll_socket(self.transport.get_extra_info("socket"), select.POLLRDHUP)
 
     def is_idle(self):
-        """Return whether no request is in progress, being read or waiting unread."""
+        """Return whether no request is in progress, being read or waiting unread.
+
+        The caller has also received the last response.
+        """
         if self.exchange is not None or self.requests:
             return False
         if self.is_reading_head or self.is_reading_body:
             return False
-        return not self.has_unread()
+        return not self.has_unread() and not self.has_unacknowledged()
 
     def has_unread(self):
         """Return whether data, or the end of the connection, was not read yet."""
@@ -97,6 +103,14 @@
             return False
         return poll_socket(self.transport.get_extra_info("socket"), select.POLLIN)
 
+    def has_unacknowledged(self):
+        """Return whether the peer has not received all that was written."""
+        if self.is_lost or self.transport.is_closing():
+            return False
+        if self.transport.get_write_buffer_size():
+            return True
+        return count_unacknowledged(self.transport.get_extra_info("socket")) > 0
+
     def handle_disconnect(self):
         """Cancel the requests of a caller that has disconnected."""
         exchange, self.exchange = self.exchange, None
@@ -324,6 +338,17 @@
         raise BadRequestError(400, "malformed_target")
 
 
+def count_unacknowledged(sock):
+    """Return the number of bytes that the peer of a TCP socket has not acknowledged.
+
+    :param sock: socket, or the stand-in of the event loop for one.
+    """
+    size = struct.Struct("i")
+    return size.unpack(fcntl.ioctl(sock.fileno(), termios.TIOCOUTQ, bytes(size.size)))[
+        0
+    ]
+
+
 def poll_socket(sock, events):
     """Return whether any of the polled events is pending on a socket.
 
--- a/catkinfork/forwarding/_server.py
+++ b/catkinfork/forwarding/_server.py
@@ -141,10 +141,12 @@
                 caller.transport.close()
 
     def has_requests(self):
-        """Return whether any request is in progress or being read."""
+        """Return whether any request is in progress, or may still be read.
+
+        Nothing more is read from connections that close.
+        """
         return bool(self.exchanges) or any(
-            caller.is_reading_head or caller.is_reading_body or caller.requests
-            for caller in self.callers
+            caller.requests or not caller.is_discarding for caller in self.callers
         )
 
     def end_requests(self):
