forwarding: an attempt counts although its caller has left

What callers saw: a request that crashes backend servers ran again and again, and each crash ended the sound requests beside it (502). Its caller left before each crash and sent it again.

Cause: when a caller leaves, its attempt is abandoned. An unsafe request is left to complete, but how it ended was thrown away, so that its crashes were counted nowhere. The same held for an attempt that outlasted its deadline.

The connection of an unsafe request that was abandoned keeps a listener, which records the outcome once the backend server has answered or the connection is lost: a crash counts, a served request is cleared, and the health of the backend server follows, as for other attempts. One that was recorded as silent already only counts as a crash or clears. A connection that this process closes itself tells nothing: after 30 s, as the oldest of more than 64 at one backend server, or because the rest of the response is too long to be read. Idempotent requests are still cancelled at once, so that a crash after their caller has left stays unknown.

--- a/catkinfork/balancing/_balancer.py
+++ b/catkinfork/balancing/_balancer.py
@@ -317,6 +317,7 @@
         if placement.has_ended:
             return
         placement.has_ended = True
+        placement.outcome = outcome
         job = placement.job
         pool = self.pools[job.service]
         state = pool.find(placement.backend.name)
@@ -326,15 +327,32 @@
             return
         self.record_outcome(pool, placement, outcome, now)
 
+    def record_late_outcome(self, placement, outcome, now):
+        """Record how an attempt has ended for whose response nobody waited any more.
+
+        Load pattern: a request crashes the backend servers that run it. Its caller
+        leaves before each crash, then sends it again.
+        """
+        if placement.outcome == ABANDONED:
+            pool = self.pools[placement.job.service]
+            self.record_outcome(pool, placement, outcome, now)
+        else:
+            self.record_evidence(placement, outcome, now)
+
+    def record_evidence(self, placement, outcome, now):
+        """Count a crash, or clear a request that was served."""
+        if outcome == SERVED:
+            self.crash_guard.record_served(placement)
+        if outcome == BROKEN:
+            self.crash_guard.record_crash(placement, now)
+
     def record_outcome(self, pool, placement, outcome, now):
         """Update durations, health and crash counts with the outcome of an attempt."""
         job = placement.job
         backend = placement.backend
         if outcome == SERVED:
             pool.durations.record_duration(job.route, now - placement.placed_at)
-            self.crash_guard.record_served(placement)
-        if outcome == BROKEN:
-            self.crash_guard.record_crash(placement, now)
+        self.record_evidence(placement, outcome, now)
         if outcome not in UNSENT_OUTCOMES:
             job.has_arrived = True
         if outcome not in UNEXECUTED_OUTCOMES:
--- a/catkinfork/balancing/_jobs.py
+++ b/catkinfork/balancing/_jobs.py
@@ -116,6 +116,7 @@
         "job",
         "n_candidates",
         "n_missing_tokens",
+        "outcome",
         "peer_state_age_s",
         "placed_at",
     )
@@ -128,6 +129,7 @@
         self.first_event_at = None
         self.has_first_event = False
         self.has_ended = False
+        self.outcome = ""
         self.cost = 0.0
         self.n_candidates = 0
         self.peer_state_age_s = 0.0
--- a/catkinfork/forwarding/_attempt.py
+++ b/catkinfork/forwarding/_attempt.py
@@ -16,10 +16,13 @@
 )
 from catkinfork.forwarding._backend import BaseResponseListener
 from catkinfork.forwarding._caller import report_error
+from catkinfork.forwarding._events import ABANDONED_ATTEMPT_ENDED
 from catkinfork.forwarding._request_events import build_attempt_event
 from catkinfork.forwarding._requests import encode_request
+from catkinfork.forwarding._responses import classify_outcome
 from catkinfork.forwarding._resumption import has_uncertain_origin
 from catkinfork.forwarding._timeouts import compute_read_timeout_s
+from catkinfork.observability import log_event
 from catkinfork.topology import UNSAFE
 
 
@@ -187,13 +190,13 @@
         """Stop waiting for the response.
 
         An unsafe request is left to complete, since aborting it would leave its effect
-        unknown and cost a connection.
+        unknown and cost a connection. How it ends is recorded.
         """
         if not self.is_awaiting_response:
             return
         self.is_awaiting_response = False
         if self.exchange.job.route.kind == UNSAFE:
-            self.connection.detach()
+            self.connection.detach(AbandonedAttempt(self))
         else:
             self.connection.abort()
 
@@ -206,3 +209,43 @@
         """Resume reading from the backend server."""
         if self.connection is not None:
             self.connection.resume()
+
+
+class AbandonedAttempt(BaseResponseListener):
+    """Records the outcome of an attempt whose response nobody waits for any more.
+
+    :param attempt: :class:`Attempt` that was stopped.
+    """
+
+    def __init__(self, attempt):
+        self.server = attempt.server
+        self.placement = attempt.placement
+        relay = attempt.exchange.relay
+        self.head = None if relay is None else relay.head
+
+    def on_head(self, head):
+        self.head = head
+
+    def on_data(self, data):
+        pass
+
+    def on_end(self):
+        self.record(classify_outcome(self.head, self.server.names))
+
+    def on_error(self, detail):
+        self.record(BROKEN)
+
+    def record(self, outcome):
+        """Record the outcome."""
+        server = self.server
+        now = server.loop.time()
+        server.balancer.record_late_outcome(self.placement, outcome, now)
+        server.write_log(
+            log_event(
+                ABANDONED_ATTEMPT_ENDED,
+                request_id=self.placement.job.request_id,
+                backend_server=self.placement.backend.name,
+                outcome=outcome,
+                attempt_s=round(now - self.placement.placed_at, 4),
+            )
+        )
--- a/catkinfork/forwarding/_backend.py
+++ b/catkinfork/forwarding/_backend.py
@@ -68,6 +68,7 @@
         self.reason = b""
         self.body_parts = []
         self.is_lost = False
+        self.is_detached = False
         self.is_skipping = False
         self.is_delimited_by_close = False
         self.has_head = False
@@ -102,6 +103,7 @@
         :param data: encoded request.
         """
         self.listener = listener
+        self.is_detached = False
         self.request_id = request_id
         self.has_head = False
         self.is_complete = False
@@ -124,7 +126,9 @@
         if self.is_complete:
             self.end_response()
         elif detail:
-            self.fail(detail)
+            # A discarded response that has begun may be too long to be read to its end.
+            if not (self.is_detached and self.has_head):
+                self.fail(detail)
             self.abort()
 
     def parse(self, data):
@@ -150,8 +154,7 @@
             return
         data = b"".join(self.body_parts)
         self.body_parts = []
-        if self.listener is not NULL_LISTENER:
-            self.n_overhead_bytes = 0
+        self.n_overhead_bytes = 0
         self.listener.on_data(data)
 
     def on_message_begin(self):
@@ -216,7 +219,7 @@
 
     def on_body(self, body):
         """Append a part of the body."""
-        if not self.is_skipping and self.listener is not NULL_LISTENER:
+        if not self.is_skipping and not self.is_detached:
             self.body_parts.append(body)
 
     def on_message_complete(self):
@@ -231,6 +234,7 @@
     def end_response(self):
         """Release or close the connection and notify the listener of the end."""
         listener, self.listener = self.listener, None
+        self.pool.remove_detached(self)
         is_sent = not self.transport.get_write_buffer_size()
         is_open = not self.is_lost and not self.transport.is_closing()
         is_free = self.is_reusable and is_sent and is_open
@@ -250,10 +254,18 @@
             self.body_parts = []
             listener.on_error(detail)
 
-    def detach(self):
-        """Detach the listener; the rest of the response is read and discarded."""
-        self.listener = NULL_LISTENER
+    def detach(self, listener=None):
+        """Replace the listener; the rest of the response is read and discarded.
+
+        :param listener: :class:`BaseResponseListener` that is told the head, if it is
+            still to come, and the end. It is not told if this process closes the
+            connection, as it does with the oldest of many.
+        """
+        self.listener = listener or NULL_LISTENER
+        self.is_detached = True
+        self.body_parts = []
         self.resume()
+        self.pool.add_detached(self)
         self.loop.call_later(MAX_DISCARD_TIME_S, self.abort_discarded, self.n_sent)
 
     def abort_discarded(self, n_sent):
@@ -261,7 +273,8 @@
 
         :param n_sent: number of the request whose response is discarded.
         """
-        if self.listener is NULL_LISTENER and self.n_sent == n_sent:
+        is_reading = self.is_detached and self.listener is not None
+        if is_reading and self.n_sent == n_sent:
             self.abort()
 
     def abort(self):
--- a/catkinfork/forwarding/_events.py
+++ b/catkinfork/forwarding/_events.py
@@ -113,6 +113,13 @@
     "the event loop has fallen behind or caught up",
     ("is_behind", "lag_s", "n_requests", "n_connections"),
 )
+ABANDONED_ATTEMPT_ENDED = Event(
+    1011,
+    "info",
+    "abandoned_attempt_ended",
+    "a backend server has ended a request for whose response nobody waited any more",
+    ("request_id", "backend_server", "outcome", "attempt_s"),
+)
 
 EVENTS = (
     REQUEST_FINISHED,
@@ -126,4 +133,5 @@
     LOG_LINES_DROPPED,
     CALLBACK_FAILED,
     LOOP_LAG_CHANGED,
+    ABANDONED_ATTEMPT_ENDED,
 )
--- a/catkinfork/forwarding/_pool.py
+++ b/catkinfork/forwarding/_pool.py
@@ -11,6 +11,8 @@
 DEFAULT_MAX_IDLE_S = 0.4
 # Fraction of the announced keep-alive timeout for which an idle connection is reused.
 MAX_IDLE_RATIO = 0.6
+# Maximum number of connections whose responses are discarded.
+MAX_DETACHED = 64
 
 
 class ConnectionPool:
@@ -31,6 +33,8 @@
         self.loop = loop
         self.on_head = on_head
         self.idle_connections = []
+        # In the order of their detachment; the values are not used.
+        self.detached_connections = {}
         self.is_closed = False
 
     def acquire(self):
@@ -64,6 +68,7 @@
 
     def remove(self, connection):
         """Remove a closed connection."""
+        self.remove_detached(connection)
         if connection in self.idle_connections:
             self.idle_connections.remove(connection)
 
@@ -75,6 +80,18 @@
         connection.idle_since = self.loop.time()
         self.idle_connections.append(connection)
 
+    def add_detached(self, connection):
+        """Add a connection whose response is discarded; abort the oldest of many."""
+        self.detached_connections[connection] = None
+        if len(self.detached_connections) > MAX_DETACHED:
+            oldest = next(iter(self.detached_connections))
+            self.remove_detached(oldest)
+            oldest.abort()
+
+    def remove_detached(self, connection):
+        """Remove a connection whose discarded response has ended."""
+        self.detached_connections.pop(connection, None)
+
     def close_stale(self, now):
         """Close connections that exceeded their maximum idle time."""
         for connection in list(self.idle_connections):
--- a/catkinfork/forwarding/_responses.py
+++ b/catkinfork/forwarding/_responses.py
@@ -2,7 +2,7 @@
 
 from typing import NamedTuple
 
-from catkinfork.balancing import BROKEN, FAILED, MISDIRECTED, REJECTED
+from catkinfork.balancing import BROKEN, FAILED, MISDIRECTED, REJECTED, SERVED
 from catkinfork.forwarding._messages import MISDIRECTED_REQUEST
 
 # Statuses which promise a caller that its request has not run.
@@ -65,6 +65,19 @@
     return None
 
 
+def classify_outcome(head, names):
+    """Return the outcome of an attempt with a complete response.
+
+    :param head: :class:`ResponseHead`.
+    :param names: :class:`HeaderNames`.
+    """
+    rejection = find_rejection(head, names)
+    if rejection is not None:
+        return rejection
+    is_sound = is_authentic(head, names) if head.status < 300 else head.status < 500
+    return SERVED if is_sound else FAILED
+
+
 def is_authentic(head, names):
     """Return whether a response is signed, has an id and has no content coding.
 
