forwarding: no key reaches a backend server, on public routes neither

What callers saw: nothing. The backend server of a public route received the Authorization header of a caller that sends its key with all requests.

Cause: the header was only removed where the forwarder had checked the key.

Evidence: the test failed before for the public route, with a known and an unknown key.

Whoever runs a backend server could use the key as that workspace on the other routes, and the rule on keys names no exception for public routes, so the header is never passed on. A service that wants credentials of its own has to take them in another header.

--- a/catkinfork/forwarding/_requests.py
+++ b/catkinfork/forwarding/_requests.py
@@ -126,6 +126,9 @@
 def encode_request(request, job, backend, names, remaining_s, last_event_id):
     """Return a request as bytes for a backend server.
 
+    A key of a workspace never reaches one, not even on a public route: callers may send
+    it with all their requests, and whoever runs the backend server could use it.
+
     :param backend: :class:`Backend`.
     :param remaining_s: time left until the deadline, seconds.
     :param last_event_id: id of the last event that the caller has received, or None.
@@ -138,8 +141,6 @@
         b"content-length",
         b"authorization",
     }
-    if job.route.is_public:
-        replaced.discard(b"authorization")
     if last_event_id is not None:
         replaced.add(names.last_event_id)
     lines = [request.method + b" " + request.target + b" HTTP/1.1"]
--- a/catkinfork/forwarding/tests/test_requests.py
+++ b/catkinfork/forwarding/tests/test_requests.py
@@ -84,6 +84,23 @@
     run_world(test)
 
 
+@pytest.mark.parametrize("key", [KEY, "unknown"])
+@pytest.mark.parametrize("path", ["/read/", "/open/"])
+def test_no_key_reaches_a_backend_server(path, key):
+    """Guards against a key that is passed on, as on a route that needs none."""
+
+    async def test(world):
+        (backend,) = await world.start("plain", answer())
+        headers = [f"AUTHORIZATION: Basic {key}"]
+        await world.call(path, key=key, headers=headers)
+        for request in backend.requests:
+            assert "authorization" not in {name.lower() for name in request.headers}
+            assert not any(key in value for value in request.headers.values())
+        assert len(backend.requests) == (path == "/open/" or key == KEY)
+
+    run_world(test)
+
+
 @pytest.mark.parametrize(
     ("path", "key", "status"),
     [
