forwarding: a connection that was closed unread is not reused

What callers saw: a failure of an unsafe request that never ran, and that counts as a crash of the backend server for it and the parts of its prompt.

Cause: a backend server may close a kept connection unannounced. Until the event loop has read this, which takes long where it is behind, the connection counts as idle, and the next request is sent on it.

A connection with anything to read is closed in place of being reused, since neither data nor an end belongs to a request there. The functions that ask sockets move to a module of their own.

--- a/catkinfork/forwarding/_backend.py
+++ b/catkinfork/forwarding/_backend.py
@@ -2,12 +2,14 @@
 
 import asyncio
 import re
+import select
 import socket
 from abc import ABC, abstractmethod
 
 import httptools
 
 from catkinfork.forwarding._messages import ResponseHead
+from catkinfork.forwarding._sockets import poll_socket
 
 # Time after which a connection with unacknowledged data is closed, milliseconds.
 TCP_USER_TIMEOUT_MS = 1500
@@ -283,6 +285,13 @@
         if not self.is_lost:
             self.transport.abort()
 
+    def has_unread(self):
+        """Return whether data, or the end of the connection, was not read yet.
+
+        On an idle connection, neither belongs to a request.
+        """
+        return poll_socket(self.transport.get_extra_info("socket"), select.POLLIN)
+
     def pause(self):
         """Pause reading."""
         if not self.is_lost and not self.transport.is_closing():
--- a/catkinfork/forwarding/_caller.py
+++ b/catkinfork/forwarding/_caller.py
@@ -1,16 +1,14 @@
 """Connections of callers: parsing of requests and writing of responses."""
 
 import asyncio
-import fcntl
 import re
 import select
-import struct
-import termios
 from collections import deque
 
 import httptools
 
 from catkinfork.forwarding._messages import Request, encode_local_response
+from catkinfork.forwarding._sockets import count_unacknowledged, poll_socket
 
 # Maximum number of pipelined requests that wait for the current one.
 MAX_PIPELINED = 16
@@ -336,25 +334,3 @@
         raise BadRequestError(413, "body_too_large")
     if not request.target.startswith(b"/"):
         raise BadRequestError(400, "malformed_target")
-
-
-def count_unacknowledged(sock):
-    """Return the number of bytes that the peer of a TCP socket has not acknowledged.
-
-    :param sock: socket, or the stand-in of the event loop for one.
-    """
-    size = struct.Struct("i")
-    return size.unpack(fcntl.ioctl(sock.fileno(), termios.TIOCOUTQ, bytes(size.size)))[
-        0
-    ]
-
-
-def poll_socket(sock, events):
-    """Return whether any of the polled events is pending on a socket.
-
-    :param sock: socket, or the stand-in of the event loop for one.
-    :param events: ``select.POLL...`` flags.
-    """
-    poll = select.poll()
-    poll.register(sock, events)
-    return bool(poll.poll(0))
--- a/catkinfork/forwarding/_pool.py
+++ b/catkinfork/forwarding/_pool.py
@@ -44,7 +44,8 @@
             connection = self.idle_connections.pop()
             if connection.is_lost or connection.transport.is_closing():
                 continue
-            if now - connection.idle_since < compute_max_idle_s(connection):
+            is_fresh = now - connection.idle_since < compute_max_idle_s(connection)
+            if is_fresh and not connection.has_unread():
                 return connection
             connection.abort()
         return None
--- a/catkinfork/forwarding/_server.py
+++ b/catkinfork/forwarding/_server.py
@@ -11,7 +11,6 @@
 from catkinfork.forwarding._caller import (
     INTERNAL_ERROR,
     CallerConnection,
-    poll_socket,
     report_error,
 )
 from catkinfork.forwarding._connections import ConnectionLimit, count_descriptors
@@ -22,6 +21,7 @@
 from catkinfork.forwarding._metrics import ForwarderMetrics
 from catkinfork.forwarding._numbers import parse_decimal
 from catkinfork.forwarding._pool import ConnectionPool
+from catkinfork.forwarding._sockets import poll_socket
 from catkinfork.observability import log_event
 from catkinfork.topology import CallerLimits, split_address
 
