--- a/catkinfork/platform/tests/soak/checks.py
+++ b/catkinfork/platform/tests/soak/checks.py
@@ -150,15 +150,15 @@
         request.ended_at,
     )
     excuses = {
+        "an unplanned disruption, from contact_ms before it": facts.is_disturbed(
+            request
+        ),
         "it crossed the close and was not passed on": not runs
         and request.ended_at - request.sent_at <= LOSS_SLACK_S,
         "the response before it announced the close": not runs and request.after_close,
         "the server broke off": any(run.outcome == r.CRASHED for run in runs),
         "its deadline was reached": request.ended_at
         >= request.deadline_at - DEADLINE_SLACK_S,
-        "an unplanned disruption, from contact_ms before it": facts.is_disturbed(
-            request
-        ),
         # Disruption of the store excuses nothing for requests without a key.
         "a disruption of the store, with a key": request.kind == r.STREAM
         and bool(store),
