--- a/catkinfork/platform/tests/soak/callers.py
+++ b/catkinfork/platform/tests/soak/callers.py
@@ -25,6 +25,8 @@
 P_LEAVES = 0.02
 P_SLOW = 0.1
 P_BIG = 0.01
+# Streams that outlast the grace of a stop.
+P_LONG = 0.15
 P_PIPELINE = 0.03
 P_HALF_CLOSE = 0.03
 P_NEW_CONNECTION = 0.05
@@ -116,6 +118,8 @@
     async def call(self):
         rng = self.rng
         n_expected = rng.randrange(5, 60)
+        if rng.random() < P_LONG:
+            n_expected = rng.randrange(150, 200)
         ends_at = self.records.now() + STREAM_DEADLINE_S
         name = self.make_id()
         part = f"{rng.randrange(16**6):06x}:40"
