Keep the crashes of requests over restarts of forwarders

Cause: crashes of whole requests were told only when they changed, so that a forwarder that started later did not know them. A host that restarted counted from zero, and its new total replaced that of its former process in the sums of its peers. Counts lapsed 60 s after the last crash although the client still tried.

Served requests have a time, so that crashes before it do not come back from a peer that missed the clearing. Refused requests keep the counts alive for 600 s. One request is let through 60 to 120 s after the third crash and one more later, so that a sound request that lost its connections is served again; two probes and one at the same time elsewhere are the three retries that the rule allows.

--- a/catkinfork/balancing/__init__.py
+++ b/catkinfork/balancing/__init__.py
@@ -38,6 +38,7 @@
 from catkinfork.balancing._stop import StopPlan
 from catkinfork.balancing._streams import StreamOrigin, compute_stream_key
 from catkinfork.balancing._suspect_parts import PartCrash
+from catkinfork.balancing._suspects import CrashCount
 
 __all__ = [
     "ABANDONED",
@@ -61,6 +62,7 @@
     "UNREACHABLE",
     "Balancer",
     "BalancerSettings",
+    "CrashCount",
     "Job",
     "LoadFigures",
     "MIN_STREAM_AGE_S",
--- a/catkinfork/balancing/_balancer.py
+++ b/catkinfork/balancing/_balancer.py
@@ -332,7 +332,7 @@
         backend = placement.backend
         if outcome == SERVED:
             pool.durations.record_duration(job.route, now - placement.placed_at)
-            self.crash_guard.record_served(placement)
+            self.crash_guard.record_served(placement, now)
         if outcome == BROKEN:
             self.crash_guard.record_crash(placement, now)
         if outcome not in UNSENT_OUTCOMES:
--- a/catkinfork/balancing/_crashes.py
+++ b/catkinfork/balancing/_crashes.py
@@ -24,7 +24,7 @@
     def __init__(self, changes, rng, write_log):
         self.changes = changes
         self.write_log = write_log
-        self.suspects = SuspectTable()
+        self.suspects = SuspectTable(rng)
         self.parts = SuspectPartTable(rng, write_log)
 
     def check(self, job, now):
@@ -32,7 +32,7 @@
 
         It, or others that share a part of its prompt, have crashed several.
         """
-        is_blocked = self.suspects.is_blocked(job.fingerprint, now)
+        is_blocked = self.suspects.is_blocked(job.fingerprint, now, job.request_id)
         part = self.parts.find_refused(job.shared_parts, now)
         if not is_blocked and part is None:
             return None
@@ -47,10 +47,10 @@
         )
         return Refusal(SUSPECT, RETRY_AFTER_S)
 
-    def record_served(self, placement):
+    def record_served(self, placement, now):
         """Clear a request that was served, and its parts if an answer was generated."""
         job = placement.job
-        if self.suspects.clear(job.fingerprint):
+        if self.suspects.clear(job.fingerprint, now):
             self.changes.suspects[job.fingerprint] = 0
         started_at = placement.first_event_at
         if started_at is None:
--- a/catkinfork/forwarder/_joining.py
+++ b/catkinfork/forwarder/_joining.py
@@ -29,7 +29,9 @@
         self.process = process
         self.control_port = control_port
         self.loop = process.loop
-        self.snapshots = SnapshotExchange(process.balancer, self.loop.time())
+        self.snapshots = SnapshotExchange(
+            process.balancer, process.peer_exchange.crash_notices, self.loop.time()
+        )
         self.plan = JoinPlan(process.directory, process.incarnation, process.rng)
 
     @property
--- a/catkinfork/forwarder/tests/test_joining.py
+++ b/catkinfork/forwarder/tests/test_joining.py
@@ -78,8 +78,10 @@
         directory = PeerDirectory(OWN_IP, answers, loop.time())
         for peer in directory.peers.values():
             peer.is_fresh = True
+        node = Node(OWN_IP, [])
         process = SimpleNamespace(
-            balancer=Node(OWN_IP, []).balancer,
+            balancer=node.balancer,
+            peer_exchange=node.exchange,
             directory=directory,
             incarnation=1,
             rng=random.Random(1),
--- a/catkinfork/peering/_frames.py
+++ b/catkinfork/peering/_frames.py
@@ -75,6 +75,21 @@
     n_crashes: Total
 
 
+class CrashCountEntry(NamedTuple):
+    """Crashes of a fingerprint that one process has seen, as the sender knows them.
+
+    :param source: hash of the address and the incarnation of that process.
+    :param crash_age_ms: time since the last crash at any forwarder, milliseconds.
+    :param seen_age_ms: time since the last crash or refused request, milliseconds.
+    """
+
+    fingerprint: LongHash
+    source: Hash
+    n_crashes: Total
+    crash_age_ms: Total
+    seen_age_ms: Total
+
+
 class PartCrashEntry(NamedTuple):
     """A crash that is counted against a prompt part.
 
@@ -173,6 +188,7 @@
     rate_limits: list[RateLimitEntry] = []
     streams: list[StreamEntry] = []
     stream_questions: list[LongHash] = []
+    crash_counts: list[CrashCountEntry] = []
 
 
 _ENCODER = msgspec.msgpack.Encoder()
--- a/catkinfork/peering/_snapshots.py
+++ b/catkinfork/peering/_snapshots.py
@@ -4,11 +4,14 @@
 
 import msgspec
 
-from catkinfork.balancing import StreamOrigin
+from catkinfork.balancing import PartCrash, StreamOrigin
 from catkinfork.peering._ages import compute_age_ms
 from catkinfork.peering._frames import (
     MALFORMED,
+    CrashCountEntry,
     LongHash,
+    PartCrashEntry,
+    ServedPartEntry,
     Total,
     Version,
     decode_valid_entries,
@@ -40,12 +43,18 @@
         the snapshots of others, milliseconds.
     :param streams: origins of streams.
     :param left: versions whose backend servers have left.
+    :param crash_counts: crashes of whole requests.
+    :param part_crashes: crashes of prompt parts.
+    :param served_parts: prompt parts that were served.
     """
 
     is_joined: bool
     known_ms: Total
     streams: list[StreamsEntry] = []
     left: list[LeftEntry] = []
+    crash_counts: list[CrashCountEntry] = []
+    part_crashes: list[PartCrashEntry] = []
+    served_parts: list[ServedPartEntry] = []
 
 
 _ENCODER = msgspec.msgpack.Encoder()
@@ -64,14 +73,16 @@
     """Builds and applies snapshots.
 
     :param balancer: :class:`Balancer`.
+    :param crash_notices: :class:`CrashNotices`.
     :param now: monotonic time at which the process started, seconds.
 
     ``known_since`` is the monotonic time since which everything is known that was told,
     and ``is_joined`` states whether the peers have been asked.
     """
 
-    def __init__(self, balancer, now):
+    def __init__(self, balancer, crash_notices, now):
         self.balancer = balancer
+        self.crash_notices = crash_notices
         self.known_since = now
         self.is_joined = False
 
@@ -82,6 +93,15 @@
             compute_age_ms(self.known_since, now),
             self.list_streams(now),
             self.list_left(now),
+            [
+                self.crash_notices.build_entry(count, now)
+                for count in self.balancer.crash_guard.suspects.list_counts(now)
+            ],
+            self.list_part_crashes(now),
+            [
+                ServedPartEntry(part, compute_age_ms(started_at, now))
+                for part, started_at in self.balancer.crash_guard.parts.served.items()
+            ],
         )
         return _ENCODER.encode(snapshot)
 
@@ -94,6 +114,8 @@
         for service, version, age_ms in snapshot.left:
             left_at = now - age_ms / 1000
             self.balancer.registry.versions.record_told(service, version, left_at)
+        self.crash_notices.record_entries(snapshot.crash_counts, now)
+        self.record_parts(snapshot, now)
         if snapshot.is_joined:
             known_since = now - snapshot.known_ms / 1000
             self.known_since = min(self.known_since, known_since)
@@ -113,6 +135,23 @@
                 entries.append((service, version, some))
         return entries
 
+    def list_part_crashes(self, now):
+        """Return the entries of the crashes of all prompt parts."""
+        return [
+            PartCrashEntry(part, backend, compute_age_ms(crashed_at, now))
+            for part, suspect in self.balancer.crash_guard.parts.suspects.items()
+            for backend, crashed_at in suspect.crashed_at.items()
+        ]
+
+    def record_parts(self, snapshot, now):
+        """Record which prompt parts were served, then the crashes since."""
+        crash_guard = self.balancer.crash_guard
+        for part, age_ms in snapshot.served_parts:
+            crash_guard.parts.record_served(part, now - age_ms / 1000)
+        for part, backend, age_ms in snapshot.part_crashes:
+            crash = PartCrash(part, backend)
+            crash_guard.record_peer_part_crash(crash, now - age_ms / 1000)
+
     def list_left(self, now):
         """Return the entries of the versions whose backend servers have left."""
         return [
--- a/catkinfork/peering/_state.py
+++ b/catkinfork/peering/_state.py
@@ -10,6 +10,7 @@
 from catkinfork.observability import log_event
 from catkinfork.peering._ages import compute_age_ms
 from catkinfork.peering._backend_notices import BackendNotices
+from catkinfork.peering._crash_notices import CrashNotices
 from catkinfork.peering._events import PEER_LOST, PEER_REGAINED
 from catkinfork.peering._frames import (
     MAX_FRAME_BYTES,
@@ -20,7 +21,6 @@
     PriorityEntry,
     RetryEntry,
     ServedPartEntry,
-    SuspectEntry,
     UsageEntry,
     encode_frame,
 )
@@ -75,6 +75,10 @@
         self.states = {}
         self.notices = BackendNotices(balancer, self.compute_hash)
         self.stream_notices = StreamNotices(balancer, self.compute_hash)
+        self.crash_notices = CrashNotices(balancer, self.compute_hash)
+        balancer.crash_guard.suspects.own_source = self.crash_notices.compute_source(
+            directory.own_address, incarnation
+        )
 
     def compute_hash(self, name):
         """Return the 32-bit hash of a name, from a cache."""
@@ -155,7 +159,7 @@
             for name, pool in self.balancer.pools.items()
             if pool.priority is not None and pool.queue.n_jobs
         ]
-        frame.suspects = [SuspectEntry(*pair) for pair in changes.suspects.items()]
+        self.crash_notices.fill(frame, is_full, now)
         if is_full:
             self.balancer.crash_guard.repeat_part_crashes()
         self.fill_part_crashes(frame, now)
@@ -253,10 +257,7 @@
         priorities = dict(frame.turns)
         for service, pool in pools.items():
             pool.set_peer_priority(peer.address, priorities.get(service))
-        for fingerprint, n_crashes in frame.suspects:
-            self.balancer.crash_guard.suspects.record_peer_crashes(
-                peer.address, fingerprint, n_crashes, now
-            )
+        self.crash_notices.record(peer, frame, now)
         self.notices.record(peer, frame, now)
         self.stream_notices.record(frame, now)
         for part, age_ms in frame.served_parts:
--- a/catkinfork/peering/tests/joining.py
+++ b/catkinfork/peering/tests/joining.py
@@ -17,7 +17,9 @@
 
     def __init__(self, address, seeds, now, seed=1):
         super().__init__(address, seeds, incarnation=1 + int(1000 * now))
-        self.snapshots = SnapshotExchange(self.balancer, now)
+        self.snapshots = SnapshotExchange(
+            self.balancer, self.exchange.crash_notices, now
+        )
         rng = random.Random(f"{address} {now} {seed}")
         self.plan = JoinPlan(self.directory, self.exchange.incarnation, rng)
         self.plan.start(now)
--- a/catkinfork/peering/tests/test_joining.py
+++ b/catkinfork/peering/tests/test_joining.py
@@ -150,14 +150,20 @@
     assert plan.n_answers == MAX_ANSWERS
 
 
+def build_exchange(address, now):
+    """Return the snapshots of a forwarder without network I/O."""
+    node = Node(address, [])
+    return SnapshotExchange(node.balancer, node.exchange.crash_notices, now)
+
+
 def test_what_a_forwarder_knows_is_dated():
     """Guards against a forwarder that counts as informed since its start only."""
-    older = SnapshotExchange(Node("10.0.0.1", []).balancer, 100.0)
+    older = build_exchange("10.0.0.1", 100.0)
     older.is_joined = True
-    younger = SnapshotExchange(Node("10.0.0.2", []).balancer, 150.0)
+    younger = build_exchange("10.0.0.2", 150.0)
     younger.apply(decode(older.build(160.0)), 160.0)
     assert younger.known_since == pytest.approx(100.0, abs=0.01)
-    unjoined = SnapshotExchange(Node("10.0.0.3", []).balancer, 0.0)
+    unjoined = build_exchange("10.0.0.3", 0.0)
     younger.apply(decode(unjoined.build(160.0)), 160.0)
     assert younger.known_since == pytest.approx(100.0, abs=0.01)
 
@@ -167,9 +173,9 @@
 
     A server of another version may have written the stream, and has left.
     """
-    knowing = SnapshotExchange(Node("10.0.0.1", []).balancer, 0.0)
+    knowing = build_exchange("10.0.0.1", 0.0)
     knowing.balancer.registry.versions.record_told("s", "v2", 70.0)
-    joining = SnapshotExchange(Node("10.0.0.2", []).balancer, 100.0)
+    joining = build_exchange("10.0.0.2", 100.0)
     joining.balancer.registry.versions.record_told("s", "v2", 20.0)
     joining.apply(decode(knowing.build(100.0)), 100.0)
     versions = joining.balancer.registry.versions
@@ -200,7 +206,7 @@
     others = [[]] * (len(msgspec.structs.fields(Snapshot)) - 3)
     fields = [True, 1000, [odd, sound, odd], *others, 17, "later field"]
     data = msgspec.msgpack.encode(fields)
-    exchange = SnapshotExchange(Node("10.0.0.1", []).balancer, 5.0)
+    exchange = build_exchange("10.0.0.1", 5.0)
     exchange.apply(decode(data), 5.0)
     assert exchange.balancer.streams.find(7, 5.0) is None
     assert exchange.balancer.streams.find(8, 5.0).origin == V2
@@ -229,7 +235,7 @@
 
 def test_snapshot_of_a_full_table_is_bounded():
     """Guards against snapshots that grow beyond what a peer reads (docs, section 2)."""
-    exchange = SnapshotExchange(Node("10.0.0.1", []).balancer, 0.0)
+    exchange = build_exchange("10.0.0.1", 0.0)
     for key in range(40_000):
         origin = V1 if key % 2 else V2
         exchange.balancer.streams.record_told((1 << 63) + key, origin, 600.0, 1.0)
--- a/catkinfork/platform/tests/test_restart_in_turn.py
+++ b/catkinfork/platform/tests/test_restart_in_turn.py
@@ -4,7 +4,13 @@
 
 import pytest
 
-from catkinfork.platform.tests.standins import run_platform, wait_until
+from catkinfork.platform.tests.standins import (
+    Runner,
+    build_config,
+    read_head,
+    run_platform,
+    wait_until,
+)
 from catkinfork.platform.tests.stream_standins import (
     N_EVENTS,
     N_FIRST_EVENTS,
@@ -158,3 +164,49 @@
         assert (await read_status(forwarders[0]))["is_ready"]
 
     run_streams(3, test, tmp_path)
+
+
+class CrashingRunner(Runner):
+    """A runner whose connection is lost for each request."""
+
+    async def serve(self, reader, writer):
+        self.requests.append(await read_head(reader))
+
+
+N_CRASHING_RUNNERS = 5
+MAX_CRASHES = 3
+
+
+@pytest.mark.parametrize("n_at_once", [1, 2])
+def test_crashing_request_is_refused_after_a_restart_in_turn(tmp_path, n_at_once):
+    """Guards against a request that crashes runners anew after planned work."""
+
+    async def test(platform):
+        platform.store.put("op/config", build_config())
+        for number in range(N_CRASHING_RUNNERS):
+            runner = CrashingRunner(f"i-{number}")
+            await runner.open()
+            platform.runners.append(runner)
+            platform.store.put(f"servers/{runner.name}", runner.build_entry())
+        forwarders = await platform.add_forwarders(4)
+        await wait_in_touch(platform)
+
+        def count_arrived():
+            return sum(len(runner.requests) for runner in platform.runners)
+
+        for number in range(MAX_CRASHES):
+            status, _ = await forwarders[number].call("/read/crash", request_id="r1")
+            assert status == 502
+            await asyncio.sleep(0.3)
+        assert count_arrived() == MAX_CRASHES
+        for start in range(0, len(forwarders), n_at_once):
+            some = forwarders[start : start + n_at_once]
+            await restart_planned(*some)
+            for forwarder in some:
+                status, _ = await forwarder.call("/read/crash", request_id="r2")
+                assert status == 503
+        assert count_arrived() == MAX_CRASHES
+        assert (await forwarders[0].call("/read/other"))[0] == 502
+        assert count_arrived() == MAX_CRASHES + 1
+
+    run_platform(test, tmp_path)
