--- a/catkinfork/balancing/_balancer.py
+++ b/catkinfork/balancing/_balancer.py
@@ -342,7 +342,7 @@
     def record_evidence(self, placement, outcome, now):
         """Count a crash, or clear a request that was served."""
         if outcome == SERVED:
-            self.crash_guard.record_served(placement)
+            self.crash_guard.record_served(placement, now)
         if outcome == BROKEN:
             self.crash_guard.record_crash(placement, now)
 
