Admit a part that was served for the first time at once

Callers got 503 for a prompt part that had been served meanwhile: record_served only marked the table of refused parts as outdated if it cleared a crash. A part whose first served request began before the crashes keeps them, but counts as served from then on, so that more crashes are needed; this took effect only with the next crash.

A first served request of a part with crashes now marks the table, and is told to the peers.

Evidence: test_first_served_request_of_a_part_takes_effect_at_once failed before (the last request was refused). Balancing, peering and forwarding tests pass.

--- a/catkinfork/balancing/_suspect_parts.py
+++ b/catkinfork/balancing/_suspect_parts.py
@@ -125,8 +125,10 @@
 
         :param started_at: monotonic time at which its response began, here or at a
             peer.
-        :returns: whether there were such crashes.
+        :returns: whether there were such crashes, or this is the first such request of
+            a part that crashes count against.
         """
+        is_first = part not in self.served
         self.served[part] = max(started_at, self.served.get(part, -inf))
         self.served.move_to_end(part)
         if len(self.served) > MAX_SERVED_PARTS:
@@ -143,8 +145,9 @@
             del suspect.crashed_at[backend]
         if not suspect.crashed_at:
             del self.suspects[part]
-        self.is_outdated = self.is_outdated or bool(cleared)
-        return bool(cleared)
+        is_news = is_first or bool(cleared)
+        self.is_outdated = self.is_outdated or is_news
+        return is_news
 
     def find_refused(self, parts, now):
         """Return the first of some parts that is refused, or None.
--- a/catkinfork/balancing/tests/test_crashes.py
+++ b/catkinfork/balancing/tests/test_crashes.py
@@ -116,6 +116,21 @@
         fleet.crash(decision)
 
 
+def test_first_served_request_of_a_part_takes_effect_at_once():
+    """Guards against a part that stays refused though a request with it was served.
+
+    The answer began before the crashes, so that it clears none of them.
+    """
+    fleet = Fleet()
+    early = fleet.submit(SHARED, 0xB)
+    fleet.balancer.record_event(early, fleet.now)
+    for number in range(3):
+        fleet.crash(fleet.submit(SHARED, 0xD0 + number))
+    assert isinstance(fleet.submit(SHARED, 0xB), Refusal)
+    serve(fleet.balancer, early, fleet.now)
+    assert fleet.serve(SHARED, 0xB)
+
+
 @pytest.mark.parametrize("n_crashes", [1, 2])
 def test_few_crashes_are_no_proof(n_crashes):
     """Guards against a refusal after connections that were lost for other reasons."""
