Clear prompt parts once an answer on them goes on

Sound requests that shared a part with crashing ones got 503, as a part is cleared of crashes only by an answer that was served to its end. While engines crash every second, no stream of some seconds ends, though its answer has gone on for long.

An answer that goes on half a second after its first event has outlived the moment at which engines crash (MAX_CRASH_ONSET_S, as for the blame). It clears its parts then, with the time of its first event, as a served one does. Events of a second attempt are recorded like those of the first one; before, an answer that went on elsewhere had no first event there.

--- a/catkinfork/balancing/_balancer.py
+++ b/catkinfork/balancing/_balancer.py
@@ -297,6 +297,13 @@
         """Remove a queued job whose caller has disconnected."""
         self.pools[job.service].queue.remove(job)
 
+    def record_event(self, placement, now):
+        """Record an event of an attempt."""
+        if placement.has_first_event:
+            self.crash_guard.record_later_event(placement, now)
+        else:
+            self.record_first_event(placement, now)
+
     def record_first_event(self, placement, now):
         """Record the first event of an attempt."""
         if placement.has_first_event:
--- a/catkinfork/balancing/_crashes.py
+++ b/catkinfork/balancing/_crashes.py
@@ -52,10 +52,24 @@
         job = placement.job
         if self.suspects.clear(job.fingerprint):
             self.changes.suspects[job.fingerprint] = 0
+        if placement.first_event_at is not None:
+            self.record_served_parts(placement)
+
+    def record_later_event(self, placement, now):
+        """Clear the parts of a request whose answer goes on after its begin.
+
+        Load pattern: requests that crash engines come so often that no answer on the
+        shared parts ends before its engine does.
+        """
+        is_onset = now - placement.first_event_at < MAX_CRASH_ONSET_S
+        if not is_onset and not placement.has_cleared_parts:
+            self.record_served_parts(placement)
+
+    def record_served_parts(self, placement):
+        """Clear the shared parts of a request on which an answer was generated."""
+        placement.has_cleared_parts = True
         started_at = placement.first_event_at
-        if started_at is None:
-            return
-        for part in job.shared_parts:
+        for part in placement.job.shared_parts:
             if self.parts.record_served(part, started_at):
                 self.changes.served_parts[part] = started_at
 
--- a/catkinfork/balancing/_jobs.py
+++ b/catkinfork/balancing/_jobs.py
@@ -111,6 +111,7 @@
         "backend",
         "cost",
         "first_event_at",
+        "has_cleared_parts",
         "has_first_event",
         "has_ended",
         "job",
@@ -127,6 +128,7 @@
         self.placed_at = placed_at
         self.first_event_at = None
         self.has_first_event = False
+        self.has_cleared_parts = False
         self.has_ended = False
         self.cost = 0.0
         self.n_candidates = 0
--- a/catkinfork/balancing/tests/test_crashes.py
+++ b/catkinfork/balancing/tests/test_crashes.py
@@ -116,6 +116,37 @@
         fleet.crash(decision)
 
 
+def test_answers_that_go_on_clear_their_parts():
+    """Guards against blame of common parts as no answer ends between two crashes.
+
+    Load pattern: every server that serves sound requests soon runs a crashing one too.
+    """
+    fleet = Fleet()
+    for _ in range(3):
+        sound = [fleet.submit(SHARED, 0xB) for _ in range(5)]
+        for one in sound:
+            fleet.balancer.record_event(one, fleet.now)
+        fleet.now += 0.6
+        for one in sound:
+            fleet.balancer.record_event(one, fleet.now)
+        crashing = fleet.submit(SHARED, CRASHING)
+        fleet.crash(crashing, sound)
+    assert fleet.serve(SHARED, 0xB)
+    assert isinstance(fleet.submit(SHARED, CRASHING), Refusal)
+
+
+def test_answer_that_has_just_begun_clears_nothing():
+    """Guards against a crashing part that the first events of its answer clear."""
+    fleet = Fleet()
+    for _ in range(3):
+        crashing = fleet.submit(SHARED, CRASHING)
+        fleet.balancer.record_event(crashing, fleet.now)
+        fleet.now += 0.2
+        fleet.balancer.record_event(crashing, fleet.now)
+        fleet.crash(crashing)
+    assert isinstance(fleet.submit(SHARED, CRASHING), Refusal)
+
+
 def test_first_served_request_of_a_part_takes_effect_at_once():
     """Guards against a part that stays refused though a request with it was served.
 
--- a/catkinfork/forwarding/_exchange.py
+++ b/catkinfork/forwarding/_exchange.py
@@ -190,7 +190,7 @@
             self.relay = build_relay(self, head)
         self.relay.handle_head(head)
         if self.job.route.kind != STREAMING:
-            self.record_response_started()
+            self.record_event()
 
     def is_keep_alive(self):
         """Return whether the connection of the caller accepts another request.
@@ -224,18 +224,18 @@
         """Record that a part of the response was relayed."""
         if self.first_data_at is None:
             self.first_data_at = now
-            self.record_response_started()
         else:
             self.max_pause_s = max(self.max_pause_s, now - self.last_data_at)
         self.last_data_at = now
+        self.record_event()
         self.attempt.restart_read_timeout(now)
 
-    def record_response_started(self):
-        """Inform the balancer that the response has started."""
+    def record_event(self):
+        """Inform the balancer of an event; the first one may make room."""
         placement = self.attempt.placement
-        if not placement.has_first_event:
-            now = self.server.loop.time()
-            self.server.balancer.record_first_event(placement, now)
+        is_first = not placement.has_first_event
+        self.server.balancer.record_event(placement, self.server.loop.time())
+        if is_first:
             self.server.schedule_dispatch()
 
     def handle_end(self):
