Let requests that hold only some suspect parts tell which one crashes

Cause: all parts without a served request and with the same crashes were refused together. Only a served request clears a part, and none with a refused part was let through. One more crash by chance, or one lost frame, was enough to refuse the sound part alone.

A request that holds some of the parts that may have caused the crashes, but not all of them, decides between them. It is let through as a probe, with a probability that grows from little to one since the last crash, probe or arrival without a usable server; peers hear of it in the next frame and wait. So few forwarders try at once, whatever their number and the rate of requests. Requests that hold more of the suspects wait longer, those that hold all of them are refused. A probe that goes on clears its parts at all forwarders, one that crashes leaves only the parts that it held.

Frames carry the time from placement to crash in a list of its own, since earlier releases leave out longer entries. Crashes of parts with two or more are repeated once a second for five seconds, as a lost frame made forwarders disagree.

Balancing, peering, forwarding and forwarder tests pass.

--- a/catkinfork/balancing/_balancer.py
+++ b/catkinfork/balancing/_balancer.py
@@ -14,6 +14,7 @@
     UNSENT_OUTCOMES,
     Placement,
     PromptPart,
+    Refusal,
 )
 from catkinfork.balancing._models import QueueRank
 from catkinfork.balancing._pool import ServicePool
@@ -110,7 +111,12 @@
         pool.shares.record_demand(job.workspace, job.n_service_tokens, now)
         self.changes.workspaces.add((job.service, job.workspace))
         refusal = self.crash_guard.check(job, now) or self.check_stop(pool, job, now)
-        return refusal or self.admit(pool, job, now)
+        if refusal is not None:
+            return refusal
+        decision = self.admit(pool, job, now)
+        if isinstance(decision, Refusal):
+            self.crash_guard.record_not_placed(job, now)
+        return decision
 
     def begin_stop(self, plan):
         """Send only requests that can end before a planned stop does.
@@ -266,6 +272,7 @@
             pool.record_placement(job, now)
             pool.shares.record_service(job.workspace, job.n_service_tokens, now)
             self.changes.workspaces.add((job.service, job.workspace))
+        self.crash_guard.record_placed(job, now)
         job.tried_backends.append(backend.name)
         self.changes.backends.add((job.service, backend.name))
         if job.parts:
--- a/catkinfork/balancing/_changes.py
+++ b/catkinfork/balancing/_changes.py
@@ -7,6 +7,7 @@
     def __init__(self):
         self.part_crashes = {}
         self.served_parts = {}
+        self.part_probes = {}
         self.rate_limits = {}
         self.clear()
 
@@ -30,6 +31,7 @@
             or self.parts
             or self.part_crashes
             or self.served_parts
+            or self.part_probes
             or self.rate_limits
             or self.leaving
         )
--- a/catkinfork/balancing/_crashes.py
+++ b/catkinfork/balancing/_crashes.py
@@ -1,5 +1,7 @@
 """Requests that are refused because they would crash a backend server."""
 
+from math import inf
+
 from catkinfork.balancing._events import CRASH_RECORDED, REQUEST_BLOCKED
 from catkinfork.balancing._hashes import hash_name
 from catkinfork.balancing._jobs import SUSPECT, Refusal
@@ -23,6 +25,7 @@
 
     def __init__(self, changes, rng, write_log):
         self.changes = changes
+        self.rng = rng
         self.write_log = write_log
         self.suspects = SuspectTable()
         self.parts = SuspectPartTable(rng, write_log)
@@ -33,7 +36,7 @@
         It, or others that share a part of its prompt, have crashed several.
         """
         is_blocked = self.suspects.is_blocked(job.fingerprint, now)
-        part = self.parts.find_refused(job.shared_parts, now)
+        part = self.find_refused_part(job, now)
         if not is_blocked and part is None:
             return None
         self.write_log(
@@ -47,6 +50,41 @@
         )
         return Refusal(SUSPECT, RETRY_AFTER_S)
 
+    def find_refused_part(self, job, now):
+        """Return the first refused part of a job that is no probe, or None."""
+        if not self.parts.has_refused(now):
+            return None
+        parts = job.shared_parts
+        held = self.parts.list_held(parts)
+        if not held:
+            return None
+        draw = self.draw(job)
+        return self.parts.find_refused(parts, held, draw, job.probed_at, now)
+
+    def draw(self, job):
+        """Return the random number by which a job may be a probe.
+
+        It stays, as a job that waits is checked often. One that has reached a backend
+        server is no probe again.
+        """
+        if job.probe_draw is None:
+            job.probe_draw = self.rng.random()
+        if job.probed_at is not None and job.n_runs:
+            job.probed_at = None
+            job.probe_draw = inf
+        return job.probe_draw
+
+    def record_placed(self, job, now):
+        """Record, and tell the peers, if a job with refused parts is placed."""
+        for part in self.parts.list_held(job.shared_parts):
+            job.probed_at = now
+            self.parts.record_probe(part, now)
+            self.changes.part_probes[part] = now
+
+    def record_not_placed(self, job, now):
+        """Record that a job could not be placed when it arrived."""
+        self.parts.defer_probe(job.shared_parts, now)
+
     def record_served(self, placement):
         """Clear a request that was served, and its parts if an answer was generated."""
         job = placement.job
@@ -100,21 +138,23 @@
         crashed = hash_name(f"{entry.name}/{entry.started_ms}")
         for part in placement.job.shared_parts:
             crash = PartCrash(part, crashed)
-            self.parts.record_crash(crash, now)
+            self.parts.record_crash(crash, now, placement.placed_at)
             self.changes.part_crashes[crash] = now
 
-    def record_peer_part_crash(self, crash, crashed_at):
+    def record_peer_part_crash(self, crash, crashed_at, placed_at):
         """Count a crash that a peer has seen; tell it if the part is cleared.
 
         :param crash: :class:`PartCrash`.
         :param crashed_at: monotonic time of the crash, seconds.
+        :param placed_at: monotonic time at which the lost request was placed, seconds.
         """
-        if not self.parts.record_crash(crash, crashed_at):
+        if not self.parts.record_crash(crash, crashed_at, placed_at):
             self.changes.served_parts[crash.part] = self.parts.served[crash.part]
 
-    def repeat_part_crashes(self):
-        """Add the crashes of refused prompt parts to the next frames.
+    def repeat_part_crashes(self, now):
+        """Add the crashes and the latest probes of prompt parts to the next frames.
 
         A forwarder that has started, or has lost a frame, learns of them.
         """
-        self.changes.part_crashes.update(self.parts.list_refused_crashes())
+        self.changes.part_crashes.update(self.parts.list_crashes_to_repeat(now))
+        self.changes.part_probes.update(self.parts.list_probes_to_repeat(now))
--- a/catkinfork/balancing/_jobs.py
+++ b/catkinfork/balancing/_jobs.py
@@ -31,6 +31,8 @@
     disconnects unless it receives an event before.
     ``version`` is that of the backend servers at which it has to run, or None. What two
     versions write does not fit together, so a stream goes on where it began.
+    ``probe_draw`` is a random number from 0 to 1, and ``probed_at`` the monotonic time
+    at which it was placed with a refused part, or None.
     """
 
     __slots__ = (
@@ -46,6 +48,8 @@
         "n_runs",
         "next_event_deadline_at",
         "parts",
+        "probe_draw",
+        "probed_at",
         "request_id",
         "route",
         "service",
@@ -73,6 +77,8 @@
         self.version = None
         self.n_runs = 0
         self.n_retries = 0
+        self.probe_draw = None
+        self.probed_at = None
 
     @property
     def n_service_tokens(self):
--- a/catkinfork/peering/_frames.py
+++ b/catkinfork/peering/_frames.py
@@ -97,6 +97,30 @@
     age_ms: Total
 
 
+class PartRunEntry(NamedTuple):
+    """Duration of the latest request that a crash ended, by prompt part.
+
+    Apart from the crash, so that earlier releases read that.
+
+    :param backend: hash of the backend server that crashed.
+    :param run_ms: time from the placement of the request to the crash, milliseconds.
+    """
+
+    part: LongHash
+    backend: Hash
+    run_ms: Total
+
+
+class PartProbeEntry(NamedTuple):
+    """A request with a refused prompt part that was placed to learn if it crashes.
+
+    :param age_ms: time since it was placed, milliseconds.
+    """
+
+    part: LongHash
+    age_ms: Total
+
+
 class LeavingEntry(NamedTuple):
     """A backend server that says that it is leaving.
 
@@ -173,6 +197,8 @@
     rate_limits: list[RateLimitEntry] = []
     streams: list[StreamEntry] = []
     stream_questions: list[LongHash] = []
+    part_probes: list[PartProbeEntry] = []
+    part_runs: list[PartRunEntry] = []
 
 
 _ENCODER = msgspec.msgpack.Encoder()
--- a/catkinfork/peering/_state.py
+++ b/catkinfork/peering/_state.py
@@ -1,5 +1,7 @@
 """State exchange between the balancers of the forwarders."""
 
+from math import inf
+
 from catkinfork.balancing import (
     LoadFigures,
     PartCrash,
@@ -17,6 +19,8 @@
     LoadEntry,
     PartCrashEntry,
     PartEntry,
+    PartProbeEntry,
+    PartRunEntry,
     PriorityEntry,
     RetryEntry,
     ServedPartEntry,
@@ -157,7 +161,7 @@
         ]
         frame.suspects = [SuspectEntry(*pair) for pair in changes.suspects.items()]
         if is_full:
-            self.balancer.crash_guard.repeat_part_crashes()
+            self.balancer.crash_guard.repeat_part_crashes(now)
         self.fill_part_crashes(frame, now)
         self.notices.fill(frame, is_full, now)
         self.stream_notices.fill(frame, now)
@@ -168,16 +172,25 @@
     def fill_part_crashes(self, frame, now):
         """Add crashes of prompt parts, and parts cleared of them, to a frame."""
         changes = self.balancer.changes
+        parts = self.balancer.crash_guard.parts
         crashes = pop_items(changes.part_crashes, MAX_PART_CRASHES_PER_FRAME)
-        frame.part_crashes = [
-            PartCrashEntry(*crash, compute_age_ms(crashed_at, now))
-            for crash, crashed_at in crashes
-        ]
+        for crash, crashed_at in crashes:
+            age_ms = compute_age_ms(crashed_at, now)
+            frame.part_crashes.append(PartCrashEntry(*crash, age_ms))
+            placed_at = parts.find_placed_at(crash)
+            if placed_at is not None:
+                run_ms = compute_age_ms(placed_at, crashed_at)
+                frame.part_runs.append(PartRunEntry(*crash, run_ms))
         served = pop_items(changes.served_parts, MAX_PART_CRASHES_PER_FRAME)
         frame.served_parts = [
             ServedPartEntry(part, compute_age_ms(started_at, now))
             for part, started_at in served
         ]
+        probes = pop_items(changes.part_probes, MAX_PART_CRASHES_PER_FRAME)
+        frame.part_probes = [
+            PartProbeEntry(part, compute_age_ms(placed_at, now))
+            for part, placed_at in probes
+        ]
 
     def list_next_peers(self):
         """Return the next addresses to tell, in rotation.
@@ -261,9 +274,16 @@
         self.stream_notices.record(frame, now)
         for part, age_ms in frame.served_parts:
             self.balancer.crash_guard.parts.record_served(part, now - age_ms / 1000)
+        runs = {(part, backend): run_ms for part, backend, run_ms in frame.part_runs}
         for part, backend, age_ms in frame.part_crashes:
             crash = PartCrash(part, backend)
-            self.balancer.crash_guard.record_peer_part_crash(crash, now - age_ms / 1000)
+            crashed_at = now - age_ms / 1000
+            placed_at = crashed_at - runs.get(crash, inf) / 1000
+            self.balancer.crash_guard.record_peer_part_crash(
+                crash, crashed_at, placed_at
+            )
+        for part, age_ms in frame.part_probes:
+            self.balancer.crash_guard.parts.record_probe(part, now - age_ms / 1000)
         return bool(frame.loads)
 
     def index(self):
--- a/catkinfork/peering/tests/test_odd_frames.py
+++ b/catkinfork/peering/tests/test_odd_frames.py
@@ -40,6 +40,8 @@
     "served_parts": [2**64 - 1, 40],
     "leaving": [7, 1000],
     "rate_limits": [7, 1000, 2.5, 40],
+    "part_probes": [2**64 - 1, 40],
+    "part_runs": [2**64 - 1, 7, 40],
 }
 ODD_VALUES = [None, True, "1", b"1", [], -1, -(2**63), 0.5, -0.5, math.nan, -math.inf]
 # Values that are right in some fields only.
@@ -227,6 +229,8 @@
         "served_parts": [[5, top]],
         "leaving": [[hashes[0], 2**63 - 1]],
         "rate_limits": [[hashes[0], 2**63 - 1, 1e300, top]],
+        "part_probes": [[5, top]],
+        "part_runs": [[5, 7, top]],
         "peers": [],
     }
     node.exchange.handle_frame(decode_frame(encode(values)), now)
