--- a/catkinfork/balancing/_jobs.py
+++ b/catkinfork/balancing/_jobs.py
@@ -31,6 +31,8 @@
     disconnects unless it receives an event before.
     ``version`` is that of the backend servers at which it has to run, or None. What two
     versions write does not fit together, so a stream goes on where it began.
+    ``probe_draw`` is a random number from 0 to 1, and ``probed_at`` the monotonic time
+    at which it was placed with a refused part, or None.
     """
 
     __slots__ = (
@@ -46,6 +48,8 @@
         "n_runs",
         "next_event_deadline_at",
         "parts",
+        "probe_draw",
+        "probed_at",
         "request_id",
         "route",
         "service",
@@ -73,6 +77,8 @@
         self.version = None
         self.n_runs = 0
         self.n_retries = 0
+        self.probe_draw = None
+        self.probed_at = None
 
     @property
     def n_service_tokens(self):
@@ -111,6 +117,7 @@
         "backend",
         "cost",
         "first_event_at",
+        "has_cleared_parts",
         "has_first_event",
         "has_ended",
         "job",
@@ -128,6 +135,7 @@
         self.placed_at = placed_at
         self.first_event_at = None
         self.has_first_event = False
+        self.has_cleared_parts = False
         self.has_ended = False
         self.outcome = ""
         self.cost = 0.0
--- a/catkinfork/peering/_snapshots.py
+++ b/catkinfork/peering/_snapshots.py
@@ -1,5 +1,6 @@
 """What forwarders tell once, as one document for a forwarder that starts."""
 
+from math import inf
 from typing import Annotated
 
 import msgspec
@@ -11,6 +12,7 @@
     CrashCountEntry,
     LongHash,
     PartCrashEntry,
+    PartRunEntry,
     ServedPartEntry,
     Total,
     Version,
@@ -46,6 +48,7 @@
     :param crash_counts: crashes of whole requests.
     :param part_crashes: crashes of prompt parts.
     :param served_parts: prompt parts that were served.
+    :param part_runs: durations of the requests that crashes of prompt parts ended.
     """
 
     is_joined: bool
@@ -55,6 +58,7 @@
     crash_counts: list[CrashCountEntry] = []
     part_crashes: list[PartCrashEntry] = []
     served_parts: list[ServedPartEntry] = []
+    part_runs: list[PartRunEntry] = []
 
 
 _ENCODER = msgspec.msgpack.Encoder()
@@ -102,6 +106,7 @@
                 ServedPartEntry(part, compute_age_ms(started_at, now))
                 for part, started_at in self.balancer.crash_guard.parts.served.items()
             ],
+            self.list_part_runs(),
         )
         return _ENCODER.encode(snapshot)
 
@@ -143,14 +148,26 @@
             for backend, crashed_at in suspect.crashed_at.items()
         ]
 
+    def list_part_runs(self):
+        """Return the durations of the requests that crashes of prompt parts ended."""
+        return [
+            PartRunEntry(part, backend, compute_age_ms(placed_at, crashed_at))
+            for part, suspect in self.balancer.crash_guard.parts.suspects.items()
+            for backend, crashed_at in suspect.crashed_at.items()
+            if (placed_at := suspect.placed_at[backend]) > -inf
+        ]
+
     def record_parts(self, snapshot, now):
         """Record which prompt parts were served, then the crashes since."""
         crash_guard = self.balancer.crash_guard
+        runs = {PartCrash(*crash): run_ms for *crash, run_ms in snapshot.part_runs}
         for part, age_ms in snapshot.served_parts:
             crash_guard.parts.record_served(part, now - age_ms / 1000)
         for part, backend, age_ms in snapshot.part_crashes:
             crash = PartCrash(part, backend)
-            crash_guard.record_peer_part_crash(crash, now - age_ms / 1000)
+            crashed_at = now - age_ms / 1000
+            placed_at = crashed_at - runs.get(crash, inf) / 1000
+            crash_guard.record_peer_part_crash(crash, crashed_at, placed_at)
 
     def list_left(self, now):
         """Return the entries of the versions whose backend servers have left."""
--- a/catkinfork/peering/tests/test_crash_counts.py
+++ b/catkinfork/peering/tests/test_crash_counts.py
@@ -112,3 +112,5 @@
         fleet.restart([address])
         parts = fleet.nodes[address].balancer.crash_guard.parts
         assert parts.suspects[PART].n_crashes == 1
+        (placed_at,) = parts.suspects[PART].placed_at.values()
+        assert abs(placed_at - decision.placed_at) < 0.01
