Give a starting forwarder the use of the retry budgets

Found while listing what else is told once: forwarders that restart in turn within the window of a retry budget know none of the retries sent before, and allow the budget again.

The largest of several answers counts, as each peer counts all forwarders.

--- a/catkinfork/balancing/_retries.py
+++ b/catkinfork/balancing/_retries.py
@@ -51,6 +51,26 @@
         self.peer_requests.add(n_requests, now)
         self.peer_retries.add(n_retries, now)
 
+    def count_all(self, now):
+        """Return the requests and retries of all forwarders within the window."""
+        return (
+            self.own_requests.sum(now) + self.peer_requests.sum(now),
+            self.own_retries.sum(now) + self.peer_retries.sum(now),
+        )
+
+    def record_told(self, n_requests, n_retries, now):
+        """Add what a peer has counted of all forwarders beyond what is counted here.
+
+        A forwarder that starts only counts what its peers send from then on, and would
+        allow as many retries again as the fleet has just sent.
+        """
+        n_known_requests, n_known_retries = self.count_all(now)
+        self.record_peer_requests(
+            max(0, n_requests - n_known_requests),
+            max(0, n_retries - n_known_retries),
+            now,
+        )
+
     def allows(self, n_fresh, n_forwarders, now, state_age_s=0.0):
         """Return whether one more retry may be sent.
 
--- a/catkinfork/peering/_snapshots.py
+++ b/catkinfork/peering/_snapshots.py
@@ -30,6 +30,9 @@
 # Service and version of a backend server that has left or has started again, and the
 # time since then, milliseconds.
 LeftEntry = tuple[Name, Version, Total]
+# Service, and the requests and retries of all forwarders within the window of its retry
+# budget.
+BudgetEntry = tuple[Name, Total, Total]
 
 
 class Snapshot(msgspec.Struct, array_like=True):
@@ -46,6 +49,7 @@
     :param crash_counts: crashes of whole requests.
     :param part_crashes: crashes of prompt parts.
     :param served_parts: prompt parts that were served.
+    :param budgets: use of the retry budgets.
     """
 
     is_joined: bool
@@ -55,6 +59,7 @@
     crash_counts: list[CrashCountEntry] = []
     part_crashes: list[PartCrashEntry] = []
     served_parts: list[ServedPartEntry] = []
+    budgets: list[BudgetEntry] = []
 
 
 _ENCODER = msgspec.msgpack.Encoder()
@@ -102,6 +107,10 @@
                 ServedPartEntry(part, compute_age_ms(started_at, now))
                 for part, started_at in self.balancer.crash_guard.parts.served.items()
             ],
+            [
+                (service, *pool.retry_budget.count_all(now))
+                for service, pool in self.balancer.pools.items()
+            ],
         )
         return _ENCODER.encode(snapshot)
 
@@ -116,6 +125,10 @@
             self.balancer.registry.versions.record_told(service, version, left_at)
         self.crash_notices.record_entries(snapshot.crash_counts, now)
         self.record_parts(snapshot, now)
+        for service, n_requests, n_retries in snapshot.budgets:
+            pool = self.balancer.pools.get(service)
+            if pool is not None:
+                pool.retry_budget.record_told(n_requests, n_retries, now)
         if snapshot.is_joined:
             known_since = now - snapshot.known_ms / 1000
             self.known_since = min(self.known_since, known_since)
