Refuse a part that was served before after four crashes

Four are enough, as sound parts beside it are cleared by probes within seconds.

With three, test_loss_of_several_servers_refuses_nothing fails, so that four it is. The test of such parts is in test_blame.py.

--- a/catkinfork/balancing/_suspect_parts.py
+++ b/catkinfork/balancing/_suspect_parts.py
@@ -21,8 +21,9 @@
 # Crashed backend servers after which a part that was never served is refused.
 MAX_CRASHES = 3
 # The same for a part that has been served before. It is more likely to have been lost
-# with others.
-MAX_CRASHES_SERVED = 5
+# with others. One less than the crashes that callers accept, as those of requests that
+# run at the same time count once.
+MAX_CRASHES_SERVED = 4
 # Time between two crashes that count against a part, seconds, unless a request was
 # placed between them. Servers that end together have another cause: a request ends the
 # one that runs it, and the next one when it is sent there.
