Count no crash if a server answers on a connection that is older

Callers could get 503 for a prompt part that had never been served, or for one request, after three connections at three servers were reset without a crash: each lost connection counted as one.

A crash still counts at once, so that those of a request that crashes each server are not counted late, and is withdrawn when the same process is seen to live: it answers a request on a connection that was opened before the loss and used after it, or goes on with events half a second later, twice at different moments (a host that stood still reads at once what was sent before). Events on newer connections prove nothing, as a server may be back under its old entry. The peers are told; they withdraw the crashes of that start of the server by part, and the lower counts by request. If no other connection to the server is open, a reset still counts.

Evidence: without the proof (it always says no) four tests fail: the parts and the request are refused, the peers keep the crashes, and no crash is withdrawn beside a stream that goes on. With it they pass. Tests of the peers, of crashes, streams and attempts pass.

--- a/catkinfork/balancing/_balancer.py
+++ b/catkinfork/balancing/_balancer.py
@@ -306,6 +306,7 @@
 
     def record_event(self, placement, now):
         """Record an event of an attempt."""
+        self.crash_guard.record_event(placement, now)
         if placement.has_first_event:
             self.crash_guard.record_later_event(placement, now)
         else:
--- a/catkinfork/balancing/_changes.py
+++ b/catkinfork/balancing/_changes.py
@@ -8,6 +8,7 @@
         self.part_crashes = {}
         self.served_parts = {}
         self.part_probes = {}
+        self.survivors = {}
         self.rate_limits = {}
         self.clear()
 
@@ -17,6 +18,7 @@
         self.services = set()
         self.workspaces = set()
         self.suspects = {}
+        self.withdrawn = {}
         self.parts = []
         self.leaving = set()
 
@@ -32,6 +34,8 @@
             or self.part_crashes
             or self.served_parts
             or self.part_probes
+            or self.survivors
+            or self.withdrawn
             or self.rate_limits
             or self.leaving
         )
--- a/catkinfork/balancing/_crashes.py
+++ b/catkinfork/balancing/_crashes.py
@@ -2,9 +2,14 @@
 
 from math import inf
 
-from catkinfork.balancing._events import CRASH_RECORDED, REQUEST_BLOCKED
+from catkinfork.balancing._events import (
+    CRASH_RECORDED,
+    CRASH_WITHDRAWN,
+    REQUEST_BLOCKED,
+)
 from catkinfork.balancing._hashes import hash_name
 from catkinfork.balancing._jobs import SUSPECT, Refusal
+from catkinfork.balancing._survivors import SurvivorTable
 from catkinfork.balancing._suspect_parts import PartCrash, SuspectPartTable
 from catkinfork.balancing._suspects import SuspectTable
 from catkinfork.observability import log_event
@@ -29,6 +34,7 @@
         self.write_log = write_log
         self.suspects = SuspectTable()
         self.parts = SuspectPartTable(rng, write_log)
+        self.survivors = SurvivorTable()
 
     def check(self, job, now):
         """Return a refusal if a request would crash the backend server that runs it.
@@ -115,6 +121,8 @@
         """Count an attempt whose connection was lost."""
         job = placement.job
         n_crashes = self.suspects.record_crash(job.fingerprint, now)
+        server = hash_start(placement.backend)
+        self.survivors.record_crash(server, now, job.fingerprint)
         self.changes.suspects[job.fingerprint] = n_crashes
         first_event_at = placement.first_event_at
         if first_event_at is None or now - first_event_at < MAX_CRASH_ONSET_S:
@@ -133,21 +141,51 @@
 
     def record_part_crashes(self, placement, now):
         """Count a crash against the shared parts of a request."""
-        entry = placement.backend.entry
-        # A backend server may start again under its name.
-        crashed = hash_name(f"{entry.name}/{entry.started_ms}")
+        server = hash_start(placement.backend)
         for part in placement.job.shared_parts:
-            crash = PartCrash(part, crashed)
+            crash = PartCrash(part, server)
             self.parts.record_crash(crash, now, placement.placed_at)
             self.changes.part_crashes[crash] = now
 
+    def record_event(self, placement, now):
+        """Withdraw crashes that an event of another request disproves.
+
+        They count until then, so that those of a request that crashes each server are
+        not counted late.
+        """
+        if not self.survivors.may_prove(placement):
+            return
+        server = hash_start(placement.backend)
+        if self.survivors.is_proof(server, placement, now):
+            self.write_log(
+                log_event(CRASH_WITHDRAWN, backend_server=placement.backend.name)
+            )
+            self.changes.survivors[server] = now
+            self.record_survivor(server, now)
+
+    def record_survivor(self, server, survived_at):
+        """Withdraw the crashes of a backend server that has survived.
+
+        :param server: hash of its name and start.
+        :param survived_at: monotonic time until which it has, seconds.
+        """
+        self.parts.remove_crashes(server, survived_at)
+        for fingerprint in self.survivors.record_survivor(server, survived_at):
+            n_crashes = self.suspects.withdraw_crash(fingerprint)
+            self.changes.withdrawn[fingerprint] = n_crashes
+
     def record_peer_part_crash(self, crash, crashed_at, placed_at):
-        """Count a crash that a peer has seen; tell it if the part is cleared.
+        """Count a crash that a peer has seen; tell it if it is known to be none.
 
         :param crash: :class:`PartCrash`.
         :param crashed_at: monotonic time of the crash, seconds.
         :param placed_at: monotonic time at which the lost request was placed, seconds.
         """
+        if self.survivors.has_survived(crash.backend, crashed_at):
+            survived_at = self.survivors.survived_at[crash.backend]
+            self.changes.survivors[crash.backend] = survived_at
+            return
+        self.survivors.record_crash(crash.backend, crashed_at)
         if not self.parts.record_crash(crash, crashed_at, placed_at):
             self.changes.served_parts[crash.part] = self.parts.served[crash.part]
 
@@ -158,3 +196,8 @@
         """
         self.changes.part_crashes.update(self.parts.list_crashes_to_repeat(now))
         self.changes.part_probes.update(self.parts.list_probes_to_repeat(now))
+
+
+def hash_start(backend):
+    """Return the hash of a backend server, which may start again under its name."""
+    return hash_name(f"{backend.name}/{backend.entry.started_ms}")
--- a/catkinfork/balancing/_events.py
+++ b/catkinfork/balancing/_events.py
@@ -49,4 +49,19 @@
     ("part", "is_refused", "n_crashes", "was_served"),
 )
 
-EVENTS = (BACKEND_LEFT_OUT, REQUEST_BLOCKED, CRASH_RECORDED, PART_REFUSED)
+CRASH_WITHDRAWN = Event(
+    904,
+    "info",
+    "crash_withdrawn",
+    "a backend server goes on answering on a connection that is older than the lost "
+    "ones, which therefore count as no crash",
+    ("backend_server",),
+)
+
+EVENTS = (
+    BACKEND_LEFT_OUT,
+    REQUEST_BLOCKED,
+    CRASH_RECORDED,
+    PART_REFUSED,
+    CRASH_WITHDRAWN,
+)
--- a/catkinfork/balancing/_jobs.py
+++ b/catkinfork/balancing/_jobs.py
@@ -111,10 +111,14 @@
     :param backend: :class:`Backend`.
     :param n_missing_tokens: uncached prompt tokens that the engine has to process.
     :param placed_at: monotonic time of the placement, seconds.
+
+    ``connected_at`` is the monotonic time at which its connection was opened, and
+    ``survived_at`` that of its first event that a lost server would not send, or None.
     """
 
     __slots__ = (
         "backend",
+        "connected_at",
         "cost",
         "first_event_at",
         "has_cleared_parts",
@@ -125,6 +129,7 @@
         "n_missing_tokens",
         "peer_state_age_s",
         "placed_at",
+        "survived_at",
     )
 
     def __init__(self, job, backend, n_missing_tokens, placed_at):
@@ -132,6 +137,8 @@
         self.backend = backend
         self.n_missing_tokens = n_missing_tokens
         self.placed_at = placed_at
+        self.connected_at = None
+        self.survived_at = None
         self.first_event_at = None
         self.has_first_event = False
         self.has_cleared_parts = False
--- a/catkinfork/balancing/_suspect_parts.py
+++ b/catkinfork/balancing/_suspect_parts.py
@@ -171,6 +171,19 @@
             self.is_outdated = True
         return True
 
+    def remove_crashes(self, backend, survived_at):
+        """Remove the crashes of a backend server that has survived.
+
+        :param backend: its hash.
+        :param survived_at: monotonic time until which it has, seconds.
+        """
+        for part, suspect in list(self.suspects.items()):
+            if suspect.crashed_at.get(backend, inf) < survived_at:
+                suspect.remove_crash(backend)
+                self.is_outdated = True
+                if not suspect.crashed_at:
+                    del self.suspects[part]
+
     def find_placed_at(self, crash):
         """Return when the latest request with a part was placed before a crash.
 
--- a/catkinfork/balancing/_suspects.py
+++ b/catkinfork/balancing/_suspects.py
@@ -48,6 +48,23 @@
             return
         self.find_or_add(fingerprint, now).peers[peer] = n_crashes
 
+    def withdraw_crash(self, fingerprint):
+        """Remove a lost attempt that was no crash.
+
+        :returns: crashes of this fingerprint that this forwarder has seen.
+        """
+        suspect = self.suspects.get(fingerprint)
+        if suspect is None:
+            return 0
+        suspect.n_own_crashes = max(0, suspect.n_own_crashes - 1)
+        return suspect.n_own_crashes
+
+    def replace_peer_crashes(self, peer, fingerprint, n_crashes):
+        """Set the lower crash count of a peer that has withdrawn some."""
+        suspect = self.suspects.get(fingerprint)
+        if suspect is not None and peer in suspect.peers:
+            suspect.peers[peer] = n_crashes
+
     def clear(self, fingerprint):
         """Remove a fingerprint whose request has succeeded.
 
--- a/catkinfork/balancing/tests/test_crashes.py
+++ b/catkinfork/balancing/tests/test_crashes.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from catkinfork.balancing import BROKEN, SERVED, SUSPECT, Placement, Refusal
+from catkinfork.balancing import ABANDONED, BROKEN, SERVED, SUSPECT, Placement, Refusal
 from catkinfork.balancing.tests.support import (
     add_backend,
     build_balancer,
@@ -221,3 +221,98 @@
             add_backend(fleet.balancer, f"{name}x")
     assert fleet.serve(SHARED, 0xD)
     assert fleet.serve(SHARED, 0xE)
+
+
+class ResetFleet(Fleet):
+    """A fleet that loses connections, whose servers go on answering on others."""
+
+    def __init__(self):
+        super().__init__()
+        self.lost_names = set()
+
+    def submit_elsewhere(self, *names, **options):
+        """Submit a request that gets a server which has lost no connection yet."""
+        placements = [self.submit(*names, **options) for _ in range(5)]
+        chosen = next(
+            one for one in placements if one.backend.name not in self.lost_names
+        )
+        self.lost_names.add(chosen.backend.name)
+        for one in placements:
+            if one is not chosen:
+                self.balancer.handle_attempt_end(one, ABANDONED, self.now)
+        return chosen
+
+    def reset(self, answering, **options):
+        """Lose the connection of a request that runs beside another one.
+
+        :param answering: whether the other one, at the same server, goes on.
+        """
+        lost = self.submit_elsewhere(SHARED, 0xB, **options)
+        others = [self.submit(0xD0, 0xD1) for _ in range(20)]
+        for one in (lost, *others):
+            one.connected_at = self.now
+        self.now += 0.1
+        beside = [one for one in others if one.backend is lost.backend]
+        assert beside
+        self.balancer.handle_attempt_end(lost, BROKEN, self.now)
+        if answering:
+            for _ in range(10):
+                self.now += 0.1
+                for one in beside:
+                    self.balancer.record_event(one, self.now)
+        for one in others:
+            serve(self.balancer, one, self.now)
+
+
+@pytest.mark.parametrize("answering", [True, False])
+def test_connections_lost_at_servers_that_answer_are_no_crashes(answering):
+    """Guards against parts refused for connections that were reset without a crash."""
+    fleet = ResetFleet()
+    for _ in range(3):
+        fleet.reset(answering)
+    assert fleet.serve(SHARED, 0xB) == answering
+
+
+@pytest.mark.parametrize("answering", [True, False])
+def test_lost_connections_do_not_block_a_request_for_good(answering):
+    """Guards against a request that is refused for connections that were reset."""
+    fleet = ResetFleet()
+    for _ in range(3):
+        fleet.reset(answering, fingerprint=77)
+    assert fleet.serve(0xD0, 0xD1, fingerprint=77) == answering
+
+
+def test_events_of_newer_connections_do_not_disprove_a_crash():
+    """Guards against a server that is back under its old entry and clears the crash."""
+    fleet = Fleet()
+    for crashing in [fleet.submit(SHARED, CRASHING) for _ in range(3)]:
+        fleet.balancer.handle_attempt_end(crashing, BROKEN, fleet.now)
+        later = [fleet.submit(0xD0, 0xD1) for _ in range(10)]
+        assert crashing.backend in [one.backend for one in later]
+        for one in later:
+            one.connected_at = fleet.now
+        for _ in range(4):
+            fleet.now += 0.5
+            for one in later:
+                fleet.balancer.record_event(one, fleet.now)
+        for one in later:
+            serve(fleet.balancer, one, fleet.now)
+    assert isinstance(fleet.submit(SHARED, CRASHING), Refusal)
+
+
+def test_events_read_late_do_not_disprove_a_crash():
+    """Guards against a host that stood still and reads what was sent before a crash."""
+    fleet = Fleet()
+    for _ in range(3):
+        crashing = fleet.submit(SHARED, CRASHING)
+        others = [fleet.submit(0xD0, 0xD1) for _ in range(20)]
+        for one in others:
+            one.connected_at = fleet.now
+        fleet.now += 0.1
+        fleet.balancer.handle_attempt_end(crashing, BROKEN, fleet.now)
+        fleet.now += 2.0
+        for _ in range(5):
+            for one in others:
+                fleet.balancer.record_event(one, fleet.now)
+        fleet.crash(crashing, others)
+    assert isinstance(fleet.submit(SHARED, CRASHING), Refusal)
--- a/catkinfork/forwarding/_attempt.py
+++ b/catkinfork/forwarding/_attempt.py
@@ -103,6 +103,7 @@
             exchange.place_anew(now)
             return
         self.connection = connection
+        self.placement.connected_at = connection.opened_at
         self.version = backend.entry.version
         self.is_awaiting_response = True
         exchange.was_sent = True
--- a/catkinfork/forwarding/_backend.py
+++ b/catkinfork/forwarding/_backend.py
@@ -75,6 +75,7 @@
         self.is_reusable = True
         self.n_overhead_bytes = 0
         self.n_sent = 0
+        self.opened_at = self.loop.time()
         self.idle_since = 0.0
         self.idle_timeout_s = None
 
--- a/catkinfork/forwarding/tests/test_streams.py
+++ b/catkinfork/forwarding/tests/test_streams.py
@@ -233,6 +233,22 @@
     run_world(test)
 
 
+def test_reset_beside_a_stream_that_goes_on_is_no_crash():
+    """Guards against prompt parts blamed for a connection that was reset alone."""
+
+    async def test(world):
+        await world.start("engine", in_turn(stream(1, 15, gap_s=0.1), reset))
+        goes_on = asyncio.create_task(world.call("/chat/", headers=PROMPT))
+        await asyncio.sleep(0.2)
+        await world.call("/chat/", headers=PROMPT)
+        assert world.list_events("crash_recorded")
+        assert (await goes_on).is_whole
+        (line,) = world.list_events("crash_withdrawn")
+        assert line["backend_server"] == "engine-0"
+
+    run_world(test)
+
+
 @pytest.mark.parametrize("path", ["/draft/", "/chat/"])
 def test_stream_without_event_or_framing_does_not_look_complete(path):
     """Guards against an empty stream that is relayed as complete.
--- a/catkinfork/peering/_frames.py
+++ b/catkinfork/peering/_frames.py
@@ -111,6 +111,17 @@
     run_ms: Total
 
 
+class SurvivorEntry(NamedTuple):
+    """A backend server that has survived what looked like a crash.
+
+    :param backend: hash of its name and start.
+    :param age_ms: time since the event that proves it, milliseconds.
+    """
+
+    backend: Hash
+    age_ms: Total
+
+
 class PartProbeEntry(NamedTuple):
     """A request with a refused prompt part that was placed to learn if it crashes.
 
@@ -174,6 +185,7 @@
         requests in flight.
     :param peers: IP addresses of forwarders that the sender knows.
     :param stream_questions: keys of streams whose origin the sender asks for.
+    :param withdrawn: crash counts that have become lower, as a server survived.
     """
 
     sender: str
@@ -199,6 +211,8 @@
     stream_questions: list[LongHash] = []
     part_probes: list[PartProbeEntry] = []
     part_runs: list[PartRunEntry] = []
+    survivors: list[SurvivorEntry] = []
+    withdrawn: list[SuspectEntry] = []
 
 
 _ENCODER = msgspec.msgpack.Encoder()
--- a/catkinfork/peering/_state.py
+++ b/catkinfork/peering/_state.py
@@ -1,30 +1,21 @@
 """State exchange between the balancers of the forwarders."""
 
-from math import inf
-
 from catkinfork.balancing import (
     LoadFigures,
-    PartCrash,
     PromptPart,
     hash_name,
-    pop_items,
 )
 from catkinfork.observability import log_event
-from catkinfork.peering._ages import compute_age_ms
 from catkinfork.peering._backend_notices import BackendNotices
+from catkinfork.peering._crash_notices import CrashNotices
 from catkinfork.peering._events import PEER_LOST, PEER_REGAINED
 from catkinfork.peering._frames import (
     MAX_FRAME_BYTES,
     Frame,
     LoadEntry,
-    PartCrashEntry,
     PartEntry,
-    PartProbeEntry,
-    PartRunEntry,
     PriorityEntry,
     RetryEntry,
-    ServedPartEntry,
-    SuspectEntry,
     UsageEntry,
     encode_frame,
 )
@@ -38,9 +29,6 @@
 # Interval at which all totals are sent again, since datagrams may be lost.
 REFRESH_INTERVAL_S = 1.0
 MAX_PARTS_PER_FRAME = 40
-# Crashes of prompt parts, and parts cleared of them, in one frame; the others follow in
-# the next ones.
-MAX_PART_CRASHES_PER_FRAME = 16
 # Usage totals that each full frame repeats, in rotation.
 MAX_REFRESHED_USAGES = 20
 # Time after a peer becomes fresh during which a first total may include counts from
@@ -78,6 +66,7 @@
         self.pools = {}
         self.states = {}
         self.notices = BackendNotices(balancer, self.compute_hash)
+        self.crash_notices = CrashNotices(balancer)
         self.stream_notices = StreamNotices(balancer, self.compute_hash)
 
     def compute_hash(self, name):
@@ -159,39 +148,13 @@
             for name, pool in self.balancer.pools.items()
             if pool.priority is not None and pool.queue.n_jobs
         ]
-        frame.suspects = [SuspectEntry(*pair) for pair in changes.suspects.items()]
-        if is_full:
-            self.balancer.crash_guard.repeat_part_crashes(now)
-        self.fill_part_crashes(frame, now)
+        self.crash_notices.fill(frame, is_full, now)
         self.notices.fill(frame, is_full, now)
         self.stream_notices.fill(frame, now)
         for _, backend, parts in changes.parts[-MAX_PARTS_PER_FRAME:]:
             name = self.compute_hash(backend)
             frame.parts += [PartEntry(name, part, n) for part, n in parts]
 
-    def fill_part_crashes(self, frame, now):
-        """Add crashes of prompt parts, and parts cleared of them, to a frame."""
-        changes = self.balancer.changes
-        parts = self.balancer.crash_guard.parts
-        crashes = pop_items(changes.part_crashes, MAX_PART_CRASHES_PER_FRAME)
-        for crash, crashed_at in crashes:
-            age_ms = compute_age_ms(crashed_at, now)
-            frame.part_crashes.append(PartCrashEntry(*crash, age_ms))
-            placed_at = parts.find_placed_at(crash)
-            if placed_at is not None:
-                run_ms = compute_age_ms(placed_at, crashed_at)
-                frame.part_runs.append(PartRunEntry(*crash, run_ms))
-        served = pop_items(changes.served_parts, MAX_PART_CRASHES_PER_FRAME)
-        frame.served_parts = [
-            ServedPartEntry(part, compute_age_ms(started_at, now))
-            for part, started_at in served
-        ]
-        probes = pop_items(changes.part_probes, MAX_PART_CRASHES_PER_FRAME)
-        frame.part_probes = [
-            PartProbeEntry(part, compute_age_ms(placed_at, now))
-            for part, placed_at in probes
-        ]
-
     def list_next_peers(self):
         """Return the next addresses to tell, in rotation.
 
@@ -266,24 +229,9 @@
         priorities = dict(frame.turns)
         for service, pool in pools.items():
             pool.set_peer_priority(peer.address, priorities.get(service))
-        for fingerprint, n_crashes in frame.suspects:
-            self.balancer.crash_guard.suspects.record_peer_crashes(
-                peer.address, fingerprint, n_crashes, now
-            )
+        self.crash_notices.record(peer, frame, now)
         self.notices.record(peer, frame, now)
         self.stream_notices.record(frame, now)
-        for part, age_ms in frame.served_parts:
-            self.balancer.crash_guard.parts.record_served(part, now - age_ms / 1000)
-        runs = {(part, backend): run_ms for part, backend, run_ms in frame.part_runs}
-        for part, backend, age_ms in frame.part_crashes:
-            crash = PartCrash(part, backend)
-            crashed_at = now - age_ms / 1000
-            placed_at = crashed_at - runs.get(crash, inf) / 1000
-            self.balancer.crash_guard.record_peer_part_crash(
-                crash, crashed_at, placed_at
-            )
-        for part, age_ms in frame.part_probes:
-            self.balancer.crash_guard.parts.record_probe(part, now - age_ms / 1000)
         return bool(frame.loads)
 
     def index(self):
--- a/catkinfork/peering/tests/crashing_fleet.py
+++ b/catkinfork/peering/tests/crashing_fleet.py
@@ -152,6 +152,10 @@
             return
         if CRASHING in job.shared_parts:
             self.sent.append(self.now)
+        # On a connection that may have served others since the server started.
+        idle_s = self.rng.uniform(0.0, 2.0)
+        started_at = self.started_ms.get(decision.backend.name, 0) / 1000
+        decision.connected_at = max(started_at, self.now - idle_s)
         self.running.append(Attempt(node, decision, self.now))
 
     def end(self, node, placement, outcome):
--- a/catkinfork/peering/tests/test_exchange.py
+++ b/catkinfork/peering/tests/test_exchange.py
@@ -190,3 +190,27 @@
     assert len(late.balancer.registry.list_ready("s")) == 2
     run(nodes, now, now + 1.2)
     assert len(late.balancer.registry.list_ready("s")) == 1
+
+
+def test_crashes_that_were_none_are_withdrawn_at_the_peers():
+    """Guards against resets that all forwarders but the one that knows count."""
+    nodes = build_nodes()
+    now = run(nodes, 0.0, 3.0)
+    first, second, _ = nodes.values()
+    for number in range(3):
+        job = build_job(now, parts=[(0xF, 100), (number, 100)], fingerprint=9)
+        lost = first.balancer.submit(job, now)
+        beside = second.balancer.submit(build_job(now), now)
+        # The forwarder that knows is not the one that lost the connection.
+        beside.backend = second.balancer.registry.backends[lost.backend.name]
+        beside.connected_at = now
+        now = run(nodes, now, now + 0.3)
+        first.balancer.handle_attempt_end(lost, BROKEN, now)
+        now = run(nodes, now, now + 0.6)
+        second.balancer.record_event(beside, now)
+        now = run(nodes, now, now + 0.3)
+        second.balancer.record_event(beside, now)
+        now = run(nodes, now, now + 0.3)
+    for node in nodes.values():
+        assert not node.balancer.crash_guard.parts.suspects
+        assert not node.balancer.crash_guard.suspects.is_blocked(9, now)
--- a/catkinfork/peering/tests/test_odd_frames.py
+++ b/catkinfork/peering/tests/test_odd_frames.py
@@ -42,6 +42,8 @@
     "rate_limits": [7, 1000, 2.5, 40],
     "part_probes": [2**64 - 1, 40],
     "part_runs": [2**64 - 1, 7, 40],
+    "survivors": [7, 40],
+    "withdrawn": [2**64 - 1, 2],
 }
 ODD_VALUES = [None, True, "1", b"1", [], -1, -(2**63), 0.5, -0.5, math.nan, -math.inf]
 # Values that are right in some fields only.
@@ -231,6 +233,8 @@
         "rate_limits": [[hashes[0], 2**63 - 1, 1e300, top]],
         "part_probes": [[5, top]],
         "part_runs": [[5, 7, top]],
+        "survivors": [[7, top]],
+        "withdrawn": [[3, top]],
         "peers": [],
     }
     node.exchange.handle_frame(decode_frame(encode(values)), now)
