--- a/catkinfork/balancing/_suspect_parts.py
+++ b/catkinfork/balancing/_suspect_parts.py
@@ -21,8 +21,9 @@
 # Crashed backend servers after which a part that was never served is refused.
 MAX_CRASHES = 3
 # The same for a part that has been served before. It is more likely to have been lost
-# with others.
-MAX_CRASHES_SERVED = 5
+# with others. One less than the crashes that callers accept, as those of requests that
+# run at the same time count once.
+MAX_CRASHES_SERVED = 4
 # Time between two crashes that count against a part, seconds, unless a request was
 # placed between them. Servers that end together have another cause: a request ends the
 # one that runs it, and the next one when it is sent there.
@@ -170,6 +171,19 @@
             self.is_outdated = True
         return True
 
+    def remove_crashes(self, backend, survived_at):
+        """Remove the crashes of a backend server that has survived.
+
+        :param backend: its hash.
+        :param survived_at: monotonic time until which it has, seconds.
+        """
+        for part, suspect in list(self.suspects.items()):
+            if suspect.crashed_at.get(backend, inf) < survived_at:
+                suspect.remove_crash(backend)
+                self.is_outdated = True
+                if not suspect.crashed_at:
+                    del self.suspects[part]
+
     def find_placed_at(self, crash):
         """Return when the latest request with a part was placed before a crash.
 
--- a/catkinfork/balancing/_suspects.py
+++ b/catkinfork/balancing/_suspects.py
@@ -80,7 +80,8 @@
     :param rng: ``random.Random``.
 
     ``own_source`` is the source of the crashes that this forwarder sees, and
-    ``cleared_at`` has the monotonic times at which fingerprints were cleared.
+    ``cleared_at`` has the monotonic times at which fingerprints were cleared, and
+    ``withdrawn`` the fingerprints of which it has withdrawn crashes.
     """
 
     def __init__(self, rng):
@@ -88,16 +89,17 @@
         self.own_source = 0
         self.suspects = {}
         self.cleared_at = RecentTable(MAX_SUSPECTS)
+        self.withdrawn = RecentTable(MAX_SUSPECTS)
 
     def record_crash(self, fingerprint, now):
         """Record an attempt whose connection was lost.
 
         :returns: crashes of this fingerprint that this forwarder has seen.
         """
-        suspect = self.find(fingerprint, now)
-        known = 0 if suspect is None else suspect.counts.get(self.own_source, 0)
-        self.set_count(fingerprint, self.own_source, known + 1, now, now)
-        return known + 1
+        self.find(fingerprint, now)
+        n_crashes = self.count_own(fingerprint) + 1
+        self.set_count(fingerprint, self.own_source, n_crashes, now, now)
+        return n_crashes
 
     def record_peer_crashes(self, source, fingerprint, n_crashes, now):
         """Set the crash count of a peer; 0 if the request has succeeded there."""
@@ -144,6 +146,39 @@
         interval_s = PROBE_INTERVAL_S * 2**n_doublings
         suspect.probe_at = since + interval_s * (1.0 + self.rng.random())
 
+    def withdraw_crash(self, fingerprint):
+        """Remove a lost attempt that was no crash.
+
+        :returns: crashes of this fingerprint that this forwarder has seen.
+        """
+        self.withdrawn[fingerprint] = True
+        n_crashes = max(0, self.count_own(fingerprint) - 1)
+        self.replace_count(self.own_source, fingerprint, n_crashes)
+        return n_crashes
+
+    def count_own(self, fingerprint):
+        """Return the crashes of a fingerprint that this forwarder has seen."""
+        suspect = self.suspects.get(fingerprint)
+        return 0 if suspect is None else suspect.counts.get(self.own_source, 0)
+
+    def replace_count(self, source, fingerprint, n_crashes):
+        """Set the lower count of a source that has withdrawn some."""
+        suspect = self.suspects.get(fingerprint)
+        if suspect is None or source not in suspect.counts:
+            return
+        suspect.counts[source] = n_crashes
+        if not suspect.n_crashes:
+            del self.suspects[fingerprint]
+
+    def is_outdated(self, count):
+        """Return whether a peer repeats crashes that this forwarder has withdrawn.
+
+        :param count: :class:`CrashCount`.
+        """
+        if count.source != self.own_source or count.fingerprint not in self.withdrawn:
+            return False
+        return count.n_crashes > self.count_own(count.fingerprint)
+
     def clear(self, fingerprint, now):
         """Remove a fingerprint whose request has succeeded.
 
--- a/catkinfork/balancing/tests/test_suspects.py
+++ b/catkinfork/balancing/tests/test_suspects.py
@@ -149,3 +149,18 @@
         balancer.crash_guard.suspects.record_crash(7, 0.0)
     decision = balancer.submit(build_job(500.0, fingerprint=7), 500.0)
     assert isinstance(decision, Refusal)
+
+
+def test_withdrawn_crashes_that_a_peer_repeats_are_outdated():
+    """Guards against a request that is refused for crashes that were none.
+
+    A peer has missed the withdrawal and repeats the count of before.
+    """
+    table = build_table(3)
+    repeated = CrashCount(7, OWN, 3, 0.0, 0.0)
+    assert not table.is_outdated(repeated)
+    assert table.withdraw_crash(7) == 2
+    assert table.is_outdated(repeated)
+    assert not table.is_outdated(repeated._replace(n_crashes=2))
+    assert not table.is_outdated(repeated._replace(source=OWN + 1))
+    assert not table.is_blocked(7, 0.0)
