forwarding: the end of a response does not pause a connection of the pool

What callers saw: no answer until the deadline for a request that had run. It went to a backend server on the connection of a response that had just ended, whose caller read slowly.

A connection is read again and goes back to the pool before the end of its response is handled. A response of up to 64 KiB is written to the caller only then, as a whole. If it filled the caller's buffers, the connection was paused after its release, as the attempt still referred to it.

Evidence: the new test failed before: no answer within 1 s to the request that reused the connection.

The attempt gives up its connection once the response has ended.

Measured: test_paused_connections, test_attempts, test_internal_errors, test_connections, test_pipelining and test_pool of forwarding pass, on arm64.

--- a/catkinfork/forwarding/_attempt.py
+++ b/catkinfork/forwarding/_attempt.py
@@ -169,6 +169,9 @@
 
     def on_end(self):
         self.is_awaiting_response = False
+        # It may be in the pool again. The end of the response may fill the buffers of
+        # the caller, which pauses the connection of the attempt.
+        self.connection = None
         self.run(self.exchange.handle_end)
 
     def on_error(self, detail):
--- a/catkinfork/forwarding/tests/test_paused_connections.py
+++ b/catkinfork/forwarding/tests/test_paused_connections.py
@@ -67,6 +67,31 @@
     run_world(test, limits=PATIENT)
 
 
+def test_request_after_a_buffered_response_to_a_slow_reader_is_answered():
+    """Guards against a pause of a connection that has gone back to its pool.
+
+    The response is sent as a whole once it has ended, and fills the caller's buffers.
+    """
+
+    async def test(world):
+        (backend,) = await world.start("plain", answer_in_pieces(1))
+        caller, connection = await connect_slow_reader(world)
+        for _ in range(2):
+            await caller.send("/order/")
+        await anyio.sleep(0.5)
+        assert connection.is_paused
+        assert not world.server.exchanges
+        backend.script = answer(body=b"next")
+        with anyio.fail_after(1.0):
+            reply = await world.call("/order/")
+        assert (reply.status, reply.body) == (200, b"next")
+        assert backend.n_connections == 1
+        caller.writer.transport.resume_reading()
+        assert [(await caller.read()).body for _ in range(2)] == 2 * [PIECE]
+
+    run_world(test, limits=PATIENT)
+
+
 def test_response_to_a_slow_reader_that_leaves_is_read_to_its_end():
     """Guards against a backend server that cannot send the rest of its response."""
 
