forwarding: bytes of requests ahead do not count for the next head

What callers saw: 431 and a closed connection for a sound request that was sent behind another one on the same connection.

Cause: the limit of a head that is not complete yet counts what was read since it began. It was counted in whole reads, so that the end of the body ahead counted as well if a part of the next head arrived in the same read.

--- a/catkinfork/forwarding/_caller.py
+++ b/catkinfork/forwarding/_caller.py
@@ -54,6 +54,7 @@
         self.body_parts = []
         self.n_body_bytes = 0
         self.n_head_bytes = 0
+        self.n_begun = 0
         self.is_reading_head = False
         self.is_reading_body = False
         self.awaits_continue = False
@@ -109,6 +110,8 @@
         self.last_active_at = self.loop.time()
         if self.is_discarding:
             return
+        # Number of requests of which the data may be a part.
+        self.n_begun = int(self.is_reading_head or self.is_reading_body)
         try:
             self.parser.feed_data(data)
         except httptools.HttpParserUpgrade:
@@ -118,7 +121,8 @@
         except httptools.HttpParserError:
             self.reject(400, "malformed_request")
         else:
-            if self.is_reading_head:
+            # Data that ends another request as well is not of one head alone.
+            if self.is_reading_head and self.n_begun == 1:
                 self.check_head_bytes(len(data))
 
     def check_head_bytes(self, n_bytes):
@@ -142,6 +146,7 @@
         self.body_parts = []
         self.n_body_bytes = 0
         self.n_head_bytes = 0
+        self.n_begun += 1
         self.is_reading_head = True
         self.is_reading_body = False
         self.awaits_continue = False
--- a/catkinfork/forwarding/tests/test_pipelining.py
+++ b/catkinfork/forwarding/tests/test_pipelining.py
@@ -7,6 +7,7 @@
 from catkinfork.forwarding._caller import MAX_PIPELINED
 from catkinfork.forwarding.tests.scripted import SEAL, answer, in_turn, stream
 from catkinfork.forwarding.tests.world import PROMPT, collect_errors, run_world
+from catkinfork.topology import CallerLimits
 
 
 @pytest.mark.parametrize("is_draining", [True, False])
@@ -72,6 +73,29 @@
     run_world(test)
 
 
+@pytest.mark.parametrize("n_ahead", [1, 2])
+def test_request_whose_head_begins_behind_a_large_body_is_served(n_ahead):
+    """Guards against bytes of requests ahead that count for the head of the next one.
+
+    The end of a body and a part of the next head arrive in the same read.
+    """
+
+    async def test(world):
+        (backend,) = await world.start("plain", answer())
+        caller = await world.connect()
+        head = b"POST /order/ HTTP/1.1\r\nHost: site.example\r\nX-Request-Id: r\r\n"
+        head += b"Authorization: Bearer key-of-a\r\nContent-Length: %d\r\n\r\n"
+        data = n_ahead * (head % 5_000 + b"x" * 5_000) + head % 0
+        await caller.send_raw(data[:-8])
+        await anyio.sleep(0.1)
+        await caller.send_raw(data[-8:])
+        replies = [await caller.read() for _ in range(n_ahead + 1)]
+        assert [reply.status for reply in replies] == (n_ahead + 1) * [200]
+        assert len(backend.requests) == n_ahead + 1
+
+    run_world(test, limits=CallerLimits(4096, 10_000, 10.0, 10.0, 100.0))
+
+
 def test_requests_ahead_of_one_too_many_are_answered():
     """Guards against whole requests that are dropped with the one beyond the limit."""
 
