soak: a dropped request is not excused as one that crossed a close

Causes: the excuse held whenever a connection ended within loss_slack_ms, though callers of the soak are never idle for long, so that only a host that stops closes a connection without saying so. The second of two pipelined requests counted as sent when the response to the first had arrived, and a close that was announced by then excused it for any time, which the rule does not.

The excuse now needs a stop of the process that took the request, or a close that the response before it announced, and the time is that of the sending in both cases. The case with after_close alone in test_request_that_the_rules_excuse_is_not_lost required what the rule does not excuse; it now has the time of the close as well, and the case without a stop is one that has to be reported.

--- a/catkinfork/platform/tests/soak/checks.py
+++ b/catkinfork/platform/tests/soak/checks.py
@@ -150,9 +150,10 @@
         request.ended_at,
     )
     excuses = {
+        # No caller is idle for long, so only a stop closes without saying so.
         "it crossed the close and was not passed on": not runs
-        and request.ended_at - request.sent_at <= LOSS_SLACK_S,
-        "the response before it announced the close": not runs and request.after_close,
+        and request.ended_at - request.sent_at <= LOSS_SLACK_S
+        and (request.after_close or is_beside_stop(facts, request)),
         "the server broke off": any(run.outcome == r.CRASHED for run in runs),
         "its deadline was reached": request.ended_at
         >= request.deadline_at - DEADLINE_SLACK_S,
@@ -169,6 +170,23 @@
     return next((text for text, holds in excuses.items() if holds), "")
 
 
+def is_beside_stop(facts, request):
+    """Return whether the process that took a request had been asked to stop."""
+    return any(
+        span.target == request.host
+        and span.began_at <= request.ended_at
+        and request.began_at <= find_end(facts, span)
+        for span in facts.spans[r.STOP]
+    )
+
+
+def find_end(facts, stop):
+    """Return when the process that was asked to stop had ended at the latest."""
+    exits = [one for one in facts.records.exits if one.host == stop.target]
+    ends = [one.ended_at for one in exits if one.ended_at >= stop.began_at]
+    return min([*ends, stop.began_at + GRACE_S + AFTER_GRACE_S])
+
+
 def outlasts_grace(stop, request, runs):
     """Return whether a stop may cut a request.
 
--- a/catkinfork/platform/tests/soak/connections.py
+++ b/catkinfork/platform/tests/soak/connections.py
@@ -181,15 +181,15 @@
     async def pipeline(self, calls):
         """Send requests in one piece and read their responses in order."""
         began_at = self.records.now()
-        n_sent = 0
+        sent_at = None
         for call in calls:
             self.writer.write(call.build_head() + call.body)
         with suppress(ConnectionError):
             await self.writer.drain()
-            n_sent = len(calls)
+            sent_at = self.records.now()
         for call in calls:
             progress = Progress(began_at)
-            progress.sent_at = self.records.now() if n_sent else None
+            progress.sent_at = sent_at
             request = await self.receive(call, progress, self.read_plain)
             if request.ending != COMPLETE:
                 break
--- a/catkinfork/platform/tests/soak/test_checks.py
+++ b/catkinfork/platform/tests/soak/test_checks.py
@@ -85,8 +85,7 @@
 @pytest.mark.parametrize(
     ("request_options", "run_options"),
     [
-        ({"ended_at": 10.1}, None),
-        ({"after_close": True}, None),
+        ({"ended_at": 10.1, "after_close": True}, None),
         ({"sent_at": None}, {}),
         ({"ended_at": 12.9}, {}),
         ({}, {"outcome": r.CRASHED}),
@@ -100,6 +99,40 @@
     assert list_rules([make_request(**request_options)], runs) == []
 
 
+@pytest.mark.parametrize("options", [{"ended_at": 10.1}, {"after_close": True}])
+def test_request_that_crosses_no_close_is_lost(options):
+    """Guards against a host that drops requests at any time before it reads them.
+
+    Only one that stops closes a connection without saying so, and callers learn soon
+    that a connection closes.
+    """
+    assert list_rules([make_request(**options)]) == ["LOST"]
+
+
+@pytest.mark.parametrize(
+    ("target", "began_at", "is_excuse"),
+    [
+        ("host-1", 9.0, True),
+        ("host-1", 9.9 - GRACE_S - 1.1, False),
+        ("host-1", 10.2, False),
+        ("host-2", 9.0, False),
+    ],
+)
+def test_request_crosses_the_close_of_a_host_that_stops(target, began_at, is_excuse):
+    """Guards against stops of others, and of other times, as excuses."""
+    spans = [Span(r.STOP, target, began_at, began_at)]
+    rules = list_rules([make_request(ended_at=10.1)], (), spans)
+    assert rules == ([] if is_excuse else ["LOST"])
+
+
+def test_request_does_not_cross_the_close_of_the_process_before():
+    """Guards against a stop as an excuse for the process that follows."""
+    spans = [Span(r.STOP, "host-1", 8.0, 8.0)]
+    exits = [Exit("host-1", 1.0, 9.0, 0, (Signal(8.0, "SIGTERM"),))]
+    rules = list_rules([make_request(ended_at=10.1)], (), spans, exits)
+    assert rules == ["LOST"]
+
+
 @pytest.mark.parametrize(
     ("kind", "target", "is_excuse"),
     [
