--- a/catkinfork/forwarding/_events.py
+++ b/catkinfork/forwarding/_events.py
@@ -120,6 +120,13 @@
     "the process has asked its peers for what they were told before it started",
     ("n_answers", "n_asked", "waited_s", "known_s", "n_streams"),
 )
+ABANDONED_ATTEMPT_ENDED = Event(
+    1012,
+    "info",
+    "abandoned_attempt_ended",
+    "a backend server has ended a request for whose response nobody waited any more",
+    ("request_id", "backend_server", "outcome", "attempt_s"),
+)
 
 EVENTS = (
     REQUEST_FINISHED,
@@ -134,4 +141,5 @@
     CALLBACK_FAILED,
     LOOP_LAG_CHANGED,
     FORWARDER_JOINED,
+    ABANDONED_ATTEMPT_ENDED,
 )
--- a/catkinfork/forwarding/_resumption.py
+++ b/catkinfork/forwarding/_resumption.py
@@ -161,17 +161,16 @@
         :returns: whether it was decided.
         """
         job = self.exchange.job
-        finding = self.server.balancer.origins.find(
-            job.route, self.key, read_stated_s(self.exchange), self.asked_at, now
-        )
+        stated_s = read_stated_s(self.exchange)
+        origins = self.server.balancer.origins
+        finding = origins.find(job.route, self.key, stated_s, self.asked_at, now)
         if finding.source == UNKNOWN and self.awaited == ENGINES:
             caches = self.list_caches(now)
             if caches is None:
                 self.request_caches(now)
                 return False
-            finding = self.server.balancer.origins.find_by_caches(
-                job, self.count_events(), caches
-            )
+            since = origins.compute_begin(job.route, stated_s, self.asked_at)
+            finding = origins.find_by_caches(job, self.count_events(), caches, since)
         self.source = finding.source
         if self.must_wait(finding):
             return False
