Count the deadline of a caller from the head of its request

Callers that sent a body slowly had their answer after their deadline.

Cause: the time that a caller allows counted from the end of the body, or, for a pipelined request, from the response ahead. It now counts from the head; the timeout of the route still counts from the moment at which the request can be passed on.

--- a/catkinfork/forwarding/_requests.py
+++ b/catkinfork/forwarding/_requests.py
@@ -32,7 +32,7 @@
     request_id = request.find_header(names.request_id)
     if not request_id or len(request_id) > MAX_REQUEST_ID_BYTES:
         raise BadRequestError(400, "request_id_missing")
-    deadline_at = now + parse_timeout_s(request, names, route)
+    deadline_at = compute_deadline(request, names, route, now)
     service = choose_target(route, draw)
     job = Job(request_id.decode("latin-1"), route, service, workspace, now, deadline_at)
     job.fingerprint = compute_fingerprint(workspace, request)
@@ -74,15 +74,18 @@
     return workspace
 
 
-def parse_timeout_s(request, names, route):
-    """Return the time left for a request, seconds.
+def compute_deadline(request, names, route, now):
+    """Return the monotonic time until which a request may be served, seconds.
 
-    This is the time that the caller allows, at most the timeout of the route.
+    A caller counts the time that it allows from its first byte: its body may be slow,
+    or wait behind other requests of the connection. The timeout of the route counts
+    from the moment at which the request can be passed on.
     """
+    deadline_at = now + route.timeout_s
     timeout_ms = parse_number(request.find_header(names.deadline_ms) or b"")
     if timeout_ms is None:
-        return route.timeout_s
-    return min(route.timeout_s, timeout_ms / 1000.0)
+        return deadline_at
+    return min(deadline_at, request.received_at + timeout_ms / 1000.0)
 
 
 def parse_prompt_headers(job, request, names):
--- a/catkinfork/forwarding/tests/test_requests.py
+++ b/catkinfork/forwarding/tests/test_requests.py
@@ -230,6 +230,25 @@
     run_world(test)
 
 
+def test_deadline_counts_from_the_head_of_a_slow_request():
+    """Guards against an answer after the deadline of a caller that sends slowly."""
+
+    async def test(world):
+        (backend,) = await world.start("plain", answer(delay_s=0.5))
+        caller = await world.connect()
+        started_at = world.loop.time()
+        headers = ["X-Deadline-Ms: 600", "Content-Length: 4"]
+        await caller.send("/order/", body=b"", headers=headers)
+        await anyio.sleep(0.3)
+        await caller.send_raw(b"body")
+        reply = await caller.read()
+        assert reply.status == 504
+        assert world.loop.time() - started_at < 0.75
+        assert int(backend.requests[0].headers["x-deadline-ms"]) <= 300
+
+    run_world(test)
+
+
 def test_deadline_is_forwarded():
     """Guards against a backend server that works past the deadline of the caller."""
 
