Let the last forwarder to be stopped wait for one that has started

What callers saw: after a planned restart of all hosts in turn, streams were refused at hosts in touch (LOST), or went on at another version of the backend server with a 200 (ORDER), if hosts start slowly.

Cause: a forwarder that is stopped exits once it has answered its requests. If all of them are stopped before the first is back, nobody has the origins of the streams.

The tests of frames check the new field as the others.

--- a/catkinfork/forwarder/_drain.py
+++ b/catkinfork/forwarder/_drain.py
@@ -1,5 +1,7 @@
 """Graceful shutdown of a forwarder."""
 
+import time
+
 import anyio
 
 from catkinfork.balancing import StopPlan
@@ -42,7 +44,7 @@
     accept_s = min(ACCEPT_PERIOD_S, 0.4 * grace_s)
     server.is_draining = True
     server.balancer.begin_stop(StopPlan(started_at + accept_s, ends_at))
-    process.peer_exchange.is_leaving = True
+    handover = process.peer_exchange.begin_leaving(int(time.time() * 1000))
     process.log.write(
         log_event(
             DRAIN_STARTED,
@@ -58,13 +60,9 @@
             await anyio.sleep(0)
     server.close_listener()
     server.balancer.streams.tell_again(anyio.current_time())
-    while anyio.current_time() < ends_at:
-        # Connections that were just accepted are not known before.
-        await anyio.sleep(POLL_INTERVAL_S)
-        server.close_idle_callers()
-        if not server.has_requests():
-            break
+    await finish_requests(server, ends_at)
     n_requests_left = len(server.exchanges)
+    handover_s = await wait_for_successor(handover, ends_at)
     server.end_requests()
     await flush(server, started_at + grace_s - EXIT_MARGIN_S)
     process.log.write(
@@ -72,10 +70,40 @@
             FORWARDER_STOPPED,
             n_requests_left=n_requests_left,
             waited_s=round(anyio.current_time() - started_at, 3),
+            handover_s=round(handover_s, 3),
         )
     )
 
 
+async def finish_requests(server, ends_at):
+    """Wait until all requests are answered, or the time is over.
+
+    :param server: :class:`ForwardingServer`.
+    :param ends_at: monotonic time up to which to wait, seconds.
+    """
+    while anyio.current_time() < ends_at:
+        # Connections that were just accepted are not known before.
+        await anyio.sleep(POLL_INTERVAL_S)
+        server.close_idle_callers()
+        if not server.has_requests():
+            return
+
+
+async def wait_for_successor(handover, ends_at):
+    """Wait until another forwarder has what this one knows, or the time is over.
+
+    :param handover: :class:`HandoverPlan`.
+    :param ends_at: monotonic time up to which to wait, seconds.
+    :returns: time waited, seconds.
+    """
+    started_at = anyio.current_time()
+    while anyio.current_time() < ends_at:
+        if not handover.must_stay(anyio.current_time()):
+            break
+        await anyio.sleep(POLL_INTERVAL_S)
+    return anyio.current_time() - started_at
+
+
 async def flush(server, ends_at):
     """Wait until the callers have the last responses: an exit would cut them.
 
--- a/catkinfork/forwarder/tests/test_planned_stop.py
+++ b/catkinfork/forwarder/tests/test_planned_stop.py
@@ -10,6 +10,7 @@
 from catkinfork.forwarder._drain import drain
 from catkinfork.forwarding.tests.scripted import answer, in_turn, silence, stream
 from catkinfork.forwarding.tests.world import KEY, PROMPT, Caller, run_world
+from catkinfork.peering import HandoverPlan, PeerDirectory
 from catkinfork.topology import CallerLimits
 
 GRACE_S = 2.0
@@ -21,13 +22,19 @@
 )
 
 
+def begin_leaving(leaving_since):
+    """Return the plan of a forwarder that has no peers."""
+    directory = PeerDirectory("10.0.0.1", [], 0.0)
+    return HandoverPlan(directory, leaving_since)
+
+
 async def stop(world, grace_s=GRACE_S):
     """Drain the server of a world as a process does on SIGTERM."""
     forwarder = SimpleNamespace(grace_s=grace_s)
     process = SimpleNamespace(
         server=world.server,
         settings=SimpleNamespace(forwarder=forwarder),
-        peer_exchange=SimpleNamespace(is_leaving=False),
+        peer_exchange=SimpleNamespace(begin_leaving=begin_leaving),
         log=SimpleNamespace(write=world.events.append),
     )
     await drain(process)
--- a/catkinfork/forwarding/_events.py
+++ b/catkinfork/forwarding/_events.py
@@ -69,7 +69,7 @@
     "info",
     "forwarder_stopped",
     "the drain has ended and the process exits",
-    ("n_requests_left", "waited_s"),
+    ("n_requests_left", "waited_s", "handover_s"),
 )
 FORWARDER_STARTED = Event(
     1005,
--- a/catkinfork/peering/_frames.py
+++ b/catkinfork/peering/_frames.py
@@ -201,6 +201,8 @@
     :param peers: IP addresses of forwarders that the sender knows.
     :param stream_questions: keys of streams whose origin the sender asks for.
     :param withdrawn: crash counts that have become lower, as a server survived.
+    :param leaving_since: Unix milliseconds at which the sender began to drain, 0 if it
+        does not, or is of an earlier release.
     """
 
     sender: str
@@ -229,6 +231,7 @@
     part_runs: list[PartRunEntry] = []
     survivors: list[SurvivorEntry] = []
     withdrawn: list[SuspectEntry] = []
+    leaving_since: Integer = 0
 
 
 _ENCODER = msgspec.msgpack.Encoder()
--- a/catkinfork/peering/_peers.py
+++ b/catkinfork/peering/_peers.py
@@ -1,6 +1,7 @@
 """Directory of the forwarders, with their liveness and freshness."""
 
 from collections import deque
+from math import inf
 
 # Silence after which the load of a peer is no longer included.
 FRESHNESS_TIMEOUT_S = 0.5
@@ -25,7 +26,9 @@
     :param address: IP address of the peer.
     :param now: monotonic time, seconds.
 
-    ``former`` has its incarnations before the current one, which have ended.
+    ``former`` has its incarnations before the current one, which have ended, and
+    ``started_at`` is the monotonic time at which the current one was first heard.
+    ``leaving_since`` is in Unix milliseconds, 0 if the peer does not drain.
     """
 
     def __init__(self, address, now):
@@ -33,9 +36,11 @@
         self.added_at = now
         self.heard_at = None
         self.incarnation = 0
+        self.started_at = inf
         self.former = deque(maxlen=MAX_FORMER_INCARNATIONS)
         self.sequence = 0
         self.is_leaving = False
+        self.leaving_since = 0
         self.version = 0
         self.era = 0
         self.revision = 0
@@ -58,10 +63,11 @@
             return True
         return now - self.heard_at >= SUCCESSION_TIMEOUT_S
 
-    def start_incarnation(self, incarnation):
+    def start_incarnation(self, incarnation, now):
         """Forget the totals of the incarnation before."""
         self.former.append(self.incarnation)
         self.incarnation = incarnation
+        self.started_at = now
         self.sequence = 0
         self.repeats = {}
         self.uses = {}
@@ -102,10 +108,11 @@
         if peer is None or not peer.accepts(frame, now):
             return None
         if frame.incarnation != peer.incarnation:
-            peer.start_incarnation(frame.incarnation)
+            peer.start_incarnation(frame.incarnation, now)
         peer.sequence = frame.sequence
         peer.heard_at = now
         peer.is_leaving = frame.is_leaving
+        peer.leaving_since = frame.leaving_since
         peer.version = frame.version
         peer.era = frame.era
         peer.revision = frame.revision
@@ -117,11 +124,7 @@
 
     def list_live(self, now):
         """Return the peers heard within the liveness timeout."""
-        return [
-            peer
-            for peer in self.peers.values()
-            if peer.heard_at is not None and now - peer.heard_at < LIVENESS_TIMEOUT_S
-        ]
+        return self.list_heard(now, LIVENESS_TIMEOUT_S)
 
     def remove_expired(self, now):
         """Remove peers after the removal timeout, and return newly stale ones."""
@@ -136,14 +139,17 @@
                 del self.peers[address]
         return expired
 
+    def list_heard(self, now, timeout_s):
+        """Return the peers heard within a timeout, seconds."""
+        return [
+            peer
+            for peer in self.peers.values()
+            if peer.heard_at is not None and now - peer.heard_at < timeout_s
+        ]
+
     def count_fresh(self, now):
         """Return the number of forwarders with fresh state, including this one."""
-        n_peers = sum(
-            1
-            for peer in self.peers.values()
-            if peer.heard_at is not None and now - peer.heard_at < FRESHNESS_TIMEOUT_S
-        )
-        return 1 + n_peers
+        return 1 + len(self.list_heard(now, FRESHNESS_TIMEOUT_S))
 
     def count_forwarders(self, now):
         """Return the number of live forwarders, including this one."""
--- a/catkinfork/peering/_state.py
+++ b/catkinfork/peering/_state.py
@@ -19,6 +19,7 @@
     UsageEntry,
     encode_frame,
 )
+from catkinfork.peering._handover import HandoverPlan
 from catkinfork.peering._stream_notices import StreamNotices
 
 # Limit of datagrams from one forwarder to all peers together.
@@ -53,6 +54,7 @@
         self.write_log = write_log
         self.sequence = 0
         self.is_leaving = False
+        self.leaving_since = 0
         self.version = 0
         self.era = 0
         self.revision = 0
@@ -72,6 +74,16 @@
             directory.own_address, incarnation
         )
 
+    def begin_leaving(self, leaving_since):
+        """Tell the peers that this forwarder drains.
+
+        :param leaving_since: Unix time at which it began to, milliseconds.
+        :returns: :class:`HandoverPlan`.
+        """
+        self.is_leaving = True
+        self.leaving_since = leaving_since
+        return HandoverPlan(self.directory, leaving_since)
+
     def compute_hash(self, name):
         """Return the 32-bit hash of a name, from a cache."""
         known = self.hashes.get(name)
@@ -112,6 +124,7 @@
             incarnation=self.incarnation,
             sequence=self.sequence,
             is_leaving=self.is_leaving,
+            leaving_since=self.leaving_since,
             version=self.version,
             revision=self.revision,
             era=self.era,
--- a/catkinfork/peering/tests/test_odd_frames.py
+++ b/catkinfork/peering/tests/test_odd_frames.py
@@ -27,6 +27,7 @@
     "is_leaving": False,
     "version": 3,
     "revision": 9,
+    "leaving_since": 1000,
 }
 # A sound entry of each list.
 ENTRIES = {
@@ -102,7 +103,9 @@
 
 
 @pytest.mark.parametrize("odd", [None, True, "1", [], -1, 0.5, 2**63, math.nan])
-@pytest.mark.parametrize("name", ["incarnation", "sequence", "version", "revision"])
+@pytest.mark.parametrize(
+    "name", ["incarnation", "sequence", "version", "revision", "leaving_since"]
+)
 def test_frame_with_an_odd_number_is_malformed(name, odd):
     """Guards against a version that no later one exceeds, or that cannot be sent."""
     assert decode_frame(encode(build_values() | {name: odd})) is None
@@ -221,6 +224,7 @@
     values = build_values() | {
         "incarnation": 2**63 - 1,
         "sequence": 2**63 - 1,
+        "leaving_since": 2**63 - 1,
         "loads": [[hashes[0], top, top, top]],
         "uses": [[hashes[1], hashes[2], top, top]],
         "repeats": [[hashes[1], top, top]],
--- a/catkinfork/platform/tests/standins.py
+++ b/catkinfork/platform/tests/standins.py
@@ -26,7 +26,7 @@
 control_address = {ip}:{ports[2]}
 metrics_port = {ports[3]}
 data_centre = gasabo
-grace_s = 4
+grace_s = {grace_s}
 [peers]
 port = {peer_port}
 seeds = {seeds}
@@ -267,11 +267,12 @@
 
     :param folder: folder of the settings file and the log.
     :param ip: loopback address that no other process uses.
+    :param grace_s: time from SIGTERM to the forced termination, seconds.
     """
 
     module = "catkinfork"
 
-    def __init__(self, folder, ip, ports, peer_port, store_port, seeds):
+    def __init__(self, folder, ip, ports, peer_port, store_port, seeds, grace_s=4):
         self.name = f"edge-{ip}"
         self.ip = ip
         self.ports = ports
@@ -285,6 +286,7 @@
                 peer_port=peer_port,
                 store_port=store_port,
                 seeds=", ".join(seeds),
+                grace_s=grace_s,
             )
         )
         self.process = None
@@ -370,6 +372,9 @@
 class Platform:
     """Store, runners and forwarders of a test."""
 
+    # Time from SIGTERM to the forced termination of the forwarders, seconds.
+    grace_s = 4
+
     def __init__(self, folder):
         self.folder = folder
         self.store = Store()
@@ -398,7 +403,13 @@
         for ip in ips:
             store_port = await self.store.open()
             forwarder = Forwarder(
-                self.folder, ip, ports[:4], ports[4], store_port, seeds
+                self.folder,
+                ip,
+                ports[:4],
+                ports[4],
+                store_port,
+                seeds,
+                self.grace_s,
             )
             forwarder.store_port = store_port
             self.forwarders.append(forwarder)
--- a/catkinfork/platform/tests/test_restart_in_turn.py
+++ b/catkinfork/platform/tests/test_restart_in_turn.py
@@ -5,6 +5,7 @@
 import pytest
 
 from catkinfork.platform.tests.standins import (
+    Platform,
     Runner,
     build_config,
     read_head,
@@ -100,10 +101,11 @@
         await wait_until(forwarder.is_ready)
 
 
-def run_streams(n_forwarders, test, folder):
+def run_streams(n_forwarders, test, folder, grace_s=Platform.grace_s):
     """Run a coroutine function that takes streams and the forwarders."""
 
     async def main(platform):
+        platform.grace_s = grace_s
         streams = Streams(platform)
         await streams.start(n_forwarders)
         await test(streams, platform.forwarders)
@@ -166,6 +168,64 @@
     run_streams(3, test, tmp_path)
 
 
+# Time from SIGTERM to the forced termination, and from the end of a process until it is
+# started again, seconds: as long as a slow host takes to start.
+GRACE_S = 8
+START_DELAY_S = 2.0
+STOP_INTERVAL_S = 0.2
+
+
+async def restart_slowly(forwarder):
+    """Stop a forwarder with SIGTERM, and start it as a slow host would."""
+    await stop(forwarder)
+    await asyncio.sleep(START_DELAY_S)
+    await restart(forwarder)
+    await wait_until(forwarder.is_ready)
+
+
+async def restart_all_slowly(forwarders):
+    """Restart forwarders in turn, so that none serves for a moment."""
+    tasks = []
+    for forwarder in forwarders:
+        tasks.append(asyncio.create_task(restart_slowly(forwarder)))
+        await asyncio.sleep(STOP_INTERVAL_S)
+    await asyncio.gather(*tasks)
+
+
+@pytest.mark.parametrize("order", [(0, 1, 2), (2, 1, 0)], ids=str)
+def test_streams_go_on_if_hosts_start_slowly(tmp_path, order):
+    """Guards against streams that are lost as all hosts are stopped before one is back.
+
+    It is planned work alone: the last one to stop has to wait for one that starts.
+    """
+
+    async def test(streams, forwarders):
+        await restart_all_slowly([forwarders[number] for number in order])
+        await streams.check_all_go_on()
+
+    run_streams(3, test, tmp_path, GRACE_S)
+
+
+def test_streams_are_not_joined_if_hosts_start_slowly(tmp_path):
+    """Guards against streams that go on at another version than the one that left.
+
+    The last server of the version leaves while the hosts restart (ORDER).
+    """
+
+    async def test(streams, forwarders):
+        restarts = asyncio.create_task(restart_all_slowly(forwarders))
+        await wait_until(lambda: forwarders[0].process.returncode is not None)
+        streams.platform.store.put("servers/i-2", None)
+        await restarts
+        for number, (request_id, version) in enumerate(streams.begun.items()):
+            forwarder = forwarders[number % len(forwarders)]
+            prompt = PROMPTS[request_id.split("-")[1]]
+            status, _ = await resume(forwarder, request_id, prompt)
+            assert status == (200 if version == "v1" else 503)
+
+    run_streams(3, test, tmp_path, GRACE_S)
+
+
 class CrashingRunner(Runner):
     """A runner whose connection is lost for each request."""
 
