Read on a probe of a prompt part whose caller has left

Cause: both parts explain each crash, and a request that holds the sound one alone is let through to tell. What it tells counts once the answer has gone on for 0.5 s; the attempt of a caller that leaves before is cancelled and counted neither way.

Change: the response of such a request is read on for 1 s after its caller has left, then it is cancelled. Its events clear its parts, a lost connection counts as a crash. There are few of them, one at a time for each part.

--- a/catkinfork/balancing/__init__.py
+++ b/catkinfork/balancing/__init__.py
@@ -2,6 +2,7 @@
 
 from catkinfork.balancing._balancer import Balancer
 from catkinfork.balancing._changes import pop_items
+from catkinfork.balancing._crashes import is_open_probe
 from catkinfork.balancing._events import EVENTS
 from catkinfork.balancing._hashes import hash_name
 from catkinfork.balancing._jobs import (
@@ -29,6 +30,7 @@
 )
 from catkinfork.balancing._loads import LoadFigures
 from catkinfork.balancing._moves import may_queue, place_elsewhere
+from catkinfork.balancing._part_probes import PROBE_RESULT_S
 from catkinfork.balancing._resumption import (
     MIN_STREAM_AGE_S,
     RECORDED,
@@ -71,6 +73,7 @@
     "LoadFigures",
     "MIN_STREAM_AGE_S",
     "MISDIRECTED",
+    "PROBE_RESULT_S",
     "PartCrash",
     "Placement",
     "PromptPart",
@@ -80,6 +83,7 @@
     "StreamOrigin",
     "compute_stream_key",
     "hash_name",
+    "is_open_probe",
     "may_queue",
     "place_elsewhere",
     "pop_items",
--- a/catkinfork/balancing/_balancer.py
+++ b/catkinfork/balancing/_balancer.py
@@ -312,6 +312,13 @@
         else:
             self.record_first_event(placement, now)
 
+    def record_late_event(self, placement, now):
+        """Record an event of an attempt for whose response nobody waits any more."""
+        if placement.first_event_at is None:
+            placement.first_event_at = now
+        self.crash_guard.record_event(placement, now)
+        self.crash_guard.record_later_event(placement, now)
+
     def record_first_event(self, placement, now):
         """Record the first event of an attempt."""
         if placement.has_first_event:
--- a/catkinfork/balancing/_crashes.py
+++ b/catkinfork/balancing/_crashes.py
@@ -198,6 +198,11 @@
         self.changes.part_probes.update(self.parts.list_probes_to_repeat(now))
 
 
+def is_open_probe(placement):
+    """Return whether an attempt is to tell if a prompt part crashes, and has not."""
+    return placement.job.probed_at is not None and not placement.has_cleared_parts
+
+
 def hash_start(backend):
     """Return the hash of a backend server, which may start again under its name."""
     return hash_name(f"{backend.name}/{backend.entry.started_ms}")
--- a/catkinfork/forwarding/_attempt.py
+++ b/catkinfork/forwarding/_attempt.py
@@ -7,10 +7,12 @@
     BROKEN,
     CONNECTION_REFUSED,
     FAILED,
+    PROBE_RESULT_S,
     REJECTED,
     SILENT,
     STREAM_UNKNOWN,
     UNREACHABLE,
+    is_open_probe,
     may_queue,
     place_elsewhere,
 )
@@ -194,13 +196,16 @@
         """Stop waiting for the response.
 
         An unsafe request is left to complete, since aborting it would leave its effect
-        unknown and cost a connection. How it ends is recorded.
+        unknown and cost a connection. How it ends is recorded. One that is to tell
+        whether a prompt part crashes engines goes on for a moment.
         """
         if not self.is_awaiting_response:
             return
         self.is_awaiting_response = False
         if self.exchange.job.route.kind == UNSAFE:
             self.connection.detach(AbandonedAttempt(self))
+        elif is_open_probe(self.placement):
+            AbandonedProbe(self).observe(self.connection)
         else:
             self.connection.abort()
 
@@ -253,3 +258,34 @@
                 attempt_s=round(now - self.placement.placed_at, 4),
             )
         )
+
+
+class AbandonedProbe(AbandonedAttempt):
+    """Records whether a backend server survives a probe that nobody waits for any more.
+
+    Load pattern: a sound prompt part is refused beside the crashing one, and the caller
+    of each request that could clear it leaves at its first event.
+    """
+
+    def observe(self, connection):
+        """Read the response for a moment, then cancel the request.
+
+        :param connection: :class:`BackendConnection`.
+        """
+        connection.listener = self
+        connection.resume()
+        self.server.loop.call_later(
+            PROBE_RESULT_S, self.cancel, connection, connection.n_sent
+        )
+
+    def cancel(self, connection, n_sent):
+        """Cancel the request, unless it has ended.
+
+        :param n_sent: number of the request on its connection.
+        """
+        if connection.listener is self and connection.n_sent == n_sent:
+            connection.abort()
+
+    def on_data(self, data):
+        now = self.server.loop.time()
+        self.server.balancer.record_late_event(self.placement, now)
--- a/catkinfork/platform/tests/test_crashing_servers.py
+++ b/catkinfork/platform/tests/test_crashing_servers.py
@@ -118,8 +118,9 @@
         (5, 0.12, ["bb:60", "c0ffee:40"], False),
         (5, 0.12, ["c0ffee:40", "bb:60"], False),
         (3, 0.25, ["bb:60", "c0ffee:40"], False),
+        (5, 0.12, ["bb:60", "c0ffee:40"], True),
     ],
-    ids=["second_part", "first_part", "few_engines"],
+    ids=["second_part", "first_part", "few_engines", "callers_leave"],
 )
 def test_sound_requests_beside_a_crashing_part_begin(
     tmp_path, n_engines, interval_s, crashing, leave
