soak: links refuse where their host would, and hosts may start slowly

Cause: the link of a soak accepts a connection before it knows whether its target does.

Change: a caller behind a link sends its request once the link has reached the host, and is refused as the host refuses it.

--- a/catkinfork/platform/tests/soak/__main__.py
+++ b/catkinfork/platform/tests/soak/__main__.py
@@ -8,7 +8,12 @@
 
 from catkinfork.platform.tests.soak.plan import make_plan
 from catkinfork.platform.tests.soak.run import run_soak
-from catkinfork.platform.tests.soak.settings import KINDS, ROOT, SoakSettings
+from catkinfork.platform.tests.soak.settings import (
+    KINDS,
+    RESTART_DELAY_S,
+    ROOT,
+    SoakSettings,
+)
 
 
 def read_arguments():
@@ -21,6 +26,7 @@
     parser.add_argument("--n-clients", type=int, default=60)
     parser.add_argument("--source", type=Path, default=ROOT)
     parser.add_argument("--stream-share", type=float, default=0.3)
+    parser.add_argument("--restart-delay", type=float, default=RESTART_DELAY_S)
     parser.add_argument("--plan", action="store_true", help="print the plan only")
     return parser.parse_args()
 
@@ -36,6 +42,7 @@
         arguments.n_clients,
         arguments.source.resolve(),
         arguments.stream_share,
+        arguments.restart_delay,
     )
     plan = make_plan(settings.kind, settings.seed, settings.n_seconds, settings.n_hosts)
     if arguments.plan:
--- a/catkinfork/platform/tests/soak/connections.py
+++ b/catkinfork/platform/tests/soak/connections.py
@@ -199,12 +199,16 @@
 
 async def connect(host, records, call):
     """Open a connection to a host, or record that it was not possible."""
-    began_at = records.now()
+    began_at, writer = records.now(), None
     try:
         async with asyncio.timeout(CONNECT_S):
             reader, writer = await asyncio.open_connection(*host.front)
+            if host.link is not None:
+                await host.link.wait_connected(writer.get_extra_info("sockname"))
             return Connection(host, records, reader, writer)
     except (OSError, TimeoutError):
+        if writer is not None:
+            writer.close()
         progress = Progress(began_at)
         records.requests.append(
             make_record(host, call, progress, records.now(), NOT_CONNECTED)
--- a/catkinfork/platform/tests/soak/fleet.py
+++ b/catkinfork/platform/tests/soak/fleet.py
@@ -87,6 +87,7 @@
         )
         host.store_port = store_port
         host.front = await self.add_link("caller", host.name, host.front)
+        host.link = self.links["caller"].get(host.name)
         self.hosts.append(host)
         self.all_hosts.append(host)
         self.create_task(host.supervise())
--- a/catkinfork/platform/tests/soak/hosts.py
+++ b/catkinfork/platform/tests/soak/hosts.py
@@ -12,7 +12,6 @@
 from catkinfork.platform.tests.soak.records import START, Exit, Signal
 from catkinfork.platform.tests.soak.settings import (
     BOUNDS,
-    RESTART_DELAY_S,
     ZONE,
 )
 from catkinfork.platform.tests.standins import read_head
@@ -57,17 +56,20 @@
     :param folder: folder of the settings file and of a log for each start.
     :param store_address: address of the store, or of the proxy before it.
 
-    ``front`` is the address at which callers connect.
+    ``front`` is the address at which callers connect, and ``link`` the :class:`Link`
+    that listens there, or None.
     """
 
     def __init__(self, settings, records, folder, ip, ports, seeds, store_address):
         self.name = f"host-{ip.rsplit('.', 1)[1]}"
         self.source = settings.source
+        self.restart_delay_s = settings.restart_delay_s
         self.records = records
         self.folder = folder
         self.ip = ip
         self.ports = ports
         self.front = (ip, ports["front"])
+        self.link = None
         self.values = {
             "node_name": self.name,
             "listen_addrs.front": f"{ip}:{ports['front']}",
@@ -107,7 +109,7 @@
             times = (self.started_at, self.records.now())
             one = Exit(self.name, *times, code, tuple(self.signals))
             self.records.exits.append(one)
-            await asyncio.sleep(RESTART_DELAY_S)
+            await asyncio.sleep(self.restart_delay_s)
 
     async def start(self):
         """Start the process with a log of its own."""
--- a/catkinfork/platform/tests/soak/links.py
+++ b/catkinfork/platform/tests/soak/links.py
@@ -21,7 +21,9 @@
 
     :param target: host and port that it connects to.
 
-    ``fault`` names the disruption in force, or is empty.
+    ``fault`` names the disruption in force, or is empty. ``connected`` has a future for
+    each connection, by the address of its caller: a proxy accepts before it knows
+    whether its target does.
     """
 
     def __init__(self, target):
@@ -29,6 +31,7 @@
         self.fault = ""
         self.writers = set()
         self.address = None
+        self.connected = {}
 
     async def open(self):
         """Listen, and return the address."""
@@ -36,6 +39,39 @@
         self.address = server.sockets[0].getsockname()
         return self.address
 
+    def find_connected(self, address):
+        """Return the future that is set once a connection has reached the target."""
+        loop = asyncio.get_running_loop()
+        return self.connected.setdefault(address, loop.create_future())
+
+    async def wait_connected(self, address):
+        """Wait until a connection has reached the target.
+
+        :param address: host and port of the caller.
+        :raises OSError: if the target has refused it, as it would have the caller.
+        """
+        try:
+            await self.find_connected(address)
+        finally:
+            self.connected.pop(address, None)
+
+    async def reach_target(self, address):
+        """Connect to the target, once that is possible, and tell the caller."""
+        connected = self.find_connected(address)
+        while self.fault == "cut":
+            await asyncio.sleep(POLL_S)
+        try:
+            streams = await asyncio.open_connection(*self.target)
+        except OSError as error:
+            if not connected.done():
+                connected.set_exception(error)
+                # Nobody waits at the links of hosts to servers and store.
+                connected.exception()
+            raise
+        if not connected.done():
+            connected.set_result(None)
+        return streams
+
     async def disturb(self, fault, duration_s):
         """Put a fault in force for a time, or reset all connections."""
         if fault == "reset":
@@ -51,9 +87,8 @@
         self.writers.add(writer)
         other = None
         try:
-            while self.fault == "cut":
-                await asyncio.sleep(POLL_S)
-            other_reader, other = await asyncio.open_connection(*self.target)
+            address = writer.get_extra_info("peername")
+            other_reader, other = await self.reach_target(address)
             self.writers.add(other)
             async with asyncio.TaskGroup() as group:
                 group.create_task(self.pump(reader, other, IN))
--- a/catkinfork/platform/tests/soak/settings.py
+++ b/catkinfork/platform/tests/soak/settings.py
@@ -43,6 +43,8 @@
     :param n_seconds: seconds during which callers send requests.
     :param source: checkout whose forwarder is started.
     :param stream_share: share of the callers that send streams.
+    :param restart_delay_s: time from the end of a process to its next start, longer on
+        hosts that start slowly, seconds.
     """
 
     kind: str
@@ -52,3 +54,4 @@
     n_clients: int = 60
     source: Path = ROOT
     stream_share: float = 0.3
+    restart_delay_s: float = RESTART_DELAY_S
