soak: requests and prompt parts that crash servers

Kind `crashing`: a post that crashes the server that works on it, and prompts with a part that crashes engines, beside planned works. They come at any host under new ids; half of their callers leave before the crash. Checks: BUDGET for posts and for parts, LOST for the sound streams of the same key.

--- a/catkinfork/platform/tests/soak/callers.py
+++ b/catkinfork/platform/tests/soak/callers.py
@@ -113,7 +113,12 @@
 
 
 class StreamCaller(Caller):
-    """A caller of streams, which it takes up at another host after a break."""
+    """A caller of streams, which it takes up at another host after a break.
+
+    ``first_part`` is the first part of its prompts.
+    """
+
+    first_part = SHARED_PART
 
     async def call(self):
         rng = self.rng
@@ -122,7 +127,7 @@
             n_expected = rng.randrange(150, 200)
         ends_at = self.records.now() + STREAM_DEADLINE_S
         name = self.make_id()
-        part = f"{rng.randrange(16**6):06x}:40"
+        parts = [self.first_part, f"{rng.randrange(16**6):06x}:40"]
         reader = StreamReader(n_expected)
         tries, first_id, last_host = [], None, None
         while len(tries) < MAX_TRIES and not reader.is_whole:
@@ -132,7 +137,7 @@
                 break
             host = last_host = choose_host(hosts, rng)
             call_id = f"{name}-{len(tries)}"
-            call = make_stream_call(call_id, reader, first_id, part, deadline_s)
+            call = make_stream_call(call_id, reader, first_id, parts, deadline_s)
             one = await self.attempt(host, call, reader)
             tries.append(one)
             if one.n_events and first_id is None:
@@ -193,17 +198,17 @@
     return Event(int(fields["id"]), version, server)
 
 
-def make_stream_call(call_id, reader, first_id, part, deadline_s):
+def make_stream_call(call_id, reader, first_id, parts, deadline_s):
     """Return an attempt of a stream, which goes on after the events received."""
     headers = [
         f"Authorization: Bearer {KEY}",
         "X-Catkinfork-Model-Id: m",
         "X-Catkinfork-Token-Usage: 140,480",
-        f"X-Catkinfork-Prefix-Hash: {SHARED_PART},{part}",
+        f"X-Catkinfork-Prefix-Hash: {','.join(parts)}",
     ]
     if reader.events:
         headers.append(f"Last-Event-Id: {reader.events[-1].number}")
         headers.append(f"Resumes: {first_id}")
-    body = f"events {reader.n_expected} of {part}".encode()
+    body = f"events {reader.n_expected} of {parts[-1]}".encode()
     target = f"{DRAFT_PATH}2f"
     return Call(call_id, STREAM, "POST", target, deadline_s, body, tuple(headers))
--- a/catkinfork/platform/tests/soak/disruptions.py
+++ b/catkinfork/platform/tests/soak/disruptions.py
@@ -5,7 +5,6 @@
 from catkinfork.platform.tests.soak.records import (
     ALL_HOSTS,
     CONFIGURATION,
-    CRASH,
     KILL,
     LEAVING,
     LINK,
@@ -113,10 +112,14 @@
         self.records.add_span(LEAVING, server.name, began_at)
 
     async def kill_host(self, step):
-        """Kill a host; it is started again."""
+        """Kill a host; it is started again.
+
+        The kernel may take seconds until the sockets of a killed process are closed.
+        """
         host = self.choose(self.fleet.hosts, step)
-        began_at = self.records.now()
+        began_at, process = self.records.now(), host.process
         if host.signal("SIGKILL"):
+            await process.wait()
             self.records.add_span(KILL, host.name, began_at)
 
     async def pause_host(self, step):
@@ -136,13 +139,8 @@
         server = self.choose(self.fleet.list_servers(), step)
         if server is None:
             return
-        began_at = self.records.now()
         server.crash()
-        self.records.add_span(CRASH, server.name, began_at)
-        self.fleet.count_versions()
-        await asyncio.sleep(step.duration_s)
-        name = server.name if step.target % 2 else None
-        await self.fleet.add_server(server.service, server.version, name)
+        await self.fleet.replace_crashed(server, step.duration_s, step.target % 2)
 
     async def disturb_server(self, step):
         """Let a plain server be silent, lose, truncate or add responses, or refuse."""
--- a/catkinfork/platform/tests/soak/fleet.py
+++ b/catkinfork/platform/tests/soak/fleet.py
@@ -6,12 +6,14 @@
 from random import Random
 
 from catkinfork.platform.tests.soak.callers import PlainCaller, StreamCaller
+from catkinfork.platform.tests.soak.crashing import CALLERS
 from catkinfork.platform.tests.soak.disruptions import Disruptions
 from catkinfork.platform.tests.soak.hosts import N_SEEDS, Host, find_ports
 from catkinfork.platform.tests.soak.links import Link
 from catkinfork.platform.tests.soak.plan import make_plan
 from catkinfork.platform.tests.soak.records import (
     ALL_HOSTS,
+    CRASH,
     DRIVER,
     Records,
     VersionCount,
@@ -27,6 +29,8 @@
 VERSIONS = ("v1", "v2")
 PLAIN_SERVICES = ("ledger", "stock")
 START_S = 20.0
+# Time until a server that a request has crashed is back, seconds.
+MIN_DOWN_S, MAX_DOWN_S = 0.5, 3.0
 # The driver counts as late from this lag on.
 LAG_S = 0.1
 
@@ -101,6 +105,7 @@
         server = kind(
             name, service, self.records, self.store, self.settings.seed, version
         )
+        server.on_crash = self.handle_crash
         await server.open()
         server.address = await self.add_link("server", name, server.address)
         server.publish()
@@ -108,6 +113,20 @@
         self.create_task(server.send_heartbeats())
         self.count_versions()
 
+    async def replace_crashed(self, server, down_s, keeps_name):
+        """Record a crash, and start a server later, under the same name or another."""
+        self.records.add_span(CRASH, server.name, self.records.now())
+        self.count_versions()
+        await asyncio.sleep(down_s)
+        name = server.name if keeps_name else None
+        await self.add_server(server.service, server.version, name)
+
+    def handle_crash(self, server):
+        """Replace a server that a request has crashed."""
+        down_s = self.rng.uniform(MIN_DOWN_S, MAX_DOWN_S)
+        keeps_name = self.rng.random() < 0.5
+        self.create_task(self.replace_crashed(server, down_s, keeps_name))
+
     def list_servers(self, service=None, version=None):
         """Return the backend servers that serve, of a service and version if given."""
         return [
@@ -157,6 +176,12 @@
             (StreamCaller if number < n_streams else PlainCaller)(self, number)
             for number in range(settings.n_clients)
         ]
+        if settings.kind == "crashing":
+            numbers = range(settings.n_clients, settings.n_clients + len(CALLERS))
+            callers += [
+                kind(self, number)
+                for kind, number in zip(CALLERS, numbers, strict=True)
+            ]
         tasks = [self.create_task(caller.run()) for caller in callers]
         plan = make_plan(
             settings.kind, settings.seed, settings.n_seconds, settings.n_hosts
--- a/catkinfork/platform/tests/soak/report.py
+++ b/catkinfork/platform/tests/soak/report.py
@@ -4,11 +4,13 @@
 from typing import NamedTuple
 
 from catkinfork.platform.tests.soak.checks import (
+    Facts,
     Violation,
     count_excuses,
     find_unreported_runs,
     find_violations,
 )
+from catkinfork.platform.tests.soak.crashing import find_crash_violations
 from catkinfork.platform.tests.soak.records import (
     COMPLETE,
     CUT,
@@ -63,7 +65,7 @@
 def make_report(records):
     """Check the records of a run, and return its report."""
     return Report(
-        find_violations(records),
+        find_all_violations(records),
         find_unreported_runs(records),
         Counter(describe_ending(request) for request in records.requests),
         count_excuses(records),
@@ -75,6 +77,12 @@
     )
 
 
+def find_all_violations(records):
+    """Return all broken promises in order of time."""
+    found = [*find_violations(records), *find_crash_violations(Facts(records))]
+    return sorted(found, key=lambda violation: violation.at)
+
+
 def describe_ending(request):
     """Return the kind of a request with its status or its ending."""
     if request.ending == COMPLETE:
--- a/catkinfork/platform/tests/soak/servers.py
+++ b/catkinfork/platform/tests/soak/servers.py
@@ -26,6 +26,12 @@
 P_SPLIT = 0.05
 SILENCE_POLL_S = 0.02
 DIGEST_HEADER = "x-body-digest"
+# The body that crashes a plain server, after a time, and the prompt part that crashes
+# an engine as it begins to write an answer.
+CRASHING_BODY = b"crash"
+CRASHING_PART = "c0ffee"
+MIN_CRASH_S, MAX_CRASH_S = 0.05, 0.3
+PREFILL_S = 0.03
 
 
 async def read_body(reader, headers):
@@ -48,6 +54,8 @@
     :param records: records of the run.
     :param store: store with its entry.
     :param seed: seed of its processing times.
+
+    ``on_crash`` is called with the server after a request has crashed it.
     """
 
     n_slots = 6
@@ -68,6 +76,7 @@
         self.says_leaving = False
         self.address = None
         self.born = int(time.time() * 1000)
+        self.on_crash = None
         self.idle_s = IDLE_S if self.rng.random() < P_CLOSES_IDLE else None
         self.tells_idle = self.rng.random() < 0.5
 
@@ -127,6 +136,14 @@
         for writer in list(self.writers):
             writer.transport.abort()
 
+    async def crash_on_request(self, delay_s):
+        """Work on a request for a time, then crash; return the outcome."""
+        await asyncio.sleep(delay_s)
+        if self.is_up:
+            self.crash()
+            self.on_crash(self)
+        return CRASHED
+
     async def serve(self, reader, writer):
         if not self.is_up:
             writer.transport.abort()
@@ -214,6 +231,10 @@
     async def answer(self, target, request_id, headers, body, reader, writer):
         if headers.get(DIGEST_HEADER) != digest(body):
             return CHANGED
+        if body == CRASHING_BODY:
+            return await self.crash_on_request(
+                self.rng.uniform(MIN_CRASH_S, MAX_CRASH_S)
+            )
         await asyncio.sleep(self.draw_delay_s())
         while self.trouble == "silent" and self.is_up:
             await asyncio.sleep(SILENCE_POLL_S)
@@ -255,6 +276,8 @@
     n_slots = 64
 
     async def answer(self, target, request_id, headers, body, reader, writer):
+        if CRASHING_PART in headers["x-catkinfork-prefix-hash"]:
+            return await self.crash_on_request(PREFILL_S)
         n_events = int(body.split(b" ")[1])
         n_before = int(headers.get("last-event-id", 0))
         writer.write(
--- a/catkinfork/platform/tests/soak/settings.py
+++ b/catkinfork/platform/tests/soak/settings.py
@@ -4,7 +4,7 @@
 from typing import NamedTuple
 
 ROOT = Path(__file__).parents[4]
-KINDS = ("planned", "hard", "links")
+KINDS = ("planned", "hard", "links", "crashing")
 
 SITE = "site.example"
 KEY = "key-of-a"
--- a/catkinfork/platform/tests/test_soak.py
+++ b/catkinfork/platform/tests/test_soak.py
@@ -35,6 +35,12 @@
     assert check_soak(settings, tmp_path).n_runs > MIN_RUNS
 
 
+def test_requests_that_crash_servers_break_no_promise(tmp_path):
+    """Guards against crashes that nobody counts, and blame that hits sound requests."""
+    settings = SoakSettings("crashing", 1, 30.0, n_clients=N_CLIENTS)
+    assert check_soak(settings, tmp_path).n_runs > MIN_RUNS
+
+
 # planned-10: hosts that were restarted in turn did not know where streams had begun.
 def test_streams_go_on_after_restarts_in_turn(tmp_path):
     """Guards against streams that are taken up again and refused."""
