Replace a forwarder that waits as soon as another one has been told

The last host stayed for 4.5 s after it had answered everything, though another one was ready 2.1 s before, and all restarts ended 3.3 s after the callers' deadline.

Cause: waits until a peer has been heard for 2 s, as frames did not tell whether it had asked for what it missed.

Change: frames tell it. A peer that others have told replaces one that waits at once; one whom nobody has told, as it is of an earlier release or the first of a fleet, does so after 2 s, as before.

Result: a test that fails before. Besides, tests for three rows of the table of what is told once.

--- a/catkinfork/forwarder/_joining.py
+++ b/catkinfork/forwarder/_joining.py
@@ -61,6 +61,7 @@
                 await anyio.sleep(POLL_INTERVAL_S)
             questions.cancel_scope.cancel()
         self.snapshots.is_joined = True
+        self.process.peer_exchange.has_joined = self.plan.n_answers > 0
         self.log_joined()
 
     async def ask(self, address):
--- a/catkinfork/peering/_frames.py
+++ b/catkinfork/peering/_frames.py
@@ -203,6 +203,8 @@
     :param withdrawn: crash counts that have become lower, as a server survived.
     :param leaving_since: Unix milliseconds at which the sender began to drain, 0 if it
         does not, or is of an earlier release.
+    :param has_joined: whether peers have told the sender what it missed before its
+        start.
     """
 
     sender: str
@@ -232,6 +234,7 @@
     survivors: list[SurvivorEntry] = []
     withdrawn: list[SuspectEntry] = []
     leaving_since: Integer = 0
+    has_joined: bool = False
 
 
 _ENCODER = msgspec.msgpack.Encoder()
--- a/catkinfork/peering/_handover.py
+++ b/catkinfork/peering/_handover.py
@@ -3,8 +3,8 @@
 from catkinfork.peering._joining import MAX_JOIN_S
 from catkinfork.peering._peers import FRESHNESS_TIMEOUT_S, REMOVAL_TIMEOUT_S
 
-# Time after which a peer that was first heard has asked for what it missed, seconds. It
-# may be heard before it has read the configuration and begins to ask.
+# Time after which a peer that was first heard knows enough, though nobody has told it
+# what it missed, seconds: it is the first one of a fleet, or of an earlier release.
 SETTLING_TIME_S = MAX_JOIN_S + 0.8
 
 
@@ -43,6 +43,6 @@
 
         :param peer: :class:`Peer` that is heard.
         """
-        if now - peer.started_at < SETTLING_TIME_S:
+        if not peer.has_joined and now - peer.started_at < SETTLING_TIME_S:
             return False
         return not peer.is_leaving or (peer.leaving_since, peer.address) > self.rank
--- a/catkinfork/peering/_peers.py
+++ b/catkinfork/peering/_peers.py
@@ -28,7 +28,8 @@
 
     ``former`` has its incarnations before the current one, which have ended, and
     ``started_at`` is the monotonic time at which the current one was first heard.
-    ``leaving_since`` is in Unix milliseconds, 0 if the peer does not drain.
+    ``leaving_since`` is in Unix milliseconds, 0 if the peer does not drain, and
+    ``has_joined`` states whether others have told it what it missed.
     """
 
     def __init__(self, address, now):
@@ -41,6 +42,7 @@
         self.sequence = 0
         self.is_leaving = False
         self.leaving_since = 0
+        self.has_joined = False
         self.version = 0
         self.era = 0
         self.revision = 0
@@ -113,6 +115,7 @@
         peer.heard_at = now
         peer.is_leaving = frame.is_leaving
         peer.leaving_since = frame.leaving_since
+        peer.has_joined = frame.has_joined
         peer.version = frame.version
         peer.era = frame.era
         peer.revision = frame.revision
--- a/catkinfork/peering/_state.py
+++ b/catkinfork/peering/_state.py
@@ -55,6 +55,7 @@
         self.sequence = 0
         self.is_leaving = False
         self.leaving_since = 0
+        self.has_joined = False
         self.version = 0
         self.era = 0
         self.revision = 0
@@ -125,6 +126,7 @@
             sequence=self.sequence,
             is_leaving=self.is_leaving,
             leaving_since=self.leaving_since,
+            has_joined=self.has_joined,
             version=self.version,
             revision=self.revision,
             era=self.era,
--- a/catkinfork/peering/tests/test_handover.py
+++ b/catkinfork/peering/tests/test_handover.py
@@ -137,6 +137,23 @@
     assert "10.0.0.1" in fleet.list_staying()
 
 
+def test_peer_that_others_have_told_replaces_one_at_once():
+    """Guards against a restart in turn that takes longer than the hosts need.
+
+    Callers wait for a host that stays though another one knows all that it knows.
+    """
+    fleet = StoppingFleet(2)
+    fleet.exit("10.0.0.2")
+    fleet.begin_stop("10.0.0.1")
+    fleet.run(0.6)
+    fleet.start("10.0.0.2")
+    fleet.run(0.2)
+    assert fleet.list_staying() == ["10.0.0.1"]
+    fleet.nodes["10.0.0.2"].exchange.has_joined = True
+    fleet.run(0.2)
+    assert fleet.list_staying() == []
+
+
 def test_frame_of_an_earlier_release_does_not_stop_the_handover():
     """Guards against waiting for a peer that does not tell since when it drains."""
     fleet = StoppingFleet(2)
--- a/catkinfork/peering/tests/test_odd_frames.py
+++ b/catkinfork/peering/tests/test_odd_frames.py
@@ -28,6 +28,7 @@
     "version": 3,
     "revision": 9,
     "leaving_since": 1000,
+    "has_joined": True,
 }
 # A sound entry of each list.
 ENTRIES = {
--- a/catkinfork/peering/tests/test_told_once.py
+++ b/catkinfork/peering/tests/test_told_once.py
@@ -133,3 +133,62 @@
     fleet.run(0.3)
     after = joined.balancer.pools[SERVICE].queue.compute_priority("a", fleet.now)
     assert before < 1_000 < after
+
+
+def test_limit_is_known_again_with_the_next_response():
+    """Guards against a limit that nobody keeps to, once all have restarted in turn.
+
+    The host to which a response had named it does not know it after its restart. The
+    next response names it again, at any host.
+    """
+    fleet = build_fleet()
+    told = fleet.nodes[fleet.addresses[-1]].balancer
+    told.record_rate_limit(told.registry.backends["b0"], 5.0, fleet.now)
+    fleet.run(0.5)
+    for address in fleet.addresses:
+        fleet.restart([address])
+    told = fleet.nodes[fleet.addresses[1]].balancer
+    told.record_rate_limit(told.registry.backends["b0"], 5.0, fleet.now)
+    fleet.run(REFRESH_S)
+    for node in fleet.nodes.values():
+        registry = node.balancer.registry
+        limit = registry.rate_limits.find(registry.backends["b0"].entry)
+        assert limit.rate == 5.0
+
+
+def test_waiting_jobs_of_peers_are_known_after_a_restart():
+    """Guards against a host that passes work of higher priority as it has started.
+
+    Each frame tells the priority of the first queued job.
+    """
+    fleet = build_fleet(3)
+    waiting = fleet.nodes[fleet.addresses[-1]]
+    pool = waiting.balancer.pools[SERVICE]
+    while not pool.queue.n_jobs:
+        waiting.balancer.submit(build_job(fleet.now), fleet.now)
+    waiting.balancer.dispatch_queued(fleet.now)
+    fleet.run(0.3)
+    fleet.restart(fleet.addresses[:1])
+    joined = fleet.nodes[fleet.addresses[0]].balancer.pools[SERVICE]
+    assert joined.peer_priorities[waiting.address] == pool.priority
+
+
+def test_engine_caches_are_learned_again_after_a_restart():
+    """Guards against prompts that are read again for longer than it takes to place one.
+
+    What engines keep is told when a request is placed, and not again: a host that has
+    started learns it from the next request of any host.
+    """
+    fleet = build_fleet(3)
+    fleet.restart(fleet.addresses[:1])
+    placing = fleet.nodes[fleet.addresses[-1]].balancer
+    placement = placing.submit(build_job(fleet.now, parts=[(5, 600)]), fleet.now)
+    fleet.run(0.3)
+    joined = fleet.nodes[fleet.addresses[0]]
+    parts = placement.job.parts
+    kept = {
+        name: joined.load(name).prefixes.count_cached_tokens(parts)
+        for name in ("b0", "b1")
+    }
+    assert kept.pop(placement.backend.name) > 0
+    assert set(kept.values()) == {0}
