Send signals in tests without collecting the exit status

Cause: asyncio reports 255 for a child whose status somebody else has collected ("Unknown child process pid", in the captured log). Process.send_signal polls the process first; the test sends five signals, of which the first one ends it.

Change: tests and soak send signals with os.kill. What they check is the same.

--- a/catkinfork/platform/tests/soak/hosts.py
+++ b/catkinfork/platform/tests/soak/hosts.py
@@ -14,7 +14,7 @@
     BOUNDS,
     ZONE,
 )
-from catkinfork.platform.tests.standins import read_head
+from catkinfork.platform.tests.standins import read_head, send_signal
 
 READY_CHECK_S = 1.0
 # Questions in a row without a 200 that take a host out.
@@ -140,7 +140,7 @@
         if not self.is_running:
             return False
         with suppress(ProcessLookupError):
-            self.process.send_signal(getattr(signal, name))
+            send_signal(self.process, getattr(signal, name))
             self.signals.append(Signal(self.records.now(), name + note))
         return True
 
--- a/catkinfork/platform/tests/standins.py
+++ b/catkinfork/platform/tests/standins.py
@@ -3,6 +3,7 @@
 import asyncio
 import base64
 import json
+import os
 import signal
 import socket
 import sys
@@ -334,7 +335,7 @@
 
     def signal(self, number):
         """Send a signal to the process."""
-        self.process.send_signal(number)
+        send_signal(self.process, number)
 
     async def end(self):
         """Kill the process if it is running."""
@@ -343,6 +344,19 @@
             await self.process.wait()
 
 
+def send_signal(process, number):
+    """Send a signal to a process of asyncio.
+
+    ``Process.send_signal`` collects the exit status of a process that has just ended,
+    at times before asyncio does, which then reports 255 in its place.
+
+    :raises ProcessLookupError: if the process has ended.
+    """
+    if process.returncode is not None:
+        raise ProcessLookupError
+    os.kill(process.pid, number)
+
+
 async def request(host, port, request_line, headers):
     """Send a request on a new connection and return the status and the body."""
     reader, writer = await asyncio.open_connection(host, port)
