Rename a method, and name what the soak drew twice

Read as a newcomer: Balancer.record_late_event stood beside the guard's record_later_event, which means another thing; it is record_abandoned_event now. The time after which callers of the soak leave was drawn in two places, without names.

--- a/catkinfork/balancing/_balancer.py
+++ b/catkinfork/balancing/_balancer.py
@@ -312,7 +312,7 @@
         else:
             self.record_first_event(placement, now)
 
-    def record_late_event(self, placement, now):
+    def record_abandoned_event(self, placement, now):
         """Record an event of an attempt for whose response nobody waits any more."""
         if placement.first_event_at is None:
             placement.first_event_at = now
--- a/catkinfork/forwarding/_attempt.py
+++ b/catkinfork/forwarding/_attempt.py
@@ -288,4 +288,4 @@
 
     def on_data(self, data):
         now = self.server.loop.time()
-        self.server.balancer.record_late_event(self.placement, now)
+        self.server.balancer.record_abandoned_event(self.placement, now)
--- a/catkinfork/platform/tests/soak/crashing.py
+++ b/catkinfork/platform/tests/soak/crashing.py
@@ -23,7 +23,10 @@
 # Time without crashing requests, for comparison, seconds.
 CALM_S = 6.0
 NEW_FIRST_PART = "bbbb02:100"
+# Share of the callers that leave, and the longest time until then, seconds: as long as
+# a server works on a request before it crashes.
 P_LEAVES = 0.5
+MAX_LEAVE_S = 0.3
 # Crashes after which the time of the rules begins, and requests that may still come.
 N_CRASHES = {"order": 3, "part": 5}
 MAX_LATE = 3
@@ -47,7 +50,6 @@
     """
 
     async def call(self):
-        leave_s = self.rng.uniform(0.0, 0.3) if self.rng.random() < P_LEAVES else None
         call = Call(
             f"order-{self.make_id()}",
             r.UNSAFE,
@@ -55,7 +57,7 @@
             f"{POST_PATH}b",
             PLAIN_DEADLINE_S,
             CRASHING_BODY,
-            leave_s=leave_s,
+            leave_s=draw_leave_s(self.rng),
         )
         await send_alone(self, call)
         await asyncio.sleep(self.rng.uniform(0.0, 0.8))
@@ -65,7 +67,7 @@
     """A caller whose prompts hold a part that crashes engines; no two are alike."""
 
     async def call(self):
-        leave_s = self.rng.uniform(0.0, 0.3) if self.rng.random() < P_LEAVES else None
+        leave_s = draw_leave_s(self.rng)
         last_part = f"{self.rng.randrange(16**6):06x}:40"
         parts = [NEW_FIRST_PART, f"{CRASHING_PART}:40", last_part]
         call = make_stream_call(
@@ -80,6 +82,11 @@
     first_part = NEW_FIRST_PART
 
 
+def draw_leave_s(rng):
+    """Return the time after which a caller leaves, seconds, or None if it stays."""
+    return rng.uniform(0.0, MAX_LEAVE_S) if rng.random() < P_LEAVES else None
+
+
 async def send_alone(caller, call):
     """Send a request on a connection of its own, at any host."""
     host = choose_host(caller.fleet.hosts, caller.rng)
