Log which requests a planned stop ends, with their times

Cause: the users' record keeps warnings and the begin of each line. It cannot tell a stream that was cut at the fixed end of a stop from one whose last bytes were lost, nor when its request was sent.

Change: a warning request_cut (1013) for each request that was placed and is ended by a stop, with the times of its head, its last byte, its placement and its end, counted from the signal. The signal handler records when it runs; forwarder_draining states the age of the signal. status, outcome and detail of request_finished come right after the request id. No decision is changed.

--- a/catkinfork/forwarder/_drain.py
+++ b/catkinfork/forwarder/_drain.py
@@ -26,16 +26,17 @@
     :param process: :class:`ForwarderProcess`.
     """
     await process.stop_requested.wait()
-    await drain(process)
+    await drain(process, process.stop_signalled_at)
     process.stop()
 
 
-async def drain(process):
+async def drain(process, signalled_at):
     """Report the process as not ready, then wait until all requests are answered.
 
     Those that are in progress shortly before the forced termination are ended.
 
     :param process: :class:`ForwarderProcess`.
+    :param signalled_at: monotonic time of the signal to stop, seconds.
     """
     server = process.server
     grace_s = process.settings.forwarder.grace_s
@@ -43,6 +44,7 @@
     ends_at = started_at + grace_s - FORCED_STOP_MARGIN_S
     accept_s = min(ACCEPT_PERIOD_S, 0.4 * grace_s)
     server.is_draining = True
+    server.stop_signalled_at = signalled_at
     server.balancer.begin_stop(StopPlan(started_at + accept_s, ends_at))
     handover = process.peer_exchange.begin_leaving(int(time.time() * 1000))
     process.log.write(
@@ -51,6 +53,7 @@
             n_requests=len(server.exchanges),
             n_connections=len(server.callers),
             grace_s=grace_s,
+            signal_age_s=round(started_at - signalled_at, 3),
         )
     )
     await anyio.sleep(accept_s)
--- a/catkinfork/forwarder/_process.py
+++ b/catkinfork/forwarder/_process.py
@@ -73,6 +73,7 @@
         self.loop = None
         self.tasks = None
         self.stop_requested = anyio.Event()
+        self.stop_signalled_at = None
         self.was_ready = None
 
     async def run(self):
@@ -287,6 +288,7 @@
 
     def request_stop(self):
         """Start the drain; may be called by a signal handler."""
+        self.stop_signalled_at = time.monotonic()
         self.loop.call_soon_threadsafe(self.stop_requested.set)
 
     def request_reload(self):
--- a/catkinfork/forwarder/tests/test_planned_stop.py
+++ b/catkinfork/forwarder/tests/test_planned_stop.py
@@ -28,8 +28,11 @@
     return HandoverPlan(directory, leaving_since)
 
 
-async def stop(world, grace_s=GRACE_S):
-    """Drain the server of a world as a process does on SIGTERM."""
+async def stop(world, grace_s=GRACE_S, signal_age_s=0.0):
+    """Drain the server of a world as a process does on SIGTERM.
+
+    :param signal_age_s: time from the signal to the begin of the drain, seconds.
+    """
     forwarder = SimpleNamespace(grace_s=grace_s)
     process = SimpleNamespace(
         server=world.server,
@@ -37,7 +40,7 @@
         peer_exchange=SimpleNamespace(begin_leaving=begin_leaving),
         log=SimpleNamespace(write=world.events.append),
     )
-    await drain(process)
+    await drain(process, anyio.current_time() - signal_age_s)
     # The process exits here: whatever has not left it is lost.
     for caller in list(world.server.callers):
         caller.transport.abort()
@@ -59,6 +62,23 @@
     return replies[0]
 
 
+def test_request_that_a_stop_ends_is_logged_with_its_times():
+    """Guards against a cut request of which a log does not tell when it was sent."""
+
+    async def test(world):
+        await world.start("engine", stream(1, 100, gap_s=0.1))
+        await call_during_stop(world, "/chat/", PROMPT)
+        (cut,) = world.list_events("request_cut")
+        assert cut["request_id"] == "r1"
+        assert cut["has_begun"]
+        assert cut["head_s"] <= cut["sent_s"] <= cut["placed_s"] < 0.0
+        assert GRACE_S - 0.75 < cut["cut_s"] < GRACE_S
+        (started,) = world.list_events("forwarder_draining")
+        assert started["signal_age_s"] == 0.0
+
+    run_world(test)
+
+
 @pytest.mark.parametrize("path", ["/order/", "/read/"])
 def test_request_that_outlasts_the_grace_is_answered(path):
     """Guards against requests in flight that are cut as the process exits."""
--- a/catkinfork/forwarding/_events.py
+++ b/catkinfork/forwarding/_events.py
@@ -7,14 +7,15 @@
     "info",
     "request_finished",
     "a request received its final response, or its caller disconnected",
+    # Those that say how it ended come first: some collectors keep the begin of a line.
     (
         "request_id",
-        "workspace",
-        "route",
-        "service",
         "status",
         "outcome",
         "detail",
+        "workspace",
+        "route",
+        "service",
         "backend_servers",
         "backend_version",
         "resumes",
@@ -62,7 +63,7 @@
     "info",
     "forwarder_draining",
     "the process drains: it completes requests in flight before it stops",
-    ("n_requests", "n_connections", "grace_s"),
+    ("n_requests", "n_connections", "grace_s", "signal_age_s"),
 )
 FORWARDER_STOPPED = Event(
     1004,
@@ -127,6 +128,22 @@
     "a backend server has ended a request for whose response nobody waited any more",
     ("request_id", "backend_server", "outcome", "attempt_s"),
 )
+REQUEST_CUT = Event(
+    1013,
+    "warning",
+    "request_cut",
+    "a planned stop ended a request that had been placed; times count from its signal",
+    (
+        "request_id",
+        "sent_s",
+        "cut_s",
+        "placed_s",
+        "head_s",
+        "has_begun",
+        "route",
+        "backend_servers",
+    ),
+)
 
 EVENTS = (
     REQUEST_FINISHED,
@@ -142,4 +159,5 @@
     LOOP_LAG_CHANGED,
     FORWARDER_JOINED,
     ABANDONED_ATTEMPT_ENDED,
+    REQUEST_CUT,
 )
--- a/catkinfork/forwarding/_request_events.py
+++ b/catkinfork/forwarding/_request_events.py
@@ -1,6 +1,10 @@
 """Log events of requests and their attempts."""
 
-from catkinfork.forwarding._events import ATTEMPT_ENDED, REQUEST_FINISHED
+from catkinfork.forwarding._events import (
+    ATTEMPT_ENDED,
+    REQUEST_CUT,
+    REQUEST_FINISHED,
+)
 from catkinfork.observability import log_event
 
 MAX_LOGGED_BYTES = 64
@@ -65,6 +69,26 @@
     )
 
 
+def build_cut_event(exchange, signalled_at, now):
+    """Return the log event of a request that a planned stop ends.
+
+    :param exchange: :class:`Exchange` that was placed and has not ended.
+    :param signalled_at: monotonic time of the signal to stop, seconds.
+    """
+    job = exchange.job
+    return log_event(
+        REQUEST_CUT,
+        request_id=job.request_id,
+        sent_s=round(job.arrived_at - signalled_at, 3),
+        cut_s=round(now - signalled_at, 3),
+        placed_s=round(exchange.placed_at - signalled_at, 3),
+        head_s=round(exchange.request.received_at - signalled_at, 3),
+        has_begun=exchange.has_response_started,
+        route=job.route.name,
+        backend_servers=",".join(job.tried_backends),
+    )
+
+
 def find_resumed_id(exchange):
     """Return the id of the request whose stream a request resumes, empty if none."""
     value = exchange.request.find_header(exchange.server.names.resumed_id) or b""
--- a/catkinfork/forwarding/_server.py
+++ b/catkinfork/forwarding/_server.py
@@ -21,6 +21,7 @@
 from catkinfork.forwarding._metrics import ForwarderMetrics
 from catkinfork.forwarding._numbers import parse_decimal
 from catkinfork.forwarding._pool import ConnectionPool
+from catkinfork.forwarding._request_events import build_cut_event
 from catkinfork.forwarding._sockets import poll_socket
 from catkinfork.observability import log_event
 from catkinfork.topology import CallerLimits, split_address
@@ -53,6 +54,7 @@
     :param write_log: callable that takes a :class:`LogEvent`.
     :param spawn: callable that starts a coroutine function with arguments as a task.
 
+    ``stop_signalled_at`` is the monotonic time of the signal to stop, or None.
     ``cache_lookup`` is the :class:`CacheLookup` of the engines, or None, and
     ``request_read`` a callable that has the store read soon, or None.
     """
@@ -78,6 +80,7 @@
         self.lag = LagMonitor()
         self.is_draining = False
         self.is_stopping = False
+        self.stop_signalled_at = None
         self.is_dispatch_scheduled = False
         self.next_dispatch_at = 0.0
         self.next_idle_sweep_at = 0.0
@@ -159,6 +162,8 @@
         self.is_stopping = True
         now = self.loop.time()
         for exchange in list(self.exchanges.values()):
+            if exchange.placed_at is not None:
+                self.write_log(build_cut_event(exchange, self.stop_signalled_at, now))
             exchange.end(ABANDONED, 502, STOPPING, now)
         for caller in list(self.callers):
             if caller.is_reading_head or caller.is_reading_body:
