--- a/catkinfork/forwarder/tests/test_planned_stop.py
+++ b/catkinfork/forwarder/tests/test_planned_stop.py
@@ -22,6 +22,13 @@
 )
 
 
+CHAT_HEAD = (
+    b"POST /chat/ HTTP/1.1\r\nHost: site.example\r\nX-Request-Id: late\r\n"
+    b"Authorization: Bearer %s\r\nContent-Length: 4\r\n"
+    b"X-Token-Counts: 100,20\r\nX-Prompt-Parts: a1:60,b2:40\r\n\r\n" % KEY.encode()
+)
+
+
 def begin_leaving(leaving_since):
     """Return the plan of a forwarder that has no peers."""
     directory = PeerDirectory("10.0.0.1", [], 0.0)
@@ -157,6 +164,61 @@
     run_world(test, limits=PATIENT)
 
 
+async def upload_late(world, data, delay_s, **options):
+    """Send the head of a request, its body in a stop, and return the :class:`Reply`.
+
+    :param data: head of the request.
+    :param delay_s: time from the begin of the drain to the body, seconds.
+    """
+    caller = await world.connect()
+    await caller.send_raw(data)
+    await anyio.sleep(0.1)
+    replies = []
+
+    async def upload():
+        await anyio.sleep(delay_s)
+        await caller.send_raw(b"body")
+        replies.append(await caller.read())
+
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(upload)
+        await stop(world, **options)
+    return replies[0]
+
+
+async def check_late_stream(world, delay_s, **options):
+    """Check that a stream is refused though those before it were short."""
+    script = in_turn(*[stream(1, 3)] * 20, stream(1, 100, gap_s=0.1))
+    (backend,) = await world.start("engine", script)
+    for _ in range(20):
+        assert (await world.call("/chat/", headers=PROMPT)).status == 200
+    reply = await upload_late(world, CHAT_HEAD, delay_s, **options)
+    assert (reply.status, reply.is_whole) == (503, True)
+    assert float(reply.headers["retry-after"]) > 0
+    assert len(backend.requests) == 20
+
+
+def test_late_stream_is_refused_though_streams_were_short():
+    """Guards against a late stream that is taken on an estimate, begins and is cut.
+
+    Streams last longer in a burst than those from which the estimate comes.
+    """
+
+    async def test(world):
+        await check_late_stream(world, 1.0)
+
+    run_world(test, limits=PATIENT)
+
+
+def test_stop_counts_from_its_signal():
+    """Guards against late streams that a host takes because it saw the signal late."""
+
+    async def test(world):
+        await check_late_stream(world, 0.4, signal_age_s=0.5)
+
+    run_world(test, limits=PATIENT)
+
+
 def test_short_request_that_is_uploaded_late_is_served():
     """Guards against refusals of late requests that can still be served."""
 
