Refuse late streams in a planned stop instead of betting on their duration

What callers saw: a stream that was accepted around the SIGTERM of its host was answered 200, sent a part of its events, and was cut as the host exited (LOST).

Cause: a request that arrives 2.6 s after the signal or later was sent if the mean duration of its route and four mean deviations fit into the stop. In a burst streams last several times as long as those the estimate comes from, and on a host that has just started only short ones have ended. Streams that waited for room, and requests that a server rejected or whose server left, were passed on even later, the former if half of the mean fitted, the latter unchecked. A response that has begun cannot be replaced by an error, and most streams may not run again.

Change: a stream that arrives late is sent only if its deadline lies within the stop. Whatever waits, or is to be sent once more, goes through the same plan, and is refused with 503 as soon as it would not fit; another host serves it at once. A service that a configuration adds during a stop is ended by it as well. Late requests that are answered as a whole are still sent on the estimate: the caller gets a whole 502 if it fails.

Tests that were wrong: test_late_streams_are_hardly_ever_cut and one case of test_request_is_sent_if_it_can_end_in_time demanded that late streams are sent on an estimate, from streams whose duration does not change. They now hold, with the same figures, for requests that are answered as a whole; for streams, none may be cut in a burst, and those that fit must be sent. The queued stream of test_balancer_refuses_what_a_stop_would_cut was to wait until half of the mean fitted. It is refused once nearly all streams of its route would not fit.

--- a/catkinfork/balancing/_balancer.py
+++ b/catkinfork/balancing/_balancer.py
@@ -68,12 +68,17 @@
             if name in self.pools:
                 self.pools[name].update(service, self.settings)
             else:
-                self.pools[name] = ServicePool(service, self.settings)
+                self.add_pool(name, service)
         for route in configuration.routes:
             for target in route.targets:
                 if target.service not in self.pools:
-                    unlisted = Service(target.service)
-                    self.pools[target.service] = ServicePool(unlisted, self.settings)
+                    self.add_pool(target.service, Service(target.service))
+
+    def add_pool(self, name, service):
+        """Add the state of a service, which a planned stop ends as well."""
+        pool = self.pools[name] = ServicePool(service, self.settings)
+        if self.stop_plan is not None:
+            pool.ends_at = self.stop_plan.ends_at
 
     def record_cached_parts(self, backend, parts):
         """Record the prompt parts that an engine says it keeps.
@@ -128,9 +133,12 @@
             pool.ends_at = plan.ends_at
 
     def check_stop(self, pool, job, now):
-        """Return a refusal if a job cannot end before a planned stop does."""
+        """Return a refusal if a job cannot end before a planned stop does.
+
+        :param job: :class:`Job` that is new, or that is to be sent once more.
+        """
         plan = self.stop_plan
-        if plan is None or plan.allows(job, pool.durations, now):
+        if plan is None or plan.allows_queued(job, pool.durations, now):
             return None
         return self.refusals.refuse_at_stop(plan.ends_at - now)
 
@@ -140,7 +148,7 @@
         :returns: as :meth:`submit`.
         """
         pool = self.pools[job.service]
-        refusal = self.crash_guard.check(job, now)
+        refusal = self.crash_guard.check(job, now) or self.check_stop(pool, job, now)
         if refusal is not None:
             return refusal
         if job.has_arrived and not self.has_retry_budget(pool, now):
@@ -157,8 +165,11 @@
         job = placement.job
         self.handle_attempt_end(placement, ABANDONED, now)
         job.tried_backends.remove(placement.backend.name)
-        return self.crash_guard.check(job, now) or self.admit(
-            self.pools[job.service], job, now
+        pool = self.pools[job.service]
+        return (
+            self.crash_guard.check(job, now)
+            or self.check_stop(pool, job, now)
+            or self.admit(pool, job, now)
         )
 
     def mark_leaving(self, backend):
--- a/catkinfork/balancing/_dispatch.py
+++ b/catkinfork/balancing/_dispatch.py
@@ -38,6 +38,7 @@
     def run(self):
         """Do the pass and return the decisions."""
         self.refuse_suspects()
+        self.refuse_stopped()
         self.refuse_expired()
         self.place_waiting()
         return self.decisions
@@ -57,6 +58,19 @@
             if refusal is not None:
                 self.decide(job, refusal)
 
+    def refuse_stopped(self):
+        """Refuse jobs that a planned stop would cut once they were placed.
+
+        Load pattern: streams that wait for a full engine as their host is stopped.
+        Other hosts can still serve them.
+        """
+        if self.balancer.stop_plan is None:
+            return
+        for job in self.pool.queue.list_all(self.now):
+            refusal = self.balancer.check_stop(self.pool, job, self.now)
+            if refusal is not None:
+                self.decide(job, refusal)
+
     def refuse_expired(self):
         """Refuse jobs that can no longer meet their deadline."""
         if self.now < self.pool.next_expiry_check_at:
--- a/catkinfork/balancing/_stop.py
+++ b/catkinfork/balancing/_stop.py
@@ -1,21 +1,26 @@
 """Which requests a host still sends to backend servers while it is stopping."""
 
+from catkinfork.topology import STREAMING
+
 # Mean deviations above the mean duration of a route within which nearly all of its
 # requests end.
 N_DEVIATIONS = 4.0
 
 
 class StopPlan:
-    """Decides whether a new request can end before a planned stop does.
+    """Decides whether a request can end before a planned stop does.
 
-    Load pattern: streams of some seconds at a host that is stopped. New requests reach
-    it until the load balancer has taken it out, and some arrive later: from slow
-    uploads, connections that waited to be accepted, and behind other requests. One that
-    is cut at the end may have run, and may not be allowed to run again; one that is
-    refused is served by another host at once.
+    Load pattern: streams of some seconds at a host that is stopped, in a burst in which
+    they last several times as long as those before. New requests reach the host until
+    the load balancer has taken it out, and some arrive later: from slow uploads,
+    connections that waited to be accepted, and behind other requests. Others wait for
+    room. One that is cut at the end may have run, and may not be allowed to run again;
+    one that is refused is served by another host at once.
 
-    Up to ``late_from``, a request is sent if it is expected to end in time. A later one
-    is sent only if nearly all requests of its route would end in time.
+    Up to ``late_from``, a request is sent if it is expected to end in time, and from
+    then on only if nearly all requests of its route would. A stream that arrives after
+    it is sent only if its deadline is within the stop: an estimate may be wrong, and a
+    response that has begun cannot be replaced by an error.
 
     :param late_from: monotonic time from which requests count as late, seconds.
     :param ends_at: monotonic time at which requests in progress are ended, seconds.
@@ -36,8 +41,24 @@
         """
         if job.deadline_at <= self.ends_at:
             return True
+        if job.route.kind == STREAMING and job.arrived_at >= self.late_from:
+            return False
         is_late = now >= self.late_from
         duration_s = durations.estimate_bound(job.route, N_DEVIATIONS * is_late)
         if duration_s is None:
             return not is_late and now < self.ends_at
         return now + duration_s <= self.ends_at
+
+    def allows_queued(self, job, durations, now):
+        """Return whether a queued request may wait on to be sent.
+
+        A stream that broke off here waits up to the end: refused, its caller would lose
+        what it has received no later.
+
+        :param job: :class:`Job`.
+        :param durations: :class:`RouteDurations` of its service.
+        :param now: monotonic time, seconds.
+        """
+        if job.version is not None and job.tried_backends:
+            return True
+        return self.allows(job, durations, now)
