Count a planned stop from its signal

Cause: all times of a stop counted from the moment at which the event loop handled the signal. On a busy machine that is later: streams that came over 3 s after the signal counted as in time, and requests were ended later than the 0.7 s before the forced termination that the margin is for.

Change: the signal handler, which runs between two instructions of the main thread, records the time, and the plan of the stop and its end count from it. Connections are still accepted for 2.6 s from the begin of the drain, as the load balancer learns of the stop only then; what arrives late on them is refused or served by the plan.

--- a/catkinfork/forwarder/_drain.py
+++ b/catkinfork/forwarder/_drain.py
@@ -33,19 +33,19 @@
 async def drain(process, signalled_at):
     """Report the process as not ready, then wait until all requests are answered.
 
-    Those that are in progress shortly before the forced termination are ended.
+    Those that are in progress shortly before the forced termination are ended. What is
+    sent until then counts from the signal, which a busy host may see late.
 
     :param process: :class:`ForwarderProcess`.
     :param signalled_at: monotonic time of the signal to stop, seconds.
     """
     server = process.server
     grace_s = process.settings.forwarder.grace_s
-    started_at = anyio.current_time()
-    ends_at = started_at + grace_s - FORCED_STOP_MARGIN_S
+    ends_at = signalled_at + grace_s - FORCED_STOP_MARGIN_S
     accept_s = min(ACCEPT_PERIOD_S, 0.4 * grace_s)
     server.is_draining = True
     server.stop_signalled_at = signalled_at
-    server.balancer.begin_stop(StopPlan(started_at + accept_s, ends_at))
+    server.balancer.begin_stop(StopPlan(signalled_at + accept_s, ends_at))
     handover = process.peer_exchange.begin_leaving(int(time.time() * 1000))
     process.log.write(
         log_event(
@@ -53,9 +53,10 @@
             n_requests=len(server.exchanges),
             n_connections=len(server.callers),
             grace_s=grace_s,
-            signal_age_s=round(started_at - signalled_at, 3),
+            signal_age_s=round(anyio.current_time() - signalled_at, 3),
         )
     )
+    # The load balancer learns of the stop only now, however old the signal is.
     await anyio.sleep(accept_s)
     # Closing the socket resets connections that were not accepted yet.
     with anyio.move_on_after(BACKLOG_PERIOD_S):
@@ -67,12 +68,12 @@
     n_requests_left = len(server.exchanges)
     handover_s = await wait_for_successor(handover, ends_at)
     server.end_requests()
-    await flush(server, started_at + grace_s - EXIT_MARGIN_S)
+    await flush(server, signalled_at + grace_s - EXIT_MARGIN_S)
     process.log.write(
         log_event(
             FORWARDER_STOPPED,
             n_requests_left=n_requests_left,
-            waited_s=round(anyio.current_time() - started_at, 3),
+            waited_s=round(anyio.current_time() - signalled_at, 3),
             handover_s=round(handover_s, 3),
         )
     )
