Bound the headers and trailers of a request, and pass no trailers on

Cause: the limit on a head was checked after each read, which brings up to 256 KB; as objects, short headers take some 30 times that. Trailers had no limit, and were appended to the headers of the request after these had been checked, so that they reached backend servers as headers.

Change: the limit holds as headers are parsed, and for trailers by themselves; trailers are dropped.

--- a/catkinfork/forwarding/_caller.py
+++ b/catkinfork/forwarding/_caller.py
@@ -55,6 +55,7 @@
         self.body_parts = []
         self.n_body_bytes = 0
         self.n_head_bytes = 0
+        self.n_field_bytes = 0
         self.n_begun = 0
         self.is_reading_head = False
         self.is_reading_body = False
@@ -158,6 +159,7 @@
         self.body_parts = []
         self.n_body_bytes = 0
         self.n_head_bytes = 0
+        self.n_field_bytes = 0
         self.n_begun += 1
         self.is_reading_head = True
         self.is_reading_body = False
@@ -170,14 +172,23 @@
         self.url += url
 
     def on_header(self, name, value):
-        """Append a header."""
+        """Append a header; trailers are not passed on.
+
+        A short one takes many times its bytes as objects, so that the limit holds
+        within each read.
+        """
         if not HEADER_NAME_PATTERN.match(name):
             raise BadRequestError(400, "malformed_header")
-        self.headers.append((name.lower(), value))
+        self.n_field_bytes += count_field_bytes(name, value)
+        if self.n_field_bytes > self.server.limits.max_header_bytes:
+            raise BadRequestError(431, "head_too_large")
+        if self.is_reading_head:
+            self.headers.append((name.lower(), value))
 
     def on_headers_complete(self):
         """Build the request from its head and check it."""
         self.is_reading_head = False
+        self.n_field_bytes = 0
         self.is_reading_body = True
         parser = self.parser
         request = Request(parser.get_method(), self.url, self.headers, self.loop.time())
@@ -325,6 +336,11 @@
     loop.call_exception_handler({"message": message, "exception": error})
 
 
+def count_field_bytes(name, value):
+    """Return the bytes of a header or trailer, with its separators."""
+    return len(name) + len(value) + 4
+
+
 def check_head(request, limits):
     """Check the head of a request.
 
@@ -335,7 +351,7 @@
     :param limits: :class:`CallerLimits`.
     :raises BadRequestError: if the head is invalid or exceeds a limit.
     """
-    n_bytes = sum(len(name) + len(value) + 4 for name, value in request.headers)
+    n_bytes = sum(count_field_bytes(*field) for field in request.headers)
     if n_bytes + len(request.target) > limits.max_header_bytes:
         raise BadRequestError(431, "head_too_large")
     names = [name for name, _ in request.headers]
