Bound the list that an engine is asked for to 1 MB

Cause: up to 64 engines are asked at once, and the answer of each was read up to 16 MB, more than the memory of the smallest hosts together. The parts received were kept until the question was given up.

--- a/catkinfork/forwarding/_client.py
+++ b/catkinfork/forwarding/_client.py
@@ -9,6 +9,8 @@
 from catkinfork.forwarding._names import HeaderNames
 from catkinfork.forwarding._pool import ConnectionPool
 
+# A page of the store has up to 1 MB, or one item of that size, and a snapshot of a peer
+# some MB.
 MAX_RESPONSE_BYTES = 16 << 20
 
 
@@ -39,9 +41,13 @@
 
 
 class ResponseCollector(BaseResponseListener):
-    """Collects one response in memory."""
+    """Collects one response in memory.
 
-    def __init__(self):
+    :param max_bytes: bytes of the body from which on it is given up.
+    """
+
+    def __init__(self, max_bytes):
+        self.max_bytes = max_bytes
         self.done = anyio.Event()
         self.head = None
         self.body_parts = []
@@ -53,8 +59,9 @@
 
     def on_data(self, data):
         self.n_bytes += len(data)
-        if self.n_bytes > MAX_RESPONSE_BYTES:
-            self.failure = f"response exceeds {MAX_RESPONSE_BYTES} bytes"
+        if self.n_bytes > self.max_bytes:
+            self.failure = f"response exceeds {self.max_bytes} bytes"
+            self.body_parts.clear()
             self.done.set()
             return
         self.body_parts.append(data)
@@ -72,10 +79,12 @@
 
     :param address: ``host:port``.
     :param loop: event loop.
+    :param max_bytes: size of the largest body that is accepted.
     """
 
-    def __init__(self, address, loop):
+    def __init__(self, address, loop, max_bytes=MAX_RESPONSE_BYTES):
         self.address = address
+        self.max_bytes = max_bytes
         self.pool = ConnectionPool(address, HeaderNames(), loop)
 
     async def fetch(self, target, timeout_s):
@@ -99,7 +108,7 @@
 
     async def fetch_on(self, connection, target):
         """Send a request on a connection and return the response."""
-        collector = ResponseCollector()
+        collector = ResponseCollector(self.max_bytes)
         request = f"GET {target} HTTP/1.1\r\nhost: {self.address}\r\n\r\n"
         connection.send(collector, b"", request.encode())
         await collector.done.wait()
--- a/catkinfork/platform/_engines.py
+++ b/catkinfork/platform/_engines.py
@@ -14,6 +14,9 @@
 LIST_TIMEOUT_S = 0.3
 # Engines that are asked at the same time, which bounds the connections of a lookup.
 MAX_CONCURRENT_LISTS = 64
+# Largest list that is read, bytes: some 20,000 parts. Several engines may be faulty at
+# once, and the smallest hosts have 128 MB.
+MAX_LIST_BYTES = 1 << 20
 
 
 class KeptPart(msgspec.Struct, array_like=True):
@@ -48,7 +51,7 @@
 
     async def list_parts(self, address):
         async with self.limiter:
-            client = HttpClient(address, self.loop)
+            client = HttpClient(address, self.loop, MAX_LIST_BYTES)
             try:
                 response = await client.fetch(LIST_PATH, LIST_TIMEOUT_S)
                 if response.status != 200:
--- a/catkinfork/platform/tests/test_engines.py
+++ b/catkinfork/platform/tests/test_engines.py
@@ -6,6 +6,7 @@
 import pytest
 
 from catkinfork.platform import EngineCacheSource
+from catkinfork.platform._engines import MAX_LIST_BYTES
 from catkinfork.platform.tests.standins import list_unused_ports, read_head, serve_port
 
 BODIES = {
@@ -65,3 +66,36 @@
         return await source.list_parts(f"127.0.0.1:{port}")
 
     assert anyio.run(list_of_none) is None
+
+
+def test_endless_list_is_stopped():
+    """Guards against engines whose answers without end fill the memory together.
+
+    What is received beyond the bound is one read and the buffers of the socket.
+    """
+    n_sent = []
+
+    async def respond(reader, writer):
+        await read_head(reader)
+        writer.write(b'HTTP/1.1 200 OK\r\n\r\n{"held":[')
+        n_bytes = 0
+        try:
+            while n_bytes < 64 * MAX_LIST_BYTES:
+                writer.write(b'["","b2",40,"m"],' * 4096)
+                await writer.drain()
+                n_bytes += 4096 * 17
+        finally:
+            n_sent.append(n_bytes)
+
+    async def list_endless():
+        server = await serve_port(respond)
+        port = server.sockets[0].getsockname()[1]
+        source = EngineCacheSource(asyncio.get_running_loop())
+        parts = await source.list_parts(f"127.0.0.1:{port}")
+        await anyio.sleep(0.1)
+        server.close()
+        return parts
+
+    assert anyio.run(list_endless, backend_options={"use_uvloop": True}) is None
+    assert n_sent
+    assert n_sent[0] <= 12 * MAX_LIST_BYTES
