End a forwarder as soon as its drain is over

Change: the process ends right after its log is flushed.

The soak at a high load is still to be run.

--- a/catkinfork/_signals.py
+++ b/catkinfork/_signals.py
@@ -2,6 +2,7 @@
 
 import os
 import signal
+import sys
 
 STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
 RELOAD_SIGNAL = signal.SIGHUP
@@ -52,6 +53,18 @@
         for number in (*STOP_SIGNALS, RELOAD_SIGNAL):
             signal.signal(number, signal.SIG_IGN)
 
+    def end_process(self):
+        """End the process of a forwarder that has stopped, without finalization.
+
+        The interpreter takes longer for that than a busy host has until the forced
+        termination, and nothing is left to close. Does nothing without handlers.
+        """
+        if not self.is_installed:
+            return
+        sys.stdout.flush()
+        sys.stderr.flush()
+        os._exit(0)
+
     def handle_stop(self, number, frame):
         """Pass on the first request to stop."""
         self.ignore()
--- a/catkinfork/cli/_forwarder.py
+++ b/catkinfork/cli/_forwarder.py
@@ -35,3 +35,4 @@
         raise typer.Exit(EXIT_PORT_IN_USE) from None
     finally:
         PROCESS_SIGNALS.ignore()
+    PROCESS_SIGNALS.end_process()
--- a/catkinfork/platform/tests/test_stops.py
+++ b/catkinfork/platform/tests/test_stops.py
@@ -8,6 +8,7 @@
 
 import pytest
 
+from catkinfork.platform.tests.finalized import FINALIZED
 from catkinfork.platform.tests.standins import (
     Platform,
     build_config,
@@ -156,3 +157,25 @@
         assert not forwarder.list_events("callback_failed")
 
     run_platform(test, tmp_path)
+
+
+def test_process_ends_as_soon_as_its_drain_is_over(tmp_path):
+    """Guards against a forced termination while the interpreter is finalized.
+
+    On a busy host that takes longer than is left of the grace.
+    """
+
+    async def test(platform):
+        platform.store.put("op/config", build_config())
+        await platform.add_runner("i-1")
+        (forwarder,) = await platform.create_forwarders()
+        forwarder.module = "catkinfork.platform.tests.finalized"
+        await forwarder.start()
+        await platform.wait_ready()
+        forwarder.signal(signal.SIGTERM)
+        assert await asyncio.wait_for(forwarder.process.wait(), 5.0) == 0
+        (stopped,) = forwarder.list_events("forwarder_stopped")
+        assert stopped["n_requests_left"] == 0
+        assert FINALIZED not in forwarder.read_log()
+
+    run_platform(test, tmp_path)
