Ask peers that are heard after a forwarder was ready

What is told once stayed unknown to it: origins of streams and crashes. A peer that had learned from such a forwarder took that for an answer.

Change: up to two minutes after the start, a peer that is heard and ran before all that is known begins is asked as well, within the same bounds of three answers and eight questions. A late answer adds nothing to retry budgets, which frames have told since. Event 1014, forwarder_informed, says so.

--- a/catkinfork/forwarder/_joining.py
+++ b/catkinfork/forwarder/_joining.py
@@ -4,6 +4,7 @@
 
 from catkinfork.forwarder._peer_source import format_control_address
 from catkinfork.forwarding import (
+    FORWARDER_INFORMED,
     FORWARDER_JOINED,
     AdminResponse,
     FetchError,
@@ -14,6 +15,7 @@
 
 SNAPSHOT_PATH = "/snapshot"
 POLL_INTERVAL_S = 0.02
+LATE_POLL_INTERVAL_S = 0.1
 # Time after which an answer is given up, seconds.
 ASK_TIMEOUT_S = 0.8
 
@@ -45,7 +47,7 @@
         return AdminResponse(200, b"application/msgpack", body)
 
     async def run(self):
-        """Ask peers until enough is known, for a bounded time.
+        """Ask peers until enough is known, for a bounded time, then those heard later.
 
         Frames are received before, but name services by their hashes, which only the
         configuration resolves.
@@ -55,14 +57,23 @@
         self.plan.start(self.loop.time())
         async with anyio.create_task_group() as questions:
             while not self.plan.is_done(self.loop.time()):
-                address = self.plan.find_next(self.loop.time())
-                if address is not None:
-                    questions.start_soon(self.ask, address)
+                self.ask_soon(questions, self.plan.find_next(self.loop.time()))
                 await anyio.sleep(POLL_INTERVAL_S)
-            questions.cancel_scope.cancel()
-        self.snapshots.is_joined = True
-        self.process.peer_exchange.has_joined = self.plan.n_answers > 0
-        self.log_joined()
+            self.snapshots.is_joined = True
+            self.process.peer_exchange.has_joined = self.plan.n_answers > 0
+            self.log_joined()
+            while not self.plan.is_late_over(self.loop.time()):
+                self.ask_soon(questions, self.plan.find_late(self.loop.time()))
+                await anyio.sleep(LATE_POLL_INTERVAL_S)
+
+    def ask_soon(self, questions, address):
+        """Start to ask a peer.
+
+        :param questions: task group.
+        :param address: IP address of the peer, or None if none is to be asked.
+        """
+        if address is not None:
+            questions.start_soon(self.ask, address)
 
     async def ask(self, address):
         """Ask a peer, and record what it knows."""
@@ -82,8 +93,12 @@
             # A peer of another build may not know the path.
             self.plan.record_failure()
             return
-        self.snapshots.apply(snapshot, self.loop.time())
+        is_late = self.is_done
+        self.snapshots.apply(snapshot, self.loop.time(), is_late)
         self.plan.record_answer(address, snapshot.is_joined, snapshot.known_ms / 1000)
+        if is_late and snapshot.is_joined:
+            self.process.peer_exchange.has_joined = True
+            self.log_informed(address)
 
     def log_joined(self):
         """Log what was learned."""
@@ -98,3 +113,15 @@
                 n_streams=len(self.process.balancer.streams.records),
             )
         )
+
+    def log_informed(self, address):
+        """Log that a peer has answered after the forwarder was ready."""
+        now = self.loop.time()
+        self.process.log.write(
+            log_event(
+                FORWARDER_INFORMED,
+                peer=address,
+                known_s=round(now - self.snapshots.known_since, 3),
+                n_streams=len(self.process.balancer.streams.records),
+            )
+        )
--- a/catkinfork/forwarding/_events.py
+++ b/catkinfork/forwarding/_events.py
@@ -144,6 +144,13 @@
         "backend_servers",
     ),
 )
+FORWARDER_INFORMED = Event(
+    1014,
+    "info",
+    "forwarder_informed",
+    "a peer that was heard late has told what the process missed before it was ready",
+    ("peer", "known_s", "n_streams"),
+)
 
 EVENTS = (
     REQUEST_FINISHED,
@@ -160,4 +167,5 @@
     FORWARDER_JOINED,
     ABANDONED_ATTEMPT_ENDED,
     REQUEST_CUT,
+    FORWARDER_INFORMED,
 )
--- a/catkinfork/peering/_joining.py
+++ b/catkinfork/peering/_joining.py
@@ -13,6 +13,8 @@
 # Answers, and questions, after which no further peer is asked.
 MAX_ANSWERS = 3
 MAX_ASKED = 8
+# Time after the start up to which peers are asked that are heard late, seconds.
+MAX_LATE_S = 120.0
 # Age of a peer from which it is asked before younger ones, milliseconds.
 SETTLED_MS = 60_000
 # Age of what a peer knows from which nothing older matters, seconds: the longest time
@@ -29,7 +31,7 @@
 
     Load pattern: all forwarders restart in turn, or several at once, so that some of
     the peers have just started as well; or all of them start at once, and nobody can
-    answer.
+    answer; or all seeds are down, so that the others are heard after it was ready.
 
     :param directory: :class:`PeerDirectory`.
     :param incarnation: Unix time at which this process started, milliseconds.
@@ -54,10 +56,33 @@
 
     def find_next(self, now):
         """Return the IP address of the peer to ask now, or None."""
-        if now < self.next_at or self.n_asked >= MAX_ASKED:
+        return self.choose(self.list_candidates(), now)
+
+    def find_late(self, now):
+        """Return the IP address of a peer to ask once the forwarder is ready, or None.
+
+        Only a peer that ran before all that is known can tell something new.
+        """
+        if self.is_late_over(now):
             return None
-        candidates = self.list_candidates()
-        if not candidates:
+        known_since = self.incarnation - 1000 * self.known_s
+        older = [one for one in self.list_candidates() if one.incarnation < known_since]
+        return self.choose(older, now)
+
+    def is_late_over(self, now):
+        """Return whether peers that are heard late are not asked any more."""
+        return (
+            now - self.started_at >= MAX_LATE_S
+            or self.n_answers >= MAX_ANSWERS
+            or self.known_s >= MAX_KNOWLEDGE_S
+        )
+
+    def choose(self, candidates, now):
+        """Return the IP address of the peer to ask, or None if none is due.
+
+        :param candidates: peers that may be asked.
+        """
+        if not candidates or now < self.next_at or self.n_asked >= MAX_ASKED:
             return None
         self.rng.shuffle(candidates)
         peer = min(candidates, key=self.rank)
--- a/catkinfork/peering/_snapshots.py
+++ b/catkinfork/peering/_snapshots.py
@@ -119,10 +119,12 @@
         )
         return _ENCODER.encode(snapshot)
 
-    def apply(self, snapshot, now):
+    def apply(self, snapshot, now, is_late=False):
         """Record what a peer knows.
 
         :param snapshot: :class:`Snapshot`.
+        :param is_late: whether the forwarder was ready before. It has counted requests
+            and retries from the frames of its peers since, which would count twice.
         """
         self.record_streams(snapshot.streams, now)
         for service, version, age_ms in snapshot.left:
@@ -130,7 +132,7 @@
             self.balancer.registry.versions.record_told(service, version, left_at)
         self.crash_notices.record_entries(snapshot.crash_counts, now)
         self.record_parts(snapshot, now)
-        for service, n_requests, n_retries in snapshot.budgets:
+        for service, n_requests, n_retries in () if is_late else snapshot.budgets:
             pool = self.balancer.pools.get(service)
             if pool is not None:
                 pool.retry_budget.record_told(n_requests, n_retries, now)
--- a/catkinfork/peering/tests/joining.py
+++ b/catkinfork/peering/tests/joining.py
@@ -37,23 +37,26 @@
             if now >= arrives_at:
                 self.open.remove(question)
                 self.take_answer(nodes.get(address), now)
-        if self.joined_at is not None:
-            return
-        if self.plan.is_done(now):
+        if self.joined_at is None and self.plan.is_done(now):
             self.snapshots.is_joined = True
             self.joined_at = now
-            return
-        address = self.plan.find_next(now)
+        address = self.find_next(now)
         if address is not None and not is_silent(address):
             self.open.append((address, now + SNAPSHOT_LATENCY_S))
 
+    def find_next(self, now):
+        """Return the address of the peer to ask now, or None."""
+        if self.joined_at is not None:
+            return self.plan.find_late(now)
+        return self.plan.find_next(now)
+
     def take_answer(self, peer, now):
         """Take the answer of a peer, or note that it has ended."""
         if peer is None:
             self.plan.record_failure()
             return
         snapshot = decode_snapshot(peer.snapshots.build(now))
-        self.snapshots.apply(snapshot, now)
+        self.snapshots.apply(snapshot, now, is_late=self.joined_at is not None)
         self.plan.record_answer(
             peer.address, snapshot.is_joined, snapshot.known_ms / 1000
         )
@@ -63,6 +66,8 @@
     """Forwarders that start, exchange frames and stop.
 
     :param n_nodes: number of forwarders. The first three are the seeds.
+
+    ``cut_off`` has the addresses of those that neither hear others nor are heard.
     """
 
     def __init__(self, n_nodes, seed=1):
@@ -71,6 +76,7 @@
         self.now = 0.0
         self.nodes = {}
         self.is_silent = lambda address: False
+        self.cut_off = set()
         for address in self.addresses:
             self.start(address)
 
@@ -88,7 +94,12 @@
         """Exchange frames and snapshots for a time, seconds."""
         ends_at = self.now + duration_s
         while self.now < ends_at:
-            deliver(self.nodes, self.now)
+            linked = {
+                address: node
+                for address, node in self.nodes.items()
+                if address not in self.cut_off
+            }
+            deliver(linked, self.now)
             for node in list(self.nodes.values()):
                 node.join(self.nodes, self.now, self.is_silent)
             self.now += step_s
--- a/catkinfork/peering/tests/test_joining.py
+++ b/catkinfork/peering/tests/test_joining.py
@@ -13,6 +13,7 @@
     MAX_ASKED,
     MAX_JOIN_S,
     MAX_KNOWLEDGE_S,
+    MAX_LATE_S,
     SETTLED_MS,
 )
 from catkinfork.peering._snapshots import Snapshot
@@ -71,6 +72,94 @@
     assert all(node.plan.n_answers == 0 for node in fleet.nodes.values())
 
 
+def restart_unheard(fleet, unheard_s):
+    """Restart a forwarder that hears nobody for a time, as all seeds are down."""
+    (address,) = fleet.addresses[-1:]
+    fleet.stop(address)
+    fleet.cut_off = set(fleet.addresses[:-1])
+    node = fleet.start(address)
+    fleet.run(unheard_s)
+    assert node.joined_at is not None
+    assert node.plan.n_asked == 0
+    fleet.cut_off = set()
+    return node
+
+
+@pytest.mark.parametrize("n_nodes", [2, 4, 9])
+@pytest.mark.parametrize("unheard_s", [MAX_JOIN_S + 0.1, 3.0, 20.0])
+def test_forwarder_that_hears_its_peers_late_learns_what_it_missed(n_nodes, unheard_s):
+    """Guards against a forwarder that was ready alone and never asks.
+
+    Load pattern: all seeds are down while it starts, and the peers that it hears of
+    later know of streams and crashes that they do not tell again.
+    """
+    fleet = JoiningFleet(n_nodes)
+    fleet.run(2.0)
+    begin_streams(fleet)
+    node = restart_unheard(fleet, unheard_s)
+    fleet.run(1.0)
+    assert node.plan.n_answers > 0
+    check_origins(fleet)
+
+
+def test_forwarder_that_learned_from_an_ignorant_peer_asks_older_ones():
+    """Guards against the answer of a peer that was ready alone and knows nothing."""
+    fleet = JoiningFleet(4)
+    fleet.run(2.0)
+    begin_streams(fleet)
+    first, second = fleet.addresses[2:]
+    for address in (first, second):
+        fleet.stop(address)
+    fleet.cut_off = set(fleet.addresses[:2])
+    fleet.start(first)
+    fleet.run(1.5)
+    fleet.start(second)
+    fleet.run(1.5)
+    assert fleet.nodes[second].plan.n_answers == 1
+    fleet.cut_off = set()
+    fleet.run(1.0)
+    check_origins(fleet)
+
+
+def test_late_questions_end():
+    """Guards against forwarders that go on asking for ever.
+
+    All have started at once, and those that are heard later are younger.
+    """
+    fleet = JoiningFleet(6)
+    fleet.run(2.0)
+    assert all(node.plan.n_asked == 0 for node in fleet.nodes.values())
+    fleet.restart(fleet.addresses[-2:])
+    fleet.run(5.0)
+    older = [fleet.nodes[address] for address in fleet.addresses[:-2]]
+    assert all(node.plan.n_asked == 0 for node in older)
+    plan, peers = build_plan(40)
+    for peer in peers.values():
+        peer.incarnation = 1
+    n_asked = sum(plan.find_late(0.5 * step) is not None for step in range(400))
+    assert n_asked <= MAX_ASKED
+    assert build_plan(40)[0].find_late(MAX_LATE_S) is None
+
+
+def test_late_answer_adds_nothing_to_the_retry_budget():
+    """Guards against requests that count twice, and allow more retries.
+
+    A forwarder that was ready has counted them from the frames of its peers.
+    """
+    fleet = JoiningFleet(2)
+    fleet.run(2.0)
+    node, other = fleet.nodes.values()
+    budgets = [one.balancer.pools["s"].retry_budget for one in (node, other)]
+    for _ in range(100):
+        budgets[1].record_request(fleet.now)
+    before = budgets[0].count_all(fleet.now)
+    snapshot = decode(other.snapshots.build(fleet.now))
+    node.snapshots.apply(snapshot, fleet.now, is_late=True)
+    assert budgets[0].count_all(fleet.now) == before
+    node.snapshots.apply(snapshot, fleet.now)
+    assert budgets[0].count_all(fleet.now) != before
+
+
 def test_forwarder_without_peers_is_ready_at_once():
     """Guards against a wait for peers that do not exist."""
     plan = JoinPlan(PeerDirectory("10.0.0.1", ["10.0.0.1"], 0.0), 1, random.Random(1))
--- a/catkinfork/platform/tests/test_restart_in_turn.py
+++ b/catkinfork/platform/tests/test_restart_in_turn.py
@@ -1,6 +1,7 @@
 """What forwarder processes know after all of them were restarted in turn."""
 
 import asyncio
+import signal
 
 import pytest
 
@@ -270,3 +271,26 @@
         assert count_arrived() == MAX_CRASHES + 1
 
     run_platform(test, tmp_path)
+
+
+def test_streams_go_on_at_a_host_that_was_ready_before_it_heard_a_peer(tmp_path):
+    """Guards against a host that starts while nobody is heard, and never asks.
+
+    The only peer that runs stands still meanwhile.
+    """
+
+    async def test(streams, forwarders):
+        *others, known, late = forwarders
+        await asyncio.gather(*[stop(one) for one in (*others, late)])
+        known.signal(signal.SIGSTOP)
+        await restart(late)
+        await wait_until(lambda: late.list_events("forwarder_joined"))
+        (joined,) = late.list_events("forwarder_joined")
+        assert joined["n_asked"] == 0
+        known.signal(signal.SIGCONT)
+        await wait_until(lambda: late.list_events("forwarder_informed"))
+        await asyncio.gather(*[restart(one) for one in others])
+        await wait_in_touch(streams.platform)
+        await streams.check_all_go_on()
+
+    run_streams(4, test, tmp_path)
