Test a stream behind one that began before a planned stop

Guards against the incident's likeliest trigger: the response before was begun before the signal, so that its connection stays open, and the caller sends the next request as it ends.

--- a/catkinfork/forwarder/tests/test_planned_stop.py
+++ b/catkinfork/forwarder/tests/test_planned_stop.py
@@ -210,6 +210,39 @@
     run_world(test, limits=PATIENT)
 
 
+def test_stream_behind_one_that_began_before_the_stop_is_refused():
+    """Guards against a late stream on a connection that was not announced to close.
+
+    The head of the stream before it was sent before the stop, and its caller sends the
+    next request as soon as it has ended.
+    """
+
+    async def test(world):
+        script = in_turn(*[stream(1, 3)] * 20, stream(1, 20, gap_s=0.1))
+        (backend,) = await world.start("engine", script)
+        for _ in range(20):
+            assert (await world.call("/chat/", headers=PROMPT)).status == 200
+        caller = await world.connect()
+        await caller.send("/chat/", headers=PROMPT)
+        await anyio.sleep(0.15)
+        replies = []
+
+        async def read():
+            replies.append(await caller.read())
+            await caller.send("/chat/", headers=PROMPT)
+            replies.append(await caller.read())
+
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(read)
+            await stop(world, grace_s=4.0)
+        assert [reply.status for reply in replies] == [200, 503]
+        assert "connection" not in replies[0].headers
+        assert all(reply.is_whole for reply in replies)
+        assert len(backend.requests) == 21
+
+    run_world(test)
+
+
 def test_stop_counts_from_its_signal():
     """Guards against late streams that a host takes because it saw the signal late."""
 
