explain: state when a request came that a planned stop ended

The lines request_cut, forwarder_stopped, forwarder_joined and forwarder_informed take part in the timeline, and the first one gives a finding with its times.

--- a/catkinfork/explanation/_causes.py
+++ b/catkinfork/explanation/_causes.py
@@ -75,3 +75,21 @@
         f"{fields['max_pause_s']} s. The engine had {fields['n_missing_tokens']} "
         "uncached tokens to read."
     )
+
+
+def describe_cut(fields):
+    """Return when a request came and ended that a planned stop ended.
+
+    :param fields: fields of the line ``request_cut``.
+    """
+    return (
+        f"A planned stop ended it {describe_stop_time(fields['cut_s'])}. Its last byte "
+        f"had arrived {describe_stop_time(fields['sent_s'])}, and it was first placed "
+        f"{describe_stop_time(fields['placed_s'])}."
+    )
+
+
+def describe_stop_time(seconds):
+    """Return a time that counts from the signal to stop, seconds, as text."""
+    side = "after" if seconds >= 0 else "before"
+    return f"{abs(seconds):.3f} s {side} the signal"
--- a/catkinfork/explanation/_report.py
+++ b/catkinfork/explanation/_report.py
@@ -3,7 +3,11 @@
 from datetime import UTC, datetime
 from typing import NamedTuple
 
-from catkinfork.explanation._causes import describe_outcome, describe_times
+from catkinfork.explanation._causes import (
+    describe_cut,
+    describe_outcome,
+    describe_times,
+)
 from catkinfork.explanation._clocks import estimate_offsets
 
 # Time before the arrival and after the end of a request whose events are listed,
@@ -18,7 +22,10 @@
         "callback_failed",
         "configuration_adopted",
         "forwarder_draining",
+        "forwarder_informed",
+        "forwarder_joined",
         "forwarder_started",
+        "forwarder_stopped",
         "log_lines_dropped",
         "loop_lag_changed",
         "peer_lost",
@@ -110,6 +117,7 @@
     if finished:
         fields = finished[-1].fields
         findings = [describe_outcome(fields), describe_times(fields)]
+    findings += [describe_cut(one.fields) for one in own if one.name == "request_cut"]
     for backend in sorted(backends):
         hosts = {
             record.host
--- a/catkinfork/explanation/tests/test_explain.py
+++ b/catkinfork/explanation/tests/test_explain.py
@@ -134,3 +134,21 @@
     assert "1 lines could not be read" in result.output
     assert runner.invoke(app, ["explain", "x", str(first)]).exit_code == 1
     assert runner.invoke(app, ["explain", "a", str(tmp_path / "no")]).exit_code == 2
+
+
+def test_request_that_a_stop_ended_is_explained_with_its_times():
+    """Guards against a cut stream of which nobody can tell whether it came in time."""
+    cut = {"sent_s": 3.42, "cut_s": 7.301, "placed_s": -0.2}
+    finished = FINISHED | {"outcome": "broken_off_draining"}
+    lines = [
+        build_line("f1", 0.0, "forwarder_draining", signal_age_s=0.0),
+        build_line("f1", 7.301, "request_cut", request_id="a", **cut),
+        build_line("f1", 7.302, "request_finished", request_id="a", **finished),
+        build_line("f1", 7.4, "forwarder_stopped", n_requests_left=1),
+    ]
+    explanation = explain_request("a", build_records(*lines))
+    assert (
+        "A planned stop ended it 7.301 s after the signal. Its last byte had arrived "
+        "3.420 s after the signal, and it was first placed 0.200 s before the signal."
+    ) in explanation.findings
+    assert explanation.timeline[-1][1].name == "forwarder_stopped"
