Let a silent attempt go on in a stop that would refuse its request

What callers saw, in a test of the decision: in a planned stop, a request whose backend server falls silent for a moment is given up there while others wait, then refused by the plan of the stop and answered 502, though the server would have answered in time.

Cause: what is to be sent once more is checked against the plan only after the attempt was dropped.

Change: such an attempt is dropped only if the plan lets the request wait.

Result: test_silent_attempt_is_not_given_up_if_a_stop_would_refuse_its_request fails before at 13.0 s, and passes with all of test_stop.py.

--- a/catkinfork/balancing/_moves.py
+++ b/catkinfork/balancing/_moves.py
@@ -30,7 +30,11 @@
 def may_queue(balancer, placement, now):
     """Return whether a job whose attempt is silent may wait in turn with queued jobs.
 
+    In a planned stop that would refuse it, the attempt goes on instead.
+
     :param placement: :class:`Placement` of the silent attempt.
     """
-    has_queue = balancer.pools[placement.job.service].queue.n_jobs > 0
-    return has_queue and balancer.can_retry(placement, SILENT, now)
+    pool = balancer.pools[placement.job.service]
+    if not pool.queue.n_jobs or balancer.check_stop(pool, placement.job, now):
+        return False
+    return balancer.can_retry(placement, SILENT, now)
--- a/catkinfork/balancing/tests/test_stop.py
+++ b/catkinfork/balancing/tests/test_stop.py
@@ -11,6 +11,7 @@
     Placement,
     Refusal,
     StopPlan,
+    may_queue,
 )
 from catkinfork.balancing._durations import RouteDurations
 from catkinfork.balancing.tests.support import (
@@ -191,6 +192,24 @@
     assert refusal.reason == STOPPING
 
 
+@pytest.mark.parametrize(("now", "expected"), [(12.0, True), (13.0, False)])
+def test_silent_attempt_is_not_given_up_if_a_stop_would_refuse_its_request(
+    now, expected
+):
+    """Guards against an answer that is lost, as its request is not sent once more.
+
+    A sound server falls silent for a moment, while a short request waits for room.
+    """
+    balancer = build_balancer(n_backends=2, n_slots=1)
+    serve(balancer, submit(balancer, 0.0, route=LONG_WHOLE), 4.0)
+    placement = submit(balancer, 10.0, route=LONG_WHOLE)
+    submit(balancer, 10.0, route=LONG_WHOLE)
+    balancer.begin_stop(StopPlan(10.0 + LATE_FROM, 10.0 + ENDS_AT))
+    short = build_job(11.0, route=build_route(timeout_s=4.0))
+    assert balancer.submit(short, 11.0) is None
+    assert may_queue(balancer, placement, now) is expected
+
+
 def test_stream_that_broke_off_goes_on_in_a_stop():
     """Guards against a stream that is cut earlier than the stop has to."""
     balancer = build_balancer(n_backends=2)
