Let the start of a forwarder end once it is ready

Cause: Joining.run() asked peers that are heard late as well, and so returned only after two minutes. Seven cases of test_start_is_not_held_up_if_no_peer_can_answer in forwarder/tests/test_joining.py have failed since, after 120 s each: the test ran for over 200 s without an end on.

Change: what is asked late is a coroutine of its own, so that the test holds as it was. Questions that are open as the forwarder becomes ready are given up again, and their peers may be asked late.

--- a/catkinfork/forwarder/_joining.py
+++ b/catkinfork/forwarder/_joining.py
@@ -47,7 +47,7 @@
         return AdminResponse(200, b"application/msgpack", body)
 
     async def run(self):
-        """Ask peers until enough is known, for a bounded time, then those heard later.
+        """Ask peers until enough is known, for a bounded time.
 
         Frames are received before, but name services by their hashes, which only the
         configuration resolves.
@@ -59,9 +59,16 @@
             while not self.plan.is_done(self.loop.time()):
                 self.ask_soon(questions, self.plan.find_next(self.loop.time()))
                 await anyio.sleep(POLL_INTERVAL_S)
-            self.snapshots.is_joined = True
-            self.process.peer_exchange.has_joined = self.plan.n_answers > 0
-            self.log_joined()
+            questions.cancel_scope.cancel()
+        self.snapshots.is_joined = True
+        self.process.peer_exchange.has_joined = self.plan.n_answers > 0
+        self.log_joined()
+
+    async def run_late(self):
+        """Ask peers that are heard once the forwarder is ready, for a bounded time."""
+        while not self.is_done:
+            await anyio.sleep(LATE_POLL_INTERVAL_S)
+        async with anyio.create_task_group() as questions:
             while not self.plan.is_late_over(self.loop.time()):
                 self.ask_soon(questions, self.plan.find_late(self.loop.time()))
                 await anyio.sleep(LATE_POLL_INTERVAL_S)
@@ -86,6 +93,9 @@
             # A peer that is silent is detected and logged by peering.
             self.plan.record_failure()
             return
+        except anyio.get_cancelled_exc_class():
+            self.plan.record_withdrawn(address)
+            raise
         finally:
             client.close()
         snapshot = decode_snapshot(response.body) if response.status == 200 else None
--- a/catkinfork/forwarder/_process.py
+++ b/catkinfork/forwarder/_process.py
@@ -90,6 +90,7 @@
             self.tasks.start_soon(self.sweep)
             self.tasks.start_soon(self.send_peer_frames)
             self.tasks.start_soon(self.joining.run)
+            self.tasks.start_soon(self.joining.run_late)
             self.tasks.start_soon(drain_on_signal, self)
             self.tasks.start_soon(reload_on_change, self)
         self.log.handler.flush()
--- a/catkinfork/forwarder/tests/test_joining.py
+++ b/catkinfork/forwarder/tests/test_joining.py
@@ -73,6 +73,18 @@
     :returns: the process and the seconds until it has joined.
     """
 
+    async def start(joining):
+        started_at = joining.loop.time()
+        await joining.run()
+        assert joining.is_done
+        return joining.process, joining.loop.time() - started_at
+
+    return run_joining(answers, start)
+
+
+def run_joining(answers, test):
+    """Run a coroutine function that takes the :class:`Joining` of a new forwarder."""
+
     async def main():
         loop = asyncio.get_running_loop()
         directory = PeerDirectory(OWN_IP, answers, loop.time())
@@ -90,11 +102,7 @@
             server=SimpleNamespace(routes=()),
         )
         async with serve_peers(answers) as port:
-            joining = Joining(process, port)
-            started_at = loop.time()
-            await joining.run()
-            assert joining.is_done
-            return process, loop.time() - started_at
+            return await test(Joining(process, port))
 
     return anyio.run(main)
 
@@ -120,3 +128,29 @@
     process, waited_s = join({"127.0.0.21": FAULTS[fault]})
     assert not knows_stream(process)
     assert waited_s < MAX_JOIN_S + 1.0
+
+
+def test_peer_that_was_too_slow_is_asked_again():
+    """Guards against a forwarder that never learns what a slow peer knows.
+
+    It is ready before the peer has answered.
+    """
+
+    async def test(joining):
+        (peer,) = joining.process.directory.peers.values()
+        peer.is_fresh = False
+        joining.process.incarnation = joining.plan.incarnation = 1000
+        peer.incarnation = 1
+
+        async def appear():
+            await anyio.sleep(MAX_JOIN_S - 0.1)
+            peer.is_fresh = True
+
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(appear)
+            await joining.run()
+            assert joining.plan.n_answers == 0
+            assert joining.plan.n_asked == 1
+            assert joining.plan.find_late(joining.loop.time() + 1.0) == peer.address
+
+    run_joining({"127.0.0.21": None}, test)
--- a/catkinfork/peering/_joining.py
+++ b/catkinfork/peering/_joining.py
@@ -125,6 +125,11 @@
         self.n_open -= 1
         self.next_at = -inf
 
+    def record_withdrawn(self, address):
+        """Record that an answer is not waited for; the peer may be asked again."""
+        self.n_open -= 1
+        self.asked.discard(address)
+
     def is_done(self, now):
         """Return whether the forwarder knows enough, or has waited for long enough."""
         waited_s = now - self.started_at
