Ignore what a late response says of a server's former start

A server that leaves says so in all its responses and starts again under its id. A response of the former start that is read after the entry of the new one, as it waited in the network or the host was paused, counted for the new start: it was taken out at this host and, by frames, at all peers until it started once more. A pause and a rate limit passed on in the same way.

Connections now belong to the start whose entry was in force as they were opened. A new start gets new ones, and what responses on the others say of the server is ignored. A response of the new start on a connection opened before its entry was read is ignored too; the next request goes out on a new connection, whose response says it again.

--- a/catkinfork/forwarding/_pool.py
+++ b/catkinfork/forwarding/_pool.py
@@ -16,17 +16,19 @@
 
 
 class ConnectionPool:
-    """Persistent connections to one address.
+    """Persistent connections to one address, for one start of a backend server.
 
     :param address: ``host:port``.
     :param names: :class:`HeaderNames`.
     :param loop: event loop.
     :param on_head: callable that takes the status and the headers, by name, of each
         response, and whether it is the final one to the request in progress.
+    :param started_ms: Unix time of the start, milliseconds.
     """
 
-    def __init__(self, address, names, loop, on_head=None):
+    def __init__(self, address, names, loop, on_head=None, started_ms=0):
         self.address = address
+        self.started_ms = started_ms
         host, self.port = split_address(address)
         self.host = host.strip("[]")
         self.names = names
@@ -37,6 +39,14 @@
         self.detached_connections = {}
         self.is_closed = False
 
+    def is_of(self, address, started_ms):
+        """Return whether the connections are to an address, for one start there.
+
+        :param address: ``host:port``.
+        :param started_ms: Unix time of the start, milliseconds.
+        """
+        return (self.address, self.started_ms) == (address, started_ms)
+
     def acquire(self):
         """Return an idle connection, or None."""
         now = self.loop.time()
--- a/catkinfork/forwarding/_server.py
+++ b/catkinfork/forwarding/_server.py
@@ -251,11 +251,13 @@
     def get_pool(self, backend):
         """Return the connection pool of a backend server, creating it if necessary.
 
-        One that has started again under its name may have another address.
+        One that has started again under its name gets new connections, whose responses
+        count for that start, and may have another address.
         """
         pool = self.pools.get(backend.name)
         address = backend.entry.address
-        if pool is not None and pool.address != address:
+        started_ms = backend.entry.started_ms
+        if pool is not None and not pool.is_of(address, started_ms):
             self.pools.pop(backend.name).close()
             pool = None
         if pool is None:
@@ -263,15 +265,17 @@
                 address,
                 self.names,
                 self.loop,
-                partial(self.handle_response_head, backend),
+                partial(self.handle_response_head, backend, started_ms),
+                started_ms,
             )
             self.pools[backend.name] = pool
         return pool
 
-    def handle_response_head(self, backend, status, headers, is_expected):
+    def handle_response_head(self, backend, started_ms, status, headers, is_expected):
         """Handle what a backend server says of itself in any of its responses.
 
         :param backend: :class:`Backend` for which the connection pool was created.
+        :param started_ms: Unix time of its start at that time, milliseconds.
         :param headers: headers by name.
         :param is_expected: whether it is the final response to the request in progress.
         """
@@ -280,6 +284,9 @@
             return
         # Its entry may have been removed and published again since.
         backend = self.balancer.registry.backends.get(backend.name, backend)
+        if backend.entry.started_ms != started_ms:
+            # A late response of a former start, which says nothing of this one.
+            return
         value = headers.get(RETRY_AFTER)
         if status == SERVICE_UNAVAILABLE and value is not None:
             self.balancer.registry.throttle(
--- a/catkinfork/forwarding/tests/test_leaving.py
+++ b/catkinfork/forwarding/tests/test_leaving.py
@@ -176,3 +176,42 @@
         assert len(first.requests) == 1
 
     run_world(test)
+
+
+@pytest.mark.parametrize(
+    ("status", "extra"),
+    [
+        (200, LEAVING),
+        (503, LEAVING + NOT_RUN),
+        (503, "retry-after: 5\r\n" + NOT_RUN),
+        (200, "x-rate-limit: 1\r\n"),
+    ],
+)
+def test_late_head_of_a_former_start_is_ignored(status, extra):
+    """Guards against a server that is taken out for what its former start has said.
+
+    The response waits, in the network or while the host is paused, until the entry of
+    the new start has been read. What the new start says itself counts.
+    """
+
+    async def test(world):
+        script = in_turn(answer(status, extra=extra, delay_s=0.2), answer())
+        first, _ = await world.start("plain", script, answer())
+        world.registry.backends["plain-1"].data_centre = "remote"
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(world.call, "/read/")
+            await anyio.sleep(0.1)
+            assert len(first.requests) == 1
+            publish(world, "plain-0", first, sequence=1, started_ms=5000)
+        backend = world.registry.backends["plain-0"]
+        assert backend.is_ready
+        assert not backend.is_throttled(world.loop.time())
+        assert world.registry.rate_limits.find(backend.entry) is None
+        n_before = len(first.requests)
+        assert await count_requests(world, first) == 4
+        first.script = answer(extra=LEAVING)
+        await world.call("/read/", body=b"")
+        assert len(first.requests) == n_before + 5
+        assert not backend.is_ready
+
+    run_world(test)
