Make the simulated BUDGET of crashing parts a test

Cause: all servers crash on requests placed before the first crash. That counts as two crashes at most, as a loss of power would look the same, and all forwarders send such a request as the servers come back.

--- a/catkinfork/peering/tests/test_blame.py
+++ b/catkinfork/peering/tests/test_blame.py
@@ -118,3 +118,23 @@
     fleet.sent.clear()
     fleet.run(LENGTH_S, loads)
     check_fleet(fleet)
+
+
+@pytest.mark.parametrize(("seed", "is_served"), [(111, False), (173, True)])
+def test_servers_that_all_crash_at_once_are_not_sent_more(seed, is_served):
+    """Guards against forwarders that all send a crashing request as servers come back.
+
+    Load pattern: requests with the crashing part come so often that all backend servers
+    crash on ones placed before the first crash, as in a loss of power. These count as
+    few, so that nothing is refused, and all forwarders have such requests as the
+    servers come back.
+    """
+    loads = (Load((FIRST,), 10.0), Load((FIRST, CRASHING), 10.0), Load((CRASHING,), 10))
+    fleet = CrashingFleet(4, 5, seed)
+    if is_served:
+        fleet.is_harmless = True
+        fleet.run(4.0, loads)
+        fleet.is_harmless = False
+        fleet.sent.clear()
+    fleet.run(LENGTH_S, loads)
+    check_fleet(fleet)
