Count late outcomes for the start at which they were placed

The entry of a backend server is replaced in place as it starts again under its id. Attempts that ended later counted for the new start: up to some seconds after the host of a server is back its former connections break, which ejected the new start for 0.5 s and more, and a crash was told under the new start's hash, so that the next one there on the same prompt part was not counted.

Attempts keep the start that they were placed at. Their outcomes say nothing of another one's health, and crashes and survivals are those of their own start.

test_late_outcome_of_a_former_start_says_nothing_of_the_new_one failed before for broken, refused and silent attempts (it held for served ones), and test_late_crash_of_a_former_start_is_no_crash_of_the_new_one as well. All of catkinfork/balancing/tests and catkinfork/topology/tests pass after.

--- a/catkinfork/balancing/_balancer.py
+++ b/catkinfork/balancing/_balancer.py
@@ -393,6 +393,9 @@
         if backend.is_throttled(now):
             # Rejections that it announces are no sign of a failure.
             return
+        if not self.registry.is_current_start(backend.name, placement.started_ms):
+            # Connections of a former start may end late, and eject the new one.
+            return
         pool.health.record_outcome(outcome)
         state = pool.find(backend.name)
         if state.health.record_outcome(outcome, pool.health.failure_rate, now):
--- a/catkinfork/balancing/_crashes.py
+++ b/catkinfork/balancing/_crashes.py
@@ -121,7 +121,7 @@
         """Count an attempt whose connection was lost."""
         job = placement.job
         n_crashes = self.suspects.record_crash(job.fingerprint, now)
-        server = hash_start(placement.backend)
+        server = hash_start(placement)
         self.survivors.record_crash(server, now, job.fingerprint)
         self.changes.suspects[job.fingerprint] = n_crashes
         first_event_at = placement.first_event_at
@@ -141,7 +141,7 @@
 
     def record_part_crashes(self, placement, now):
         """Count a crash against the shared parts of a request."""
-        server = hash_start(placement.backend)
+        server = hash_start(placement)
         for part in placement.job.shared_parts:
             crash = PartCrash(part, server)
             self.parts.record_crash(crash, now, placement.placed_at)
@@ -155,7 +155,7 @@
         """
         if not self.survivors.may_prove(placement):
             return
-        server = hash_start(placement.backend)
+        server = hash_start(placement)
         if self.survivors.is_proof(server, placement, now):
             self.write_log(
                 log_event(CRASH_WITHDRAWN, backend_server=placement.backend.name)
@@ -203,6 +203,6 @@
     return placement.job.probed_at is not None and not placement.has_cleared_parts
 
 
-def hash_start(backend):
+def hash_start(placement):
     """Return the hash of a backend server, which may start again under its name."""
-    return hash_name(f"{backend.name}/{backend.entry.started_ms}")
+    return hash_name(f"{placement.backend.name}/{placement.started_ms}")
--- a/catkinfork/balancing/_jobs.py
+++ b/catkinfork/balancing/_jobs.py
@@ -112,6 +112,8 @@
     :param n_missing_tokens: uncached prompt tokens that the engine has to process.
     :param placed_at: monotonic time of the placement, seconds.
 
+    ``started_ms`` is the Unix time of the start of the backend server, milliseconds, as
+    its entry may be replaced while the attempt runs.
     ``connected_at`` is the monotonic time at which its connection was opened, and
     ``survived_at`` that of its first event that a lost server would not send, or None.
     """
@@ -130,6 +132,7 @@
         "outcome",
         "peer_state_age_s",
         "placed_at",
+        "started_ms",
         "survived_at",
     )
 
@@ -138,6 +141,7 @@
         self.backend = backend
         self.n_missing_tokens = n_missing_tokens
         self.placed_at = placed_at
+        self.started_ms = backend.entry.started_ms
         self.connected_at = None
         self.survived_at = None
         self.first_event_at = None
--- a/catkinfork/topology/_registry.py
+++ b/catkinfork/topology/_registry.py
@@ -247,6 +247,14 @@
             return False
         return backend.is_ready and not backend.is_throttled(now)
 
+    def is_current_start(self, name, started_ms):
+        """Return whether no other start of a backend server is known.
+
+        :param started_ms: Unix time of the start, milliseconds.
+        """
+        known = self.backends.get(name)
+        return known is None or known.entry.started_ms == started_ms
+
     def log_ignored(self, key, source, detail, now):
         """Log that an entry is ignored, once in a while for each key."""
         logged_at, n_unlogged = self.ignored.get(key, (-inf, 0))
