End a stop whose signal was seen late before the forced termination

Cause: the end of a stop counts from its signal, and the time for which connections are accepted from the begin of the drain, with no regard to that end. A host that sees the signal over 3.7 s late (of a grace of 8 s) could still accept as it is killed, and the requests in progress end without an answer.

Change: connections are accepted up to the end of the stop at most.

--- a/catkinfork/forwarder/_drain.py
+++ b/catkinfork/forwarder/_drain.py
@@ -57,9 +57,10 @@
         )
     )
     # The load balancer learns of the stop only now, however old the signal is.
-    await anyio.sleep(accept_s)
+    await anyio.sleep(min(accept_s, ends_at - anyio.current_time()))
     # Closing the socket resets connections that were not accepted yet.
-    with anyio.move_on_after(BACKLOG_PERIOD_S):
+    backlog_s = min(BACKLOG_PERIOD_S, ends_at - anyio.current_time())
+    with anyio.move_on_after(backlog_s):
         while server.has_backlog():
             await anyio.sleep(0)
     server.close_listener()
--- a/catkinfork/forwarder/tests/test_planned_stop.py
+++ b/catkinfork/forwarder/tests/test_planned_stop.py
@@ -219,6 +219,26 @@
     run_world(test, limits=PATIENT)
 
 
+def test_stop_whose_signal_was_seen_late_ends_within_the_grace():
+    """Guards against connections that are accepted until the forced termination.
+
+    A request in progress would then be cut without an answer.
+    """
+
+    async def test(world):
+        await world.start("plain", silence)
+        caller = await world.connect()
+        await caller.send("/order/")
+        await anyio.sleep(0.1)
+        started_at = world.loop.time()
+        await stop(world, signal_age_s=1.25)
+        assert world.loop.time() - started_at < GRACE_S - 1.25
+        reply = await caller.read()
+        assert (reply.status, reply.is_whole) == (502, True)
+
+    run_world(test)
+
+
 def send_half(n_bytes, delay_s):
     """Return a script that sends half of a body, and the rest later."""
 
