Date what a late answer tells from the start of the forwarder

Cause: after its start, a forwarder asks only peers that started before all that it knows begins. That was reckoned as its own start less the age that the answer states, which counts from the answer: one that came a minute after the start counted as a minute older, and peers that know more were not asked.

Result: test_peer_that_knows_more_than_a_late_answer_is_asked fails before, and passes with the other tests of joining.

--- a/catkinfork/forwarder/_joining.py
+++ b/catkinfork/forwarder/_joining.py
@@ -104,8 +104,10 @@
             self.plan.record_failure()
             return
         is_late = self.is_done
-        self.snapshots.apply(snapshot, self.loop.time(), is_late)
-        self.plan.record_answer(address, snapshot.is_joined, snapshot.known_ms / 1000)
+        now = self.loop.time()
+        self.snapshots.apply(snapshot, now, is_late)
+        known_s = snapshot.known_ms / 1000
+        self.plan.record_answer(address, snapshot.is_joined, known_s, now)
         if is_late and snapshot.is_joined:
             self.process.peer_exchange.has_joined = True
             self.log_informed(address)
--- a/catkinfork/peering/_joining.py
+++ b/catkinfork/peering/_joining.py
@@ -36,6 +36,9 @@
     :param directory: :class:`PeerDirectory`.
     :param incarnation: Unix time at which this process started, milliseconds.
     :param rng: ``random.Random``, so that the forwarders do not all ask the same peer.
+
+    ``known_s`` is the age of what is known, and ``known_before_s`` the time before the
+    start from which on it is, seconds.
     """
 
     def __init__(self, directory, incarnation, rng):
@@ -48,6 +51,7 @@
         self.n_asked = 0
         self.n_answers = 0
         self.known_s = 0.0
+        self.known_before_s = 0.0
         self.asked = set()
 
     def start(self, now):
@@ -65,7 +69,7 @@
         """
         if self.is_late_over(now):
             return None
-        known_since = self.incarnation - 1000 * self.known_s
+        known_since = self.incarnation - 1000 * self.known_before_s
         older = [one for one in self.list_candidates() if one.incarnation < known_since]
         return self.choose(older, now)
 
@@ -105,7 +109,7 @@
         is_young = self.incarnation - peer.incarnation < SETTLED_MS
         return peer.is_leaving, is_young
 
-    def record_answer(self, address, is_joined, known_s):
+    def record_answer(self, address, is_joined, known_s, now):
         """Record the answer of a peer.
 
         :param is_joined: whether it has finished asking itself.
@@ -119,6 +123,8 @@
         self.next_at = -inf
         self.n_answers += 1
         self.known_s = max(self.known_s, known_s)
+        before_s = known_s - (now - self.started_at)
+        self.known_before_s = max(self.known_before_s, before_s)
 
     def record_failure(self):
         """Record that a peer has not answered."""
--- a/catkinfork/peering/tests/joining.py
+++ b/catkinfork/peering/tests/joining.py
@@ -58,7 +58,7 @@
         snapshot = decode_snapshot(peer.snapshots.build(now))
         self.snapshots.apply(snapshot, now, is_late=self.joined_at is not None)
         self.plan.record_answer(
-            peer.address, snapshot.is_joined, snapshot.known_ms / 1000
+            peer.address, snapshot.is_joined, snapshot.known_ms / 1000, now
         )
 
 
--- a/catkinfork/peering/tests/test_joining.py
+++ b/catkinfork/peering/tests/test_joining.py
@@ -141,6 +141,22 @@
     assert build_plan(40)[0].find_late(MAX_LATE_S) is None
 
 
+def test_peer_that_knows_more_than_a_late_answer_is_asked():
+    """Guards against a forwarder that takes a late answer for an older one.
+
+    The peer that answers a minute after the start was started just before it.
+    """
+    plan, peers = build_plan(2)
+    first, second = peers.values()
+    first.incarnation = plan.incarnation - 1000
+    second.incarnation = plan.incarnation - 30_000
+    second.is_fresh = False
+    assert plan.find_late(60.0) == first.address
+    plan.record_answer(first.address, True, 61.0, 60.0)
+    second.is_fresh = True
+    assert plan.find_late(61.0) == second.address
+
+
 def test_late_answer_adds_nothing_to_the_retry_budget():
     """Guards against requests that count twice, and allow more retries.
 
@@ -190,14 +206,14 @@
     plan.start(0.0)
     directory.peers["10.0.0.2"].is_fresh = True
     assert plan.find_next(0.0) == "10.0.0.2"
-    plan.record_answer("10.0.0.2", False, 0.0)
+    plan.record_answer("10.0.0.2", False, 0.0, 0.0)
     assert plan.find_next(0.01) is None
     assert not plan.is_done(0.9)
     directory.add(["10.0.0.3"], 0.9)
     directory.peers["10.0.0.3"].is_fresh = True
     asked = {plan.find_next(0.9), plan.find_next(1.1)}
     assert "10.0.0.3" in asked
-    plan.record_answer("10.0.0.3", True, MAX_KNOWLEDGE_S)
+    plan.record_answer("10.0.0.3", True, MAX_KNOWLEDGE_S, 1.1)
     assert plan.is_done(1.1)
 
 
@@ -235,7 +251,7 @@
     assert n_asked <= MAX_ASKED
     plan, _ = build_plan(200)
     while not plan.is_done(0.0):
-        plan.record_answer(plan.find_next(0.0), True, 5.0)
+        plan.record_answer(plan.find_next(0.0), True, 5.0, 0.0)
     assert plan.n_answers == MAX_ANSWERS
 
 
