Keep a body in short chunks as bytes

Cause: each chunk of a caller's body was kept as an object, some 40 bytes for two of the body. The limit of the configuration counts bytes: a body of 1 MB took 21 MB, times the connections that send such. The same class of fault as endless headers.

--- a/catkinfork/forwarding/_caller.py
+++ b/catkinfork/forwarding/_caller.py
@@ -52,7 +52,7 @@
         self.rejection = None
         self.url = b""
         self.headers = []
-        self.body_parts = []
+        self.body = bytearray()
         self.n_body_bytes = 0
         self.n_head_bytes = 0
         self.n_field_bytes = 0
@@ -156,7 +156,7 @@
         """Reset the state for a new request."""
         self.url = b""
         self.headers = []
-        self.body_parts = []
+        self.body = bytearray()
         self.n_body_bytes = 0
         self.n_head_bytes = 0
         self.n_field_bytes = 0
@@ -215,7 +215,7 @@
         self.n_body_bytes += len(body)
         if self.n_body_bytes > self.server.limits.max_body_bytes:
             raise BadRequestError(413, "body_too_large")
-        self.body_parts.append(body)
+        self.body += body
 
     def on_message_complete(self):
         """Start the request, or queue it while another one is in progress.
@@ -227,8 +227,8 @@
         if self.is_discarding:
             return
         request = self.request
-        request.body = b"".join(self.body_parts)
-        self.body_parts = []
+        request.body = bytes(self.body)
+        self.body = bytearray()
         self.requests.append(request)
         if self.exchange is None:
             self.start_next()
--- a/catkinfork/forwarding/tests/test_request_fields.py
+++ b/catkinfork/forwarding/tests/test_request_fields.py
@@ -1,4 +1,6 @@
-"""Headers and trailers of requests, and how many are kept."""
+"""Headers, trailers and bodies of requests, and how much of them is kept."""
+
+import tracemalloc
 
 import anyio
 import pytest
@@ -67,3 +69,28 @@
         assert (await caller.read()).status == 200
 
     run_world(test, limits=LIMITS)
+
+
+def test_body_in_short_chunks_takes_no_more_memory_than_its_bytes():
+    """Guards against a caller that fills the memory with a body within the limit."""
+    n_bytes = 400_000
+
+    async def test(world):
+        (backend,) = await world.start("plain", answer(body=b"whole"))
+        caller = await world.connect()
+        await caller.send_raw(HEAD + b"Transfer-Encoding: chunked\r\n\r\n")
+        data = b"2\r\nxy\r\n" * (n_bytes // 2)
+        tracemalloc.start()
+        before = tracemalloc.get_traced_memory()[0]
+        await caller.send_raw(data)
+        (connection,) = world.server.callers
+        while connection.n_body_bytes < n_bytes:
+            await anyio.sleep(0.01)
+        taken = tracemalloc.get_traced_memory()[0] - before
+        tracemalloc.stop()
+        assert taken < 4 * n_bytes
+        await caller.send_raw(b"0\r\n\r\n")
+        assert (await caller.read()).status == 200
+        assert backend.requests[0].body == b"xy" * (n_bytes // 2)
+
+    run_world(test, limits=CallerLimits(4096, n_bytes, 10.0, 10.0, 100_000.0))
