Count warnings apart from other log lines

Cause: a process logs 400 lines a second at most. A host that handles 200 requests a second has used them up as it stops, and the warnings that say which requests it has cut (request_cut) are dropped: in a burst, when they are needed.

Change: warnings and errors have the same limit by themselves.

Result: test_warnings_are_not_dropped_for_other_lines fails before and passes, with the other tests of observability.

--- a/catkinfork/observability/_buffer.py
+++ b/catkinfork/observability/_buffer.py
@@ -6,7 +6,8 @@
 
 import logbook
 
-# Further lines within the same second are dropped and counted.
+# Further lines within the same second are dropped and counted; warnings and errors
+# count by themselves.
 MAX_LINES_PER_S = 400
 # New lines are dropped and counted while the log's reader leaves this much unread.
 MAX_BUFFER_BYTES = 1 << 20
@@ -25,15 +26,18 @@
         self.lines = []
         self.buffer = b""
         self.n_lines = 0
+        self.n_warnings = 0
         self.n_dropped = 0
         os.set_blocking(file_descriptor, False)
 
     def emit(self, record):
         """Queue the line of a record for the next flush."""
-        if self.n_lines >= MAX_LINES_PER_S:
+        is_warning = record.level >= logbook.WARNING
+        if (self.n_warnings if is_warning else self.n_lines) >= MAX_LINES_PER_S:
             self.n_dropped += 1
             return
-        self.n_lines += 1
+        self.n_warnings += is_warning
+        self.n_lines += not is_warning
         self.lines.append(record.message)
 
     def start_second(self):
@@ -42,7 +46,7 @@
         :returns: number of lines dropped since the last call.
         """
         n_dropped, self.n_dropped = self.n_dropped, 0
-        self.n_lines = 0
+        self.n_lines = self.n_warnings = 0
         return n_dropped
 
     def flush(self):
--- a/catkinfork/observability/tests/test_log.py
+++ b/catkinfork/observability/tests/test_log.py
@@ -60,6 +60,22 @@
     assert handler.start_second() == 0
 
 
+def test_warnings_are_not_dropped_for_other_lines():
+    """Guards against a stop that does not log which requests it has cut.
+
+    Requests that end in the same second have used up the limit; warnings have their
+    own.
+    """
+    _, handler, _ = build_log()
+    for level in [logbook.INFO] * MAX_LINES_PER_S + [logbook.WARNING, logbook.INFO]:
+        handler.emit(logbook.LogRecord("log", level, "line"))
+    assert len(handler.lines) == MAX_LINES_PER_S + 1
+    assert handler.start_second() == 1
+    for _ in range(MAX_LINES_PER_S + 1):
+        handler.emit(logbook.LogRecord("log", logbook.WARNING, "line"))
+    assert handler.start_second() == 1
+
+
 def test_reader_that_does_not_read_blocks_nothing():
     """Guards against a process that blocks or runs out of memory if its output is not
     read.
