Send a request that may have run once more in a stop

What callers saw, in a test of the decision: late in a planned stop, the server of a safe request breaks off, another one has room, and the caller gets 502.

A request that may have run cannot be refused, only fail, so that another attempt costs its caller nothing.

Result: test_request_that_has_run_is_sent_once_more_in_a_stop[whole] fails before, and passes with the other tests of test_stop.py.

--- a/catkinfork/balancing/_stop.py
+++ b/catkinfork/balancing/_stop.py
@@ -61,7 +61,8 @@
         """Return whether a queued request may wait on to be sent.
 
         A stream that broke off here waits up to the end: refused, its caller would lose
-        what it has received no later.
+        what it has received no later. So does a request that may have run, as it cannot
+        be refused but only fail, if its response is sent as a whole.
 
         :param job: :class:`Job`.
         :param durations: :class:`RouteDurations` of its service.
@@ -69,4 +70,6 @@
         """
         if job.version is not None and job.tried_backends:
             return True
+        if job.n_runs and job.route.kind != STREAMING:
+            return now < self.ends_at
         return self.allows(job, durations, now)
--- a/catkinfork/balancing/tests/test_stop.py
+++ b/catkinfork/balancing/tests/test_stop.py
@@ -181,6 +181,21 @@
     assert refusal.reason == STOPPING
 
 
+@pytest.mark.parametrize(("kind", "expected"), [("whole", True), ("stream", False)])
+def test_request_that_has_run_is_sent_once_more_in_a_stop(kind, expected):
+    """Guards against a failure where another attempt may succeed and can do no harm.
+
+    It may have run, so that it cannot be refused. A stream could be begun and cut.
+    """
+    balancer = build_balancer(n_backends=2)
+    serve(balancer, submit(balancer, 0.0, route=ROUTES[kind]), 4.0)
+    placement = submit(balancer, 10.0, route=ROUTES[kind])
+    balancer.begin_stop(StopPlan(10.0 + LATE_FROM, 10.0 + ENDS_AT))
+    balancer.handle_attempt_end(placement, BROKEN, 13.0)
+    decision = balancer.resubmit(placement.job, 13.0)
+    assert isinstance(decision, Placement) is expected
+
+
 def test_request_whose_server_has_left_is_not_placed_anew_if_a_stop_would_cut_it():
     """Guards against a request that is placed anew late in a stop, and cut."""
     balancer = build_balancer(n_backends=2)
