--- a/catkinfork/forwarding/_relay.py
+++ b/catkinfork/forwarding/_relay.py
@@ -13,7 +13,7 @@
 # retried if the backend server fails; larger ones are streamed.
 MAX_BUFFERED_BYTES = 65536
 # The same for requests that a planned stop may end; larger ones could still be cut.
-MAX_HELD_BYTES = 1 << 22
+MAX_HELD_BYTES = 1 << 20
 # Largest event of a resumable stream: events are relayed whole.
 MAX_EVENT_BYTES = 1 << 18
 CHUNKED = b"transfer-encoding: chunked"
