Log what holds a workspace that lacks service

Event 1000 tells how a request ended, but not which bound held it while it waited: a reservation for peers, slots, memory or pending tokens of an engine, the rates of cold engines, or the passes of the forwarder.

Change: event 905, at most one a second for each service, for the queued workspace that lacks most service.

--- a/catkinfork/balancing/_balancer.py
+++ b/catkinfork/balancing/_balancer.py
@@ -6,6 +6,7 @@
 from catkinfork.balancing._crashes import CrashGuard
 from catkinfork.balancing._dispatch import DispatchPass
 from catkinfork.balancing._health import build_ejection_event
+from catkinfork.balancing._holds import HoldMonitor
 from catkinfork.balancing._jobs import (
     ABANDONED,
     BROKEN,
@@ -51,6 +52,7 @@
         self.crash_guard = CrashGuard(self.changes, rng, write_log)
         self.streams = StreamTable()
         self.origins = OriginFinder(registry, self.streams)
+        self.hold_monitor = HoldMonitor(self)
         self.tokens_per_s = 0.0
         self.workspaces = ()
         self.stop_plan = None
@@ -233,15 +235,11 @@
         :param priority: queue priority of the job; lower values go first.
         :returns: :class:`Placement`, or None if the job has to wait.
         """
-        n_peers_ahead = pool.count_peers_ahead(priority)
-        is_starving = pool.queue.n_jobs > 0 and pool.shares.is_underserved(
-            job.workspace, now
-        )
-        lead = pool.shares.compute_lead(job.workspace, now) if n_peers_ahead else 0.0
-        best = candidates.choose(job, QueueRank(n_peers_ahead, is_starving, lead))
+        rank = self.compute_rank(pool, job, priority, now)
+        best = candidates.choose(job, rank)
         if best is None:
             return None
-        if not self.may_take(pool, best, n_peers_ahead, now):
+        if not self.may_take(pool, best, rank.n_peers_ahead, now):
             candidates.add_cost(best.backend, best.n_missing_tokens)
             return None
         candidates.add_cost(
@@ -254,6 +252,18 @@
         self.record_placement(pool, placement, candidates.rates, now)
         return placement
 
+    def compute_rank(self, pool, job, priority, now):
+        """Return the :class:`QueueRank` of a job.
+
+        :param priority: queue priority of the job; lower values go first.
+        """
+        n_peers_ahead = pool.count_peers_ahead(priority)
+        is_starving = pool.queue.n_jobs > 0 and pool.shares.is_underserved(
+            job.workspace, now
+        )
+        lead = pool.shares.compute_lead(job.workspace, now) if n_peers_ahead else 0.0
+        return QueueRank(n_peers_ahead, is_starving, lead)
+
     def may_take(self, pool, candidate, n_peers_ahead, now):
         """Return whether a job may take the room at a backend server now.
 
@@ -305,6 +315,7 @@
             if pool.queue.n_jobs:
                 pool.shares.update_level(self.tokens_per_s, now)
                 decisions += DispatchPass(self, pool, now).run()
+                self.hold_monitor.observe(pool, now)
         return decisions
 
     def has_waiting(self):
--- a/catkinfork/balancing/_events.py
+++ b/catkinfork/balancing/_events.py
@@ -58,10 +58,41 @@
     ("backend_server",),
 )
 
+WORKSPACE_HELD = Event(
+    905,
+    "info",
+    "workspace_held",
+    "jobs of a workspace that lacks service wait here; `holds` counts, for samples of "
+    "the latest second, the bound that holds the first of them",
+    (
+        "service",
+        "workspace",
+        "n_queued",
+        "n_queued_tokens",
+        "waited_s",
+        "n_requested_tokens",
+        "n_placed_tokens",
+        "n_demand_tokens",
+        "n_local_demand_tokens",
+        "n_received_tokens",
+        "n_counted_tokens",
+        "n_most_received_tokens",
+        "holds",
+        "n_with_room",
+        "n_peers_ahead",
+        "n_passes",
+        "longest_gap_s",
+        "n_fresh",
+        "n_forwarders",
+        "news_age_s",
+    ),
+)
+
 EVENTS = (
     BACKEND_LEFT_OUT,
     REQUEST_BLOCKED,
     CRASH_RECORDED,
     PART_REFUSED,
     CRASH_WITHDRAWN,
+    WORKSPACE_HELD,
 )
