Keep warnings in the log of a flooded forwarder

Change: 40 lines of warnings a second are written beyond the limit of 400 lines; event 905 is a warning and tells servers with room from those that a rate holds.

Result: the new test fails before; the tests of observability and balancing pass.

--- a/catkinfork/balancing/_candidates.py
+++ b/catkinfork/balancing/_candidates.py
@@ -103,6 +103,13 @@
             return self.healthy or self.ejected
         return select_eligible(self.healthy, job) or select_eligible(self.ejected, job)
 
+    def allows(self, entry):
+        """Return whether the rates of a backend server allow a request now.
+
+        :param entry: :class:`CandidateEntry`.
+        """
+        return not entry.is_limited or self.rates.allows(entry.backend, entry.state)
+
     def choose(self, job, rank):
         """Return the :class:`Candidate` with the lowest cost, or None.
 
@@ -115,7 +122,7 @@
             if entry.base_cost >= best_cost:
                 break
             state = entry.state
-            if entry.is_limited and not self.rates.allows(entry.backend, state):
+            if not self.allows(entry):
                 continue
             n_missing_tokens = model.estimate_missing_tokens(job, state.load)
             cost = entry.base_cost + model.missing_token_weight * n_missing_tokens
--- a/catkinfork/balancing/_events.py
+++ b/catkinfork/balancing/_events.py
@@ -60,10 +60,11 @@
 
 WORKSPACE_HELD = Event(
     905,
-    "info",
+    "warning",
     "workspace_held",
     "jobs of a workspace that lacks service wait here; `holds` counts, for samples of "
-    "the latest second, the bound that holds the first of them",
+    "the latest second, the bound that holds the first of them, and `n_with_room` and "
+    "`n_limited` are servers with room for it that their rates let through, or hold",
     (
         "service",
         "workspace",
@@ -79,6 +80,7 @@
         "n_most_received_tokens",
         "holds",
         "n_with_room",
+        "n_limited",
         "n_peers_ahead",
         "n_passes",
         "longest_gap_s",
--- a/catkinfork/balancing/_holds.py
+++ b/catkinfork/balancing/_holds.py
@@ -44,6 +44,7 @@
         self.longest_gap_s = 0.0
         self.holds = Counter()
         self.n_with_room = 0
+        self.n_limited = 0
         self.n_peers_ahead = 0
 
     def record_pass(self, now):
@@ -101,7 +102,11 @@
         rank = self.balancer.compute_rank(pool, job, priority, now)
         candidates = self.balancer.list_candidates(pool, now)
         sums.n_peers_ahead += rank.n_peers_ahead
-        sums.n_with_room += count_with_room(pool.model, candidates, job, rank)
+        for entry in list_with_room(pool.model, candidates, job, rank):
+            if candidates.allows(entry):
+                sums.n_with_room += 1
+            else:
+                sums.n_limited += 1
         sums.holds[find_hold(pool, candidates, job, rank)] += 1
 
     def build_event(self, pool, sums, now):
@@ -130,6 +135,7 @@
             n_most_received_tokens=int(shares.most_received),
             holds=" ".join(f"{name}:{n}" for name, n in sorted(sums.holds.items())),
             n_with_room=round(sums.n_with_room / n_samples, 1),
+            n_limited=round(sums.n_limited / n_samples, 1),
             n_peers_ahead=round(sums.n_peers_ahead / n_samples, 1),
             n_passes=sums.n_passes,
             longest_gap_s=round(sums.longest_gap_s, 3),
@@ -154,18 +160,19 @@
     return lacking
 
 
-def count_with_room(model, candidates, job, rank):
-    """Return the number of backend servers that have room for a job now.
+def list_with_room(model, candidates, job, rank):
+    """Return the backend servers that have room for a job, whatever their rates.
 
     :param candidates: :class:`CandidateList`.
     """
-    n_servers = 0
+    entries = []
     for entry in candidates.list_eligible(job):
         load = entry.state.load
         n_missing = model.estimate_missing_tokens(job, load)
         room = model.compute_room(job, entry.backend, load, n_missing, rank)
-        n_servers += room >= 1
-    return n_servers
+        if room >= 1:
+            entries.append(entry)
+    return entries
 
 
 def find_hold(pool, candidates, job, rank):
--- a/catkinfork/observability/_buffer.py
+++ b/catkinfork/observability/_buffer.py
@@ -8,6 +8,9 @@
 
 # Further lines within the same second are dropped and counted.
 MAX_LINES_PER_S = 400
+# Lines of warnings and errors that are written besides. A flooded forwarder fills the
+# limit with lines of requests, and what explains these would be lost.
+MAX_FURTHER_WARNINGS_PER_S = 40
 # New lines are dropped and counted while the log's reader leaves this much unread.
 MAX_BUFFER_BYTES = 1 << 20
 
@@ -30,7 +33,10 @@
 
     def emit(self, record):
         """Queue the line of a record for the next flush."""
-        if self.n_lines >= MAX_LINES_PER_S:
+        n_most = MAX_LINES_PER_S
+        if record.level >= logbook.WARNING:
+            n_most += MAX_FURTHER_WARNINGS_PER_S
+        if self.n_lines >= n_most:
             self.n_dropped += 1
             return
         self.n_lines += 1
--- a/catkinfork/observability/tests/test_log.py
+++ b/catkinfork/observability/tests/test_log.py
@@ -5,7 +5,11 @@
 import logbook
 
 from catkinfork.observability import EventLog, log_event
-from catkinfork.observability._buffer import MAX_LINES_PER_S, BufferedHandler
+from catkinfork.observability._buffer import (
+    MAX_FURTHER_WARNINGS_PER_S,
+    MAX_LINES_PER_S,
+    BufferedHandler,
+)
 from catkinfork.processes import list_events
 from catkinfork.settings import LogSettings
 
@@ -35,9 +39,9 @@
     return EventLog(LogSettings("json", "info"), "p", handler), handler, reader
 
 
-def write_lines(log, n_lines):
+def write_lines(log, n_lines, level="info"):
     """Write several lines of the same event."""
-    event = next(event for event in list_all_events() if event.level == "info")
+    event = next(event for event in list_all_events() if event.level == level)
     values = dict.fromkeys(event.fields, "x" * 200)
     for _ in range(n_lines):
         log.write(log_event(event, **values))
@@ -60,6 +64,15 @@
     assert handler.start_second() == 0
 
 
+def test_warnings_are_written_beside_a_flood_of_other_lines():
+    """Guards against a log that says nothing of why a flooded forwarder is behind."""
+    log, handler, _ = build_log()
+    write_lines(log, MAX_LINES_PER_S + 1)
+    write_lines(log, MAX_FURTHER_WARNINGS_PER_S + 5, "warning")
+    assert handler.start_second() == 6
+    assert len(handler.lines) == MAX_LINES_PER_S + MAX_FURTHER_WARNINGS_PER_S
+
+
 def test_reader_that_does_not_read_blocks_nothing():
     """Guards against a process that blocks or runs out of memory if its output is not
     read.
