--- a/catkinfork/balancing/_events.py
+++ b/catkinfork/balancing/_events.py
@@ -58,10 +58,43 @@
     ("backend_server",),
 )
 
+WORKSPACE_HELD = Event(
+    905,
+    "warning",
+    "workspace_held",
+    "jobs of a workspace that lacks service wait here; `holds` counts, for samples of "
+    "the latest second, the bound that holds the first of them, and `n_with_room` and "
+    "`n_limited` are servers with room for it that their rates let through, or hold",
+    (
+        "service",
+        "workspace",
+        "n_queued",
+        "n_queued_tokens",
+        "waited_s",
+        "n_requested_tokens",
+        "n_placed_tokens",
+        "n_demand_tokens",
+        "n_local_demand_tokens",
+        "n_received_tokens",
+        "n_counted_tokens",
+        "n_most_received_tokens",
+        "holds",
+        "n_with_room",
+        "n_limited",
+        "n_peers_ahead",
+        "n_passes",
+        "longest_gap_s",
+        "n_fresh",
+        "n_forwarders",
+        "news_age_s",
+    ),
+)
+
 EVENTS = (
     BACKEND_LEFT_OUT,
     REQUEST_BLOCKED,
     CRASH_RECORDED,
     PART_REFUSED,
     CRASH_WITHDRAWN,
+    WORKSPACE_HELD,
 )
