--- a/catkinfork/observability/_buffer.py
+++ b/catkinfork/observability/_buffer.py
@@ -6,9 +6,9 @@
 
 import logbook
 
-# Further lines within the same second are dropped and counted. Warnings and errors count
-# by themselves: a flooded forwarder fills the limit with lines of requests, and what
-# explains these would be lost.
+# Further lines within the same second are dropped and counted. Warnings and errors
+# count by themselves: a flooded forwarder fills the limit with lines of requests, and
+# what explains these would be lost.
 MAX_LINES_PER_S = 400
 # New lines are dropped and counted while the log's reader leaves this much unread.
 MAX_BUFFER_BYTES = 1 << 20
