Log no age below zero of the signal to stop

Cause: the event loop counts whole milliseconds, and the signal handler reads the precise clock, so that a drain that begins at once could seem to precede its signal. test_late_streams_of_a_burst_are_refused_and_not_cut failed once in two runs beside load with signal_age_s -0.001.

Result: test_signal_is_never_logged_as_younger_than_the_drain fails before, and passes with the other tests of test_planned_stop.py.

--- a/catkinfork/forwarder/_drain.py
+++ b/catkinfork/forwarder/_drain.py
@@ -47,13 +47,14 @@
     server.stop_signalled_at = signalled_at
     server.balancer.begin_stop(StopPlan(signalled_at + accept_s, ends_at))
     handover = process.peer_exchange.begin_leaving(int(time.time() * 1000))
+    signal_age_s = max(0.0, anyio.current_time() - signalled_at)
     process.log.write(
         log_event(
             DRAIN_STARTED,
             n_requests=len(server.exchanges),
             n_connections=len(server.callers),
             grace_s=grace_s,
-            signal_age_s=round(anyio.current_time() - signalled_at, 3),
+            signal_age_s=round(signal_age_s, 3),
         )
     )
     # The load balancer learns of the stop only now, however old the signal is.
--- a/catkinfork/forwarder/tests/test_planned_stop.py
+++ b/catkinfork/forwarder/tests/test_planned_stop.py
@@ -219,6 +219,18 @@
     run_world(test, limits=PATIENT)
 
 
+def test_signal_is_never_logged_as_younger_than_the_drain():
+    """Guards against an age below zero: the event loop counts whole milliseconds."""
+
+    async def test(world):
+        await world.start("plain", answer())
+        await stop(world, signal_age_s=-0.001)
+        (started,) = world.list_events("forwarder_draining")
+        assert started["signal_age_s"] == 0.0
+
+    run_world(test)
+
+
 def test_stop_whose_signal_was_seen_late_ends_within_the_grace():
     """Guards against connections that are accepted until the forced termination.
 
