Measure the age of the signal to stop first of all

Cause: it was measured only after the stop had begun, which takes a part of a millisecond. test_request_that_a_stop_ends_is_logged_with_its_times failed once in five runs beside load (0.001 s where 0.0 is demanded).

Result: the tests of test_planned_stop.py pass.

--- a/catkinfork/forwarder/_drain.py
+++ b/catkinfork/forwarder/_drain.py
@@ -39,6 +39,8 @@
     :param process: :class:`ForwarderProcess`.
     :param signalled_at: monotonic time of the signal to stop, seconds.
     """
+    # The clock of the event loop has whole milliseconds, that of the signal has not.
+    signal_age_s = max(0.0, anyio.current_time() - signalled_at)
     server = process.server
     grace_s = process.settings.forwarder.grace_s
     ends_at = signalled_at + grace_s - FORCED_STOP_MARGIN_S
@@ -47,7 +49,6 @@
     server.stop_signalled_at = signalled_at
     server.balancer.begin_stop(StopPlan(signalled_at + accept_s, ends_at))
     handover = process.peer_exchange.begin_leaving(int(time.time() * 1000))
-    signal_age_s = max(0.0, anyio.current_time() - signalled_at)
     process.log.write(
         log_event(
             DRAIN_STARTED,
