--- a/catkinfork/forwarder/_drain.py
+++ b/catkinfork/forwarder/_drain.py
@@ -39,6 +39,8 @@
     :param process: :class:`ForwarderProcess`.
     :param signalled_at: monotonic time of the signal to stop, seconds.
     """
+    # The clock of the event loop has whole milliseconds, that of the signal has not.
+    signal_age_s = max(0.0, anyio.current_time() - signalled_at)
     server = process.server
     grace_s = process.settings.forwarder.grace_s
     ends_at = signalled_at + grace_s - FORCED_STOP_MARGIN_S
@@ -53,7 +55,7 @@
             n_requests=len(server.exchanges),
             n_connections=len(server.callers),
             grace_s=grace_s,
-            signal_age_s=round(anyio.current_time() - signalled_at, 3),
+            signal_age_s=round(signal_age_s, 3),
         )
     )
     # The load balancer learns of the stop only now, however old the signal is.
