Soak streams that cannot be resumed, sent slowly to engines with bursts

The soak uploaded only posts slowly, could take up every stream at another host, and its engines never slowed down, so that it did not reach streams that are begun late in a planned stop and cut.

--- a/catkinfork/platform/tests/soak/fleet.py
+++ b/catkinfork/platform/tests/soak/fleet.py
@@ -5,6 +5,7 @@
 from itertools import count, cycle
 from random import Random
 
+from catkinfork.platform.tests.soak.bursts import N_CHAT_CALLERS, Bursts, ChatCaller
 from catkinfork.platform.tests.soak.callers import PlainCaller, StreamCaller
 from catkinfork.platform.tests.soak.crashing import CALLERS
 from catkinfork.platform.tests.soak.disruptions import Disruptions
@@ -31,6 +32,8 @@
 START_S = 20.0
 # Time until a server that a request has crashed is back, seconds.
 MIN_DOWN_S, MAX_DOWN_S = 0.5, 3.0
+# Callers of a kind of run, besides those that all kinds have.
+MORE_CALLERS = {"crashing": CALLERS, "bursts": (ChatCaller,) * N_CHAT_CALLERS}
 # The driver counts as late from this lag on.
 LAG_S = 0.1
 
@@ -49,6 +52,9 @@
         self.store = SoakStore()
         self.rng = Random(f"{settings.seed}-fleet")
         self.has_links = settings.kind == "links"
+        self.bursts = None
+        if settings.kind == "bursts":
+            self.bursts = Bursts(settings.seed, settings.n_seconds)
         self.ips = [f"{IP_PREFIX}.{number}" for number in range(2, 254)]
         self.ports = find_ports(self.ips)
         self.seeds = [f"{ip}:{self.ports['control']}" for ip in self.ips[:N_SEEDS]]
@@ -106,6 +112,7 @@
             name, service, self.records, self.store, self.settings.seed, version
         )
         server.on_crash = self.handle_crash
+        server.bursts = self.bursts
         await server.open()
         server.address = await self.add_link("server", name, server.address)
         server.publish()
@@ -176,12 +183,10 @@
             (StreamCaller if number < n_streams else PlainCaller)(self, number)
             for number in range(settings.n_clients)
         ]
-        if settings.kind == "crashing":
-            numbers = range(settings.n_clients, settings.n_clients + len(CALLERS))
-            callers += [
-                kind(self, number)
-                for kind, number in zip(CALLERS, numbers, strict=True)
-            ]
+        more = MORE_CALLERS.get(settings.kind, ())
+        callers += [
+            kind(self, number) for number, kind in enumerate(more, settings.n_clients)
+        ]
         tasks = [self.create_task(caller.run()) for caller in callers]
         plan = make_plan(
             settings.kind, settings.seed, settings.n_seconds, settings.n_hosts
--- a/catkinfork/platform/tests/soak/plan.py
+++ b/catkinfork/platform/tests/soak/plan.py
@@ -30,7 +30,13 @@
     "restore_store": 1,
 }
 LINK = PLANNED | {"disturb_link": 26}
-WEIGHTS = {"planned": PLANNED, "hard": HARD, "links": LINK, "crashing": PLANNED}
+WEIGHTS = {
+    "planned": PLANNED,
+    "hard": HARD,
+    "links": LINK,
+    "crashing": PLANNED,
+    "bursts": PLANNED,
+}
 # Actions that may come to several targets in turn.
 SERIAL = {
     "stop",
--- a/catkinfork/platform/tests/soak/servers.py
+++ b/catkinfork/platform/tests/soak/servers.py
@@ -274,6 +274,8 @@
     """An engine whose events state its version and its name."""
 
     n_slots = 64
+    # Bursts of the run, in which its streams are slower, if there are any.
+    bursts = None
 
     async def answer(self, target, request_id, headers, body, reader, writer):
         if CRASHING_PART in headers["x-catkinfork-prefix-hash"]:
@@ -286,7 +288,7 @@
             b"Transfer-Encoding: chunked\r\n\r\n" % request_id.encode()
         )
         for number in range(n_before + 1, n_events + 1):
-            await asyncio.sleep(EVENT_S)
+            await asyncio.sleep(self.find_event_s())
             if reader.at_eof() or writer.transport.is_closing():
                 return ABANDONED
             event = f"id: {number}\ndata: {self.version} {self.name}\n\n".encode()
@@ -295,6 +297,12 @@
         await writer.drain()
         return ANSWERED
 
+    def find_event_s(self):
+        """Return the time until the next event, seconds."""
+        if self.bursts is None:
+            return EVENT_S
+        return EVENT_S * self.bursts.find_slowdown(self.records.now())
+
     async def send_event(self, writer, event):
         """Send an event, now and then in two parts."""
         pieces = [event]
--- a/catkinfork/platform/tests/soak/settings.py
+++ b/catkinfork/platform/tests/soak/settings.py
@@ -4,13 +4,15 @@
 from typing import NamedTuple
 
 ROOT = Path(__file__).parents[4]
-KINDS = ("planned", "hard", "links", "crashing")
+KINDS = ("planned", "hard", "links", "crashing", "bursts")
 
 SITE = "site.example"
 KEY = "key-of-a"
 READ_PATH = "/read/"
 POST_PATH = "/post/"
 DRAFT_PATH = "/draft/"
+# Streams that cannot be resumed.
+CHAT_PATH = "/chat/"
 ZONE = "gasabo"
 
 # Bounds of kmmsa-route, as the platform fills them into the settings file.
@@ -32,6 +34,7 @@
 
 PLAIN_DEADLINE_S = 3.0
 STREAM_DEADLINE_S = 12.0
+CHAT_DEADLINE_S = 10.0
 # Time between the end of a process and its next start.
 RESTART_DELAY_S = 0.3
 
--- a/catkinfork/platform/tests/soak/store.py
+++ b/catkinfork/platform/tests/soak/store.py
@@ -4,6 +4,8 @@
 import time
 
 from catkinfork.platform.tests.soak.settings import (
+    CHAT_DEADLINE_S,
+    CHAT_PATH,
     DRAFT_PATH,
     HEARTBEAT_S,
     KEY,
@@ -82,8 +84,9 @@
 
 def build_soak_config(version, rng):
     """Build a configuration; successive ones move routes and change time-outs."""
-    config = build_config(version, (READ_PATH, POST_PATH, DRAFT_PATH))
-    read, post, draft = config["routes"]
+    paths = (READ_PATH, POST_PATH, DRAFT_PATH, CHAT_PATH)
+    config = build_config(version, paths)
+    read, post, draft, chat = config["routes"]
     services = ["ledger", "stock"]
     rng.shuffle(services)
     timeout_ms = round(1000 * PLAIN_DEADLINE_S) + rng.choice([0, 500, 1000])
@@ -100,6 +103,13 @@
         "sticky": True,
         "resumable": True,
     }
+    chat |= draft | {
+        "name": chat["name"],
+        "prefix": chat["prefix"],
+        "timeout_ms": round(1000 * CHAT_DEADLINE_S),
+        "max_attempts": 1,
+        "resumable": False,
+    }
     if rng.random() < 0.5:
         config["routes"].append(read | {"name": "other", "prefix": f"/r{version}/"})
     (ledger,) = config["services"]
