Bound the number of heads that are sent for one request

Cause: interim heads were bounded by bytes only, 10,000 of them in 256 KB, and each takes longer to parse than a short chunk. Beside load, the case of interim heads of test_endless_answers.py failed once (36 of 50 sound requests).

Change: at most 64 heads for one request.

Result: test_number_of_interim_heads_is_bounded[2000] fails before (200) and passes; the five cases of test_endless_answers.py pass once at a load average of 19.

--- a/catkinfork/forwarding/_backend.py
+++ b/catkinfork/forwarding/_backend.py
@@ -26,6 +26,8 @@
 PART_COST_BYTES = 32
 # Headers and trailers of a response; each takes many times its bytes as objects.
 MAX_FIELDS = 256
+# Interim, unrelated and expected heads that a backend server may send for one request.
+MAX_HEADS = 64
 # Time for which the rest of a discarded response is read, seconds.
 MAX_DISCARD_TIME_S = 30.0
 KEEP_ALIVE_TIMEOUT_PATTERN = re.compile(rb"timeout=(\d+)")
@@ -37,6 +39,10 @@
     """A response has more than :data:`MAX_FIELDS` headers and trailers."""
 
 
+class TooManyHeadsError(Exception):
+    """More than :data:`MAX_HEADS` heads were sent for one request."""
+
+
 class TooManyPartsError(Exception):
     """The body of a response comes in too many short parts."""
 
@@ -96,6 +102,7 @@
         self.n_received_bytes = 0
         self.n_body_bytes = 0
         self.n_parts = 0
+        self.n_heads = 0
         self.n_sent = 0
         self.opened_at = self.loop.time()
         self.idle_since = 0.0
@@ -133,6 +140,7 @@
         self.n_received_bytes = 0
         self.n_body_bytes = 0
         self.n_parts = 0
+        self.n_heads = 0
         self.n_sent += 1
         self.transport.write(data)
 
@@ -181,7 +189,13 @@
         self.listener.on_data(data)
 
     def on_message_begin(self):
-        """Reset the state for a new response."""
+        """Reset the state for a new response.
+
+        :raises TooManyHeadsError: if more were sent than a sound server sends.
+        """
+        self.n_heads += 1
+        if self.n_heads > MAX_HEADS:
+            raise TooManyHeadsError
         self.headers = []
         self.n_fields = 0
         self.is_reading_head = True
--- a/catkinfork/forwarding/tests/test_troubled_backends.py
+++ b/catkinfork/forwarding/tests/test_troubled_backends.py
@@ -236,3 +236,18 @@
         assert reply.body == b"data: x\n\n" * n_events
 
     run_world(test)
+
+
+@pytest.mark.parametrize(("n_heads", "status"), [(20, 200), (2000, 502)])
+def test_number_of_interim_heads_is_bounded(n_heads, status):
+    """Guards against the time that heads without end take from other requests."""
+
+    async def script(request, writer, n):
+        writer.write(b"HTTP/1.1 100 Continue\r\n\r\n" * n_heads)
+        await answer()(request, writer, n)
+
+    async def test(world):
+        await world.start("plain", script)
+        assert (await world.call("/order/")).status == status
+
+    run_world(test)
