Soak what servers ask for: limits, pauses, and that they leave

The soak's servers named no Server-Limit, added Retry-After only shortly, and said Server-Leaving only beside the store. The kind 'notices' has plain servers that name a limit which changes and goes, turn requests away with a pause, and say that they leave before the store does.

--- a/catkinfork/platform/tests/soak/disruptions.py
+++ b/catkinfork/platform/tests/soak/disruptions.py
@@ -4,9 +4,11 @@
 
 from catkinfork.platform.tests.soak.records import (
     ALL_HOSTS,
+    AWAY,
     CONFIGURATION,
     KILL,
     LEAVING,
+    LIMIT,
     LINK,
     PAUSE,
     RELOAD,
@@ -14,7 +16,7 @@
     STORE,
     TROUBLE,
 )
-from catkinfork.platform.tests.soak.settings import GRACE_S
+from catkinfork.platform.tests.soak.settings import DRAIN_S, GRACE_S
 
 # Name of the signal with which the platform ends a process after its grace.
 LATE_KILL = " after the grace"
@@ -47,6 +49,10 @@
         """Return the target of a step, or None if there is none."""
         return targets[step.target % len(targets)] if targets else None
 
+    def list_plain_servers(self):
+        """Return the servers of whole responses."""
+        return [one for one in self.fleet.list_servers() if one.service != "lm"]
+
     async def stop(self, step):
         """Stop a host as the platform does; it is started again."""
         host = self.choose(self.fleet.hosts, step)
@@ -98,8 +104,7 @@
     async def drain_server(self, step):
         """Let a backend server leave, and start another one in its place."""
         server = self.choose(self.fleet.list_servers(), step)
-        group = self.fleet.list_servers(server.service, server.version)
-        if len(group) <= MIN_SERVERS:
+        if not self.may_leave(server):
             return
         began_at = self.records.now()
         leaving = asyncio.create_task(
@@ -111,6 +116,25 @@
         await leaving
         self.records.add_span(LEAVING, server.name, began_at)
 
+    async def announce_leaving(self, step):
+        """Let a plain server say in its answers that it leaves, and leave later."""
+        server = self.choose(self.list_plain_servers(), step)
+        if not self.may_leave(server):
+            return
+        began_at = self.records.now()
+        server.says_leaving = True
+        await asyncio.sleep(REPLACEMENT_S)
+        await self.fleet.add_server(server.service, server.version)
+        await asyncio.sleep(DRAIN_S + step.duration_s)
+        await server.leave(is_announced=True, extra_s=0.0)
+        self.records.add_span(LEAVING, server.name, began_at)
+
+    def may_leave(self, server):
+        """Return whether a server stays so far, and enough others of its kind do."""
+        group = self.fleet.list_servers(server.service, server.version)
+        n_staying = sum(not one.says_leaving for one in group)
+        return not server.says_leaving and n_staying > MIN_SERVERS
+
     async def kill_host(self, step):
         """Kill a host; it is started again.
 
@@ -144,8 +168,7 @@
 
     async def disturb_server(self, step):
         """Let a plain server be silent, lose, truncate or add responses, or refuse."""
-        plain = [one for one in self.fleet.list_servers() if one.service != "lm"]
-        server = self.choose(plain, step)
+        server = self.choose(self.list_plain_servers(), step)
         if server is None or server.trouble:
             return
         began_at = self.records.now()
@@ -154,6 +177,30 @@
         server.trouble = ""
         self.records.add_span(TROUBLE, server.name, began_at)
 
+    async def limit_server(self, step):
+        """Let a plain server name a limit that changes, and then none."""
+        server = self.choose(self.list_plain_servers(), step)
+        if server is None or server.limit:
+            return
+        began_at = self.records.now()
+        limits = [float(word) for word in step.detail.split(" ")]
+        for limit in limits:
+            server.limit = limit
+            await asyncio.sleep(step.duration_s / len(limits))
+        server.limit = 0.0
+        self.records.add_span(LIMIT, server.name, began_at)
+
+    async def turn_away(self, step):
+        """Let a plain server refuse all requests, and ask for a pause."""
+        server = self.choose(self.list_plain_servers(), step)
+        if server is None or server.pause_s:
+            return
+        began_at = self.records.now()
+        server.pause_s = float(step.detail)
+        await asyncio.sleep(step.duration_s)
+        server.pause_s = 0.0
+        self.records.add_span(AWAY, server.name, began_at)
+
     async def silence_store(self, step):
         """Let the store respond to nobody, or not to one host."""
         store = self.fleet.store
--- a/catkinfork/platform/tests/soak/plan.py
+++ b/catkinfork/platform/tests/soak/plan.py
@@ -13,6 +13,13 @@
 LINKS = ("caller", "store", "server")
 LINK_FAULTS = ("delay", "reset", "silence_in", "silence_out", "cut")
 
+# Shortest and longest durations of actions without variants.
+DURATIONS_S = {
+    "crash_server": (0.5, 3.0),
+    "restore_store": (1.0, 4.0),
+    "announce_leaving": (1.0, 4.0),
+}
+
 # Weights of the actions of each kind of run.
 PLANNED = {
     "stop": 4,
@@ -29,6 +36,15 @@
     "silence_store": 2,
     "restore_store": 1,
 }
+NOTICES = {
+    "stop": 1,
+    "reload": 1,
+    "configure": 1,
+    "drain_server": 1,
+    "announce_leaving": 3,
+    "limit_server": 5,
+    "turn_away": 5,
+}
 LINK = PLANNED | {"disturb_link": 26}
 WEIGHTS = {
     "planned": PLANNED,
@@ -36,6 +52,7 @@
     "links": LINK,
     "crashing": PLANNED,
     "bursts": PLANNED,
+    "notices": NOTICES,
 }
 # Actions that may come to several targets in turn.
 SERIAL = {
@@ -46,6 +63,7 @@
     "drain_server",
     "crash_server",
     "disturb_link",
+    "limit_server",
 }
 
 
@@ -105,17 +123,25 @@
     elif action == "disturb_server":
         detail = rng.choice(TROUBLES)
         duration_s = rng.uniform(0.3, 3.0)
-    elif action == "crash_server":
-        duration_s = rng.uniform(0.5, 3.0)
     elif action == "drain_server":
         detail = rng.choice(["announced", "announced", "unannounced"])
         duration_s = rng.uniform(0.2, 3.0)
     elif action == "silence_store":
         detail = rng.choice(["all", "one"])
         duration_s = rng.uniform(0.5, 6.0)
-    elif action == "restore_store":
-        duration_s = rng.uniform(1.0, 4.0)
+    elif action in DURATIONS_S:
+        duration_s = rng.uniform(*DURATIONS_S[action])
     elif action == "disturb_link":
         detail = f"{rng.choice(LINKS)} {rng.choice(LINK_FAULTS)}"
         duration_s = rng.uniform(0.2, 4.0)
+    elif action in ("limit_server", "turn_away"):
+        duration_s, detail = draw_notice(rng, action)
     return Step(at_s, action, target, duration_s, detail)
+
+
+def draw_notice(rng, action):
+    """Return for how long a server asks for something, and the figures it names."""
+    if action == "turn_away":
+        return rng.uniform(0.1, 1.5), f"{rng.uniform(1.5, 4.0):.1f}"
+    limits = [rng.uniform(1.0, 6.0) for _ in range(rng.randrange(1, 4))]
+    return rng.uniform(6.0, 16.0), " ".join(f"{limit:.1f}" for limit in limits)
--- a/catkinfork/platform/tests/soak/records.py
+++ b/catkinfork/platform/tests/soak/records.py
@@ -26,6 +26,7 @@
 STOP, RELOAD, CONFIGURATION, LEAVING = "stop", "reload", "configuration", "leaving"
 KILL, PAUSE, CRASH, STORE, LINK = "kill", "pause", "crash", "store", "link"
 TROUBLE, START = "trouble", "start"
+LIMIT, AWAY = "limit", "turned away"
 DRIVER = "driver"
 ALL_HOSTS = "*"
 
@@ -66,6 +67,23 @@
     outcome: str
 
 
+class Arrival(NamedTuple):
+    """A request that reaches a plain server, with what the answer asks for.
+
+    :param answered_at: when the answer was written; None if there was none.
+    :param limit: requests a second that the answer names as the limit; 0 for none.
+    :param pause_s: time for which the server wants nothing from the host, seconds.
+    """
+
+    id: str
+    server: str
+    arrived_at: float
+    answered_at: float | None
+    limit: float = 0.0
+    pause_s: float = 0.0
+    is_leaving: bool = False
+
+
 class Span(NamedTuple):
     """A disruption with its begin and its end."""
 
@@ -142,6 +160,7 @@
         self.started_at = time.monotonic()
         self.requests = []
         self.runs = []
+        self.arrivals = []
         self.spans = []
         self.exits = []
         self.streams = []
@@ -157,5 +176,12 @@
 
     def write(self, path):
         """Write all records to a file, one a line."""
-        kinds = (self.requests, self.runs, self.spans, self.exits, self.streams)
+        kinds = (
+            self.requests,
+            self.runs,
+            self.arrivals,
+            self.spans,
+            self.exits,
+            self.streams,
+        )
         path.write_text("".join(f"{one}\n" for kind in kinds for one in kind))
--- a/catkinfork/platform/tests/soak/report.py
+++ b/catkinfork/platform/tests/soak/report.py
@@ -11,6 +11,7 @@
     find_violations,
 )
 from catkinfork.platform.tests.soak.crashing import find_crash_violations
+from catkinfork.platform.tests.soak.notices import find_notice_violations
 from catkinfork.platform.tests.soak.records import (
     COMPLETE,
     CUT,
@@ -79,7 +80,12 @@
 
 def find_all_violations(records):
     """Return all broken promises in order of time."""
-    found = [*find_violations(records), *find_crash_violations(Facts(records))]
+    facts = Facts(records)
+    found = [
+        *find_violations(records),
+        *find_crash_violations(facts),
+        *find_notice_violations(facts),
+    ]
     return sorted(found, key=lambda violation: violation.at)
 
 
--- a/catkinfork/platform/tests/soak/servers.py
+++ b/catkinfork/platform/tests/soak/servers.py
@@ -11,6 +11,7 @@
     CHANGED,
     CRASHED,
     REJECTED,
+    Arrival,
     Run,
 )
 from catkinfork.platform.tests.soak.settings import DRAIN_S, HEARTBEAT_S, ZONE
@@ -25,6 +26,8 @@
 EVENT_S = 0.05
 P_SPLIT = 0.05
 SILENCE_POLL_S = 0.02
+# Time for which a full server wants nothing from a host, seconds.
+SHORT_PAUSE_S = 0.5
 DIGEST_HEADER = "x-body-digest"
 # The body that crashes a plain server, after a time, and the prompt part that crashes
 # an engine as it begins to write an answer.
@@ -74,6 +77,8 @@
         self.trouble = ""
         self.is_up = False
         self.says_leaving = False
+        self.limit = 0.0
+        self.pause_s = 0.0
         self.address = None
         self.born = int(time.time() * 1000)
         self.on_crash = None
@@ -191,19 +196,25 @@
             lines.append(f"Keep-Alive: timeout={self.idle_s}")
         if self.says_leaving:
             lines.append("Server-Leaving: 1")
+        if self.limit:
+            lines.append(f"Server-Limit: {self.limit}")
         head = "\r\n".join([*lines, "", ""]).encode()
         writer.write(head + body[: len(body) - n_missing])
 
     async def run(self, target, request_id, headers, body, reader, writer):
         """Run a request in a slot, and record its outcome."""
-        if self.n_waiting >= MAX_WAITING + self.n_slots or self.trouble == "busy":
+        is_full = self.n_waiting >= MAX_WAITING + self.n_slots
+        if is_full or self.trouble == "busy" or self.pause_s:
             now = self.records.now()
+            pause_s = self.pause_s or SHORT_PAUSE_S
             self.records.runs.append(Run(request_id, self.name, now, now, REJECTED))
-            extra = ["X-Catkinfork-Not-Executed: 1", "Retry-After: 0.5"]
+            self.record_arrival(request_id, now, now, pause_s)
+            extra = ["X-Catkinfork-Not-Executed: 1", f"Retry-After: {pause_s}"]
             self.send(writer, 503, request_id, extra)
             return True
         self.n_waiting += 1
-        began_at, outcome = self.records.now(), CRASHED
+        arrived_at = began_at = self.records.now()
+        outcome = CRASHED
         try:
             async with self.slots:
                 began_at = self.records.now()
@@ -218,8 +229,13 @@
                 outcome = CRASHED
             run = Run(request_id, self.name, began_at, self.records.now(), outcome)
             self.records.runs.append(run)
+            answered_at = run.ended_at if outcome == ANSWERED else None
+            self.record_arrival(request_id, arrived_at, answered_at)
         return outcome == ANSWERED and not writer.transport.is_closing()
 
+    def record_arrival(self, request_id, arrived_at, answered_at, pause_s=0.0):
+        """Record a request, with what its answer asks for."""
+
     async def answer(self, target, request_id, headers, body, reader, writer):
         """Respond to a request, and return the outcome."""
         raise NotImplementedError
@@ -228,6 +244,14 @@
 class PlainServer(SoakServer):
     """A backend server whose responses repeat the id and a digest of the body."""
 
+    def record_arrival(self, request_id, arrived_at, answered_at, pause_s=0.0):
+        arrival = Arrival(request_id, self.name, arrived_at, answered_at)
+        if answered_at is not None:
+            arrival = arrival._replace(
+                limit=self.limit, pause_s=pause_s, is_leaving=self.says_leaving
+            )
+        self.records.arrivals.append(arrival)
+
     async def answer(self, target, request_id, headers, body, reader, writer):
         if headers.get(DIGEST_HEADER) != digest(body):
             return CHANGED
