--- a/Makefile
+++ b/Makefile
@@ -6,8 +6,8 @@
 SECONDS ?= 60
 KIND ?= hard
 
-.PHONY: help demo test lint format bench bench-processes capacity soak soak-decisions \
-	binary clean
+.PHONY: help demo test lint format bench bench-processes capacity soak soak-planted \
+	soak-decisions binary clean
 
 help:
 	@echo "make demo      set up and run the whole path on loopback"
@@ -17,6 +17,7 @@
 	@echo "make bench-processes  the same figures from real processes"
 	@echo "make capacity  measure the slopes behind docs/CAPACITY.md"
 	@echo "make soak      disrupt real processes (SECONDS=$(SECONDS) SEED=$(SEED) KIND=$(KIND))"
+	@echo "make soak-planted  play the soak against copies with small faults"
 	@echo "make soak-decisions  long randomised runs of decisions (SECONDS, SEED)"
 	@echo "make binary    build dist/catkinfork"
 
@@ -60,6 +61,9 @@
 	$(BIN)/python -m catkinfork.platform.tests.soak --seconds $(SECONDS) \
 		--seed $(SEED) --kind $(KIND)
 
+soak-planted: $(VENV)/installed
+	$(BIN)/python -m catkinfork.platform.tests.soak.planted
+
 soak-decisions: $(VENV)/installed
 	$(BIN)/python -m benchmarks.soak --seconds $(SECONDS) --seed $(SEED)
 
