Excuse streams that a stop may cut when the soak's driver sees the cut late

The driver was late from 12.2 to 16.4 s, and recorded the cuts of 13.7 and 14.6 s at 16.4 to 16.6 s, more than 1 s after the grace.

Change: while the driver is late, the cut counts as early as the delay began. What was sent, and how long the server worked, is judged as before. Facts moves into a file of its own.

--- a/catkinfork/platform/tests/soak/checks.py
+++ b/catkinfork/platform/tests/soak/checks.py
@@ -3,11 +3,12 @@
 Each excuse is what the platform's rules allow; it stands beside its check.
 """
 
-from collections import Counter, defaultdict
+from collections import Counter
 from itertools import pairwise
 from typing import NamedTuple
 
 from catkinfork.platform.tests.soak import records as r
+from catkinfork.platform.tests.soak.facts import Facts
 from catkinfork.platform.tests.soak.settings import (
     CONFIG_S,
     CONTACT_S,
@@ -50,50 +51,6 @@
     return Violation(rule, request.ended_at, request.id, (request.host,), text)
 
 
-class Facts:
-    """Records with an index of runs and disruptions."""
-
-    def __init__(self, records):
-        self.records = records
-        self.runs = defaultdict(list)
-        for run in records.runs:
-            if run.outcome != r.REJECTED:
-                self.runs[run.id].append(run)
-        self.spans = defaultdict(list)
-        for span in records.spans:
-            self.spans[span.kind].append(span)
-
-    def list_spans(self, kinds, targets, begin, end):
-        """Return the disruptions of some kinds and targets that overlap a time."""
-        return [
-            span
-            for kind in kinds
-            for span in self.spans[kind]
-            if span.target in targets
-            and span.began_at <= end
-            and span.ended_at >= begin
-        ]
-
-    def list_servers(self, request):
-        """Return the servers that ran a request."""
-        return [run.server for run in self.runs[request.id]]
-
-    def is_disturbed(self, request):
-        """Return whether an unplanned disruption held for a request."""
-        begin, end = request.began_at - CONTACT_S, request.ended_at
-        servers = set(self.list_servers(request))
-        return bool(
-            self.list_spans((r.KILL, r.PAUSE, r.LINK), {request.host}, begin, end)
-            or self.list_spans((r.CRASH, r.LINK), servers, begin, end)
-        )
-
-    def is_in_touch(self, host, at):
-        """Return whether a host is in touch, for rules with a bound of time."""
-        kinds = (r.START, r.STOP, r.KILL, r.PAUSE, r.LINK, r.STORE)
-        targets = {host, r.ALL_HOSTS}
-        return not self.list_spans(kinds, targets, at - CONTACT_S, at)
-
-
 def find_violations(records):
     """Return all broken promises in order of time."""
     facts = Facts(records)
@@ -159,7 +116,7 @@
         "a disruption of the store, with a key": request.kind == r.STREAM
         and bool(store),
         "it outlasted the grace of a stop": any(
-            outlasts_grace(span, request, runs) for span in facts.spans[r.STOP]
+            outlasts_grace(facts, span, request) for span in facts.spans[r.STOP]
         ),
     }
     return next((text for text, holds in excuses.items() if holds), "")
@@ -182,18 +139,23 @@
     return min([*ends, stop.began_at + GRACE_S + AFTER_GRACE_S])
 
 
-def outlasts_grace(stop, request, runs):
+def outlasts_grace(facts, stop, request):
     """Return whether a stop may cut a request.
 
     The server was still at work on it in the last sixth of the grace, and it was sent
-    no later than 3 s after the SIGTERM.
+    no later than 3 s after the SIGTERM. A driver that is late sees the cut later.
     """
     last_part_at = stop.began_at + LAST_PART_S
+    cut_at = facts.find_earliest(request.ended_at)
     return (
         stop.target == request.host
         and request.sent_at <= stop.began_at + SENT_EARLY_S
-        and last_part_at <= request.ended_at <= stop.began_at + GRACE_S + AFTER_GRACE_S
-        and any(run.began_at <= last_part_at <= run.ended_at for run in runs)
+        and request.ended_at >= last_part_at
+        and cut_at <= stop.began_at + GRACE_S + AFTER_GRACE_S
+        and any(
+            run.began_at <= last_part_at <= run.ended_at
+            for run in facts.runs[request.id]
+        )
     )
 
 
--- a/catkinfork/platform/tests/soak/report.py
+++ b/catkinfork/platform/tests/soak/report.py
@@ -4,13 +4,13 @@
 from typing import NamedTuple
 
 from catkinfork.platform.tests.soak.checks import (
-    Facts,
     Violation,
     count_excuses,
     find_unreported_runs,
     find_violations,
 )
 from catkinfork.platform.tests.soak.crashing import find_crash_violations
+from catkinfork.platform.tests.soak.facts import Facts
 from catkinfork.platform.tests.soak.notices import find_notice_violations
 from catkinfork.platform.tests.soak.records import (
     COMPLETE,
--- a/catkinfork/platform/tests/soak/test_checks.py
+++ b/catkinfork/platform/tests/soak/test_checks.py
@@ -185,6 +185,33 @@
     assert list_rules([request], runs, spans) == ([] if is_excuse else ["LOST"])
 
 
+@pytest.mark.parametrize(
+    ("began_at", "is_excuse"), [(16.0, True), (17.5, False), (19.2, False)]
+)
+def test_stop_is_not_blamed_for_a_driver_that_is_late(began_at, is_excuse):
+    """Guards against a cut at the end of the grace that is seen seconds later.
+
+    The driver is late from one time until it sees the cut, in two spans in a row.
+    """
+    request = make_request(ended_at=20.0, deadline_at=30.0)
+    runs = [make_run(ended_at=20.0, outcome=r.ABANDONED)]
+    spans = [Span(r.STOP, "host-1", 8.3, 20.0)]
+    spans += [
+        Span(r.DRIVER, r.ALL_HOSTS, began_at, 19.5),
+        Span(r.DRIVER, r.ALL_HOSTS, 19.501, 20.1),
+    ]
+    assert list_rules([request], runs, spans) == ([] if is_excuse else ["LOST"])
+
+
+def test_late_stream_is_lost_beside_a_driver_that_is_late():
+    """Guards against an excuse for streams that a stop begins late."""
+    request = make_request(sent_at=12.9, ended_at=16.5, deadline_at=30.0)
+    runs = [make_run(began_at=12.9, ended_at=16.6, outcome=r.ABANDONED)]
+    spans = [Span(r.STOP, "host-1", 9.5, 17.0)]
+    spans += [Span(r.DRIVER, r.ALL_HOSTS, at, at + 1.0) for at in (12.3, 16.0)]
+    assert list_rules([request], runs, spans) == ["LOST"]
+
+
 def test_unsafe_request_that_runs_twice_is_found():
     """Guards against a soak that does not see repeated posts."""
     complete = {"status": 200, "ending": r.COMPLETE}
--- a/catkinfork/platform/tests/soak/test_crashing.py
+++ b/catkinfork/platform/tests/soak/test_crashing.py
@@ -3,13 +3,13 @@
 import pytest
 
 from catkinfork.platform.tests.soak import records as r
-from catkinfork.platform.tests.soak.checks import Facts
 from catkinfork.platform.tests.soak.crashing import (
     MAX_LATE,
     MIN_SOUND,
     N_CRASHES,
     find_crash_violations,
 )
+from catkinfork.platform.tests.soak.facts import Facts
 from catkinfork.platform.tests.soak.records import Records, Request, Run, Span, Try
 from catkinfork.platform.tests.soak.records import Stream as StreamRecord
 from catkinfork.platform.tests.soak.settings import CONTACT_S
--- a/catkinfork/platform/tests/soak/test_notices.py
+++ b/catkinfork/platform/tests/soak/test_notices.py
@@ -3,7 +3,7 @@
 import pytest
 
 from catkinfork.platform.tests.soak import records as r
-from catkinfork.platform.tests.soak.checks import Facts
+from catkinfork.platform.tests.soak.facts import Facts
 from catkinfork.platform.tests.soak.notices import find_notice_violations
 from catkinfork.platform.tests.soak.records import Arrival, Records, Span
 from catkinfork.platform.tests.soak.settings import DRAIN_S
