Count a planned stop from the earliest time at which its signal may have come

What callers would see: streams that are begun late in a planned stop, and cut; operators: a stop that needs SIGKILL.

Cause: the time of the signal is that at which its handler runs.

Late requests are judged by that time. Requests in progress are ended earlier by as much, but not before the last sixth of the grace, as a loop that is busy and not starved handles a signal at once.

--- a/catkinfork/forwarder/_drain.py
+++ b/catkinfork/forwarder/_drain.py
@@ -15,6 +15,8 @@
 BACKLOG_PERIOD_S = 1.0
 # Time before the forced termination at which requests in flight are ended, seconds.
 FORCED_STOP_MARGIN_S = 0.7
+# Last part of the grace, in which requests in progress may be ended.
+LAST_PART = 1 / 6
 # Time before the forced termination at which the process exits at the latest, seconds.
 EXIT_MARGIN_S = 0.15
 POLL_INTERVAL_S = 0.05
@@ -26,22 +28,23 @@
     :param process: :class:`ForwarderProcess`.
     """
     await process.stop_requested.wait()
-    await drain(process, process.stop_signalled_at)
+    await drain(process, process.stop_signalled_at, process.stop_handled_at)
     process.stop()
 
 
-async def drain(process, signalled_at):
+async def drain(process, signalled_at, handled_at=None):
     """Report the process as not ready, then wait until all requests are answered.
 
     Those that are in progress shortly before the forced termination are ended. What is
     sent until then counts from the signal, which a busy host may see late.
 
     :param process: :class:`ForwarderProcess`.
-    :param signalled_at: monotonic time of the signal to stop, seconds.
+    :param signalled_at: earliest monotonic time of the signal to stop, seconds.
+    :param handled_at: monotonic time at which it was handled, seconds, if later.
     """
     server = process.server
     grace_s = process.settings.forwarder.grace_s
-    ends_at = signalled_at + grace_s - FORCED_STOP_MARGIN_S
+    ends_at = compute_end(signalled_at, handled_at or signalled_at, grace_s)
     accept_s = min(ACCEPT_PERIOD_S, 0.4 * grace_s)
     server.is_draining = True
     server.stop_signalled_at = signalled_at
@@ -68,7 +71,7 @@
     n_requests_left = len(server.exchanges)
     handover_s = await wait_for_successor(handover, ends_at)
     server.end_requests()
-    await flush(server, signalled_at + grace_s - EXIT_MARGIN_S)
+    await flush(server, ends_at + FORCED_STOP_MARGIN_S - EXIT_MARGIN_S)
     process.log.write(
         log_event(
             FORWARDER_STOPPED,
@@ -79,6 +82,21 @@
     )
 
 
+def compute_end(signalled_at, handled_at, grace_s):
+    """Return when requests in progress are ended, monotonic seconds.
+
+    Load pattern: a host without processor time for a second is stopped. It cannot tell
+    when in that time the signal came. The forced termination counts from the signal,
+    and whoever works on a request up to the last part of the grace may not be cut.
+
+    :param signalled_at: earliest monotonic time of the signal to stop, seconds.
+    :param handled_at: monotonic time at which it was handled, seconds.
+    """
+    max_early_s = max(0.0, LAST_PART * grace_s - FORCED_STOP_MARGIN_S)
+    early_s = min(handled_at - signalled_at, max_early_s)
+    return handled_at + grace_s - FORCED_STOP_MARGIN_S - early_s
+
+
 async def finish_requests(server, ends_at):
     """Wait until all requests are answered, or the time is over.
 
--- a/catkinfork/forwarder/_process.py
+++ b/catkinfork/forwarder/_process.py
@@ -3,6 +3,7 @@
 import asyncio
 import random
 import time
+from math import inf
 
 import anyio
 
@@ -74,6 +75,8 @@
         self.tasks = None
         self.stop_requested = anyio.Event()
         self.stop_signalled_at = None
+        self.stop_handled_at = None
+        self.sweep_due_at = inf
         self.was_ready = None
 
     async def run(self):
@@ -240,6 +243,7 @@
                 next_second_at = now + 1.0
                 self.log_dropped_lines()
             planned_at = self.loop.time() + SWEEP_INTERVAL_S
+            self.sweep_due_at = planned_at
             await anyio.sleep(SWEEP_INTERVAL_S)
 
     def record_lag(self, planned_at, now):
@@ -287,8 +291,13 @@
         )
 
     def request_stop(self):
-        """Start the drain; may be called by a signal handler."""
-        self.stop_signalled_at = time.monotonic()
+        """Start the drain; may be called by a signal handler.
+
+        A process without processor time handles a signal late. While its sweep is due,
+        the signal may have come at any time since.
+        """
+        self.stop_handled_at = time.monotonic()
+        self.stop_signalled_at = min(self.stop_handled_at, self.sweep_due_at)
         self.loop.call_soon_threadsafe(self.stop_requested.set)
 
     def request_reload(self):
--- a/catkinfork/forwarder/tests/test_planned_stop.py
+++ b/catkinfork/forwarder/tests/test_planned_stop.py
@@ -7,7 +7,7 @@
 import anyio
 import pytest
 
-from catkinfork.forwarder._drain import drain
+from catkinfork.forwarder._drain import compute_end, drain
 from catkinfork.forwarding.tests.scripted import answer, in_turn, silence, stream
 from catkinfork.forwarding.tests.world import KEY, PROMPT, Caller, run_world
 from catkinfork.peering import HandoverPlan, PeerDirectory
@@ -219,6 +219,22 @@
     run_world(test, limits=PATIENT)
 
 
+@pytest.mark.parametrize(
+    ("grace_s", "handled_s", "ends_s"),
+    [(8.0, 0.0, 7.3), (8.0, 0.4, 7.3), (8.0, 1.4, 8.067), (4.0, 1.0, 4.3)],
+)
+def test_requests_are_not_cut_before_the_last_part_of_the_grace(
+    grace_s, handled_s, ends_s
+):
+    """Guards against a forced termination, and against cutting sound requests early.
+
+    The signal came at any time in the part of a second before it was handled.
+    """
+    end = compute_end(10.0, 10.0 + handled_s, grace_s)
+    assert end - 10.0 == pytest.approx(ends_s, abs=0.001)
+    assert end - (10.0 + handled_s) >= min(7.3, 5 / 6 * grace_s - 0.04)
+
+
 def test_short_request_that_is_uploaded_late_is_served():
     """Guards against refusals of late requests that can still be served."""
 
--- a/catkinfork/platform/tests/test_late_streams.py
+++ b/catkinfork/platform/tests/test_late_streams.py
@@ -29,6 +29,8 @@
 # Times after the SIGTERM at which the bodies are sent, seconds: before and after the
 # 1.6 s from which requests of a stand-in with a grace of 4 s count as late.
 IN_TIME_S, LATE_S = 0.3, 2.0
+# Time for which a process has no processor time from its signal on, seconds.
+STILL_S = 1.0
 
 
 class PacedRunner(StreamRunner):
@@ -140,3 +142,30 @@
         assert 0.0 <= draining["signal_age_s"] < 1.0
 
     run_platform(test, tmp_path)
+
+
+def test_signal_that_comes_while_a_process_stands_still_is_counted_from_then(tmp_path):
+    """Guards against late streams of a host that has no processor time for a second.
+
+    It handles the signal a second after it was sent, and cannot know when that was.
+    """
+
+    async def test(platform: Platform):
+        runner, forwarder = await start(platform)
+        runner.gap_s = 0.45
+        signalled_at = time.monotonic() + 0.3
+        late = asyncio.create_task(
+            send_slowly(forwarder, "late", signalled_at + LATE_S)
+        )
+        await asyncio.sleep(signalled_at - time.monotonic())
+        forwarder.signal(signal.SIGSTOP)
+        forwarder.signal(signal.SIGTERM)
+        await asyncio.sleep(STILL_S)
+        forwarder.signal(signal.SIGCONT)
+        assert await late == (503, True)
+        await wait_until(lambda: forwarder.process.returncode is not None)
+        assert forwarder.process.returncode == 0
+        (draining,) = forwarder.list_events("forwarder_draining")
+        assert STILL_S - 0.3 < draining["signal_age_s"] < STILL_S + 1.0
+
+    run_platform(test, tmp_path)
