Split the rate of cold servers by the fair shares of demand (FAIR)

Change: the share in the rate of a cold or recovering server follows the fair shares of demand, as for a rate that a server names. It stays an even one until peers have told of their requests for 2 s, and while one of them is silent. The interval follows the share while a forwarder waits for its turn.

Requests to a cold engine stay within FAILBACK's limit there, and with 68 forwarders that have just started.

--- a/catkinfork/balancing/_allowance.py
+++ b/catkinfork/balancing/_allowance.py
@@ -10,6 +10,9 @@
 # requests come to an idle service at many forwarders at once, and each has seen its own
 # only.
 ASSUMED_REQUESTS = 1.0
+# Time for which peers have to tell of their requests before shares of a cold server's
+# rate follow these, seconds.
+SETTLE_S = 2.0
 # Fraction of a rate that is divided among the forwarders; the rest covers requests that
 # peers have not yet told of.
 RATE_UTILIZATION = 0.95
@@ -28,6 +31,7 @@
     def __init__(self):
         self.own_requests = SlidingWindowCounter(DEMAND_WINDOW_S)
         self.peer_requests = SlidingWindowCounter(DEMAND_WINDOW_S)
+        self.told_since = None
 
     def record_request(self, now):
         """Record a request of a caller."""
@@ -35,9 +39,26 @@
 
     def record_peer_requests(self, n_requests, now):
         """Record the requests of a peer since its previous frame."""
+        if self.told_since is None:
+            self.told_since = now
         self.peer_requests.add(n_requests, now)
 
-    def compute(self, local_fraction, n_fresh, n_forwarders, now):
+    def is_settled(self, now):
+        """Return whether peers have told of their requests for long enough.
+
+        Load pattern: all forwarders start again at once, and each knows little of what
+        the others are asked for.
+        """
+        return self.told_since is not None and now - self.told_since >= SETTLE_S
+
+    def compute(
+        self,
+        local_fraction,
+        n_fresh,
+        n_forwarders,
+        now,
+        n_assumed=ASSUMED_REQUESTS,
+    ):
         """Return the share, 0 to 1; those of all forwarders sum up to 1.
 
         The share is an even one at most while a forwarder is silent.
@@ -46,12 +67,14 @@
             to this forwarder, or None to count requests instead.
         :param n_fresh: forwarders with fresh state, including this one.
         :param n_forwarders: all forwarders that may send requests.
+        :param n_assumed: requests that each forwarder counts with besides its own and
+            those that it was told of.
         """
         n_own = self.own_requests.sum(now)
         n_all = n_own + self.peer_requests.sum(now)
         if local_fraction is not None:
             n_own = local_fraction * n_all
-        share = (n_own + ASSUMED_REQUESTS) / (n_all + ASSUMED_REQUESTS * n_forwarders)
+        share = (n_own + n_assumed) / (n_all + n_assumed * n_forwarders)
         return share if n_fresh >= n_forwarders else min(share, 1.0 / n_forwarders)
 
 
--- a/catkinfork/balancing/_shares.py
+++ b/catkinfork/balancing/_shares.py
@@ -6,6 +6,8 @@
 from catkinfork.balancing._windows import DecayingSum
 
 LEVEL_UPDATE_INTERVAL_S = 0.2
+# Time for which the fraction of the fair shares at this forwarder is kept, seconds.
+FRACTION_INTERVAL_S = 0.05
 # Fraction of its demand, or of the service of the best served workspace, below which a
 # workspace is underserved.
 MIN_SERVICE_SHARE = 0.5
@@ -84,6 +86,8 @@
         self.uses = {}
         self.level = inf
         self.next_update_at = 0.0
+        self.next_fraction_at = 0.0
+        self.local_fraction = None
         self.most_received = 0.0
         self.least_received = inf
 
@@ -223,6 +227,16 @@
                 n_local += n_fair * min(1.0, use.local_demand.read(now) / demand)
         return n_local / n_all if n_all > 0 else None
 
+    def read_local_fraction(self, now):
+        """Return :meth:`compute_local_fraction` of the latest moments.
+
+        Every request asks for it while servers are cold, and it visits all workspaces.
+        """
+        if now >= self.next_fraction_at:
+            self.next_fraction_at = now + FRACTION_INTERVAL_S
+            self.local_fraction = self.compute_local_fraction(now)
+        return self.local_fraction
+
     def compute_entitlement(self, workspace, now):
         """Return the :class:`Entitlement` of a workspace at this forwarder.
 
--- a/catkinfork/balancing/_slow_start.py
+++ b/catkinfork/balancing/_slow_start.py
@@ -12,42 +12,50 @@
     """Spaces the requests from one forwarder to one cold backend server.
 
     Load pattern: a backend server turns cold while many forwarders have work for it.
-    Each forwarder uses at most its own share of the rate, so the limit holds even
-    without messages from the peers. The first request of a cold period is delayed by a
-    random part of the interval; otherwise all forwarders would send theirs at once.
+    The first request of a cold period is delayed by a random part of the interval;
+    otherwise all forwarders would send theirs at once. The interval follows the share
+    of this forwarder in the rate, also while it waits for the next request.
+
+    ``counted_from`` is the monotonic time of the latest request or of the start of the
+    period, seconds, and ``part`` the fraction of the interval to wait from then on.
     """
 
-    __slots__ = ("next_request_at", "period_ends_at")
+    __slots__ = ("counted_from", "part", "period_ends_at")
 
     def __init__(self):
-        self.next_request_at = 0.0
+        self.counted_from = 0.0
+        self.part = 0.0
         self.period_ends_at = 0.0
 
-    def start_period(self, ends_at, interval_s, rng, now):
+    def start_period(self, ends_at, rng, now):
         """Delay the first request if a new cold period has started.
 
         :param ends_at: monotonic time at which the backend server is warm, seconds.
-        :param interval_s: interval between requests of this forwarder, seconds.
         :param rng: ``random.Random``.
         """
         if ends_at > self.period_ends_at + PERIOD_TOLERANCE_S:
             self.period_ends_at = ends_at
-            self.next_request_at = now + rng.random() * interval_s
+            self.counted_from = now
+            self.part = rng.random()
+
+    def allows(self, interval_s, now):
+        """Return whether a request may be sent now.
 
-    def allows(self, now):
-        """Return whether a request may be sent now."""
-        return now >= self.next_request_at
+        :param interval_s: interval between requests of this forwarder, seconds.
+        """
+        return now >= self.counted_from + self.part * interval_s
 
-    def record_request(self, interval_s, now):
-        """Record a sent request and delay the next one."""
-        self.next_request_at = now + interval_s
+    def record_request(self, now):
+        """Record a sent request."""
+        self.counted_from = now
+        self.part = 1.0
 
 
-def compute_interval_s(rate, n_forwarders):
+def compute_interval_s(rate, share):
     """Return the interval between the requests of one forwarder, seconds.
 
     :param rate: requests per second that the cold backend server can handle; 0 for no
         limit.
-    :param n_forwarders: forwarders that share the rate.
+    :param share: share of this forwarder in the rate, above 0 to 1.
     """
-    return n_forwarders / (RATE_UTILIZATION * rate) if rate > 0 else 0.0
+    return 1.0 / (RATE_UTILIZATION * rate * share) if rate > 0 else 0.0
--- a/catkinfork/balancing/tests/support.py
+++ b/catkinfork/balancing/tests/support.py
@@ -88,9 +88,13 @@
     data_centre="gasabo",
     cold_s=0.0,
     version="v1",
+    at=0.0,
     **options,
 ):
-    """Add a backend server."""
+    """Add a backend server.
+
+    :param at: monotonic time at which it is added, seconds.
+    """
     entry = BackendEntry(
         name,
         "s",
@@ -103,7 +107,7 @@
         version=version,
         **options,
     )
-    balancer.registry.apply_entry(entry, 0.0, "test")
+    balancer.registry.apply_entry(entry, at, "test")
 
 
 def build_route(kind=STREAMING, **options):
--- a/catkinfork/balancing/tests/test_placement.py
+++ b/catkinfork/balancing/tests/test_placement.py
@@ -145,10 +145,12 @@
     assert 2 <= n_sent <= 4
 
 
-def test_first_requests_to_cold_backend_are_spread_over_forwarders():
+@pytest.mark.parametrize("n_requests", [1, 30])
+def test_first_requests_to_cold_backend_are_spread_over_forwarders(n_requests):
     """Guards against forwarders that all send their first request at once.
 
-    Load pattern: a backend server returns cold while many forwarders have work.
+    Load pattern: a backend server returns cold while many forwarders have work. They
+    have started again, and have not heard what the others are asked for.
     """
     n_forwarders, cold_rate, cold_s = 68, 9.8, 3.0
     sent_at = []
@@ -158,9 +160,8 @@
         )
         balancer.rng.seed(seed)
         add_backend(balancer, "cold", cold_s=cold_s)
-        decision = submit(balancer, 0.0)
-        if isinstance(decision, Placement):
-            sent_at.append(0.0)
+        decisions = [submit(balancer, 0.0) for _ in range(n_requests)]
+        sent_at += [0.0 for one in decisions if isinstance(one, Placement)]
         for tick in range(1, 60):
             now = 0.05 * tick
             decisions = [one for _, one in balancer.dispatch_queued(now)]
--- a/catkinfork/peering/tests/saturated_fleet.py
+++ b/catkinfork/peering/tests/saturated_fleet.py
@@ -21,16 +21,22 @@
 
     :param n_nodes: number of forwarders.
     :param n_engines: number of engines.
+    :param cold_rate: requests per second that a cold engine can handle, 0 for no limit.
+
+    ``placed`` has the engine and the time of each placement.
     """
 
-    def __init__(self, n_nodes, n_engines, seed):
+    def __init__(self, n_nodes, n_engines, seed, cold_rate=0.0):
+        self.placed = []
         self.rng = random.Random(seed)
         self.nodes = build_nodes(n_nodes)
         names = [f"b{number}" for number in range(n_engines)]
         for node in self.nodes.values():
             for name in names:
                 add_backend(node.balancer, name)
-                node.balancer.pools["s"].find(name)
+                pool = node.balancer.pools["s"]
+                pool.find(name)
+                pool.service = pool.service._replace(cold_rate=cold_rate)
         self.free_at = dict.fromkeys(names, 0.0)
         self.events = []
         self.starts = []
@@ -60,6 +66,7 @@
         if not isinstance(decision, Placement):
             return
         name = decision.backend.name
+        self.placed.append((name, self.now))
         starts_at = max(self.free_at[name], self.now)
         read_at = starts_at + decision.n_missing_tokens / READING_RATE
         self.free_at[name] = read_at
@@ -103,6 +110,36 @@
         for node in self.nodes.values():
             node.balancer.registry.remove(name, 0.0, 0.0)
 
+    def replace_engines(self, cold_s):
+        """Replace all engines at once by cold ones; the old ones end their requests.
+
+        :param cold_s: time for which the new ones are cold, seconds.
+        """
+        n_engines = len(self.free_at)
+        for name in list(self.free_at):
+            self.remove_engine(name)
+        for number in range(n_engines):
+            name = f"new{number}"
+            self.free_at[name] = self.now
+            for node in self.nodes.values():
+                add_backend(node.balancer, name, cold_s=cold_s, at=self.now)
+                node.balancer.pools["s"].find(name)
+
+    def count_most_placed_in_1_s(self, start):
+        """Return the most requests that one engine was sent within a second.
+
+        :param start: time from which on they count, seconds.
+        """
+        times = {}
+        for name, at in self.placed:
+            if at >= start:
+                times.setdefault(name, []).append(at)
+        return max(
+            sum(first <= at < first + 1.0 for at in one)
+            for one in times.values()
+            for first in one
+        )
+
     def count_starts(self, workspace, start, end):
         """Return how many requests of a workspace began to run in a span of time."""
         return sum(name == workspace and start <= at < end for at, name in self.starts)
--- a/catkinfork/peering/tests/test_fair_order.py
+++ b/catkinfork/peering/tests/test_fair_order.py
@@ -69,3 +69,33 @@
     # The rule allows three of the largest requests less.
     assert n_first + 3 >= 0.5 * max(n_others)
     assert sum(counts) >= 0.9 * capacity / 2 * SPAN_S
+
+
+@pytest.mark.parametrize(("n_nodes", "seed"), [(8, 0), (8, 1), (16, 0)])
+def test_workspace_at_one_host_is_served_by_cold_engines(n_nodes, seed):
+    """Guards against a workspace that starves while all engines are cold (FAIR).
+
+    Load pattern: a release replaces all engines at once. Those are cold for 3 s, and
+    may be sent less than what is asked for. Most requests of the largest workspace
+    reach one host, and those of another one all hosts.
+    """
+    n_engines, cold_rate, cold_s = 2 * n_nodes, 18.0, 3.0
+    fleet = SaturatedFleet(n_nodes, n_engines, seed, cold_rate)
+    addresses = list(fleet.nodes)
+    capacity = n_engines * READING_RATE / N_PROMPT_TOKENS
+    demands = [
+        *[("a", 0.5, addresses[-1:])] * 3,
+        *[("b", 0.35, addresses)] * 2,
+        ("c", 0.05, addresses),
+    ]
+    fleet.drive(fleet.now + SETTLE_S, capacity, demands)
+    fleet.replace_engines(cold_s)
+    replaced_at = fleet.now
+    fleet.drive(replaced_at + cold_s, capacity, demands)
+    n_one_host, n_all_hosts = (
+        fleet.count_starts(name, replaced_at, fleet.now) for name in "ab"
+    )
+    # The rule allows three of the largest requests less.
+    assert n_one_host + 3 >= 0.5 * n_all_hosts
+    n_most = fleet.count_most_placed_in_1_s(replaced_at)
+    assert 0.5 * cold_rate <= n_most <= 1.5 * cold_rate + 5
