--- a/catkinfork/balancing/_balancer.py
+++ b/catkinfork/balancing/_balancer.py
@@ -137,10 +137,10 @@
     def check_stop(self, pool, job, now):
         """Return a refusal if a job cannot end before a planned stop does.
 
-        :param job: :class:`Job` that is new, or that is to be sent once more.
+        :param job: :class:`Job` that is at no backend server.
         """
         plan = self.stop_plan
-        if plan is None or plan.allows_queued(job, pool.durations, now):
+        if plan is None or plan.allows_pending(job, pool.durations, now):
             return None
         return self.refusals.refuse_at_stop(plan.ends_at - now)
 
--- a/catkinfork/balancing/_stop.py
+++ b/catkinfork/balancing/_stop.py
@@ -57,8 +57,8 @@
         """
         return job.arrived_at >= self.late_from and job.deadline_at > self.ends_at
 
-    def allows_queued(self, job, durations, now):
-        """Return whether a queued request may wait on to be sent.
+    def allows_pending(self, job, durations, now):
+        """Return whether a request may be sent that is new, waits or is sent once more.
 
         A stream that broke off here waits up to the end: refused, its caller would lose
         what it has received no later. So does a request that may have run, as it cannot
--- a/catkinfork/forwarder/_drain.py
+++ b/catkinfork/forwarder/_drain.py
@@ -15,8 +15,8 @@
 BACKLOG_PERIOD_S = 1.0
 # Time before the forced termination at which requests in flight are ended, seconds.
 FORCED_STOP_MARGIN_S = 0.7
-# Last part of the grace, in which requests in progress may be ended.
-LAST_PART = 1 / 6
+# Fraction of the grace at its end in which requests in progress may be ended.
+LAST_FRACTION = 1 / 6
 # Time before the forced termination at which the process exits at the latest, seconds.
 EXIT_MARGIN_S = 0.15
 POLL_INTERVAL_S = 0.05
@@ -95,7 +95,7 @@
     :param signalled_at: earliest monotonic time of the signal to stop, seconds.
     :param handled_at: monotonic time at which it was handled, seconds.
     """
-    max_early_s = max(0.0, LAST_PART * grace_s - FORCED_STOP_MARGIN_S)
+    max_early_s = max(0.0, LAST_FRACTION * grace_s - FORCED_STOP_MARGIN_S)
     early_s = min(handled_at - signalled_at, max_early_s)
     return handled_at + grace_s - FORCED_STOP_MARGIN_S - early_s
 
--- a/catkinfork/forwarder/tests/test_late_requests.py
+++ b/catkinfork/forwarder/tests/test_late_requests.py
@@ -223,20 +223,8 @@
     async def test(world):
         (backend,) = await world.start("plain", answer(body=b"whole"))
         assert (await world.call("/order/")).status == 200
-        caller = await world.connect()
-        await caller.send_raw(HEAD)
-        replies = []
-
-        async def upload():
-            await anyio.sleep(1.0)
-            await caller.send_raw(b"body")
-            replies.append(await caller.read())
-
-        async with anyio.create_task_group() as tasks:
-            tasks.start_soon(upload)
-            await anyio.sleep(0.1)
-            await stop(world)
-        assert (replies[0].status, replies[0].body) == (200, b"whole")
+        reply = await upload_late(world, HEAD, 1.0)
+        assert (reply.status, reply.body) == (200, b"whole")
         assert len(backend.requests) == 2
 
     run_world(test, limits=PATIENT)
