Count the late streams of a test from the signal that was sent

The body was sent 2.0 s after the planned time of the signal, not after the signal: a driver that is 0.4 s late sends it in time. That is suspected, as the run does not tell how late the driver was.

Change: both tests of the file count from the moment after the signal, so that the body is at least as late as before.

--- a/catkinfork/platform/tests/test_late_streams.py
+++ b/catkinfork/platform/tests/test_late_streams.py
@@ -119,7 +119,9 @@
     async def test(platform: Platform):
         runner, forwarder = await start(platform)
         runner.gap_s = 0.45
-        signalled_at = time.monotonic() + 0.3
+        forwarder.signal(signal.SIGTERM)
+        # The driver may be late as well, so that times count from here.
+        signalled_at = time.monotonic()
         late = [
             asyncio.create_task(
                 send_slowly(forwarder, f"late-{number}", signalled_at + LATE_S)
@@ -129,8 +131,6 @@
         in_time = asyncio.create_task(
             send_slowly(forwarder, "in-time", signalled_at + IN_TIME_S)
         )
-        await asyncio.sleep(signalled_at - time.monotonic())
-        forwarder.signal(signal.SIGTERM)
         assert await asyncio.gather(*late) == [(503, True)] * N_LATE
         assert (await in_time)[0] == 200
         await wait_until(lambda: forwarder.process.returncode is not None)
@@ -153,13 +153,10 @@
     async def test(platform: Platform):
         runner, forwarder = await start(platform)
         runner.gap_s = 0.45
-        signalled_at = time.monotonic() + 0.3
-        late = asyncio.create_task(
-            send_slowly(forwarder, "late", signalled_at + LATE_S)
-        )
-        await asyncio.sleep(signalled_at - time.monotonic())
         forwarder.signal(signal.SIGSTOP)
         forwarder.signal(signal.SIGTERM)
+        late_at = time.monotonic() + LATE_S
+        late = asyncio.create_task(send_slowly(forwarder, "late", late_at))
         await asyncio.sleep(STILL_S)
         forwarder.signal(signal.SIGCONT)
         assert await late == (503, True)
