End a stop that has no time left without an error

What callers saw: a drain that begins after its end, as with a grace of 0 or a signal that is handled too late, ended the process with exit code 1 and cut all requests.

--- a/catkinfork/forwarder/_drain.py
+++ b/catkinfork/forwarder/_drain.py
@@ -62,10 +62,10 @@
         )
     )
     # The load balancer learns of the stop only now, however old the signal is.
-    await anyio.sleep(min(accept_s, ends_at - anyio.current_time()))
+    await anyio.sleep(max(0.0, min(accept_s, ends_at - anyio.current_time())))
     # Closing the socket resets connections that were not accepted yet.
     backlog_s = min(BACKLOG_PERIOD_S, ends_at - anyio.current_time())
-    with anyio.move_on_after(backlog_s):
+    with anyio.move_on_after(max(0.0, backlog_s)):
         while server.has_backlog():
             await anyio.sleep(0)
     server.close_listener()
--- a/catkinfork/forwarder/tests/test_late_requests.py
+++ b/catkinfork/forwarder/tests/test_late_requests.py
@@ -164,6 +164,22 @@
     run_world(test)
 
 
+@pytest.mark.parametrize(("grace_s", "signal_age_s"), [(2.0, 3.0), (0.0, 0.0)])
+def test_stop_without_time_left_answers_what_is_in_progress(grace_s, signal_age_s):
+    """Guards against a drain that fails, and cuts requests, as its end has passed."""
+
+    async def test(world):
+        await world.start("plain", silence)
+        caller = await world.connect()
+        await caller.send("/order/")
+        await anyio.sleep(0.1)
+        await stop(world, grace_s=grace_s, signal_age_s=signal_age_s)
+        reply = await caller.read()
+        assert (reply.status, reply.is_whole) == (502, True)
+
+    run_world(test)
+
+
 def send_half(n_bytes, delay_s):
     """Return a script that sends half of a body, and the rest later."""
 
