Separate the price of a backend server from the choice among them

Cause: prefix transfers and the spreading of load both change how a backend server is chosen, each at another step. CandidateList.price now says what a job costs at one server, and a BaseSelection takes one of the offers; LowestCost is the choice as it was.

--- a/catkinfork/balancing/_candidates.py
+++ b/catkinfork/balancing/_candidates.py
@@ -1,9 +1,9 @@
 """Selection of the backend server for a job."""
 
-from math import inf
 from operator import attrgetter
 from typing import NamedTuple
 
+from catkinfork.balancing._selection import LOWEST_COST
 from catkinfork.topology import Backend
 
 BASE_COST = attrgetter("base_cost")
@@ -41,6 +41,19 @@
         self.is_limited = is_limited
 
 
+class Offer(NamedTuple):
+    """What a job would cost at one backend server.
+
+    :param entry: :class:`CandidateEntry`.
+    :param n_missing_tokens: uncached prompt tokens that it would have to process.
+    :param cost: cost of the job there, in the unit of the load model.
+    """
+
+    entry: CandidateEntry
+    n_missing_tokens: int
+    cost: float
+
+
 class CandidateList:
     """Backend servers that may run the jobs of one service, by ascending base cost.
 
@@ -52,10 +65,12 @@
     :param pool: :class:`ServicePool`.
     :param rates: :class:`SendRates`.
     :param now: monotonic time, seconds.
+    :param selection: :class:`BaseSelection` that chooses among the offers.
     """
 
-    def __init__(self, registry, pool, rates, now):
+    def __init__(self, registry, pool, rates, now, selection=LOWEST_COST):
         self.pool = pool
+        self.selection = selection
         self.rates = rates
         self.now = now
         self.healthy = []
@@ -110,30 +125,29 @@
         """
         return not entry.is_limited or self.rates.allows(entry.backend, entry.state)
 
+    def price(self, job, entry):
+        """Return the :class:`Offer` of a backend server for a job.
+
+        :param entry: :class:`CandidateEntry`.
+        """
+        model = self.pool.model
+        n_missing_tokens = model.estimate_missing_tokens(job, entry.state.load)
+        cost = entry.base_cost + model.missing_token_weight * n_missing_tokens
+        return Offer(entry, n_missing_tokens, cost)
+
     def choose(self, job, rank):
-        """Return the :class:`Candidate` with the lowest cost, or None.
+        """Return the :class:`Candidate` that the selection prefers, or None.
 
         :param rank: :class:`QueueRank` of the job.
         """
-        model = self.pool.model
-        best = None
-        best_cost = inf
-        for entry in self.list_eligible(job):
-            if entry.base_cost >= best_cost:
-                break
-            state = entry.state
-            if not self.allows(entry):
-                continue
-            n_missing_tokens = model.estimate_missing_tokens(job, state.load)
-            cost = entry.base_cost + model.missing_token_weight * n_missing_tokens
-            if cost < best_cost:
-                best, best_cost, best_n_missing = entry, cost, n_missing_tokens
-        if best is None:
+        offer = self.selection.select(self, job)
+        if offer is None:
             return None
-        room = model.compute_room(
-            job, best.backend, best.state.load, best_n_missing, rank
+        entry = offer.entry
+        room = self.pool.model.compute_room(
+            job, entry.backend, entry.state.load, offer.n_missing_tokens, rank
         )
-        return Candidate(best.backend, best_n_missing, best_cost, room)
+        return Candidate(entry.backend, offer.n_missing_tokens, offer.cost, room)
 
     def add_cost(self, backend, cost):
         """Raise the base cost of a backend server during the pass.
