Keep long streams away from servers whose events come late

Change: each forwarder keeps the rate of too long pauses by server, beyond the median of its service, and weighs the chance that a stream of the expected length pauses too long with long_pause_cost. Off without the setting or without the size of an event in the configuration.

--- a/catkinfork/balancing/_balancer.py
+++ b/catkinfork/balancing/_balancer.py
@@ -18,6 +18,7 @@
     Refusal,
 )
 from catkinfork.balancing._models import QueueRank
+from catkinfork.balancing._pauses import build_pause_event
 from catkinfork.balancing._pool import ServicePool
 from catkinfork.balancing._rates import SendRates
 from catkinfork.balancing._refusals import RefusalBuilder
@@ -97,13 +98,14 @@
             pool.find(backend.name).load.prefixes.record_use(kept)
 
     def apply_settings(self, settings):
-        """Put changed retry budget settings in force.
+        """Put changed settings of the retry budget and of placement in force.
 
         :param settings: :class:`BalancerSettings`.
         """
         self.settings = settings
         for pool in self.pools.values():
             pool.retry_budget.settings = settings.retry_budget
+            pool.pause_cost = settings.long_pause_cost
 
     def submit(self, job, now):
         """Place, queue or refuse a new request.
@@ -305,6 +307,10 @@
 
     def list_candidates(self, pool, now):
         """Return a new :class:`CandidateList` of a service."""
+        if pool.weighs_pauses:
+            for name in pool.pauses.update(pool.states, now):
+                pauses = pool.states[name].pauses
+                self.write_log(build_pause_event(pool.service.name, name, pauses))
         rates = SendRates(self.registry, pool, self.peers, self.rng, now)
         return CandidateList(self.registry, pool, rates, now)
 
@@ -335,8 +341,18 @@
         self.crash_guard.record_event(placement, now)
         if placement.has_first_event:
             self.crash_guard.record_later_event(placement, now)
+            self.record_pause(placement, now)
         else:
             self.record_first_event(placement, now)
+        placement.last_event_at = now
+
+    def record_pause(self, placement, now):
+        """Record the pause before an event of a stream."""
+        pool = self.pools[placement.job.service]
+        longest_s = placement.job.route.max_event_gap_s
+        if pool.pause_cost and longest_s:
+            pauses = pool.find(placement.backend.name).pauses
+            pauses.record(now - placement.last_event_at > longest_s, now)
 
     def record_abandoned_event(self, placement, now):
         """Record an event of an attempt for whose response nobody waits any more."""
--- a/catkinfork/balancing/_candidates.py
+++ b/catkinfork/balancing/_candidates.py
@@ -3,6 +3,7 @@
 from operator import attrgetter
 from typing import NamedTuple
 
+from catkinfork.balancing._pauses import compute_late_chance
 from catkinfork.balancing._selection import LOWEST_COST
 from catkinfork.topology import Backend
 
@@ -73,6 +74,7 @@
         self.selection = selection
         self.rates = rates
         self.now = now
+        self.weighs_pauses = pool.weighs_pauses
         self.healthy = []
         self.ejected = []
         self.throttled = []
@@ -133,8 +135,19 @@
         model = self.pool.model
         n_missing_tokens = model.estimate_missing_tokens(job, entry.state.load)
         cost = entry.base_cost + model.missing_token_weight * n_missing_tokens
+        if self.weighs_pauses and entry.state.pauses.excess:
+            cost += self.compute_pause_cost(job, entry)
         return Offer(entry, n_missing_tokens, cost)
 
+    def compute_pause_cost(self, job, entry):
+        """Return the cost of the pauses that a stream has to expect.
+
+        :param entry: :class:`CandidateEntry`.
+        """
+        n_events = job.n_output_tokens / self.pool.model.engine.n_event_tokens
+        chance = compute_late_chance(entry.state.pauses.excess, n_events)
+        return self.pool.pause_cost * chance
+
     def choose(self, job, rank):
         """Return the :class:`Candidate` that the selection prefers, or None.
 
--- a/catkinfork/balancing/_events.py
+++ b/catkinfork/balancing/_events.py
@@ -90,6 +90,15 @@
     ),
 )
 
+STREAMS_PAUSE = Event(
+    910,
+    "info",
+    "streams_pause",
+    "a backend server begins or ceases to send events of streams too late more often "
+    "than its service; long streams avoid it while it does",
+    ("backend_server", "service", "is_pausing", "excess_rate", "n_events"),
+)
+
 EVENTS = (
     BACKEND_LEFT_OUT,
     REQUEST_BLOCKED,
@@ -97,4 +106,5 @@
     PART_REFUSED,
     CRASH_WITHDRAWN,
     WORKSPACE_HELD,
+    STREAMS_PAUSE,
 )
--- a/catkinfork/balancing/_jobs.py
+++ b/catkinfork/balancing/_jobs.py
@@ -127,6 +127,7 @@
         "has_first_event",
         "has_ended",
         "job",
+        "last_event_at",
         "n_candidates",
         "n_missing_tokens",
         "outcome",
@@ -145,6 +146,7 @@
         self.connected_at = None
         self.survived_at = None
         self.first_event_at = None
+        self.last_event_at = None
         self.has_first_event = False
         self.has_cleared_parts = False
         self.has_ended = False
--- a/catkinfork/balancing/_models.py
+++ b/catkinfork/balancing/_models.py
@@ -79,6 +79,7 @@
     def __init__(self, data_centre, service):
         self.data_centre = data_centre
         self.engine = service.engine
+        self.has_event_size = bool(service.engine and service.engine.n_event_tokens)
         self.n_connections = int(CONNECTION_SHARE * service.max_connections)
 
     @abstractmethod
--- a/catkinfork/balancing/_pool.py
+++ b/catkinfork/balancing/_pool.py
@@ -8,6 +8,7 @@
 from catkinfork.balancing._health import BackendHealth, ServiceHealth
 from catkinfork.balancing._loads import BackendLoad
 from catkinfork.balancing._models import build_load_model
+from catkinfork.balancing._pauses import PauseRate, ServicePauses
 from catkinfork.balancing._prefixes import PrefixCache
 from catkinfork.balancing._queue import WaitingQueue
 from catkinfork.balancing._retries import RetryBudget
@@ -22,7 +23,15 @@
 class BackendState:
     """Load, health, draws and rates of one backend server."""
 
-    __slots__ = ("allowance", "health", "limiter", "load", "room_draw", "started_ms")
+    __slots__ = (
+        "allowance",
+        "health",
+        "limiter",
+        "load",
+        "pauses",
+        "room_draw",
+        "started_ms",
+    )
 
     def __init__(self, service):
         engine = service.engine
@@ -32,6 +41,7 @@
         self.allowance = RateAllowance()
         self.started_ms = None
         self.room_draw = RoomDraw()
+        self.pauses = PauseRate()
 
     def follow_start(self, started_ms):
         """Forget health and cached prompt parts if the backend server started again.
@@ -42,6 +52,7 @@
         """
         if self.started_ms is not None and started_ms > self.started_ms:
             self.health = BackendHealth()
+            self.pauses = PauseRate()
             self.load.prefixes = PrefixCache(self.load.prefixes.n_memory_tokens)
         self.started_ms = started_ms
 
@@ -67,6 +78,8 @@
         self.queue = WaitingQueue(self.shares)
         self.retry_budget = RetryBudget(settings.retry_budget)
         self.demand = DemandShare()
+        self.pauses = ServicePauses()
+        self.pause_cost = settings.long_pause_cost
         self.health = ServiceHealth()
         self.placed_tokens = DecayingSum(PLACEMENT_RATE_WINDOW_S)
         self.first_event_durations = RouteDurations()
@@ -79,6 +92,12 @@
         """Replace the service definition; loads and queue are kept."""
         self.service = service
         self.model = build_load_model(service, settings.data_centre)
+        self.pause_cost = settings.long_pause_cost
+
+    @property
+    def weighs_pauses(self):
+        """Return whether settings and configuration allow to compare pauses."""
+        return self.pause_cost > 0 and self.model.has_event_size
 
     def find(self, backend_name):
         """Return the state of a backend server, created if it is new."""
--- a/catkinfork/balancing/_settings.py
+++ b/catkinfork/balancing/_settings.py
@@ -23,8 +23,11 @@
     :param share_window_s: window over which the service of workspaces is compared,
         seconds.
     :param retry_budget: :class:`RetryBudgetSettings`.
+    :param long_pause_cost: cost, in prompt tokens, of a stream that is certain to pause
+        for longer than its route allows; 0 to place streams without regard to pauses.
     """
 
     data_centre: str
     share_window_s: float = 4.0
     retry_budget: RetryBudgetSettings = RetryBudgetSettings()
+    long_pause_cost: float = 0.0
--- a/catkinfork/forwarder/_status.py
+++ b/catkinfork/forwarder/_status.py
@@ -128,6 +128,14 @@
     for name, pool in process.balancer.pools.items():
         labels = {"service": name}
         yield "waiting", "Requests that wait for room", labels, pool.queue.n_jobs
+        for backend, state in pool.states.items():
+            if state.pauses.excess:
+                yield (
+                    "long_pause_excess",
+                    "Rate of too long pauses per event, beyond that of the service",
+                    {"service": name, "backend_server": backend},
+                    state.pauses.excess,
+                )
         yield (
             "repeats_sent",
             "Attempts after the first since the start",
--- a/catkinfork/platform/_documents.py
+++ b/catkinfork/platform/_documents.py
@@ -80,6 +80,7 @@
 
     slots: float
     kv_capacity: float
+    stride: float = 0.0
 
 
 class ServiceDocument(msgspec.Struct):
@@ -320,4 +321,5 @@
         return None
     n_slots = int(check_number(engine.slots, "slots"))
     n_memory_tokens = int(check_number(engine.kv_capacity, "kv_capacity"))
-    return Engine(max(1, n_slots), max(1, n_memory_tokens))
+    n_event_tokens = int(check_number(engine.stride, "stride"))
+    return Engine(max(1, n_slots), max(1, n_memory_tokens), n_event_tokens)
--- a/catkinfork/topology/_types.py
+++ b/catkinfork/topology/_types.py
@@ -69,10 +69,12 @@
 
     :param n_slots: maximum batch size in requests.
     :param n_memory_tokens: memory capacity in tokens.
+    :param n_event_tokens: generated tokens in one event of a stream, 0 if unknown.
     """
 
     n_slots: int
     n_memory_tokens: int
+    n_event_tokens: int = 0
 
 
 class Service(NamedTuple):
