--- a/catkinfork/forwarder/_process.py
+++ b/catkinfork/forwarder/_process.py
@@ -140,6 +140,7 @@
             self.handle_topology_change,
             self.rng,
             self.log.write,
+            settings.store.fleet_reads_per_s,
         )
         self.server.request_read = self.watcher.request_read
 
@@ -214,6 +215,7 @@
         """
         self.settings = settings
         self.balancer.apply_settings(build_balancer_settings(settings))
+        self.watcher.fleet_reads_per_s = settings.store.fleet_reads_per_s
         seeds = [split_address(seed)[0] for seed in settings.peers.seeds]
         self.directory.seeds |= set(seeds)
         self.directory.add(seeds, self.loop.time())
--- a/catkinfork/settings/_constraints.py
+++ b/catkinfork/settings/_constraints.py
@@ -136,6 +136,7 @@
     ("peers", "port"): Number(1, MAX_PORT),
     ("peers", "seeds"): Addresses(),
     ("store", "address"): Address(),
+    ("store", "fleet_reads_per_s"): Number(1.0, 100_000),
     ("balancing", "share_window_s"): SECONDS,
     ("balancing", "repeat_ratio"): Number(0.0, 1_000_000),
     ("balancing", "n_repeat_slack"): Number(0, 1_000_000),
--- a/catkinfork/settings/_types.py
+++ b/catkinfork/settings/_types.py
@@ -196,9 +196,12 @@
     """Section ``[store]``: store that publishes configuration and backend servers.
 
     :param address: ``host:port`` of the store.
+    :param fleet_reads_per_s: reads of changes by all forwarders together, 1/s. Each
+        reads at least every 0.6 s, however many there are.
     """
 
     address: str
+    fleet_reads_per_s: float = 110.0
 
 
 class BalancingSection(NamedTuple):
--- a/catkinfork/topology/_watcher.py
+++ b/catkinfork/topology/_watcher.py
@@ -24,7 +24,7 @@
 # It grows with the number of forwarders, so that their calls together do not.
 MIN_READ_INTERVAL_S = 0.15
 MAX_READ_INTERVAL_S = 0.6
-MAX_FLEET_READS_PER_S = 110.0
+DEFAULT_FLEET_READS_PER_S = 110.0
 # The same for reads on request, which streams wait for that their callers resume.
 MAX_FLEET_REQUESTED_READS_PER_S = 400.0
 # Exponential backoff after failures.
@@ -58,6 +58,7 @@
     :param on_change: callable that is called after each change.
     :param rng: ``random.Random``.
     :param write_log: callable that takes a :class:`LogEvent`.
+    :param fleet_reads_per_s: reads of changes by all forwarders together, 1/s.
     """
 
     def __init__(
@@ -68,7 +69,9 @@
         on_change,
         rng,
         write_log,
+        fleet_reads_per_s=DEFAULT_FLEET_READS_PER_S,
     ):
+        self.fleet_reads_per_s = fleet_reads_per_s
         self.state = state
         self.source = source
         self.peers = peers
@@ -122,7 +125,8 @@
             return self.back_off()
         self.record_success()
         self.backoff_s = MIN_BACKOFF_S
-        return compute_read_interval_s(self.peers.count_forwarders())
+        n_forwarders = self.peers.count_forwarders()
+        return compute_read_interval_s(n_forwarders, self.fleet_reads_per_s)
 
     def back_off(self):
         """Return the time until the next read after a failure, seconds."""
@@ -321,9 +325,12 @@
         return self.peers.find_newer(self.state.position)
 
 
-def compute_read_interval_s(n_forwarders):
-    """Return the pause between two reads of changes, seconds."""
-    return limit_interval_s(n_forwarders / MAX_FLEET_READS_PER_S)
+def compute_read_interval_s(n_forwarders, reads_per_s=DEFAULT_FLEET_READS_PER_S):
+    """Return the pause between two reads of changes, seconds.
+
+    :param reads_per_s: reads by all forwarders together, 1/s.
+    """
+    return limit_interval_s(n_forwarders / reads_per_s)
 
 
 def compute_requested_interval_s(n_forwarders):
--- a/catkinfork/topology/tests/test_state.py
+++ b/catkinfork/topology/tests/test_state.py
@@ -351,3 +351,26 @@
     interval_s = compute_read_interval_s(n_forwarders)
     assert 0.15 <= interval_s <= 0.6
     assert n_forwarders / interval_s <= max(110.0, n_forwarders / 0.6) + 1e-6
+
+
+@pytest.mark.parametrize("n_forwarders", [1, 5, 28, 68, 388])
+def test_the_rate_of_calls_can_be_set_and_each_forwarder_still_reads(n_forwarders):
+    """Guards against a rate in the settings that keeps hosts from reading in time."""
+    interval_s = compute_read_interval_s(n_forwarders, 50.0)
+    assert 0.15 <= interval_s <= 0.6
+    assert n_forwarders / interval_s <= max(50.0, n_forwarders / 0.6) + 1e-6
+
+
+def test_watcher_pauses_as_the_settings_say(state):
+    """Guards against a setting that takes no effect, also after a reload."""
+    results = [Changes([], revision, revision == 1) for revision in (1, 2)]
+    watcher = build_watcher(state, ScriptedSource(results[:1], results[1:]))
+    watcher.peers.count_forwarders = lambda: 28
+
+    async def main():
+        watcher.fleet_reads_per_s = 56.0
+        assert await watcher.update() == pytest.approx(0.5)
+        watcher.fleet_reads_per_s = 112.0
+        assert await watcher.update() == pytest.approx(0.25)
+
+    anyio.run(main)
