--- a/catkinfork/balancing/_balancer.py
+++ b/catkinfork/balancing/_balancer.py
@@ -24,6 +24,7 @@
 from catkinfork.balancing._resumption import OriginFinder
 from catkinfork.balancing._retries import is_retryable
 from catkinfork.balancing._streams import StreamTable
+from catkinfork.balancing._transfer_watch import TransferWatch
 from catkinfork.topology import Service
 
 
@@ -53,6 +54,7 @@
         self.streams = StreamTable()
         self.origins = OriginFinder(registry, self.streams)
         self.hold_monitor = HoldMonitor(self)
+        self.transfers = TransferWatch(self)
         self.tokens_per_s = 0.0
         self.workspaces = ()
         self.stop_plan = None
@@ -97,13 +99,14 @@
             pool.find(backend.name).load.prefixes.record_use(kept)
 
     def apply_settings(self, settings):
-        """Put changed retry budget settings in force.
+        """Put changed settings of retry budgets and transfers in force.
 
         :param settings: :class:`BalancerSettings`.
         """
         self.settings = settings
         for pool in self.pools.values():
             pool.retry_budget.settings = settings.retry_budget
+            pool.transfers.update(pool.service, settings)
 
     def submit(self, job, now):
         """Place, queue or refuse a new request.
@@ -253,6 +256,7 @@
         placement.cost = best.cost
         placement.n_candidates = len(candidates.healthy)
         placement.peer_state_age_s = self.peers.compute_state_age_s(now)
+        self.transfers.open(pool, placement, best.transfer)
         self.record_placement(pool, placement, candidates.rates, now)
         return placement
 
@@ -305,6 +309,7 @@
 
     def list_candidates(self, pool, now):
         """Return a new :class:`CandidateList` of a service."""
+        self.transfers.update_rate(pool, now)
         rates = SendRates(self.registry, pool, self.peers, self.rng, now)
         return CandidateList(self.registry, pool, rates, now)
 
@@ -354,6 +359,7 @@
             placement.job.route, now - placement.placed_at
         )
         placement.first_event_at = now
+        self.transfers.record_first_event(placement, now)
         pool.find(placement.backend.name).load.record_first_event(placement)
         self.changes.backends.add((placement.job.service, placement.backend.name))
 
@@ -366,6 +372,7 @@
             return
         placement.has_ended = True
         placement.outcome = outcome
+        self.transfers.record_end(placement, outcome, now)
         job = placement.job
         pool = self.pools[job.service]
         state = pool.find(placement.backend.name)
--- a/catkinfork/balancing/_candidates.py
+++ b/catkinfork/balancing/_candidates.py
@@ -4,6 +4,11 @@
 from typing import NamedTuple
 
 from catkinfork.balancing._selection import LOWEST_COST
+from catkinfork.balancing._transfers import (
+    TRANSFER_TOKEN_WEIGHT,
+    Transfer,
+    compute_pending_tokens,
+)
 from catkinfork.topology import Backend
 
 BASE_COST = attrgetter("base_cost")
@@ -15,12 +20,14 @@
     :param n_missing_tokens: uncached prompt tokens that it would have to process.
     :param cost: cost of the job there, in the unit of the load model.
     :param room: number of jobs like this one for which it has capacity now.
+    :param transfer: :class:`Transfer`, or None.
     """
 
     backend: Backend
     n_missing_tokens: int
     cost: float
     room: float
+    transfer: Transfer | None = None
 
 
 class CandidateEntry:
@@ -45,13 +52,16 @@
     """What a job would cost at one backend server.
 
     :param entry: :class:`CandidateEntry`.
-    :param n_missing_tokens: uncached prompt tokens that it would have to process.
+    :param n_missing_tokens: uncached prompt tokens that it would have to process. Those
+        that it would fetch count in proportion to their cost.
     :param cost: cost of the job there, in the unit of the load model.
+    :param transfer: :class:`Transfer` of cached tokens, or None.
     """
 
     entry: CandidateEntry
     n_missing_tokens: int
     cost: float
+    transfer: Transfer | None = None
 
 
 class CandidateList:
@@ -73,6 +83,9 @@
         self.selection = selection
         self.rates = rates
         self.now = now
+        self.shared_addresses = registry.shared_addresses
+        self.planned_job = None
+        self.plan = None
         self.healthy = []
         self.ejected = []
         self.throttled = []
@@ -131,9 +144,30 @@
         :param entry: :class:`CandidateEntry`.
         """
         model = self.pool.model
-        n_missing_tokens = model.estimate_missing_tokens(job, entry.state.load)
+        plan = self.find_plan(job)
+        if plan is None:
+            n_missing_tokens = model.estimate_missing_tokens(job, entry.state.load)
+            cost = entry.base_cost + model.missing_token_weight * n_missing_tokens
+            return Offer(entry, n_missing_tokens, cost)
+        n_missing_tokens = max(0, job.n_prompt_tokens - plan.n_cached[entry])
         cost = entry.base_cost + model.missing_token_weight * n_missing_tokens
-        return Offer(entry, n_missing_tokens, cost)
+        transfer = plan.find(entry, n_missing_tokens)
+        if transfer is None:
+            return Offer(entry, n_missing_tokens, cost)
+        saving = model.missing_token_weight - TRANSFER_TOKEN_WEIGHT
+        cost -= saving * transfer.n_tokens
+        n_pending_tokens = compute_pending_tokens(n_missing_tokens, transfer.n_tokens)
+        return Offer(entry, n_pending_tokens, cost, transfer)
+
+    def find_plan(self, job):
+        """Return the :class:`TransferPlan` of a job, or None.
+
+        It is built once for all the offers for a job.
+        """
+        if self.planned_job is not job:
+            self.planned_job = job
+            self.plan = self.pool.transfers.build_plan(job, self)
+        return self.plan
 
     def choose(self, job, rank):
         """Return the :class:`Candidate` that the selection prefers, or None.
@@ -147,7 +181,9 @@
         room = self.pool.model.compute_room(
             job, entry.backend, entry.state.load, offer.n_missing_tokens, rank
         )
-        return Candidate(entry.backend, offer.n_missing_tokens, offer.cost, room)
+        return Candidate(
+            entry.backend, offer.n_missing_tokens, offer.cost, room, offer.transfer
+        )
 
     def add_cost(self, backend, cost):
         """Raise the base cost of a backend server during the pass.
--- a/catkinfork/balancing/_events.py
+++ b/catkinfork/balancing/_events.py
@@ -90,6 +90,53 @@
     ),
 )
 
+TRANSFER_SOURCE_EXCLUDED = Event(
+    906,
+    "warning",
+    "transfer_source_excluded",
+    "no prompt tokens are fetched from an engine for a time: a request that was to "
+    "fetch some had no first event within the time allowed for a prefill of its whole "
+    "prompt behind the tokens ahead of it, or its attempt broke off before",
+    (
+        "backend_server",
+        "service",
+        "cause",
+        "pause_s",
+        "n_exclusions",
+        "target",
+        "n_transfer_tokens",
+        "n_prompt_tokens",
+        "n_ahead_tokens",
+        "allowed_s",
+        "attempt_s",
+        "request_id",
+    ),
+)
+TRANSFERS_STOPPED = Event(
+    907,
+    "warning",
+    "transfers_stopped",
+    "the engines of a service fetch no prompt tokens for a time, as most transfers "
+    "failed",
+    ("service", "failure_rate", "n_exclusions", "pause_s"),
+)
+TRANSFERS_SWITCHED = Event(
+    908,
+    "info",
+    "transfers_switched",
+    "the engines of a service fetch cached prompt tokens from now on, or no longer, by "
+    "the rate of their links and their share of the service tokens per second",
+    (
+        "service",
+        "is_enabled",
+        "speedup",
+        "min_speedup",
+        "link_tokens_per_s",
+        "engine_tokens_per_s",
+        "n_engines",
+    ),
+)
+
 EVENTS = (
     BACKEND_LEFT_OUT,
     REQUEST_BLOCKED,
@@ -97,4 +144,7 @@
     PART_REFUSED,
     CRASH_WITHDRAWN,
     WORKSPACE_HELD,
+    TRANSFER_SOURCE_EXCLUDED,
+    TRANSFERS_STOPPED,
+    TRANSFERS_SWITCHED,
 )
--- a/catkinfork/balancing/_jobs.py
+++ b/catkinfork/balancing/_jobs.py
@@ -116,6 +116,7 @@
     its entry may be replaced while the attempt runs.
     ``connected_at`` is the monotonic time at which its connection was opened, and
     ``survived_at`` that of its first event that a lost server would not send, or None.
+    ``transfer`` is the :class:`RunningTransfer` of cached prompt tokens, or None.
     """
 
     __slots__ = (
@@ -134,6 +135,7 @@
         "placed_at",
         "started_ms",
         "survived_at",
+        "transfer",
     )
 
     def __init__(self, job, backend, n_missing_tokens, placed_at):
@@ -149,6 +151,7 @@
         self.has_cleared_parts = False
         self.has_ended = False
         self.outcome = ""
+        self.transfer = None
         self.cost = 0.0
         self.n_candidates = 0
         self.peer_state_age_s = 0.0
--- a/catkinfork/balancing/_pool.py
+++ b/catkinfork/balancing/_pool.py
@@ -13,6 +13,7 @@
 from catkinfork.balancing._retries import RetryBudget
 from catkinfork.balancing._shares import FairShares
 from catkinfork.balancing._slow_start import SlowStartLimiter
+from catkinfork.balancing._transfers import ServiceTransfers, TransferSource
 from catkinfork.balancing._windows import DecayingSum
 
 # Time constant of the placement rate.
@@ -20,9 +21,17 @@
 
 
 class BackendState:
-    """Load, health, draws and rates of one backend server."""
-
-    __slots__ = ("allowance", "health", "limiter", "load", "room_draw", "started_ms")
+    """Load, health, draws, rates and transfers of one backend server."""
+
+    __slots__ = (
+        "allowance",
+        "health",
+        "limiter",
+        "load",
+        "room_draw",
+        "source",
+        "started_ms",
+    )
 
     def __init__(self, service):
         engine = service.engine
@@ -32,17 +41,21 @@
         self.allowance = RateAllowance()
         self.started_ms = None
         self.room_draw = RoomDraw()
+        self.source = TransferSource()
 
     def follow_start(self, started_ms):
         """Forget health and cached prompt parts if the backend server started again.
 
-        Requests in flight are kept until their attempts have ended.
+        As a source of transfers, any other start is unknown too. Requests in flight are
+        kept until their attempts have ended.
 
         :param started_ms: Unix time of its start, milliseconds.
         """
         if self.started_ms is not None and started_ms > self.started_ms:
             self.health = BackendHealth()
             self.load.prefixes = PrefixCache(self.load.prefixes.n_memory_tokens)
+        if self.started_ms is not None and started_ms != self.started_ms:
+            self.source = TransferSource()
         self.started_ms = started_ms
 
 
@@ -61,6 +74,7 @@
         self.service = service
         self.ends_at = inf
         self.model = build_load_model(service, settings.data_centre)
+        self.transfers = ServiceTransfers(service, settings)
         self.states = {}
         self.generation = 0
         self.shares = FairShares(settings.share_window_s)
@@ -79,6 +93,7 @@
         """Replace the service definition; loads and queue are kept."""
         self.service = service
         self.model = build_load_model(service, settings.data_centre)
+        self.transfers.update(service, settings)
 
     def find(self, backend_name):
         """Return the state of a backend server, created if it is new."""
--- a/catkinfork/balancing/_settings.py
+++ b/catkinfork/balancing/_settings.py
@@ -23,8 +23,11 @@
     :param share_window_s: window over which the service of workspaces is compared,
         seconds.
     :param retry_budget: :class:`RetryBudgetSettings`.
+    :param min_transfer_speedup: minimum ratio of the link of an engine to its service
+        tokens per second at which it fetches cached prompt tokens; 0 for never.
     """
 
     data_centre: str
     share_window_s: float = 4.0
     retry_budget: RetryBudgetSettings = RetryBudgetSettings()
+    min_transfer_speedup: float = 0.0
--- a/catkinfork/balancing/tests/support.py
+++ b/catkinfork/balancing/tests/support.py
@@ -89,6 +89,7 @@
     cold_s=0.0,
     version="v1",
     at=0.0,
+    address="127.0.0.1:1",
     **options,
 ):
     """Add a backend server.
@@ -98,7 +99,7 @@
     entry = BackendEntry(
         name,
         "s",
-        "127.0.0.1:1",
+        address,
         data_centre,
         n_slots,
         READY,
--- a/catkinfork/forwarder/_status.py
+++ b/catkinfork/forwarder/_status.py
@@ -87,6 +87,31 @@
     return AdminResponse(200, content_type.encode(), body)
 
 
+def list_transfer_gauges(transfers, labels):
+    """Yield the gauges of the transfers of a service.
+
+    :param transfers: :class:`ServiceTransfers`.
+    """
+    yield (
+        "transfers",
+        "Requests sent with a source of cached prompt tokens since the start",
+        labels,
+        transfers.n_transfers,
+    )
+    yield (
+        "transferred_tokens",
+        "Tokens of transfers whose first event was on time since the start",
+        labels,
+        transfers.n_tokens,
+    )
+    yield (
+        "late_transfers",
+        "Transfers whose first event was late, or that broke off, since the start",
+        labels,
+        transfers.n_late_transfers,
+    )
+
+
 def list_gauges(process):
     """Yield ``(name, help, labels, value)`` of each gauge."""
     server = process.server
@@ -134,6 +159,8 @@
             labels,
             pool.retry_budget.n_retries,
         )
+        if pool.service.engine is not None:
+            yield from list_transfer_gauges(pool.transfers, labels)
     for number, count in sorted(process.log.n_events.items()):
         yield (
             "events",
--- a/catkinfork/forwarding/_attempt.py
+++ b/catkinfork/forwarding/_attempt.py
@@ -120,6 +120,7 @@
             self.server.names,
             job.deadline_at - now,
             exchange.last_event_id,
+            self.server.balancer.transfers.send(self.placement, now),
         )
         self.restart_read_timeout(now)
         connection.send(self, job.request_id.encode("latin-1"), data)
--- a/catkinfork/forwarding/_events.py
+++ b/catkinfork/forwarding/_events.py
@@ -32,6 +32,8 @@
         "n_candidates",
         "news_age_s",
         "configuration",
+        "transfer_source",
+        "n_transfer_tokens",
     ),
 )
 ATTEMPT_ENDED = Event(
@@ -49,6 +51,8 @@
         "attempt_s",
         "is_repeated",
         "last_event_id",
+        "transfer_source",
+        "n_transfer_tokens",
     ),
 )
 REQUEST_REJECTED = Event(
--- a/catkinfork/forwarding/_names.py
+++ b/catkinfork/forwarding/_names.py
@@ -21,6 +21,8 @@
     :param last_event_id: id of the last event that the caller has received.
     :param resumed_id: id of the request that brought the first event of the stream that
         a caller resumes.
+    :param transfer_source: address of the backend server from which the receiving one
+        fetches cached parts of the prompt, set by the forwarder.
     :param reserved: headers that are removed from the requests of callers.
     """
 
@@ -37,4 +39,5 @@
     length_hint: bytes = b"x-length-hint"
     last_event_id: bytes = b"last-event-id"
     resumed_id: bytes = b"resumes"
+    transfer_source: bytes = b"x-transfer-source"
     reserved: frozenset = frozenset()
--- a/catkinfork/forwarding/_request_events.py
+++ b/catkinfork/forwarding/_request_events.py
@@ -46,6 +46,8 @@
         n_candidates=placement.n_candidates if placement else 0,
         news_age_s=round(placement.peer_state_age_s, 4) if placement else 0,
         configuration=exchange.server.version,
+        transfer_source=find_transfer_source(placement),
+        n_transfer_tokens=count_transfer_tokens(placement),
     )
 
 
@@ -66,6 +68,8 @@
         attempt_s=round(now - placement.placed_at, 4),
         is_repeated=is_repeated,
         last_event_id=last_event_id.decode("latin-1"),
+        transfer_source=find_transfer_source(placement),
+        n_transfer_tokens=count_transfer_tokens(placement),
     )
 
 
@@ -89,6 +93,20 @@
     )
 
 
+def find_transfer_source(placement):
+    """Return the name of the engine that prompt tokens come from, empty if none."""
+    if placement is None or placement.transfer is None:
+        return ""
+    return placement.transfer.source.name
+
+
+def count_transfer_tokens(placement):
+    """Return the number of prompt tokens that an engine was to fetch."""
+    if placement is None or placement.transfer is None:
+        return 0
+    return placement.transfer.n_tokens
+
+
 def find_resumed_id(exchange):
     """Return the id of the request whose stream a request resumes, empty if none."""
     value = exchange.request.find_header(exchange.server.names.resumed_id) or b""
--- a/catkinfork/forwarding/_requests.py
+++ b/catkinfork/forwarding/_requests.py
@@ -126,7 +126,9 @@
     return int.from_bytes(digest.digest(), "big")
 
 
-def encode_request(request, job, backend, names, remaining_s, last_event_id):
+def encode_request(
+    request, job, backend, names, remaining_s, last_event_id, transfer_source=None
+):
     """Return a request as bytes for a backend server.
 
     A key of a workspace never reaches one, not even on a public route: callers may send
@@ -135,12 +137,15 @@
     :param backend: :class:`Backend`.
     :param remaining_s: time left until the deadline, seconds.
     :param last_event_id: id of the last event that the caller has received, or None.
+    :param transfer_source: address of the backend server to fetch cached parts of the
+        prompt from, or None.
     """
     dropped = list_hop_by_hop_headers(request.headers)
     replaced = {
         names.deadline_ms,
         names.workspace,
         names.expected_backend,
+        names.transfer_source,
         b"content-length",
         b"authorization",
     }
@@ -157,6 +162,8 @@
         lines.append(names.workspace + b": " + job.workspace.encode())
     if last_event_id is not None:
         lines.append(names.last_event_id + b": " + last_event_id)
+    if transfer_source is not None:
+        lines.append(names.transfer_source + b": " + transfer_source.encode())
     if request.body or request.method not in (b"GET", b"HEAD"):
         lines.append(b"content-length: %d" % len(request.body))
     lines.append(b"\r\n")
--- a/catkinfork/forwarding/_server.py
+++ b/catkinfork/forwarding/_server.py
@@ -364,6 +364,7 @@
                 self.run(exchange, exchange.handle_timeouts, now)
         for resumption in list(self.resumptions):
             self.run(resumption.exchange, self.check_resumption, resumption, now)
+        self.balancer.transfers.check(now)
         self.schedule_dispatch()
         if now >= self.next_idle_sweep_at:
             self.next_idle_sweep_at = now + IDLE_SWEEP_INTERVAL_S
--- a/catkinfork/platform/_documents.py
+++ b/catkinfork/platform/_documents.py
@@ -5,6 +5,7 @@
 
 import msgspec
 
+from catkinfork.platform._figures import NOT_STATED, FigureReader
 from catkinfork.topology import (
     MAX_DURATION_S,
     MAX_SLOTS,
@@ -45,6 +46,12 @@
 # much to it.
 MAX_ENTRY_BYTES = 65_536
 
+# Bounds far beyond those of real engines: bytes of memory per token, and megabits per
+# second of a link.
+TOKEN_BYTES_BOUNDS = (1.0, 1e9)
+LINK_MBPS_BOUNDS = (1e-3, 1e8)
+BYTES_PER_MEGABIT = 125_000
+
 
 class TrafficSplitDocument(msgspec.Struct):
     """A target of a route and its weight."""
@@ -75,11 +82,14 @@
     """Limits of a model engine. ``kv_capacity`` is its KV cache size in tokens.
 
     A scaled deployment may publish fractions here and in the other limits; they are
-    rounded down.
+    rounded down. ``kv_bytes`` is the memory of a token and ``link_mbps`` the rate of
+    the link of an engine; both are optional.
     """
 
     slots: float
     kv_capacity: float
+    kv_bytes: msgspec.Raw = NOT_STATED
+    link_mbps: msgspec.Raw = NOT_STATED
 
 
 class ServiceDocument(msgspec.Struct):
@@ -145,13 +155,14 @@
 class PlatformDecoder(BaseDecoder):
     """Decodes items of the platform's store.
 
-    ``services`` has the names of the services in the newest configuration, and
-    ``version`` its version.
+    ``services`` has the names of the services in the newest configuration, ``version``
+    its version, and ``figures`` its optional figures.
     """
 
     def __init__(self):
         self.version = 0
         self.services = set()
+        self.figures = {}
 
     def decode(self, item):
         key = item.key
@@ -174,11 +185,13 @@
         if item.value is None:
             return None
         document = _CONFIGURATION.decode(item.value)
-        configuration = convert_configuration(document)
+        reader = FigureReader(self.figures)
+        configuration = convert_configuration(document, reader)
         if configuration.version >= self.version:
             self.version = configuration.version
             self.services = set(configuration.services)
-        return ConfigurationItem(configuration)
+            self.figures = reader.values
+        return ConfigurationItem(configuration, tuple(reader.ignored))
 
     def decode_entry(self, name, item):
         """Return the decoded entry of a backend server, or its removal.
@@ -223,9 +236,10 @@
     return document
 
 
-def convert_configuration(document):
+def convert_configuration(document, reader):
     """Convert a document to a :class:`Configuration`.
 
+    :param reader: :class:`FigureReader`.
     :raises ValueError: if a value cannot be right.
     """
     limits = document.limits
@@ -235,7 +249,8 @@
         version=check_integer(document.version, "version"),
         routes=tuple(convert_route(route) for route in document.routes),
         services={
-            service.name: convert_service(service) for service in document.services
+            service.name: convert_service(service, reader)
+            for service in document.services
         },
         limits=CallerLimits(
             max_header_bytes=int(limits.max_header_bytes),
@@ -294,9 +309,10 @@
     return max(MIN_CALLER_TIMEOUT_S, by_aim_s, by_pause_s)
 
 
-def convert_service(service):
+def convert_service(service, reader):
     """Convert a document to a :class:`Service`.
 
+    :param reader: :class:`FigureReader`.
     :raises ValueError: if a value cannot be right.
     """
     for what in ("max_connections", "cold_s", "cold_per_s"):
@@ -307,17 +323,27 @@
         max_connections=max(1, int(service.max_connections)),
         cold_s=service.cold_s,
         cold_rate=service.cold_per_s,
-        engine=convert_engine(service.engine),
+        engine=convert_engine(service, reader),
     )
 
 
-def convert_engine(engine):
-    """Convert a document to an :class:`Engine`, or None to None.
+def convert_engine(service, reader):
+    """Return the :class:`Engine` of a service, or None if it has none.
 
+    :param reader: :class:`FigureReader`.
     :raises ValueError: if a value cannot be right.
     """
+    engine = service.engine
     if engine is None:
         return None
     n_slots = int(check_number(engine.slots, "slots"))
     n_memory_tokens = int(check_number(engine.kv_capacity, "kv_capacity"))
-    return Engine(max(1, n_slots), max(1, n_memory_tokens))
+    name = service.name
+    token_bytes = reader.read(name, "kv_bytes", engine.kv_bytes, TOKEN_BYTES_BOUNDS)
+    link_mbps = reader.read(name, "link_mbps", engine.link_mbps, LINK_MBPS_BOUNDS)
+    return Engine(
+        max(1, n_slots),
+        max(1, n_memory_tokens),
+        token_bytes,
+        BYTES_PER_MEGABIT * link_mbps,
+    )
--- a/catkinfork/platform/_names.py
+++ b/catkinfork/platform/_names.py
@@ -16,6 +16,7 @@
     length_hint=b"x-catkinfork-length-hint",
     last_event_id=b"last-event-id",
     resumed_id=b"resumes",
+    transfer_source=b"kv-fetch",
     reserved=frozenset(
         {
             b"x-catkinfork-kv-hold",
--- a/catkinfork/settings/_types.py
+++ b/catkinfork/settings/_types.py
@@ -209,12 +209,16 @@
     :param n_repeat_slack: retries allowed within the window beyond ``repeat_ratio``;
         may be a fraction, as a deployment may be scaled down from a larger one.
     :param repeat_window_s: length of the window over which retries are counted.
+    :param min_transfer_speedup: minimum ratio of the rate of an engine's link to its
+        share of the published token rate, both in tokens, at which engines fetch cached
+        prompt parts from each other; 0 turns this off.
     """
 
     share_window_s: float = 4.0
     repeat_ratio: float = 0.1
     n_repeat_slack: float = 10.0
     repeat_window_s: float = 10.0
+    min_transfer_speedup: float = 0.0
 
 
 class ForwarderSettings(NamedTuple):
--- a/catkinfork/topology/_addresses.py
+++ b/catkinfork/topology/_addresses.py
@@ -1,6 +1,7 @@
 """Addresses of the form ``host:port``."""
 
 import re
+from collections import Counter
 from ipaddress import ip_address
 
 MAX_PORT = 65535
@@ -27,6 +28,17 @@
     raise ValueError(f"address {address[:100]!r} is not allowed, expected host:port")
 
 
+def find_shared(addresses):
+    """Return the addresses that occur more than once.
+
+    Such an address belongs to one of the servers that name it: one that is gone is
+    listed until its entry expires.
+    """
+    if len(set(addresses)) == len(addresses):
+        return frozenset()
+    return frozenset(one for one, n in Counter(addresses).items() if n > 1)
+
+
 def is_host(host):
     """Return whether a connection can be opened to a host of this form."""
     if len(host) > MAX_HOST_LENGTH:
--- a/catkinfork/topology/_events.py
+++ b/catkinfork/topology/_events.py
@@ -114,6 +114,15 @@
     ("source", "detail", "location", "n_unlogged"),
 )
 
+FIGURE_IGNORED = Event(
+    814,
+    "warning",
+    "figure_ignored",
+    "figures of a new configuration cannot be right, of which `detail` has the "
+    "first; their last good values stay in force, and the rest of it is adopted",
+    ("version", "source", "n_figures", "detail"),
+)
+
 EVENTS = (
     CONFIGURATION_ADOPTED,
     CONFIGURATION_REJECTED,
@@ -129,4 +138,5 @@
     BACKEND_LIMITED,
     RATE_LIMIT_IGNORED,
     UPDATE_FAILED,
+    FIGURE_IGNORED,
 )
--- a/catkinfork/topology/_registry.py
+++ b/catkinfork/topology/_registry.py
@@ -4,6 +4,7 @@
 from typing import NamedTuple
 
 from catkinfork.observability import log_event
+from catkinfork.topology._addresses import find_shared
 from catkinfork.topology._checks import limit_detail
 from catkinfork.topology._events import (
     BACKEND_ADDED,
@@ -107,6 +108,7 @@
         self.write_log = write_log
         self.backends = {}
         self.by_service = {}
+        self.shared_addresses = frozenset()
         self.evacuated = set()
         self.departed = RecentTable(MAX_DEPARTED)
         self.leaving = RecentTable(MAX_LEAVING)
@@ -369,11 +371,13 @@
         )
 
     def rebuild_index(self):
-        """Rebuild the index of ready backend servers by service."""
+        """Rebuild the index of ready backend servers, and the shared addresses."""
         self.by_service = {}
         for backend in self.backends.values():
             if backend.is_ready:
                 self.by_service.setdefault(backend.service, []).append(backend)
+        addresses = [backend.entry.address for backend in self.backends.values()]
+        self.shared_addresses = find_shared(addresses)
 
 
 def compute_entry_order(entry):
--- a/catkinfork/topology/_source.py
+++ b/catkinfork/topology/_source.py
@@ -143,9 +143,14 @@
 
 
 class ConfigurationItem(NamedTuple):
-    """A published configuration."""
+    """A published configuration.
+
+    :param ignored: descriptions of its figures that cannot be right; their last good
+        values stay in force.
+    """
 
     configuration: Configuration
+    ignored: tuple[str, ...] = ()
 
 
 class EntryItem(NamedTuple):
--- a/catkinfork/topology/_state.py
+++ b/catkinfork/topology/_state.py
@@ -5,6 +5,7 @@
 from catkinfork.topology._events import (
     CONFIGURATION_ADOPTED,
     CONFIGURATION_REJECTED,
+    FIGURE_IGNORED,
     STORE_RESTORED,
 )
 from catkinfork.topology._routes import RouteTable
@@ -160,7 +161,7 @@
                 known = self.items.get(item.key)
                 revision = known.revision if known is not None else 0
                 item = item._replace(revision=revision)
-                self.apply_configuration(decoded.configuration, source, item)
+                self.apply_configuration(decoded, source, item)
 
     def may_add(self, item, changes):
         """Return whether an unknown item is new, rather than removed meanwhile.
@@ -205,7 +206,7 @@
     def apply_decoded(self, decoded, item, source, now, expires_at):
         """Apply the typed form of an item."""
         if isinstance(decoded, ConfigurationItem):
-            self.apply_configuration(decoded.configuration, source, item)
+            self.apply_configuration(decoded, source, item)
         elif isinstance(decoded, EntryItem):
             self.apply_entry(decoded, source, now, expires_at)
         elif isinstance(decoded, EvacuationItem):
@@ -213,11 +214,14 @@
         elif isinstance(decoded, UnreadableItem):
             self.handle_unreadable(item, decoded, source, now)
 
-    def apply_configuration(self, configuration, source, item):
+    def apply_configuration(self, decoded, source, item):
         """Put a configuration in force unless its version is not newer.
 
         The item of the newest one is kept, and told to peers, in place of older ones.
+
+        :param decoded: :class:`ConfigurationItem`.
         """
+        configuration = decoded.configuration
         previous = self.routes.version if self.routes is not None else 0
         if self.routes is not None and configuration.version <= previous:
             known = self.configuration_item
@@ -237,6 +241,24 @@
                 revision=item.revision,
             )
         )
+        self.log_ignored_figures(decoded, source)
+
+    def log_ignored_figures(self, decoded, source):
+        """Log the figures of a new configuration that cannot be right.
+
+        :param decoded: :class:`ConfigurationItem`.
+        """
+        if not decoded.ignored:
+            return
+        self.write_log(
+            log_event(
+                FIGURE_IGNORED,
+                version=decoded.configuration.version,
+                source=source,
+                n_figures=len(decoded.ignored),
+                detail=limit_detail(decoded.ignored[0]),
+            )
+        )
 
     def apply_entry(self, decoded, source, now, expires_at):
         """Apply an entry of a backend server or its removal."""
--- a/catkinfork/topology/_types.py
+++ b/catkinfork/topology/_types.py
@@ -69,10 +69,19 @@
 
     :param n_slots: maximum batch size in requests.
     :param n_memory_tokens: memory capacity in tokens.
+    :param token_bytes: bytes of memory per token, 0 if not stated.
+    :param link_bytes_per_s: bytes per second of the link of an engine, 0 if not stated.
     """
 
     n_slots: int
     n_memory_tokens: int
+    token_bytes: float = 0.0
+    link_bytes_per_s: float = 0.0
+
+    @property
+    def link_tokens_per_s(self):
+        """Return the cached tokens per second that a link carries, 0 if unknown."""
+        return self.link_bytes_per_s / self.token_bytes if self.token_bytes else 0.0
 
 
 class Service(NamedTuple):
