--- a/catkinfork/platform/tests/test_documents.py
+++ b/catkinfork/platform/tests/test_documents.py
@@ -8,7 +8,7 @@
 import pytest
 
 from catkinfork.forwarding import FetchedResponse, FetchError, ResponseHead
-from catkinfork.platform import PlatformDecoder, StoreSource
+from catkinfork.platform import HEADERS, PlatformDecoder, StoreSource
 from catkinfork.platform.tests.standins import build_config
 from catkinfork.topology import (
     ConfigurationItem,
@@ -122,6 +122,90 @@
     assert (engine.n_slots, engine.n_memory_tokens) == (12, 9)
 
 
+def build_engine_config(version=1, **figures):
+    """Build a configuration whose service has engines with optional figures."""
+    config = build_config(version)
+    config["services"][0]["engine"] = {"slots": 64, "kv_capacity": 5000} | figures
+    return config
+
+
+def decode_engine(decoder, config):
+    """Return the engine of a configuration, and the errors of its figures."""
+    decoded = decoder.decode(Item("op/config", json.dumps(config).encode(), 1))
+    assert isinstance(decoded, ConfigurationItem), decoded
+    return decoded.configuration.services["ledger"].engine, decoded.ignored
+
+
+def test_link_and_memory_of_engines_are_decoded():
+    """Guards against a rate of transfers that is off by the unit of a figure."""
+    config = build_engine_config(kv_bytes=131_072, link_mbps=5600)
+    engine, ignored = decode_engine(PlatformDecoder(), config)
+    assert engine.token_bytes == 131_072
+    assert engine.link_bytes_per_s == 700_000_000
+    # 5600 x 1000 / 8 / 131072 tokens/ms.
+    assert engine.link_tokens_per_s == pytest.approx(5340.576)
+    assert ignored == ()
+
+
+def test_engine_without_figures_of_transfers_is_decoded():
+    """Guards against a configuration that is rejected for figures it need not have."""
+    engine, ignored = decode_engine(PlatformDecoder(), build_engine_config())
+    assert (engine.n_slots, engine.n_memory_tokens) == (64, 5000)
+    assert engine.link_tokens_per_s == 0.0
+    assert ignored == ()
+
+
+ODD_FIGURES = [-1, -0.5, 1e-9, 1e300, True, None, "131072", [1], {"a": 1}, 10**400]
+
+
+@pytest.mark.parametrize("value", ODD_FIGURES, ids=repr)
+@pytest.mark.parametrize("name", ["kv_bytes", "link_mbps"])
+def test_odd_figure_is_ignored_and_the_last_good_one_stays(name, value):
+    """Guards against a withdrawn key that stays valid for a figure of the engines.
+
+    Such a configuration was accepted before the figure was read.
+    """
+    figures = {"kv_bytes": 131_072, "link_mbps": 5600}
+    decoder = PlatformDecoder()
+    good, _ = decode_engine(decoder, build_engine_config(1, **figures))
+    odd = build_engine_config(2, **figures | {name: value})
+    engine, ignored = decode_engine(decoder, odd)
+    assert engine == good
+    (detail,) = ignored
+    assert name in detail
+    # A figure that is no longer stated is none.
+    del odd["services"][0]["engine"][name]
+    odd["version"] = 3
+    engine, ignored = decode_engine(decoder, odd)
+    assert engine.link_tokens_per_s == 0.0
+    assert ignored == ()
+
+
+def test_odd_figure_without_a_good_one_counts_as_not_stated():
+    """Guards against transfers by a figure that cannot be right."""
+    config = build_engine_config(kv_bytes=-1, link_mbps=5600)
+    engine, ignored = decode_engine(PlatformDecoder(), config)
+    assert engine.link_tokens_per_s == 0.0
+    assert len(ignored) == 1
+
+
+def test_older_configuration_does_not_replace_the_last_good_figures():
+    """Guards against a delayed read whose figures come back in force."""
+    decoder = PlatformDecoder()
+    for version, kv_bytes in ((5, 1000), (4, 2000)):
+        config = build_engine_config(version, kv_bytes=kv_bytes, link_mbps=8)
+        decode_engine(decoder, config)
+    odd = build_engine_config(6, kv_bytes=-1, link_mbps=8)
+    engine, _ = decode_engine(decoder, odd)
+    assert engine.token_bytes == 1000
+
+
+def test_source_of_a_transfer_has_the_name_that_engines_read():
+    """Guards against a header that engines ignore, or that callers may set."""
+    assert HEADERS.transfer_source == b"kv-fetch"
+    assert HEADERS.transfer_source in HEADERS.reserved
+
+
 def test_evacuation_is_decoded():
     """Guards against an evacuation that does not begin or end."""
     assert decode("op/evacuate/gasabo", {}) == EvacuationItem("gasabo", True)
--- a/catkinfork/topology/tests/test_odd_items.py
+++ b/catkinfork/topology/tests/test_odd_items.py
@@ -6,6 +6,7 @@
 from catkinfork.topology import (
     BackendRegistry,
     Changes,
+    ConfigurationItem,
     Item,
     SourceError,
     TopologyState,
@@ -176,3 +177,26 @@
     decoded = state.decode(Item("odd", b"nested", 1))
     assert isinstance(decoded, UnreadableItem)
     assert decoded.is_entry
+
+
+class FigureDecoder(SampleDecoder):
+    """Finds figures that cannot be right in each configuration."""
+
+    def decode(self, item):
+        decoded = super().decode(item)
+        if isinstance(decoded, ConfigurationItem):
+            return decoded._replace(ignored=("kv: expected 1 to 9\n", "link: none"))
+        return decoded
+
+
+def test_ignored_figures_are_logged_once_for_each_configuration(events):
+    """Guards against a wrong figure that no operator hears of, or a flood of lines."""
+    registry = BackendRegistry(events.append)
+    adopted = []
+    state = TopologyState(registry, FigureDecoder(), adopted.append, events.append)
+    for revision in (1, 2, 3):
+        apply(state, Item("config", b"1", revision), revision=revision)
+    assert len(adopted) == 1
+    (event,) = list_events(events, "figure_ignored")
+    assert (event["version"], event["n_figures"]) == (1, 2)
+    assert event["detail"] == "kv: expected 1 to 9?"
