--- a/catkinfork/balancing/_balancer.py
+++ b/catkinfork/balancing/_balancer.py
@@ -25,6 +25,7 @@
 from catkinfork.balancing._resumption import OriginFinder
 from catkinfork.balancing._retries import is_retryable
 from catkinfork.balancing._streams import StreamTable
+from catkinfork.balancing._transfer_watch import TransferWatch
 from catkinfork.topology import Service
 
 
@@ -54,6 +55,7 @@
         self.streams = StreamTable()
         self.origins = OriginFinder(registry, self.streams)
         self.hold_monitor = HoldMonitor(self)
+        self.transfers = TransferWatch(self)
         self.tokens_per_s = 0.0
         self.workspaces = ()
         self.stop_plan = None
@@ -106,6 +108,7 @@
         for pool in self.pools.values():
             pool.retry_budget.settings = settings.retry_budget
             pool.pause_cost = settings.long_pause_cost
+            pool.transfers.update(pool.service, settings)
 
     def submit(self, job, now):
         """Place, queue or refuse a new request.
@@ -255,6 +258,7 @@
         placement.cost = best.cost
         placement.n_candidates = len(candidates.healthy)
         placement.peer_state_age_s = self.peers.compute_state_age_s(now)
+        self.transfers.open(pool, placement, best.transfer)
         self.record_placement(pool, placement, candidates.rates, now)
         return placement
 
@@ -311,6 +315,7 @@
             for name in pool.pauses.update(pool.states, now):
                 pauses = pool.states[name].pauses
                 self.write_log(build_pause_event(pool.service.name, name, pauses))
+        self.transfers.update_rate(pool, now)
         rates = SendRates(self.registry, pool, self.peers, self.rng, now)
         return CandidateList(self.registry, pool, rates, now)
 
@@ -370,6 +375,7 @@
             placement.job.route, now - placement.placed_at
         )
         placement.first_event_at = now
+        self.transfers.record_first_event(placement, now)
         pool.find(placement.backend.name).load.record_first_event(placement)
         self.changes.backends.add((placement.job.service, placement.backend.name))
 
@@ -382,6 +388,7 @@
             return
         placement.has_ended = True
         placement.outcome = outcome
+        self.transfers.record_end(placement, outcome, now)
         job = placement.job
         pool = self.pools[job.service]
         state = pool.find(placement.backend.name)
--- a/catkinfork/balancing/_pool.py
+++ b/catkinfork/balancing/_pool.py
@@ -14,6 +14,7 @@
 from catkinfork.balancing._retries import RetryBudget
 from catkinfork.balancing._shares import FairShares
 from catkinfork.balancing._slow_start import SlowStartLimiter
+from catkinfork.balancing._transfers import ServiceTransfers, TransferSource
 from catkinfork.balancing._windows import DecayingSum
 
 # Time constant of the placement rate.
@@ -21,7 +22,7 @@
 
 
 class BackendState:
-    """Load, health, draws and rates of one backend server."""
+    """Load, health, draws, rates and transfers of one backend server."""
 
     __slots__ = (
         "allowance",
@@ -30,6 +31,7 @@
         "load",
         "pauses",
         "room_draw",
+        "source",
         "started_ms",
     )
 
@@ -42,11 +44,13 @@
         self.started_ms = None
         self.room_draw = RoomDraw()
         self.pauses = PauseRate()
+        self.source = TransferSource()
 
     def follow_start(self, started_ms):
         """Forget health and cached prompt parts if the backend server started again.
 
-        Requests in flight are kept until their attempts have ended.
+        As a source of transfers, any other start is unknown too. Requests in flight are
+        kept until their attempts have ended.
 
         :param started_ms: Unix time of its start, milliseconds.
         """
@@ -54,6 +58,8 @@
             self.health = BackendHealth()
             self.pauses = PauseRate()
             self.load.prefixes = PrefixCache(self.load.prefixes.n_memory_tokens)
+        if self.started_ms is not None and started_ms != self.started_ms:
+            self.source = TransferSource()
         self.started_ms = started_ms
 
 
@@ -72,6 +78,7 @@
         self.service = service
         self.ends_at = inf
         self.model = build_load_model(service, settings.data_centre)
+        self.transfers = ServiceTransfers(service, settings)
         self.states = {}
         self.generation = 0
         self.shares = FairShares(settings.share_window_s)
@@ -93,6 +100,7 @@
         self.service = service
         self.model = build_load_model(service, settings.data_centre)
         self.pause_cost = settings.long_pause_cost
+        self.transfers.update(service, settings)
 
     @property
     def weighs_pauses(self):
--- a/catkinfork/balancing/_settings.py
+++ b/catkinfork/balancing/_settings.py
@@ -25,9 +25,12 @@
     :param retry_budget: :class:`RetryBudgetSettings`.
     :param long_pause_cost: cost, in prompt tokens, of a stream that is certain to pause
         for longer than its route allows; 0 to place streams without regard to pauses.
+    :param min_transfer_speedup: minimum ratio of the link of an engine to its service
+        tokens per second at which it fetches cached prompt tokens; 0 for never.
     """
 
     data_centre: str
     share_window_s: float = 4.0
     retry_budget: RetryBudgetSettings = RetryBudgetSettings()
     long_pause_cost: float = 0.0
+    min_transfer_speedup: float = 0.0
--- a/catkinfork/balancing/tests/test_pauses.py
+++ b/catkinfork/balancing/tests/test_pauses.py
@@ -28,7 +28,7 @@
 def build_fleet(n_backends=4, cost=8000.0, n_event_tokens=N_EVENT_TOKENS):
     """Return a balancer whose service has engines and a cost of long pauses."""
     balancer = build_balancer(n_backends)
-    engine = Engine(64, 500_000, n_event_tokens)
+    engine = Engine(64, 500_000, n_event_tokens=n_event_tokens)
     service = Service("s", max_connections=1000, engine=engine)
     balancer.apply_settings(SETTINGS._replace(long_pause_cost=cost))
     balancer.apply_configuration(
--- a/catkinfork/forwarder/_process.py
+++ b/catkinfork/forwarder/_process.py
@@ -340,5 +340,6 @@
         settings.forwarder.data_centre,
         balancing.share_window_s,
         retry_budget,
-        balancing.long_pause_cost,
+        min_transfer_speedup=balancing.min_transfer_speedup,
+        long_pause_cost=balancing.long_pause_cost,
     )
--- a/catkinfork/settings/_constraints.py
+++ b/catkinfork/settings/_constraints.py
@@ -142,4 +142,5 @@
     ("balancing", "n_repeat_slack"): Number(0, 1_000_000),
     ("balancing", "repeat_window_s"): SECONDS,
     ("balancing", "long_pause_cost"): Number(0.0, 1_000_000),
+    ("balancing", "min_transfer_speedup"): Number(0.0, 1_000_000),
 }
--- a/catkinfork/settings/_types.py
+++ b/catkinfork/settings/_types.py
@@ -214,6 +214,9 @@
     :param repeat_window_s: length of the window over which retries are counted.
     :param long_pause_cost: cost, in prompt tokens, of a stream that is certain to pause
         for longer than its route allows; 0 to place streams without regard to pauses.
+    :param min_transfer_speedup: minimum ratio of the rate of an engine's link to its
+        share of the published token rate, both in tokens, at which engines fetch cached
+        prompt parts from each other; 0 turns this off.
     """
 
     share_window_s: float = 4.0
@@ -221,6 +224,7 @@
     n_repeat_slack: float = 10.0
     repeat_window_s: float = 10.0
     long_pause_cost: float = 0.0
+    min_transfer_speedup: float = 0.0
 
 
 class ForwarderSettings(NamedTuple):
