Estimate the speeds of engines and place requests by them

Cause: engines of one service differ in speed by a factor of two, and nothing published says so. With equal load, slow engines have long queues while the others are idle.

Change: each forwarder totals, by engine, the time to the first event of its attempts and the work ahead of it, and tells the totals to its peers at the end of full frames. SpeedTable estimates the speed from all forwarders' figures; costs and the limit of pending tokens are normalised by it. Setting speed_window_s (0: off), events 910 and 1102, speed in /status and as a metric.

--- a/catkinfork/balancing/__init__.py
+++ b/catkinfork/balancing/__init__.py
@@ -39,6 +39,7 @@
     EngineCache,
 )
 from catkinfork.balancing._settings import BalancerSettings, RetryBudgetSettings
+from catkinfork.balancing._speeds import NO_FIGURES, SpeedFigures
 from catkinfork.balancing._stop import StopPlan
 from catkinfork.balancing._streams import StreamOrigin, compute_stream_key
 from catkinfork.balancing._suspect_parts import PartCrash
@@ -53,6 +54,7 @@
     "EXPIRED",
     "FAILED",
     "NO_BACKEND",
+    "NO_FIGURES",
     "NO_RETRY",
     "OVERLOADED",
     "RECORDED",
@@ -79,6 +81,7 @@
     "PromptPart",
     "Refusal",
     "RetryBudgetSettings",
+    "SpeedFigures",
     "StopPlan",
     "StreamOrigin",
     "compute_stream_key",
--- a/catkinfork/balancing/_balancer.py
+++ b/catkinfork/balancing/_balancer.py
@@ -23,6 +23,7 @@
 from catkinfork.balancing._refusals import RefusalBuilder
 from catkinfork.balancing._resumption import OriginFinder
 from catkinfork.balancing._retries import is_retryable
+from catkinfork.balancing._speed_meter import SpeedMeter
 from catkinfork.balancing._streams import StreamTable
 from catkinfork.topology import Service
 
@@ -53,6 +54,7 @@
         self.streams = StreamTable()
         self.origins = OriginFinder(registry, self.streams)
         self.hold_monitor = HoldMonitor(self)
+        self.speed_meter = SpeedMeter(registry, self.changes, write_log)
         self.tokens_per_s = 0.0
         self.workspaces = ()
         self.stop_plan = None
@@ -97,13 +99,14 @@
             pool.find(backend.name).load.prefixes.record_use(kept)
 
     def apply_settings(self, settings):
-        """Put changed retry budget settings in force.
+        """Put changed settings of the retry budget and the speeds in force.
 
         :param settings: :class:`BalancerSettings`.
         """
         self.settings = settings
         for pool in self.pools.values():
             pool.retry_budget.settings = settings.retry_budget
+            pool.set_speed_window(settings.speed_window_s)
 
     def submit(self, job, now):
         """Place, queue or refuse a new request.
@@ -285,6 +288,7 @@
         job = placement.job
         backend = placement.backend
         state = pool.find(backend.name)
+        self.speed_meter.begin(pool, placement, state, now)
         state.load.add_attempt(job, placement.n_missing_tokens)
         rates.record_request(backend, state)
         if job.tried_backends:
@@ -305,6 +309,7 @@
 
     def list_candidates(self, pool, now):
         """Return a new :class:`CandidateList` of a service."""
+        self.speed_meter.update(pool, now)
         rates = SendRates(self.registry, pool, self.peers, self.rng, now)
         return CandidateList(self.registry, pool, rates, now)
 
@@ -322,6 +327,11 @@
                 self.hold_monitor.observe(pool, now)
         return decisions
 
+    def update_speeds(self, now):
+        """Put the speeds of the engines in force, also while no request arrives."""
+        for pool in self.pools.values():
+            self.speed_meter.update(pool, now)
+
     def has_waiting(self):
         """Return whether any job is queued."""
         return any(pool.queue.n_jobs for pool in self.pools.values())
@@ -354,6 +364,7 @@
             placement.job.route, now - placement.placed_at
         )
         placement.first_event_at = now
+        self.speed_meter.record_first_event(pool, placement, now)
         pool.find(placement.backend.name).load.record_first_event(placement)
         self.changes.backends.add((placement.job.service, placement.backend.name))
 
--- a/catkinfork/balancing/_candidates.py
+++ b/catkinfork/balancing/_candidates.py
@@ -81,8 +81,8 @@
                 self.throttled.append(backend)
                 continue
             state = pool.find(backend.name)
-            state.follow_start(backend.entry.started_ms)
-            base_cost = pool.model.estimate_base_cost(backend, state.load)
+            state.follow_entry(backend.entry)
+            base_cost = pool.model.estimate_base_cost(backend, state.load, state.speed)
             is_limited = rates.start_period(backend, state)
             entry = CandidateEntry(backend, state, base_cost, is_limited)
             if not state.health.is_ejected(now):
@@ -132,7 +132,8 @@
         """
         model = self.pool.model
         n_missing_tokens = model.estimate_missing_tokens(job, entry.state.load)
-        cost = entry.base_cost + model.missing_token_weight * n_missing_tokens
+        weight = model.compute_missing_token_weight(entry.state.speed)
+        cost = entry.base_cost + weight * n_missing_tokens
         return Offer(entry, n_missing_tokens, cost)
 
     def choose(self, job, rank):
@@ -145,19 +146,25 @@
             return None
         entry = offer.entry
         room = self.pool.model.compute_room(
-            job, entry.backend, entry.state.load, offer.n_missing_tokens, rank
+            job,
+            entry.backend,
+            entry.state.load,
+            offer.n_missing_tokens,
+            rank,
+            entry.state.speed,
         )
         return Candidate(entry.backend, offer.n_missing_tokens, offer.cost, room)
 
     def add_cost(self, backend, cost):
         """Raise the base cost of a backend server during the pass.
 
-        :param cost: cost added by a job that was placed, or that waits for it.
+        :param cost: cost added by a job that was placed, or that waits for it, at
+            speed 1.
         """
         for entries in (self.healthy, self.ejected):
             for entry in entries:
                 if entry.backend is backend:
-                    entry.base_cost += cost
+                    entry.base_cost += cost / entry.state.speed
                     entries.sort(key=BASE_COST)
                     return
 
--- a/catkinfork/balancing/_changes.py
+++ b/catkinfork/balancing/_changes.py
@@ -10,6 +10,7 @@
         self.part_probes = {}
         self.survivors = {}
         self.rate_limits = {}
+        self.speeds = {}
         self.clear()
 
     def clear(self):
--- a/catkinfork/balancing/_events.py
+++ b/catkinfork/balancing/_events.py
@@ -90,6 +90,24 @@
     ),
 )
 
+BACKEND_SPEED_CHANGED = Event(
+    910,
+    "info",
+    "backend_speed_changed",
+    "an engine starts or stops counting as slower than the others of its service, by "
+    "the time to the first event per token of work of the attempts of all forwarders",
+    (
+        "backend_server",
+        "service",
+        "is_slow",
+        "speed",
+        "n_attempts",
+        "us_per_token",
+        "service_us_per_token",
+        "window_s",
+    ),
+)
+
 EVENTS = (
     BACKEND_LEFT_OUT,
     REQUEST_BLOCKED,
@@ -97,4 +115,5 @@
     PART_REFUSED,
     CRASH_WITHDRAWN,
     WORKSPACE_HELD,
+    BACKEND_SPEED_CHANGED,
 )
--- a/catkinfork/balancing/_holds.py
+++ b/catkinfork/balancing/_holds.py
@@ -167,9 +167,11 @@
     """
     entries = []
     for entry in candidates.list_eligible(job):
-        load = entry.state.load
-        n_missing = model.estimate_missing_tokens(job, load)
-        room = model.compute_room(job, entry.backend, load, n_missing, rank)
+        state = entry.state
+        n_missing = model.estimate_missing_tokens(job, state.load)
+        room = model.compute_room(
+            job, entry.backend, state.load, n_missing, rank, state.speed
+        )
         if room >= 1:
             entries.append(entry)
     return entries
@@ -186,14 +188,16 @@
         return RATES
     if best.room >= 1:
         return TURN
-    load = pool.find(best.backend.name).load
+    state = pool.find(best.backend.name)
+    load = state.load
     first = QueueRank(0, rank.is_starving)
     room = pool.model.compute_room(
-        job, best.backend, load, best.n_missing_tokens, first
+        job, best.backend, load, best.n_missing_tokens, first, state.speed
     )
     if room >= 1:
         return RESERVED
     n_slots = min(best.backend.entry.n_slots, pool.model.n_connections)
     if load.n_all_in_flight >= n_slots or pool.service.engine is None:
         return SLOTS
-    return PENDING if load.n_all_pending_tokens > MIN_PENDING_TOKENS else MEMORY
+    n_pending_limit = state.speed * MIN_PENDING_TOKENS
+    return PENDING if load.n_all_pending_tokens > n_pending_limit else MEMORY
--- a/catkinfork/balancing/_models.py
+++ b/catkinfork/balancing/_models.py
@@ -85,24 +85,34 @@
     def estimate_missing_tokens(self, job, load):
         """Return the uncached prompt tokens of a job at a backend server."""
 
+    def compute_missing_token_weight(self, speed):
+        """Return the cost of an uncached prompt token at a backend server.
+
+        :param speed: its speed, see :class:`SpeedTable`.
+        """
+        return self.missing_token_weight
+
     @abstractmethod
-    def estimate_base_cost(self, backend, load):
+    def estimate_base_cost(self, backend, load, speed=1.0):
         """Return the cost of any job at a backend server.
 
         The uncached prompt tokens of a job are added to it; the lowest sum wins.
+
+        :param speed: speed of the backend server, see :class:`SpeedTable`.
         """
 
     @abstractmethod
-    def compute_room(self, job, backend, load, n_missing_tokens, rank):
+    def compute_room(self, job, backend, load, n_missing_tokens, rank, speed=1.0):
         """Return the number of jobs like this one for which there is capacity now.
 
         :param rank: :class:`QueueRank` of the job.
+        :param speed: speed of the backend server, see :class:`SpeedTable`.
         :returns: number with a fraction; below 1 the job has to wait.
         """
 
 
 class EngineLoadModel(BaseLoadModel):
-    """Load model of a model engine; costs are in prompt tokens."""
+    """Load model of a model engine; costs are in prompt tokens at speed 1."""
 
     missing_token_weight = MISSING_TOKEN_WEIGHT
     request_cost = IN_FLIGHT_COST_TOKENS
@@ -112,13 +122,19 @@
             0, job.n_prompt_tokens - load.prefixes.count_cached_tokens(job.parts)
         )
 
-    def estimate_base_cost(self, backend, load):
+    def compute_missing_token_weight(self, speed):
+        # Its own prefill takes longer at a slow engine. The rest of the weight stands
+        # for the delay of others, of which a slow engine has fewer.
+        return self.missing_token_weight - 1.0 + 1.0 / speed
+
+    def estimate_base_cost(self, backend, load, speed=1.0):
         cost = load.n_all_pending_tokens + IN_FLIGHT_COST_TOKENS * load.n_all_in_flight
+        cost /= speed
         if backend.data_centre != self.data_centre:
             cost += REMOTE_COST_TOKENS
         return cost
 
-    def compute_room(self, job, backend, load, n_missing_tokens, rank):
+    def compute_room(self, job, backend, load, n_missing_tokens, rank, speed=1.0):
         n_slots = backend.entry.n_slots
         n_slots -= int(compute_reserved_slot_share(rank) * n_slots)
         n_free_slots = min(n_slots, self.n_connections) - load.n_all_in_flight
@@ -131,12 +147,12 @@
         n_claimed = n_missing_tokens
         if rank.is_starving:
             n_claimed = min(n_claimed, MAX_STARVING_CLAIM_TOKENS)
-        n_pending_limit = MAX_PENDING_TOKENS * (
-            1.0 - compute_reserved_token_share(rank)
+        n_pending_limit = (
+            speed * MAX_PENDING_TOKENS * (1.0 - compute_reserved_token_share(rank))
         )
         n_pending = load.n_all_pending_tokens
         room = (n_pending_limit - n_pending) / max(1, n_claimed)
-        if n_pending <= MIN_PENDING_TOKENS:
+        if n_pending <= speed * MIN_PENDING_TOKENS:
             room = max(1.0, room)
         return min(n_free_slots, room)
 
@@ -147,13 +163,13 @@
     def estimate_missing_tokens(self, job, load):
         return 0
 
-    def estimate_base_cost(self, backend, load):
+    def estimate_base_cost(self, backend, load, speed=1.0):
         cost = float(load.n_all_in_flight)
         if backend.data_centre != self.data_centre:
             cost += REMOTE_COST_REQUESTS
         return cost
 
-    def compute_room(self, job, backend, load, n_missing_tokens, rank):
+    def compute_room(self, job, backend, load, n_missing_tokens, rank, speed=1.0):
         n_extra = 0 if rank.n_peers_ahead else EXTRA_REQUESTS
         n_requests = min(backend.entry.n_slots + n_extra, self.n_connections)
         return n_requests - load.n_all_in_flight
--- a/catkinfork/balancing/_pool.py
+++ b/catkinfork/balancing/_pool.py
@@ -13,6 +13,12 @@
 from catkinfork.balancing._retries import RetryBudget
 from catkinfork.balancing._shares import FairShares
 from catkinfork.balancing._slow_start import SlowStartLimiter
+from catkinfork.balancing._speeds import (
+    ServerStart,
+    SpeedRecord,
+    SpeedReport,
+    SpeedTable,
+)
 from catkinfork.balancing._windows import DecayingSum
 
 # Time constant of the placement rate.
@@ -20,9 +26,23 @@
 
 
 class BackendState:
-    """Load, health, draws and rates of one backend server."""
+    """Load, health, speed, draws and rates of one backend server.
 
-    __slots__ = ("allowance", "health", "limiter", "load", "room_draw", "started_ms")
+    ``speed`` is relative to the other backend servers of the service, 1 if nothing else
+    is known.
+    """
+
+    __slots__ = (
+        "allowance",
+        "health",
+        "limiter",
+        "load",
+        "room_draw",
+        "speed",
+        "speed_record",
+        "speed_report",
+        "started_ms",
+    )
 
     def __init__(self, service):
         engine = service.engine
@@ -32,19 +52,34 @@
         self.allowance = RateAllowance()
         self.started_ms = None
         self.room_draw = RoomDraw()
+        self.speed = 1.0
+        self.speed_record = SpeedRecord(ServerStart())
+        self.speed_report = SpeedReport()
 
-    def follow_start(self, started_ms):
-        """Forget health and cached prompt parts if the backend server started again.
+    def follow_entry(self, entry):
+        """Forget health, speed and cached parts if the backend server started again.
 
         Requests in flight are kept until their attempts have ended.
 
-        :param started_ms: Unix time of its start, milliseconds.
+        :param entry: :class:`BackendEntry`.
         """
+        start = ServerStart(entry.started_ms, entry.address)
+        if self.speed_record.start != start:
+            self.forget_speed(start)
+        started_ms = entry.started_ms
         if self.started_ms is not None and started_ms > self.started_ms:
             self.health = BackendHealth()
             self.load.prefixes = PrefixCache(self.load.prefixes.n_memory_tokens)
         self.started_ms = started_ms
 
+    def forget_speed(self, start):
+        """Forget the speed; attempts in flight no longer count.
+
+        :param start: :class:`ServerStart` that is measured from now on.
+        """
+        self.speed = 1.0
+        self.speed_record = SpeedRecord(start)
+
 
 class ServicePool:
     """Loads, queue, fair shares and retry budget of one service.
@@ -61,6 +96,7 @@
         self.service = service
         self.ends_at = inf
         self.model = build_load_model(service, settings.data_centre)
+        self.speeds = SpeedTable(settings.speed_window_s)
         self.states = {}
         self.generation = 0
         self.shares = FairShares(settings.share_window_s)
@@ -80,6 +116,22 @@
         self.service = service
         self.model = build_load_model(service, settings.data_centre)
 
+    @property
+    def has_speeds(self):
+        """Return whether the speeds of the backend servers are estimated."""
+        return self.speeds.window_s > 0 and self.service.engine is not None
+
+    def set_speed_window(self, window_s):
+        """Put a changed window in force, and forget all speeds.
+
+        :param window_s: seconds, 0 for none.
+        """
+        if window_s == self.speeds.window_s:
+            return
+        self.speeds = SpeedTable(window_s)
+        for state in self.states.values():
+            state.forget_speed(state.speed_record.start)
+
     def find(self, backend_name):
         """Return the state of a backend server, created if it is new."""
         state = self.states.get(backend_name)
--- a/catkinfork/balancing/_settings.py
+++ b/catkinfork/balancing/_settings.py
@@ -23,8 +23,11 @@
     :param share_window_s: window over which the service of workspaces is compared,
         seconds.
     :param retry_budget: :class:`RetryBudgetSettings`.
+    :param speed_window_s: window over which the speeds of engines are estimated,
+        seconds; 0 if they are not.
     """
 
     data_centre: str
     share_window_s: float = 4.0
     retry_budget: RetryBudgetSettings = RetryBudgetSettings()
+    speed_window_s: float = 0.0
--- a/catkinfork/balancing/tests/support.py
+++ b/catkinfork/balancing/tests/support.py
@@ -56,12 +56,16 @@
     tokens_per_s=100_000.0,
     retry_budget=None,
     max_connections=1000,
+    speed_window_s=0.0,
 ):
     """Return a balancer for the service ``s`` with backend servers ``b0``, ``b1``..."""
     events = []
     registry = BackendRegistry(events.append)
     settings = BalancerSettings(
-        "gasabo", 4.0, retry_budget or RetryBudgetSettings(0.2, 10, 10.0)
+        "gasabo",
+        4.0,
+        retry_budget or RetryBudgetSettings(0.2, 10, 10.0),
+        speed_window_s,
     )
     balancer = Balancer(
         registry, peers or Peers(), settings, random.Random(1), events.append
--- /dev/null
+++ b/catkinfork/balancing/tests/test_speeds.py
@@ -0,0 +1,393 @@
+"""Speeds of engines: which attempts count, the estimate, and its use in placement."""
+
+from math import inf
+
+import pytest
+
+from catkinfork.balancing import ABANDONED, SERVED, BalancerSettings
+from catkinfork.balancing._models import (
+    IN_FLIGHT_COST_TOKENS,
+    MAX_PENDING_TOKENS,
+    QueueRank,
+)
+from catkinfork.balancing._pool import BackendState
+from catkinfork.balancing._speed_meter import MAX_LAG_S, HostLag
+from catkinfork.balancing._speeds import (
+    MAX_SPEED,
+    MIN_SPEED,
+    REPORT_INTERVAL_S,
+    STEP_TOKENS,
+    UPDATE_INTERVAL_S,
+    SpeedFigures,
+    SpeedTable,
+)
+from catkinfork.balancing.tests.support import (
+    add_backend,
+    build_balancer,
+    build_job,
+    serve,
+    submit,
+)
+from catkinfork.topology import Engine, Service
+
+WINDOW_S = 4.0
+SERVICE = Service("s", engine=Engine(64, 500_000))
+FIRST = QueueRank(0, False)
+
+
+def build_table(n_backends=4):
+    """Return a table and the states of some engines."""
+    states = {f"b{number}": BackendState(SERVICE) for number in range(n_backends)}
+    return SpeedTable(WINDOW_S), states
+
+
+def observe(table, states, speeds, start, end, rate=5.0, n_tokens=4000):
+    """Record attempts that take 10 us a token at speed 1, and update the speeds.
+
+    :param rate: attempts per second at each engine.
+    :returns: list of :class:`SpeedChange`.
+    """
+    changes = []
+    n_steps = round((end - start) * rate)
+    for step in range(n_steps):
+        now = start + (step + 1) / rate
+        for name, speed in speeds.items():
+            figures = SpeedFigures(1, 10 * n_tokens / speed, n_tokens)
+            table.record(states[name].speed_record, figures, now)
+        changes += table.update(states, now)
+    return changes
+
+
+def list_speeds(states):
+    """Return the speeds in force."""
+    return [state.speed for state in states.values()]
+
+
+def build_measuring_balancer(n_backends=2, **options):
+    """Return a balancer that estimates speeds, with engines at different addresses."""
+    balancer = build_balancer(n_backends=0, speed_window_s=WINDOW_S, **options)
+    for number in range(n_backends):
+        add_server(balancer, number)
+    return balancer
+
+
+def add_server(balancer, number, address=None, started_ms=1000, at=0.0, sequence=1):
+    """Add a backend server with an address of its own."""
+    add_backend(balancer, f"b{number}", started_ms=started_ms, at=at)
+    backend = balancer.registry.backends[f"b{number}"]
+    backend.entry = backend.entry._replace(address=address or f"10.1.0.{number}:80")
+
+
+def read_totals(balancer, name):
+    """Return the totals of an engine that the balancer has counted."""
+    return balancer.pools["s"].find(name).speed_record.totals
+
+
+class TestEstimate:
+    """The speeds that follow from times and work."""
+
+    def test_equal_engines_stay_at_one(self):
+        """Guards against engines that are treated as unequal without a reason."""
+        table, states = build_table()
+        observe(table, states, dict.fromkeys(states, 1.0), 0.0, 10.0)
+        assert list_speeds(states) == [1.0] * 4
+
+    @pytest.mark.parametrize("ratio", [0.88, 1.13])
+    def test_small_difference_counts_as_none(self, ratio):
+        """Guards against costs that change for a difference of no importance."""
+        table, states = build_table(20)
+        observe(table, states, dict.fromkeys(states, 1.0) | {"b0": ratio}, 0.0, 20.0)
+        assert set(list_speeds(states)) == {1.0}
+
+    def test_slow_engine_is_found_within_the_window_and_recovers(self):
+        """Guards against an engine that stays unknown, or slow, for over 4 s.
+
+        Load pattern: an engine with five requests a second becomes slower by half,
+        and recovers later.
+        """
+        table, states = build_table(8)
+        equal = dict.fromkeys(states, 1.0)
+        observe(table, states, equal, 0.0, 10.0)
+        observe(table, states, equal | {"b0": 0.46}, 10.0, 14.0)
+        assert states["b0"].speed < 0.75
+        assert set(list_speeds(states)[1:]) == {1.0}
+        observe(table, states, equal | {"b0": 0.46}, 14.0, 24.0)
+        assert states["b0"].speed == pytest.approx(0.46, rel=0.2)
+        observe(table, states, equal, 24.0, 28.0)
+        assert states["b0"].speed == 1.0
+
+    def test_speed_does_not_depend_on_the_load(self):
+        """Guards against a loaded engine that looks slow, and an idle one fast.
+
+        Load pattern: one engine has a queue of 20,000 tokens at each placement, another
+        one gets a tenth of the requests.
+        """
+        table, states = build_table(4)
+        for step in range(100):
+            now = step / 10
+            for name, n_tokens in zip(states, (21_000, 1000, 1000, 1000), strict=True):
+                if name == "b3" and step % 10:
+                    continue
+                figures = SpeedFigures(1, 10 * n_tokens, n_tokens)
+                table.record(states[name].speed_record, figures, now)
+            table.update(states, now)
+        assert list_speeds(states) == [1.0] * 4
+
+    @pytest.mark.parametrize(("ratio", "bound"), [(0.01, MIN_SPEED), (50, MAX_SPEED)])
+    def test_speed_is_bounded(self, ratio, bound):
+        """Guards against an engine that gets no request at all, or all of them."""
+        table, states = build_table(8)
+        observe(table, states, dict.fromkeys(states, 1.0) | {"b0": ratio}, 0.0, 20.0)
+        assert states["b0"].speed == bound
+
+    def test_few_attempts_count_for_little(self):
+        """Guards against two slow responses that make an engine slow."""
+        table, states = build_table(8)
+        equal = dict.fromkeys(states, 1.0)
+        observe(table, states, equal, 0.0, 4.0)
+        observe(table, states, {"b0": 0.3}, 4.0, 4.4)
+        lone, alone = build_table(8)
+        observe(lone, alone, equal | {"b0": 0.46}, 0.0, 20.0, rate=0.5)
+        assert states["b0"].speed == 1.0
+        assert alone["b0"].speed > 0.7
+
+    def test_speed_decays_without_attempts(self):
+        """Guards against an engine that stays slow for ever as it gets no request."""
+        table, states = build_table(8)
+        observe(table, states, dict.fromkeys(states, 1.0) | {"b0": 0.4}, 0.0, 10.0)
+        assert states["b0"].speed < 0.5
+        table.update(states, 10.0 + 4 * WINDOW_S)
+        assert states["b0"].speed == 1.0
+        table.update(states, 1e9)
+        assert list_speeds(states) == [1.0] * 8
+
+    def test_changes_are_reported_at_bounded_intervals(self):
+        """Guards against a log line for each update of a speed that swings."""
+        table, states = build_table(8)
+        times = []
+        for step in range(200):
+            now = step * UPDATE_INTERVAL_S
+            states["b0"].speed_record.sums = SpeedFigures(
+                50, 1e6 if step % 2 else 1e5, 10_000
+            )
+            for name in list(states)[1:]:
+                states[name].speed_record.sums = SpeedFigures(50, 1e5, 10_000)
+            changes = table.update(states, now)
+            times += [now for change in changes if change.name == "b0"]
+        gaps = [b - a for a, b in zip(times, times[1:], strict=False)]
+        assert len(times) > 2
+        assert min(gaps) >= REPORT_INTERVAL_S
+
+
+class TestMeasurement:
+    """The attempts that count."""
+
+    def test_time_and_work_of_an_attempt_are_counted(self):
+        """Guards against work that leaves out what is ahead of a request."""
+        balancer = build_measuring_balancer(1)
+        balancer.pools["s"].find("b0").load.n_peers_pending_tokens = 5000
+        placement = submit(balancer, 1.0, n_prompt=2000)
+        second = submit(balancer, 1.0, n_prompt=300)
+        balancer.record_event(placement, 1.25)
+        first_total = SpeedFigures(1, 250_000, 5000 + 2000 + STEP_TOKENS)
+        assert read_totals(balancer, "b0") == first_total
+        balancer.record_event(placement, 1.5)
+        assert read_totals(balancer, "b0") == first_total
+        balancer.record_event(second, 1.5)
+        assert read_totals(balancer, "b0") == SpeedFigures(
+            2, 750_000, 5000 + 2000 + STEP_TOKENS + 7000 + 300 + STEP_TOKENS
+        )
+        assert list(balancer.changes.speeds) == [("s", "b0")]
+
+    def test_nothing_is_counted_if_the_part_is_off(self):
+        """Guards against a fleet that changes without the setting."""
+        balancer = build_balancer(n_backends=1)
+        placement = submit(balancer, 1.0)
+        balancer.record_event(placement, 9.0)
+        assert read_totals(balancer, "b0").n_attempts == 0
+        assert not balancer.changes.speeds
+        assert balancer.pools["s"].find("b0").speed == 1.0
+
+    def test_plain_servers_are_not_measured(self):
+        """Guards against speeds of servers whose work is unknown."""
+        balancer = build_measuring_balancer(1, engine=False)
+        serve(balancer, submit(balancer, 1.0), 2.0)
+        assert read_totals(balancer, "b0").n_attempts == 0
+
+    def test_withdrawn_attempts_are_not_counted(self):
+        """Guards against attempts without a first event that count as served."""
+        balancer = build_measuring_balancer(1)
+        placement = submit(balancer, 1.0)
+        balancer.record_abandoned_event(placement, 1.5)
+        balancer.handle_attempt_end(placement, ABANDONED, 2.0)
+        assert read_totals(balancer, "b0").n_attempts == 0
+
+    @pytest.mark.parametrize("kind", ["cold", "throttled", "limited"])
+    @pytest.mark.parametrize("at_placement", [True, False])
+    def test_attempts_at_a_held_back_engine_are_not_counted(self, kind, at_placement):
+        """Guards against an engine that looks slow as it warms up or holds back."""
+        balancer = build_measuring_balancer(1, cold_rate=10.0)
+        backend = balancer.registry.backends["b0"]
+        if at_placement:
+            placement = submit(balancer, 1.0)
+            placement.speed_record = None
+        placement = submit(balancer, 1.0)
+        if kind == "cold":
+            backend.cold_until = 2.0
+        elif kind == "throttled":
+            backend.throttled_until = 1.2
+        else:
+            balancer.record_rate_limit(backend, 5.0, 1.0)
+        if at_placement:
+            pool = balancer.pools["s"]
+            placement.speed_record = None
+            balancer.speed_meter.begin(pool, placement, pool.find("b0"), 1.1)
+            assert placement.speed_record is None
+        balancer.record_event(placement, 1.5)
+        assert read_totals(balancer, "b0").n_attempts == 0
+
+    def test_attempts_of_a_lagging_host_are_not_counted(self):
+        """Guards against engines that look slow as this host is behind."""
+        balancer = build_measuring_balancer(1)
+        lag = balancer.speed_meter.host_lag
+        early = submit(balancer, 1.0)
+        lag.record(2 * MAX_LAG_S, 1.2)
+        late = submit(balancer, 1.3)
+        balancer.record_event(early, 1.4)
+        assert read_totals(balancer, "b0").n_attempts == 0
+        balancer.record_event(late, 1.5)
+        assert read_totals(balancer, "b0").n_attempts == 1
+
+    def test_lag_is_seen_before_the_sweep_that_measures_it(self):
+        """Guards against responses that are read right after a pause of the host."""
+        lag = HostLag()
+        assert not lag.has_lagged_since(0.0, 50.0)
+        lag.due_at = 1.0
+        assert not lag.has_lagged_since(0.9, 1.0 + MAX_LAG_S / 2)
+        assert lag.has_lagged_since(0.9, 1.0 + 2 * MAX_LAG_S)
+        lag.due_at = inf
+        lag.record(MAX_LAG_S / 2, 1.1)
+        assert not lag.has_lagged_since(1.0, 1.2)
+
+
+class TestReplacedServers:
+    """A server that starts again, or whose address goes to another one."""
+
+    def test_restarted_engine_is_unknown(self):
+        """Guards against a new engine that is taken for a slow one with its name."""
+        balancer = build_measuring_balancer(2)
+        state = balancer.pools["s"].find("b0")
+        placement = submit(balancer, 1.0)
+        name = placement.backend.name
+        state = balancer.pools["s"].find(name)
+        state.speed = 0.5
+        entry = placement.backend.entry._replace(started_ms=5000)
+        balancer.registry.apply_entry(entry, 2.0, "test")
+        balancer.update_speeds(2.0)
+        assert state.speed == 1.0
+        balancer.record_event(placement, 2.1)
+        assert state.speed_record.totals.n_attempts == 0
+        assert state.speed_record.sums.n_attempts == 0
+
+    def test_engine_whose_address_was_taken_over_is_unknown(self):
+        """Guards against the speed of a server that is not at its address any more."""
+        balancer = build_measuring_balancer(2)
+        balancer.update_speeds(1.0)
+        state = balancer.pools["s"].find("b0")
+        placement = submit(balancer, 1.0)
+        state.speed = 0.5
+        add_server(balancer, 2, address="10.1.0.0:80", started_ms=9000, at=2.0)
+        balancer.update_speeds(2.0)
+        assert state.speed == 1.0
+        if placement.backend.name == "b0":
+            balancer.record_event(placement, 2.1)
+        assert state.speed_record.totals.n_attempts == 0
+        assert balancer.pools["s"].find("b2").speed == 1.0
+
+    def test_engine_that_moves_is_unknown(self):
+        """Guards against a name that passes its speed to another machine."""
+        balancer = build_measuring_balancer(1)
+        balancer.update_speeds(1.0)
+        state = balancer.pools["s"].find("b0")
+        state.speed = 0.5
+        entry = balancer.registry.backends["b0"].entry
+        moved = entry._replace(address="10.9.0.1:80", sequence=entry.sequence + 1)
+        balancer.registry.apply_entry(moved, 2.0, "test")
+        submit(balancer, 2.0)
+        assert state.speed == 1.0
+
+
+class TestUse:
+    """Speeds in the choice of an engine."""
+
+    def test_slow_engine_gets_less_work_but_not_none(self):
+        """Guards against a slow engine that gets as much as the others, or nothing."""
+        balancer = build_measuring_balancer(2)
+        balancer.update_speeds(0.0)
+        pool = balancer.pools["s"]
+        balancer.speed_meter.update = lambda pool, now: None
+        pool.find("b0").speed = 0.5
+        placements = [submit(balancer, 1.0, n_prompt=500) for _ in range(30)]
+        n_slow = sum(one.backend.name == "b0" for one in placements)
+        assert n_slow == pytest.approx(10, abs=1)
+
+    def test_limit_of_pending_tokens_follows_the_speed(self):
+        """Guards against a queue at a slow engine that takes twice the time."""
+        balancer = build_measuring_balancer(1)
+        pool = balancer.pools["s"]
+        model = pool.model
+        state = pool.find("b0")
+        backend = balancer.registry.backends["b0"]
+        state.load.n_peers_pending_tokens = MAX_PENDING_TOKENS // 2
+        job = build_job(n_prompt=1000)
+        arguments = (job, backend, state.load, 1000, FIRST)
+        assert model.compute_room(*arguments, 1.0) == 7.5
+        assert model.compute_room(*arguments, 0.5) == 0.0
+        assert model.compute_room(*arguments, 2.0) == 22.5
+
+    def test_costs_are_those_of_speed_one_without_speeds(self):
+        """Guards against placements that change although the part is off."""
+        balancer = build_measuring_balancer(1)
+        pool = balancer.pools["s"]
+        state = pool.find("b0")
+        state.load.n_peers_pending_tokens = 1234
+        state.load.n_peers_in_flight = 3
+        backend = balancer.registry.backends["b0"]
+        cost = pool.model.estimate_base_cost(backend, state.load)
+        assert cost == 1234 + 3 * IN_FLIGHT_COST_TOKENS
+        assert pool.model.estimate_base_cost(backend, state.load, 0.5) == 2 * cost
+
+    def test_changed_window_forgets_the_speeds(self):
+        """Guards against speeds that stay in force after the part is switched off."""
+        balancer = build_measuring_balancer(1)
+        pool = balancer.pools["s"]
+        pool.find("b0").speed = 0.5
+        balancer.apply_settings(BalancerSettings("gasabo", speed_window_s=0.0))
+        assert pool.find("b0").speed == 1.0
+        assert not pool.has_speeds
+
+    def test_change_is_logged_with_its_figures(self):
+        """Guards against a slow engine that operators cannot find."""
+        balancer = build_measuring_balancer(8)
+        events = []
+        balancer.speed_meter.write_log = events.append
+        pool = balancer.pools["s"]
+        balancer.update_speeds(0.0)
+        slow = dict.fromkeys(pool.states, 1.0) | {"b0": 0.46}
+        observe(pool.speeds, pool.states, slow, 0.0, 8.0, rate=9.0)
+        pool.find("b0").speed_report = pool.find("b1").speed_report
+        balancer.update_speeds(8.2)
+        assert [one.event.number for one in events] == [910]
+        values = dict(zip(events[0].event.fields, events[0].values, strict=True))
+        assert values["backend_server"] == "b0"
+        assert values["is_slow"] is True
+        assert values["us_per_token"] == pytest.approx(10 / 0.46, rel=0.01)
+
+
+def test_served_attempts_end_as_before():
+    """Guards against an attempt whose end counts as a second first event."""
+    balancer = build_measuring_balancer(1)
+    placement = submit(balancer, 1.0)
+    balancer.record_event(placement, 1.2)
+    balancer.handle_attempt_end(placement, SERVED, 1.4)
+    assert read_totals(balancer, "b0").n_attempts == 1
--- a/catkinfork/forwarder/_process.py
+++ b/catkinfork/forwarder/_process.py
@@ -233,6 +233,7 @@
         while True:
             now = self.loop.time()
             self.record_lag(planned_at, now)
+            self.balancer.update_speeds(now)
             self.server.sweep()
             if now >= next_flush_at:
                 next_flush_at = now + LOG_FLUSH_INTERVAL_S
@@ -245,10 +246,12 @@
                 self.log_dropped_lines()
             planned_at = self.loop.time() + SWEEP_INTERVAL_S
             self.sweep_due_at = planned_at
+            self.balancer.speed_meter.host_lag.due_at = planned_at
             await anyio.sleep(SWEEP_INTERVAL_S)
 
     def record_lag(self, planned_at, now):
         """Record by how much a sweep is late, and log a change of state."""
+        self.balancer.speed_meter.host_lag.record(now - planned_at, now)
         change = self.server.lag.record(planned_at, now, self.server.has_backlog())
         if change is None:
             return
@@ -335,5 +338,8 @@
         balancing.repeat_ratio, balancing.n_repeat_slack, balancing.repeat_window_s
     )
     return BalancerSettings(
-        settings.forwarder.data_centre, balancing.share_window_s, retry_budget
+        settings.forwarder.data_centre,
+        balancing.share_window_s,
+        retry_budget,
+        balancing.speed_window_s,
     )
--- a/catkinfork/forwarder/_status.py
+++ b/catkinfork/forwarder/_status.py
@@ -69,6 +69,7 @@
                 "is_throttled": backend.is_throttled(now),
                 "limit_per_s": None if limit is None or limit.is_lifted else limit.rate,
                 "failure_rate": round(state.health.failure_rate, 3),
+                "speed": round(state.speed, 3),
                 "n_in_flight": state.load.n_in_flight,
                 "n_all_in_flight": state.load.n_all_in_flight,
                 "n_all_pending_tokens": state.load.n_all_pending_tokens,
@@ -80,6 +81,7 @@
 def build_metrics_response(process):
     """Return the metrics in the Prometheus text format."""
     metrics = process.server.metrics
+    metrics.clear_gauge("backend_speed")
     for name, text, labels, value in list_gauges(process):
         metrics.set_gauge(name, text, labels, value)
     body, headers = metrics.render(["text/plain"])
@@ -134,6 +136,13 @@
             labels,
             pool.retry_budget.n_retries,
         )
+        for backend, state in pool.states.items():
+            yield (
+                "backend_speed",
+                "Speed of a backend server relative to its service, 1 if unknown",
+                {"service": name, "backend_server": backend},
+                state.speed,
+            )
     for number, count in sorted(process.log.n_events.items()):
         yield (
             "events",
--- a/catkinfork/forwarding/_metrics.py
+++ b/catkinfork/forwarding/_metrics.py
@@ -74,6 +74,11 @@
             gauge = self.gauges[name] = self.build(Gauge, name, help_text)
         gauge.set(labels, value)
 
+    def clear_gauge(self, name):
+        """Remove the values of a gauge, whose labels name what may be gone by now."""
+        if name in self.gauges:
+            self.gauges[name].values.clear()
+
     def render(self, accepts):
         """Return the body and the headers of the exposition.
 
--- a/catkinfork/peering/_events.py
+++ b/catkinfork/peering/_events.py
@@ -17,4 +17,22 @@
     ("peer", "incarnation", "silent_s", "is_leaving"),
 )
 
-EVENTS = (PEER_REGAINED, PEER_LOST)
+SPEED_FIGURES_IGNORED = Event(
+    1102,
+    "warning",
+    "speed_figures_ignored",
+    "figures of a peer on the speed of engines cannot be right and were left out; one "
+    "line a minute, with the latest figures",
+    (
+        "peer",
+        "incarnation",
+        "n_ignored",
+        "backend_server_hash",
+        "n_attempts",
+        "time_us",
+        "n_tokens",
+        "period_s",
+    ),
+)
+
+EVENTS = (PEER_REGAINED, PEER_LOST, SPEED_FIGURES_IGNORED)
--- a/catkinfork/peering/_frames.py
+++ b/catkinfork/peering/_frames.py
@@ -171,6 +171,22 @@
     age_ms: Total
 
 
+class SpeedEntry(NamedTuple):
+    """Times to the first event at a backend server, totals since the sender's start.
+
+    :param started_ms: Unix time of its start, milliseconds.
+    :param n_attempts: attempts of the sender that have had their first event.
+    :param time_us: sum of the times until then, microseconds.
+    :param n_tokens: sum of the work ahead of these events, tokens.
+    """
+
+    backend: Hash
+    started_ms: Integer
+    n_attempts: Total
+    time_us: Total
+    n_tokens: Total
+
+
 class StreamEntry(NamedTuple):
     """Streams that began at one version of a service.
 
@@ -235,6 +251,7 @@
     withdrawn: list[SuspectEntry] = []
     leaving_since: Integer = 0
     has_joined: bool = False
+    speeds: list[SpeedEntry] = []
 
 
 _ENCODER = msgspec.msgpack.Encoder()
--- a/catkinfork/peering/_peers.py
+++ b/catkinfork/peering/_peers.py
@@ -48,6 +48,7 @@
         self.revision = 0
         self.repeats = {}
         self.uses = {}
+        self.speeds = {}
         self.is_fresh = False
         self.fresh_since = 0.0
 
@@ -73,6 +74,7 @@
         self.sequence = 0
         self.repeats = {}
         self.uses = {}
+        self.speeds = {}
 
 
 class PeerDirectory:
--- a/catkinfork/peering/_state.py
+++ b/catkinfork/peering/_state.py
@@ -20,6 +20,7 @@
     encode_frame,
 )
 from catkinfork.peering._handover import HandoverPlan
+from catkinfork.peering._speed_notices import SpeedNotices
 from catkinfork.peering._stream_notices import StreamNotices
 
 # Limit of datagrams from one forwarder to all peers together.
@@ -36,6 +37,9 @@
 # before; such totals are only used as a baseline.
 BASELINE_WINDOW_S = 2.0 * REFRESH_INTERVAL_S
 MAX_PEERS_LISTED = 24
+# Speeds that stay in a frame that is too large as long as there are parts to drop, so
+# that they are told even if parts fill all frames.
+MIN_SPEEDS_PER_FRAME = 4
 
 
 class PeerExchange:
@@ -68,8 +72,10 @@
         self.indexed_generations = ()
         self.pools = {}
         self.states = {}
+        self.servers = {}
         self.notices = BackendNotices(balancer, self.compute_hash)
         self.stream_notices = StreamNotices(balancer, self.compute_hash)
+        self.speed_notices = SpeedNotices(balancer, self.compute_hash, write_log)
         self.crash_notices = CrashNotices(balancer, self.compute_hash)
         balancer.crash_guard.suspects.own_source = self.crash_notices.compute_source(
             directory.own_address, incarnation
@@ -115,9 +121,10 @@
     def build_datagram(self, is_full, now):
         """Return a datagram with all totals or with the changed ones.
 
-        Parts are dropped, then streams left to the next frame, then usage entries
-        dropped until it fits into the maximum size. Usage orders the queues of all
-        forwarders; a lost part only costs a prefill.
+        Until it fits into the maximum size, most speeds are left to the next frame,
+        then parts dropped, then streams and all speeds left to the next frame, then
+        usage entries dropped. Usage orders the queues of all forwarders; a lost part
+        costs a prefill, a late speed nothing.
         """
         self.sequence += 1
         frame = Frame(
@@ -134,18 +141,27 @@
         self.fill_frame(frame, is_full, now)
         self.balancer.changes.clear()
         data = encode_frame(frame)
-        while len(data) > MAX_FRAME_BYTES and (
-            frame.parts or frame.streams or frame.uses
-        ):
-            if frame.parts:
-                frame.parts = frame.parts[len(frame.parts) // 2 + 1 :]
-            elif frame.streams or frame.stream_questions:
-                self.stream_notices.defer(frame)
-            else:
-                frame.uses = frame.uses[: len(frame.uses) // 2]
+        while len(data) > MAX_FRAME_BYTES and self.shorten(frame):
             data = encode_frame(frame)
         return data
 
+    def shorten(self, frame):
+        """Take entries out of a frame that is too large.
+
+        :returns: whether there were any to take out.
+        """
+        if self.speed_notices.defer(frame, MIN_SPEEDS_PER_FRAME):
+            return True
+        if frame.parts:
+            frame.parts = frame.parts[len(frame.parts) // 2 + 1 :]
+        elif frame.streams or frame.stream_questions:
+            self.stream_notices.defer(frame)
+        elif frame.uses and not self.speed_notices.defer(frame, 0):
+            frame.uses = frame.uses[: len(frame.uses) // 2]
+        else:
+            return self.speed_notices.defer(frame, 0)
+        return True
+
     def fill_frame(self, frame, is_full, now):
         """Add the totals to a frame."""
         changes = self.balancer.changes
@@ -169,6 +185,7 @@
         self.crash_notices.fill(frame, is_full, now)
         self.notices.fill(frame, is_full, now)
         self.stream_notices.fill(frame, now)
+        self.speed_notices.fill(frame, is_full)
         for _, backend, parts in changes.parts[-MAX_PARTS_PER_FRAME:]:
             name = self.compute_hash(backend)
             frame.parts += [PartEntry(name, part, n) for part, n in parts]
@@ -250,6 +267,7 @@
         self.crash_notices.record(peer, frame, now)
         self.notices.record(peer, frame, now)
         self.stream_notices.record(frame, now)
+        self.speed_notices.record(peer, frame, self.servers, now)
         return bool(frame.loads)
 
     def index(self):
@@ -260,11 +278,12 @@
             return
         self.indexed_generations = generations
         self.pools = {self.compute_hash(name): pool for name, pool in pools.items()}
-        self.states = {
-            self.compute_hash(name): state
+        self.servers = {
+            self.compute_hash(name): (pool, state)
             for pool in pools.values()
             for name, state in pool.states.items()
         }
+        self.states = {name: state for name, (_, state) in self.servers.items()}
 
     def record_retries(self, peer, frame, pools, now):
         """Record the requests and retries of a peer since its previous frame."""
--- a/catkinfork/peering/tests/test_odd_frames.py
+++ b/catkinfork/peering/tests/test_odd_frames.py
@@ -46,6 +46,7 @@
     "part_runs": [2**64 - 1, 7, 40],
     "survivors": [7, 40],
     "withdrawn": [2**64 - 1, 2],
+    "speeds": [7, 1000, 2, 30_000, 9_000],
 }
 ODD_VALUES = [None, True, "1", b"1", [], -1, -(2**63), 0.5, -0.5, math.nan, -math.inf]
 # Values that are right in some fields only.
--- a/catkinfork/settings/_types.py
+++ b/catkinfork/settings/_types.py
@@ -209,12 +209,15 @@
     :param n_repeat_slack: retries allowed within the window beyond ``repeat_ratio``;
         may be a fraction, as a deployment may be scaled down from a larger one.
     :param repeat_window_s: length of the window over which retries are counted.
+    :param speed_window_s: window over which the speeds of model engines are estimated
+        from their responses; 0 if all count as equally fast.
     """
 
     share_window_s: float = 4.0
     repeat_ratio: float = 0.1
     n_repeat_slack: float = 10.0
     repeat_window_s: float = 10.0
+    speed_window_s: float = 0.0
 
 
 class ForwarderSettings(NamedTuple):
