--- a/catkinfork/balancing/_balancer.py
+++ b/catkinfork/balancing/_balancer.py
@@ -24,6 +24,7 @@
 from catkinfork.balancing._refusals import RefusalBuilder
 from catkinfork.balancing._resumption import OriginFinder
 from catkinfork.balancing._retries import is_retryable
+from catkinfork.balancing._speed_meter import SpeedMeter
 from catkinfork.balancing._streams import StreamTable
 from catkinfork.balancing._transfer_watch import TransferWatch
 from catkinfork.topology import Service
@@ -56,6 +57,7 @@
         self.origins = OriginFinder(registry, self.streams)
         self.hold_monitor = HoldMonitor(self)
         self.transfers = TransferWatch(self)
+        self.speed_meter = SpeedMeter(registry, self.changes, write_log)
         self.tokens_per_s = 0.0
         self.workspaces = ()
         self.stop_plan = None
@@ -109,6 +111,7 @@
             pool.retry_budget.settings = settings.retry_budget
             pool.pause_cost = settings.long_pause_cost
             pool.transfers.update(pool.service, settings)
+            pool.set_speed_window(settings.speed_window_s)
 
     def submit(self, job, now):
         """Place, queue or refuse a new request.
@@ -291,6 +294,7 @@
         job = placement.job
         backend = placement.backend
         state = pool.find(backend.name)
+        self.speed_meter.begin(pool, placement, state, now)
         state.load.add_attempt(job, placement.n_missing_tokens)
         rates.record_request(backend, state)
         if job.tried_backends:
@@ -316,6 +320,7 @@
                 pauses = pool.states[name].pauses
                 self.write_log(build_pause_event(pool.service.name, name, pauses))
         self.transfers.update_rate(pool, now)
+        self.speed_meter.update(pool, now)
         rates = SendRates(self.registry, pool, self.peers, self.rng, now)
         return CandidateList(self.registry, pool, rates, now)
 
@@ -333,6 +338,11 @@
                 self.hold_monitor.observe(pool, now)
         return decisions
 
+    def update_speeds(self, now):
+        """Put the speeds of the engines in force, also while no request arrives."""
+        for pool in self.pools.values():
+            self.speed_meter.update(pool, now)
+
     def has_waiting(self):
         """Return whether any job is queued."""
         return any(pool.queue.n_jobs for pool in self.pools.values())
@@ -376,6 +386,7 @@
         )
         placement.first_event_at = now
         self.transfers.record_first_event(placement, now)
+        self.speed_meter.record_first_event(pool, placement, now)
         pool.find(placement.backend.name).load.record_first_event(placement)
         self.changes.backends.add((placement.job.service, placement.backend.name))
 
--- a/catkinfork/balancing/_candidates.py
+++ b/catkinfork/balancing/_candidates.py
@@ -96,8 +96,8 @@
                 self.throttled.append(backend)
                 continue
             state = pool.find(backend.name)
-            state.follow_start(backend.entry.started_ms)
-            base_cost = pool.model.estimate_base_cost(backend, state.load)
+            state.follow_entry(backend.entry)
+            base_cost = pool.model.estimate_base_cost(backend, state.load, state.speed)
             is_limited = rates.start_period(backend, state)
             entry = CandidateEntry(backend, state, base_cost, is_limited)
             if not state.health.is_ejected(now):
@@ -149,17 +149,18 @@
         base_cost = entry.base_cost
         if self.weighs_pauses and entry.state.pauses.excess:
             base_cost += self.compute_pause_cost(job, entry)
+        weight = model.compute_missing_token_weight(entry.state.speed)
         plan = self.find_plan(job)
         if plan is None:
             n_missing_tokens = model.estimate_missing_tokens(job, entry.state.load)
-            cost = base_cost + model.missing_token_weight * n_missing_tokens
+            cost = base_cost + weight * n_missing_tokens
             return Offer(entry, n_missing_tokens, cost)
         n_missing_tokens = max(0, job.n_prompt_tokens - plan.n_cached[entry])
-        cost = base_cost + model.missing_token_weight * n_missing_tokens
+        cost = base_cost + weight * n_missing_tokens
         transfer = plan.find(entry, n_missing_tokens)
         if transfer is None:
             return Offer(entry, n_missing_tokens, cost)
-        saving = model.missing_token_weight - TRANSFER_TOKEN_WEIGHT
+        saving = weight - TRANSFER_TOKEN_WEIGHT
         cost -= saving * transfer.n_tokens
         n_pending_tokens = compute_pending_tokens(n_missing_tokens, transfer.n_tokens)
         return Offer(entry, n_pending_tokens, cost, transfer)
@@ -193,7 +194,12 @@
             return None
         entry = offer.entry
         room = self.pool.model.compute_room(
-            job, entry.backend, entry.state.load, offer.n_missing_tokens, rank
+            job,
+            entry.backend,
+            entry.state.load,
+            offer.n_missing_tokens,
+            rank,
+            entry.state.speed,
         )
         return Candidate(
             entry.backend, offer.n_missing_tokens, offer.cost, room, offer.transfer
@@ -202,12 +208,13 @@
     def add_cost(self, backend, cost):
         """Raise the base cost of a backend server during the pass.
 
-        :param cost: cost added by a job that was placed, or that waits for it.
+        :param cost: cost added by a job that was placed, or that waits for it, at
+            speed 1.
         """
         for entries in (self.healthy, self.ejected):
             for entry in entries:
                 if entry.backend is backend:
-                    entry.base_cost += cost
+                    entry.base_cost += cost / entry.state.speed
                     entries.sort(key=BASE_COST)
                     return
 
--- a/catkinfork/balancing/_events.py
+++ b/catkinfork/balancing/_events.py
@@ -146,6 +146,24 @@
     ("backend_server", "service", "is_pausing", "excess_rate", "n_events"),
 )
 
+BACKEND_SPEED_CHANGED = Event(
+    909,
+    "info",
+    "backend_speed_changed",
+    "an engine starts or stops counting as slower than the others of its service, by "
+    "the time to the first event per token of work of the attempts of all forwarders",
+    (
+        "backend_server",
+        "service",
+        "is_slow",
+        "speed",
+        "n_attempts",
+        "us_per_token",
+        "service_us_per_token",
+        "window_s",
+    ),
+)
+
 EVENTS = (
     BACKEND_LEFT_OUT,
     REQUEST_BLOCKED,
@@ -157,4 +175,5 @@
     TRANSFERS_STOPPED,
     TRANSFERS_SWITCHED,
     STREAMS_PAUSE,
+    BACKEND_SPEED_CHANGED,
 )
--- a/catkinfork/balancing/_settings.py
+++ b/catkinfork/balancing/_settings.py
@@ -27,6 +27,8 @@
         for longer than its route allows; 0 to place streams without regard to pauses.
     :param min_transfer_speedup: minimum ratio of the link of an engine to its service
         tokens per second at which it fetches cached prompt tokens; 0 for never.
+    :param speed_window_s: window over which the speeds of engines are estimated,
+        seconds; 0 if they are not.
     """
 
     data_centre: str
@@ -34,3 +36,4 @@
     retry_budget: RetryBudgetSettings = RetryBudgetSettings()
     long_pause_cost: float = 0.0
     min_transfer_speedup: float = 0.0
+    speed_window_s: float = 0.0
--- a/catkinfork/forwarder/_process.py
+++ b/catkinfork/forwarder/_process.py
@@ -235,6 +235,7 @@
         while True:
             now = self.loop.time()
             self.record_lag(planned_at, now)
+            self.balancer.update_speeds(now)
             self.server.sweep()
             if now >= next_flush_at:
                 next_flush_at = now + LOG_FLUSH_INTERVAL_S
@@ -247,10 +248,12 @@
                 self.log_dropped_lines()
             planned_at = self.loop.time() + SWEEP_INTERVAL_S
             self.sweep_due_at = planned_at
+            self.balancer.speed_meter.host_lag.due_at = planned_at
             await anyio.sleep(SWEEP_INTERVAL_S)
 
     def record_lag(self, planned_at, now):
         """Record by how much a sweep is late, and log a change of state."""
+        self.balancer.speed_meter.host_lag.record(now - planned_at, now)
         change = self.server.lag.record(planned_at, now, self.server.has_backlog())
         if change is None:
             return
@@ -342,4 +345,5 @@
         retry_budget,
         min_transfer_speedup=balancing.min_transfer_speedup,
         long_pause_cost=balancing.long_pause_cost,
+        speed_window_s=balancing.speed_window_s,
     )
--- a/catkinfork/settings/_constraints.py
+++ b/catkinfork/settings/_constraints.py
@@ -143,4 +143,5 @@
     ("balancing", "repeat_window_s"): SECONDS,
     ("balancing", "long_pause_cost"): Number(0.0, 1_000_000),
     ("balancing", "min_transfer_speedup"): Number(0.0, 1_000_000),
+    ("balancing", "speed_window_s"): Number(0.0, 60),
 }
--- a/catkinfork/settings/_types.py
+++ b/catkinfork/settings/_types.py
@@ -217,6 +217,8 @@
     :param min_transfer_speedup: minimum ratio of the rate of an engine's link to its
         share of the published token rate, both in tokens, at which engines fetch cached
         prompt parts from each other; 0 turns this off.
+    :param speed_window_s: window over which the speeds of model engines are estimated
+        from their responses; 0 if all count as equally fast.
     """
 
     share_window_s: float = 4.0
@@ -225,6 +227,7 @@
     repeat_window_s: float = 10.0
     long_pause_cost: float = 0.0
     min_transfer_speedup: float = 0.0
+    speed_window_s: float = 0.0
 
 
 class ForwarderSettings(NamedTuple):
