Serve jobs that can still be on time before late ones (on_time_first)

Cause: under contention each workspace's late jobs go before the on-time jobs of all others, and the order by latency target sends each job as it can no longer be on time.

Change: BaseQueueOrder with ShareOrder (as before) and OnTimeFirstOrder, selected by the setting on_time_first (absent: as before). A job has start_by_at, fixed when it is queued. A pass serves late jobs while they are owed a tenth of the service, then on-time groups of all workspaces (newest first while others of theirs are late) and the late ones of underserved workspaces, then the other late ones.

Estimates of waits and Retry-After do not follow the order yet.

--- a/catkinfork/balancing/_balancer.py
+++ b/catkinfork/balancing/_balancer.py
@@ -18,6 +18,7 @@
     Refusal,
 )
 from catkinfork.balancing._models import QueueRank
+from catkinfork.balancing._order import is_late_priority
 from catkinfork.balancing._pool import ServicePool
 from catkinfork.balancing._rates import SendRates
 from catkinfork.balancing._refusals import RefusalBuilder
@@ -217,8 +218,8 @@
         if not candidates.list_eligible(job):
             refusal = self.admission.check_without_candidate(job, candidates)
         else:
-            if not pool.queue.n_jobs:
-                priority = pool.queue.compute_priority(job.workspace, now)
+            if pool.queue.precedes_all(job, now):
+                priority = pool.queue.compute_job_priority(job, now)
                 placement = self.place(pool, job, candidates, priority, now)
                 if placement is not None:
                     return placement
@@ -233,7 +234,8 @@
 
         If that backend server is full, the job waits for it even if another one has
         room, since processing the uncached prompt there would cost more. Its tokens
-        then count there for the jobs behind it.
+        then count there for the jobs behind it. Late jobs behind it leave it the room
+        that becomes free there, which a long prompt would otherwise never get.
 
         :param candidates: :class:`CandidateList`.
         :param priority: queue priority of the job; lower values go first.
@@ -243,8 +245,12 @@
         best = candidates.choose(job, rank)
         if best is None:
             return None
+        name = best.backend.name
+        if is_late_priority(priority) and name in candidates.awaited:
+            return None
         if not self.may_take(pool, best, rank.n_peers_ahead, now):
             candidates.add_cost(best.backend, best.n_missing_tokens)
+            candidates.awaited.add(name)
             return None
         candidates.add_cost(
             best.backend, best.n_missing_tokens + pool.model.request_cost
--- a/catkinfork/balancing/_candidates.py
+++ b/catkinfork/balancing/_candidates.py
@@ -66,6 +66,8 @@
     :param rates: :class:`SendRates`.
     :param now: monotonic time, seconds.
     :param selection: :class:`BaseSelection` that chooses among the offers.
+
+    ``awaited`` has the names of those that were full for a job of the pass.
     """
 
     def __init__(self, registry, pool, rates, now, selection=LOWEST_COST):
@@ -76,6 +78,7 @@
         self.healthy = []
         self.ejected = []
         self.throttled = []
+        self.awaited = set()
         for backend in registry.list_ready(pool.service.name):
             if backend.is_throttled(now):
                 self.throttled.append(backend)
--- a/catkinfork/balancing/_dispatch.py
+++ b/catkinfork/balancing/_dispatch.py
@@ -4,6 +4,9 @@
 
 # Queued jobs of one service that a pass tries to place.
 MAX_JOBS_PER_PASS = 64
+# Late jobs that a pass tries at least, whatever number of on-time ones found no room.
+# Other backend servers may have room for them.
+MIN_LATE_JOBS_PER_PASS = 16
 # Jobs of one workspace without room in a row, after which a pass goes on to the next
 # workspace. Load pattern: hundreds of jobs of a flooding workspace wait while all
 # engines are full, and each search would find the same.
@@ -90,11 +93,11 @@
                 self.decide(job, refusal)
             return
         self.refuse_without_version(candidates)
-        n_left = MAX_JOBS_PER_PASS
-        for priority, workspace in self.pool.queue.list_priorities(self.now):
-            n_left -= self.place_workspace(workspace, priority, candidates, n_left)
-            if not n_left:
-                return
+        queue = self.pool.queue
+        turns = queue.order.list_turns(queue, self.now)
+        n_left = self.place_turns(turns, candidates, MAX_JOBS_PER_PASS)
+        turns = queue.order.list_late_turns(queue, self.now)
+        self.place_turns(turns, candidates, max(n_left, MIN_LATE_JOBS_PER_PASS))
 
     def refuse_without_version(self, candidates):
         """Refuse streams that no backend server of their version can resume any more.
@@ -125,42 +128,47 @@
             if not candidates.list_eligible(job):
                 self.decide(job, self.balancer.refusals.refuse_without_backend())
 
-    def place_workspace(self, workspace, priority, candidates, n_left):
-        """Place jobs of one workspace.
+    def place_turns(self, turns, candidates, n_left):
+        """Place jobs turn by turn.
 
+        :param turns: iterable of :class:`Turn`.
         :param candidates: :class:`CandidateList`.
         :param n_left: number of jobs to try at most.
-        :returns: number of jobs tried.
+        :returns: number of jobs that may still be tried.
         """
-        n_tried = 0
-        for version, jobs in self.pool.queue.list_groups(workspace, self.now):
-            if version in self.full_versions:
-                continue
-            tried = jobs[: n_left - n_tried]
-            n_tried += self.place_jobs(tried, priority, candidates, version)
-        return n_tried
+        for turn in turns:
+            n_left -= self.place_turn(turn, candidates, n_left)
+            if not n_left:
+                break
+        return n_left
 
-    def place_jobs(self, jobs, priority, candidates, version):
-        """Place some jobs of one workspace until several in a row find no room.
+    def place_turn(self, turn, candidates, n_left):
+        """Place jobs of one workspace until several in a row find no room.
 
-        :param version: version to which all of them are bound, or None.
+        :param turn: :class:`Turn`.
+        :param candidates: :class:`CandidateList`.
+        :param n_left: number of jobs to try at most.
         :returns: number of jobs tried.
         """
+        version = turn.version
+        if version in self.full_versions:
+            return 0
         # Room at other versions does not help a stream that goes on at one of several.
         is_any_room_of_use = version is None or candidates.versions == {version}
         n_tried = 0
         n_without_room = 0
-        for job in jobs:
+        for job in turn.jobs[:n_left]:
             n_tried += 1
             placement = self.balancer.place(
-                self.pool, job, candidates, priority, self.now
+                self.pool, job, candidates, turn.priority, self.now
             )
             if placement is not None:
                 n_without_room = 0
                 self.decide(job, placement)
+                self.pool.queue.order.record_placement(turn, job)
                 continue
-            if self.pool.priority is None and is_any_room_of_use:
-                self.pool.priority = priority
+            if is_any_room_of_use:
+                self.report_priority(turn.priority)
             n_without_room += 1
             if version is not None:
                 self.record_no_room(version)
@@ -168,6 +176,11 @@
                 break
         return n_tried
 
+    def report_priority(self, priority):
+        """Set the priority that peers learn of, the highest of jobs without room."""
+        if self.pool.priority is None or priority < self.pool.priority:
+            self.pool.priority = priority
+
     def record_no_room(self, version):
         """Record that a stream found no room, and skip its version after several.
 
--- a/catkinfork/balancing/_jobs.py
+++ b/catkinfork/balancing/_jobs.py
@@ -31,6 +31,7 @@
     disconnects unless it receives an event before.
     ``version`` is that of the backend servers at which it has to run, or None. What two
     versions write does not fit together, so a stream goes on where it began.
+    ``start_by_at`` is the monotonic time from which on it counts as late in the queue.
     ``probe_draw`` is a random number from 0 to 1, and ``probed_at`` the monotonic time
     at which it was placed with a refused part, or None.
     """
@@ -53,6 +54,7 @@
         "request_id",
         "route",
         "service",
+        "start_by_at",
         "tried_backends",
         "version",
         "workspace",
@@ -66,6 +68,7 @@
         self.arrived_at = arrived_at
         self.deadline_at = deadline_at
         self.latency_target_at = arrived_at + route.latency_target_s
+        self.start_by_at = self.latency_target_at
         self.next_event_deadline_at = arrived_at + route.caller_idle_timeout_s
         self.n_prompt_tokens = 0
         self.n_output_tokens = 0
@@ -104,6 +107,11 @@
         return [part.name for part in self.parts[:-1]]
 
 
+def count_queue_tokens(job):
+    """Return the service tokens for which a job counts in the queue."""
+    return max(1, job.n_service_tokens)
+
+
 class Placement:
     """One attempt of a job at a backend server.
 
--- a/catkinfork/balancing/_pool.py
+++ b/catkinfork/balancing/_pool.py
@@ -8,6 +8,7 @@
 from catkinfork.balancing._health import BackendHealth, ServiceHealth
 from catkinfork.balancing._loads import BackendLoad
 from catkinfork.balancing._models import build_load_model
+from catkinfork.balancing._order import build_queue_order
 from catkinfork.balancing._prefixes import PrefixCache
 from catkinfork.balancing._queue import WaitingQueue
 from catkinfork.balancing._retries import RetryBudget
@@ -64,13 +65,13 @@
         self.states = {}
         self.generation = 0
         self.shares = FairShares(settings.share_window_s)
-        self.queue = WaitingQueue(self.shares)
         self.retry_budget = RetryBudget(settings.retry_budget)
         self.demand = DemandShare()
         self.health = ServiceHealth()
         self.placed_tokens = DecayingSum(PLACEMENT_RATE_WINDOW_S)
         self.first_event_durations = RouteDurations()
         self.durations = RouteDurations()
+        self.queue = WaitingQueue(self.shares, build_queue_order(settings, self))
         self.priority = None
         self.peer_priorities = {}
         self.next_expiry_check_at = -inf
--- a/catkinfork/balancing/_queue.py
+++ b/catkinfork/balancing/_queue.py
@@ -4,7 +4,10 @@
 from math import inf
 from operator import attrgetter
 
-LATENCY_TARGET = attrgetter("latency_target_at")
+from catkinfork.balancing._jobs import count_queue_tokens
+from catkinfork.balancing._order import ShareOrder
+
+START_BY = attrgetter("start_by_at")
 
 
 class BoundJobs:
@@ -37,7 +40,7 @@
 
 
 class WorkspaceQueue:
-    """Queued jobs of one workspace: streams that go on first, then by latency target.
+    """Queued jobs of one workspace: streams that go on first, then by ``start_by_at``.
 
     Load pattern: under a flood, some hundred jobs wait and each request asks for the
     tokens ahead of it. These are therefore kept as sums.
@@ -66,8 +69,8 @@
         if job.version is not None:
             self.bound.setdefault(job.version, BoundJobs()).add(job)
             return
-        insort(self.jobs, job, key=LATENCY_TARGET)
-        if job.latency_target_at <= self.late_until:
+        insort(self.jobs, job, key=START_BY)
+        if job.start_by_at <= self.late_until:
             self.n_late += 1
         else:
             self.n_on_time_tokens += count_queue_tokens(job)
@@ -79,13 +82,13 @@
         """
         if job.version is not None:
             return self.remove_bound(job)
-        target_at = job.latency_target_at
-        index = bisect_left(self.jobs, target_at, key=LATENCY_TARGET)
+        start_by_at = job.start_by_at
+        index = bisect_left(self.jobs, start_by_at, key=START_BY)
         try:
             del self.jobs[self.jobs.index(job, index)]
         except ValueError:
             return False
-        if target_at <= self.late_until:
+        if start_by_at <= self.late_until:
             self.n_late -= 1
         else:
             self.n_on_time_tokens -= count_queue_tokens(job)
@@ -104,11 +107,11 @@
         return True
 
     def advance(self, now):
-        """Move the jobs whose latency target has passed to the late ones."""
+        """Move the jobs that can no longer be on time to the late ones."""
         self.late_until = now
         while self.n_late < len(self.jobs):
             job = self.jobs[self.n_late]
-            if now < job.latency_target_at:
+            if now < job.start_by_at:
                 return
             self.n_late += 1
             self.n_on_time_tokens -= count_queue_tokens(job)
@@ -124,17 +127,23 @@
         self.advance(now)
         return self.n_on_time_tokens
 
-    def list_groups(self, now):
-        """Return the streams that broke off by version, then the other jobs.
+    def list_on_time(self):
+        """Return the jobs that are not late, by ``start_by_at``."""
+        return self.jobs[self.n_late :]
+
+    def list_late(self):
+        """Return the late jobs, by ``start_by_at``."""
+        return self.jobs[: self.n_late]
 
-        Of the other jobs, those that are late come last.
+    def list_split_groups(self, order, now):
+        """Return the streams that broke off by version, the on-time jobs, and the late.
 
+        :param order: :class:`BaseQueueOrder` of the on-time jobs.
         :returns: pairs of version, or None, and list of jobs.
         """
         self.advance(now)
         groups = [(version, list(one.jobs)) for version, one in self.bound.items()]
-        others = self.jobs[self.n_late :] + self.jobs[: self.n_late]
-        return [*groups, (None, others)]
+        return [*groups, (None, order.list_on_time(self)), (None, self.list_late())]
 
 
 class WaitingQueue:
@@ -144,23 +153,26 @@
     first; this service in tokens, as far as it counts, is the priority value of its
     jobs. Within a workspace, streams that broke off go first, since what their callers
     received would be lost, then jobs before their latency target, ordered by target,
-    and late ones. Lateness does not count between workspaces: one whose jobs are all
-    late would starve behind those that always have new jobs.
+    and late ones. By default, lateness does not count between workspaces: one whose
+    jobs are all late would starve behind those that always have new jobs.
 
     :param shares: :class:`FairShares`.
+    :param order: :class:`BaseQueueOrder`, None for the default.
 
     ``n_bound`` is the number of jobs that have to run at a certain version.
     """
 
-    def __init__(self, shares):
+    def __init__(self, shares, order=None):
         self.n_bound = 0
         self.shares = shares
+        self.order = order or ShareOrder(shares)
         self.by_workspace = {}
         self.n_jobs = 0
         self.n_tokens = 0
 
     def add(self, job):
         """Add a job to the queue."""
+        job.start_by_at = self.order.compute_start_by(job)
         queue = self.by_workspace.get(job.workspace)
         if queue is None:
             queue = self.by_workspace[job.workspace] = WorkspaceQueue()
@@ -203,7 +215,31 @@
 
         :returns: pairs of version, or None, and list of jobs.
         """
-        return self.by_workspace[workspace].list_groups(now)
+        *groups, (_, on_time), (_, late) = self.list_split_groups(workspace, now)
+        return [*groups, (None, on_time + late)]
+
+    def list_split_groups(self, workspace, now):
+        """Return :meth:`list_groups` with the late jobs as a group of their own."""
+        return self.by_workspace[workspace].list_split_groups(self.order, now)
+
+    def list_late(self, workspace, now):
+        """Return the late jobs of a workspace, which may have none."""
+        queue = self.by_workspace.get(workspace)
+        if queue is None:
+            return []
+        queue.advance(now)
+        return queue.list_late()
+
+    def has_on_time(self, workspace, now):
+        """Return whether a workspace has jobs that are not late."""
+        queue = self.by_workspace[workspace]
+        queue.advance(now)
+        return queue.n_late < len(queue.jobs)
+
+    def precedes_all(self, job, now):
+        """Return whether a new job goes before all queued ones."""
+        job.start_by_at = self.order.compute_start_by(job)
+        return self.order.precedes_all(self, job, now)
 
     def list_priorities(self, now):
         """Return pairs of priority and workspace, the next one first."""
@@ -216,7 +252,6 @@
         """Return the priority of a workspace's jobs; lower values go first."""
         return self.shares.read_counted(workspace, now)
 
-
-def count_queue_tokens(job):
-    """Return the service tokens for which a job counts in the queue."""
-    return max(1, job.n_service_tokens)
+    def compute_job_priority(self, job, now):
+        """Return the priority of a job; lower values go first."""
+        return self.order.compute_job_priority(job, now)
--- a/catkinfork/balancing/_settings.py
+++ b/catkinfork/balancing/_settings.py
@@ -23,8 +23,10 @@
     :param share_window_s: window over which the service of workspaces is compared,
         seconds.
     :param retry_budget: :class:`RetryBudgetSettings`.
+    :param on_time_first: whether jobs that can still be on time go before late ones.
     """
 
     data_centre: str
     share_window_s: float = 4.0
     retry_budget: RetryBudgetSettings = RetryBudgetSettings()
+    on_time_first: bool = False
--- a/catkinfork/balancing/_shares.py
+++ b/catkinfork/balancing/_shares.py
@@ -125,6 +125,11 @@
         """Return the service that counts in the order of the queues, in tokens."""
         return self.find(workspace).counted.read(now)
 
+    def compute_service_rate(self, now):
+        """Return the recent service over all workspaces, tokens per second."""
+        n_tokens = sum(use.received.read(now) for use in self.uses.values())
+        return n_tokens / self.time_constant_s
+
     def is_underserved(self, workspace, now):
         """Return whether a workspace receives far less than others.
 
--- a/catkinfork/balancing/_waits.py
+++ b/catkinfork/balancing/_waits.py
@@ -3,7 +3,7 @@
 from math import inf
 from typing import NamedTuple
 
-from catkinfork.balancing._queue import count_queue_tokens
+from catkinfork.balancing._jobs import count_queue_tokens
 
 
 class WaitEstimate(NamedTuple):
--- a/catkinfork/settings/_types.py
+++ b/catkinfork/settings/_types.py
@@ -209,12 +209,15 @@
     :param n_repeat_slack: retries allowed within the window beyond ``repeat_ratio``;
         may be a fraction, as a deployment may be scaled down from a larger one.
     :param repeat_window_s: length of the window over which retries are counted.
+    :param on_time_first: whether queued requests that can still be on time go before
+        late ones of all workspaces: 0 for no, 1 for yes.
     """
 
     share_window_s: float = 4.0
     repeat_ratio: float = 0.1
     n_repeat_slack: float = 10.0
     repeat_window_s: float = 10.0
+    on_time_first: int = 0
 
 
 class ForwarderSettings(NamedTuple):
