Keep the priority of late jobs only where a workspace lacks several requests

Cause: with many workspaces of a few requests a second each, nearly every one is underserved while one of its requests waits, so that late jobs went first again.

--- a/catkinfork/balancing/_order.py
+++ b/catkinfork/balancing/_order.py
@@ -150,7 +150,7 @@
 
     def compute_job_priority(self, job, now):
         priority = self.shares.read_counted(job.workspace, now)
-        if is_on_time(job, now) or self.shares.is_underserved(job.workspace, now):
+        if is_on_time(job, now) or self.shares.lacks_service(job.workspace, now):
             return priority
         return LATE_PRIORITY + priority
 
@@ -167,7 +167,7 @@
             return False
         return not any(
             queue.has_on_time(workspace, now)
-            or self.shares.is_underserved(workspace, now)
+            or self.shares.lacks_service(workspace, now)
             for workspace in queue.by_workspace
         )
 
@@ -180,13 +180,13 @@
             *others, (_, jobs) = queue.list_split_groups(workspace, now)
             for version, group in others:
                 yield Turn(priority, version, group)
-            if jobs and self.shares.is_underserved(workspace, now):
+            if jobs and self.shares.lacks_service(workspace, now):
                 yield Turn(priority, None, jobs, is_late=True)
 
     def list_late_turns(self, queue, now):
         for priority, workspace in queue.list_priorities(now):
             jobs = queue.list_late(workspace, now)
-            if jobs and not self.shares.is_underserved(workspace, now):
+            if jobs and not self.shares.lacks_service(workspace, now):
                 yield Turn(LATE_PRIORITY + priority, None, jobs, is_late=True)
 
     def list_owed_turns(self, queue, priorities, now):
--- a/catkinfork/balancing/_shares.py
+++ b/catkinfork/balancing/_shares.py
@@ -139,6 +139,16 @@
         use = self.find(workspace)
         return self.compute_shortfall(use, MIN_SERVICE_SHARE, now) > 0
 
+    def lacks_service(self, workspace, now):
+        """Return whether a workspace is underserved by more than a few requests.
+
+        Load pattern: many workspaces of a few requests a second each. Nearly every one
+        of them is underserved while one of its requests waits for a moment.
+        """
+        use = self.find(workspace)
+        n_tokens = self.compute_shortfall(use, MIN_SERVICE_SHARE, now)
+        return n_tokens > MIN_SHORTFALL_TOKENS
+
     def compute_shortfall(self, use, share, now):
         """Return the service tokens that a workspace lacks, negative for none.
 
--- a/catkinfork/balancing/tests/burst_load.py
+++ b/catkinfork/balancing/tests/burst_load.py
@@ -74,7 +74,18 @@
     ``first_s`` is the time from its arrival to its first event, seconds, or None.
     """
 
-    __slots__ = ("arrived_at", "first_s", "kind", "n_own", "refusal", "workspace")
+    __slots__ = (
+        "arrived_at",
+        "first_s",
+        "kind",
+        "n_own",
+        "placed_late",
+        "refusal",
+        "wait",
+        "miss",
+        "prio",
+        "workspace",
+    )
 
     def __init__(self, kind, workspace, n_own, arrived_at):
         self.kind = kind
@@ -88,7 +99,8 @@
     def is_on_time(self):
         """Return whether its first event met the latency target."""
         return (
-            self.first_s is not None and self.first_s <= self.kind.route.latency_target_s
+            self.first_s is not None
+            and self.first_s <= self.kind.route.latency_target_s
         )
 
 
--- a/catkinfork/balancing/tests/support.py
+++ b/catkinfork/balancing/tests/support.py
@@ -56,12 +56,17 @@
     tokens_per_s=100_000.0,
     retry_budget=None,
     max_connections=1000,
+    on_time_first=False,
+    workspaces="abcdefgh",
 ):
     """Return a balancer for the service ``s`` with backend servers ``b0``, ``b1``..."""
     events = []
     registry = BackendRegistry(events.append)
     settings = BalancerSettings(
-        "gasabo", 4.0, retry_budget or RetryBudgetSettings(0.2, 10, 10.0)
+        "gasabo",
+        4.0,
+        retry_budget or RetryBudgetSettings(0.2, 10, 10.0),
+        on_time_first,
     )
     balancer = Balancer(
         registry, peers or Peers(), settings, random.Random(1), events.append
@@ -70,7 +75,7 @@
     service = Service(
         "s", max_connections=max_connections, cold_rate=cold_rate, engine=limits
     )
-    workspaces = tuple(Workspace(name, ()) for name in "abcdefgh")
+    workspaces = tuple(Workspace(name, ()) for name in workspaces)
     balancer.apply_configuration(
         Configuration(
             1, (), {"s": service}, CallerLimits(tokens_per_s=tokens_per_s), workspaces
--- a/catkinfork/peering/tests/nodes.py
+++ b/catkinfork/peering/tests/nodes.py
@@ -5,13 +5,16 @@
 
 
 class Node:
-    """A forwarder without network I/O."""
+    """A forwarder without network I/O.
 
-    def __init__(self, address, seeds, incarnation=1):
+    :param options: options of :func:`build_balancer`.
+    """
+
+    def __init__(self, address, seeds, incarnation=1, **options):
         self.address = address
         self.events = []
         self.directory = PeerDirectory(address, seeds, 0.0)
-        self.balancer = build_balancer(n_backends=2, peers=self.directory)
+        self.balancer = build_balancer(n_backends=2, peers=self.directory, **options)
         for name in ("b0", "b1"):
             self.balancer.pools["s"].find(name)
         self.exchange = PeerExchange(
@@ -34,10 +37,13 @@
                 nodes[address].exchange.handle_frame(decode_frame(data), now)
 
 
-def build_nodes(n_nodes=3):
-    """Return nodes that have the first one as their seed."""
+def build_nodes(n_nodes=3, **options):
+    """Return nodes that have the first one as their seed.
+
+    :param options: options of :func:`build_balancer`.
+    """
     names = [f"10.0.0.{number}" for number in range(1, n_nodes + 1)]
-    return {name: Node(name, names[:1]) for name in names}
+    return {name: Node(name, names[:1], **options) for name in names}
 
 
 def run(nodes, start, end, step=0.01, **options):
