--- a/catkinfork/balancing/_settings.py
+++ b/catkinfork/balancing/_settings.py
@@ -29,6 +29,7 @@
         tokens per second at which it fetches cached prompt tokens; 0 for never.
     :param speed_window_s: window over which the speeds of engines are estimated,
         seconds; 0 if they are not.
+    :param on_time_first: whether jobs that can still be on time go before late ones.
     """
 
     data_centre: str
@@ -37,3 +38,4 @@
     long_pause_cost: float = 0.0
     min_transfer_speedup: float = 0.0
     speed_window_s: float = 0.0
+    on_time_first: bool = False
--- a/catkinfork/forwarder/_process.py
+++ b/catkinfork/forwarder/_process.py
@@ -346,4 +346,5 @@
         min_transfer_speedup=balancing.min_transfer_speedup,
         long_pause_cost=balancing.long_pause_cost,
         speed_window_s=balancing.speed_window_s,
+        on_time_first=bool(balancing.on_time_first),
     )
--- a/catkinfork/settings/_types.py
+++ b/catkinfork/settings/_types.py
@@ -219,6 +219,8 @@
         prompt parts from each other; 0 turns this off.
     :param speed_window_s: window over which the speeds of model engines are estimated
         from their responses; 0 if all count as equally fast.
+    :param on_time_first: whether queued requests that can still be on time go before
+        late ones of all workspaces: 0 for no, 1 for yes.
     """
 
     share_window_s: float = 4.0
@@ -228,6 +230,7 @@
     long_pause_cost: float = 0.0
     min_transfer_speedup: float = 0.0
     speed_window_s: float = 0.0
+    on_time_first: int = 0
 
 
 class ForwarderSettings(NamedTuple):
