Price offers with transfers from one estimate for equal engines

Cause: a decision with transfers took 98 us at 26 engines, one without 43 us.

Change: engines of one data centre that lack the same tokens share an estimate, and the plan is built once in choose.

Tests of transfers and placement pass.

--- a/catkinfork/balancing/_candidates.py
+++ b/catkinfork/balancing/_candidates.py
@@ -4,11 +4,7 @@
 from typing import NamedTuple
 
 from catkinfork.balancing._selection import LOWEST_COST
-from catkinfork.balancing._transfers import (
-    TRANSFER_TOKEN_WEIGHT,
-    Transfer,
-    compute_pending_tokens,
-)
+from catkinfork.balancing._transfers import Transfer
 from catkinfork.topology import Backend
 
 BASE_COST = attrgetter("base_cost")
@@ -76,6 +72,8 @@
     :param rates: :class:`SendRates`.
     :param now: monotonic time, seconds.
     :param selection: :class:`BaseSelection` that chooses among the offers.
+
+    ``plan`` is the :class:`TransferPlan` of the job that is being placed, or None.
     """
 
     def __init__(self, registry, pool, rates, now, selection=LOWEST_COST):
@@ -84,7 +82,6 @@
         self.rates = rates
         self.now = now
         self.shared_addresses = registry.shared_addresses
-        self.planned_job = None
         self.plan = None
         self.healthy = []
         self.ejected = []
@@ -143,37 +140,22 @@
 
         :param entry: :class:`CandidateEntry`.
         """
+        plan = self.plan
+        if plan is not None and plan.job is job:
+            n_tokens, cost, transfer = plan.estimate(entry)
+            return Offer(entry, n_tokens, entry.base_cost + cost, transfer)
         model = self.pool.model
-        plan = self.find_plan(job)
-        if plan is None:
-            n_missing_tokens = model.estimate_missing_tokens(job, entry.state.load)
-            cost = entry.base_cost + model.missing_token_weight * n_missing_tokens
-            return Offer(entry, n_missing_tokens, cost)
-        n_missing_tokens = max(0, job.n_prompt_tokens - plan.n_cached[entry])
+        n_missing_tokens = model.estimate_missing_tokens(job, entry.state.load)
         cost = entry.base_cost + model.missing_token_weight * n_missing_tokens
-        transfer = plan.find(entry, n_missing_tokens)
-        if transfer is None:
-            return Offer(entry, n_missing_tokens, cost)
-        saving = model.missing_token_weight - TRANSFER_TOKEN_WEIGHT
-        cost -= saving * transfer.n_tokens
-        n_pending_tokens = compute_pending_tokens(n_missing_tokens, transfer.n_tokens)
-        return Offer(entry, n_pending_tokens, cost, transfer)
-
-    def find_plan(self, job):
-        """Return the :class:`TransferPlan` of a job, or None.
-
-        It is built once for all the offers for a job.
-        """
-        if self.planned_job is not job:
-            self.planned_job = job
-            self.plan = self.pool.transfers.build_plan(job, self)
-        return self.plan
+        return Offer(entry, n_missing_tokens, cost)
 
     def choose(self, job, rank):
         """Return the :class:`Candidate` that the selection prefers, or None.
 
         :param rank: :class:`QueueRank` of the job.
         """
+        transfers = self.pool.transfers
+        self.plan = transfers.build_plan(job, self) if transfers.is_enabled else None
         offer = self.selection.select(self, job)
         if offer is None:
             return None
--- a/catkinfork/balancing/_transfers.py
+++ b/catkinfork/balancing/_transfers.py
@@ -48,6 +48,20 @@
     n_tokens: int
 
 
+class PromptEstimate(NamedTuple):
+    """What the prompt of a job takes at an engine.
+
+    :param n_tokens: uncached tokens to process. Those that are fetched count in
+        proportion to their cost, as they delay the engine less.
+    :param cost: cost of all tokens that are not cached there, in prompt tokens.
+    :param transfer: :class:`Transfer`, or None.
+    """
+
+    n_tokens: int
+    cost: float
+    transfer: Transfer | None
+
+
 class TransferBackoff:
     """Time without transfers after failures, with exponential backoff.
 
@@ -265,44 +279,87 @@
     most of these tokens. What two versions cache does not fit together.
     """
 
-    __slots__ = ("candidates", "chosen", "holders", "n_cached", "n_most")
+    __slots__ = (
+        "candidates",
+        "chosen",
+        "estimates",
+        "holders",
+        "job",
+        "n_cached",
+        "n_most",
+    )
 
     def __init__(self, job, candidates):
+        self.job = job
         self.candidates = candidates
         self.n_cached = {}
         self.n_most = {}
         self.holders = {}
         self.chosen = {}
-        now = candidates.now
+        self.estimates = {}
+        parts = job.parts
+        first_part = parts[0].name
         for entry in candidates.healthy:
-            state = entry.state
-            n_cached = state.load.prefixes.count_cached_tokens(job.parts)
+            prefixes = entry.state.load.prefixes
+            n_cached = 0
+            if first_part in prefixes.parts:
+                n_cached = prefixes.count_cached_tokens(parts)
             self.n_cached[entry] = n_cached
-            if n_cached < MIN_TRANSFER_TOKENS or not state.source.is_available(now):
-                continue
-            backend = entry.backend.entry
-            if backend.address in candidates.shared_addresses:
-                continue
-            if not has_ip_address(backend.address):
-                continue
-            n_tokens = state.source.count_tokens(job.parts, state.load.prefixes)
-            version = backend.version
-            self.holders.setdefault(version, []).append((n_tokens, entry))
-            if n_tokens > self.n_most.get(version, 0):
-                self.n_most[version] = n_tokens
-
-    def find(self, entry, n_missing_tokens):
-        """Return the :class:`Transfer` of the job if an entry ran it, or None.
+            if n_cached >= MIN_TRANSFER_TOKENS:
+                self.add_holder(entry, parts)
+
+    def add_holder(self, entry, parts):
+        """Add an entry that has cached tokens, if it may be a source."""
+        state = entry.state
+        if not state.source.is_available(self.candidates.now):
+            return
+        n_tokens = state.source.count_tokens(parts, state.load.prefixes)
+        if n_tokens < MIN_TRANSFER_TOKENS:
+            return
+        backend = entry.backend.entry
+        if backend.address in self.candidates.shared_addresses:
+            return
+        if not has_ip_address(backend.address):
+            return
+        version = backend.version
+        self.holders.setdefault(version, []).append((n_tokens, entry))
+        if n_tokens > self.n_most.get(version, 0):
+            self.n_most[version] = n_tokens
+
+    def estimate(self, entry):
+        """Return the :class:`PromptEstimate` of the job at an entry.
+
+        Entries of one data centre that lack the same tokens have the same one.
 
         :param entry: :class:`CandidateEntry`.
-        :param n_missing_tokens: prompt tokens that are not cached there.
         """
-        n_cached = self.n_cached[entry]
-        version = entry.backend.entry.version
+        backend = entry.backend
+        key = (backend.entry.version, backend.data_centre, self.n_cached[entry])
+        estimate = self.estimates.get(key)
+        if estimate is None:
+            estimate = self.estimates[key] = self.build_estimate(*key)
+        return estimate
+
+    def build_estimate(self, version, data_centre, n_cached):
+        """Return the estimate at an engine that has some tokens cached."""
+        n_missing = max(0, self.job.n_prompt_tokens - n_cached)
+        transfer = self.find_transfer(version, data_centre, n_cached)
+        if transfer is None:
+            return PromptEstimate(n_missing, MISSING_TOKEN_WEIGHT * n_missing, None)
+        n_left = n_missing - transfer.n_tokens
+        transfer_cost = TRANSFER_TOKEN_WEIGHT * transfer.n_tokens
+        return PromptEstimate(
+            n_left + ceil(transfer_cost / MISSING_TOKEN_WEIGHT),
+            MISSING_TOKEN_WEIGHT * n_left + transfer_cost,
+            transfer,
+        )
+
+    def find_transfer(self, version, data_centre, n_cached):
+        """Return the transfer to an engine that has some tokens cached, or None."""
         if self.n_most.get(version, 0) - n_cached < MIN_TRANSFER_TOKENS:
             return None
-        n_held_tokens, source = self.choose_source(version, entry.backend.data_centre)
-        n_tokens = min(n_held_tokens - n_cached, n_missing_tokens)
+        n_held, source = self.choose_source(version, data_centre)
+        n_tokens = min(n_held, self.job.n_prompt_tokens) - n_cached
         if n_tokens < MIN_TRANSFER_TOKENS:
             return None
         return Transfer(source.backend, source.state.source, n_tokens)
@@ -330,17 +387,6 @@
         return source
 
 
-def compute_pending_tokens(n_missing_tokens, n_transfer_tokens):
-    """Return the tokens by which a job with a transfer delays an engine.
-
-    Tokens that are fetched count in proportion to their cost.
-    """
-    n_equivalent = ceil(
-        TRANSFER_TOKEN_WEIGHT / MISSING_TOKEN_WEIGHT * n_transfer_tokens
-    )
-    return n_missing_tokens - n_transfer_tokens + n_equivalent
-
-
 @lru_cache(MAX_KNOWN_ADDRESSES)
 def has_ip_address(address):
     """Return whether an address is an IP address and a port, as engines expect it."""
