Tests of transfers that are not sent, late twice, or switch often

Cause: of 41 faults planted in a scratch copy, three were seen by no test: a late transfer that counts again at its end, one that was never sent, and a log line for each switch.

Change: tests for these; the test of the log now has a speedup that does cross the minimum.

--- a/catkinfork/balancing/_transfers.py
+++ b/catkinfork/balancing/_transfers.py
@@ -238,8 +238,8 @@
 
         It is that of a prefill without any transfer, at the rate at which the engines
         serve tokens under full load. This holds for any deployment, while a latency
-        target says nothing of the engines. A cold engine has until it is warm, as its rate is
-        not known.
+        target says nothing of the engines. A cold engine has until it is warm, as its
+        rate is not known.
 
         :param n_tokens: prompt tokens of the request and pending ones ahead of it.
         :param cold_s: time for which the engine is still cold, if above 0, seconds.
--- a/catkinfork/balancing/tests/test_transfer_failures.py
+++ b/catkinfork/balancing/tests/test_transfer_failures.py
@@ -165,6 +165,15 @@
     assert place(balancer, 0.1, own=2).transfer.source.name == "e0"
 
 
+@pytest.mark.parametrize("outcome", [BROKEN, SILENT])
+def test_request_that_was_not_sent_does_not_exclude(balancer, outcome):
+    """Guards against a sound source that is excluded for a slow connection."""
+    placement = place(balancer)
+    assert placement.transfer is not None
+    balancer.handle_attempt_end(placement, outcome, 0.1)
+    assert list_events(balancer, EXCLUDED) == []
+
+
 def test_request_that_expires_early_does_not_exclude(balancer):
     """Guards against the exclusion of sound sources in overload.
 
@@ -209,6 +218,9 @@
     for placement in placements:
         balancer.handle_attempt_end(placement, SILENT, 2.0)
     assert len(list_events(balancer, EXCLUDED)) == 1
+    transfers = balancer.pools["s"].transfers
+    assert (transfers.n_transfers, transfers.n_late_transfers) == (4, 4)
+    assert transfers.failure_rate == pytest.approx(1 - 0.9**4)
     assert find_source(balancer, 0).n_running == 0
     assert find_source(balancer, 0).n_late == 0
 
--- a/catkinfork/balancing/tests/test_transfers.py
+++ b/catkinfork/balancing/tests/test_transfers.py
@@ -342,10 +342,11 @@
     balancer = build_fleet(1)
     pool = balancer.pools["s"]
     for number in range(100):
-        rate = 100_000.0 if number % 2 else 99_000.0
+        rate = 100_000.0 if number % 2 else 101_000.0
         configure(balancer, tokens_per_s=rate, version=3 + number)
         balancer.list_candidates(pool, 0.1 * number)
-    assert len(list_events(balancer, "transfers_switched")) <= 2
+    n_lines = len(list_events(balancer, "transfers_switched"))
+    assert 1 <= n_lines <= 2
 
 
 def test_changed_settings_end_transfers():
