--- a/catkinfork/balancing/_candidates.py
+++ b/catkinfork/balancing/_candidates.py
@@ -5,11 +5,7 @@
 
 from catkinfork.balancing._pauses import compute_late_chance
 from catkinfork.balancing._selection import LOWEST_COST
-from catkinfork.balancing._transfers import (
-    TRANSFER_TOKEN_WEIGHT,
-    Transfer,
-    compute_pending_tokens,
-)
+from catkinfork.balancing._transfers import Transfer
 from catkinfork.topology import Backend
 
 BASE_COST = attrgetter("base_cost")
@@ -79,6 +75,7 @@
     :param selection: :class:`BaseSelection` that chooses among the offers.
 
     ``awaited`` has the names of those that were full for a job of the pass.
+    ``plan`` is the :class:`TransferPlan` of the job that is being placed, or None.
     """
 
     def __init__(self, registry, pool, rates, now, selection=LOWEST_COST):
@@ -88,7 +85,6 @@
         self.now = now
         self.weighs_pauses = pool.weighs_pauses
         self.shared_addresses = registry.shared_addresses
-        self.planned_job = None
         self.plan = None
         self.healthy = []
         self.ejected = []
@@ -153,30 +149,14 @@
         if self.weighs_pauses and entry.state.pauses.excess:
             base_cost += self.compute_pause_cost(job, entry)
         weight = model.compute_missing_token_weight(entry.state.speed)
-        plan = self.find_plan(job)
-        if plan is None:
-            n_missing_tokens = model.estimate_missing_tokens(job, entry.state.load)
-            cost = base_cost + weight * n_missing_tokens
-            return Offer(entry, n_missing_tokens, cost)
-        n_missing_tokens = max(0, job.n_prompt_tokens - plan.n_cached[entry])
+        plan = self.plan
+        if plan is not None and plan.job is job:
+            n_tokens, cost, transfer = plan.estimate(entry)
+            cost += (weight - model.missing_token_weight) * n_tokens
+            return Offer(entry, n_tokens, base_cost + cost, transfer)
+        n_missing_tokens = model.estimate_missing_tokens(job, entry.state.load)
         cost = base_cost + weight * n_missing_tokens
-        transfer = plan.find(entry, n_missing_tokens)
-        if transfer is None:
-            return Offer(entry, n_missing_tokens, cost)
-        saving = weight - TRANSFER_TOKEN_WEIGHT
-        cost -= saving * transfer.n_tokens
-        n_pending_tokens = compute_pending_tokens(n_missing_tokens, transfer.n_tokens)
-        return Offer(entry, n_pending_tokens, cost, transfer)
-
-    def find_plan(self, job):
-        """Return the :class:`TransferPlan` of a job, or None.
-
-        It is built once for all the offers for a job.
-        """
-        if self.planned_job is not job:
-            self.planned_job = job
-            self.plan = self.pool.transfers.build_plan(job, self)
-        return self.plan
+        return Offer(entry, n_missing_tokens, cost)
 
     def compute_pause_cost(self, job, entry):
         """Return the cost of the pauses that a stream has to expect.
@@ -192,6 +172,8 @@
 
         :param rank: :class:`QueueRank` of the job.
         """
+        transfers = self.pool.transfers
+        self.plan = transfers.build_plan(job, self) if transfers.is_enabled else None
         offer = self.selection.select(self, job)
         if offer is None:
             return None
