Estimate waits and returns in the order of the queue; event 906 and gauges

Cause: with on_time_first, late jobs wait behind on-time ones that keep arriving, which the estimates did not know; Retry-After followed the wait of each request, so that the callers of a burst would come back as one.

Change: late jobs are estimated at the rate of late service (the recent one, or their fixed part); Retry-After is drawn from the time at which a request like it can meet its deadline to the time that the queued and the refused requests need. Event 906 and gauges waiting_late, placed_on_time, placed_late. A reload of the settings changes the order.

--- a/catkinfork/balancing/_admission.py
+++ b/catkinfork/balancing/_admission.py
@@ -1,7 +1,6 @@
 """Which jobs are refused on arrival."""
 
 from catkinfork.balancing._dispatch import EXPIRY_SHARE
-from catkinfork.balancing._waits import estimate_wait
 
 # Queue limit of one service at one forwarder, in jobs.
 MAX_WAITING = 2000
@@ -51,10 +50,11 @@
         """
         queue = pool.queue
         if queue.n_jobs >= MAX_WAITING:
-            return self.refusals.refuse_full_queue(queue.n_jobs)
-        wait = estimate_wait(pool, job.workspace, now)
-        wait_s = wait.compute(queue.count_tokens_ahead(job, now))
+            window = queue.order.plan_return(pool, job, 0.0, now)
+            return self.refusals.refuse_full_queue(queue.n_jobs, window)
+        wait_s = queue.order.estimate_new_wait(pool, job, now)
         share = 1.0 if job.version is None else EXPIRY_SHARE
         if pool.can_meet_deadline(job, now + share * wait_s, share):
             return None
-        return self.refusals.refuse_long_wait(wait_s, queue.n_jobs)
+        window = queue.order.plan_return(pool, job, wait_s, now)
+        return self.refusals.refuse_long_wait(wait_s, queue.n_jobs, window)
--- a/catkinfork/balancing/_balancer.py
+++ b/catkinfork/balancing/_balancer.py
@@ -18,7 +18,7 @@
     Refusal,
 )
 from catkinfork.balancing._models import QueueRank
-from catkinfork.balancing._order import is_late_priority
+from catkinfork.balancing._on_time_order import is_late_priority
 from catkinfork.balancing._pool import ServicePool
 from catkinfork.balancing._rates import SendRates
 from catkinfork.balancing._refusals import RefusalBuilder
@@ -98,13 +98,13 @@
             pool.find(backend.name).load.prefixes.record_use(kept)
 
     def apply_settings(self, settings):
-        """Put changed retry budget settings in force.
+        """Put changed settings of the retry budget and the queue order in force.
 
         :param settings: :class:`BalancerSettings`.
         """
         self.settings = settings
         for pool in self.pools.values():
-            pool.retry_budget.settings = settings.retry_budget
+            pool.apply_settings(settings)
 
     def submit(self, job, now):
         """Place, queue or refuse a new request.
--- a/catkinfork/balancing/_dispatch.py
+++ b/catkinfork/balancing/_dispatch.py
@@ -44,6 +44,9 @@
         self.refuse_stopped()
         self.refuse_expired()
         self.place_waiting()
+        event = self.pool.queue.order.build_event(self.pool, self.now)
+        if event is not None:
+            self.balancer.write_log(event)
         return self.decisions
 
     def decide(self, job, decision):
@@ -79,9 +82,12 @@
         if self.now < self.pool.next_expiry_check_at:
             return
         self.pool.next_expiry_check_at = self.now + EXPIRY_CHECK_INTERVAL_S
-        for job in list_infeasible(self.pool, self.now, EXPIRY_SHARE):
+        order = self.pool.queue.order
+        for job, wait_s in list_infeasible(self.pool, self.now, EXPIRY_SHARE):
             waited_s = self.now - job.arrived_at
-            self.decide(job, self.balancer.refusals.refuse_expired(waited_s))
+            window = order.plan_return(self.pool, job, wait_s, self.now)
+            refusal = self.balancer.refusals.refuse_expired(waited_s, window)
+            self.decide(job, refusal)
 
     def place_waiting(self):
         """Place jobs in order of priority."""
@@ -165,7 +171,7 @@
             if placement is not None:
                 n_without_room = 0
                 self.decide(job, placement)
-                self.pool.queue.order.record_placement(turn, job)
+                self.pool.queue.order.record_placement(turn, job, self.now)
                 continue
             if is_any_room_of_use:
                 self.report_priority(turn.priority)
--- a/catkinfork/balancing/_events.py
+++ b/catkinfork/balancing/_events.py
@@ -90,6 +90,32 @@
     ),
 )
 
+LATE_QUEUED = Event(
+    906,
+    "info",
+    "late_requests_queued",
+    "requests that can no longer meet their latency target are queued "
+    "(`on_time_first`), at most once a second for each service; `n_placed_on_time`, "
+    "`n_placed_late` and `n_refused` count since the start, and `allowances` has the "
+    "time from placement to first event that each route needs",
+    (
+        "service",
+        "n_queued",
+        "n_queued_tokens",
+        "n_late",
+        "n_late_tokens",
+        "n_placed_on_time",
+        "n_placed_late",
+        "n_refused",
+        "tokens_per_s",
+        "late_tokens_per_s",
+        "owed_tokens_per_s",
+        "n_owed_tokens",
+        "backlog_s",
+        "allowances",
+    ),
+)
+
 EVENTS = (
     BACKEND_LEFT_OUT,
     REQUEST_BLOCKED,
@@ -97,4 +123,5 @@
     PART_REFUSED,
     CRASH_WITHDRAWN,
     WORKSPACE_HELD,
+    LATE_QUEUED,
 )
--- a/catkinfork/balancing/_holds.py
+++ b/catkinfork/balancing/_holds.py
@@ -98,7 +98,7 @@
             return
         groups = pool.queue.list_groups(sums.workspace, now)
         job = next(job for _, jobs in groups for job in jobs)
-        priority = pool.queue.compute_priority(sums.workspace, now)
+        priority = pool.queue.compute_job_priority(job, now)
         rank = self.balancer.compute_rank(pool, job, priority, now)
         candidates = self.balancer.list_candidates(pool, now)
         sums.n_peers_ahead += rank.n_peers_ahead
--- a/catkinfork/balancing/_pool.py
+++ b/catkinfork/balancing/_pool.py
@@ -8,7 +8,7 @@
 from catkinfork.balancing._health import BackendHealth, ServiceHealth
 from catkinfork.balancing._loads import BackendLoad
 from catkinfork.balancing._models import build_load_model
-from catkinfork.balancing._order import build_queue_order
+from catkinfork.balancing._on_time_order import build_queue_order
 from catkinfork.balancing._prefixes import PrefixCache
 from catkinfork.balancing._queue import WaitingQueue
 from catkinfork.balancing._retries import RetryBudget
@@ -71,6 +71,7 @@
         self.placed_tokens = DecayingSum(PLACEMENT_RATE_WINDOW_S)
         self.first_event_durations = RouteDurations()
         self.durations = RouteDurations()
+        self.is_on_time_first = settings.on_time_first
         self.queue = WaitingQueue(self.shares, build_queue_order(settings, self))
         self.priority = None
         self.peer_priorities = {}
@@ -81,6 +82,16 @@
         self.service = service
         self.model = build_load_model(service, settings.data_centre)
 
+    def apply_settings(self, settings):
+        """Put changed settings of the retry budget and the queue order in force.
+
+        :param settings: :class:`BalancerSettings`.
+        """
+        self.retry_budget.settings = settings.retry_budget
+        if settings.on_time_first != self.is_on_time_first:
+            self.is_on_time_first = settings.on_time_first
+            self.queue.set_order(build_queue_order(settings, self))
+
     def find(self, backend_name):
         """Return the state of a backend server, created if it is new."""
         state = self.states.get(backend_name)
@@ -125,6 +136,15 @@
     def can_meet_deadline(self, job, placed_at, share=1.0):
         """Return whether a job placed at a given time can meet its deadlines.
 
+        :param share: fraction of the estimated durations to allow for.
+        """
+        return self.compute_excess_s(job, placed_at, share) <= 0
+
+    def compute_excess_s(self, job, placed_at, share=1.0):
+        """Return by how much a job placed at a given time is overdue, seconds.
+
+        It is negative if the job meets its deadlines.
+
         A stream that broke off has only its next event to meet: how much of it is left
         is not known. In a planned stop, a job has to end before the stop does.
 
@@ -137,4 +157,4 @@
         if job.version is not None:
             end_at = first_at
         ends_at = min(self.ends_at, job.deadline_at)
-        return first_at <= job.next_event_deadline_at and end_at <= ends_at
+        return max(first_at - job.next_event_deadline_at, end_at - ends_at)
--- a/catkinfork/balancing/_queue.py
+++ b/catkinfork/balancing/_queue.py
@@ -3,6 +3,7 @@
 from bisect import bisect_left, insort
 from math import inf
 from operator import attrgetter
+from typing import NamedTuple
 
 from catkinfork.balancing._jobs import count_queue_tokens
 from catkinfork.balancing._order import ShareOrder
@@ -10,6 +11,18 @@
 START_BY = attrgetter("start_by_at")
 
 
+class LateTotals(NamedTuple):
+    """Late jobs of one service at this forwarder.
+
+    :param n_tokens: their service tokens.
+    :param n_workspaces: workspaces that have some.
+    """
+
+    n_jobs: int
+    n_tokens: int
+    n_workspaces: int
+
+
 class BoundJobs:
     """Queued streams of one workspace that go on at one version, in order of arrival.
 
@@ -50,12 +63,20 @@
     number and ``late_until`` the monotonic time for which it holds, seconds.
     """
 
-    __slots__ = ("bound", "jobs", "late_until", "n_late", "n_on_time_tokens")
+    __slots__ = (
+        "bound",
+        "jobs",
+        "late_until",
+        "n_late",
+        "n_late_tokens",
+        "n_on_time_tokens",
+    )
 
     def __init__(self):
         self.bound = {}
         self.jobs = []
         self.n_late = 0
+        self.n_late_tokens = 0
         self.late_until = -inf
         self.n_on_time_tokens = 0
 
@@ -72,6 +93,7 @@
         insort(self.jobs, job, key=START_BY)
         if job.start_by_at <= self.late_until:
             self.n_late += 1
+            self.n_late_tokens += count_queue_tokens(job)
         else:
             self.n_on_time_tokens += count_queue_tokens(job)
 
@@ -90,6 +112,7 @@
             return False
         if start_by_at <= self.late_until:
             self.n_late -= 1
+            self.n_late_tokens -= count_queue_tokens(job)
         else:
             self.n_on_time_tokens -= count_queue_tokens(job)
         return True
@@ -114,6 +137,7 @@
             if now < job.start_by_at:
                 return
             self.n_late += 1
+            self.n_late_tokens += count_queue_tokens(job)
             self.n_on_time_tokens -= count_queue_tokens(job)
 
     def count_tokens_ahead(self, job, now):
@@ -127,6 +151,11 @@
         self.advance(now)
         return self.n_on_time_tokens
 
+    def list_all(self):
+        """Return all jobs."""
+        bound = [job for one in self.bound.values() for job in one.jobs]
+        return [*bound, *self.jobs]
+
     def list_on_time(self):
         """Return the jobs that are not late, by ``start_by_at``."""
         return self.jobs[self.n_late :]
@@ -196,6 +225,28 @@
         self.n_tokens -= job.n_service_tokens
         return True
 
+    def set_order(self, order):
+        """Put the queued jobs in another order.
+
+        :param order: :class:`BaseQueueOrder`.
+        """
+        jobs = [job for queue in self.by_workspace.values() for job in queue.list_all()]
+        self.order = order
+        self.by_workspace = {}
+        self.n_jobs = self.n_bound = self.n_tokens = 0
+        for job in jobs:
+            self.add(job)
+
+    def count_late(self, now):
+        """Return the :class:`LateTotals`."""
+        n_jobs = n_tokens = n_workspaces = 0
+        for queue in self.by_workspace.values():
+            queue.advance(now)
+            n_jobs += queue.n_late
+            n_tokens += queue.n_late_tokens
+            n_workspaces += queue.n_late > 0
+        return LateTotals(n_jobs, n_tokens, n_workspaces)
+
     def count_tokens_ahead(self, job, now):
         """Return the queued service tokens of its workspace ahead of a new job."""
         queue = self.by_workspace.get(job.workspace)
--- a/catkinfork/balancing/_waits.py
+++ b/catkinfork/balancing/_waits.py
@@ -56,23 +56,46 @@
     )
 
 
+def estimate_late_wait(pool, workspace, totals, tokens_per_s, now):
+    """Return the :class:`WaitEstimate` for the late jobs of a workspace.
+
+    They wait behind the on-time jobs that keep arriving. A workspace that lacks service
+    is estimated as without them, since its late jobs keep its priority.
+
+    :param pool: :class:`ServicePool`.
+    :param totals: :class:`LateTotals`.
+    :param tokens_per_s: rate at which late jobs are served, service tokens per second.
+    """
+    wait = estimate_wait(pool, workspace, now)
+    if pool.shares.lacks_service(workspace, now) or not tokens_per_s:
+        return wait
+    own = pool.queue.by_workspace.get(workspace)
+    has_late = own is not None and own.n_late > 0
+    n_on_time_tokens = 0 if own is None else own.n_on_time_tokens
+    return wait._replace(
+        rate_s_per_token=1.0 / tokens_per_s,
+        n_entitled_tokens=wait.n_entitled_tokens - n_on_time_tokens,
+        n_all_tokens=totals.n_tokens,
+        n_workspaces=totals.n_workspaces + (not has_late),
+    )
+
+
 def list_infeasible(pool, now, share):
-    """Return the queued jobs that cannot meet their deadlines.
+    """Return the queued jobs that cannot meet their deadlines, and their waits.
 
     Streams that broke off do not count ahead of other jobs: while their version is
     full, others find room.
 
     :param share: fraction of the estimated wait and duration to allow for.
+    :returns: pairs of :class:`Job` and estimated wait, seconds.
     """
     infeasible = []
-    for workspace in pool.queue.by_workspace:
-        wait = estimate_wait(pool, workspace, now)
-        for _, jobs in pool.queue.list_groups(workspace, now):
-            n_tokens_ahead = 0
-            for job in jobs:
-                placed_at = now + share * wait.compute(n_tokens_ahead)
-                if pool.can_meet_deadline(job, placed_at, share):
-                    n_tokens_ahead += count_queue_tokens(job)
-                else:
-                    infeasible.append(job)
+    for wait, jobs in pool.queue.order.list_waits(pool, now):
+        n_tokens_ahead = 0
+        for job in jobs:
+            wait_s = wait.compute(n_tokens_ahead)
+            if pool.can_meet_deadline(job, now + share * wait_s, share):
+                n_tokens_ahead += count_queue_tokens(job)
+            else:
+                infeasible.append((job, wait_s))
     return infeasible
--- a/catkinfork/forwarder/_status.py
+++ b/catkinfork/forwarder/_status.py
@@ -134,6 +134,8 @@
             labels,
             pool.retry_budget.n_retries,
         )
+        for gauge, text, value in pool.queue.order.list_gauges(pool.queue, now):
+            yield gauge, text, labels, value
     for number, count in sorted(process.log.n_events.items()):
         yield (
             "events",
