Estimate late service from capacity at first, and a late job's own turn

Cause: at the begin of contention no late job has been placed, so that a moment of contention would refuse short requests; the first late job was estimated to wait for nothing and was refused only as its caller left.

Change: the rate of late service begins at the placement rate and falls to what is seen within a second or two; a late job waits for its own turn, 0.5 s at most.

--- a/catkinfork/balancing/_on_time_order.py
+++ b/catkinfork/balancing/_on_time_order.py
@@ -1,5 +1,6 @@
 """Order in which jobs that can still be on time go before late ones."""
 
+from math import exp, inf
 from operator import attrgetter
 
 from catkinfork.balancing._events import LATE_QUEUED
@@ -25,6 +26,9 @@
 MAX_OWED_TRIES = 4
 # Time constant of the rate at which late jobs are placed, seconds.
 LATE_RATE_WINDOW_S = 1.0
+# Time without an estimate after which contention counts as new, seconds: no job was
+# queued meanwhile.
+MAX_PAUSE_S = 0.5
 # Time between two events of one service, seconds, and routes that one names at most.
 REPORT_INTERVAL_S = 1.0
 MAX_REPORTED_ROUTES = 8
@@ -43,7 +47,8 @@
     :param late_share: :class:`LateShare`.
 
     ``n_placed_on_time`` and ``n_placed_late`` count the queued jobs that were placed,
-    and ``n_refused`` those that were refused for want of capacity.
+    and ``n_refused`` those that were refused for want of capacity. ``late_since`` is
+    the monotonic time since which late jobs have been queued, without a pause.
     """
 
     def __init__(self, shares, durations, late_share):
@@ -56,6 +61,8 @@
         self.n_placed_late = 0
         self.n_refused = 0
         self.next_report_at = 0.0
+        self.late_since = -inf
+        self.late_seen_at = -inf
 
     def compute_allowance_s(self, route):
         """Return the time that a request needs from its placement to the first event.
@@ -136,7 +143,7 @@
 
     def list_waits(self, pool, now):
         totals = pool.queue.count_late(now)
-        rate = self.compute_late_rate(now)
+        rate = self.estimate_late_rate(pool, totals, now)
         for workspace in pool.queue.by_workspace:
             *others, (_, late) = pool.queue.list_split_groups(workspace, now)
             wait = estimate_wait(pool, workspace, now)
@@ -145,10 +152,24 @@
             if late:
                 yield estimate_late_wait(pool, workspace, totals, rate, now), late
 
-    def compute_late_rate(self, now):
-        """Return the rate at which late jobs are served, service tokens per second."""
+    def estimate_late_rate(self, pool, totals, now):
+        """Return the rate at which late jobs are served, service tokens per second.
+
+        Load pattern: a moment of contention at ordinary load. No late job has been
+        placed recently, but soon there will be capacity left for all of them.
+
+        :param pool: :class:`ServicePool`.
+        :param totals: :class:`LateTotals`.
+        """
+        if not totals.n_jobs or now > self.late_seen_at + MAX_PAUSE_S:
+            self.late_since = now
+        self.late_seen_at = now
         rate = self.late_tokens.read(now) / LATE_RATE_WINDOW_S
-        return max(rate, self.late_share.tokens_per_s)
+        s_per_token = pool.compute_s_per_token(now)
+        if not s_per_token:
+            return rate
+        expected_rate = exp((self.late_since - now) / LATE_RATE_WINDOW_S) / s_per_token
+        return max(rate, self.late_share.tokens_per_s, expected_rate)
 
     def estimate_new_wait(self, pool, job, now):
         """Return the wait of a new job.
@@ -159,12 +180,12 @@
         if is_on_time(job, now):
             wait = estimate_wait(pool, job.workspace, now)
             if queue is not None and queue.n_late and job.version is None:
-                return wait.compute(0)
-            return wait.compute(pool.queue.count_tokens_ahead(job, now))
+                return wait.compute(0, job)
+            return wait.compute(pool.queue.count_tokens_ahead(job, now), job)
         totals = pool.queue.count_late(now)
-        rate = self.compute_late_rate(now)
+        rate = self.estimate_late_rate(pool, totals, now)
         wait = estimate_late_wait(pool, job.workspace, totals, rate, now)
-        return wait.compute(0 if queue is None else queue.n_late_tokens)
+        return wait.compute(0 if queue is None else queue.n_late_tokens, job)
 
     def plan_return(self, pool, job, wait_s, now):
         self.n_refused += 1
--- a/catkinfork/balancing/_order.py
+++ b/catkinfork/balancing/_order.py
@@ -140,7 +140,7 @@
 
     def estimate_new_wait(self, pool, job, now):
         wait = estimate_wait(pool, job.workspace, now)
-        return wait.compute(pool.queue.count_tokens_ahead(job, now))
+        return wait.compute(pool.queue.count_tokens_ahead(job, now), job)
 
     def plan_return(self, pool, job, wait_s, now):
         return None
--- a/catkinfork/balancing/_waits.py
+++ b/catkinfork/balancing/_waits.py
@@ -5,6 +5,10 @@
 
 from catkinfork.balancing._jobs import count_queue_tokens
 
+# Wait of a late job with no other one ahead of it that counts at most, seconds. A
+# forwarder with few requests knows the rate of late service only roughly.
+MAX_OWN_WAIT_S = 0.5
+
 
 class WaitEstimate(NamedTuple):
     """Inputs of the queueing time of a workspace's jobs.
@@ -17,6 +21,8 @@
         yet to receive, which are served first.
     :param n_all_tokens: service tokens of all jobs queued here.
     :param n_workspaces: workspaces with queued jobs, which are served in turn.
+    :param counts_job: whether a job waits for its own service as well, as late jobs do:
+        they are served at a low rate even if none is ahead of them.
     """
 
     rate_s_per_token: float
@@ -24,9 +30,10 @@
     n_entitled_tokens: float
     n_all_tokens: int
     n_workspaces: int
+    counts_job: bool = False
 
-    def compute(self, n_tokens_ahead):
-        """Return the wait behind a number of tokens of the same workspace, seconds.
+    def compute(self, n_tokens_ahead, job):
+        """Return the wait of a job behind tokens of the same workspace, seconds.
 
         The result is the lower of two estimates, since each can be too high: the one by
         placement rate while the workspace is below its fair share, the one by fair
@@ -34,6 +41,9 @@
         """
         n_ahead = min(n_tokens_ahead * self.n_workspaces, self.n_all_tokens)
         by_rate_s = n_ahead * self.rate_s_per_token
+        if self.counts_job:
+            own_s = count_queue_tokens(job) * self.rate_s_per_token
+            by_rate_s += min(MAX_OWN_WAIT_S, own_s)
         if self.share_s_per_token == inf:
             return by_rate_s
         n_behind_share = max(0.0, n_tokens_ahead - self.n_entitled_tokens)
@@ -77,6 +87,7 @@
         n_entitled_tokens=wait.n_entitled_tokens - n_on_time_tokens,
         n_all_tokens=totals.n_tokens,
         n_workspaces=totals.n_workspaces + (not has_late),
+        counts_job=True,
     )
 
 
@@ -93,7 +104,7 @@
     for wait, jobs in pool.queue.order.list_waits(pool, now):
         n_tokens_ahead = 0
         for job in jobs:
-            wait_s = wait.compute(n_tokens_ahead)
+            wait_s = wait.compute(n_tokens_ahead, job)
             if pool.can_meet_deadline(job, now + share * wait_s, share):
                 n_tokens_ahead += count_queue_tokens(job)
             else:
