--- a/catkinfork/balancing/_balancer.py
+++ b/catkinfork/balancing/_balancer.py
@@ -18,7 +18,7 @@
     Refusal,
 )
 from catkinfork.balancing._models import QueueRank
-from catkinfork.balancing._order import is_late_priority
+from catkinfork.balancing._on_time_order import is_late_priority
 from catkinfork.balancing._pauses import build_pause_event
 from catkinfork.balancing._pool import ServicePool
 from catkinfork.balancing._rates import SendRates
@@ -103,16 +103,13 @@
             pool.find(backend.name).load.prefixes.record_use(kept)
 
     def apply_settings(self, settings):
-        """Put changed settings of the retry budget and of placement in force.
+        """Put changed settings of queue, placement and retry budget in force.
 
         :param settings: :class:`BalancerSettings`.
         """
         self.settings = settings
         for pool in self.pools.values():
-            pool.retry_budget.settings = settings.retry_budget
-            pool.pause_cost = settings.long_pause_cost
-            pool.transfers.update(pool.service, settings)
-            pool.set_speed_window(settings.speed_window_s)
+            pool.apply_settings(settings)
 
     def submit(self, job, now):
         """Place, queue or refuse a new request.
--- a/catkinfork/balancing/_waits.py
+++ b/catkinfork/balancing/_waits.py
@@ -5,6 +5,10 @@
 
 from catkinfork.balancing._jobs import count_queue_tokens
 
+# Wait of a late job with no other one ahead of it that counts at most, seconds. A
+# forwarder with few requests knows the rate of late service only roughly.
+MAX_OWN_WAIT_S = 0.5
+
 
 class WaitEstimate(NamedTuple):
     """Inputs of the queueing time of a workspace's jobs.
@@ -17,6 +21,8 @@
         yet to receive, which are served first.
     :param n_all_tokens: service tokens of all jobs queued here.
     :param n_workspaces: workspaces with queued jobs, which are served in turn.
+    :param counts_job: whether a job waits for its own service as well, as late jobs do:
+        they are served at a low rate even if none is ahead of them.
     """
 
     rate_s_per_token: float
@@ -24,9 +30,10 @@
     n_entitled_tokens: float
     n_all_tokens: int
     n_workspaces: int
+    counts_job: bool = False
 
-    def compute(self, n_tokens_ahead):
-        """Return the wait behind a number of tokens of the same workspace, seconds.
+    def compute(self, n_tokens_ahead, job):
+        """Return the wait of a job behind tokens of the same workspace, seconds.
 
         The result is the lower of two estimates, since each can be too high: the one by
         placement rate while the workspace is below its fair share, the one by fair
@@ -34,6 +41,9 @@
         """
         n_ahead = min(n_tokens_ahead * self.n_workspaces, self.n_all_tokens)
         by_rate_s = n_ahead * self.rate_s_per_token
+        if self.counts_job:
+            own_s = count_queue_tokens(job) * self.rate_s_per_token
+            by_rate_s += min(MAX_OWN_WAIT_S, own_s)
         if self.share_s_per_token == inf:
             return by_rate_s
         n_behind_share = max(0.0, n_tokens_ahead - self.n_entitled_tokens)
@@ -56,23 +66,47 @@
     )
 
 
+def estimate_late_wait(pool, workspace, totals, tokens_per_s, now):
+    """Return the :class:`WaitEstimate` for the late jobs of a workspace.
+
+    They wait behind the on-time jobs that keep arriving. A workspace that lacks service
+    is estimated as without them, since its late jobs keep its priority.
+
+    :param pool: :class:`ServicePool`.
+    :param totals: :class:`LateTotals`.
+    :param tokens_per_s: rate at which late jobs are served, service tokens per second.
+    """
+    wait = estimate_wait(pool, workspace, now)
+    if pool.shares.lacks_service(workspace, now) or not tokens_per_s:
+        return wait
+    own = pool.queue.by_workspace.get(workspace)
+    has_late = own is not None and own.n_late > 0
+    n_on_time_tokens = 0 if own is None else own.n_on_time_tokens
+    return wait._replace(
+        rate_s_per_token=1.0 / tokens_per_s,
+        n_entitled_tokens=wait.n_entitled_tokens - n_on_time_tokens,
+        n_all_tokens=totals.n_tokens,
+        n_workspaces=totals.n_workspaces + (not has_late),
+        counts_job=True,
+    )
+
+
 def list_infeasible(pool, now, share):
-    """Return the queued jobs that cannot meet their deadlines.
+    """Return the queued jobs that cannot meet their deadlines, and their waits.
 
     Streams that broke off do not count ahead of other jobs: while their version is
     full, others find room.
 
     :param share: fraction of the estimated wait and duration to allow for.
+    :returns: pairs of :class:`Job` and estimated wait, seconds.
     """
     infeasible = []
-    for workspace in pool.queue.by_workspace:
-        wait = estimate_wait(pool, workspace, now)
-        for _, jobs in pool.queue.list_groups(workspace, now):
-            n_tokens_ahead = 0
-            for job in jobs:
-                placed_at = now + share * wait.compute(n_tokens_ahead)
-                if pool.can_meet_deadline(job, placed_at, share):
-                    n_tokens_ahead += count_queue_tokens(job)
-                else:
-                    infeasible.append(job)
+    for wait, jobs in pool.queue.order.list_waits(pool, now):
+        n_tokens_ahead = 0
+        for job in jobs:
+            wait_s = wait.compute(n_tokens_ahead, job)
+            if pool.can_meet_deadline(job, now + share * wait_s, share):
+                n_tokens_ahead += count_queue_tokens(job)
+            else:
+                infeasible.append((job, wait_s))
     return infeasible
--- a/catkinfork/forwarder/_status.py
+++ b/catkinfork/forwarder/_status.py
@@ -178,6 +178,8 @@
                 {"service": name, "backend_server": backend},
                 state.speed,
             )
+        for gauge, text, value in pool.queue.order.list_gauges(pool.queue, now):
+            yield gauge, text, labels, value
     for number, count in sorted(process.log.n_events.items()):
         yield (
             "events",
