Keep the weight of a missing token out of the estimate of a transfer

Change: the estimate has token counts and the cost of the transfer; price weighs them.

Tests of balancing and of transfers in forwarding and platform pass.

--- a/catkinfork/balancing/_candidates.py
+++ b/catkinfork/balancing/_candidates.py
@@ -140,14 +140,18 @@
 
         :param entry: :class:`CandidateEntry`.
         """
-        plan = self.plan
-        if plan is not None and plan.job is job:
-            n_tokens, cost, transfer = plan.estimate(entry)
-            return Offer(entry, n_tokens, entry.base_cost + cost, transfer)
         model = self.pool.model
-        n_missing_tokens = model.estimate_missing_tokens(job, entry.state.load)
-        cost = entry.base_cost + model.missing_token_weight * n_missing_tokens
-        return Offer(entry, n_missing_tokens, cost)
+        weight = model.missing_token_weight
+        plan = self.plan
+        if plan is None or plan.job is not job:
+            n_missing_tokens = model.estimate_missing_tokens(job, entry.state.load)
+            cost = entry.base_cost + weight * n_missing_tokens
+            return Offer(entry, n_missing_tokens, cost)
+        n_missing_tokens, n_pending_tokens, transfer_cost, transfer = plan.estimate(
+            entry
+        )
+        cost = entry.base_cost + weight * n_missing_tokens + transfer_cost
+        return Offer(entry, n_pending_tokens, cost, transfer)
 
     def choose(self, job, rank):
         """Return the :class:`Candidate` that the selection prefers, or None.
--- a/catkinfork/balancing/_transfers.py
+++ b/catkinfork/balancing/_transfers.py
@@ -51,14 +51,16 @@
 class PromptEstimate(NamedTuple):
     """What the prompt of a job takes at an engine.
 
-    :param n_tokens: uncached tokens to process. Those that are fetched count in
-        proportion to their cost, as they delay the engine less.
-    :param cost: cost of all tokens that are not cached there, in prompt tokens.
+    :param n_missing_tokens: uncached tokens that it has to process.
+    :param n_pending_tokens: the same, and those that it fetches in proportion to their
+        cost, as they delay the engine less.
+    :param transfer_cost: cost of the tokens that it fetches, in prompt tokens.
     :param transfer: :class:`Transfer`, or None.
     """
 
-    n_tokens: int
-    cost: float
+    n_missing_tokens: int
+    n_pending_tokens: int
+    transfer_cost: float
     transfer: Transfer | None
 
 
@@ -348,14 +350,11 @@
         n_missing = max(0, self.job.n_prompt_tokens - n_cached)
         transfer = self.find_transfer(version, data_centre, n_cached)
         if transfer is None:
-            return PromptEstimate(n_missing, MISSING_TOKEN_WEIGHT * n_missing, None)
-        n_left = n_missing - transfer.n_tokens
+            return PromptEstimate(n_missing, n_missing, 0.0, None)
+        n_missing -= transfer.n_tokens
         transfer_cost = TRANSFER_TOKEN_WEIGHT * transfer.n_tokens
-        return PromptEstimate(
-            n_left + ceil(transfer_cost / MISSING_TOKEN_WEIGHT),
-            MISSING_TOKEN_WEIGHT * n_left + transfer_cost,
-            transfer,
-        )
+        n_pending = n_missing + ceil(transfer_cost / MISSING_TOKEN_WEIGHT)
+        return PromptEstimate(n_missing, n_pending, transfer_cost, transfer)
 
     def find_transfer(self, version, data_centre, n_cached):
         """Return the transfer to an engine that has some tokens cached, or None."""
