--- a/catkinfork/balancing/_candidates.py
+++ b/catkinfork/balancing/_candidates.py
@@ -150,13 +150,15 @@
             base_cost += self.compute_pause_cost(job, entry)
         weight = model.compute_missing_token_weight(entry.state.speed)
         plan = self.plan
-        if plan is not None and plan.job is job:
-            n_tokens, cost, transfer = plan.estimate(entry)
-            cost += (weight - model.missing_token_weight) * n_tokens
-            return Offer(entry, n_tokens, base_cost + cost, transfer)
-        n_missing_tokens = model.estimate_missing_tokens(job, entry.state.load)
-        cost = base_cost + weight * n_missing_tokens
-        return Offer(entry, n_missing_tokens, cost)
+        if plan is None or plan.job is not job:
+            n_missing_tokens = model.estimate_missing_tokens(job, entry.state.load)
+            cost = base_cost + weight * n_missing_tokens
+            return Offer(entry, n_missing_tokens, cost)
+        n_missing_tokens, n_pending_tokens, transfer_cost, transfer = plan.estimate(
+            entry
+        )
+        cost = base_cost + weight * n_missing_tokens + transfer_cost
+        return Offer(entry, n_pending_tokens, cost, transfer)
 
     def compute_pause_cost(self, job, entry):
         """Return the cost of the pauses that a stream has to expect.
