check-configuration: check a configuration before it is published

Cause: an error in the operator's document shows only once the forwarders reject it, and a route that never matches, or a withdrawn key, not at all. The decoder keeps its rules; its converters are split, and InvalidValueError names the value.

--- a/catkinfork/cli/_main.py
+++ b/catkinfork/cli/_main.py
@@ -14,6 +14,7 @@
     "forwarder": ("_forwarder", "run_forwarder"),
     "status": ("_status", "show_status"),
     "check": ("_check", "check_document"),
+    "check-configuration": ("_check_configuration", "check_file"),
     "diff": ("_diff", "show_diff"),
     "digest": ("_digest", "print_digest"),
     "events": ("_events", "print_events"),
--- a/catkinfork/cli/_output.py
+++ b/catkinfork/cli/_output.py
@@ -32,16 +32,29 @@
     :raises typer.Exit: with code 2 if the file cannot be read.
     """
     try:
-        if path == STANDARD_INPUT:
-            return sys.stdin.buffer.read(MAX_DOCUMENT_BYTES + 1)
-        with Path(path).open("rb") as file:
-            return file.read(MAX_DOCUMENT_BYTES + 1)
+        return read_bytes(path, MAX_DOCUMENT_BYTES)
     except OSError as error:
-        reason = error.strerror or type(error).__name__
-        print_line(f"{path}: cannot be read: {reason}", "red", err=True)
+        print_line(describe_read_error(path, error), "red", err=True)
         raise typer.Exit(EXIT_USAGE) from None
 
 
+def read_bytes(path, max_bytes):
+    """Read a file, or standard input for ``-``, up to one byte beyond a limit.
+
+    :param max_bytes: limit of its size.
+    :raises OSError: if the file cannot be read.
+    """
+    if path == STANDARD_INPUT:
+        return sys.stdin.buffer.read(max_bytes + 1)
+    with Path(path).open("rb") as file:
+        return file.read(max_bytes + 1)
+
+
+def describe_read_error(path, error):
+    """Describe why a file cannot be read, on one line."""
+    return f"{path}: cannot be read: {error.strerror or type(error).__name__}"
+
+
 def print_faults(path, faults):
     """Print one line for each fault of a document."""
     for fault in faults:
--- a/catkinfork/platform/_documents.py
+++ b/catkinfork/platform/_documents.py
@@ -228,29 +228,41 @@
 
     :raises ValueError: if a value cannot be right.
     """
-    limits = document.limits
-    for what in LimitsDocument.__struct_fields__:
-        check_number(getattr(limits, what), what)
     return Configuration(
         version=check_integer(document.version, "version"),
         routes=tuple(convert_route(route) for route in document.routes),
         services={
             service.name: convert_service(service) for service in document.services
         },
-        limits=CallerLimits(
-            max_header_bytes=int(limits.max_header_bytes),
-            max_body_bytes=int(limits.max_body_bytes),
-            header_timeout_s=limits.header_timeout_ms / 1000,
-            idle_timeout_s=limits.idle_timeout_ms / 1000,
-            tokens_per_s=limits.tokens_per_s,
-        ),
-        workspaces=tuple(
-            Workspace(check_text(tenant.name, "tenant"), tuple(tenant.api_keys))
-            for tenant in document.tenants
-        ),
+        limits=convert_limits(document.limits),
+        workspaces=tuple(convert_tenant(tenant) for tenant in document.tenants),
+    )
+
+
+def convert_limits(limits):
+    """Convert a document to :class:`CallerLimits`.
+
+    :raises ValueError: if a value cannot be right.
+    """
+    for what in LimitsDocument.__struct_fields__:
+        check_number(getattr(limits, what), what)
+    return CallerLimits(
+        max_header_bytes=int(limits.max_header_bytes),
+        max_body_bytes=int(limits.max_body_bytes),
+        header_timeout_s=limits.header_timeout_ms / 1000,
+        idle_timeout_s=limits.idle_timeout_ms / 1000,
+        tokens_per_s=limits.tokens_per_s,
     )
 
 
+def convert_tenant(tenant):
+    """Convert a document to a :class:`Workspace`.
+
+    :raises ValueError: if its name cannot be right.
+    """
+    return Workspace(check_text(tenant.name, "tenant"), tuple(tenant.api_keys))
+
+
 def convert_route(route):
     """Convert a document to a :class:`Route`.
 
@@ -260,10 +272,7 @@
     check_integer(route.max_attempts, "max_attempts")
     for what in ("timeout_ms", "aim_ms", "gap_target_ms"):
         check_number(getattr(route, what), what)
-    targets = [
-        TrafficShare(split.service, check_number(split.weight, "weight"))
-        for split in route.traffic_split
-    ]
+    targets = [convert_split(split) for split in route.traffic_split]
     if not targets:
         if route.service is None:
             raise ValueError(f"route {route.name!r} has no service")
@@ -285,6 +294,14 @@
     )
 
 
+def convert_split(split):
+    """Convert a document to a :class:`TrafficShare`.
+
+    :raises ValueError: if its weight cannot be right.
+    """
+    return TrafficShare(split.service, check_number(split.weight, "weight"))
+
+
 def compute_caller_timeout(route):
     """Return the time without an event after which callers disconnect, seconds."""
     if route.kind != STREAMING:
--- a/catkinfork/topology/_checks.py
+++ b/catkinfork/topology/_checks.py
@@ -29,6 +29,7 @@
 
     def __init__(self, what, value, expected):
         super().__init__(f"{what} {limit_detail(repr(value))}: expected {expected}")
+        self.what = what
 
 
 def limit_detail(detail):
