--- a/catkinfork/cli/_check_configuration.py
+++ b/catkinfork/cli/_check_configuration.py
@@ -21,7 +21,7 @@
     MAX_CONTENT_BYTES,
     NOTE,
     WARNING,
-    InForce,
+    ConfigurationView,
     UnusableError,
     check_configuration,
     count_noun,
@@ -134,7 +134,7 @@
 
 
 def load_in_force(path, unusable):
-    """Return the :class:`InForce` of a file, or None if it cannot be used."""
+    """Return the :class:`ConfigurationView` of a file, or None if it cannot be used."""
     checked = load_document(path, unusable)
     if checked is None:
         return None
@@ -142,7 +142,7 @@
         errors = [one for one in checked.findings if one.severity == ERROR]
         unusable.append(f"{path}: {errors[0].path}: {errors[0].text}")
         return None
-    return InForce(checked.configuration, checked.paths)
+    return ConfigurationView(checked.configuration, checked.paths)
 
 
 def load_settings(path, unusable):
--- a/catkinfork/platform/tests/test_configuration_check.py
+++ b/catkinfork/platform/tests/test_configuration_check.py
@@ -29,7 +29,7 @@
 from catkinfork.validation import (
     ERROR,
     WARNING,
-    InForce,
+    ConfigurationView,
     UnusableError,
     check_configuration,
 )
@@ -248,7 +248,7 @@
     document["tenants"][0]["name"] = "a"
     checked = check(document)
     old = check(make_document(tenants=[]))
-    in_force = InForce(old.configuration, old.paths)
+    in_force = ConfigurationView(old.configuration, old.paths)
     findings = check_configuration(
         checked.configuration, checked.paths, in_force=in_force
     )
--- a/catkinfork/validation/__init__.py
+++ b/catkinfork/validation/__init__.py
@@ -1,7 +1,7 @@
 """Checks of a configuration before it is published; pure functions without I/O."""
 
 from catkinfork.validation._checks import check_configuration
-from catkinfork.validation._differences import InForce
+from catkinfork.validation._differences import ConfigurationView
 from catkinfork.validation._findings import (
     ERROR,
     NOTE,
@@ -28,7 +28,7 @@
     "WARNING",
     "BasePaths",
     "Finding",
-    "InForce",
+    "ConfigurationView",
     "UnusableError",
     "check_configuration",
     "check_json",
--- a/catkinfork/validation/_checks.py
+++ b/catkinfork/validation/_checks.py
@@ -43,7 +43,7 @@
     :param configuration: :class:`Configuration`.
     :param paths: :class:`BasePaths` of its document.
     :param settings: ``ForwarderSettings`` of the fleet, or None if they are unknown.
-    :param in_force: :class:`InForce`, or None if it is unknown.
+    :param in_force: :class:`ConfigurationView`, or None if it is unknown.
     """
     findings = [finding for check in CHECKS for finding in check(configuration, paths)]
     if settings is not None:
--- a/catkinfork/validation/_differences.py
+++ b/catkinfork/validation/_differences.py
@@ -27,11 +27,11 @@
 }
 
 
-class InForce:
-    """The configuration in force, with the paths of its document.
+class ConfigurationView:
+    """A configuration with the paths of its document and its routing table.
 
     :param configuration: :class:`Configuration`.
-    :param paths: :class:`BasePaths` of its document.
+    :param paths: :class:`BasePaths` of the document.
     """
 
     def __init__(self, configuration, paths):
@@ -43,7 +43,7 @@
 def check_version(configuration, paths, in_force):
     """Return a finding if the forwarders would ignore a configuration.
 
-    :param in_force: :class:`InForce`.
+    :param in_force: :class:`ConfigurationView` of the one in force.
     """
     version, old = configuration.version, in_force.configuration.version
     path = paths.locate("version")
@@ -61,9 +61,9 @@
 def list_differences(configuration, paths, in_force):
     """Return a note for each difference from the configuration in force.
 
-    :param in_force: :class:`InForce`.
+    :param in_force: :class:`ConfigurationView` of the one in force.
     """
-    new = InForce(configuration, paths)
+    new = ConfigurationView(configuration, paths)
     return [
         *describe_route_changes(in_force, new),
         *describe_service_changes(in_force, new),
--- a/catkinfork/validation/_route_changes.py
+++ b/catkinfork/validation/_route_changes.py
@@ -19,8 +19,8 @@
 def describe_route_changes(old, new):
     """Return a note for each removed, added and changed route.
 
-    :param old: :class:`InForce`.
-    :param new: :class:`InForce` of the new configuration.
+    :param old: :class:`ConfigurationView`.
+    :param new: :class:`ConfigurationView` of the new configuration.
     """
     before, after = index_routes(old.configuration), index_routes(new.configuration)
     section = new.paths.locate("routes")
--- a/catkinfork/validation/tests/test_differences.py
+++ b/catkinfork/validation/tests/test_differences.py
@@ -10,7 +10,7 @@
     TrafficShare,
     Workspace,
 )
-from catkinfork.validation import ERROR, NOTE, InForce
+from catkinfork.validation import ERROR, NOTE, ConfigurationView
 from catkinfork.validation._differences import check_version, list_differences
 from catkinfork.validation.tests.samples import (
     PATHS,
@@ -25,7 +25,7 @@
 
 def list_changes(new, old=OLD):
     """Return the lines about the differences between two configurations."""
-    findings = list_differences(new, PATHS, InForce(old, PATHS))
+    findings = list_differences(new, PATHS, ConfigurationView(old, PATHS))
     assert all(finding.severity == NOTE for finding in findings)
     return list_lines(findings)
 
@@ -50,7 +50,7 @@
 def test_version_that_forwarders_would_ignore_is_reported(version, changes, severities):
     """Guards against a document that is published and has no effect."""
     new = OLD._replace(version=version, **changes)
-    findings = check_version(new, PATHS, InForce(OLD, PATHS))
+    findings = check_version(new, PATHS, ConfigurationView(OLD, PATHS))
     assert [finding.severity for finding in findings] == severities
     assert all(finding.path == "version" for finding in findings)
 
