Read the size of events as an optional figure, and check it like the others

Cause: an odd size of events rejected the whole configuration, which was accepted before the size was read and may withdraw keys; and the check of a configuration called converters without the reader of optional figures.

Change: the size is read as the memory of a token is: the last good value stays. The check reports what the decoder ignores as warnings.

--- a/catkinfork/platform/_configuration_check.py
+++ b/catkinfork/platform/_configuration_check.py
@@ -5,6 +5,7 @@
 """
 
 from difflib import get_close_matches
+from functools import partial
 from typing import NamedTuple
 
 import msgspec
@@ -28,6 +29,7 @@
     convert_split,
     convert_tenant,
 )
+from catkinfork.platform._figures import FigureReader
 from catkinfork.platform._paths import DocumentPaths
 from catkinfork.topology import (
     Configuration,
@@ -47,15 +49,25 @@
     quote_name,
 )
 
-_CONVERTERS = {
-    ConfigurationDocument: convert_configuration,
-    EngineDocument: convert_engine,
-    LimitsDocument: convert_limits,
-    RouteDocument: convert_route,
-    ServiceDocument: convert_service,
-    TenantDocument: convert_tenant,
-    TrafficSplitDocument: convert_split,
-}
+
+def build_converters(reader):
+    """Return the converters by type of document, each called with a document.
+
+    :param reader: :class:`FigureReader`.
+    """
+    return {
+        ConfigurationDocument: partial(convert_configuration, reader=reader),
+        EngineDocument: partial(convert_engine, name="", reader=reader),
+        LimitsDocument: convert_limits,
+        RouteDocument: convert_route,
+        ServiceDocument: partial(convert_service, reader=reader),
+        TenantDocument: convert_tenant,
+        TrafficSplitDocument: convert_split,
+    }
+
+
+# What is wrong with optional figures is reported by the decoder itself.
+_CONVERTERS = build_converters(FigureReader({}))
 # Looked up once, as this takes most of the time for a document of many routes.
 _FIELDS = {
     struct_type: {field.name: field for field in msgspec.structs.fields(struct_type)}
@@ -63,7 +75,6 @@
 }
 # Fields of the platform's format that the forwarders do not use.
 _UNUSED_FIELDS = {
-    EngineDocument: {"kv_bytes", "link_mbps"},
     RouteDocument: {"allowed_regions", "priority"},
     ServiceDocument: {"protocol", "tls"},
     TenantDocument: {"priority"},
@@ -106,6 +117,8 @@
             findings.append(Finding(ERROR, ROOT_PATH, decoded.detail))
         return CheckedDocument(None, paths, findings)
     findings += paths.list_repeated_services()
+    services_path = extend_path(ROOT_PATH, "services")
+    findings += [Finding(WARNING, services_path, text) for text in decoded.ignored]
     return CheckedDocument(decoded.configuration, paths, findings)
 
 
--- a/catkinfork/platform/_documents.py
+++ b/catkinfork/platform/_documents.py
@@ -50,6 +50,8 @@
 # second of a link.
 TOKEN_BYTES_BOUNDS = (1.0, 1e9)
 LINK_MBPS_BOUNDS = (1e-3, 1e8)
+# The same for the generated tokens in one event of a stream.
+EVENT_TOKENS_BOUNDS = (1.0, 1e6)
 BYTES_PER_MEGABIT = 125_000
 
 
@@ -82,13 +84,14 @@
     """Limits of a model engine. ``kv_capacity`` is its KV cache size in tokens.
 
     A scaled deployment may publish fractions here and in the other limits; they are
-    rounded down. ``kv_bytes`` is the memory of a token and ``link_mbps`` the rate of
-    the link of an engine; both are optional.
+    rounded down. ``kv_bytes`` is the memory of a token, ``link_mbps`` the rate of the
+    link of an engine, and ``stride`` the number of generated tokens in one event of a
+    stream; these are optional.
     """
 
     slots: float
     kv_capacity: float
-    stride: float = 0.0
+    stride: msgspec.Raw = NOT_STATED
     kv_bytes: msgspec.Raw = NOT_STATED
     link_mbps: msgspec.Raw = NOT_STATED
 
@@ -341,25 +344,24 @@
         max_connections=max(1, int(service.max_connections)),
         cold_s=service.cold_s,
         cold_rate=service.cold_per_s,
-        engine=convert_engine(service, reader),
+        engine=convert_engine(service.engine, service.name, reader),
     )
 
 
-def convert_engine(service, reader):
-    """Return the :class:`Engine` of a service, or None if it has none.
+def convert_engine(engine, name, reader):
+    """Convert a document to an :class:`Engine`, or None to None.
 
+    :param name: name of its service.
     :param reader: :class:`FigureReader`.
     :raises ValueError: if a value cannot be right.
     """
-    engine = service.engine
     if engine is None:
         return None
     n_slots = int(check_number(engine.slots, "slots"))
     n_memory_tokens = int(check_number(engine.kv_capacity, "kv_capacity"))
-    n_event_tokens = int(check_number(engine.stride, "stride"))
-    name = service.name
     token_bytes = reader.read(name, "kv_bytes", engine.kv_bytes, TOKEN_BYTES_BOUNDS)
     link_mbps = reader.read(name, "link_mbps", engine.link_mbps, LINK_MBPS_BOUNDS)
+    n_event_tokens = reader.read(name, "stride", engine.stride, EVENT_TOKENS_BOUNDS)
     return Engine(
         max(1, n_slots),
         max(1, n_memory_tokens),
--- a/catkinfork/topology/_types.py
+++ b/catkinfork/topology/_types.py
@@ -78,7 +78,7 @@
     n_memory_tokens: int
     token_bytes: float = 0.0
     link_bytes_per_s: float = 0.0
-    n_event_tokens: int = 0
+    n_event_tokens: float = 0.0
 
     @property
     def link_tokens_per_s(self):
