--- /dev/null
+++ b/benchmarks/load_evenness.py
@@ -0,0 +1,85 @@
+"""Evenness of the load of engines as forwarders choose with stale views.
+
+``python -m benchmarks.load_evenness [--seed N] [--hosts N...] [--delays MS...]
+[--load X] [--span S] [--choices NAME...]`` prints a table. Each row is a run of the same
+workload with another choice among the engines. The number of engines is that of the
+forwarders, 60 at most.
+"""
+
+import argparse
+import time
+
+from benchmarks.even_choices import CHOICES
+from benchmarks.even_fleet import EvenFleet
+
+SIZES = (4, 28, 68, 388)
+DELAYS_MS = (10, 100, 500)
+MAX_ENGINES = 60
+SETTLE_S = 2.0
+SPAN_S = 6.0
+LOAD = 1.0
+COLUMNS = (
+    ("deviation", "{:.2f}"),
+    ("maximum", "{:.2f}"),
+    ("uneven", "{:.2f}"),
+    ("wasted", "{:.3f}"),
+    ("mean_tokens", "{:.0f}"),
+    ("median_ms", "{:.0f}"),
+    ("p95_ms", "{:.0f}"),
+    ("on_time", "{:.3f}"),
+    ("repeated", "{:.3f}"),
+    ("n_jobs", "{}"),
+)
+
+
+def measure(choice, n_hosts, delay_s, options):
+    """Return the figures of one run.
+
+    :param choice: name of an alternative of :data:`CHOICES`.
+    :param n_hosts: number of forwarders.
+    :param delay_s: time that a frame takes, seconds.
+    :param options: ``load``, ``span`` and ``seed``.
+    """
+    n_engines = min(n_hosts, MAX_ENGINES)
+    fleet = EvenFleet(n_hosts, n_engines, delay_s, options.seed, CHOICES[choice])
+    record = fleet.run(options.load, SETTLE_S, options.span, options.seed)
+    return record.summarize() | {
+        "age_ms": 1000 * sum(fleet.ages) / len(fleet.ages),
+        "bytes_per_s": fleet.n_frame_bytes / n_hosts / fleet.now,
+    }
+
+
+def parse_options(arguments):
+    """Return the options of the command line."""
+    parser = argparse.ArgumentParser(prog="benchmarks.load_evenness")
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--hosts", type=int, nargs="+", default=SIZES)
+    parser.add_argument("--delays", type=float, nargs="+", default=DELAYS_MS)
+    parser.add_argument("--load", type=float, default=LOAD)
+    parser.add_argument("--span", type=float, default=SPAN_S)
+    parser.add_argument("--choices", nargs="+", default=list(CHOICES))
+    return parser.parse_args(arguments)
+
+
+def main(arguments=None):
+    """Measure all alternatives and print a table."""
+    options = parse_options(arguments)
+    print(f"seed {options.seed}, load {options.load}, {options.span} s")
+    names = [name for name, _ in COLUMNS]
+    heads = ["hosts", "delay, ms", "choice", *names, "oldest, ms", "bytes/s", "s"]
+    print("|", " | ".join(heads), "|")
+    print("|" + "---|" * len(heads))
+    for n_hosts in options.hosts:
+        for delay_ms in options.delays:
+            for choice in options.choices:
+                started_at = time.process_time()
+                figures = measure(choice, n_hosts, delay_ms / 1000, options)
+                values = [text.format(figures[name]) for name, text in COLUMNS]
+                values += [f"{figures['age_ms']:.0f}", f"{figures['bytes_per_s']:.0f}"]
+                values.append(f"{time.process_time() - started_at:.1f}")
+                row = [str(n_hosts), f"{delay_ms:g}", choice, *values]
+                print("|", " | ".join(row), "|", flush=True)
+
+
+if __name__ == "__main__":
+    main()
