--- a/benchmarks/load_evenness.py
+++ b/benchmarks/load_evenness.py
@@ -1,9 +1,9 @@
 """Evenness of the load of engines as forwarders choose with stale views.
 
 ``python -m benchmarks.load_evenness [--seed N] [--hosts N...] [--delays MS...]
-[--load X] [--span S] [--choices NAME...]`` prints a table. Each row is a run of the same
-workload with another choice among the engines. The number of engines is that of the
-forwarders, 60 at most.
+[--engines N] [--load X] [--span S] [--choices NAME...]`` prints a table. Each row is a
+run of the same workload with another choice among the engines. Unless stated, there are
+as many engines as forwarders, 60 at most.
 """
 
 import argparse
@@ -38,9 +38,9 @@
     :param choice: name of an alternative of :data:`CHOICES`.
     :param n_hosts: number of forwarders.
     :param delay_s: time that a frame takes, seconds.
-    :param options: ``load``, ``span`` and ``seed``.
+    :param options: ``engines``, ``load``, ``span`` and ``seed``.
     """
-    n_engines = min(n_hosts, MAX_ENGINES)
+    n_engines = options.engines or min(n_hosts, MAX_ENGINES)
     fleet = EvenFleet(n_hosts, n_engines, delay_s, options.seed, CHOICES[choice])
     record = fleet.run(options.load, SETTLE_S, options.span, options.seed)
     return record.summarize() | {
@@ -55,6 +55,7 @@
     parser.add_argument("--seed", type=int, default=1)
     parser.add_argument("--hosts", type=int, nargs="+", default=SIZES)
     parser.add_argument("--delays", type=float, nargs="+", default=DELAYS_MS)
+    parser.add_argument("--engines", type=int, default=0)
     parser.add_argument("--load", type=float, default=LOAD)
     parser.add_argument("--span", type=float, default=SPAN_S)
     parser.add_argument("--choices", nargs="+", default=list(CHOICES))
