--- a/benchmarks/even_engines.py
+++ b/benchmarks/even_engines.py
@@ -12,7 +12,8 @@
 # Time of a decoding step, seconds.
 STEP_S = 0.0033
 SAMPLE_INTERVAL_S = 0.01
-WINDOW_S = 0.1
+# Samples that make up a window of 100 ms.
+N_SAMPLES_PER_WINDOW = 10
 
 
 class SimulatedEngine:
@@ -27,6 +28,7 @@
         self.cache = PrefixCache(N_MEMORY_TOKENS)
         self.free_at = 0.0
         self.backlog = []
+        self.n_in_flight = 0
 
     def start(self, job, now):
         """Queue a request and return the time of its first event.
@@ -50,15 +52,41 @@
         return max(0.0, self.free_at - now) * PREFILL_RATE
 
 
-class EvennessRecord:
-    """Samples of the load of all engines, and of the requests that were served."""
+class LoadWindows:
+    """Deviation, maximum and mean over all engines of their loads in each window."""
 
     def __init__(self):
-        self.sums = {}
-        self.n_samples = 0
+        self.samples = []
         self.deviations = []
         self.maxima = []
         self.means = []
+
+    def add(self, loads):
+        """Add a sample with the load of each engine; some make up a window."""
+        self.samples.append(loads)
+        if len(self.samples) < N_SAMPLES_PER_WINDOW:
+            return
+        means = [fmean(one) for one in zip(*self.samples, strict=True)]
+        self.deviations.append(pstdev(means))
+        self.maxima.append(max(means))
+        self.means.append(fmean(means))
+        self.samples = []
+
+    def compute_deviation(self):
+        """Return the standard deviation as a multiple of the mean."""
+        return fmean(self.deviations) / fmean(self.means)
+
+    def compute_maximum(self):
+        """Return the largest load as a multiple of the mean."""
+        return fmean(self.maxima) / fmean(self.means)
+
+
+class EvennessRecord:
+    """Samples of the load of all engines, and of the requests that were served."""
+
+    def __init__(self):
+        self.pending = LoadWindows()
+        self.in_flight = LoadWindows()
         self.n_uneven = 0
         self.n_all_samples = 0
         self.wasted_shares = []
@@ -72,23 +100,18 @@
     def sample(self, engines, now):
         """Take a sample; a window of them is a mean for each engine."""
         n_idle = n_queued = 0
+        n_pending_tokens = []
         for one in engines:
             n_pending = one.count_pending_tokens(now)
             n_waiting = one.count_waiting(now)
             n_idle += n_waiting == 0
             n_queued += n_waiting > 1
-            self.sums[one.name] = self.sums.get(one.name, 0.0) + n_pending
+            n_pending_tokens.append(n_pending)
         self.n_all_samples += 1
         self.n_uneven += min(n_idle, n_queued) > 0
         self.wasted_shares.append(min(n_idle, n_queued) / len(engines))
-        self.n_samples += 1
-        if self.n_samples * SAMPLE_INTERVAL_S >= WINDOW_S - 1e-9:
-            loads = [total / self.n_samples for total in self.sums.values()]
-            self.deviations.append(pstdev(loads))
-            self.maxima.append(max(loads))
-            self.means.append(fmean(loads))
-            self.sums = {}
-            self.n_samples = 0
+        self.pending.add(n_pending_tokens)
+        self.in_flight.add([one.n_in_flight for one in engines])
 
     def record_prefill(self, job, n_missing_tokens):
         """Count the tokens of known parts that an engine prefills again."""
@@ -108,13 +131,14 @@
         """Return the figures by name."""
         cuts = quantiles(self.first_event_s, n=20)
         n_jobs = len(self.first_event_s) + self.n_refused
-        mean = max(1.0, fmean(self.means))
         return {
-            "deviation": fmean(self.deviations) / mean,
-            "maximum": fmean(self.maxima) / mean,
+            "deviation": self.pending.compute_deviation(),
+            "maximum": self.pending.compute_maximum(),
+            "flying_deviation": self.in_flight.compute_deviation(),
+            "flying_maximum": self.in_flight.compute_maximum(),
             "uneven": self.n_uneven / self.n_all_samples,
             "wasted": fmean(self.wasted_shares),
-            "mean_tokens": mean,
+            "mean_tokens": fmean(self.pending.means),
             "median_ms": 1000 * cuts[9],
             "p95_ms": 1000 * cuts[18],
             "on_time": self.n_on_time / n_jobs,
--- a/benchmarks/even_fleet.py
+++ b/benchmarks/even_fleet.py
@@ -56,13 +56,13 @@
 
     :param n_nodes: number of forwarders.
     :param n_engines: number of engines.
-    :param delay_s: time that a frame takes besides the interval between two, seconds.
+    :param interval_s: time between two frames of a forwarder at least, seconds.
     :param seed: seed of all draws.
     :param prepare: callable that takes each :class:`ForwarderNode`, to set an
         alternative.
     """
 
-    def __init__(self, n_nodes, n_engines, delay_s, seed, prepare=ignore):
+    def __init__(self, n_nodes, n_engines, interval_s, seed, prepare=ignore):
         self.engines = [
             SimulatedEngine(f"b{number}", DATA_CENTRES[number % len(DATA_CENTRES)])
             for number in range(n_engines)
@@ -76,7 +76,7 @@
         self.by_address = {node.address: node for node in self.nodes}
         for node in self.nodes:
             prepare(node)
-        self.delay_s = delay_s
+        self.interval_s = interval_s
         self.rng = random.Random(seed)
         self.record = EvennessRecord()
         self.is_recording = False
@@ -101,7 +101,7 @@
         burst = (settle_s + span_s / 3, settle_s + span_s * 2 / 3)
         self.workload = Workload(len(self.engines), load, burst, seed)
         for node in self.nodes:
-            interval_s = len(self.nodes) / 400.0
+            interval_s = max(self.interval_s, len(self.nodes) / 400.0)
             node.exchange.next_frame_at = self.rng.random() * interval_s
             self.schedule(self.rng.random() * TICK_S, self.tick, node)
             self.schedule(self.rng.random() * EXPIRY_CHECK_S, self.expire, node)
@@ -136,11 +136,12 @@
         """Let an engine begin a request."""
         job = placement.job
         first_at, n_missing_tokens = engine.start(job, self.now)
+        engine.n_in_flight += 1
         if self.is_recording:
             self.record.record_prefill(job, n_missing_tokens)
         self.schedule(first_at, self.record_first_event, node, placement)
         ends_at = first_at + job.n_output_tokens * STEP_S
-        self.schedule(ends_at, self.end, node, placement)
+        self.schedule(ends_at, self.end, node, placement, engine)
 
     def record_first_event(self, node, placement):
         """Let a first event reach its forwarder."""
@@ -148,8 +149,9 @@
         if self.is_recording:
             self.record.record_first_event(placement.job, self.now)
 
-    def end(self, node, placement):
+    def end(self, node, placement, engine):
         """Let a response end."""
+        engine.n_in_flight -= 1
         node.balancer.handle_attempt_end(placement, SERVED, self.now)
 
     def tick(self, node):
@@ -163,11 +165,14 @@
         if not is_due and self.now < exchange.next_heartbeat_at:
             return
         datagrams = exchange.tick(self.now)
+        next_at = self.now + self.interval_s
+        exchange.next_frame_at = max(exchange.next_frame_at, next_at)
+        exchange.next_heartbeat_at = max(exchange.next_heartbeat_at, next_at)
         if datagrams:
             frame = decode_frame(datagrams[0][1])
             self.n_frames += len(datagrams)
             self.n_frame_bytes += sum(len(data) for _, data in datagrams)
-            self.schedule(self.now + self.delay_s, self.deliver, frame, datagrams)
+            self.schedule(self.now + REMOTE_LATENCY_S, self.deliver, frame, datagrams)
 
     def deliver(self, frame, datagrams):
         """Let a frame reach the peers."""
--- a/catkinfork/balancing/_balancer.py
+++ b/catkinfork/balancing/_balancer.py
@@ -1,5 +1,7 @@
 """Admission control and placement of the requests of one forwarder."""
 
+from functools import partial
+
 from catkinfork.balancing._admission import AdmissionControl
 from catkinfork.balancing._candidates import CandidateList
 from catkinfork.balancing._changes import ChangeSet
@@ -243,7 +245,7 @@
         best = candidates.choose(job, rank)
         if best is None:
             return None
-        if not self.may_take(pool, best, rank.n_peers_ahead, now):
+        if not self.may_take(pool, job, best, candidates, rank):
             candidates.add_cost(best.backend, best.n_missing_tokens)
             return None
         candidates.add_cost(
@@ -268,14 +270,29 @@
         lead = pool.shares.compute_lead(job.workspace, now) if n_peers_ahead else 0.0
         return QueueRank(n_peers_ahead, is_starving, lead)
 
-    def may_take(self, pool, candidate, n_peers_ahead, now):
+    def may_take(self, pool, job, candidate, candidates, rank):
         """Return whether a job may take the room at a backend server now.
 
         :param candidate: :class:`Candidate`.
+        :param candidates: :class:`CandidateList` from which it was chosen.
+        :param rank: :class:`QueueRank` of the job.
         """
-        draw = pool.find(candidate.backend.name).room_draw
+        now = candidates.now
         state_age_s = self.peers.compute_state_age_s(now)
-        return draw.may_take(candidate.room, n_peers_ahead, state_age_s, self.rng, now)
+        if not self.settings.spread_choice:
+            draw = pool.find(candidate.backend.name).room_draw
+            return draw.may_take(
+                candidate.room, rank.n_peers_ahead, state_age_s, self.rng, now
+            )
+        if candidate.room < 1:
+            return False
+        return pool.room_quota.may_take(
+            partial(candidates.compute_total_room, job, rank),
+            rank.n_peers_ahead,
+            state_age_s,
+            self.rng,
+            now,
+        )
 
     def record_placement(self, pool, placement, rates, now):
         """Add a new attempt to loads, rates, budgets and shares.
@@ -287,6 +304,7 @@
         state = pool.find(backend.name)
         state.load.add_attempt(job, placement.n_missing_tokens)
         rates.record_request(backend, state)
+        pool.record_cost(placement.n_missing_tokens, now)
         if job.tried_backends:
             if job.has_arrived:
                 job.n_retries += 1
@@ -306,7 +324,7 @@
     def list_candidates(self, pool, now):
         """Return a new :class:`CandidateList` of a service."""
         rates = SendRates(self.registry, pool, self.peers, self.rng, now)
-        return CandidateList(self.registry, pool, rates, now)
+        return CandidateList(self.registry, pool, rates, now, pool.selection)
 
     def dispatch_queued(self, now):
         """Place queued jobs and refuse those that can no longer meet their deadline.
--- a/catkinfork/balancing/_candidates.py
+++ b/catkinfork/balancing/_candidates.py
@@ -73,6 +73,7 @@
         self.selection = selection
         self.rates = rates
         self.now = now
+        self.unseen_cost = None
         self.healthy = []
         self.ejected = []
         self.throttled = []
@@ -109,6 +110,16 @@
         is_usable = self.versions if version is None else version in self.versions
         return None if is_usable or not throttled else min(throttled) - self.now
 
+    def estimate_unseen_cost(self):
+        """Return the cost that peers are expected to have placed unseen.
+
+        It grows with their request rate and with the age of what they have told.
+        """
+        if self.unseen_cost is None:
+            age_s = self.rates.peers.compute_mean_state_age_s(self.now)
+            self.unseen_cost = age_s * self.pool.compute_peer_cost_rate(self.now)
+        return self.unseen_cost
+
     def list_eligible(self, job):
         """Return the entries that may run a job, including full ones.
 
@@ -149,6 +160,25 @@
         )
         return Candidate(entry.backend, offer.n_missing_tokens, offer.cost, room)
 
+    def compute_total_room(self, job, rank):
+        """Return the number of jobs like this one for which all servers have room.
+
+        :param rank: :class:`QueueRank` of the job.
+        """
+        model = self.pool.model
+        rooms = [
+            model.compute_room(
+                job,
+                one.backend,
+                one.state.load,
+                model.estimate_missing_tokens(job, one.state.load),
+                rank,
+            )
+            for one in self.list_eligible(job)
+            if not one.is_limited
+        ]
+        return sum(room for room in rooms if room >= 1)
+
     def add_cost(self, backend, cost):
         """Raise the base cost of a backend server during the pass.
 
--- a/catkinfork/balancing/_pool.py
+++ b/catkinfork/balancing/_pool.py
@@ -2,8 +2,12 @@
 
 from math import inf
 
-from catkinfork.balancing._allowance import DemandShare, RateAllowance
-from catkinfork.balancing._contention import RoomDraw
+from catkinfork.balancing._allowance import (
+    DEMAND_WINDOW_S,
+    DemandShare,
+    RateAllowance,
+)
+from catkinfork.balancing._contention import RoomDraw, RoomQuota
 from catkinfork.balancing._durations import RouteDurations
 from catkinfork.balancing._health import BackendHealth, ServiceHealth
 from catkinfork.balancing._loads import BackendLoad
@@ -11,8 +15,10 @@
 from catkinfork.balancing._prefixes import PrefixCache
 from catkinfork.balancing._queue import WaitingQueue
 from catkinfork.balancing._retries import RetryBudget
+from catkinfork.balancing._selection import LOWEST_COST
 from catkinfork.balancing._shares import FairShares
 from catkinfork.balancing._slow_start import SlowStartLimiter
+from catkinfork.balancing._spread import SPREAD_CHOICE
 from catkinfork.balancing._windows import DecayingSum
 
 # Time constant of the placement rate.
@@ -69,6 +75,10 @@
         self.demand = DemandShare()
         self.health = ServiceHealth()
         self.placed_tokens = DecayingSum(PLACEMENT_RATE_WINDOW_S)
+        self.placed_costs = DecayingSum(DEMAND_WINDOW_S)
+        self.n_placed = DecayingSum(DEMAND_WINDOW_S)
+        self.selection = build_selection(settings)
+        self.room_quota = RoomQuota()
         self.first_event_durations = RouteDurations()
         self.durations = RouteDurations()
         self.priority = None
@@ -99,6 +109,22 @@
         """Add a placed job to the placement rate, whether it was queued or not."""
         self.placed_tokens.add(max(1, job.n_service_tokens), now)
 
+    def record_cost(self, n_missing_tokens, now):
+        """Add an attempt to the mean cost that one adds to a backend server."""
+        self.placed_costs.add(n_missing_tokens + self.model.request_cost, now)
+        self.n_placed.add(1, now)
+
+    def compute_peer_cost_rate(self, now):
+        """Return the cost that all peers add to the backend servers per second.
+
+        Their requests count with the mean cost of those of this forwarder.
+        """
+        n_placed = self.n_placed.read(now)
+        if not n_placed:
+            return 0.0
+        mean_cost = self.placed_costs.read(now) / n_placed
+        return mean_cost * self.demand.peer_requests.sum(now) / DEMAND_WINDOW_S
+
     def compute_s_per_token(self, now):
         """Return the seconds per service token at the recent placement rate.
 
@@ -137,3 +163,11 @@
             end_at = first_at
         ends_at = min(self.ends_at, job.deadline_at)
         return first_at <= job.next_event_deadline_at and end_at <= ends_at
+
+
+def build_selection(settings):
+    """Return the selection among the backend servers that may run a job.
+
+    :param settings: :class:`BalancerSettings`.
+    """
+    return SPREAD_CHOICE if settings.spread_choice else LOWEST_COST
--- a/catkinfork/balancing/_settings.py
+++ b/catkinfork/balancing/_settings.py
@@ -23,8 +23,11 @@
     :param share_window_s: window over which the service of workspaces is compared,
         seconds.
     :param retry_budget: :class:`RetryBudgetSettings`.
+    :param spread_choice: 1 to allow for placements of peers that are not yet known, 0
+        to take the lowest cost.
     """
 
     data_centre: str
     share_window_s: float = 4.0
     retry_budget: RetryBudgetSettings = RetryBudgetSettings()
+    spread_choice: int = 0
--- a/catkinfork/peering/_peers.py
+++ b/catkinfork/peering/_peers.py
@@ -162,3 +162,8 @@
         """Return the age of the oldest peer state that is included, seconds."""
         ages = [now - peer.heard_at for peer in self.peers.values() if peer.is_fresh]
         return max(ages, default=0.0)
+
+    def compute_mean_state_age_s(self, now):
+        """Return the mean age of the peer states that are included, seconds."""
+        ages = [now - peer.heard_at for peer in self.peers.values() if peer.is_fresh]
+        return sum(ages) / len(ages) if ages else 0.0
