--- a/benchmarks/even_fleet.py
+++ b/benchmarks/even_fleet.py
@@ -23,7 +23,7 @@
 LOCAL_LATENCY_S = 0.0002
 REMOTE_LATENCY_S = 0.0009
 # Interval at which a forwarder looks for frames to send and for queued jobs.
-TICK_S = 0.01
+TICK_S = 0.005
 EXPIRY_CHECK_S = 0.1
 
 
@@ -101,8 +101,6 @@
         burst = (settle_s + span_s / 3, settle_s + span_s * 2 / 3)
         self.workload = Workload(len(self.engines), load, burst, seed)
         for node in self.nodes:
-            interval_s = max(self.interval_s, len(self.nodes) / 400.0)
-            node.exchange.next_frame_at = self.rng.random() * interval_s
             self.schedule(self.rng.random() * TICK_S, self.tick, node)
             self.schedule(self.rng.random() * EXPIRY_CHECK_S, self.expire, node)
         self.schedule(0.0, self.arrive)
@@ -160,14 +158,7 @@
         if node.balancer.has_waiting():
             for job, decision in node.balancer.dispatch_queued(self.now):
                 self.start(node, job, decision)
-        exchange = node.exchange
-        is_due = self.now >= exchange.next_frame_at
-        if not is_due and self.now < exchange.next_heartbeat_at:
-            return
-        datagrams = exchange.tick(self.now)
-        next_at = self.now + self.interval_s
-        exchange.next_frame_at = max(exchange.next_frame_at, next_at)
-        exchange.next_heartbeat_at = max(exchange.next_heartbeat_at, next_at)
+        datagrams = node.exchange.tick(self.now)
         if datagrams:
             frame = decode_frame(datagrams[0][1])
             self.n_frames += len(datagrams)
--- a/catkinfork/balancing/_balancer.py
+++ b/catkinfork/balancing/_balancer.py
@@ -304,7 +304,7 @@
         state = pool.find(backend.name)
         state.load.add_attempt(job, placement.n_missing_tokens)
         rates.record_request(backend, state)
-        pool.record_cost(placement.n_missing_tokens, now)
+        pool.untold.record_placed(placement.n_missing_tokens + pool.model.request_cost)
         if job.tried_backends:
             if job.has_arrived:
                 job.n_retries += 1
@@ -373,6 +373,7 @@
         )
         placement.first_event_at = now
         pool.find(placement.backend.name).load.record_first_event(placement)
+        pool.untold.record_freed(placement.n_missing_tokens)
         self.changes.backends.add((placement.job.service, placement.backend.name))
 
     def handle_attempt_end(self, placement, outcome, now):
@@ -388,6 +389,7 @@
         pool = self.pools[job.service]
         state = pool.find(placement.backend.name)
         state.load.remove_attempt(placement)
+        pool.untold.record_freed(pool.model.request_cost)
         self.changes.backends.add((job.service, placement.backend.name))
         if outcome == ABANDONED:
             return
--- a/catkinfork/balancing/_candidates.py
+++ b/catkinfork/balancing/_candidates.py
@@ -116,8 +116,7 @@
         It grows with their request rate and with the age of what they have told.
         """
         if self.unseen_cost is None:
-            age_s = self.rates.peers.compute_mean_state_age_s(self.now)
-            self.unseen_cost = age_s * self.pool.compute_peer_cost_rate(self.now)
+            self.unseen_cost = self.pool.estimate_unseen_cost(self.now)
         return self.unseen_cost
 
     def list_eligible(self, job):
--- a/catkinfork/balancing/_pool.py
+++ b/catkinfork/balancing/_pool.py
@@ -2,11 +2,7 @@
 
 from math import inf
 
-from catkinfork.balancing._allowance import (
-    DEMAND_WINDOW_S,
-    DemandShare,
-    RateAllowance,
-)
+from catkinfork.balancing._allowance import DemandShare, RateAllowance
 from catkinfork.balancing._contention import RoomDraw, RoomQuota
 from catkinfork.balancing._durations import RouteDurations
 from catkinfork.balancing._health import BackendHealth, ServiceHealth
@@ -19,6 +15,7 @@
 from catkinfork.balancing._shares import FairShares
 from catkinfork.balancing._slow_start import SlowStartLimiter
 from catkinfork.balancing._spread import SPREAD_CHOICE
+from catkinfork.balancing._untold import UntoldLoad
 from catkinfork.balancing._windows import DecayingSum
 
 # Time constant of the placement rate.
@@ -75,8 +72,7 @@
         self.demand = DemandShare()
         self.health = ServiceHealth()
         self.placed_tokens = DecayingSum(PLACEMENT_RATE_WINDOW_S)
-        self.placed_costs = DecayingSum(DEMAND_WINDOW_S)
-        self.n_placed = DecayingSum(DEMAND_WINDOW_S)
+        self.untold = UntoldLoad()
         self.selection = build_selection(settings)
         self.room_quota = RoomQuota()
         self.first_event_durations = RouteDurations()
@@ -109,21 +105,14 @@
         """Add a placed job to the placement rate, whether it was queued or not."""
         self.placed_tokens.add(max(1, job.n_service_tokens), now)
 
-    def record_cost(self, n_missing_tokens, now):
-        """Add an attempt to the mean cost that one adds to a backend server."""
-        self.placed_costs.add(n_missing_tokens + self.model.request_cost, now)
-        self.n_placed.add(1, now)
+    def estimate_unseen_cost(self, now):
+        """Return the cost that all peers are expected to have placed unseen.
 
-    def compute_peer_cost_rate(self, now):
-        """Return the cost that all peers add to the backend servers per second.
-
-        Their requests count with the mean cost of those of this forwarder.
+        For each request of this forwarder, peers hold back as much as it does itself.
         """
-        n_placed = self.n_placed.read(now)
-        if not n_placed:
-            return 0.0
-        mean_cost = self.placed_costs.read(now) / n_placed
-        return mean_cost * self.demand.peer_requests.sum(now) / DEMAND_WINDOW_S
+        n_own = max(1.0, self.demand.own_requests.sum(now))
+        ratio = self.demand.peer_requests.sum(now) / n_own
+        return ratio * self.untold.sample()
 
     def compute_s_per_token(self, now):
         """Return the seconds per service token at the recent placement rate.
--- a/catkinfork/peering/_state.py
+++ b/catkinfork/peering/_state.py
@@ -20,13 +20,9 @@
     encode_frame,
 )
 from catkinfork.peering._handover import HandoverPlan
+from catkinfork.peering._pacing import TimedPacing, UrgentPacing
 from catkinfork.peering._stream_notices import StreamNotices
 
-# Limit of datagrams from one forwarder to all peers together.
-MAX_FRAMES_PER_S = 400.0
-MIN_INTERVAL_S = 0.01
-# Interval at which a frame is sent even if nothing has changed.
-HEARTBEAT_INTERVAL_S = 0.1
 # Interval at which all totals are sent again, since datagrams may be lost.
 REFRESH_INTERVAL_S = 1.0
 MAX_PARTS_PER_FRAME = 40
@@ -59,8 +55,7 @@
         self.version = 0
         self.era = 0
         self.revision = 0
-        self.next_frame_at = 0.0
-        self.next_heartbeat_at = 0.0
+        self.pacing = build_pacing(balancer.settings)
         self.next_refresh_at = 0.0
         self.hashes = {}
         self.refresh_offset = 0
@@ -99,13 +94,12 @@
         """
         self.remove_silent_peers(now)
         has_news = not self.balancer.changes.is_empty or self.balancer.streams.has_news
-        is_due = now >= self.next_frame_at and has_news
-        if not is_due and now < self.next_heartbeat_at:
-            return []
         addresses = self.directory.list_addresses()
-        interval_s = max(MIN_INTERVAL_S, len(addresses) / MAX_FRAMES_PER_S)
-        self.next_frame_at = now + interval_s
-        self.next_heartbeat_at = now + max(HEARTBEAT_INTERVAL_S, interval_s)
+        pools = self.balancer.pools.values()
+        urgency = max((one.untold.compute_urgency() for one in pools), default=0.0)
+        if not self.pacing.is_due(len(addresses), has_news, urgency, now):
+            return []
+        self.pacing.record_frame(len(addresses), now)
         is_full = now >= self.next_refresh_at
         if is_full:
             self.next_refresh_at = now + REFRESH_INTERVAL_S
@@ -133,6 +127,8 @@
         )
         self.fill_frame(frame, is_full, now)
         self.balancer.changes.clear()
+        for pool in self.balancer.pools.values():
+            pool.untold.mark_told()
         data = encode_frame(frame)
         while len(data) > MAX_FRAME_BYTES and (
             frame.parts or frame.streams or frame.uses
@@ -343,6 +339,14 @@
         )
 
 
+def build_pacing(settings):
+    """Return the pacing of the frames.
+
+    :param settings: :class:`BalancerSettings`.
+    """
+    return UrgentPacing() if settings.spread_choice else TimedPacing()
+
+
 def find_baseline(peer, now):
     """Return the baseline from which the first total of a peer is counted.
 
