--- a/benchmarks/even_choices.py
+++ b/benchmarks/even_choices.py
@@ -7,7 +7,6 @@
 from catkinfork.balancing._models import MAX_PENDING_TOKENS
 from catkinfork.balancing._selection import LOWEST_COST, BaseSelection
 from catkinfork.balancing._spread import SPREAD_CHOICE
-from catkinfork.peering._state import build_pacing
 
 
 class SampledCandidates(BaseSelection):
@@ -109,7 +108,6 @@
     if selection is SPREAD_CHOICE:
         settings = node.balancer.settings._replace(spread_choice=1)
         node.balancer.settings = settings
-        node.exchange.pacing = build_pacing(settings)
 
 
 CHOICES = {
--- a/catkinfork/balancing/_balancer.py
+++ b/catkinfork/balancing/_balancer.py
@@ -20,7 +20,7 @@
     Refusal,
 )
 from catkinfork.balancing._models import QueueRank
-from catkinfork.balancing._pool import ServicePool
+from catkinfork.balancing._pool import ServicePool, build_selection
 from catkinfork.balancing._rates import SendRates
 from catkinfork.balancing._refusals import RefusalBuilder
 from catkinfork.balancing._resumption import OriginFinder
@@ -106,6 +106,7 @@
         self.settings = settings
         for pool in self.pools.values():
             pool.retry_budget.settings = settings.retry_budget
+            pool.selection = build_selection(settings)
 
     def submit(self, job, now):
         """Place, queue or refuse a new request.
@@ -256,8 +257,22 @@
         placement.n_candidates = len(candidates.healthy)
         placement.peer_state_age_s = self.peers.compute_state_age_s(now)
         self.record_placement(pool, placement, candidates.rates, now)
+        if self.settings.spread_choice:
+            self.record_evenness(pool, placement, candidates)
         return placement
 
+    def record_evenness(self, pool, placement, candidates):
+        """Record how even the load is, and write an event from time to time.
+
+        :param candidates: :class:`CandidateList` from which it was chosen.
+        """
+        monitor = pool.evenness
+        monitor.record_placement(placement, candidates.is_drawn)
+        unseen_cost = candidates.estimate_unseen_cost()
+        event = monitor.observe(pool, unseen_cost, candidates.now)
+        if event is not None:
+            self.write_log(event)
+
     def compute_rank(self, pool, job, priority, now):
         """Return the :class:`QueueRank` of a job.
 
--- a/catkinfork/balancing/_candidates.py
+++ b/catkinfork/balancing/_candidates.py
@@ -66,6 +66,8 @@
     :param rates: :class:`SendRates`.
     :param now: monotonic time, seconds.
     :param selection: :class:`BaseSelection` that chooses among the offers.
+
+    ``is_drawn`` states whether the latest choice was drawn among several offers.
     """
 
     def __init__(self, registry, pool, rates, now, selection=LOWEST_COST):
@@ -74,6 +76,7 @@
         self.rates = rates
         self.now = now
         self.unseen_cost = None
+        self.is_drawn = False
         self.healthy = []
         self.ejected = []
         self.throttled = []
--- a/catkinfork/balancing/_events.py
+++ b/catkinfork/balancing/_events.py
@@ -90,6 +90,30 @@
     ),
 )
 
+LOAD_SPREAD = Event(
+    906,
+    "info",
+    "load_spread",
+    "how even the load of the servers of a service was in the latest seconds, as this "
+    "host sees it: the largest as a multiple of the mean, the server that was busiest "
+    "most often, how often it was, its part of what this host has placed, and the part "
+    "of the prompts there that was cached",
+    (
+        "service",
+        "imbalance",
+        "mean_load",
+        "n_idle",
+        "n_servers",
+        "busiest",
+        "busiest_share",
+        "placed_share",
+        "cached_share",
+        "n_placed",
+        "n_drawn",
+        "unseen_cost",
+    ),
+)
+
 EVENTS = (
     BACKEND_LEFT_OUT,
     REQUEST_BLOCKED,
@@ -97,4 +121,5 @@
     PART_REFUSED,
     CRASH_WITHDRAWN,
     WORKSPACE_HELD,
+    LOAD_SPREAD,
 )
--- a/catkinfork/balancing/_models.py
+++ b/catkinfork/balancing/_models.py
@@ -85,6 +85,10 @@
     def estimate_missing_tokens(self, job, load):
         """Return the uncached prompt tokens of a job at a backend server."""
 
+    @abstractmethod
+    def compute_load(self, load):
+        """Return the work that waits at a backend server, in the unit of the costs."""
+
     @abstractmethod
     def estimate_base_cost(self, backend, load):
         """Return the cost of any job at a backend server.
@@ -112,6 +116,9 @@
             0, job.n_prompt_tokens - load.prefixes.count_cached_tokens(job.parts)
         )
 
+    def compute_load(self, load):
+        return load.n_all_pending_tokens
+
     def estimate_base_cost(self, backend, load):
         cost = load.n_all_pending_tokens + IN_FLIGHT_COST_TOKENS * load.n_all_in_flight
         if backend.data_centre != self.data_centre:
@@ -147,6 +154,9 @@
     def estimate_missing_tokens(self, job, load):
         return 0
 
+    def compute_load(self, load):
+        return load.n_all_in_flight
+
     def estimate_base_cost(self, backend, load):
         cost = float(load.n_all_in_flight)
         if backend.data_centre != self.data_centre:
--- a/catkinfork/balancing/_pool.py
+++ b/catkinfork/balancing/_pool.py
@@ -5,6 +5,7 @@
 from catkinfork.balancing._allowance import DemandShare, RateAllowance
 from catkinfork.balancing._contention import RoomDraw, RoomQuota
 from catkinfork.balancing._durations import RouteDurations
+from catkinfork.balancing._evenness import EvennessMonitor
 from catkinfork.balancing._health import BackendHealth, ServiceHealth
 from catkinfork.balancing._loads import BackendLoad
 from catkinfork.balancing._models import build_load_model
@@ -75,6 +76,7 @@
         self.untold = UntoldLoad()
         self.selection = build_selection(settings)
         self.room_quota = RoomQuota()
+        self.evenness = EvennessMonitor()
         self.first_event_durations = RouteDurations()
         self.durations = RouteDurations()
         self.priority = None
--- a/catkinfork/balancing/_spread.py
+++ b/catkinfork/balancing/_spread.py
@@ -40,6 +40,7 @@
                 offers = [offer]
             elif cost <= best_cost + COST_TOLERANCE:
                 offers.append(offer)
+        candidates.is_drawn = len(offers) > 1
         return draw_offer(offers, level, candidates.rates.rng)
 
 
--- a/catkinfork/balancing/_untold.py
+++ b/catkinfork/balancing/_untold.py
@@ -1,7 +1,7 @@
 """Load that one forwarder has placed and not yet told its peers of."""
 
 # Weight of the latest value in the running means.
-MEAN_WEIGHT = 0.1
+MEAN_WEIGHT = 0.03
 
 
 class UntoldLoad:
--- a/catkinfork/forwarder/_process.py
+++ b/catkinfork/forwarder/_process.py
@@ -335,5 +335,8 @@
         balancing.repeat_ratio, balancing.n_repeat_slack, balancing.repeat_window_s
     )
     return BalancerSettings(
-        settings.forwarder.data_centre, balancing.share_window_s, retry_budget
+        settings.forwarder.data_centre,
+        balancing.share_window_s,
+        retry_budget,
+        spread_choice=balancing.spread_choice,
     )
--- a/catkinfork/forwarder/_status.py
+++ b/catkinfork/forwarder/_status.py
@@ -134,6 +134,8 @@
             labels,
             pool.retry_budget.n_retries,
         )
+        if process.balancer.settings.spread_choice:
+            yield from list_evenness_gauges(pool.evenness, labels)
     for number, count in sorted(process.log.n_events.items()):
         yield (
             "events",
@@ -141,3 +143,22 @@
             {"event": str(number)},
             count,
         )
+
+
+def list_evenness_gauges(monitor, labels):
+    """Yield the gauges of the evenness of load, as :func:`list_gauges` does.
+
+    :param monitor: :class:`EvennessMonitor`.
+    """
+    yield (
+        "load_imbalance",
+        "Largest load of a server as a multiple of the mean in the latest report",
+        labels,
+        monitor.imbalance,
+    )
+    yield (
+        "placements_drawn",
+        "Attempts drawn among several equal offers since the start",
+        labels,
+        monitor.n_drawn,
+    )
--- a/catkinfork/peering/_state.py
+++ b/catkinfork/peering/_state.py
@@ -55,7 +55,8 @@
         self.version = 0
         self.era = 0
         self.revision = 0
-        self.pacing = build_pacing(balancer.settings)
+        self.timed_pacing = TimedPacing()
+        self.urgent_pacing = UrgentPacing()
         self.next_refresh_at = 0.0
         self.hashes = {}
         self.refresh_offset = 0
@@ -97,9 +98,11 @@
         addresses = self.directory.list_addresses()
         pools = self.balancer.pools.values()
         urgency = max((one.untold.compute_urgency() for one in pools), default=0.0)
-        if not self.pacing.is_due(len(addresses), has_news, urgency, now):
+        is_spread = self.balancer.settings.spread_choice
+        pacing = self.urgent_pacing if is_spread else self.timed_pacing
+        if not pacing.is_due(len(addresses), has_news, urgency, now):
             return []
-        self.pacing.record_frame(len(addresses), now)
+        pacing.record_frame(len(addresses), now)
         is_full = now >= self.next_refresh_at
         if is_full:
             self.next_refresh_at = now + REFRESH_INTERVAL_S
@@ -339,14 +342,6 @@
         )
 
 
-def build_pacing(settings):
-    """Return the pacing of the frames.
-
-    :param settings: :class:`BalancerSettings`.
-    """
-    return UrgentPacing() if settings.spread_choice else TimedPacing()
-
-
 def find_baseline(peer, now):
     """Return the baseline from which the first total of a peer is counted.
 
--- a/catkinfork/settings/_constraints.py
+++ b/catkinfork/settings/_constraints.py
@@ -140,4 +140,5 @@
     ("balancing", "repeat_ratio"): Number(0.0, 1_000_000),
     ("balancing", "n_repeat_slack"): Number(0, 1_000_000),
     ("balancing", "repeat_window_s"): SECONDS,
+    ("balancing", "spread_choice"): Number(0, 1),
 }
--- a/catkinfork/settings/_types.py
+++ b/catkinfork/settings/_types.py
@@ -209,12 +209,15 @@
     :param n_repeat_slack: retries allowed within the window beyond ``repeat_ratio``;
         may be a fraction, as a deployment may be scaled down from a larger one.
     :param repeat_window_s: length of the window over which retries are counted.
+    :param spread_choice: 1 to allow for requests that other hosts have placed and not
+        yet told of, 0 to choose the backend server with the lowest known cost.
     """
 
     share_window_s: float = 4.0
     repeat_ratio: float = 0.1
     n_repeat_slack: float = 10.0
     repeat_window_s: float = 10.0
+    spread_choice: int = 0
 
 
 class ForwarderSettings(NamedTuple):
