--- a/catkinfork/balancing/_balancer.py
+++ b/catkinfork/balancing/_balancer.py
@@ -1,5 +1,7 @@
 """Admission control and placement of the requests of one forwarder."""
 
+from functools import partial
+
 from catkinfork.balancing._admission import AdmissionControl
 from catkinfork.balancing._candidates import CandidateList
 from catkinfork.balancing._changes import ChangeSet
@@ -253,7 +255,7 @@
         name = best.backend.name
         if is_late_priority(priority) and name in candidates.awaited:
             return None
-        if not self.may_take(pool, best, rank.n_peers_ahead, now):
+        if not self.may_take(pool, job, best, candidates, rank):
             candidates.add_cost(best.backend, best.n_missing_tokens)
             candidates.awaited.add(name)
             return None
@@ -266,8 +268,22 @@
         placement.peer_state_age_s = self.peers.compute_state_age_s(now)
         self.transfers.open(pool, placement, best.transfer)
         self.record_placement(pool, placement, candidates.rates, now)
+        if self.settings.spread_choice:
+            self.record_evenness(pool, placement, candidates)
         return placement
 
+    def record_evenness(self, pool, placement, candidates):
+        """Record how even the load is, and write an event from time to time.
+
+        :param candidates: :class:`CandidateList` from which it was chosen.
+        """
+        monitor = pool.evenness
+        monitor.record_placement(placement, candidates.is_drawn)
+        unseen_cost = candidates.estimate_unseen_cost()
+        event = monitor.observe(pool, unseen_cost, candidates.now)
+        if event is not None:
+            self.write_log(event)
+
     def compute_rank(self, pool, job, priority, now):
         """Return the :class:`QueueRank` of a job.
 
@@ -280,14 +296,29 @@
         lead = pool.shares.compute_lead(job.workspace, now) if n_peers_ahead else 0.0
         return QueueRank(n_peers_ahead, is_starving, lead)
 
-    def may_take(self, pool, candidate, n_peers_ahead, now):
+    def may_take(self, pool, job, candidate, candidates, rank):
         """Return whether a job may take the room at a backend server now.
 
         :param candidate: :class:`Candidate`.
+        :param candidates: :class:`CandidateList` from which it was chosen.
+        :param rank: :class:`QueueRank` of the job.
         """
-        draw = pool.find(candidate.backend.name).room_draw
+        now = candidates.now
         state_age_s = self.peers.compute_state_age_s(now)
-        return draw.may_take(candidate.room, n_peers_ahead, state_age_s, self.rng, now)
+        if not self.settings.spread_choice:
+            draw = pool.find(candidate.backend.name).room_draw
+            return draw.may_take(
+                candidate.room, rank.n_peers_ahead, state_age_s, self.rng, now
+            )
+        if candidate.room < 1:
+            return False
+        return pool.room_quota.may_take(
+            partial(candidates.compute_total_room, job, rank),
+            rank.n_peers_ahead,
+            state_age_s,
+            self.rng,
+            now,
+        )
 
     def record_placement(self, pool, placement, rates, now):
         """Add a new attempt to loads, rates, budgets and shares.
@@ -300,6 +331,7 @@
         self.speed_meter.begin(pool, placement, state, now)
         state.load.add_attempt(job, placement.n_missing_tokens)
         rates.record_request(backend, state)
+        pool.untold.record_placed(placement.n_missing_tokens + pool.model.request_cost)
         if job.tried_backends:
             if job.has_arrived:
                 job.n_retries += 1
@@ -325,7 +357,7 @@
         self.transfers.update_rate(pool, now)
         self.speed_meter.update(pool, now)
         rates = SendRates(self.registry, pool, self.peers, self.rng, now)
-        return CandidateList(self.registry, pool, rates, now)
+        return CandidateList(self.registry, pool, rates, now, pool.selection)
 
     def dispatch_queued(self, now):
         """Place queued jobs and refuse those that can no longer meet their deadline.
@@ -391,6 +423,7 @@
         self.transfers.record_first_event(placement, now)
         self.speed_meter.record_first_event(pool, placement, now)
         pool.find(placement.backend.name).load.record_first_event(placement)
+        pool.untold.record_freed(placement.n_missing_tokens)
         self.changes.backends.add((placement.job.service, placement.backend.name))
 
     def handle_attempt_end(self, placement, outcome, now):
@@ -407,6 +440,7 @@
         pool = self.pools[job.service]
         state = pool.find(placement.backend.name)
         state.load.remove_attempt(placement)
+        pool.untold.record_freed(pool.model.request_cost)
         self.changes.backends.add((job.service, placement.backend.name))
         if outcome == ABANDONED:
             return
--- a/catkinfork/balancing/_candidates.py
+++ b/catkinfork/balancing/_candidates.py
@@ -76,6 +76,7 @@
 
     ``awaited`` has the names of those that were full for a job of the pass.
     ``plan`` is the :class:`TransferPlan` of the job that is being placed, or None.
+    ``is_drawn`` states whether the latest choice was drawn among several offers.
     """
 
     def __init__(self, registry, pool, rates, now, selection=LOWEST_COST):
@@ -86,6 +87,8 @@
         self.weighs_pauses = pool.weighs_pauses
         self.shared_addresses = registry.shared_addresses
         self.plan = None
+        self.unseen_cost = None
+        self.is_drawn = False
         self.healthy = []
         self.ejected = []
         self.throttled = []
@@ -123,6 +126,15 @@
         is_usable = self.versions if version is None else version in self.versions
         return None if is_usable or not throttled else min(throttled) - self.now
 
+    def estimate_unseen_cost(self):
+        """Return the cost that peers are expected to have placed unseen.
+
+        It grows with their request rate and with the age of what they have told.
+        """
+        if self.unseen_cost is None:
+            self.unseen_cost = self.pool.estimate_unseen_cost(self.now)
+        return self.unseen_cost
+
     def list_eligible(self, job):
         """Return the entries that may run a job, including full ones.
 
@@ -192,6 +204,26 @@
             entry.backend, offer.n_missing_tokens, offer.cost, room, offer.transfer
         )
 
+    def compute_total_room(self, job, rank):
+        """Return the number of jobs like this one for which all servers have room.
+
+        :param rank: :class:`QueueRank` of the job.
+        """
+        model = self.pool.model
+        rooms = [
+            model.compute_room(
+                job,
+                one.backend,
+                one.state.load,
+                model.estimate_missing_tokens(job, one.state.load),
+                rank,
+                one.state.speed,
+            )
+            for one in self.list_eligible(job)
+            if not one.is_limited
+        ]
+        return sum(room for room in rooms if room >= 1)
+
     def add_cost(self, backend, cost):
         """Raise the base cost of a backend server during the pass.
 
--- a/catkinfork/balancing/_models.py
+++ b/catkinfork/balancing/_models.py
@@ -93,6 +93,10 @@
         """
         return self.missing_token_weight
 
+    @abstractmethod
+    def compute_load(self, load):
+        """Return the work that waits at a backend server, in the unit of the costs."""
+
     @abstractmethod
     def estimate_base_cost(self, backend, load, speed=1.0):
         """Return the cost of any job at a backend server.
@@ -123,6 +127,9 @@
             0, job.n_prompt_tokens - load.prefixes.count_cached_tokens(job.parts)
         )
 
+    def compute_load(self, load):
+        return load.n_all_pending_tokens
+
     def compute_missing_token_weight(self, speed):
         # Its own prefill takes longer at a slow engine. The rest of the weight stands
         # for the delay of others, of which a slow engine has fewer.
@@ -164,6 +171,9 @@
     def estimate_missing_tokens(self, job, load):
         return 0
 
+    def compute_load(self, load):
+        return load.n_all_in_flight
+
     def estimate_base_cost(self, backend, load, speed=1.0):
         cost = float(load.n_all_in_flight)
         if backend.data_centre != self.data_centre:
--- a/catkinfork/balancing/_pool.py
+++ b/catkinfork/balancing/_pool.py
@@ -3,8 +3,9 @@
 from math import inf
 
 from catkinfork.balancing._allowance import DemandShare, RateAllowance
-from catkinfork.balancing._contention import RoomDraw
+from catkinfork.balancing._contention import RoomDraw, RoomQuota
 from catkinfork.balancing._durations import RouteDurations
+from catkinfork.balancing._evenness import EvennessMonitor
 from catkinfork.balancing._health import BackendHealth, ServiceHealth
 from catkinfork.balancing._loads import BackendLoad
 from catkinfork.balancing._models import build_load_model
@@ -13,6 +14,7 @@
 from catkinfork.balancing._prefixes import PrefixCache
 from catkinfork.balancing._queue import WaitingQueue
 from catkinfork.balancing._retries import RetryBudget
+from catkinfork.balancing._selection import LOWEST_COST
 from catkinfork.balancing._shares import FairShares
 from catkinfork.balancing._slow_start import SlowStartLimiter
 from catkinfork.balancing._speeds import (
@@ -21,7 +23,9 @@
     SpeedReport,
     SpeedTable,
 )
+from catkinfork.balancing._spread import SPREAD_CHOICE
 from catkinfork.balancing._transfers import ServiceTransfers, TransferSource
+from catkinfork.balancing._untold import UntoldLoad
 from catkinfork.balancing._windows import DecayingSum
 
 # Time constant of the placement rate.
@@ -118,6 +122,10 @@
         self.pause_cost = settings.long_pause_cost
         self.health = ServiceHealth()
         self.placed_tokens = DecayingSum(PLACEMENT_RATE_WINDOW_S)
+        self.untold = UntoldLoad()
+        self.selection = build_selection(settings)
+        self.room_quota = RoomQuota()
+        self.evenness = EvennessMonitor()
         self.first_event_durations = RouteDurations()
         self.durations = RouteDurations()
         self.is_on_time_first = settings.on_time_first
@@ -163,6 +171,7 @@
         self.pause_cost = settings.long_pause_cost
         self.transfers.update(self.service, settings)
         self.set_speed_window(settings.speed_window_s)
+        self.selection = build_selection(settings)
         if settings.on_time_first != self.is_on_time_first:
             self.is_on_time_first = settings.on_time_first
             self.queue.set_order(build_queue_order(settings, self))
@@ -186,6 +195,15 @@
         """Add a placed job to the placement rate, whether it was queued or not."""
         self.placed_tokens.add(max(1, job.n_service_tokens), now)
 
+    def estimate_unseen_cost(self, now):
+        """Return the cost that all peers are expected to have placed unseen.
+
+        For each request of this forwarder, peers hold back as much as it does itself.
+        """
+        n_own = max(1.0, self.demand.own_requests.sum(now))
+        ratio = self.demand.peer_requests.sum(now) / n_own
+        return ratio * self.untold.sample()
+
     def compute_s_per_token(self, now):
         """Return the seconds per service token at the recent placement rate.
 
@@ -233,3 +251,11 @@
             end_at = first_at
         ends_at = min(self.ends_at, job.deadline_at)
         return max(first_at - job.next_event_deadline_at, end_at - ends_at)
+
+
+def build_selection(settings):
+    """Return the selection among the backend servers that may run a job.
+
+    :param settings: :class:`BalancerSettings`.
+    """
+    return SPREAD_CHOICE if settings.spread_choice else LOWEST_COST
--- a/catkinfork/balancing/_settings.py
+++ b/catkinfork/balancing/_settings.py
@@ -30,6 +30,8 @@
     :param speed_window_s: window over which the speeds of engines are estimated,
         seconds; 0 if they are not.
     :param on_time_first: whether jobs that can still be on time go before late ones.
+    :param spread_choice: 1 to allow for placements of peers that are not yet known, 0
+        to take the lowest cost.
     """
 
     data_centre: str
@@ -39,3 +41,4 @@
     min_transfer_speedup: float = 0.0
     speed_window_s: float = 0.0
     on_time_first: bool = False
+    spread_choice: int = 0
--- a/catkinfork/forwarder/_process.py
+++ b/catkinfork/forwarder/_process.py
@@ -347,4 +347,5 @@
         long_pause_cost=balancing.long_pause_cost,
         speed_window_s=balancing.speed_window_s,
         on_time_first=bool(balancing.on_time_first),
+        spread_choice=balancing.spread_choice,
     )
--- a/catkinfork/forwarder/_status.py
+++ b/catkinfork/forwarder/_status.py
@@ -180,6 +180,8 @@
             )
         for gauge, text, value in pool.queue.order.list_gauges(pool.queue, now):
             yield gauge, text, labels, value
+        if process.balancer.settings.spread_choice:
+            yield from list_evenness_gauges(pool.evenness, labels)
     for number, count in sorted(process.log.n_events.items()):
         yield (
             "events",
@@ -187,3 +189,22 @@
             {"event": str(number)},
             count,
         )
+
+
+def list_evenness_gauges(monitor, labels):
+    """Yield the gauges of the evenness of load, as :func:`list_gauges` does.
+
+    :param monitor: :class:`EvennessMonitor`.
+    """
+    yield (
+        "load_imbalance",
+        "Largest load of a server as a multiple of the mean in the latest report",
+        labels,
+        monitor.imbalance,
+    )
+    yield (
+        "placements_drawn",
+        "Attempts drawn among several equal offers since the start",
+        labels,
+        monitor.n_drawn,
+    )
--- a/catkinfork/settings/_constraints.py
+++ b/catkinfork/settings/_constraints.py
@@ -145,4 +145,5 @@
     ("balancing", "min_transfer_speedup"): Number(0.0, 1_000_000),
     ("balancing", "speed_window_s"): Number(0.0, 60),
     ("balancing", "on_time_first"): Number(0, 1),
+    ("balancing", "spread_choice"): Number(0, 1),
 }
--- a/catkinfork/settings/_types.py
+++ b/catkinfork/settings/_types.py
@@ -221,6 +221,8 @@
         from their responses; 0 if all count as equally fast.
     :param on_time_first: whether queued requests that can still be on time go before
         late ones of all workspaces: 0 for no, 1 for yes.
+    :param spread_choice: 1 to allow for requests that other hosts have placed and not
+        yet told of, 0 to choose the backend server with the lowest known cost.
     """
 
     share_window_s: float = 4.0
@@ -231,6 +233,7 @@
     min_transfer_speedup: float = 0.0
     speed_window_s: float = 0.0
     on_time_first: int = 0
+    spread_choice: int = 0
 
 
 class ForwarderSettings(NamedTuple):
