Test the exchange of speeds and a replayed fleet; steadier estimates

Change: the work ahead is the mean of the tokens pending at the placement and at the first event. A speed differs from 1 only beyond three standard errors and from seven attempts on. The speed divides pending tokens and the prefill of the request itself, not the delay of others nor the cost of requests in flight.

Tests of speeds pass in balancing and peering.

--- a/catkinfork/balancing/_balancer.py
+++ b/catkinfork/balancing/_balancer.py
@@ -250,7 +250,7 @@
             candidates.add_cost(best.backend, best.n_missing_tokens)
             return None
         candidates.add_cost(
-            best.backend, best.n_missing_tokens + pool.model.request_cost
+            best.backend, best.n_missing_tokens, pool.model.request_cost
         )
         placement = Placement(job, best.backend, best.n_missing_tokens, now)
         placement.cost = best.cost
--- a/catkinfork/balancing/_candidates.py
+++ b/catkinfork/balancing/_candidates.py
@@ -155,16 +155,18 @@
         )
         return Candidate(entry.backend, offer.n_missing_tokens, offer.cost, room)
 
-    def add_cost(self, backend, cost):
+    def add_cost(self, backend, n_missing_tokens, request_cost=0.0):
         """Raise the base cost of a backend server during the pass.
 
-        :param cost: cost added by a job that was placed, or that waits for it, at
-            speed 1.
+        :param n_missing_tokens: uncached prompt tokens of a job that was placed, or
+            that waits for it.
+        :param request_cost: cost of the request in flight, if it was placed.
         """
         for entries in (self.healthy, self.ejected):
             for entry in entries:
                 if entry.backend is backend:
-                    entry.base_cost += cost / entry.state.speed
+                    entry.base_cost += n_missing_tokens / entry.state.speed
+                    entry.base_cost += request_cost
                     entries.sort(key=BASE_COST)
                     return
 
--- a/catkinfork/balancing/_jobs.py
+++ b/catkinfork/balancing/_jobs.py
@@ -116,8 +116,9 @@
     its entry may be replaced while the attempt runs.
     ``connected_at`` is the monotonic time at which its connection was opened, and
     ``survived_at`` that of its first event that a lost server would not send, or None.
-    ``n_work_tokens`` is the work ahead of its first event, and ``speed_record`` the
-    :class:`SpeedRecord` that its time counts for, or None if it is not measured.
+    ``n_tokens_ahead`` are the tokens that were pending when it was placed, and
+    ``speed_record`` is the :class:`SpeedRecord` that its time counts for, or None if it
+    is not measured.
     """
 
     __slots__ = (
@@ -131,7 +132,7 @@
         "job",
         "n_candidates",
         "n_missing_tokens",
-        "n_work_tokens",
+        "n_tokens_ahead",
         "outcome",
         "peer_state_age_s",
         "placed_at",
@@ -155,7 +156,7 @@
         self.outcome = ""
         self.cost = 0.0
         self.n_candidates = 0
-        self.n_work_tokens = 0
+        self.n_tokens_ahead = 0
         self.speed_record = None
         self.peer_state_age_s = 0.0
 
--- a/catkinfork/balancing/_models.py
+++ b/catkinfork/balancing/_models.py
@@ -128,8 +128,9 @@
         return self.missing_token_weight - 1.0 + 1.0 / speed
 
     def estimate_base_cost(self, backend, load, speed=1.0):
-        cost = load.n_all_pending_tokens + IN_FLIGHT_COST_TOKENS * load.n_all_in_flight
-        cost /= speed
+        # Requests stay longer at a slow engine, so their number follows its speed.
+        cost = load.n_all_pending_tokens / speed
+        cost += IN_FLIGHT_COST_TOKENS * load.n_all_in_flight
         if backend.data_centre != self.data_centre:
             cost += REMOTE_COST_TOKENS
         return cost
--- a/catkinfork/balancing/_speed_meter.py
+++ b/catkinfork/balancing/_speed_meter.py
@@ -55,13 +55,9 @@
         :param pool: :class:`ServicePool`.
         :param state: :class:`BackendState` of its backend server.
         """
-        if not pool.has_speeds or not self.is_measurable(placement, now):
-            return
-        placement.speed_record = state.speed_record
-        n_pending_tokens = state.load.n_all_pending_tokens
-        placement.n_work_tokens = (
-            n_pending_tokens + placement.n_missing_tokens + STEP_TOKENS
-        )
+        if pool.has_speeds and self.is_measurable(placement, now):
+            placement.speed_record = state.speed_record
+            placement.n_tokens_ahead = state.load.n_all_pending_tokens
 
     def is_measurable(self, placement, now):
         """Return whether the time to the first event tells the speed of an engine.
@@ -77,14 +73,25 @@
         return not self.host_lag.has_lagged_since(placement.placed_at, now)
 
     def record_first_event(self, pool, placement, now):
-        """Count an attempt at its first event."""
+        """Count an attempt at its first event, before the load follows.
+
+        The pending tokens ahead of it are the mean of those known at its placement and
+        at its first event. At the placement, those that peers have just placed are
+        still unknown, and the engine was chosen as little seemed to be pending: taken
+        alone, they double the noise of the estimate. In an engine that prefills prompts
+        in order, as many tokens are left behind on average as were found.
+        """
         record = placement.speed_record
         if record is None or not pool.has_speeds:
             return
         if not self.is_measurable(placement, now):
             return
         time_us = max(1, round(1e6 * (now - placement.placed_at)))
-        figures = SpeedFigures(1, time_us, placement.n_work_tokens)
+        load = pool.find(placement.backend.name).load
+        n_left = max(0, load.n_all_pending_tokens - placement.n_missing_tokens)
+        n_ahead = (placement.n_tokens_ahead + n_left) // 2
+        n_tokens = n_ahead + placement.n_missing_tokens + STEP_TOKENS
+        figures = SpeedFigures(1, time_us, n_tokens)
         if figures.is_plausible(0.0):
             record.totals = record.totals.add(figures)
             pool.speeds.record(record, figures, now)
--- a/catkinfork/balancing/_speeds.py
+++ b/catkinfork/balancing/_speeds.py
@@ -15,11 +15,18 @@
 # Time constant of the sums, as a fraction of the window.
 DECAY_SHARE = 0.5
 # Number of recent attempts at which half of a difference counts.
-HALF_TRUST_ATTEMPTS = 2.5
-# Relative deviation of the time per token of one attempt, and the number of standard
-# errors by which a speed of 1 has to be excluded.
-ATTEMPT_DEVIATION = 0.7
-N_STANDARD_ERRORS = 2.5
+HALF_TRUST_ATTEMPTS = 1.5
+# Relative deviation of the time per token of one attempt; 0.47 to 0.65 in the replay of
+# equal engines.
+ATTEMPT_DEVIATION = 0.6
+# Number of standard errors by which the speed of an engine that counts as equal has to
+# differ, and by which that of another one has to go on differing.
+N_ERRORS_TO_DIFFER = 3.0
+N_ERRORS_TO_STAY = 1.0
+# Recent attempts below which an engine that counts as equal stays so. In the first
+# second after a start, five to nine attempts, most of them of one burst, made equal
+# engines look unequal.
+MIN_ATTEMPTS = 7.0
 UPDATE_INTERVAL_S = 0.1
 # Time between two reports on one backend server, seconds.
 REPORT_INTERVAL_S = 2.0
@@ -154,8 +161,7 @@
     The speed of an engine is the time per token over all engines divided by its own.
     The work ahead of each event is part of it, so neither the load of an engine nor
     a lack of it changes the estimate. A speed other than 1 takes more of a difference
-    than chance explains, and holds until the difference is within the band that counts
-    as equal.
+    than chance explains, so that equal engines are not told apart by their noise.
 
     :param window_s: window of the estimate, seconds; 0 if there is none.
     """
@@ -217,17 +223,20 @@
     speed = min(MAX_SPEED, max(MIN_SPEED, ratio**trust))
     if MIN_EQUAL_SPEED <= speed <= MAX_EQUAL_SPEED:
         return 1.0
-    if known == 1.0 and not is_significant(ratio, n_attempts):
+    if known != 1.0:
+        return speed if differs(ratio, n_attempts, N_ERRORS_TO_STAY) else 1.0
+    if n_attempts < MIN_ATTEMPTS:
         return 1.0
-    return speed
+    return speed if differs(ratio, n_attempts, N_ERRORS_TO_DIFFER) else 1.0
 
 
-def is_significant(ratio, n_attempts):
+def differs(ratio, n_attempts, n_errors):
     """Return whether chance does not explain the difference of an engine.
 
     :param ratio: its speed relative to the service.
     :param n_attempts: decayed number of its attempts. In an exponentially decaying sum,
         attempts weigh as much as half of the number that the error is computed from.
+    :param n_errors: number of standard errors that chance may explain.
     """
     error = ATTEMPT_DEVIATION / sqrt(2.0 * n_attempts)
-    return abs(log(ratio)) > log(MAX_EQUAL_SPEED) + N_STANDARD_ERRORS * error
+    return abs(log(ratio)) > log(MAX_EQUAL_SPEED) + n_errors * error
--- a/catkinfork/balancing/tests/test_speeds.py
+++ b/catkinfork/balancing/tests/test_speeds.py
@@ -8,6 +8,7 @@
 from catkinfork.balancing._models import (
     IN_FLIGHT_COST_TOKENS,
     MAX_PENDING_TOKENS,
+    MISSING_TOKEN_WEIGHT,
     QueueRank,
 )
 from catkinfork.balancing._pool import BackendState
@@ -185,17 +186,21 @@
     def test_time_and_work_of_an_attempt_are_counted(self):
         """Guards against work that leaves out what is ahead of a request."""
         balancer = build_measuring_balancer(1)
-        balancer.pools["s"].find("b0").load.n_peers_pending_tokens = 5000
+        load = balancer.pools["s"].find("b0").load
+        load.n_peers_pending_tokens = 5000
         placement = submit(balancer, 1.0, n_prompt=2000)
         second = submit(balancer, 1.0, n_prompt=300)
+        load.n_peers_pending_tokens = 3000
         balancer.record_event(placement, 1.25)
-        first_total = SpeedFigures(1, 250_000, 5000 + 2000 + STEP_TOKENS)
+        n_ahead = (5000 + 3000 + 300) // 2
+        first_total = SpeedFigures(1, 250_000, n_ahead + 2000 + STEP_TOKENS)
         assert read_totals(balancer, "b0") == first_total
         balancer.record_event(placement, 1.5)
         assert read_totals(balancer, "b0") == first_total
         balancer.record_event(second, 1.5)
-        assert read_totals(balancer, "b0") == SpeedFigures(
-            2, 750_000, 5000 + 2000 + STEP_TOKENS + 7000 + 300 + STEP_TOKENS
+        n_ahead = (7000 + 3000) // 2
+        assert read_totals(balancer, "b0") == first_total.add(
+            SpeedFigures(1, 500_000, n_ahead + 300 + STEP_TOKENS)
         )
         assert list(balancer.changes.speeds) == [("s", "b0")]
 
@@ -353,9 +358,15 @@
         state.load.n_peers_pending_tokens = 1234
         state.load.n_peers_in_flight = 3
         backend = balancer.registry.backends["b0"]
-        cost = pool.model.estimate_base_cost(backend, state.load)
-        assert cost == 1234 + 3 * IN_FLIGHT_COST_TOKENS
-        assert pool.model.estimate_base_cost(backend, state.load, 0.5) == 2 * cost
+        model = pool.model
+        n_in_flight_cost = 3 * IN_FLIGHT_COST_TOKENS
+        cost = model.estimate_base_cost(backend, state.load)
+        assert cost == 1234 + n_in_flight_cost
+        assert model.compute_missing_token_weight(1.0) == MISSING_TOKEN_WEIGHT
+        cost = model.estimate_base_cost(backend, state.load, 0.5)
+        assert cost == 2 * 1234 + n_in_flight_cost
+        slow_weight = model.compute_missing_token_weight(0.5)
+        assert slow_weight == MISSING_TOKEN_WEIGHT + 1.0
 
     def test_changed_window_forgets_the_speeds(self):
         """Guards against speeds that stay in force after the part is switched off."""
--- a/catkinfork/peering/tests/engine_fleet.py
+++ b/catkinfork/peering/tests/engine_fleet.py
@@ -4,6 +4,7 @@
 import random
 from collections import deque
 from itertools import count
+from typing import NamedTuple
 
 from catkinfork.balancing import SERVED, Placement
 from catkinfork.balancing.tests.support import add_backend, build_balancer, build_job
@@ -28,6 +29,19 @@
 TICK_S = 0.005
 
 
+class FirstEvent(NamedTuple):
+    """First event of a request.
+
+    :param engine: name of the engine.
+    :param at: simulated time, seconds.
+    :param duration_s: time since the arrival of the request, seconds.
+    """
+
+    engine: str
+    at: float
+    duration_s: float
+
+
 class SimulatedEngine:
     """An engine that prefills prompts in order, in steps between decoding.
 
@@ -58,11 +72,6 @@
         slowdown = PAUSED_SLOWDOWN if now < self.slow_until else 1.0
         return slowdown * step_ms / self.speed / 1000
 
-    @property
-    def n_pending_tokens(self):
-        """Return the prompt tokens that it has still to process."""
-        return sum(one[1] for one in self.queue)
-
 
 class SimulatedForwarder:
     """A forwarder without network I/O."""
@@ -96,7 +105,7 @@
 class EngineFleet:
     """Forwarders, engines and the requests between them, on a simulated clock.
 
-    :param speeds: speed of each engine.
+    :param speeds: speed of each engine by its name.
     :param rate: requests per second at all forwarders together.
     :param frame_interval_s: interval between two frames of a forwarder, as in a larger
         fleet.
@@ -116,27 +125,24 @@
         self.now = 0.0
         self.rate = rate
         self.frame_interval_s = frame_interval_s
-        names = [f"e{number}" for number in range(len(speeds))]
         self.engines = {
             name: SimulatedEngine(name, speed, pauses, self.rng)
-            for name, speed in zip(names, speeds, strict=True)
+            for name, speed in speeds.items()
         }
         addresses = [f"10.0.0.{number}" for number in range(1, n_forwarders + 1)]
         self.forwarders = [
-            SimulatedForwarder(one, addresses, speed_window_s, names)
+            SimulatedForwarder(one, addresses, speed_window_s, speeds)
             for one in addresses
         ]
         self.by_address = {one.address: one for one in self.forwarders}
         self.next_frame_at = {
             one.address: self.rng.random() * frame_interval_s for one in self.forwarders
         }
-        self.is_lost = lambda sender, receiver: False
+        self.is_lost = lambda: False
         self.calendar = []
         self.numbers = count()
         self.n_session = 0
-        self.first_event_times = []
-        self.drain_samples = []
-        self.next_sample_at = 0.0
+        self.first_events = []
         self.schedule(self.rng.expovariate(rate), self.arrive)
 
     def schedule(self, at, action, *arguments):
@@ -157,19 +163,11 @@
                     self.send_frames(forwarder)
                 forwarder.balancer.update_speeds(self.now)
                 self.dispatch(forwarder)
-            if self.now >= self.next_sample_at:
-                self.next_sample_at = self.now + 0.1
-                self.drain_samples.append(
-                    {
-                        name: one.n_pending_tokens / one.speed
-                        for name, one in self.engines.items()
-                    }
-                )
 
     def send_frames(self, forwarder):
         """Deliver the frames of a forwarder."""
         for address, data in forwarder.exchange.tick(self.now):
-            if not self.is_lost(forwarder.address, address):
+            if not self.is_lost():
                 self.schedule(
                     self.now + LINK_S, self.receive, self.by_address[address], data
                 )
@@ -253,8 +251,9 @@
 
     def begin(self, forwarder, placement):
         """Handle the first event of a request."""
-        self.first_event_times.append(
-            (placement.backend.name, self.now, self.now - placement.job.arrived_at)
+        duration_s = self.now - placement.job.arrived_at
+        self.first_events.append(
+            FirstEvent(placement.backend.name, self.now, duration_s)
         )
         forwarder.balancer.record_event(placement, self.now)
         self.dispatch(forwarder)
--- /dev/null
+++ b/catkinfork/peering/tests/test_speeds.py
@@ -0,0 +1,489 @@
+"""Speeds of engines, told between forwarders, while links and servers fail."""
+
+import math
+import random
+import statistics
+from collections import Counter
+
+import msgspec
+import pytest
+
+from catkinfork.balancing import LoadFigures, SpeedFigures
+from catkinfork.peering import decode_frame, encode_frame
+from catkinfork.peering._frames import MAX_FRAME_BYTES, MAX_TOTAL, Frame, SpeedEntry
+from catkinfork.peering._speed_notices import (
+    IGNORED_LOG_INTERVAL_S,
+    MAX_FIRST_ATTEMPTS,
+    MAX_SPEEDS_PER_FRAME,
+)
+from catkinfork.peering._state import MIN_SPEEDS_PER_FRAME
+from catkinfork.peering.tests.engine_fleet import EngineFleet, SimulatedForwarder
+
+ADDRESSES = ["10.0.0.1", "10.0.0.2"]
+NAMES = [f"e{number}" for number in range(26)]
+STARTED_MS = 1000
+N_TOKENS = 4000
+# Speeds of the engines of a deployment, relative to the nominal one.
+MIXED = {f"e{number}": 1.2 if number % 4 else 0.55 for number in range(8)}
+SLOW = ["e0", "e4"]
+# Rates per second at eight engines: little load, much load, and nearly too much.
+RATES = [160, 220, 260]
+
+
+def build_pair(names=NAMES, n_attempts=0):
+    """Return two forwarders that know each other, and the time.
+
+    :param n_attempts: attempts that the first one has counted at each engine.
+    """
+    first, second = (
+        SimulatedForwarder(address, ADDRESSES, 4.0, names) for address in ADDRESSES
+    )
+    for node in (first, second):
+        node.balancer.update_speeds(0.0)
+    for name in names if n_attempts else ():
+        count(first, name, 0.0, n_attempts)
+    return first, second
+
+
+def count(node, name, now, n_attempts=1, speed=1.0):
+    """Count attempts that take 10 us a token at speed 1."""
+    pool = node.balancer.pools["s"]
+    record = pool.find(name).speed_record
+    n_tokens = N_TOKENS * n_attempts
+    figures = SpeedFigures(n_attempts, round(10 * n_tokens / speed), n_tokens)
+    record.totals = record.totals.add(figures)
+    pool.speeds.record(record, figures, now)
+    node.balancer.changes.speeds[("s", name)] = True
+
+
+def build_data(node, now, is_full=True):
+    """Return the next datagram of a forwarder."""
+    return node.exchange.build_datagram(is_full, now)
+
+
+def receive(node, data, now):
+    """Handle a datagram at a forwarder."""
+    node.exchange.handle_frame(decode_frame(data), now)
+
+
+def read_sums(node, name, now):
+    """Return the recent attempts at an engine, as a forwarder knows them."""
+    pool = node.balancer.pools["s"]
+    record = pool.find(name).speed_record
+    record.decay(1e9, now)
+    return record.sums
+
+
+def list_told(data):
+    """Return the entries on speeds in a datagram."""
+    return decode_frame(data).speeds
+
+
+class TestTotals:
+    """Differences of totals, over links that fail."""
+
+    def test_attempts_reach_the_peers_once(self):
+        """Guards against attempts that count twice as their total is repeated."""
+        first, second = build_pair()
+        count(first, "e3", 1.0, 3)
+        for step in range(5):
+            receive(second, build_data(first, 1.0 + step / 100), 1.0 + step / 100)
+        assert read_sums(second, "e3", 1.05).n_attempts == pytest.approx(3, rel=0.05)
+
+    def test_later_frame_makes_up_for_a_lost_one(self):
+        """Guards against attempts that are never known after a lost datagram."""
+        first, second = build_pair()
+        count(first, "e3", 1.0, 2)
+        receive(second, build_data(first, 1.0), 1.0)
+        count(first, "e3", 1.1, 2)
+        build_data(first, 1.1)
+        build_data(first, 1.2)
+        receive(second, build_data(first, 1.3), 1.3)
+        assert read_sums(second, "e3", 1.3).n_attempts > 3.5
+
+    def test_duplicated_and_reordered_frames_count_once(self):
+        """Guards against an older total that is taken for a restart, or added again."""
+        rng = random.Random(3)
+        first, second = build_pair()
+        sent = []
+        for step in range(30):
+            now = 1.0 + step / 1000
+            count(first, "e3", now)
+            sent.append(build_data(first, now))
+        for start in range(0, 30, 5):
+            some = 2 * sent[start : start + 5]
+            rng.shuffle(some)
+            for data in some:
+                receive(second, data, 1.1)
+        receive(second, sent[-1], 1.1)
+        n_attempts = read_sums(second, "e3", 1.1).n_attempts
+        assert n_attempts == pytest.approx(30, rel=0.1)
+
+    def test_restarted_peer_begins_anew(self):
+        """Guards against totals of a new incarnation taken as differences to the old.
+
+        It would count nothing until they exceed the former ones.
+        """
+        first, second = build_pair()
+        count(first, "e3", 1.0, 5)
+        old = build_data(first, 1.0)
+        receive(second, old, 1.0)
+        again, _ = build_pair()
+        again.exchange.incarnation = 2
+        count(again, "e3", 1.1, 2)
+        receive(second, build_data(again, 1.1), 1.1)
+        receive(second, old, 1.2)
+        assert read_sums(second, "e3", 1.2).n_attempts == pytest.approx(7, rel=0.2)
+
+    def test_first_total_with_older_attempts_is_only_a_baseline(self):
+        """Guards against an hour of attempts that a new forwarder counts as recent."""
+        first, second = build_pair(n_attempts=MAX_FIRST_ATTEMPTS + 1)
+        receive(second, build_data(first, 1.0), 1.0)
+        told = list_told(build_data(first, 1.0))[0]
+        name = next(n for n in NAMES if first.exchange.compute_hash(n) == told.backend)
+        assert read_sums(second, name, 1.0).n_attempts == 0
+        count(first, "e0", 1.1)
+        receive(second, build_data(first, 1.2), 1.2)
+        receive(second, build_data(first, 1.3), 1.3)
+        assert read_sums(second, "e0", 1.3).n_attempts == pytest.approx(1)
+
+    def test_attempts_during_an_interruption_count_for_one_window(self):
+        """Guards against old attempts that outweigh recent ones once a link is back."""
+        first, second = build_pair()
+        count(first, "e3", 1.0)
+        receive(second, build_data(first, 1.0), 1.0)
+        count(first, "e3", 30.0, 400, speed=0.4)
+        receive(second, build_data(first, 41.0), 41.0)
+        n_attempts = read_sums(second, "e3", 41.0).n_attempts
+        assert n_attempts == pytest.approx(400 * 4 / 40, rel=0.01)
+
+    def test_forwarder_without_peers_knows_little(self):
+        """Guards against a lone forwarder that trusts a few attempts of its own."""
+        first, _ = build_pair()
+        for now in range(0, 80, 2):
+            for name in NAMES:
+                count(first, name, now, speed=0.46 if name == "e0" else 1.0)
+            first.balancer.update_speeds(now)
+        assert set(first.speeds.values()) == {1.0}
+
+    def test_frame_of_an_earlier_release(self):
+        """Guards against peers that are not heard while releases are mixed."""
+        first, second = build_pair()
+        count(first, "e3", 1.0)
+        fields = msgspec.msgpack.decode(build_data(first, 1.0))
+        n_earlier = [field.name for field in msgspec.structs.fields(Frame)].index(
+            "speeds"
+        )
+        assert n_earlier == len(fields) - 1
+        receive(second, msgspec.msgpack.encode(fields[:-1]), 1.0)
+        assert second.directory.count_fresh(1.0) == 2
+        assert read_sums(second, "e3", 1.0).n_attempts == 0
+
+    def test_peers_of_a_forwarder_without_the_setting(self):
+        """Guards against speeds that come into force through peers only."""
+        first, _ = build_pair()
+        second = SimulatedForwarder(ADDRESSES[1], ADDRESSES, 0.0, NAMES)
+        for step in range(200):
+            now = step / 20
+            count(first, "e3", now, speed=0.3)
+            receive(second, build_data(first, now), now)
+            second.balancer.update_speeds(now)
+        assert set(second.speeds.values()) <= {1.0}
+        assert not list_told(build_data(second, 10.0))
+
+
+class TestServers:
+    """Engines that start again."""
+
+    def test_attempts_at_a_former_start_are_not_counted(self):
+        """Guards against a new engine that is slow on the word of a late peer."""
+        first, second = build_pair()
+        count(first, "e3", 1.0, 2)
+        backend = second.balancer.registry.backends["e3"]
+        backend.entry = backend.entry._replace(started_ms=9000)
+        second.balancer.update_speeds(1.0)
+        receive(second, build_data(first, 1.0), 1.0)
+        assert read_sums(second, "e3", 1.0).n_attempts == 0
+
+    def test_totals_begin_anew_with_the_engine(self):
+        """Guards against totals of a new start taken as differences to the old one."""
+        first, second = build_pair()
+        count(first, "e3", 1.0, 6, speed=0.4)
+        receive(second, build_data(first, 1.0), 1.0)
+        for node in (first, second):
+            backend = node.balancer.registry.backends["e3"]
+            backend.entry = backend.entry._replace(started_ms=9000)
+            node.balancer.update_speeds(2.0)
+        count(first, "e3", 2.1, 2)
+        receive(second, build_data(first, 2.1), 2.1)
+        sums = read_sums(second, "e3", 2.1)
+        assert sums.n_attempts == 2
+        assert sums.us_per_token == pytest.approx(10)
+
+
+class TestOddValues:
+    """Figures that cannot be right."""
+
+    @pytest.mark.parametrize(
+        "figures",
+        [
+            (MAX_TOTAL, MAX_TOTAL, MAX_TOTAL),
+            (3, 0, 3 * N_TOKENS),
+            (3, 100_000, 0),
+            (3, 1, 3 * N_TOKENS),
+            (3, 2**50, 3 * N_TOKENS),
+            (3, 100_000, 2**50),
+            (10**6, 10**11, 10**10),
+            (1, 40_000, 9000),
+            (4, 60_000, 9000),
+        ],
+    )
+    def test_odd_difference_is_ignored_and_logged(self, figures):
+        """Guards against one faulty peer that sets the speed of an engine.
+
+        The last two are lower than the totals before in one figure.
+        """
+        first, second = build_pair()
+        count(first, "e3", 1.0, 2)
+        receive(second, build_data(first, 1.0), 1.0)
+        before = read_sums(second, "e3", 1.0)
+        frame = decode_frame(build_data(first, 1.1))
+        hashed = first.exchange.compute_hash("e3")
+        frame.speeds = [SpeedEntry(hashed, STARTED_MS, *figures)]
+        receive(second, encode_frame(frame), 1.1)
+        after = read_sums(second, "e3", 1.1)
+        assert after.n_attempts == pytest.approx(before.n_attempts, rel=0.01)
+        assert [one.event.number for one in second.events].count(1102) == 1
+        count(first, "e3", 1.2)
+        receive(second, build_data(first, 1.2), 1.2)
+        count(first, "e3", 1.3)
+        receive(second, build_data(first, 1.3), 1.3)
+        assert read_sums(second, "e3", 1.3).n_attempts > before.n_attempts
+
+    def test_ignored_figures_are_logged_once_in_an_interval(self):
+        """Guards against a log line for each frame of a faulty peer."""
+        first, second = build_pair()
+        hashed = first.exchange.compute_hash("e3")
+        n_frames = 500
+        for step in range(n_frames):
+            frame = decode_frame(build_data(first, step / 10))
+            odd = 5 if step % 2 else 7
+            frame.speeds = [SpeedEntry(hashed, STARTED_MS, odd, 0, odd)]
+            receive(second, encode_frame(frame), step / 10)
+        n_lines = [one.event.number for one in second.events].count(1102)
+        assert n_lines <= 1 + n_frames / 10 / IGNORED_LOG_INTERVAL_S
+
+    @pytest.mark.parametrize("odd", [-1, 0.5, math.nan, math.inf, None, "1", 2**64 - 1])
+    def test_values_that_are_no_totals_are_left_out(self, odd):
+        """Guards against a figure that raises or stays in the sums for ever."""
+        first, second = build_pair()
+        fields = msgspec.msgpack.decode(build_data(first, 1.0))
+        hashed = first.exchange.compute_hash("e3")
+        for number in (2, 3, 4):
+            entry = [hashed, STARTED_MS, 2, 80_000, 2 * N_TOKENS]
+            sound = [first.exchange.compute_hash("e5"), *entry[1:]]
+            entry[number] = odd
+            fields[2] += 1
+            fields[-1] = [entry, sound]
+            receive(second, msgspec.msgpack.encode(fields), 1.0)
+        second.balancer.update_speeds(1.5)
+        assert read_sums(second, "e3", 1.5).n_attempts == 0
+        assert read_sums(second, "e5", 1.5).n_attempts > 0
+        assert second.speeds["e3"] == 1.0
+
+    def test_unknown_engines_take_no_memory(self):
+        """Guards against memory that grows with the hashes that a frame makes up."""
+        first, second = build_pair()
+        frame = decode_frame(build_data(first, 1.0))
+        frame.speeds = [SpeedEntry(n, 0, 1, 40_000, N_TOKENS) for n in range(1000)]
+        receive(second, encode_frame(frame), 1.0)
+        assert not second.directory.peers[ADDRESSES[0]].speeds
+
+
+class TestFrames:
+    """What a frame has space for."""
+
+    def test_all_engines_are_told_in_rotation(self):
+        """Guards against engines that are never told as others change more often."""
+        first, _ = build_pair(n_attempts=1)
+        told = []
+        for step in range(4):
+            for name in NAMES[:10]:
+                count(first, name, step)
+            entries = list_told(build_data(first, step))
+            assert len(entries) <= MAX_SPEEDS_PER_FRAME
+            told += [entry.backend for entry in entries]
+        assert len(set(told)) == len(NAMES)
+
+    def test_frames_between_full_ones_have_no_speeds(self):
+        """Guards against bytes that grow with the number of frames."""
+        first, _ = build_pair(n_attempts=1)
+        build_data(first, 1.0)
+        assert not list_told(build_data(first, 1.1, is_full=False))
+
+    def test_speeds_without_space_go_to_the_next_frame(self):
+        """Guards against parts that are dropped, each of which costs a prefill.
+
+        Load pattern: a full frame with the parts of many placements.
+        """
+        first, _ = build_pair(n_attempts=1)
+        parts = tuple((2**63 + number, 5000) for number in range(2))
+        first.balancer.changes.parts = [("s", "e1", parts)] * 32
+        without = SimulatedForwarder(ADDRESSES[0], ADDRESSES, 0.0, NAMES)
+        without.balancer.changes.parts = [("s", "e1", parts)] * 32
+        data = build_data(first, 1.0)
+        assert len(data) <= MAX_FRAME_BYTES
+        frame = decode_frame(data)
+        assert len(frame.parts) == len(decode_frame(build_data(without, 1.0)).parts)
+        assert MIN_SPEEDS_PER_FRAME <= len(frame.speeds) < MAX_SPEEDS_PER_FRAME
+        rest = list_told(build_data(first, 1.1, is_full=False))
+        assert len(rest) + len(frame.speeds) == MAX_SPEEDS_PER_FRAME
+        assert not set(rest) & set(frame.speeds)
+
+    def test_usage_goes_before_speeds(self):
+        """Guards against queues in the wrong order as speeds take the space of usage.
+
+        Load pattern: full frames of a large fleet, with the load at 60 engines.
+        """
+        names = [f"e{number}" for number in range(60)]
+        first, _ = build_pair(names, n_attempts=1)
+        without = SimulatedForwarder(ADDRESSES[0], ADDRESSES, 0.0, names)
+        for node in (first, without):
+            pool = node.balancer.pools["s"]
+            for name in names:
+                load = pool.find(name).load
+                load.n_in_flight, load.n_pending_tokens = 3, 9000
+                load.n_memory_tokens = 70_000
+            for number in range(20):
+                pool.shares.record_demand(f"w{number}", 10**6, 1.0)
+        frame = decode_frame(build_data(first, 1.0))
+        assert len(frame.uses) == len(decode_frame(build_data(without, 1.0)).uses) > 0
+        assert len(frame.loads) == len(names)
+        rest = list_told(build_data(first, 1.1, is_full=False))
+        assert len(rest) + len(frame.speeds) == MAX_SPEEDS_PER_FRAME
+
+    def test_loads_are_kept_when_a_frame_is_full(self):
+        """Guards against loads that are dropped for speeds."""
+        first, second = build_pair(n_attempts=1)
+        pool = first.balancer.pools["s"]
+        for name in NAMES:
+            pool.find(name).load.n_in_flight = 7
+        first.balancer.changes.parts = [("s", "e1", ((2**63, 5000),))] * 40
+        receive(second, build_data(first, 1.0), 1.0)
+        states = second.balancer.pools["s"].states
+        assert {one.load.peers[ADDRESSES[0]] for one in states.values()} == {
+            LoadFigures(7, 0, 0)
+        }
+
+
+def measure_errors(fleet, start, end):
+    """Run a fleet and return the mean errors of the speeds of its slow engines.
+
+    Their speeds are compared with those of the other engines: which speed counts as 1
+    depends on how the work is divided.
+    """
+    samples = []
+    while fleet.now < end:
+        fleet.run(fleet.now + 0.25)
+        if fleet.now > start:
+            samples += [one.speeds for one in fleet.forwarders]
+    means = {name: statistics.mean(one[name] for one in samples) for name in MIXED}
+    fast = statistics.mean(means[name] for name in MIXED if name not in SLOW)
+    ratio = min(MIXED.values()) / max(MIXED.values())
+    return [means[name] / fast / ratio - 1 for name in SLOW]
+
+
+def measure_times(fleet, start):
+    """Return the mean times to the first event at slow engines, and at the others."""
+    events = [event for event in fleet.first_events if event.at > start]
+    slow = [event.duration_s for event in events if event.engine in SLOW]
+    fast = [event.duration_s for event in events if event.engine not in SLOW]
+    return statistics.mean(slow), statistics.mean(fast)
+
+
+class TestReplay:
+    """Fleets with slow engines, pauses and uneven load, without a network.
+
+    Load pattern: one in four engines runs at 0.46 of the speed of the others, and each
+    engine is 2.5 times slower for 0.15 of the time.
+    """
+
+    @pytest.mark.parametrize("pauses", [False, True])
+    @pytest.mark.parametrize("rate", RATES)
+    def test_estimates_converge_within_six_seconds(self, rate, pauses):
+        """Guards against speeds that are wrong by a fifth."""
+        errors = []
+        for seed in range(3):
+            fleet = EngineFleet(MIXED, rate=rate, pauses=pauses, seed=seed)
+            errors += measure_errors(fleet, 6.0, 9.0)
+        assert statistics.mean(map(abs, errors)) < 0.2
+
+    @pytest.mark.parametrize("rate", RATES)
+    def test_equal_engines_stay_at_one(self, rate):
+        """Guards against a fleet that distinguishes engines without a difference.
+
+        Bursts of long prompts come in unevenly, most of all in the first second.
+        """
+        n_others = n_samples = 0
+        for seed in range(3):
+            equal = dict.fromkeys(MIXED, 1.0)
+            fleet = EngineFleet(equal, rate=rate, pauses=False, seed=seed)
+            while fleet.now < 8.0:
+                fleet.run(fleet.now + 0.25)
+                for forwarder in fleet.forwarders:
+                    n_samples += len(forwarder.speeds)
+                    n_others += sum(one != 1.0 for one in forwarder.speeds.values())
+        assert n_others <= 0.001 * n_samples
+
+    @pytest.mark.parametrize("rate", RATES)
+    def test_load_follows_the_speeds(self, rate):
+        """Guards against long queues at slow engines while the others are idle.
+
+        The time to the first event is that in which an engine drains what is ahead.
+        """
+        ratios = {}
+        for window_s in (0.0, 4.0):
+            times = []
+            for seed in range(3):
+                fleet = EngineFleet(
+                    MIXED, rate=rate, speed_window_s=window_s, seed=seed
+                )
+                fleet.run(10.0)
+                times.append(measure_times(fleet, 4.0))
+            slow, fast = map(statistics.mean, zip(*times, strict=True))
+            ratios[window_s] = slow / fast
+        assert ratios[0.0] > 1.8
+        assert 0.6 < ratios[4.0] < 1.6
+
+    def test_slow_engines_get_less_but_not_nothing(self):
+        """Guards against engines that are given up for being slow."""
+        fleet = EngineFleet(MIXED, rate=RATES[0])
+        fleet.run(8.0)
+        counts = Counter(event.engine for event in fleet.first_events if event.at > 4)
+        mean = statistics.mean(counts[name] for name in MIXED)
+        for name in SLOW:
+            assert 0.1 * mean < counts[name] < 0.8 * mean
+
+    def test_lossy_links_do_not_keep_speeds_from_converging(self):
+        """Guards against speeds that depend on each single datagram."""
+        errors = []
+        for seed in range(3):
+            fleet = EngineFleet(MIXED, rate=RATES[1], seed=seed)
+            rng = random.Random(seed)
+            fleet.is_lost = lambda rng=rng: rng.random() < 0.3
+            errors += measure_errors(fleet, 6.0, 9.0)
+        assert statistics.mean(map(abs, errors)) < 0.2
+
+    def test_engine_that_slows_down_and_recovers(self):
+        """Guards against a change that is not noticed within 4 s."""
+        equal = dict.fromkeys(MIXED, 1.0)
+        fleet = EngineFleet(equal, rate=RATES[0], pauses=False)
+        fleet.run(6.0)
+        fleet.engines["e1"].speed = 0.46
+        fleet.run(10.0)
+        slow = [one.speeds["e1"] for one in fleet.forwarders]
+        fleet.engines["e1"].speed = 1.0
+        fleet.run(14.0)
+        again = [one.speeds["e1"] for one in fleet.forwarders]
+        assert max(slow) < 0.75
+        assert again == [1.0] * len(again)
