Repeat few totals of speeds, and test the process around them

Cause: in a large fleet each forwarder has few attempts, and most of a full frame was repeats. Totals told late were taken for old after any pause in an entry.

Change: a full frame repeats four totals that have not changed. Attempts count for less only after the peer itself was silent.

--- a/catkinfork/forwarder/_status.py
+++ b/catkinfork/forwarder/_status.py
@@ -136,13 +136,7 @@
             labels,
             pool.retry_budget.n_retries,
         )
-        for backend, state in pool.states.items():
-            yield (
-                "backend_speed",
-                "Speed of a backend server relative to its service, 1 if unknown",
-                {"service": name, "backend_server": backend},
-                state.speed,
-            )
+    yield from list_speed_gauges(process.balancer.pools)
     for number, count in sorted(process.log.n_events.items()):
         yield (
             "events",
@@ -150,3 +144,18 @@
             {"event": str(number)},
             count,
         )
+
+
+def list_speed_gauges(pools):
+    """Yield ``(name, help, labels, value)`` for the speed of each backend server.
+
+    :param pools: :class:`ServicePool` by name of the service.
+    """
+    for service, pool in pools.items():
+        for name, state in pool.states.items():
+            yield (
+                "backend_speed",
+                "Speed of a backend server relative to its service, 1 if unknown",
+                {"service": service, "backend_server": name},
+                state.speed,
+            )
--- a/catkinfork/peering/_speed_notices.py
+++ b/catkinfork/peering/_speed_notices.py
@@ -9,6 +9,9 @@
 from catkinfork.peering._frames import SpeedEntry
 
 MAX_SPEEDS_PER_FRAME = 16
+# Totals without a change that each full frame repeats, since datagrams may be lost. In
+# a large fleet, each forwarder has few attempts, and most of a frame would be repeats.
+MAX_REPEATED_SPEEDS = 4
 # Largest first total of a peer that is counted: a larger one has older attempts too.
 MAX_FIRST_ATTEMPTS = 8
 # Time between two log lines on ignored figures, seconds.
@@ -66,8 +69,12 @@
         self.keys = [key for key, entry in entries.items() if entry is not None]
         frame.speeds = [entries[key] for key in self.keys]
 
-    def list_next(self, n_entries):
-        """Return the next totals to repeat, as a dictionary by key."""
+    def list_next(self, n_free):
+        """Return the next totals to repeat, as a dictionary by key.
+
+        :param n_free: entries for which a frame has space.
+        """
+        n_entries = min(n_free, MAX_REPEATED_SPEEDS)
         keys = [
             (service, name)
             for service, pool in self.balancer.pools.items()
@@ -76,7 +83,7 @@
             if state.speed_record.totals.n_attempts
         ]
         start = self.offset % max(1, len(keys))
-        self.offset = start + max(0, n_entries)
+        self.offset = start + n_entries
         return dict.fromkeys((keys + keys)[start : start + min(n_entries, len(keys))])
 
     def build_entry(self, service, name):
@@ -144,8 +151,10 @@
         if not figures.is_plausible(period_s):
             self.report_ignored(peer, entry, figures, period_s, now)
             return NO_FIGURES
-        # After an interruption of the link, most of the attempts are old.
-        return figures.scale(window_s / max(period_s, window_s))
+        if before is not None and before.told_at < peer.fresh_since:
+            # After an interruption of the link, most of the attempts are old.
+            return figures.scale(window_s / max(period_s, window_s))
+        return figures
 
     def report_ignored(self, peer, entry, figures, period_s, now):
         """Log figures that cannot be right, at most one line in an interval.
--- a/catkinfork/peering/tests/test_speeds.py
+++ b/catkinfork/peering/tests/test_speeds.py
@@ -14,6 +14,7 @@
 from catkinfork.peering._speed_notices import (
     IGNORED_LOG_INTERVAL_S,
     MAX_FIRST_ATTEMPTS,
+    MAX_REPEATED_SPEEDS,
     MAX_SPEEDS_PER_FRAME,
 )
 from catkinfork.peering._state import MIN_SPEEDS_PER_FRAME
@@ -152,6 +153,7 @@
         first, second = build_pair()
         count(first, "e3", 1.0)
         receive(second, build_data(first, 1.0), 1.0)
+        second.exchange.remove_silent_peers(30.0)
         count(first, "e3", 30.0, 400, speed=0.4)
         receive(second, build_data(first, 41.0), 41.0)
         n_attempts = read_sums(second, "e3", 41.0).n_attempts
@@ -307,7 +309,7 @@
         """Guards against engines that are never told as others change more often."""
         first, _ = build_pair(n_attempts=1)
         told = []
-        for step in range(4):
+        for step in range(7):
             for name in NAMES[:10]:
                 count(first, name, step)
             entries = list_told(build_data(first, step))
@@ -315,6 +317,29 @@
             told += [entry.backend for entry in entries]
         assert len(set(told)) == len(NAMES)
 
+    def test_few_totals_are_repeated_without_a_change(self):
+        """Guards against frames of a large fleet that are full of repeats."""
+        first, _ = build_pair(n_attempts=1)
+        while first.balancer.changes.speeds:
+            build_data(first, 1.0)
+        assert len(list_told(build_data(first, 2.0))) == MAX_REPEATED_SPEEDS
+
+    def test_rare_attempts_of_a_steady_peer_count_in_full(self):
+        """Guards against a large fleet that takes rare attempts for old ones.
+
+        Load pattern: 388 forwarders, each with an attempt at an engine every 30 s.
+        """
+        first, second = build_pair()
+        count(first, "e3", 1.0)
+        for step in range(300):
+            now = 1.0 + step / 10
+            data = build_data(first, now, is_full=step % 10 == 0)
+            receive(second, data, now)
+            second.exchange.remove_silent_peers(now)
+        count(first, "e3", 31.0)
+        receive(second, build_data(first, 31.0), 31.0)
+        assert read_sums(second, "e3", 31.0).n_attempts == pytest.approx(1, abs=0.01)
+
     def test_frames_between_full_ones_have_no_speeds(self):
         """Guards against bytes that grow with the number of frames."""
         first, _ = build_pair(n_attempts=1)
