--- a/catkinfork/balancing/_balancer.py
+++ b/catkinfork/balancing/_balancer.py
@@ -260,7 +260,7 @@
             candidates.awaited.add(name)
             return None
         candidates.add_cost(
-            best.backend, best.n_missing_tokens + pool.model.request_cost
+            best.backend, best.n_missing_tokens, pool.model.request_cost
         )
         placement = Placement(job, best.backend, best.n_missing_tokens, now)
         placement.cost = best.cost
--- a/catkinfork/balancing/_jobs.py
+++ b/catkinfork/balancing/_jobs.py
@@ -125,8 +125,9 @@
     ``connected_at`` is the monotonic time at which its connection was opened, and
     ``survived_at`` that of its first event that a lost server would not send, or None.
     ``transfer`` is the :class:`RunningTransfer` of cached prompt tokens, or None.
-    ``n_work_tokens`` is the work ahead of its first event, and ``speed_record`` the
-    :class:`SpeedRecord` that its time counts for, or None if it is not measured.
+    ``n_tokens_ahead`` are the tokens that were pending when it was placed, and
+    ``speed_record`` is the :class:`SpeedRecord` that its time counts for, or None if it
+    is not measured.
     """
 
     __slots__ = (
@@ -141,7 +142,7 @@
         "last_event_at",
         "n_candidates",
         "n_missing_tokens",
-        "n_work_tokens",
+        "n_tokens_ahead",
         "outcome",
         "peer_state_age_s",
         "placed_at",
@@ -168,7 +169,7 @@
         self.transfer = None
         self.cost = 0.0
         self.n_candidates = 0
-        self.n_work_tokens = 0
+        self.n_tokens_ahead = 0
         self.speed_record = None
         self.peer_state_age_s = 0.0
 
--- a/catkinfork/forwarder/_status.py
+++ b/catkinfork/forwarder/_status.py
@@ -171,17 +171,11 @@
         )
         if pool.service.engine is not None:
             yield from list_transfer_gauges(pool.transfers, labels)
-        for backend, state in pool.states.items():
-            yield (
-                "backend_speed",
-                "Speed of a backend server relative to its service, 1 if unknown",
-                {"service": name, "backend_server": backend},
-                state.speed,
-            )
         for gauge, text, value in pool.queue.order.list_gauges(pool.queue, now):
             yield gauge, text, labels, value
         if process.balancer.settings.spread_choice:
             yield from list_evenness_gauges(pool.evenness, labels)
+    yield from list_speed_gauges(process.balancer.pools)
     for number, count in sorted(process.log.n_events.items()):
         yield (
             "events",
@@ -208,3 +202,18 @@
         labels,
         monitor.n_drawn,
     )
+
+
+def list_speed_gauges(pools):
+    """Yield ``(name, help, labels, value)`` for the speed of each backend server.
+
+    :param pools: :class:`ServicePool` by name of the service.
+    """
+    for service, pool in pools.items():
+        for name, state in pool.states.items():
+            yield (
+                "backend_speed",
+                "Speed of a backend server relative to its service, 1 if unknown",
+                {"service": service, "backend_server": name},
+                state.speed,
+            )
