Ignore pauses of servers for routes without a target for them

Streams of a route without max_event_gap_s paid long_pause_cost at a server that pauses, although no pause makes them late, and left an idle engine to others. Their cost now has no such part.

--- a/catkinfork/balancing/_candidates.py
+++ b/catkinfork/balancing/_candidates.py
@@ -163,8 +163,12 @@
     def compute_pause_cost(self, job, entry):
         """Return the cost of the pauses that a stream has to expect.
 
+        It is 0 on a route without a target for pauses.
+
         :param entry: :class:`CandidateEntry`.
         """
+        if not job.route.max_event_gap_s:
+            return 0.0
         n_events = job.n_output_tokens / self.pool.model.engine.n_event_tokens
         chance = compute_late_chance(entry.state.pauses.excess, n_events)
         return self.pool.pause_cost * chance
--- a/catkinfork/balancing/tests/test_pauses.py
+++ b/catkinfork/balancing/tests/test_pauses.py
@@ -67,11 +67,11 @@
     return end_at
 
 
-def place(balancer, now, n_output, busy_tokens=3000):
+def place(balancer, now, n_output, busy_tokens=3000, route=ROUTE):
     """Return the backend server of a stream while all but b0 have pending tokens."""
     for name in ("b1", "b2", "b3"):
         balancer.pools["s"].find(name).load.n_pending_tokens = busy_tokens
-    placement = submit(balancer, now, route=ROUTE, n_prompt=500, n_output=n_output)
+    placement = submit(balancer, now, route=route, n_prompt=500, n_output=n_output)
     return placement.backend.name
 
 
@@ -154,6 +154,14 @@
     assert state.pauses.compute_rate(5.0) == 0
 
 
+def test_routes_without_a_target_for_pauses_use_a_server_that_pauses():
+    """Guards against an idle engine that is avoided by streams that cannot be late."""
+    balancer = build_fleet()
+    now = replay_slow_spells(balancer, [0.2] * 20 + [0.47] * 4, [0.1] * 24)
+    assert place(balancer, now, N_LONG_TOKENS) != "b0"
+    assert place(balancer, now, N_LONG_TOKENS, route=build_route()) == "b0"
+
+
 def test_a_change_of_the_setting_takes_effect():
     """Guards against a reload that leaves the old cost in force."""
     balancer = build_fleet()
