--- a/catkinfork/balancing/_pauses.py
+++ b/catkinfork/balancing/_pauses.py
@@ -1,6 +1,7 @@
 """Backend servers whose streams pause for longer than their callers accept."""
 
-from math import expm1, log1p
+from math import expm1, inf, log1p
+from typing import NamedTuple
 
 from catkinfork.balancing._events import STREAMS_PAUSE
 from catkinfork.balancing._windows import DecayingSum
@@ -12,12 +13,26 @@
 N_ASSUMED_EVENTS = 20
 # Time between two updates of the rates of a service, seconds.
 UPDATE_INTERVAL_S = 0.1
+# Time between two log lines on one backend server, seconds. The rate of a server that
+# pauses now and then crosses the threshold by chance.
+REPORT_INTERVAL_S = 10.0
 # Excess rate of long pauses, per event, below which servers count as alike.
 MIN_EXCESS_RATE = 0.01
 # Highest rate for which streams can still be compared.
 MAX_EXCESS_RATE = 0.9
 
 
+class PauseReport(NamedTuple):
+    """What was last reported of a backend server.
+
+    :param is_pausing: whether it paused more often than its service.
+    :param reported_at: monotonic time, seconds.
+    """
+
+    is_pausing: bool = False
+    reported_at: float = -inf
+
+
 class PauseRate:
     """Events of one backend server, and those that came after too long a pause.
 
@@ -64,8 +79,8 @@
         """Recompute the excess of each backend server.
 
         :param states: :class:`BackendState` by name.
-        :returns: names of the servers that begin or cease to pause more often than
-            their service.
+        :returns: names of the servers to report, which begin or cease to pause more
+            often than their service.
         """
         if now < self.next_update_at or not states:
             return []
@@ -74,10 +89,13 @@
         middle = sorted(rates)[len(rates) // 2]
         changed = []
         for (name, state), rate in zip(states.items(), rates, strict=True):
-            was_pausing = state.pauses.excess > 0
             excess = min(MAX_EXCESS_RATE, rate - middle)
             state.pauses.excess = excess if excess >= MIN_EXCESS_RATE else 0.0
-            if was_pausing != (state.pauses.excess > 0):
+            is_pausing = state.pauses.excess > 0
+            report = state.pause_report
+            is_due = now >= report.reported_at + REPORT_INTERVAL_S
+            if is_pausing != report.is_pausing and is_due:
+                state.pause_report = PauseReport(is_pausing, now)
                 changed.append(name)
         return changed
 
--- a/catkinfork/balancing/_pool.py
+++ b/catkinfork/balancing/_pool.py
@@ -9,7 +9,7 @@
 from catkinfork.balancing._loads import BackendLoad
 from catkinfork.balancing._models import build_load_model
 from catkinfork.balancing._on_time_order import build_queue_order
-from catkinfork.balancing._pauses import PauseRate, ServicePauses
+from catkinfork.balancing._pauses import PauseRate, PauseReport, ServicePauses
 from catkinfork.balancing._prefixes import PrefixCache
 from catkinfork.balancing._queue import WaitingQueue
 from catkinfork.balancing._retries import RetryBudget
@@ -40,6 +40,7 @@
         "health",
         "limiter",
         "load",
+        "pause_report",
         "pauses",
         "room_draw",
         "source",
@@ -58,6 +59,7 @@
         self.started_ms = None
         self.room_draw = RoomDraw()
         self.pauses = PauseRate()
+        self.pause_report = PauseReport()
         self.source = TransferSource()
         self.speed = 1.0
         self.speed_record = SpeedRecord(ServerStart())
--- a/catkinfork/balancing/tests/test_pauses.py
+++ b/catkinfork/balancing/tests/test_pauses.py
@@ -1,5 +1,8 @@
 """Long streams avoid backend servers that pause for longer than callers accept."""
 
+from collections import Counter
+from random import Random
+
 import pytest
 
 from catkinfork.balancing import (
@@ -8,6 +11,7 @@
     Placement,
     RetryBudgetSettings,
 )
+from catkinfork.balancing._pauses import REPORT_INTERVAL_S
 from catkinfork.balancing.tests.support import (
     add_backend,
     build_balancer,
@@ -98,6 +102,27 @@
     assert {one["backend_server"] for one in fields} == {"b0"}
 
 
+def test_log_of_servers_that_pause_is_bounded():
+    """Guards against a log line for each chance crossing of the threshold.
+
+    Load pattern: all engines pause now and then, so that each of them exceeds the
+    middle of its service by little for a moment.
+    """
+    rng = Random(1)
+    balancer = build_fleet(12)
+    events = []
+    balancer.write_log = events.append
+    pool = balancer.pools["s"]
+    for number in range(600):
+        now = 1.0 + 0.1 * number
+        for state in pool.states.values():
+            state.pauses.record(rng.random() < 0.03, now)
+        balancer.list_candidates(pool, now)
+    names = [one.values[0] for one in events if one.event.name == "streams_pause"]
+    most = 60.0 / REPORT_INTERVAL_S + 1
+    assert 0 < max(Counter(names).values()) <= most
+
+
 def test_a_server_that_pauses_still_gets_long_streams_if_the_others_are_full():
     """Guards against a slow engine that idles while callers wait for the others."""
     balancer = build_fleet()
