Leave pauses of the own host out of those of the servers

A pause of the host is one late event at each server, which the median was to cancel. The rate of a server that has sent few events rises most by it, so that long streams avoided sound engines for seconds. Pauses in which the event loop was behind are not counted any more, as for the speeds.

--- a/catkinfork/balancing/_balancer.py
+++ b/catkinfork/balancing/_balancer.py
@@ -365,12 +365,18 @@
         placement.last_event_at = now
 
     def record_pause(self, placement, now):
-        """Record the pause before an event of a stream."""
+        """Record the pause before an event of a stream.
+
+        One in which this host was behind says nothing of the backend server.
+        """
         pool = self.pools[placement.job.service]
         longest_s = placement.job.route.max_event_gap_s
-        if pool.pause_cost and longest_s:
+        if not pool.pause_cost or not longest_s:
+            return
+        last_at = placement.last_event_at
+        if not self.speed_meter.host_lag.has_lagged_since(last_at, now):
             pauses = pool.find(placement.backend.name).pauses
-            pauses.record(now - placement.last_event_at > longest_s, now)
+            pauses.record(now - last_at > longest_s, now)
 
     def record_abandoned_event(self, placement, now):
         """Record an event of an attempt for whose response nobody waits any more."""
--- a/catkinfork/balancing/_pauses.py
+++ b/catkinfork/balancing/_pauses.py
@@ -68,8 +68,9 @@
     each engine slows down at times. Long streams are almost always late at a slow
     engine, short ones are not; the fleet gives it the short ones.
 
-    The rate of the whole service is subtracted, so that a host that relays late, or a
-    service that is overloaded as a whole, makes no server look slow.
+    The rate of the whole service is subtracted, so that a service that is overloaded as
+    a whole makes no server look slow. Pauses in which this host was behind do not
+    count, as they weigh most at servers that have sent few events here.
     """
 
     def __init__(self):
--- a/catkinfork/balancing/tests/test_pauses.py
+++ b/catkinfork/balancing/tests/test_pauses.py
@@ -137,6 +137,29 @@
     assert place(balancer, now, N_LONG_TOKENS) == "b0"
 
 
+def test_host_that_pauses_blames_no_server():
+    """Guards against an engine that looks slow as it has sent few events here.
+
+    Load pattern: the host of the forwarder stands still for 0.5 s. Each engine has one
+    late event, which weighs most where there are few others.
+    """
+    balancer = build_fleet()
+    lag = balancer.speed_meter.host_lag
+    ready = {one.name: one for one in balancer.registry.list_ready("s")}
+    placements = []
+    for name, n_events in (("b0", 2), ("b1", 60), ("b2", 60), ("b3", 60)):
+        job = build_job(1.0, route=ROUTE)
+        placements.append(Placement(job, ready[name], 0, 1.0))
+        for number in range(n_events):
+            balancer.record_event(placements[-1], 3.0 - 0.03 * (n_events - number))
+    lag.due_at = 3.02
+    for placement in placements:
+        balancer.record_event(placement, 3.5)
+    lag.record(0.48, 3.5)
+    lag.due_at = 3.52
+    assert place(balancer, 3.51, N_LONG_TOKENS) == "b0"
+
+
 @pytest.mark.parametrize(("cost", "n_event_tokens"), [(0.0, 9), (8000.0, 0)])
 def test_nothing_changes_without_the_setting_or_the_size_of_events(
     cost, n_event_tokens
