Count no pauses of backend servers while their caller reads slowly

The forwarder stops reading from an engine while the buffers of the caller are full. The next event counted as a long pause of the engine, which long streams then avoided. The pause now counts from the moment at which reading goes on.

--- a/catkinfork/balancing/_balancer.py
+++ b/catkinfork/balancing/_balancer.py
@@ -378,6 +378,14 @@
             pauses = pool.find(placement.backend.name).pauses
             pauses.record(now - last_at > longest_s, now)
 
+    def record_reading_resumed(self, placement, now):
+        """Count the pause before the next event from now.
+
+        A caller that reads slowly holds up the events of its backend server.
+        """
+        if placement.last_event_at is not None:
+            placement.last_event_at = now
+
     def record_abandoned_event(self, placement, now):
         """Record an event of an attempt for whose response nobody waits any more."""
         if placement.first_event_at is None:
--- a/catkinfork/forwarding/_attempt.py
+++ b/catkinfork/forwarding/_attempt.py
@@ -219,6 +219,8 @@
         """Resume reading from the backend server."""
         if self.connection is not None:
             self.connection.resume()
+            now = self.server.loop.time()
+            self.server.balancer.record_reading_resumed(self.placement, now)
 
 
 class AbandonedAttempt(BaseResponseListener):
--- a/catkinfork/forwarding/tests/test_paused_connections.py
+++ b/catkinfork/forwarding/tests/test_paused_connections.py
@@ -5,7 +5,7 @@
 
 import anyio
 
-from catkinfork.forwarding.tests.scripted import SEAL, answer
+from catkinfork.forwarding.tests.scripted import SEAL, answer, stream
 from catkinfork.forwarding.tests.world import Caller, run_world
 from catkinfork.topology import CallerLimits
 
@@ -109,3 +109,29 @@
         assert (backend.n_connections, backend.n_lost) == (1, 0)
 
     run_world(test, limits=PATIENT)
+
+
+def test_caller_that_reads_slowly_is_no_pause_of_the_backend_server():
+    """Guards against long streams that avoid an engine for the callers it has.
+
+    Load pattern: a caller stops reading for longer than its route allows between two
+    events, so that the forwarder stops reading from the engine.
+    """
+
+    async def test(world):
+        settings = world.balancer.settings._replace(long_pause_cost=8000.0)
+        world.balancer.apply_settings(settings)
+        await world.start("engine", stream(1, 16, gap_s=0.05))
+        caller = await world.connect()
+        await caller.send("/draft/")
+        await anyio.sleep(0.2)
+        (connection,) = world.server.callers
+        connection.pause_writing()
+        await anyio.sleep(0.4)
+        connection.resume_writing()
+        assert (await caller.read()).is_whole
+        pauses = world.balancer.pools["engine"].find("engine-0").pauses
+        assert pauses.n_events.value > 5
+        assert pauses.n_long_pauses.value == 0
+
+    run_world(test, limits=PATIENT)
