End the metric of long pauses when a server no longer pauses

The gauge long_pause_excess is only set for servers that pause, and was never cleared: it kept its last value after the pauses had ended, the server was gone, or the setting was taken away. It is now cleared before each scrape, and left out while off.

--- a/catkinfork/forwarder/_status.py
+++ b/catkinfork/forwarder/_status.py
@@ -81,7 +81,8 @@
 def build_metrics_response(process):
     """Return the metrics in the Prometheus text format."""
     metrics = process.server.metrics
-    metrics.clear_gauge("backend_speed")
+    for name in ("backend_speed", "long_pause_excess"):
+        metrics.clear_gauge(name)
     for name, text, labels, value in list_gauges(process):
         metrics.set_gauge(name, text, labels, value)
     body, headers = metrics.render(["text/plain"])
@@ -156,7 +157,7 @@
         labels = {"service": name}
         yield "waiting", "Requests that wait for room", labels, pool.queue.n_jobs
         for backend, state in pool.states.items():
-            if state.pauses.excess:
+            if pool.weighs_pauses and state.pauses.excess:
                 yield (
                     "long_pause_excess",
                     "Rate of too long pauses per event, beyond that of the service",
