Check version and address again before a transfer is sent

While a connection opens, the receiving engine may start again with another version, or another server may take over the address of the source. The request still named the source, which may be of another version or another server. It is now sent without one.

--- a/catkinfork/balancing/_transfer_watch.py
+++ b/catkinfork/balancing/_transfer_watch.py
@@ -143,23 +143,37 @@
     def send(self, placement, now):
         """Begin the transfer of a request that is being sent.
 
-        A source that has left, paused or started again since the placement is not used.
+        A source that no longer fits is not used.
 
         :returns: address of the source, or None.
         """
         running = placement.transfer
         if running is None or not running.is_open:
             return None
-        source = running.source
-        is_usable = self.balancer.registry.is_usable(source, now)
-        if not is_usable or source.entry.started_ms != running.started_ms:
+        if not self.is_sound(running, now):
             self.close(running)
             placement.transfer = None
             return None
         running.due_at = now + running.allowed_s
         running.service.n_transfers += 1
         self.running[running] = None
-        return source.entry.address
+        return running.source.entry.address
+
+    def is_sound(self, running, now):
+        """Return whether a transfer still holds whose request is being sent.
+
+        The source and the receiving engine may have been replaced while a connection
+        was being opened.
+        """
+        registry = self.balancer.registry
+        entry = running.source.entry
+        if not registry.is_usable(running.source, now):
+            return False
+        if entry.address in registry.shared_addresses:
+            return False
+        target = running.placement.backend.entry
+        is_same_start = entry.started_ms == running.started_ms
+        return is_same_start and entry.version == target.version
 
     def record_first_event(self, placement, now):
         """Record the first event of a request."""
--- a/catkinfork/balancing/tests/test_transfers.py
+++ b/catkinfork/balancing/tests/test_transfers.py
@@ -287,6 +287,32 @@
     assert balancer.pools["s"].transfers.n_transfers == 0
 
 
+def restart_target(balancer, placement):
+    """Let the engine that fetches start again with another version."""
+    number = int(placement.backend.name[1:])
+    add_engine(balancer, number, version="v2", started_ms=9000)
+
+
+def take_address(balancer, placement):
+    """Let another engine name the address of the source."""
+    add_engine(balancer, 9, address=placement.transfer.source.entry.address)
+
+
+@pytest.mark.parametrize("change", [restart_target, take_address])
+def test_source_that_no_longer_fits_as_the_request_is_sent_is_not_named(change):
+    """Guards against cached tokens of another version, or from another server.
+
+    Load pattern: engines are replaced while a connection is being opened.
+    """
+    balancer = build_fleet()
+    hold(balancer, 0)
+    load(balancer, 0)
+    placement = place(balancer)
+    change(balancer, placement)
+    assert send(balancer, placement) is None
+    assert balancer.pools["s"].transfers.n_running == 0
+
+
 @pytest.mark.parametrize("seed", range(20))
 def test_lowest_cost_is_found_in_one_pass(seed, monkeypatch):
     """Guards against a decision that looks at engines twice, or misses the best.
