Read the size of an event as an optional figure

A stride that is out of range or of another type made the whole configuration unreadable, which was accepted before the field was read and may withdraw a key. It is now ignored and logged like the other figures, and the last good one stays in force. One below 1 counted as not stated and is now one that cannot be right.

--- a/catkinfork/platform/_documents.py
+++ b/catkinfork/platform/_documents.py
@@ -46,8 +46,9 @@
 # much to it.
 MAX_ENTRY_BYTES = 65_536
 
-# Bounds far beyond those of real engines: bytes of memory per token, and megabits per
-# second of a link.
+# Bounds far beyond those of real engines: generated tokens in an event, bytes of memory
+# per token, and megabits per second of a link.
+EVENT_TOKENS_BOUNDS = (1.0, 1e6)
 TOKEN_BYTES_BOUNDS = (1.0, 1e9)
 LINK_MBPS_BOUNDS = (1e-3, 1e8)
 BYTES_PER_MEGABIT = 125_000
@@ -82,13 +83,14 @@
     """Limits of a model engine. ``kv_capacity`` is its KV cache size in tokens.
 
     A scaled deployment may publish fractions here and in the other limits; they are
-    rounded down. ``kv_bytes`` is the memory of a token and ``link_mbps`` the rate of
-    the link of an engine; both are optional.
+    rounded down. ``stride`` has the generated tokens of an event, ``kv_bytes`` the
+    memory of a token and ``link_mbps`` the rate of the link of an engine; these are
+    optional.
     """
 
     slots: float
     kv_capacity: float
-    stride: float = 0.0
+    stride: msgspec.Raw = NOT_STATED
     kv_bytes: msgspec.Raw = NOT_STATED
     link_mbps: msgspec.Raw = NOT_STATED
 
@@ -339,8 +341,8 @@
         return None
     n_slots = int(check_number(engine.slots, "slots"))
     n_memory_tokens = int(check_number(engine.kv_capacity, "kv_capacity"))
-    n_event_tokens = int(check_number(engine.stride, "stride"))
     name = service.name
+    n_event_tokens = reader.read(name, "stride", engine.stride, EVENT_TOKENS_BOUNDS)
     token_bytes = reader.read(name, "kv_bytes", engine.kv_bytes, TOKEN_BYTES_BOUNDS)
     link_mbps = reader.read(name, "link_mbps", engine.link_mbps, LINK_MBPS_BOUNDS)
     return Engine(
@@ -348,5 +350,5 @@
         max(1, n_memory_tokens),
         token_bytes,
         BYTES_PER_MEGABIT * link_mbps,
-        n_event_tokens,
+        int(n_event_tokens),
     )
--- a/catkinfork/platform/tests/test_documents.py
+++ b/catkinfork/platform/tests/test_documents.py
@@ -181,6 +181,20 @@
     assert ignored == ()
 
 
+@pytest.mark.parametrize("value", ODD_FIGURES, ids=repr)
+def test_odd_size_of_events_is_ignored_and_the_last_good_one_stays(value):
+    """Guards against a withdrawn key that stays valid for the size of an event."""
+    decoder = PlatformDecoder()
+    good, _ = decode_engine(decoder, build_engine_config(1, stride=9.5))
+    assert good.n_event_tokens == 9
+    engine, ignored = decode_engine(decoder, build_engine_config(2, stride=value))
+    assert engine == good
+    (detail,) = ignored
+    assert "stride" in detail
+    engine, ignored = decode_engine(decoder, build_engine_config(3))
+    assert (engine.n_event_tokens, ignored) == (0, ())
+
+
 def test_odd_figure_without_a_good_one_counts_as_not_stated():
     """Guards against transfers by a figure that cannot be right."""
     config = build_engine_config(kv_bytes=-1, link_mbps=5600)
