Find dead sources at a host that is always behind

Each check of transfers that came more than 0.1 s after the last one moved all due times by the gap. At a host without processor time all checks do, so that no transfer was ever late and a dead source was asked on and on. Pauses defer the due time of a transfer until they add up to 4 s. The test of a paused process now stands still for 9 s instead of 3 s, and has its first event some checks after the pause.

--- a/catkinfork/balancing/_transfer_watch.py
+++ b/catkinfork/balancing/_transfer_watch.py
@@ -14,6 +14,10 @@
 # Time between two checks that counts as a pause of this process, seconds. Checks are
 # some 0.025 s apart; first events wait in the sockets during a pause.
 MAX_CHECK_GAP_S = 0.1
+# Sum of the pauses from which on further ones do not defer the due time of a transfer,
+# seconds. A host without processor time pauses between all checks, and would never find
+# a dead source.
+MAX_DEFERRAL_S = 4.0
 # Time between two log lines on whether the engines of a service fetch, seconds. The
 # number of engines may change with each read of the store.
 SWITCH_LOG_INTERVAL_S = 10.0
@@ -28,11 +32,13 @@
     :param allowed_s: time within which the first event is due, seconds.
 
     ``due_at`` is the monotonic time until which the first event is on time; it is
-    infinite until the request is sent.
+    infinite until the request is sent. ``deferral_left_s`` is what is left of the time
+    for which pauses of this process defer it.
     """
 
     __slots__ = (
         "allowed_s",
+        "deferral_left_s",
         "due_at",
         "is_late",
         "is_open",
@@ -55,9 +61,16 @@
         self.n_ahead_tokens = n_ahead_tokens
         self.allowed_s = allowed_s
         self.due_at = inf
+        self.deferral_left_s = MAX_DEFERRAL_S
         self.is_open = True
         self.is_late = False
 
+    def defer(self, pause_s):
+        """Allow for a pause of this process."""
+        if self.deferral_left_s > 0:
+            self.deferral_left_s -= pause_s
+            self.due_at += pause_s
+
 
 class TransferWatch:
     """Follows transfers to their first event, and excludes sources that fail.
@@ -213,14 +226,13 @@
         """Exclude the sources of late transfers.
 
         If this process has paused, first events wait in its sockets, and are no later
-        for it.
+        for it. Their due times move by the pause.
         """
         gap_s = now - self.checked_at
         self.checked_at = now
         if gap_s > MAX_CHECK_GAP_S:
             for running in self.running:
-                running.due_at += gap_s
-            return
+                running.defer(gap_s)
         for running in [one for one in self.running if now >= one.due_at]:
             if running.is_late or self.extend(running, now):
                 continue
--- a/catkinfork/balancing/tests/test_transfer_failures.py
+++ b/catkinfork/balancing/tests/test_transfer_failures.py
@@ -316,13 +316,14 @@
 def test_paused_process_blames_no_source(balancer):
     """Guards against the exclusion of all sources by a host without processor time.
 
-    Load pattern: the process stands still for 3 s, with first events in its sockets.
+    Load pattern: the process stands still for 9 s, with first events in its sockets.
     """
     placement = start(balancer)
     check_until(balancer, 0.0, 0.1)
-    balancer.transfers.check(3.1)
-    balancer.record_first_event(placement, 3.11)
-    check_until(balancer, 3.125, 4.0)
+    balancer.transfers.check(9.1)
+    check_until(balancer, 9.125, 9.2)
+    balancer.record_first_event(placement, 9.21)
+    check_until(balancer, 9.225, 10.0)
     assert list_events(balancer, EXCLUDED) == []
 
 
@@ -334,6 +335,18 @@
     assert len(list_events(balancer, EXCLUDED)) == 1
 
 
+def test_source_that_stays_silent_is_found_by_a_host_that_is_always_behind(balancer):
+    """Guards against a dead source that a busy host asks for good.
+
+    Load pattern: the smallest host has no processor time left, and each of its checks
+    is late.
+    """
+    start(balancer)
+    for number in range(80):
+        balancer.transfers.check(0.12 * number)
+    assert len(list_events(balancer, EXCLUDED)) == 1
+
+
 @pytest.mark.parametrize("seed", range(10))
 def test_counts_return_to_zero(seed):
     """Guards against a source that counts as busy for good.
