--- a/catkinfork/balancing/tests/test_pauses.py
+++ b/catkinfork/balancing/tests/test_pauses.py
@@ -135,6 +135,8 @@
     balancer = build_fleet()
     now = replay_slow_spells(balancer, [0.47] * 24, [0.47] * 24)
     assert place(balancer, now, N_LONG_TOKENS) == "b0"
+    states = balancer.pools["s"].states.values()
+    assert [one.pauses.excess for one in states] == [0.0] * 4
 
 
 def test_host_that_pauses_blames_no_server():
