Forget the speed totals that peers told of servers that are gone

The latest total of each peer and backend server was kept for as long as the peer ran. With engines that are replaced under new names, the table grew with each of them at each peer. It is now limited to the known servers once it exceeds their number.

--- a/catkinfork/peering/_speed_notices.py
+++ b/catkinfork/peering/_speed_notices.py
@@ -110,6 +110,11 @@
         :param servers: pairs of :class:`ServicePool` and :class:`BackendState` by hash
             of the name of a backend server.
         """
+        if len(peer.speeds) > len(servers):
+            # The others are of servers that are gone.
+            peer.speeds = {
+                key: peer.speeds[key] for key in peer.speeds if key in servers
+            }
         for entry in frame.speeds:
             pool, state = servers.get(entry.backend, (None, None))
             if pool is None or not pool.has_speeds:
