--- a/catkinfork/balancing/tests/test_pauses.py
+++ b/catkinfork/balancing/tests/test_pauses.py
@@ -1,5 +1,8 @@
 """Long streams avoid backend servers that pause for longer than callers accept."""
 
+from collections import Counter
+from random import Random
+
 import pytest
 
 from catkinfork.balancing import (
@@ -8,6 +11,7 @@
     Placement,
     RetryBudgetSettings,
 )
+from catkinfork.balancing._pauses import REPORT_INTERVAL_S
 from catkinfork.balancing.tests.support import (
     add_backend,
     build_balancer,
@@ -67,11 +71,11 @@
     return end_at
 
 
-def place(balancer, now, n_output, busy_tokens=3000):
+def place(balancer, now, n_output, busy_tokens=3000, route=ROUTE):
     """Return the backend server of a stream while all but b0 have pending tokens."""
     for name in ("b1", "b2", "b3"):
         balancer.pools["s"].find(name).load.n_pending_tokens = busy_tokens
-    placement = submit(balancer, now, route=ROUTE, n_prompt=500, n_output=n_output)
+    placement = submit(balancer, now, route=route, n_prompt=500, n_output=n_output)
     return placement.backend.name
 
 
@@ -98,6 +102,27 @@
     assert {one["backend_server"] for one in fields} == {"b0"}
 
 
+def test_log_of_servers_that_pause_is_bounded():
+    """Guards against a log line for each chance crossing of the threshold.
+
+    Load pattern: all engines pause now and then, so that each of them exceeds the
+    middle of its service by little for a moment.
+    """
+    rng = Random(1)
+    balancer = build_fleet(12)
+    events = []
+    balancer.write_log = events.append
+    pool = balancer.pools["s"]
+    for number in range(600):
+        now = 1.0 + 0.1 * number
+        for state in pool.states.values():
+            state.pauses.record(rng.random() < 0.03, now)
+        balancer.list_candidates(pool, now)
+    names = [one.values[0] for one in events if one.event.name == "streams_pause"]
+    most = 60.0 / REPORT_INTERVAL_S + 1
+    assert 0 < max(Counter(names).values()) <= most
+
+
 def test_a_server_that_pauses_still_gets_long_streams_if_the_others_are_full():
     """Guards against a slow engine that idles while callers wait for the others."""
     balancer = build_fleet()
@@ -110,6 +135,31 @@
     balancer = build_fleet()
     now = replay_slow_spells(balancer, [0.47] * 24, [0.47] * 24)
     assert place(balancer, now, N_LONG_TOKENS) == "b0"
+    states = balancer.pools["s"].states.values()
+    assert [one.pauses.excess for one in states] == [0.0] * 4
+
+
+def test_host_that_pauses_blames_no_server():
+    """Guards against an engine that looks slow as it has sent few events here.
+
+    Load pattern: the host of the forwarder stands still for 0.5 s. Each engine has one
+    late event, which weighs most where there are few others.
+    """
+    balancer = build_fleet()
+    lag = balancer.speed_meter.host_lag
+    ready = {one.name: one for one in balancer.registry.list_ready("s")}
+    placements = []
+    for name, n_events in (("b0", 2), ("b1", 60), ("b2", 60), ("b3", 60)):
+        job = build_job(1.0, route=ROUTE)
+        placements.append(Placement(job, ready[name], 0, 1.0))
+        for number in range(n_events):
+            balancer.record_event(placements[-1], 3.0 - 0.03 * (n_events - number))
+    lag.due_at = 3.02
+    for placement in placements:
+        balancer.record_event(placement, 3.5)
+    lag.record(0.48, 3.5)
+    lag.due_at = 3.52
+    assert place(balancer, 3.51, N_LONG_TOKENS) == "b0"
 
 
 @pytest.mark.parametrize(("cost", "n_event_tokens"), [(0.0, 9), (8000.0, 0)])
@@ -154,6 +204,14 @@
     assert state.pauses.compute_rate(5.0) == 0
 
 
+def test_routes_without_a_target_for_pauses_use_a_server_that_pauses():
+    """Guards against an idle engine that is avoided by streams that cannot be late."""
+    balancer = build_fleet()
+    now = replay_slow_spells(balancer, [0.2] * 20 + [0.47] * 4, [0.1] * 24)
+    assert place(balancer, now, N_LONG_TOKENS) != "b0"
+    assert place(balancer, now, N_LONG_TOKENS, route=build_route()) == "b0"
+
+
 def test_a_change_of_the_setting_takes_effect():
     """Guards against a reload that leaves the old cost in force."""
     balancer = build_fleet()
--- a/catkinfork/platform/_documents.py
+++ b/catkinfork/platform/_documents.py
@@ -367,5 +367,5 @@
         max(1, n_memory_tokens),
         token_bytes,
         BYTES_PER_MEGABIT * link_mbps,
-        n_event_tokens,
+        int(n_event_tokens),
     )
