--- a/catkinfork/balancing/_on_time_order.py
+++ b/catkinfork/balancing/_on_time_order.py
@@ -8,7 +8,7 @@
 from catkinfork.balancing._late_share import LateShare
 from catkinfork.balancing._order import BaseQueueOrder, ShareOrder, Turn
 from catkinfork.balancing._refusals import ReturnPlanner
-from catkinfork.balancing._waits import estimate_late_wait, estimate_wait
+from catkinfork.balancing._waits import LateRate, estimate_late_wait, estimate_wait
 from catkinfork.balancing._windows import DecayingSum
 from catkinfork.observability import log_event
 
@@ -29,6 +29,9 @@
 # Time without an estimate after which contention counts as new, seconds: no job was
 # queued meanwhile.
 MAX_PAUSE_S = 0.5
+# Time for which contention is expected to last at least, seconds: that of a burst. One
+# that has lasted longer is expected to last as long again.
+MIN_HORIZON_S = 3.0
 # Time between two events of one service, seconds, and routes that one names at most.
 REPORT_INTERVAL_S = 1.0
 MAX_REPORTED_ROUTES = 8
@@ -153,7 +156,7 @@
                 yield estimate_late_wait(pool, workspace, totals, rate, now), late
 
     def estimate_late_rate(self, pool, totals, now):
-        """Return the rate at which late jobs are served, service tokens per second.
+        """Return the :class:`LateRate`.
 
         Load pattern: a moment of contention at ordinary load. No late job has been
         placed recently, but soon there will be capacity left for all of them.
@@ -164,12 +167,13 @@
         if not totals.n_jobs or now > self.late_seen_at + MAX_PAUSE_S:
             self.late_since = now
         self.late_seen_at = now
+        lasted_s = now - self.late_since
         rate = self.late_tokens.read(now) / LATE_RATE_WINDOW_S
         s_per_token = pool.compute_s_per_token(now)
-        if not s_per_token:
-            return rate
-        expected_rate = exp((self.late_since - now) / LATE_RATE_WINDOW_S) / s_per_token
-        return max(rate, self.late_share.tokens_per_s, expected_rate)
+        if s_per_token:
+            expected_rate = exp(-lasted_s / LATE_RATE_WINDOW_S) / s_per_token
+            rate = max(rate, self.late_share.tokens_per_s, expected_rate)
+        return LateRate(rate, max(MIN_HORIZON_S, lasted_s))
 
     def estimate_new_wait(self, pool, job, now):
         """Return the wait of a new job.
--- a/catkinfork/balancing/_shares.py
+++ b/catkinfork/balancing/_shares.py
@@ -140,13 +140,13 @@
         return self.compute_shortfall(use, MIN_SERVICE_SHARE, now) > 0
 
     def lacks_service(self, workspace, now):
-        """Return whether a workspace is underserved by more than a few requests.
+        """Return whether a workspace receives less than others by several requests.
 
         Load pattern: many workspaces of a few requests a second each. Nearly every one
         of them is underserved while one of its requests waits for a moment.
         """
         use = self.find(workspace)
-        n_tokens = self.compute_shortfall(use, MIN_SERVICE_SHARE, now)
+        n_tokens = self.compute_shortfall(use, MIN_EVEN_SHARE, now)
         return n_tokens > MIN_SHORTFALL_TOKENS
 
     def compute_shortfall(self, use, share, now):
--- a/catkinfork/balancing/_waits.py
+++ b/catkinfork/balancing/_waits.py
@@ -21,8 +21,6 @@
         yet to receive, which are served first.
     :param n_all_tokens: service tokens of all jobs queued here.
     :param n_workspaces: workspaces with queued jobs, which are served in turn.
-    :param counts_job: whether a job waits for its own service as well, as late jobs do:
-        they are served at a low rate even if none is ahead of them.
     """
 
     rate_s_per_token: float
@@ -30,26 +28,71 @@
     n_entitled_tokens: float
     n_all_tokens: int
     n_workspaces: int
-    counts_job: bool = False
+
+    def count_ahead(self, n_tokens_ahead):
+        """Return the tokens of all workspaces behind which a job waits.
+
+        :param n_tokens_ahead: those of its own workspace.
+        """
+        return min(n_tokens_ahead * self.n_workspaces, self.n_all_tokens)
 
     def compute(self, n_tokens_ahead, job):
-        """Return the wait of a job behind tokens of the same workspace, seconds.
+        """Return the wait of a job behind tokens of the same workspace, seconds."""
+        by_rate_s = self.count_ahead(n_tokens_ahead) * self.rate_s_per_token
+        return self.limit_by_share(by_rate_s, n_tokens_ahead)
 
-        The result is the lower of two estimates, since each can be too high: the one by
-        placement rate while the workspace is below its fair share, the one by fair
-        share after a burst of its requests.
+    def limit_by_share(self, by_rate_s, n_tokens_ahead):
+        """Return the lower of two estimates, since each can be too high, seconds.
+
+        The one by placement rate is too high while the workspace is below its fair
+        share, the one by fair share after a burst of its requests.
         """
-        n_ahead = min(n_tokens_ahead * self.n_workspaces, self.n_all_tokens)
-        by_rate_s = n_ahead * self.rate_s_per_token
-        if self.counts_job:
-            own_s = count_queue_tokens(job) * self.rate_s_per_token
-            by_rate_s += min(MAX_OWN_WAIT_S, own_s)
         if self.share_s_per_token == inf:
             return by_rate_s
         n_behind_share = max(0.0, n_tokens_ahead - self.n_entitled_tokens)
         return min(by_rate_s, n_behind_share * self.share_s_per_token)
 
 
+class LateWaitEstimate(NamedTuple):
+    """Inputs of the queueing time of a workspace's late jobs.
+
+    They wait behind the on-time jobs that keep arriving, as long as contention lasts.
+
+    :param usual: :class:`WaitEstimate` after the contention, of late jobs alone.
+    :param s_per_token: seconds per service token of late jobs during the contention.
+    :param horizon_s: time for which it is expected to last, seconds.
+    """
+
+    usual: WaitEstimate
+    s_per_token: float
+    horizon_s: float
+
+    def compute(self, n_tokens_ahead, job):
+        """Return the wait of a job behind late tokens of the same workspace, seconds.
+
+        It includes the wait for its own turn: late jobs are served at a low rate, even
+        if none is ahead of them.
+        """
+        by_rate_s = self.usual.count_ahead(n_tokens_ahead) * self.s_per_token
+        by_rate_s += min(MAX_OWN_WAIT_S, count_queue_tokens(job) * self.s_per_token)
+        excess_s = by_rate_s - self.horizon_s
+        if excess_s > 0:
+            ratio = self.usual.rate_s_per_token / self.s_per_token
+            by_rate_s = self.horizon_s + ratio * excess_s
+        return self.usual.limit_by_share(by_rate_s, n_tokens_ahead)
+
+
+class LateRate(NamedTuple):
+    """Rate of late service during contention.
+
+    :param tokens_per_s: service tokens per second.
+    :param horizon_s: time for which the contention is expected to last, seconds.
+    """
+
+    tokens_per_s: float
+    horizon_s: float
+
+
 def estimate_wait(pool, workspace, now):
     """Return the :class:`WaitEstimate` for a workspace at this forwarder.
 
@@ -66,29 +109,29 @@
     )
 
 
-def estimate_late_wait(pool, workspace, totals, tokens_per_s, now):
-    """Return the :class:`WaitEstimate` for the late jobs of a workspace.
+def estimate_late_wait(pool, workspace, totals, rate, now):
+    """Return the wait estimate for the late jobs of a workspace.
 
-    They wait behind the on-time jobs that keep arriving. A workspace that lacks service
-    is estimated as without them, since its late jobs keep its priority.
+    A workspace that lacks service is estimated as without on-time jobs of others, since
+    its late jobs keep its priority.
 
     :param pool: :class:`ServicePool`.
     :param totals: :class:`LateTotals`.
-    :param tokens_per_s: rate at which late jobs are served, service tokens per second.
+    :param rate: :class:`LateRate`.
+    :returns: :class:`WaitEstimate` or :class:`LateWaitEstimate`.
     """
     wait = estimate_wait(pool, workspace, now)
-    if pool.shares.lacks_service(workspace, now) or not tokens_per_s:
+    if pool.shares.lacks_service(workspace, now) or not rate.tokens_per_s:
         return wait
     own = pool.queue.by_workspace.get(workspace)
     has_late = own is not None and own.n_late > 0
     n_on_time_tokens = 0 if own is None else own.n_on_time_tokens
-    return wait._replace(
-        rate_s_per_token=1.0 / tokens_per_s,
+    usual = wait._replace(
         n_entitled_tokens=wait.n_entitled_tokens - n_on_time_tokens,
         n_all_tokens=totals.n_tokens,
         n_workspaces=totals.n_workspaces + (not has_late),
-        counts_job=True,
     )
+    return LateWaitEstimate(usual, 1.0 / rate.tokens_per_s, rate.horizon_s)
 
 
 def list_infeasible(pool, now, share):
--- a/catkinfork/balancing/tests/burst_load.py
+++ b/catkinfork/balancing/tests/burst_load.py
@@ -23,6 +23,7 @@
 # Traffic varies by this fraction, with this period, seconds.
 WAVE = 0.55
 WAVE_PERIOD_S = 1.0
+N_OUTPUT_TOKENS = 100
 # Sizes of the own part of prompts vary evenly by this fraction.
 SIZE_SPREAD = 0.6
 
@@ -71,7 +72,8 @@
 class Outcome:
     """What became of one request.
 
-    ``first_s`` is the time from its arrival to its first event, seconds, or None.
+    ``first_s`` is the time from its arrival to its first event, seconds, or None, and
+    ``return_at`` the monotonic time at which its caller may return if it was refused.
     """
 
     __slots__ = (
@@ -79,11 +81,8 @@
         "first_s",
         "kind",
         "n_own",
-        "placed_late",
         "refusal",
-        "wait",
-        "miss",
-        "prio",
+        "return_at",
         "workspace",
     )
 
@@ -94,6 +93,22 @@
         self.arrived_at = arrived_at
         self.first_s = None
         self.refusal = None
+        self.return_at = None
+
+    @property
+    def is_served(self):
+        """Return whether it had its first event."""
+        return self.first_s is not None
+
+    @property
+    def is_large(self):
+        """Return whether its prompt is in the largest tenth of its kind."""
+        return self.n_own >= (1.0 + 0.8 * SIZE_SPREAD) * self.kind.n_own
+
+    @property
+    def n_service_tokens(self):
+        """Return the service tokens for which it counts in the fair shares."""
+        return self.kind.n_shared + self.n_own + 2 * N_OUTPUT_TOKENS
 
     @property
     def is_on_time(self):
@@ -112,12 +127,14 @@
     :param demands: weight of each workspace by name.
     :param hosts: index of the balancer that has all requests of a workspace, by name of
         the workspace; those of others are spread.
+    :param targets: latency targets by workspace that replace those of the kinds.
     """
 
-    def __init__(self, balancers, n_engines, demands, seed, hosts=None):
+    def __init__(self, balancers, n_engines, demands, seed, hosts=None, targets=None):
         self.balancers = balancers
         self.demands = demands
         self.hosts = hosts or {}
+        self.targets = targets or {}
         self.rng = random.Random(seed)
         names = [f"b{number}" for number in range(n_engines)]
         for balancer in balancers:
@@ -130,6 +147,7 @@
         self.outcomes = []
         self.outcomes_by_job = {}
         self.n_jobs = 0
+        self.n_events = 0
         self.now = 0.0
 
     def drive(self, duration_s, load):
@@ -155,12 +173,13 @@
         self.n_jobs += 1
         shared = 1000 * (1 + KINDS.index(kind)) + list(self.demands).index(workspace)
         parts = [(shared, kind.n_shared), (1_000_000 + self.n_jobs, n_own)]
+        target_s = self.targets.get(workspace, kind.route.latency_target_s)
         job = build_job(
             self.now,
-            route=kind.route,
+            route=kind.route._replace(latency_target_s=target_s),
             workspace=workspace,
             n_prompt=kind.n_shared + n_own,
-            n_output=100,
+            n_output=N_OUTPUT_TOKENS,
             parts=parts,
         )
         job.fingerprint = self.n_jobs
@@ -178,7 +197,9 @@
         if decision is None:
             return
         if not isinstance(decision, Placement):
-            self.outcomes_by_job.pop(job).refusal = decision
+            outcome = self.outcomes_by_job.pop(job)
+            outcome.refusal = decision
+            outcome.return_at = self.now + decision.retry_after_s
             return
         name = decision.backend.name
         starts_at = max(self.free_at[name], self.now)
@@ -189,10 +210,9 @@
         self.push(first_at + GENERATION_S, True, balancer, decision)
 
     def push(self, at, is_end, balancer, placement):
-        """Add an event of an attempt."""
-        self.events.append(None)
-        self.events.pop()
-        heappush(self.events, (at, id(placement), is_end, balancer, placement))
+        """Add an event of an attempt; equal times are in the order of addition."""
+        self.n_events += 1
+        heappush(self.events, (at, self.n_events, is_end, balancer, placement))
 
     def exchange(self):
         """Let one step pass."""
@@ -212,3 +232,40 @@
         for balancer in self.balancers:
             for job, decision in balancer.dispatch_queued(self.now):
                 self.handle(balancer, job, decision)
+
+    def list_arrived(self, start, end):
+        """Return the outcomes of the requests that arrived in a span of time."""
+        return [one for one in self.outcomes if start <= one.arrived_at < end]
+
+    def count_received(self, start, end):
+        """Return the service tokens of first events in a span of time by workspace."""
+        received = dict.fromkeys(self.demands, 0)
+        for one in self.outcomes:
+            if one.is_served and start <= one.arrived_at + one.first_s < end:
+                received[one.workspace] += one.n_service_tokens
+        return received
+
+    def compute_fairness(self, start, end):
+        """Return the smallest ratio of what a workspace received to what it is owed.
+
+        It is owed its demand, or the service of the best served workspace if that is
+        smaller. The rule allows three of the largest requests less.
+        """
+        demands = dict.fromkeys(self.demands, 0)
+        received = self.count_received(start, end)
+        n_largest = 0
+        for one in self.outcomes:
+            if start <= one.arrived_at < end:
+                demands[one.workspace] += one.n_service_tokens
+                n_largest = max(n_largest, one.n_service_tokens)
+        most = max(received.values())
+        return min(
+            (received[name] + 3 * n_largest) / min(demand, most)
+            for name, demand in demands.items()
+            if demand
+        )
+
+
+def compute_share(outcomes, has_property):
+    """Return the fraction of the requests that have a property."""
+    return sum(has_property(one) for one in outcomes) / len(outcomes)
