--- a/catkinfork/balancing/_balancer.py
+++ b/catkinfork/balancing/_balancer.py
@@ -388,7 +388,8 @@
         )
         placement.first_event_at = now
         pool.find(placement.backend.name).load.record_first_event(placement)
-        pool.untold.record_freed(placement.n_missing_tokens)
+        pending_s = now - placement.placed_at
+        pool.untold.record_first_event(placement.n_missing_tokens, pending_s)
         self.changes.backends.add((placement.job.service, placement.backend.name))
 
     def handle_attempt_end(self, placement, outcome, now):
--- a/catkinfork/balancing/_candidates.py
+++ b/catkinfork/balancing/_candidates.py
@@ -165,6 +165,8 @@
     def compute_total_room(self, job, rank):
         """Return the number of jobs like this one for which all servers have room.
 
+        Room that rates hold back counts as well: they bind each placement anyway.
+
         :param rank: :class:`QueueRank` of the job.
         """
         model = self.pool.model
@@ -177,7 +179,6 @@
                 rank,
             )
             for one in self.list_eligible(job)
-            if not one.is_limited
         ]
         return sum(room for room in rooms if room >= 1)
 
--- a/catkinfork/balancing/_untold.py
+++ b/catkinfork/balancing/_untold.py
@@ -10,13 +10,20 @@
     Costs are in the unit of the load model.
     """
 
-    __slots__ = ("changed_cost", "mean_changed_cost", "mean_placed_cost", "placed_cost")
+    __slots__ = (
+        "changed_cost",
+        "mean_changed_cost",
+        "mean_pending_s",
+        "mean_placed_cost",
+        "placed_cost",
+    )
 
     def __init__(self):
         self.placed_cost = 0.0
         self.changed_cost = 0.0
         self.mean_placed_cost = 0.0
         self.mean_changed_cost = 0.0
+        self.mean_pending_s = 0.0
 
     def record_placed(self, cost):
         """Add the cost of an attempt that was placed."""
@@ -27,6 +34,27 @@
         """Add the cost that an attempt no longer causes."""
         self.changed_cost += cost
 
+    def record_first_event(self, cost, pending_s):
+        """Add the cost of a prompt that is no longer pending.
+
+        :param pending_s: time for which it was, seconds.
+        """
+        self.record_freed(cost)
+        self.mean_pending_s += MEAN_WEIGHT * (pending_s - self.mean_pending_s)
+
+    def compute_told_share(self, interval_s):
+        """Return the part of the pending tokens that a frame is to tell.
+
+        Load pattern: with hundreds of forwarders, a prompt is prefilled long before the
+        next frame, and engines that idle look busy to all peers until then.
+
+        :param interval_s: time until the next frame, seconds.
+        :returns: part of that time for which a prompt is pending on average.
+        """
+        if not self.mean_pending_s:
+            return 1.0
+        return min(1.0, self.mean_pending_s / interval_s)
+
     def sample(self):
         """Update the mean of the untold cost at the times of requests, and return it.
 
--- a/catkinfork/peering/_state.py
+++ b/catkinfork/peering/_state.py
@@ -20,7 +20,11 @@
     encode_frame,
 )
 from catkinfork.peering._handover import HandoverPlan
-from catkinfork.peering._pacing import TimedPacing, UrgentPacing
+from catkinfork.peering._pacing import (
+    TimedPacing,
+    UrgentPacing,
+    compute_interval_s,
+)
 from catkinfork.peering._stream_notices import StreamNotices
 
 # Interval at which all totals are sent again, since datagrams may be lost.
@@ -208,8 +212,14 @@
 
     def build_load_entry(self, service, backend):
         """Return the load entry of a backend server."""
-        load = self.balancer.pools[service].find(backend).load
-        return LoadEntry(self.compute_hash(backend), *load.own_load)
+        pool = self.balancer.pools[service]
+        load = pool.find(backend).load.own_load
+        if self.balancer.settings.spread_choice:
+            interval_s = compute_interval_s(len(self.directory.peers))
+            share = pool.untold.compute_told_share(interval_s)
+            n_pending_tokens = int(share * load.n_pending_tokens)
+            load = load._replace(n_pending_tokens=n_pending_tokens)
+        return LoadEntry(self.compute_hash(backend), *load)
 
     def build_usage_entry(self, service, workspace):
         """Return the usage entry of a workspace."""
