--- a/catkinfork/balancing/_balancer.py
+++ b/catkinfork/balancing/_balancer.py
@@ -437,7 +437,8 @@
         self.transfers.record_first_event(placement, now)
         self.speed_meter.record_first_event(pool, placement, now)
         pool.find(placement.backend.name).load.record_first_event(placement)
-        pool.untold.record_freed(placement.n_missing_tokens)
+        pending_s = now - placement.placed_at
+        pool.untold.record_first_event(placement.n_missing_tokens, pending_s)
         self.changes.backends.add((placement.job.service, placement.backend.name))
 
     def handle_attempt_end(self, placement, outcome, now):
