Keep the parts that a restarted engine processes apart from its former start

An attempt at the former start of an engine that ended late removed its parts from those that the new start was still to process. Other engines were then told to fetch them from it too early. Only attempts at the current start count now.

--- a/catkinfork/balancing/_transfer_watch.py
+++ b/catkinfork/balancing/_transfer_watch.py
@@ -216,11 +216,14 @@
             self.fail(running, outcome, now)
 
     def remove_unread(self, placement):
-        """Record that the parts of a prompt are read, as far as will be known."""
+        """Record that the parts of a prompt are read, as far as will be known.
+
+        What a former start of the engine has read says nothing of the current one.
+        """
         pool = self.balancer.pools[placement.job.service]
-        source = pool.find(placement.backend.name).source
-        if source.unread:
-            source.remove_unread(placement.job.parts)
+        state = pool.find(placement.backend.name)
+        if state.source.unread and state.started_ms == placement.started_ms:
+            state.source.remove_unread(placement.job.parts)
 
     def check(self, now):
         """Exclude the sources of late transfers.
--- a/catkinfork/balancing/tests/test_transfer_backoff.py
+++ b/catkinfork/balancing/tests/test_transfer_backoff.py
@@ -4,12 +4,14 @@
 from catkinfork.balancing._transfers import ServiceTransfers
 from catkinfork.balancing.tests.transfer_world import (
     ENGINE,
+    add_engine,
     build_fleet,
     check_until,
     find_source,
     forget,
     hold,
     load,
+    place,
     start,
 )
 from catkinfork.topology import Service
@@ -58,3 +60,24 @@
     pauses = [transfers.record_outcome(True, 0.0, 1.0) for _ in range(30)]
     assert [one for one in pauses if one is not None] == [0.5]
     assert transfers.record_outcome(True, 1.6, 1.7) == 1.0
+
+
+def test_attempt_at_a_former_start_reads_nothing_for_the_new_one():
+    """Guards against a part that counts as read while a new engine processes it.
+
+    Load pattern: an engine starts again while requests run at it, and their connections
+    end late.
+    """
+    balancer = build_fleet(4)
+    load(balancer, 1, 2, 3, n_pending=100)
+    former = place(balancer, own=1)
+    assert former.backend.name == "e0"
+    add_engine(balancer, 0, started_ms=9000)
+    load(balancer, 1, 2, 3)
+    assert place(balancer, own=2).backend.name == "e0"
+    balancer.handle_attempt_end(former, BROKEN, 0.1)
+    load(balancer, 0)
+    load(balancer, 1, 2, 3, n_pending=100)
+    third = place(balancer, 0.1, own=3)
+    assert third.backend.name != "e0"
+    assert third.transfer is None
