--- a/catkinfork/balancing/_on_time_order.py
+++ b/catkinfork/balancing/_on_time_order.py
@@ -173,7 +173,8 @@
         if s_per_token:
             expected_rate = exp(-lasted_s / LATE_RATE_WINDOW_S) / s_per_token
             rate = max(rate, self.late_share.tokens_per_s, expected_rate)
-        return LateRate(rate, max(MIN_HORIZON_S, lasted_s))
+        is_lasting = lasted_s > MIN_HORIZON_S
+        return LateRate(rate, max(MIN_HORIZON_S, lasted_s), is_lasting)
 
     def estimate_new_wait(self, pool, job, now):
         """Return the wait of a new job.
--- a/catkinfork/balancing/_waits.py
+++ b/catkinfork/balancing/_waits.py
@@ -49,9 +49,15 @@
         """
         if self.share_s_per_token == inf:
             return by_rate_s
-        n_behind_share = max(0.0, n_tokens_ahead - self.n_entitled_tokens)
+        n_behind_share = self.count_behind_share(n_tokens_ahead)
         return min(by_rate_s, n_behind_share * self.share_s_per_token)
 
+    def count_behind_share(self, n_tokens_ahead):
+        """Return the tokens of the workspace ahead of a job beyond its fair share."""
+        if self.share_s_per_token == inf:
+            return n_tokens_ahead
+        return max(0.0, n_tokens_ahead - self.n_entitled_tokens)
+
 
 class LateWaitEstimate(NamedTuple):
     """Inputs of the queueing time of a workspace's late jobs.
@@ -61,24 +67,30 @@
     :param usual: :class:`WaitEstimate` after the contention, of late jobs alone.
     :param s_per_token: seconds per service token of late jobs during the contention.
     :param horizon_s: time for which it is expected to last, seconds.
+    :param is_lasting: whether it has lasted longer than a burst.
     """
 
     usual: WaitEstimate
     s_per_token: float
     horizon_s: float
+    is_lasting: bool
 
     def compute(self, n_tokens_ahead, job):
         """Return the wait of a job behind late tokens of the same workspace, seconds.
 
         It includes the wait for its own turn: late jobs are served at a low rate, even
-        if none is ahead of them.
+        if none is ahead of them. In lasting contention, the rate of the fair share is
+        no measure, as on-time jobs of the same workspace use it up.
         """
-        by_rate_s = self.usual.count_ahead(n_tokens_ahead) * self.s_per_token
+        n_behind_share = self.usual.count_behind_share(n_tokens_ahead)
+        by_rate_s = self.usual.count_ahead(n_behind_share) * self.s_per_token
         by_rate_s += min(MAX_OWN_WAIT_S, count_queue_tokens(job) * self.s_per_token)
         excess_s = by_rate_s - self.horizon_s
         if excess_s > 0:
             ratio = self.usual.rate_s_per_token / self.s_per_token
             by_rate_s = self.horizon_s + ratio * excess_s
+        if self.is_lasting:
+            return by_rate_s
         return self.usual.limit_by_share(by_rate_s, n_tokens_ahead)
 
 
@@ -87,10 +99,12 @@
 
     :param tokens_per_s: service tokens per second.
     :param horizon_s: time for which the contention is expected to last, seconds.
+    :param is_lasting: whether it has lasted longer than a burst.
     """
 
     tokens_per_s: float
     horizon_s: float
+    is_lasting: bool
 
 
 def estimate_wait(pool, workspace, now):
@@ -131,7 +145,9 @@
         n_all_tokens=totals.n_tokens,
         n_workspaces=totals.n_workspaces + (not has_late),
     )
-    return LateWaitEstimate(usual, 1.0 / rate.tokens_per_s, rate.horizon_s)
+    return LateWaitEstimate(
+        usual, 1.0 / rate.tokens_per_s, rate.horizon_s, rate.is_lasting
+    )
 
 
 def list_infeasible(pool, now, share):
