--- a/catkinfork/peering/_state.py
+++ b/catkinfork/peering/_state.py
@@ -154,13 +154,15 @@
             return True
         if frame.parts:
             frame.parts = frame.parts[len(frame.parts) // 2 + 1 :]
-        elif frame.streams or frame.stream_questions:
+            return True
+        if frame.streams or frame.stream_questions:
             self.stream_notices.defer(frame)
-        elif frame.uses and not self.speed_notices.defer(frame, 0):
-            frame.uses = frame.uses[: len(frame.uses) // 2]
-        else:
-            return self.speed_notices.defer(frame, 0)
-        return True
+            return True
+        if self.speed_notices.defer(frame, 0):
+            return True
+        n_uses = len(frame.uses)
+        frame.uses = frame.uses[: n_uses // 2]
+        return n_uses > 0
 
     def fill_frame(self, frame, is_full, now):
         """Add the totals to a frame."""
--- a/catkinfork/peering/tests/test_speeds.py
+++ b/catkinfork/peering/tests/test_speeds.py
@@ -381,7 +381,9 @@
                 load.n_memory_tokens = 70_000
             for number in range(20):
                 pool.shares.record_demand(f"w{number}", 10**6, 1.0)
-        frame = decode_frame(build_data(first, 1.0))
+        data = build_data(first, 1.0)
+        assert len(data) <= MAX_FRAME_BYTES
+        frame = decode_frame(data)
         assert len(frame.uses) == len(decode_frame(build_data(without, 1.0)).uses) > 0
         assert len(frame.loads) == len(names)
         rest = list_told(build_data(first, 1.1, is_full=False))
