Keep totals of speeds when the window changes

Cause: totals that begin anew look implausible to peers, which would log them (event 1102) after each change of speed_window_s.

Change: a changed window forgets sums and speeds, not totals. The test of usage in full frames now fills the frame up to the last entry.

--- a/catkinfork/balancing/_pool.py
+++ b/catkinfork/balancing/_pool.py
@@ -14,6 +14,7 @@
 from catkinfork.balancing._shares import FairShares
 from catkinfork.balancing._slow_start import SlowStartLimiter
 from catkinfork.balancing._speeds import (
+    NO_FIGURES,
     ServerStart,
     SpeedRecord,
     SpeedReport,
@@ -124,13 +125,16 @@
     def set_speed_window(self, window_s):
         """Put a changed window in force, and forget all speeds.
 
+        The totals that peers compare with earlier ones go on.
+
         :param window_s: seconds, 0 for none.
         """
         if window_s == self.speeds.window_s:
             return
         self.speeds = SpeedTable(window_s)
         for state in self.states.values():
-            state.forget_speed(state.speed_record.start)
+            state.speed = 1.0
+            state.speed_record.sums = NO_FIGURES
 
     def find(self, backend_name):
         """Return the state of a backend server, created if it is new."""
--- a/catkinfork/balancing/tests/test_speeds.py
+++ b/catkinfork/balancing/tests/test_speeds.py
@@ -369,13 +369,22 @@
         assert slow_weight == MISSING_TOKEN_WEIGHT + 1.0
 
     def test_changed_window_forgets_the_speeds(self):
-        """Guards against speeds that stay in force after the part is switched off."""
+        """Guards against speeds that stay in force after the part is switched off.
+
+        Peers would take totals that begin anew for figures that cannot be right.
+        """
         balancer = build_measuring_balancer(1)
         pool = balancer.pools["s"]
+        balancer.record_event(submit(balancer, 1.0), 1.2)
         pool.find("b0").speed = 0.5
         balancer.apply_settings(BalancerSettings("gasabo", speed_window_s=0.0))
         assert pool.find("b0").speed == 1.0
         assert not pool.has_speeds
+        assert read_totals(balancer, "b0").n_attempts == 1
+        balancer.apply_settings(BalancerSettings("gasabo", speed_window_s=4.0))
+        balancer.update_speeds(2.0)
+        assert pool.find("b0").speed_record.sums.n_attempts == 0
+        assert read_totals(balancer, "b0").n_attempts == 1
 
     def test_change_is_logged_with_its_figures(self):
         """Guards against a slow engine that operators cannot find."""
--- a/catkinfork/peering/tests/test_speeds.py
+++ b/catkinfork/peering/tests/test_speeds.py
@@ -368,9 +368,10 @@
     def test_usage_goes_before_speeds(self):
         """Guards against queues in the wrong order as speeds take the space of usage.
 
-        Load pattern: full frames of a large fleet, with the load at 60 engines.
+        Load pattern: full frames of a large fleet. The load at 66 engines and the usage
+        leave no space for even four speeds.
         """
-        names = [f"e{number}" for number in range(60)]
+        names = [f"e{number}" for number in range(66)]
         first, _ = build_pair(names, n_attempts=1)
         without = SimulatedForwarder(ADDRESSES[0], ADDRESSES, 0.0, names)
         for node in (first, without):
@@ -384,7 +385,7 @@
         data = build_data(first, 1.0)
         assert len(data) <= MAX_FRAME_BYTES
         frame = decode_frame(data)
-        assert len(frame.uses) == len(decode_frame(build_data(without, 1.0)).uses) > 0
+        assert len(frame.uses) == 20 == len(decode_frame(build_data(without, 1.0)).uses)
         assert len(frame.loads) == len(names)
         rest = list_told(build_data(first, 1.1, is_full=False))
         assert len(rest) + len(frame.speeds) == MAX_SPEEDS_PER_FRAME
