--- a/benchmarks/choice_cost.py
+++ b/benchmarks/choice_cost.py
@@ -1,8 +1,8 @@
 """Processor time of one choice among the engines.
 
 ``python -m benchmarks.choice_cost`` prints a table: the time of a choice with the
-lowest cost and with the spread choice, by the number of engines, and the offers that each
-prices. The loads are drawn at random.
+lowest cost and with the spread choice, by the number of engines, and the offers that
+each prices. The loads are drawn at random.
 """
 
 import random
--- a/benchmarks/even_load.py
+++ b/benchmarks/even_load.py
@@ -13,6 +13,9 @@
 WAVE = 0.55
 WAVE_S = 4.0
 BURST = 1.7
+# Time in which traffic is low, as the forwarders learn of each other, seconds.
+WARM_UP_S = 1.5
+WARM_UP_FACTOR = 0.1
 
 
 class PromptKind(NamedTuple):
@@ -69,6 +72,8 @@
 
     def compute_factor(self, now):
         """Return the traffic at a time as a multiple of the mean."""
+        if now < WARM_UP_S:
+            return WARM_UP_FACTOR
         phase = (now % WAVE_S) / WAVE_S
         factor = 1.0 + WAVE * (4.0 * abs(phase - 0.5) - 1.0)
         return factor * BURST if self.burst[0] <= now < self.burst[1] else factor
--- a/catkinfork/balancing/_candidates.py
+++ b/catkinfork/balancing/_candidates.py
@@ -119,7 +119,9 @@
         It grows with their request rate and with the age of what they have told.
         """
         if self.unseen_cost is None:
-            self.unseen_cost = self.pool.estimate_unseen_cost(self.now)
+            self.unseen_cost = self.pool.estimate_unseen_cost(
+                self.rates.peers, self.now
+            )
         return self.unseen_cost
 
     def list_eligible(self, job):
--- a/catkinfork/balancing/_pool.py
+++ b/catkinfork/balancing/_pool.py
@@ -107,13 +107,18 @@
         """Add a placed job to the placement rate, whether it was queued or not."""
         self.placed_tokens.add(max(1, job.n_service_tokens), now)
 
-    def estimate_unseen_cost(self, now):
+    def estimate_unseen_cost(self, peers, now):
         """Return the cost that all peers are expected to have placed unseen.
 
         For each request of this forwarder, peers hold back as much as it does itself.
+        Each is expected to get as many requests until they have told of theirs.
+
+        :param peers: source of peer statistics, see :class:`Balancer`.
         """
         n_own = max(1.0, self.demand.own_requests.sum(now))
         ratio = self.demand.peer_requests.sum(now) / n_own
+        if not self.demand.is_settled(now):
+            ratio = max(ratio, peers.count_fresh(now) - 1.0)
         return ratio * self.untold.sample()
 
     def compute_s_per_token(self, now):
--- a/catkinfork/balancing/_spread.py
+++ b/catkinfork/balancing/_spread.py
@@ -74,5 +74,6 @@
         return offers[0] if offers else None
     weights = [max(0.0, level - one.entry.base_cost) for one in offers]
     if not any(weights):
-        return offers[0]
+        # Load pattern: forwarders that have just started all know nothing yet.
+        return rng.choice(offers)
     return rng.choices(offers, weights)[0]
--- a/catkinfork/peering/_pacing.py
+++ b/catkinfork/peering/_pacing.py
@@ -14,7 +14,7 @@
 # Intervals in which a frame is saved up. :class:`TimedPacing` sends less than one frame
 # in each interval, as the process looks for frames every 5 ms: 14.2 a second and not
 # 14.8 among 28 forwarders.
-SAVING_INTERVALS = 1.07
+SAVING_INTERVALS = 1.15
 # Intervals between two frames after which a peer counts as silent. With more than 200
 # forwarders an interval is longer than :data:`FRESHNESS_TIMEOUT_S`, and the loads of
 # peers would be dropped between any two frames.
