--- a/catkinfork/peering/_pacing.py
+++ b/catkinfork/peering/_pacing.py
@@ -10,7 +10,7 @@
 # Interval at which a frame is sent even if nothing has changed.
 HEARTBEAT_INTERVAL_S = 0.1
 # Frames that a forwarder may save up while it has little to tell.
-MAX_SAVED_FRAMES = 3.0
+MAX_SAVED_FRAMES = 2.0
 # Intervals in which a frame is saved up. :class:`TimedPacing` sends less than one frame
 # in each interval, as the process looks for frames every 5 ms: 14.2 a second and not
 # 14.8 among 28 forwarders.
