--- a/catkinfork/balancing/_spread.py
+++ b/catkinfork/balancing/_spread.py
@@ -6,7 +6,7 @@
 
 # Offers whose costs differ by no more than this are equal; sums in floating point are
 # not exact.
-COST_TOLERANCE = 0.5
+COST_TOLERANCE = 1e-6
 
 
 class SpreadChoice(BaseSelection):
--- a/catkinfork/balancing/tests/test_even_load.py
+++ b/catkinfork/balancing/tests/test_even_load.py
@@ -14,6 +14,7 @@
 from catkinfork.balancing._spread import SPREAD_CHOICE, compute_level
 from catkinfork.balancing._untold import UntoldLoad
 from catkinfork.balancing.tests.support import (
+    PLAIN,
     Peers,
     add_backend,
     build_balancer,
@@ -174,6 +175,15 @@
             serve(balancer, placement, now)
 
 
+def test_plain_server_nearby_is_preferred():
+    """Guards against traffic between data centres while a near server is as free."""
+    balancer = build_spread_balancer(n_backends=1, engine=False)
+    add_backend(balancer, "far", data_centre="kicukiro")
+    for _ in range(50):
+        job = build_job(route=PLAIN)
+        assert choose(balancer, job).entry.backend.name == "b0"
+
+
 def test_forwarders_that_know_nothing_choose_apart():
     """Guards against the first server being overloaded as all forwarders start."""
     drawn = Counter(
--- a/catkinfork/peering/_state.py
+++ b/catkinfork/peering/_state.py
@@ -97,18 +97,18 @@
 
         :returns: pairs of IP address and datagram.
         """
-        addresses = self.directory.list_addresses()
+        n_peers = len(self.directory.peers)
         is_spread = self.balancer.settings.spread_choice
         pacing = self.urgent_pacing if is_spread else self.timed_pacing
-        timeout_s = pacing.compute_freshness_timeout_s(len(addresses))
+        timeout_s = pacing.compute_freshness_timeout_s(n_peers)
         self.directory.freshness_timeout_s = timeout_s
         self.remove_silent_peers(now)
-        addresses = self.directory.list_addresses()
         has_news = not self.balancer.changes.is_empty or self.balancer.streams.has_news
         pools = self.balancer.pools.values()
         urgency = max((one.untold.compute_urgency() for one in pools), default=0.0)
-        if not pacing.is_due(len(addresses), has_news, urgency, now):
+        if not pacing.is_due(n_peers, has_news, urgency, now):
             return []
+        addresses = self.directory.list_addresses()
         pacing.record_frame(len(addresses), now)
         is_full = now >= self.next_refresh_at
         if is_full:
