--- a/catkinfork/balancing/_spread.py
+++ b/catkinfork/balancing/_spread.py
@@ -6,7 +6,7 @@
 
 # Offers whose costs differ by no more than this are equal; sums in floating point are
 # not exact.
-COST_TOLERANCE = 0.5
+COST_TOLERANCE = 1e-6
 
 
 class SpreadChoice(BaseSelection):
@@ -74,5 +74,6 @@
         return offers[0] if offers else None
     weights = [max(0.0, level - one.entry.base_cost) for one in offers]
     if not any(weights):
-        return offers[0]
+        # Load pattern: forwarders that have just started all know nothing yet.
+        return rng.choice(offers)
     return rng.choices(offers, weights)[0]
--- a/catkinfork/peering/_pacing.py
+++ b/catkinfork/peering/_pacing.py
@@ -10,11 +10,11 @@
 # Interval at which a frame is sent even if nothing has changed.
 HEARTBEAT_INTERVAL_S = 0.1
 # Frames that a forwarder may save up while it has little to tell.
-MAX_SAVED_FRAMES = 3.0
+MAX_SAVED_FRAMES = 2.0
 # Intervals in which a frame is saved up. :class:`TimedPacing` sends less than one frame
 # in each interval, as the process looks for frames every 5 ms: 14.2 a second and not
 # 14.8 among 28 forwarders.
-SAVING_INTERVALS = 1.07
+SAVING_INTERVALS = 1.15
 # Intervals between two frames after which a peer counts as silent. With more than 200
 # forwarders an interval is longer than :data:`FRESHNESS_TIMEOUT_S`, and the loads of
 # peers would be dropped between any two frames.
