--- a/benchmarks/even_choices.py
+++ b/benchmarks/even_choices.py
@@ -102,15 +102,18 @@
     return hash_name(f"{address} {name}")
 
 
-def set_selection(selection, node):
-    """Let a forwarder use a selection."""
+def set_selection(selection, is_spread, node):
+    """Let a forwarder use a selection.
+
+    :param is_spread: whether the quota of room and the pacing of frames are those of
+        the setting ``spread_choice``.
+    """
+    settings = node.balancer.settings._replace(spread_choice=int(is_spread))
+    node.balancer.apply_settings(settings)
     node.pool.selection = selection
-    if selection is SPREAD_CHOICE:
-        settings = node.balancer.settings._replace(spread_choice=1)
-        node.balancer.settings = settings
 
 
-CHOICES = {
+SELECTIONS = {
     "lowest cost": LOWEST_COST,
     "2 sampled": SampledCandidates(2),
     "4 sampled": SampledCandidates(4),
@@ -118,6 +121,12 @@
     "margin x 3": UnseenMargin(3.0),
     "free capacity": FreeCapacity(),
     "owned first": OwnedFirst(3_000.0),
-    "unseen filled": SPREAD_CHOICE,
 }
-CHOICES = {name: partial(set_selection, one) for name, one in CHOICES.items()}
+CHOICES = {
+    **{name: partial(set_selection, one, False) for name, one in SELECTIONS.items()},
+    **{
+        f"{name}, quota": partial(set_selection, one, True)
+        for name, one in SELECTIONS.items()
+    },
+    "unseen filled": partial(set_selection, SPREAD_CHOICE, True),
+}
