--- a/catkinfork/balancing/_pauses.py
+++ b/catkinfork/balancing/_pauses.py
@@ -7,7 +7,7 @@
 from catkinfork.balancing._windows import DecayingSum
 from catkinfork.observability import log_event
 
-# Time constant of the rates, seconds: several spells in which a server is slow.
+# Time constant of the rates, seconds: several periods in which a server is slow.
 PAUSE_WINDOW_S = 6.0
 # Events without a long pause that an unknown server is assumed to have sent.
 N_ASSUMED_EVENTS = 20
--- a/catkinfork/balancing/_transfers.py
+++ b/catkinfork/balancing/_transfers.py
@@ -15,8 +15,8 @@
 MIN_TRANSFER_TOKENS = 128
 # Sources count as equal if their cached tokens differ by less than this.
 SIMILAR_TOKENS = 128
-# Cost of a token that is fetched, in place of that of an uncached one. A trial with it
-# cut the tokens that are processed again to between a half and a fifth.
+# Cost of a token that is fetched, in place of that of an uncached one: the engine
+# spends no prefill on it, but waits for the link.
 TRANSFER_TOKEN_WEIGHT = 0.4
 # Requests of this forwarder that fetch from one source at the same time. An engine runs
 # one transfer at a time, so further ones would wait there.
