--- a/review/10/case.py
+++ b/review/10/case.py
@@ -1,129 +1,90 @@
-"""All forwarders are killed at once while a client repeats a request that crashes."""
+"""Waiting watches are cut while runners leave without a report."""
 
 import asyncio
 import time
 from pathlib import Path
 
-from loopback_2 import CONTACT_S, Fleet, Server, build_config, has_trouble, run_case
+from loopback_2 import DRAIN_S, Fleet, build_config, has_trouble, run_case
 
 FOLDER = Path(__file__).resolve().parent
-N_SERVERS = 5
-N_HOSTS = 4
-BAD_BODY = b"crash"
-CRASH_S = 0.1
-DOWN_S = 1.0
-# The client sends the request at two machines at once, again and again.
-N_AT_ONCE = 2
-ROUND_S = 1.5
-N_ROUNDS = 6
-SOUND_PER_S = 40.0
-# Retries later than contact_ms after the third crash that break no rule.
-MAX_RETRIES = 3
-
-
-class CrashingServer(Server):
-    """A runner that one request crashes as it begins to run; it is back soon.
-
-    ``crashes`` has the time and the id of each such request at any runner.
-    """
-
-    crashes = None
-
-    async def answer(self, target, request_id, headers, body, writer):
-        if body != BAD_BODY:
-            await super().answer(target, request_id, headers, body, writer)
-            return
-        self.crashes.append((time.monotonic(), request_id))
-        self.record.add(f"{self.name} runs {request_id}, which crashes it")
-        await asyncio.sleep(CRASH_S)
-        if self.is_up:
-            self.crash()
-            asyncio.ensure_future(self.come_back())
-
-    async def come_back(self):
-        """Start again under the same id and at the same address."""
-        await asyncio.sleep(DOWN_S)
-        self.born = int(time.time() * 1000)
-        await self.open(self.address)
-        self.start_beats()
-
-
-async def send_sound(fleet, stop):
-    """Send sound orders at a steady rate; return their statuses."""
+N_SERVERS = 8
+N_LEAVING = 2
+REQUESTS_PER_S = 200.0
+# Cuts of the waiting watches before the one at the removal, and the time between them.
+N_CUTS = 2
+CUT_INTERVAL_S = 0.35
+# A runner that leaves serves on for drain_ms and a little longer, then exits.
+EXTRA_S = 0.2
+PAUSE_S = 4.0
+
+
+async def send_load(fleet, stop):
+    """Send requests at a steady rate to all forwarders; return their statuses."""
     tasks = []
     while not stop.is_set():
-        host = fleet.hosts[len(tasks) % N_HOSTS]
-        body = f"order {len(tasks)}".encode()
-        task = fleet.send(host, "/order/1", f"o{len(tasks):05d}", body=body)
+        host = fleet.hosts[len(tasks) % len(fleet.hosts)]
+        task = fleet.send(host, "/order/1", f"r{len(tasks):06d}")
         tasks.append(asyncio.ensure_future(task))
-        await asyncio.sleep(1.0 / SOUND_PER_S)
+        await asyncio.sleep(1.0 / REQUESTS_PER_S)
     return await asyncio.gather(*tasks)
 
 
-async def send_bad(fleet, phase):
-    """Send the request that crashes, each time under new ids at two machines."""
-    for number in range(N_ROUNDS):
-        await asyncio.gather(
-            *(
-                fleet.send(
-                    fleet.hosts[(number + one) % N_HOSTS],
-                    "/order/9",
-                    f"bad-{phase}-{number}-{one}",
-                    body=BAD_BODY,
-                )
-                for one in range(N_AT_ONCE)
-            )
-        )
-        await asyncio.sleep(ROUND_S)
-
-
-async def kill_all(fleet):
-    """Kill all forwarders at the same moment and start them again."""
-    await asyncio.gather(*(host.kill() for host in fleet.hosts))
-    for host in fleet.hosts:
-        await host.start()
-    for host in fleet.hosts:
-        await host.wait_ready()
+async def cut_watches(fleet):
+    """Cut the waiting watches."""
+    fleet.record.add(f"{fleet.store.cut_watches()} waiting watches are cut")
+
+
+async def leave(fleet, server):
+    """Let a runner leave; return the delay of each request that reached it too late."""
+    if has_trouble():
+        for _ in range(N_CUTS):
+            await cut_watches(fleet)
+            await asyncio.sleep(CUT_INTERVAL_S)
+    server.beats.cancel()
+    fleet.store.put(f"servers/{server.name}", None)
+    removed_at = time.monotonic()
+    fleet.record.add(f"the entry of {server.name} is removed")
+    if has_trouble():
+        await cut_watches(fleet)
+    await asyncio.sleep(DRAIN_S + EXTRA_S)
+    server.crash()
+    fleet.record.add(f"{server.name} has exited")
+    late = []
+    for at, request_id in server.arrivals:
+        # Taken from the client after the time as well.
+        if fleet.sent[request_id] - removed_at > DRAIN_S:
+            late.append(at - removed_at)
+            text = f"{request_id} reached {server.name} {late[-1]:.3f} s after that"
+            fleet.record.add(text)
+    return late
 
 
 async def play(folder):
-    """Return whether the request reached runners in more than three retries."""
-    fleet = Fleet(folder, N_HOSTS)
+    """Return whether a request reached a runner too late."""
+    fleet = Fleet(folder, n_hosts=4)
     route = {"prefix": "/order/", "service": "depot"}
     fleet.store.put("op/config", build_config(1, [route], [{"name": "depot"}]))
-    CrashingServer.crashes = []
     try:
         for number in range(N_SERVERS):
-            await fleet.add_server(f"i-{number}", "depot", CrashingServer)
+            await fleet.add_server(f"i-{number}", "depot")
         await fleet.start_hosts()
         stop = asyncio.Event()
-        sound = asyncio.ensure_future(send_sound(fleet, stop))
-        await asyncio.sleep(1.0)
-        await send_bad(fleet, "first")
-        n_first = len(CrashingServer.crashes)
-        if has_trouble():
-            await kill_all(fleet)
-        # Machines are in touch again after this time.
-        await asyncio.sleep(CONTACT_S + 0.5)
-        in_touch_at = time.monotonic()
-        fleet.record.add("all machines are in touch")
-        await send_bad(fleet, "second")
+        load = asyncio.ensure_future(send_load(fleet, stop))
+        await asyncio.sleep(PAUSE_S)
+        late = []
+        for server in fleet.servers[:N_LEAVING]:
+            late += await leave(fleet, server)
+            await asyncio.sleep(PAUSE_S)
         stop.set()
-        statuses = await sound
-        third_at = CrashingServer.crashes[2][0]
-        retries = [
-            request_id
-            for at, request_id in CrashingServer.crashes
-            if at > third_at + CONTACT_S and fleet.sent[request_id] >= in_touch_at
-        ]
-        text = (
-            f"{n_first} requests reached runners at first, {len(retries)} later than "
-            f"contact_ms after the third crash; sound orders "
-            f"{ {one: statuses.count(one) for one in sorted(set(statuses))} }"
+        statuses = await load
+        text = f"{len(late)} requests reached runners more than {DRAIN_S} s after"
+        text += f" the removal, the last {max(late, default=0):.3f} s"
+        text += (
+            f"; {len(statuses) - statuses.count(200)} of {len(statuses)} orders failed"
         )
         fleet.record.add(text)
         print(text)
-        return len(retries) > MAX_RETRIES
+        return bool(late)
     finally:
         await fleet.close()
 
