Log a removal that is held back after an outage of the store

Event 815, removal_held, says when the removal of an entry was read and for how long its server is used on. Until now a late backend_leaving (803) did not show whether the removal was read late or held back: the first question of an incident in which requests reach a server that has left.

--- a/catkinfork/topology/_events.py
+++ b/catkinfork/topology/_events.py
@@ -113,7 +113,6 @@
     "none",
     ("source", "detail", "location", "n_unlogged"),
 )
-
 FIGURE_IGNORED = Event(
     814,
     "warning",
@@ -122,6 +121,14 @@
     "first; their last good values stay in force, and the rest of it is adopted",
     ("version", "source", "n_figures", "detail"),
 )
+REMOVAL_HELD = Event(
+    815,
+    "info",
+    "removal_held",
+    "the entry of a backend server is gone, and may have expired in an outage of the "
+    "store; the server is used until its entry is back or `held_s` have passed",
+    ("backend_server", "service", "held_s"),
+)
 
 EVENTS = (
     CONFIGURATION_ADOPTED,
@@ -139,4 +146,5 @@
     RATE_LIMIT_IGNORED,
     UPDATE_FAILED,
     FIGURE_IGNORED,
+    REMOVAL_HELD,
 )
--- a/catkinfork/topology/_registry.py
+++ b/catkinfork/topology/_registry.py
@@ -12,6 +12,7 @@
     BACKEND_THROTTLED,
     ENTRY_IGNORED,
     EVACUATION_CHANGED,
+    REMOVAL_HELD,
 )
 from catkinfork.topology._rate_limits import RateLimitTable
 from catkinfork.topology._recent import RecentTable
@@ -284,8 +285,7 @@
         if backend is None:
             return
         if now < expires_at:
-            if backend.expires_at is None:
-                backend.expires_at = expires_at
+            self.hold_removal(backend, now, expires_at)
             return
         del self.backends[name]
         self.versions.record_left(backend.entry, now)
@@ -293,6 +293,20 @@
         self.log_leaving(backend, "gone")
         self.rebuild_index()
 
+    def hold_removal(self, backend, now, expires_at):
+        """Keep a backend server for a time though its entry is gone."""
+        if backend.expires_at is not None:
+            return
+        backend.expires_at = expires_at
+        self.write_log(
+            log_event(
+                REMOVAL_HELD,
+                backend_server=backend.name,
+                service=backend.service,
+                held_s=round(expires_at - now, 3),
+            )
+        )
+
     def record_departure(self, entry):
         """Remember the last entry of a backend server that is gone."""
         departure = Departure(entry.name, *compute_entry_order(entry))
