--- a/catkinfork/forwarding/__init__.py
+++ b/catkinfork/forwarding/__init__.py
@@ -2,7 +2,12 @@
 
 from catkinfork.forwarding._admin import AdminResponse, AdminServer
 from catkinfork.forwarding._cache_lookup import BasePromptPartSource, CacheLookup
-from catkinfork.forwarding._client import FetchedResponse, FetchError, HttpClient
+from catkinfork.forwarding._client import (
+    FetchedResponse,
+    FetchError,
+    FetchTimeoutError,
+    HttpClient,
+)
 from catkinfork.forwarding._events import (
     CALLBACK_FAILED,
     DRAIN_STARTED,
@@ -39,6 +44,7 @@
     "BasePromptPartSource",
     "CacheLookup",
     "FetchError",
+    "FetchTimeoutError",
     "FetchedResponse",
     "ForwardingServer",
     "HeaderNames",
--- a/catkinfork/forwarding/_client.py
+++ b/catkinfork/forwarding/_client.py
@@ -25,6 +25,10 @@
         self.detail = detail
 
 
+class FetchTimeoutError(FetchError):
+    """No complete response was received in time."""
+
+
 class FetchedResponse(NamedTuple):
     """A complete response.
 
@@ -99,7 +103,7 @@
                 connection = self.pool.acquire() or await self.pool.open()
                 return await self.fetch_on(connection, target)
         except TimeoutError:
-            raise FetchError(f"no response within {timeout_s:g} s") from None
+            raise FetchTimeoutError(f"no response within {timeout_s:g} s") from None
         except OSError as error:
             raise FetchError(str(error) or type(error).__name__) from None
         finally:
--- a/catkinfork/platform/_store.py
+++ b/catkinfork/platform/_store.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from catkinfork.forwarding import FetchError
+from catkinfork.forwarding import FetchError, FetchTimeoutError
 from catkinfork.observability import log_event
 from catkinfork.topology import (
     ERA_IGNORED,
@@ -18,6 +18,7 @@
     HistoryLostError,
     Item,
     SourceError,
+    SourceTimeoutError,
 )
 
 # Prefixes of the keys that operators and backend servers publish.
@@ -181,6 +182,9 @@
     async def read_changes(self, revision):
         return await self.watch(revision, CHECK_WAIT_MS, CHECK_TIMEOUT_S)
 
+    async def retry(self, revision):
+        return await self.watch(revision, CHECK_WAIT_MS, READ_TIMEOUT_S)
+
     async def watch(self, revision, wait_ms, timeout_s):
         """Return the :class:`Changes` after a revision.
 
@@ -204,6 +208,8 @@
         try:
             target = f"{path}?{urlencode(query)}"
             response = await self.client.fetch(target, timeout_s)
+        except FetchTimeoutError as error:
+            raise SourceTimeoutError(error.detail) from error
         except FetchError as error:
             raise SourceError(error.detail) from error
         self.record_era(response.head.find_header(ERA_HEADER))
--- a/catkinfork/topology/__init__.py
+++ b/catkinfork/topology/__init__.py
@@ -41,6 +41,7 @@
     Item,
     Position,
     SourceError,
+    SourceTimeoutError,
     UnreadableItem,
 )
 from catkinfork.topology._state import TopologyState
@@ -100,6 +101,7 @@
     "STREAMING",
     "Service",
     "SourceError",
+    "SourceTimeoutError",
     "TopologyState",
     "TrafficShare",
     "UNSAFE",
--- a/catkinfork/topology/_source.py
+++ b/catkinfork/topology/_source.py
@@ -75,6 +75,10 @@
         self.detail = detail
 
 
+class SourceTimeoutError(SourceError):
+    """A source did not answer in time."""
+
+
 class HistoryLostError(SourceError):
     """The change history after a revision is no longer available."""
 
@@ -115,6 +119,16 @@
         """
         return await self.wait(revision)
 
+    async def retry(self, revision):
+        """Return the changes after a revision, without a wait, after a failed read.
+
+        Unlike a watch that waits, such a read is not cut while the source works.
+
+        :raises HistoryLostError: if the changes are no longer available.
+        :raises SourceError: if the source fails.
+        """
+        return await self.read_changes(revision)
+
 
 class BasePeers(ABC):
     """The other forwarders, as sources of their state."""
--- a/catkinfork/topology/_watcher.py
+++ b/catkinfork/topology/_watcher.py
@@ -18,6 +18,7 @@
     EraChangedError,
     HistoryLostError,
     SourceError,
+    SourceTimeoutError,
 )
 
 # Pause between two reads of changes, which batches the heartbeats of backend servers.
@@ -30,6 +31,9 @@
 # Exponential backoff after failures.
 MIN_BACKOFF_S = 0.1
 MAX_BACKOFF_S = 0.6
+# Shortest outage of the store within which the entry of a live backend server may
+# expire. One that cannot write for less time keeps its entry.
+MIN_LAPSE_OUTAGE_S = 0.5
 # Time after a store outage within which live backend servers republish entries that
 # expired during the outage.
 REREGISTRATION_TIME_S = 1.7
@@ -94,10 +98,20 @@
 
         :param now: monotonic time, seconds.
         """
-        if self.failing_since is not None:
+        if self.may_lack_entries(now):
             return now + REREGISTRATION_TIME_S
         return max(now, self.recovered_at + REREGISTRATION_TIME_S)
 
+    def may_lack_entries(self, now):
+        """Return whether entries may have expired in the current outage of the store.
+
+        A watch that is cut, or a single failed answer, is no such outage.
+
+        :param now: monotonic time, seconds.
+        """
+        since = self.failing_since
+        return since is not None and now - since >= MIN_LAPSE_OUTAGE_S
+
     async def run(self):
         """Read the store in a loop, with backoff on failures."""
         await self.read_first_peer()
@@ -109,13 +123,18 @@
 
         :returns: time until the next read, seconds.
         """
+        started_at = time.monotonic()
         try:
             await self.read()
         except HistoryLostError:
             self.has_full_list = False
             return 0.0
+        except SourceTimeoutError as error:
+            self.record_failure(error, started_at)
+            return self.back_off()
         except SourceError as error:
-            self.record_failure(error)
+            # It is the source that answered, or closed the connection.
+            self.record_failure(error, time.monotonic())
             return self.back_off()
         except Exception as error:
             # An exception that leaves the loop would end the process, and what caused
@@ -157,12 +176,17 @@
         """Read a full snapshot or the changes since the last read, and apply them."""
         asked_at = time.monotonic()
         self.n_reads += 1
-        if self.has_full_list and self.source.era == self.state.era:
-            changes = await self.source.wait(self.state.revision)
-        else:
+        self.apply_read(await self.read_source(), asked_at)
+
+    async def read_source(self):
+        """Return a full snapshot or the :class:`Changes` since the last read."""
+        if not self.has_full_list or self.source.era != self.state.era:
             changes = await self.source.list_all()
             self.has_full_list = True
-        self.apply_read(changes, asked_at)
+            return changes
+        if self.failing_since is not None:
+            return await self.source.retry(self.state.revision)
+        return await self.source.wait(self.state.revision)
 
     def apply_read(self, changes, asked_at):
         """Apply what was read from the store.
@@ -190,7 +214,7 @@
             return
         settled_at = -inf
         is_restored = 0 < self.state.era < changes.era
-        if is_restored or self.failing_since is not None:
+        if is_restored or self.may_lack_entries(now):
             settled_at = now + SETTLING_TIME_S
         self.state.registry.versions.record_list(now, settled_at)
 
@@ -269,11 +293,13 @@
         self.state.offer_configuration(changes, source.name)
         self.on_change()
 
-    def record_failure(self, error):
-        """Record a failed read; the first one of an outage is logged."""
-        now = time.monotonic()
+    def record_failure(self, error, since):
+        """Record a failed read; the first one of an outage is logged.
+
+        :param since: monotonic time from which on the source may have failed, seconds.
+        """
         if self.failing_since is None:
-            self.failing_since = now
+            self.failing_since = since
             self.write_log(
                 log_event(
                     SOURCE_LOST,
@@ -287,9 +313,11 @@
         """Record a successful read; the end of an outage is logged."""
         if self.failing_since is None:
             return
-        failed_s = time.monotonic() - self.failing_since
+        now = time.monotonic()
+        failed_s = now - self.failing_since
+        if self.may_lack_entries(now):
+            self.recovered_at = now
         self.failing_since = None
-        self.recovered_at = time.monotonic()
         self.write_log(
             log_event(
                 SOURCE_REGAINED,
--- a/catkinfork/topology/tests/test_state.py
+++ b/catkinfork/topology/tests/test_state.py
@@ -26,6 +26,7 @@
     choose_target,
 )
 from catkinfork.topology._watcher import (
+    MIN_LAPSE_OUTAGE_S,
     REREGISTRATION_TIME_S,
     compute_read_interval_s,
 )
@@ -275,9 +276,11 @@
     removed = Changes([Item("b1", None, 2)], 2, False)
     nothing = Changes([], 2, False)
     updates = [nothing] * 4 + [removed] + [nothing] * 50
-    source = ScriptedSource([SourceError("down"), listed], updates)
-    watcher = run_watcher(state, source, seconds=1.2)
+    source = ScriptedSource([SourceError("down")] * 6 + [listed], updates)
+    started_at = time.monotonic()
+    watcher = run_watcher(state, source, seconds=2.2)
     backend = state.registry.backends["b1"]
+    assert watcher.recovered_at > started_at + MIN_LAPSE_OUTAGE_S
     assert backend.expires_at == watcher.recovered_at + REREGISTRATION_TIME_S
 
 
