--- a/catkinfork/platform/_documents.py
+++ b/catkinfork/platform/_documents.py
@@ -21,6 +21,7 @@
     Route,
     Service,
     TrafficShare,
+    UnconfiguredItem,
     UnreadableItem,
     Workspace,
     check_id,
@@ -200,15 +201,13 @@
     def decode_entry(self, name, item):
         """Return the decoded entry of a backend server, or its removal.
 
-        :raises ValueError: if the service is not configured or a value is invalid.
+        :raises ValueError: if a value is invalid.
         """
         if item.value is None:
             return EntryItem(name, None)
         check_id(name, "id")
         check_integer(len(item.value), "size in bytes", 0, MAX_ENTRY_BYTES)
         document = check_entry(_ENTRY.decode(item.value))
-        if self.services and document.service not in self.services:
-            raise ValueError(f"service {document.service!r} is not configured")
         entry = BackendEntry(
             name=name,
             service=document.service,
@@ -221,6 +220,8 @@
             started_ms=document.born,
             version=document.version,
         )
+        if self.services and entry.service not in self.services:
+            return UnconfiguredItem(entry)
         return EntryItem(name, entry)
 
 
--- a/catkinfork/platform/tests/test_odd_configurations.py
+++ b/catkinfork/platform/tests/test_odd_configurations.py
@@ -13,6 +13,7 @@
     ConfigurationItem,
     EntryItem,
     Item,
+    UnconfiguredItem,
     UnreadableItem,
 )
 
@@ -93,4 +94,4 @@
         decoder.decode(Item("op/config", json.dumps(config).encode(), 1))
         assert isinstance(decoder.decode(entry), EntryItem)
     decoder.decode(Item("op/config", json.dumps(build_config(8)).encode(), 4))
-    assert isinstance(decoder.decode(entry), UnreadableItem)
+    assert isinstance(decoder.decode(entry), UnconfiguredItem)
--- a/catkinfork/topology/__init__.py
+++ b/catkinfork/topology/__init__.py
@@ -42,6 +42,7 @@
     Position,
     SourceError,
     SourceTimeoutError,
+    UnconfiguredItem,
     UnreadableItem,
 )
 from catkinfork.topology._state import TopologyState
@@ -105,6 +106,7 @@
     "TopologyState",
     "TrafficShare",
     "UNSAFE",
+    "UnconfiguredItem",
     "UnreadableItem",
     "Watcher",
     "Workspace",
--- a/catkinfork/topology/_source.py
+++ b/catkinfork/topology/_source.py
@@ -195,6 +195,17 @@
     is_entry: bool = False
 
 
+class UnconfiguredItem(NamedTuple):
+    """An entry whose service the newest configuration does not name.
+
+    The backend server is not used until a configuration names the service.
+
+    :param entry: :class:`BackendEntry`.
+    """
+
+    entry: BackendEntry
+
+
 class BaseDecoder(ABC):
     """Decodes published values to typed items."""
 
--- a/catkinfork/topology/_state.py
+++ b/catkinfork/topology/_state.py
@@ -1,5 +1,7 @@
 """Local replica of the published items."""
 
+from typing import NamedTuple
+
 from catkinfork.observability import log_event
 from catkinfork.topology._checks import limit_detail
 from catkinfork.topology._events import (
@@ -15,14 +17,27 @@
     EvacuationItem,
     Item,
     Position,
+    UnconfiguredItem,
     UnreadableItem,
 )
+from catkinfork.topology._types import BackendEntry
 
 # Time after a restore of the store for which the known evacuations stay in force where
 # the copy differs, seconds. The operator publishes the latest ones again meanwhile.
 EVACUATION_HOLD_S = 10.0
 
 
+class UnconfiguredEntry(NamedTuple):
+    """An entry whose service no configuration in force has named since it was read.
+
+    :param entry: :class:`BackendEntry`.
+    :param read_at: monotonic time at which it was read, seconds.
+    """
+
+    entry: BackendEntry
+    read_at: float
+
+
 class TopologyState:
     """Local replica of the published items, applied to routes and registry.
 
@@ -31,6 +46,8 @@
     :param on_configuration: callable that takes a :class:`RouteTable`.
     :param write_log: callable that takes a :class:`LogEvent`.
 
+    ``unconfigured`` has the latest entries by name of backend servers whose service a
+    later configuration may name: an entry that does not change is not read again.
     ``evacuated`` has the data centres that the store lists as evacuated; the registry
     has those in force.
     """
@@ -45,6 +62,7 @@
         self.revision = 0
         self.routes = None
         self.configuration_item = None
+        self.unconfigured = {}
         self.evacuated = set()
         self.evacuations_held_until = None
 
@@ -125,7 +143,8 @@
         if isinstance(decoded, EvacuationItem):
             self.evacuated.add(decoded.data_centre)
             return
-        if isinstance(decoded, EntryItem) and self.registry.has_departed(decoded.entry):
+        is_entry = isinstance(decoded, EntryItem | UnconfiguredItem)
+        if is_entry and self.registry.has_departed(decoded.entry):
             detail = "the backend server is gone"
             self.registry.log_ignored(item.key, source, detail, now)
             return
@@ -209,6 +228,8 @@
             self.apply_configuration(decoded, source, item)
         elif isinstance(decoded, EntryItem):
             self.apply_entry(decoded, source, now, expires_at)
+        elif isinstance(decoded, UnconfiguredItem):
+            self.keep_unconfigured(decoded.entry, item, source, now)
         elif isinstance(decoded, EvacuationItem):
             self.apply_evacuation(decoded)
         elif isinstance(decoded, UnreadableItem):
@@ -242,6 +263,15 @@
             )
         )
         self.log_ignored_figures(decoded, source)
+        self.apply_configured_entries(configuration, source)
+
+    def apply_configured_entries(self, configuration, source):
+        """Apply the entries read before whose service a new configuration names."""
+        for name, (entry, read_at) in list(self.unconfigured.items()):
+            if entry.service not in configuration.services:
+                continue
+            del self.unconfigured[name]
+            self.registry.apply_entry(entry, read_at, source)
 
     def log_ignored_figures(self, decoded, source):
         """Log the figures of a new configuration that cannot be right.
@@ -262,11 +292,24 @@
 
     def apply_entry(self, decoded, source, now, expires_at):
         """Apply an entry of a backend server or its removal."""
+        unconfigured = self.unconfigured.pop(decoded.name, None)
         if decoded.entry is None:
+            if unconfigured is not None:
+                self.registry.record_departure(unconfigured.entry)
             self.registry.remove(decoded.name, now, expires_at)
         else:
             self.registry.apply_entry(decoded.entry, now, source)
 
+    def keep_unconfigured(self, entry, item, source, now):
+        """Keep an entry until a configuration names its service.
+
+        Until then the backend server is not used, nor for the service that it had.
+        """
+        detail = f"service {entry.service!r} is not configured"
+        self.registry.log_ignored(item.key, source, limit_detail(detail), now)
+        self.registry.remove(entry.name, now, now)
+        self.unconfigured[entry.name] = UnconfiguredEntry(entry, now)
+
     def apply_evacuation(self, decoded):
         """Apply the evacuation state of a data centre."""
         in_force = set(self.registry.evacuated)
@@ -283,6 +326,7 @@
         If it is the entry of a backend server, that backend server is removed at once.
         """
         if decoded.is_entry:
+            self.unconfigured.pop(decoded.name, None)
             self.registry.log_ignored(item.key, source, decoded.detail, now)
             self.registry.remove(decoded.name, now, now)
             return
