Take a service that only a route names for a configured one

Callers of such a route got 503: its service has the default values everywhere else (RouteTable.find_service, Balancer.apply_configuration), but the entries of its servers were refused as those of an unconfigured service.

Configuration.list_services now names those of routes as well. The new cases of platform/tests/test_added_services.py fail before: no server of the route is ready, whether it registers before or after.

--- a/catkinfork/platform/_documents.py
+++ b/catkinfork/platform/_documents.py
@@ -194,7 +194,7 @@
         configuration = convert_configuration(document, reader)
         if configuration.version >= self.version:
             self.version = configuration.version
-            self.services = set(configuration.services)
+            self.services = configuration.list_services()
             self.figures = reader.values
         return ConfigurationItem(configuration, tuple(reader.ignored))
 
--- a/catkinfork/platform/tests/test_added_services.py
+++ b/catkinfork/platform/tests/test_added_services.py
@@ -131,6 +131,21 @@
     assert "service 'elsewhere' is not configured" in ignored.values
 
 
+@pytest.mark.parametrize("is_registered_before", [True, False])
+def test_servers_of_a_service_that_only_a_route_names_are_used(
+    state, is_registered_before
+):
+    """Guards against a route whose service has default values and no servers."""
+    config = build_config(4)
+    config["routes"].append(config["routes"][0] | {"prefix": "/a/", "service": ADDED})
+    items = [Item("op/config", json.dumps(config).encode(), 4), register("i-1", 5)]
+    if is_registered_before:
+        items.insert(0, register("i-1", 3))
+        del items[2]
+    apply(state, *items)
+    assert list_names(state) == ["i-1"]
+
+
 def test_warm_up_counts_from_the_entry(state):
     """Guards against a server that is spared as cold long after it has warmed up."""
     apply(state, register("i-1", 3, cold_remaining_ms=4000), now=100.0)
--- a/catkinfork/topology/_state.py
+++ b/catkinfork/topology/_state.py
@@ -267,8 +267,9 @@
 
     def apply_configured_entries(self, configuration, source):
         """Apply the entries read before whose service a new configuration names."""
+        services = configuration.list_services()
         for name, (entry, read_at) in list(self.unconfigured.items()):
-            if entry.service not in configuration.services:
+            if entry.service not in services:
                 continue
             del self.unconfigured[name]
             self.registry.apply_entry(entry, read_at, source)
--- a/catkinfork/topology/_types.py
+++ b/catkinfork/topology/_types.py
@@ -145,6 +145,13 @@
     limits: CallerLimits
     workspaces: tuple[Workspace, ...]
 
+    def list_services(self):
+        """Return the names of all services, also of those that only routes name."""
+        names = set(self.services)
+        for route in self.routes:
+            names.update(target.service for target in route.targets)
+        return names
+
 
 class BackendEntry(NamedTuple):
     """Registration that a backend server publishes about itself.
