--- a/catkinfork/backends/_base.py
+++ b/catkinfork/backends/_base.py
@@ -9,6 +9,7 @@
 from catkinfork.backends._errors import (
     BackendError,
     BackendRefusedError,
+    BackendResetError,
     ResponseTooLargeError,
     format_error,
     translate_errors,
@@ -20,6 +21,9 @@
 HEALTH_INTERVAL_S = 0.5
 # Time that a cancelled attempt may take to cancel its execution on the server.
 CANCEL_TIMEOUT_S = 0.5
+# Status codes of HTTP (RFC 9110, section 15).
+MIN_STATUS = 100
+MAX_STATUS = 599
 
 
 class BaseBackend(ABC):
@@ -168,6 +172,7 @@
         with translate_errors(), anyio.fail_after(head_timeout_s):
             response = await self.transport.handle_async_request(request)
         try:
+            check_status(response.status_code)
             yield response
         finally:
             await response.aclose()
@@ -185,3 +190,12 @@
                     detail = f"response exceeds {self.max_response_bytes} bytes"
                     raise ResponseTooLargeError(detail)
                 yield data
+
+
+def check_status(status):
+    """Check the status of a response, after which the request may have run.
+
+    :raises BackendResetError: if it is none of HTTP.
+    """
+    if not MIN_STATUS <= status <= MAX_STATUS:
+        raise BackendResetError(f"invalid status {status}")
--- a/catkinfork/forwarding/_backend.py
+++ b/catkinfork/forwarding/_backend.py
@@ -32,6 +32,9 @@
 MAX_DISCARD_TIME_S = 30.0
 KEEP_ALIVE_TIMEOUT_PATTERN = re.compile(rb"timeout=(\d+)")
 NO_BODY_STATUSES = {204, 304}
+# Status codes of HTTP (RFC 9110, section 15).
+MIN_STATUS = 100
+MAX_STATUS = 599
 HEAD_METHOD = b"HEAD "
 
 
@@ -43,6 +46,10 @@
     """More than :data:`MAX_HEADS` heads were sent for one request."""
 
 
+class InvalidStatusError(Exception):
+    """A response has a status outside the range of HTTP."""
+
+
 class TooManyPartsError(Exception):
     """The body of a response comes in too many short parts."""
 
@@ -237,11 +244,16 @@
             self.headers.append((name.lower(), value))
 
     def on_headers_complete(self):
-        """Pass the head to the listener; skip interim and unrelated responses."""
+        """Pass the head to the listener; skip interim and unrelated responses.
+
+        :raises InvalidStatusError: if the status is none of HTTP.
+        """
         self.is_reading_head = False
         if self.is_complete:
             return
         status = self.parser.get_status_code()
+        if not MIN_STATUS <= status <= MAX_STATUS:
+            raise InvalidStatusError
         names = {}
         for name, value in self.headers:
             names.setdefault(name, value)
