Cut watches in the soak, and check servers that the store has let go

The platform says that an entry changes when more than its sequence does; its store now does the same.

--- a/catkinfork/platform/tests/soak/disruptions.py
+++ b/catkinfork/platform/tests/soak/disruptions.py
@@ -21,6 +21,9 @@
 # Name of the signal with which the platform ends a process after its grace.
 LATE_KILL = " after the grace"
 REPLACEMENT_S = 0.3
+# Time for which a server that does not say that it leaves serves on, beyond what it has
+# to, seconds.
+WITHDRAWAL_S = 1.0
 # A service keeps this many servers when others leave.
 MIN_SERVERS = 2
 
@@ -106,10 +109,29 @@
         server = self.choose(self.fleet.list_servers(), step)
         if not self.may_leave(server):
             return
+        await self.let_leave(server, step.detail == "announced", step.duration_s)
+
+    async def withdraw_server(self, step):
+        """Remove the entry of a plain server; watches are cut before and at that."""
+        server = self.choose(self.list_plain_servers(), step)
+        if not self.may_leave(server):
+            return
+        server.is_withdrawn = True
+        await self.cut_watches(step)
+        leaving = self.let_leave(server, is_announced=False, extra_s=WITHDRAWAL_S)
+        leaving = asyncio.create_task(leaving)
+        while server.state != "removed":
+            await asyncio.sleep(0)
+        self.fleet.store.cut_watches()
+        await leaving
+
+    async def let_leave(self, server, is_announced, extra_s):
+        """Let a backend server leave, and start another one in its place.
+
+        :param extra_s: time for which it serves longer than it has to, seconds.
+        """
         began_at = self.records.now()
-        leaving = asyncio.create_task(
-            server.leave(step.detail == "announced", step.duration_s)
-        )
+        leaving = asyncio.create_task(server.leave(is_announced, extra_s))
         self.fleet.count_versions()
         await asyncio.sleep(REPLACEMENT_S)
         await self.fleet.add_server(server.service, server.version)
@@ -132,8 +154,8 @@
     def may_leave(self, server):
         """Return whether a server stays so far, and enough others of its kind do."""
         group = self.fleet.list_servers(server.service, server.version)
-        n_staying = sum(not one.says_leaving for one in group)
-        return not server.says_leaving and n_staying > MIN_SERVERS
+        n_staying = sum(one.stays for one in group)
+        return server.stays and n_staying > MIN_SERVERS
 
     async def kill_host(self, step):
         """Kill a host; it is started again.
@@ -214,6 +236,13 @@
         store.silent_ports -= ports
         self.records.add_span(STORE, ALL_HOSTS if is_all else host.name, began_at)
 
+    async def cut_watches(self, step):
+        """Close the connections of waiting watches, several times in a row."""
+        ends_at = self.records.now() + step.duration_s
+        while self.records.now() < ends_at:
+            self.fleet.store.cut_watches()
+            await asyncio.sleep(self.rng.uniform(0.05, 0.8))
+
     async def restore_store(self, step):
         """Let the store come back from a copy some seconds old."""
         began_at = self.records.now()
--- a/catkinfork/platform/tests/soak/plan.py
+++ b/catkinfork/platform/tests/soak/plan.py
@@ -18,6 +18,8 @@
     "crash_server": (0.5, 3.0),
     "restore_store": (1.0, 4.0),
     "announce_leaving": (1.0, 4.0),
+    "cut_watches": (0.2, 3.0),
+    "withdraw_server": (0.2, 2.0),
 }
 
 # Weights of the actions of each kind of run.
@@ -45,6 +47,13 @@
     "limit_server": 5,
     "turn_away": 5,
 }
+WATCHES = {
+    "stop": 1,
+    "configure": 1,
+    "drain_server": 1,
+    "withdraw_server": 8,
+    "cut_watches": 2,
+}
 LINK = PLANNED | {"disturb_link": 26}
 WEIGHTS = {
     "planned": PLANNED,
@@ -53,6 +62,7 @@
     "crashing": PLANNED,
     "bursts": PLANNED,
     "notices": NOTICES,
+    "watches": WATCHES,
 }
 # Actions that may come to several targets in turn.
 SERIAL = {
--- a/catkinfork/platform/tests/soak/planted.py
+++ b/catkinfork/platform/tests/soak/planted.py
@@ -49,6 +49,16 @@
         604,
         ("LOST",),
     ),
+    # docs/incidents/drain-cut-watches.md
+    PlantedFault(
+        "a watch that is cut is followed by another one",
+        "topology/_watcher",
+        "return await self.source.retry(self.state.revision)",
+        "return await self.source.wait(self.state.revision)",
+        "watches",
+        1,
+        ("DRAIN",),
+    ),
     # docs/incidents/crash-after-caller-left.md
     PlantedFault(
         "a crash does not count once the caller has left",
--- a/catkinfork/platform/tests/soak/records.py
+++ b/catkinfork/platform/tests/soak/records.py
@@ -27,6 +27,8 @@
 KILL, PAUSE, CRASH, STORE, LINK = "kill", "pause", "crash", "store", "link"
 TROUBLE, START = "trouble", "start"
 LIMIT, AWAY = "limit", "turned away"
+# From when the store has accepted that a server leaves until the server exits.
+WITHDRAWN = "withdrawn"
 DRIVER = "driver"
 ALL_HOSTS = "*"
 
--- a/catkinfork/platform/tests/soak/report.py
+++ b/catkinfork/platform/tests/soak/report.py
@@ -11,6 +11,7 @@
 )
 from catkinfork.platform.tests.soak.crashing import find_crash_violations
 from catkinfork.platform.tests.soak.facts import Facts
+from catkinfork.platform.tests.soak.leaving import find_after_withdrawal
 from catkinfork.platform.tests.soak.notices import find_notice_violations
 from catkinfork.platform.tests.soak.records import (
     COMPLETE,
@@ -85,6 +86,7 @@
         *find_violations(records),
         *find_crash_violations(facts),
         *find_notice_violations(facts),
+        *find_after_withdrawal(facts),
     ]
     return sorted(found, key=lambda violation: violation.at)
 
--- a/catkinfork/platform/tests/soak/servers.py
+++ b/catkinfork/platform/tests/soak/servers.py
@@ -11,6 +11,7 @@
     CHANGED,
     CRASHED,
     REJECTED,
+    WITHDRAWN,
     Arrival,
     Run,
 )
@@ -77,6 +78,8 @@
         self.trouble = ""
         self.is_up = False
         self.says_leaving = False
+        # Leaves and does not say so in its answers, so that only the store tells it.
+        self.is_withdrawn = False
         self.limit = 0.0
         self.pause_s = 0.0
         self.address = None
@@ -92,8 +95,13 @@
         self.is_up = True
         self.publish()
 
+    @property
+    def stays(self):
+        """Return whether it is not about to leave."""
+        return not self.says_leaving and not self.is_withdrawn
+
     def publish(self):
-        """Write the next entry."""
+        """Write the next entry; return whether the store took it."""
         host, port = self.address[:2]
         entry = self.build_entry(
             self.state,
@@ -104,7 +112,7 @@
             slots=self.n_slots,
             born=self.born,
         )
-        self.store.write_entry(self.name, entry)
+        return self.store.write_entry(self.name, entry)
 
     async def send_heartbeats(self):
         """Write the entry every heartbeat while the server is up."""
@@ -116,11 +124,12 @@
     async def leave(self, is_announced, extra_s):
         """Say that it leaves or remove the entry, serve on for a while, and end."""
         self.state = "draining" if is_announced else "removed"
-        self.says_leaving = True
+        self.says_leaving = not self.is_withdrawn
         if is_announced:
-            self.publish()
+            is_withdrawn = self.publish()
         else:
-            self.store.write_entry(self.name, None)
+            is_withdrawn = self.store.write_entry(self.name, None)
+        withdrawn_at = self.records.now()
         await asyncio.sleep(DRAIN_S + extra_s)
         while self.n_waiting and self.is_up:
             await asyncio.sleep(0.05)
@@ -129,6 +138,8 @@
         self.stop_listening()
         for writer in list(self.writers):
             writer.close()
+        if is_withdrawn:
+            self.records.add_span(WITHDRAWN, self.name, withdrawn_at)
 
     def stop_listening(self):
         """Accept no more connections and requests."""
--- a/catkinfork/platform/tests/soak/settings.py
+++ b/catkinfork/platform/tests/soak/settings.py
@@ -4,7 +4,7 @@
 from typing import NamedTuple
 
 ROOT = Path(__file__).parents[4]
-KINDS = ("planned", "hard", "links", "crashing", "bursts", "notices")
+KINDS = ("planned", "hard", "links", "crashing", "bursts", "notices", "watches")
 
 SITE = "site.example"
 KEY = "key-of-a"
--- a/catkinfork/platform/tests/soak/store.py
+++ b/catkinfork/platform/tests/soak/store.py
@@ -1,6 +1,8 @@
 """The store of a soak: entries that lapse, silence, and copies that are restored."""
 
 import asyncio
+import base64
+import json
 import time
 
 from catkinfork.platform.tests.soak.settings import (
@@ -41,14 +43,25 @@
     def write_entry(self, name, entry):
         """Write the entry of a backend server, or remove it, unless it is silent.
 
+        The entry changes, and watches are told, when more than ``sequence`` changes.
+
         :returns: whether it was written.
         """
         if self.is_silent:
             return False
-        self.put(f"servers/{name}", entry)
+        key = f"servers/{name}"
+        if entry is None or drop_sequence(entry) != self.read_entry(key):
+            self.put(key, entry)
         self.written_at[name] = time.monotonic()
         return True
 
+    def read_entry(self, key):
+        """Return an entry without its sequence, or None if there is none."""
+        item = self.items.get(key)
+        if item is None:
+            return None
+        return drop_sequence(json.loads(base64.b64decode(item["value"])))
+
     async def maintain(self):
         """Remove entries that have lapsed, and take copies."""
         while True:
@@ -82,6 +95,11 @@
         self.put("op/config", self.config)
 
 
+def drop_sequence(entry):
+    """Return the fields of an entry of which any change is an event."""
+    return {name: value for name, value in entry.items() if name != "sequence"}
+
+
 def build_soak_config(version, rng):
     """Build a configuration; successive ones move routes and change time-outs."""
     paths = (READ_PATH, POST_PATH, DRAFT_PATH, CHAT_PATH)
--- a/catkinfork/platform/tests/standins.py
+++ b/catkinfork/platform/tests/standins.py
@@ -87,6 +87,7 @@
         self.era = 1
         self.refused_ports = set()
         self.silent_ports = set()
+        self.waiting = set()
         self.servers = {}
 
     async def open(self):
@@ -132,7 +133,11 @@
             elif target.path == "/kv-range":
                 status, body = 200, self.list_range(query)
             else:
+                self.waiting.add(writer)
                 status, body = await self.watch(query, port)
+                self.waiting.discard(writer)
+            if writer.is_closing():
+                return
             while port in self.silent_ports:
                 await asyncio.sleep(0.01)
             data = json.dumps(body).encode()
@@ -142,6 +147,12 @@
                 + data
             )
 
+    def cut_watches(self):
+        """Close the connections of all watches that wait."""
+        waiting, self.waiting = self.waiting, set()
+        for writer in waiting:
+            writer.close()
+
     def list_range(self, query):
         """Return a page of two items."""
         after = query.get("after", "")
--- a/catkinfork/platform/tests/test_soak.py
+++ b/catkinfork/platform/tests/test_soak.py
@@ -28,7 +28,10 @@
 
 
 # planned-4: a signal soon after the start ended the process.
-@pytest.mark.parametrize(("kind", "seed"), [("planned", 4), ("hard", 37)])
+# watches-1: removals were held back as watches had been cut.
+@pytest.mark.parametrize(
+    ("kind", "seed"), [("planned", 4), ("hard", 37), ("watches", 1)]
+)
 def test_disruptions_break_no_promise(kind, seed, tmp_path):
     """Guards against requests that are lost, repeated or falsely refused."""
     settings = SoakSettings(kind, seed, N_SECONDS, n_clients=N_CLIENTS)
