--- a/catkinfork/topology/_events.py
+++ b/catkinfork/topology/_events.py
@@ -34,8 +34,9 @@
     804,
     "warning",
     "entry_ignored",
-    "an entry of a backend server is malformed or older than the known one; n_unlogged "
-    "entries since the last line with this key have none",
+    "an entry of a backend server is malformed, older than the known one, or of a "
+    "service that is not configured and kept until it is; n_unlogged entries since the "
+    "last line with this key have none",
     ("key", "source", "detail", "n_unlogged"),
 )
 EVACUATION_CHANGED = Event(
