--- a/catkinfork/forwarding/tests/test_reset_answers.py
+++ b/catkinfork/forwarding/tests/test_reset_answers.py
@@ -66,16 +66,14 @@
     return script
 
 
-async def start(world, service, script):
-    """Start a backend server that leaves uploads unread."""
-    (backend,) = await world.start(service, answer())
-    backend.close()
-    unread = UnreadUploadBackend(script)
-    await unread.open()
+async def start(world, path, backend):
+    """Start a forwarding server with a backend server that is open already."""
+    service = "engine" if path == "/chat/" else "plain"
+    (scripted,) = await world.start(service, answer())
+    scripted.close()
     known = world.registry.backends[f"{service}-0"].entry
-    entry = known._replace(address=unread.address, sequence=2)
+    entry = known._replace(address=backend.address, sequence=2)
     world.registry.apply_entry(entry, world.loop.time(), "test")
-    return unread
 
 
 @pytest.mark.parametrize("body", [UPLOAD, b"short"])
@@ -97,9 +95,10 @@
     """
 
     async def test(world):
-        service = "engine" if path == "/chat/" else "plain"
         script = answer_then_reset(part, content_type, delay_s)
-        backend = await start(world, service, script)
+        backend = UnreadUploadBackend(script)
+        await backend.open()
+        await start(world, path, backend)
         with anyio.fail_after(6.0):
             reply = await world.call(path, body=body, headers=PROMPT)
         assert len(backend.requests) == 1
@@ -168,11 +167,7 @@
 
     :returns: :class:`Reply`.
     """
-    service = "engine" if path == "/chat/" else "plain"
-    await world.start(service, answer())
-    known = world.registry.backends[f"{service}-0"].entry
-    entry = known._replace(address=backend.address, sequence=2)
-    world.registry.apply_entry(entry, world.loop.time(), "test")
+    await start(world, path, backend)
     caller = await world.connect()
     await caller.send(path, body=body, headers=PROMPT)
     while not backend.has_request.is_set():
--- a/catkinfork/platform/tests/test_added_services.py
+++ b/catkinfork/platform/tests/test_added_services.py
@@ -5,7 +5,7 @@
 import pytest
 
 from catkinfork.platform import PlatformDecoder
-from catkinfork.platform.tests.standins import build_config
+from catkinfork.platform.tests.standins import build_config, run_platform, wait_until
 from catkinfork.platform.tests.test_documents import ENTRY
 from catkinfork.topology import (
     BackendRegistry,
@@ -15,6 +15,8 @@
 )
 
 ADDED = "added"
+# Time within which a configuration is in force, seconds (config_ms).
+CONFIG_S = 2.0
 
 
 @pytest.fixture
@@ -164,3 +166,31 @@
     assert not list_names(state)
     apply(state, register("i-1", 7), register("i-2", 8), era=1)
     assert list_names(state) == ["i-1", "i-2"]
+
+
+@pytest.mark.processes
+def test_added_route_is_served_by_servers_that_registered_before(tmp_path):
+    """Guards against callers who get 503 on an added route for good."""
+
+    async def test(platform):
+        platform.store.put("op/config", build_config())
+        await platform.add_runner("i-1")
+        runner = await platform.add_runner("i-2")
+        platform.store.put("servers/i-2", runner.build_entry(service=ADDED))
+        await platform.add_forwarders(2)
+        await platform.wait_ready()
+        for forwarder in platform.forwarders:
+            await wait_until(lambda f=forwarder: f.list_events("entry_ignored"))
+        config = build_config(2, prefixes=("/read/", "/added/"))
+        config["routes"][1]["service"] = ADDED
+        config["services"].append(config["services"][0] | {"name": ADDED})
+        platform.store.put("op/config", config)
+        for forwarder in platform.forwarders:
+
+            async def is_served(forwarder=forwarder):
+                return await forwarder.call("/added/") == (200, b"i-2")
+
+            assert await wait_until(is_served) < CONFIG_S
+            assert await forwarder.call() == (200, b"i-1")
+
+    run_platform(test, tmp_path)
