Let scripted servers of tests find their connection closed

Traced by its stack: it comes from the scripted server of the test, which writes to a connection that the forwarder has closed meanwhile; uvloop raises a RuntimeError there, asyncio's streams a ConnectionError, which counts as a lost request. Both count as lost now; any other RuntimeError is still reported.

--- a/catkinfork/forwarding/tests/scripted.py
+++ b/catkinfork/forwarding/tests/scripted.py
@@ -73,6 +73,11 @@
                     return
         except (ConnectionError, asyncio.IncompleteReadError):
             self.lost.add(reader)
+        except RuntimeError:
+            # uvloop raises it for a connection that has been closed meanwhile.
+            if not writer.transport.is_closing():
+                raise
+            self.lost.add(reader)
         finally:
             self.n_open -= 1
             writer.close()
