One name for expiry, and one list_names in the tests of the topology

Read as a newcomer: the bound on an outage said lapse where the rest of the watcher says expiry, and has_ended of a connection meant something else than that of a placement; it is has_received_eof now. list_names stood three times in the tests of the topology, and ThreadedBackend had an event that nobody waits for. No bound, check or behaviour changes.

Tests of topology/, of resets, of statuses and of added services pass; formatter and linter are clean.

--- a/catkinfork/forwarding/_backend.py
+++ b/catkinfork/forwarding/_backend.py
@@ -103,7 +103,7 @@
         self.is_detached = False
         self.is_skipping = False
         self.is_delimited_by_close = False
-        self.has_ended = False
+        self.has_received_eof = False
         self.has_head = False
         self.is_complete = False
         self.is_reusable = True
@@ -137,7 +137,7 @@
         if self.listener is None or not self.is_delimited_by_close or not self.has_head:
             return False
         self.is_reusable = False
-        self.has_ended = True
+        self.has_received_eof = True
         if self.transport.get_write_buffer_size():
             return True
         self.end_response()
@@ -145,7 +145,7 @@
 
     def resume_writing(self):
         """Handle the end of the request, all of which was sent."""
-        if self.has_ended and self.listener is not None:
+        if self.has_received_eof and self.listener is not None:
             self.end_response()
 
     def send(self, listener, request_id, data):
--- a/catkinfork/forwarding/tests/test_reset_answers.py
+++ b/catkinfork/forwarding/tests/test_reset_answers.py
@@ -118,7 +118,6 @@
         self.finish = finish
         self.has_request = threading.Event()
         self.is_held_up = threading.Event()
-        self.is_done = threading.Event()
         self.listener = socket.create_server(("127.0.0.1", 0))
         host, port = self.listener.getsockname()
         self.address = f"{host}:{port}"
@@ -139,7 +138,6 @@
             )
             sock.sendall(head + self.body)
             self.finish(sock)
-        self.is_done.set()
 
 
 def reset_connection(sock):
--- a/catkinfork/topology/_watcher.py
+++ b/catkinfork/topology/_watcher.py
@@ -33,7 +33,7 @@
 MAX_BACKOFF_S = 0.6
 # Shortest outage of the store within which the entry of a live backend server may
 # expire. One that cannot write for less time keeps its entry.
-MIN_LAPSE_OUTAGE_S = 0.5
+MIN_EXPIRY_OUTAGE_S = 0.5
 # Time after a store outage within which live backend servers republish entries that
 # expired during the outage.
 REREGISTRATION_TIME_S = 1.7
@@ -110,7 +110,7 @@
         :param now: monotonic time, seconds.
         """
         since = self.failing_since
-        return since is not None and now - since >= MIN_LAPSE_OUTAGE_S
+        return since is not None and now - since >= MIN_EXPIRY_OUTAGE_S
 
     async def run(self):
         """Read the store in a loop, with backoff on failures."""
--- a/catkinfork/topology/tests/samples.py
+++ b/catkinfork/topology/tests/samples.py
@@ -43,3 +43,8 @@
         CallerLimits(),
         (Workspace("a", tuple(keys)),),
     )
+
+
+def list_names(state, service="read"):
+    """Return the names of the backend servers of a service that are ready."""
+    return sorted(one.name for one in state.registry.list_ready(service))
--- a/catkinfork/topology/tests/test_cut_watches.py
+++ b/catkinfork/topology/tests/test_cut_watches.py
@@ -14,10 +14,11 @@
 )
 from catkinfork.topology._watcher import (
     MAX_BACKOFF_S,
-    MIN_LAPSE_OUTAGE_S,
+    MIN_EXPIRY_OUTAGE_S,
     REREGISTRATION_TIME_S,
     SETTLING_TIME_S,
 )
+from catkinfork.topology.tests.samples import list_names
 from catkinfork.topology.tests.test_state import (
     ManualClock,
     SampleDecoder,
@@ -98,11 +99,6 @@
     anyio.run(main)
 
 
-def list_names(state):
-    """Return the names of the servers that are ready."""
-    return sorted(one.name for one in state.registry.list_ready("read"))
-
-
 @pytest.mark.parametrize("n_cuts", [1, 3, 8])
 def test_removal_is_applied_at_once_though_the_watch_was_cut(state, clock, n_cuts):
     """Guards against requests that reach a server too late after it has left.
@@ -153,7 +149,7 @@
 
 @pytest.mark.parametrize("error", [SourceError("status 503"), SourceError("refused")])
 def test_removal_within_an_outage_is_held_back(state, clock, events, error):
-    """Guards against servers that live and are dropped as their entries lapsed."""
+    """Guards against servers that live and are dropped as their entries expired."""
     watches = [(WATCH_S, error)]
     retries = [(0.2, error)] * 3 + [(0.01, REMOVED)]
     source = TimedSource(clock, [LISTED], watches, retries)
@@ -181,12 +177,12 @@
 def test_silence_counts_as_an_outage_from_its_start(state, clock):
     """Guards against a silent store that counts as down only from the timeout on.
 
-    Entries lapse within the time that the timeout takes.
+    Entries expire within the time that the timeout takes.
     """
     silent = (TIMEOUT_S, SourceTimeoutError("no response within 1.6 s"))
     source = TimedSource(clock, [LISTED], [silent], [(0.01, REMOVED)])
     update(build_watcher(state, source), clock, 2)
-    assert TIMEOUT_S > MIN_LAPSE_OUTAGE_S
+    assert TIMEOUT_S > MIN_EXPIRY_OUTAGE_S
     assert list_names(state) == ["b1", "b2"]
 
 
@@ -196,4 +192,4 @@
     The pause before that read and the one after it are short, as is the failure.
     """
     longest_pauses_s = 1.5 * (_watcher.MIN_BACKOFF_S + 2 * _watcher.MIN_BACKOFF_S)
-    assert longest_pauses_s < MIN_LAPSE_OUTAGE_S < 2 * MAX_BACKOFF_S
+    assert longest_pauses_s < MIN_EXPIRY_OUTAGE_S < 2 * MAX_BACKOFF_S
--- a/catkinfork/topology/tests/test_odd_items.py
+++ b/catkinfork/topology/tests/test_odd_items.py
@@ -13,7 +13,7 @@
     UnreadableItem,
 )
 from catkinfork.topology._watcher import FAILURE_LOG_INTERVAL_S
-from catkinfork.topology.tests.samples import build_entry
+from catkinfork.topology.tests.samples import build_entry, list_names
 from catkinfork.topology.tests.test_state import (
     SampleDecoder,
     ScriptedSource,
@@ -45,11 +45,6 @@
     return TopologyState(registry, FailingDecoder(), lambda _: None, events.append)
 
 
-def list_names(state):
-    """Return the names of the backend servers that may receive requests."""
-    return sorted(backend.name for backend in state.registry.list_ready("read"))
-
-
 def list_events(events, name):
     """Return the fields of all log events with a name."""
     return [
--- a/catkinfork/topology/tests/test_restore.py
+++ b/catkinfork/topology/tests/test_restore.py
@@ -10,6 +10,7 @@
     StubWorld,
     build_state,
 )
+from catkinfork.topology.tests.samples import list_names
 
 # Time within which all forwarders reach the state of the store, once it is at rest.
 SETTLE_S = EVACUATION_HOLD_S + 4.0
@@ -20,11 +21,6 @@
     state.apply(Changes(items, revision, is_full, era), "test", now, expires_at)
 
 
-def list_names(state):
-    """Return the names of the servers that are ready."""
-    return sorted(one.name for one in state.registry.list_ready("read"))
-
-
 @pytest.fixture
 def events():
     return []
--- a/catkinfork/topology/tests/test_state.py
+++ b/catkinfork/topology/tests/test_state.py
@@ -26,7 +26,7 @@
     choose_target,
 )
 from catkinfork.topology._watcher import (
-    MIN_LAPSE_OUTAGE_S,
+    MIN_EXPIRY_OUTAGE_S,
     REREGISTRATION_TIME_S,
     compute_read_interval_s,
 )
@@ -280,7 +280,7 @@
     started_at = time.monotonic()
     watcher = run_watcher(state, source, seconds=2.2)
     backend = state.registry.backends["b1"]
-    assert watcher.recovered_at > started_at + MIN_LAPSE_OUTAGE_S
+    assert watcher.recovered_at > started_at + MIN_EXPIRY_OUTAGE_S
     assert backend.expires_at == watcher.recovered_at + REREGISTRATION_TIME_S
 
 
