Do not lose a change as a watch of the stand-in store ends

The stand-in answered an ending watch with no events and its current revision, so that what was put during its last sleep of 10 ms was skipped for good. Not the product.

--- a/catkinfork/platform/tests/standins.py
+++ b/catkinfork/platform/tests/standins.py
@@ -180,7 +180,9 @@
             await asyncio.sleep(0.01)
         if port in self.refused_ports:
             return 503, {}
-        return 200, {"events": [], "current_rev": self.revision}
+        # A change during the last sleep is not skipped.
+        n_known = bisect_right(self.events, after, key=itemgetter("revision"))
+        return 200, {"events": self.events[n_known:], "current_rev": self.revision}
 
 
 class Runner:
