--- /dev/null
+++ b/review/loopback_3.py
@@ -0,0 +1,442 @@
+"""Stand-ins for the platform on loopback, for the scripts of the third review.
+
+They need the standard library alone. The store and the runners follow the users' pages;
+forwarders are started with the command and the settings template of the deploy file.
+"""
+
+import asyncio
+import base64
+import json
+import os
+import re
+import shlex
+import signal
+import socket
+import sys
+import time
+import tomllib
+from pathlib import Path
+from urllib.parse import parse_qs, urlsplit
+
+ROOT = Path(__file__).resolve().parents[1]
+DEPLOY_FILE = ROOT / "deploy" / "system.toml"
+SETTINGS_PATH = "/etc/catkinfork/boot.yaml"
+HOST = "site.example"
+SEAL = "3e1b.07.5a2"
+# Exit codes of a script.
+HELD, BROKEN, COULD_NOT_RUN = 0, 1, 2
+# A forwarder that does not start in this time makes the case impossible, seconds.
+START_TIMEOUT_S = 15.0
+READ_LIMIT_BYTES = 1 << 23
+PLACEHOLDER = re.compile(r"\{\{([a-z_0-9.]+)\}\}")
+# Bounds of the smallest deployment's site file.
+BOUNDS = {
+    "grace_s": 8,
+    "quota_window_s": 4,
+    "retry_ratio": 0.2,
+    "retry_slack": 52,
+    "retry_window_s": 10,
+}
+
+
+class Record:
+    """Record of what was sent, answered and run, with the time of each line.
+
+    :param path: path of the file.
+    """
+
+    def __init__(self, path):
+        self.file = path.open("w", encoding="utf-8")
+        self.started_at = time.monotonic()
+
+    def write(self, text):
+        """Write a line."""
+        elapsed_s = time.monotonic() - self.started_at
+        self.file.write(f"{elapsed_s:8.3f} s  {text}\n")
+        self.file.flush()
+
+
+def list_free_ports(n_ports):
+    """Return free ports of the loopback interface."""
+    sockets = [socket.socket() for _ in range(n_ports)]
+    for sock in sockets:
+        sock.bind(("127.0.0.1", 0))
+    ports = [sock.getsockname()[1] for sock in sockets]
+    for sock in sockets:
+        sock.close()
+    return ports
+
+
+async def read_head(reader):
+    """Return the start line and the headers of a message, with lowercase names."""
+    head = await reader.readuntil(b"\r\n\r\n")
+    start_line, *lines = head.decode("latin-1").split("\r\n")[:-2]
+    pairs = (line.split(":", 1) for line in lines)
+    return start_line, {name.lower(): value.strip() for name, value in pairs}
+
+
+def encode_response(status, body, headers=()):
+    """Return a response with a length as bytes."""
+    lines = [f"HTTP/1.1 {status} X", f"Content-Length: {len(body)}"]
+    lines += [f"{name}: {value}" for name, value in headers]
+    return "\r\n".join([*lines, "", ""]).encode("latin-1") + body
+
+
+class Listener:
+    """Accepts connections, and closes all of them as a process that ends does."""
+
+    def __init__(self):
+        self.server = None
+        self.writers = set()
+
+    async def open(self, host, port):
+        """Start to accept connections."""
+        self.server = await asyncio.start_server(
+            self.accept, host, port, limit=READ_LIMIT_BYTES
+        )
+
+    async def accept(self, reader, writer):
+        """Serve a connection until it ends."""
+        self.writers.add(writer)
+        try:
+            await self.serve(reader, writer)
+        except (asyncio.IncompleteReadError, ConnectionError, asyncio.CancelledError):
+            # Cancelled at the end of the script.
+            pass
+        finally:
+            self.writers.discard(writer)
+            writer.close()
+
+    async def serve(self, reader, writer):
+        """Serve a connection."""
+        raise NotImplementedError
+
+    def crash(self):
+        """Close the listener and reset all connections."""
+        self.server.close()
+        for writer in list(self.writers):
+            writer.transport.abort()
+
+
+class Store(Listener):
+    """The platform's store.
+
+    ``is_down`` states whether it leaves every call unanswered, reads and writes, and
+    ``silent`` has the connections on which nothing is answered any more.
+    """
+
+    def __init__(self):
+        super().__init__()
+        self.items = {}
+        self.events = []
+        self.revision = 1
+        self.is_down = False
+        self.silent = set()
+
+    def silence_connections(self):
+        """Let all open connections go silent for good, without a reset."""
+        self.silent |= self.writers
+
+    async def put(self, key, value):
+        """Write an item, or remove it if the value is None, once the store is up."""
+        while self.is_down:
+            await asyncio.sleep(0.02)
+        self.revision += 1
+        item = {"key": key, "revision": self.revision}
+        if value is None:
+            self.items.pop(key, None)
+            item["removed"] = True
+        else:
+            data = base64.b64encode(json.dumps(value).encode()).decode()
+            item |= {"value": data, "created": self.revision, "lease": 0}
+            self.items[key] = item
+        self.events.append(item)
+
+    async def serve(self, reader, writer):
+        while True:
+            start_line, _ = await read_head(reader)
+            target = urlsplit(start_line.split(" ")[1])
+            query = {name: one[0] for name, one in parse_qs(target.query).items()}
+            document = await self.answer(target.path, query)
+            while self.is_down or writer in self.silent:
+                await asyncio.sleep(0.02)
+            writer.write(
+                encode_response(
+                    200,
+                    json.dumps(document).encode(),
+                    [("Content-Type", "application/json"), ("Store-Era", 1)],
+                )
+            )
+
+    async def answer(self, path, query):
+        """Return the document for a call."""
+        if path == "/kv-range":
+            prefix = query.get("prefix", "")
+            keys = sorted(key for key in self.items if key.startswith(prefix))
+            items = [self.items[key] for key in keys if key > query.get("after", "")]
+            return {
+                "items": items,
+                "more_pages": False,
+                "current_rev": self.revision,
+            }
+        ends_at = time.monotonic() + int(query["wait_ms"]) / 1000
+        after = int(query["after"])
+        while time.monotonic() < ends_at and (self.revision <= after or self.is_down):
+            await asyncio.sleep(0.01)
+        events = [item for item in self.events if item["revision"] > after]
+        return {"events": events, "current_rev": self.revision}
+
+
+class Runner(Listener):
+    """A runner, which may crash and start again under its id and at its address.
+
+    :param store: :class:`Store`.
+    :param record: :class:`Record`.
+    :param name: its id.
+    :param service: name of its service.
+
+    ``runs`` has the pairs of request id and version of all runs.
+    """
+
+    def __init__(self, store, record, name, service, slots):
+        super().__init__()
+        self.store = store
+        self.record = record
+        self.name = name
+        self.service = service
+        self.slots = slots
+        self.port = 0
+        self.version = ""
+        self.born = 0
+        self.sequence = 0
+        self.runs = []
+        self.heartbeat = None
+
+    async def start(self, version):
+        """Start with a version of its software, and register in the store."""
+        await self.open("127.0.0.1", self.port)
+        self.port = self.server.sockets[0].getsockname()[1]
+        self.version = version
+        self.born = int(time.time() * 1000)
+        self.sequence = 0
+        self.heartbeat = asyncio.create_task(self.write_entries())
+        self.record.write(f"runner {self.name} starts, version {version}")
+
+    async def write_entries(self):
+        """Write the entry with every heartbeat."""
+        while True:
+            self.sequence += 1
+            entry = {
+                "service": self.service,
+                "address": f"127.0.0.1:{self.port}",
+                "zone": "nyarugenge",
+                "version": self.version,
+                "slots": self.slots,
+                "state": "ready",
+                "cold_remaining_ms": 0,
+                "sequence": self.sequence,
+                "born": self.born,
+            }
+            await self.store.put(f"servers/{self.name}", entry)
+            await asyncio.sleep(1.2)
+
+    async def leave(self):
+        """Remove the entry, which was never ``draining``, and serve on."""
+        self.heartbeat.cancel()
+        await self.store.put(f"servers/{self.name}", None)
+        self.record.write(f"the entry of runner {self.name} is removed")
+
+    def crash(self):
+        self.heartbeat.cancel()
+        super().crash()
+        self.record.write(f"runner {self.name} ends, version {self.version}")
+
+    async def serve(self, reader, writer):
+        while True:
+            start_line, headers = await read_head(reader)
+            body = await reader.readexactly(int(headers.get("content-length", 0)))
+            expected = headers.get("x-catkinfork-expect-instance", self.name)
+            if expected != self.name:
+                writer.write(encode_response(421, b""))
+            elif start_line.startswith("GET /kv-list"):
+                document = {"epoch": self.born, "next": 1, "held": []}
+                writer.write(encode_response(200, json.dumps(document).encode()))
+            elif "x-catkinfork-request-id" not in headers:
+                not_run = ("X-Catkinfork-Not-Executed", "1")
+                writer.write(encode_response(400, b"", [not_run]))
+            else:
+                request_id = headers["x-catkinfork-request-id"]
+                self.runs.append((request_id, self.version))
+                self.record.write(
+                    f"runner {self.name} version {self.version} runs {request_id} "
+                    f"after event {headers.get('last-event-id', 0)}"
+                )
+                await self.run(writer, request_id, headers, body)
+
+    async def run(self, writer, request_id, headers, body):
+        """Run a request and write its answer."""
+        answer_headers = [
+            ("X-Catkinfork-Request-Id", request_id),
+            ("X-Catkinfork-Response-Seal", SEAL),
+        ]
+        writer.write(encode_response(200, b"done", answer_headers))
+
+
+class StreamRunner(Runner):
+    """A runner that answers with a stream of events, which name its version.
+
+    :param n_events: events of a stream.
+    :param pause_s: pause between two of them, seconds.
+    """
+
+    def __init__(self, store, record, name, service, slots, n_events, pause_s):
+        super().__init__(store, record, name, service, slots)
+        self.n_events = n_events
+        self.pause_s = pause_s
+
+    async def run(self, writer, request_id, headers, body):
+        version = self.version
+        first = int(headers.get("last-event-id", 0)) + 1
+        head = (
+            "HTTP/1.1 200 OK",
+            "Content-Type: text/event-stream",
+            "Transfer-Encoding: chunked",
+            f"X-Catkinfork-Request-Id: {request_id}",
+            f"X-Catkinfork-Response-Seal: {SEAL}",
+        )
+        writer.write("\r\n".join([*head, "", ""]).encode())
+        for number in range(first, self.n_events + 1):
+            event = f"id: {number}\ndata: {self.name} {version}\n\n".encode()
+            writer.write(b"%x\r\n%b\r\n" % (len(event), event))
+            await writer.drain()
+            await asyncio.sleep(self.pause_s)
+        writer.write(b"0\r\n\r\n")
+
+
+class Forwarder:
+    """A forwarder process, started as the deploy file says.
+
+    :param folder: folder for its settings and its log.
+    :param ip: loopback address of its own.
+    :param ports: front, ready, control, and peer port, the same at all forwarders.
+    :param store_port: port of the store.
+    :param seeds: control addresses of other forwarders.
+    """
+
+    def __init__(self, folder, ip, ports, store_port, seeds):
+        self.ip = ip
+        self.front_port, self.ready_port, control_port, peer_port = ports
+        self.settings_path = folder / f"{ip}.ini"
+        self.log_path = folder / f"{ip}.log"
+        fields = {
+            "node_name": f"edge-{ip}",
+            "listen_addrs": {
+                "front": f"{ip}:{self.front_port}",
+                "ready": f"{ip}:{self.ready_port}",
+                "control": f"{ip}:{control_port}",
+            },
+            "zone": "nyarugenge",
+            "bounds": BOUNDS,
+            "internal_ports": [peer_port],
+            "seeds": seeds,
+            "platform": {"address": f"127.0.0.1:{store_port}"},
+        }
+        role = tomllib.loads(DEPLOY_FILE.read_text())["roles"]["forwarder"]
+        template = (ROOT / role["template"]).read_text()
+        self.settings_path.write_text(fill_in(template, fields))
+        command = role["run"].replace(SETTINGS_PATH, str(self.settings_path))
+        self.command = shlex.split(command)
+        self.process = None
+
+    async def start(self):
+        """Start the process."""
+        path = os.environ["PATH"]
+        environment = {
+            "PATH": path,
+            "HOME": os.environ.get("HOME", "/"),
+            "PYTHONPATH": str(ROOT / "target" / "deps"),
+        }
+        with self.log_path.open("ab") as log:
+            self.process = await asyncio.create_subprocess_exec(
+                *self.command, cwd=ROOT, env=environment, stdout=log, stderr=log
+            )
+
+    async def wait_ready(self):
+        """Wait until it reports itself as ready.
+
+        :raises TimeoutError: if it does not.
+        """
+        async with asyncio.timeout(START_TIMEOUT_S):
+            while not await self.is_ready():
+                await asyncio.sleep(0.05)
+
+    async def is_ready(self):
+        """Return whether it reports itself as ready."""
+        try:
+            reader, writer = await asyncio.open_connection(self.ip, self.ready_port)
+        except OSError:
+            return False
+        writer.write(b"GET /readyz HTTP/1.1\r\nHost: x\r\n\r\n")
+        try:
+            start_line, _ = await read_head(reader)
+        except (asyncio.IncompleteReadError, ConnectionError):
+            return False
+        finally:
+            writer.close()
+        return start_line.split(" ")[1] == "200"
+
+    async def end(self):
+        """Kill the process if it runs."""
+        if self.process is not None and self.process.returncode is None:
+            os.kill(self.process.pid, signal.SIGKILL)
+            await self.process.wait()
+
+
+def fill_in(template, fields):
+    """Return a template of settings with its placeholders filled in."""
+
+    def find(match):
+        value = fields
+        for key in match[1].split("."):
+            value = value[int(key)] if isinstance(value, list) else value[key]
+        return ",".join(value) if isinstance(value, list) else str(value)
+
+    return PLACEHOLDER.sub(find, template)
+
+
+def build_configuration(version, routes, services):
+    """Return the operator's configuration, with one tenant per key."""
+    return {
+        "version": version,
+        "routes": routes,
+        "services": services,
+        "limits": {
+            "max_header_bytes": 16384,
+            "max_body_bytes": 4194304,
+            "header_timeout_ms": 3000,
+            "idle_timeout_ms": 15000,
+            "tokens_per_s": 130000,
+        },
+    }
+
+
+def has_trouble():
+    """Return whether the script is to bring about its disruption."""
+    return os.environ.get("TROUBLE", "1") != "0"
+
+
+def run_script(play, folder):
+    """Play a case within a time limit and exit with its code.
+
+    :param play: coroutine function that takes a :class:`Record` and returns whether
+        the rule was kept.
+    :param folder: folder of the case.
+    """
+    record = Record(folder / "record.txt")
+    try:
+        is_kept = asyncio.run(asyncio.wait_for(play(record), 110.0))
+    except Exception as error:
+        record.write(f"could not run: {error!r}")
+        sys.exit(COULD_NOT_RUN)
+    record.write("the rule was kept" if is_kept else "the rule was broken")
+    sys.exit(HELD if is_kept else BROKEN)
