--- a/review/loopback_3.py
+++ b/review/loopback_3.py
@@ -28,6 +28,8 @@
 # A forwarder that does not start in this time makes the case impossible, seconds.
 START_TIMEOUT_S = 15.0
 READ_LIMIT_BYTES = 1 << 23
+# Tokens that an event of a stream holds.
+TOKENS_PER_EVENT = 8
 PLACEHOLDER = re.compile(r"\{\{([a-z_0-9.]+)\}\}")
 # Bounds of the smallest deployment's site file.
 BOUNDS = {
@@ -195,7 +197,9 @@
     :param name: its id.
     :param service: name of its service.
 
-    ``runs`` has the pairs of request id and version of all runs.
+    ``runs`` has the pairs of request id and version of all runs, and ``kept`` the
+    tokens that it keeps by id of the part of a prompt. What it generates counts with
+    the last part. A new start holds nothing.
     """
 
     def __init__(self, store, record, name, service, slots):
@@ -210,6 +214,7 @@
         self.born = 0
         self.sequence = 0
         self.runs = []
+        self.kept = {}
         self.heartbeat = None
 
     async def start(self, version):
@@ -219,6 +224,7 @@
         self.version = version
         self.born = int(time.time() * 1000)
         self.sequence = 0
+        self.kept = {}
         self.heartbeat = asyncio.create_task(self.write_entries())
         self.record.write(f"runner {self.name} starts, version {version}")
 
@@ -259,7 +265,14 @@
             if expected != self.name:
                 writer.write(encode_response(421, b""))
             elif start_line.startswith("GET /kv-list"):
-                document = {"epoch": self.born, "next": 1, "held": []}
+                held = [["", part, n, "m"] for part, n in self.kept.items()]
+                self.record.write(f"runner {self.name} lists its {len(held)} parts")
+                document = {
+                    "epoch": self.born,
+                    "born": self.born,
+                    "next": 1,
+                    "held": held,
+                }
                 writer.write(encode_response(200, json.dumps(document).encode()))
             elif "x-catkinfork-request-id" not in headers:
                 not_run = ("X-Catkinfork-Not-Executed", "1")
@@ -296,6 +309,7 @@
 
     async def run(self, writer, request_id, headers, body):
         version = self.version
+        last_part = self.keep_parts(headers)
         first = int(headers.get("last-event-id", 0)) + 1
         head = (
             "HTTP/1.1 200 OK",
@@ -309,9 +323,18 @@
             event = f"id: {number}\ndata: {self.name} {version}\n\n".encode()
             writer.write(b"%x\r\n%b\r\n" % (len(event), event))
             await writer.drain()
+            self.kept[last_part] = self.kept.get(last_part, 0) + TOKENS_PER_EVENT
             await asyncio.sleep(self.pause_s)
         writer.write(b"0\r\n\r\n")
 
+    def keep_parts(self, headers):
+        """Keep the parts of a prompt, and return the id of the last one."""
+        part = ""
+        for entry in headers.get("x-catkinfork-prefix-hash", "0:0").split(","):
+            part, _, n_tokens = entry.partition(":")
+            self.kept[part] = max(int(n_tokens), self.kept.get(part, 0))
+        return part
+
 
 class Forwarder:
     """A forwarder process, started as the deploy file says.
@@ -386,7 +409,7 @@
         return start_line.split(" ")[1] == "200"
 
     async def end(self):
-        """Kill the process if it runs."""
+        """Kill the process if it runs, as a loss of power does."""
         if self.process is not None and self.process.returncode is None:
             os.kill(self.process.pid, signal.SIGKILL)
             await self.process.wait()
