--- a/review/loopback_3.py
+++ b/review/loopback_3.py
@@ -16,6 +16,7 @@
 import time
 import tomllib
 from pathlib import Path
+from typing import NamedTuple
 from urllib.parse import parse_qs, urlsplit
 
 ROOT = Path(__file__).resolve().parents[1]
@@ -28,6 +29,10 @@
 # A forwarder that does not start in this time makes the case impossible, seconds.
 START_TIMEOUT_S = 15.0
 READ_LIMIT_BYTES = 1 << 23
+# History of the store, seconds, and limits of a page of a list.
+HISTORY_S = 20.0
+MAX_PAGE_ITEMS = 500
+MAX_PAGE_BYTES = 1 << 20
 # Tokens that an event of a stream holds.
 TOKENS_PER_EVENT = 8
 PLACEHOLDER = re.compile(r"\{\{([a-z_0-9.]+)\}\}")
@@ -120,6 +125,18 @@
             writer.transport.abort()
 
 
+class Event(NamedTuple):
+    """A write in the history of the store.
+
+    :param at: monotonic time, seconds.
+    :param data: the item as JSON.
+    """
+
+    revision: int
+    at: float
+    data: bytes
+
+
 class Store(Listener):
     """The platform's store.
 
@@ -131,6 +148,7 @@
         super().__init__()
         self.items = {}
         self.events = []
+        self.dropped_revision = 0
         self.revision = 1
         self.is_down = False
         self.silent = set()
@@ -149,44 +167,74 @@
             self.items.pop(key, None)
             item["removed"] = True
         else:
-            data = base64.b64encode(json.dumps(value).encode()).decode()
+            raw = value if isinstance(value, bytes) else json.dumps(value).encode()
+            data = base64.b64encode(raw).decode()
             item |= {"value": data, "created": self.revision, "lease": 0}
-            self.items[key] = item
-        self.events.append(item)
+        event = Event(self.revision, time.monotonic(), json.dumps(item).encode())
+        if value is not None:
+            self.items[key] = event
+        self.events.append(event)
+
+    def drop_history(self):
+        """Drop the events that are older than the history."""
+        while self.events and self.events[0].at < time.monotonic() - HISTORY_S:
+            self.dropped_revision = self.events.pop(0).revision
 
     async def serve(self, reader, writer):
         while True:
             start_line, _ = await read_head(reader)
             target = urlsplit(start_line.split(" ")[1])
             query = {name: one[0] for name, one in parse_qs(target.query).items()}
-            document = await self.answer(target.path, query)
+            status, body = await self.answer(target.path, query)
             while self.is_down or writer in self.silent:
                 await asyncio.sleep(0.02)
             writer.write(
                 encode_response(
-                    200,
-                    json.dumps(document).encode(),
+                    status,
+                    body,
                     [("Content-Type", "application/json"), ("Store-Era", 1)],
                 )
             )
 
     async def answer(self, path, query):
-        """Return the document for a call."""
+        """Return the status and the body for a call."""
         if path == "/kv-range":
-            prefix = query.get("prefix", "")
-            keys = sorted(key for key in self.items if key.startswith(prefix))
-            items = [self.items[key] for key in keys if key > query.get("after", "")]
-            return {
-                "items": items,
-                "more_pages": False,
-                "current_rev": self.revision,
-            }
+            return 200, self.list_page(query.get("prefix", ""), query.get("after", ""))
         ends_at = time.monotonic() + int(query["wait_ms"]) / 1000
         after = int(query["after"])
         while time.monotonic() < ends_at and (self.revision <= after or self.is_down):
             await asyncio.sleep(0.01)
-        events = [item for item in self.events if item["revision"] > after]
-        return {"events": events, "current_rev": self.revision}
+        self.drop_history()
+        if after < self.dropped_revision:
+            return 410, b"{}"
+        events = [event for event in self.events if event.revision > after]
+        return 200, self.encode(b"events", events)
+
+    def list_page(self, prefix, after):
+        """Return a page of the items with a prefix."""
+        keys = sorted(
+            key for key in self.items if key.startswith(prefix) and key > after
+        )
+        items = []
+        n_bytes = 0
+        for key in keys:
+            item = self.items[key]
+            n_bytes += len(item.data)
+            if items and (n_bytes > MAX_PAGE_BYTES or len(items) == MAX_PAGE_ITEMS):
+                break
+            items.append(item)
+        more = b"true" if len(items) < len(keys) else b"false"
+        return self.encode(b"items", items, b',"more_pages":' + more)
+
+    def encode(self, name, events, others=b""):
+        """Return a document with events or items as bytes."""
+        listed = b",".join(event.data for event in events)
+        return b'{"%b":[%b],"current_rev":%d%b}' % (
+            name,
+            listed,
+            self.revision,
+            others,
+        )
 
 
 class Runner(Listener):
@@ -427,9 +475,14 @@
     return PLACEHOLDER.sub(find, template)
 
 
-def build_configuration(version, routes, services):
-    """Return the operator's configuration, with one tenant per key."""
+def build_configuration(version, routes, services, keys=()):
+    """Return the operator's configuration.
+
+    :param keys: keys of the only tenant; without any, there is none.
+    """
+    tenants = [{"name": "hule930", "api_keys": list(keys), "priority": 1}]
     return {
+        "tenants": tenants if keys else [],
         "version": version,
         "routes": routes,
         "services": services,
