--- a/review/loopback_3.py
+++ b/review/loopback_3.py
@@ -280,20 +280,23 @@
         """Write the entry with every heartbeat."""
         while True:
             self.sequence += 1
-            entry = {
-                "service": self.service,
-                "address": f"127.0.0.1:{self.port}",
-                "zone": "nyarugenge",
-                "version": self.version,
-                "slots": self.slots,
-                "state": "ready",
-                "cold_remaining_ms": 0,
-                "sequence": self.sequence,
-                "born": self.born,
-            }
-            await self.store.put(f"servers/{self.name}", entry)
+            await self.store.put(f"servers/{self.name}", self.build_entry())
             await asyncio.sleep(1.2)
 
+    def build_entry(self):
+        """Return the next entry for the store."""
+        return {
+            "service": self.service,
+            "address": f"127.0.0.1:{self.port}",
+            "zone": "nyarugenge",
+            "version": self.version,
+            "slots": self.slots,
+            "state": "ready",
+            "cold_remaining_ms": 0,
+            "sequence": self.sequence,
+            "born": self.born,
+        }
+
     async def leave(self):
         """Remove the entry, which was never ``draining``, and serve on."""
         self.heartbeat.cancel()
@@ -312,6 +315,8 @@
             expected = headers.get("x-catkinfork-expect-instance", self.name)
             if expected != self.name:
                 writer.write(encode_response(421, b""))
+            elif start_line.startswith("GET /healthz"):
+                writer.write(encode_response(200, b"", self.build_health_headers()))
             elif start_line.startswith("GET /kv-list"):
                 held = [["", part, n, "m"] for part, n in self.kept.items()]
                 self.record.write(f"runner {self.name} lists its {len(held)} parts")
@@ -334,6 +339,10 @@
                 )
                 await self.run(writer, request_id, headers, body)
 
+    def build_health_headers(self):
+        """Return the headers of the answer to a health check."""
+        return [("X-Catkinfork-Instance-Id", self.name)]
+
     async def run(self, writer, request_id, headers, body):
         """Run a request and write its answer."""
         answer_headers = [
