--- a/review/loopback_3.py
+++ b/review/loopback_3.py
@@ -24,6 +24,8 @@
 SETTINGS_PATH = "/etc/catkinfork/boot.yaml"
 HOST = "site.example"
 SEAL = "3e1b.07.5a2"
+# What a runner says in all its answers once it leaves.
+LEAVING = [("Server-Leaving", "1")]
 # Exit codes of a script.
 HELD, BROKEN, COULD_NOT_RUN = 0, 1, 2
 # A forwarder that does not start in this time makes the case impossible, seconds.
@@ -35,6 +37,12 @@
 MAX_PAGE_BYTES = 1 << 20
 # Tokens that an event of a stream holds.
 TOKENS_PER_EVENT = 8
+# Time between two looks at the memory of a process, and time after which a process that
+# has ended is started again, seconds.
+MEMORY_INTERVAL_S = 0.002
+RESTART_S = 0.5
+# Rule Fault: as many ends on as many machines.
+FAULT_ENDS, FAULT_MACHINES = 3, 2
 PLACEHOLDER = re.compile(r"\{\{([a-z_0-9.]+)\}\}")
 # Bounds of the smallest deployment's site file.
 BOUNDS = {
@@ -152,6 +160,7 @@
         self.revision = 1
         self.is_down = False
         self.silent = set()
+        self.watch_arrived = asyncio.Event()
 
     def silence_connections(self):
         """Let all open connections go silent for good, without a reset."""
@@ -200,6 +209,7 @@
         """Return the status and the body for a call."""
         if path == "/kv-range":
             return 200, self.list_page(query.get("prefix", ""), query.get("after", ""))
+        self.watch_arrived.set()
         ends_at = time.monotonic() + int(query["wait_ms"]) / 1000
         after = int(query["after"])
         while time.monotonic() < ends_at and (self.revision <= after or self.is_down):
@@ -263,6 +273,7 @@
         self.sequence = 0
         self.runs = []
         self.kept = {}
+        self.is_leaving = False
         self.heartbeat = None
 
     async def start(self, version):
@@ -298,7 +309,11 @@
         }
 
     async def leave(self):
-        """Remove the entry, which was never ``draining``, and serve on."""
+        """Remove the entry, which was never ``draining``, and serve on.
+
+        All answers say from then on that it leaves.
+        """
+        self.is_leaving = True
         self.heartbeat.cancel()
         await self.store.put(f"servers/{self.name}", None)
         self.record.write(f"the entry of runner {self.name} is removed")
@@ -316,7 +331,9 @@
             if expected != self.name:
                 writer.write(encode_response(421, b""))
             elif start_line.startswith("GET /healthz"):
-                writer.write(encode_response(200, b"", self.build_health_headers()))
+                status = 503 if self.is_leaving else 200
+                instance = ("X-Catkinfork-Instance-Id", self.name)
+                writer.write(encode_response(status, b"", [instance]))
             elif start_line.startswith("GET /kv-list"):
                 held = [["", part, n, "m"] for part, n in self.kept.items()]
                 self.record.write(f"runner {self.name} lists its {len(held)} parts")
@@ -339,17 +356,17 @@
                 )
                 await self.run(writer, request_id, headers, body)
 
-    def build_health_headers(self):
-        """Return the headers of the answer to a health check."""
-        return [("X-Catkinfork-Instance-Id", self.name)]
-
-    async def run(self, writer, request_id, headers, body):
-        """Run a request and write its answer."""
-        answer_headers = [
+    def build_headers(self, request_id):
+        """Return the headers of the answer to a request that was run."""
+        headers = [
             ("X-Catkinfork-Request-Id", request_id),
             ("X-Catkinfork-Response-Seal", SEAL),
         ]
-        writer.write(encode_response(200, b"done", answer_headers))
+        return [*headers, *LEAVING] if self.is_leaving else headers
+
+    async def run(self, writer, request_id, headers, body):
+        """Run a request and write its answer."""
+        writer.write(encode_response(200, b"done", self.build_headers(request_id)))
 
 
 class StreamRunner(Runner):
@@ -372,8 +389,7 @@
             "HTTP/1.1 200 OK",
             "Content-Type: text/event-stream",
             "Transfer-Encoding: chunked",
-            f"X-Catkinfork-Request-Id: {request_id}",
-            f"X-Catkinfork-Response-Seal: {SEAL}",
+            *(f"{name}: {value}" for name, value in self.build_headers(request_id)),
         )
         writer.write("\r\n".join([*head, "", ""]).encode())
         for number in range(first, self.n_events + 1):
@@ -472,6 +488,62 @@
             await self.process.wait()
 
 
+class Machine:
+    """A machine that ends a process above its memory, and starts it again.
+
+    :param forwarder: :class:`Forwarder` that runs there.
+    :param memory_mb: memory of the process, MB; only what is resident counts.
+
+    ``n_ends`` is the number of times, and ``peak_mb`` the most memory seen.
+    """
+
+    def __init__(self, forwarder, record, memory_mb):
+        self.forwarder = forwarder
+        self.record = record
+        self.memory_mb = memory_mb
+        self.n_ends = 0
+        self.peak_mb = 0.0
+
+    async def watch(self):
+        """Watch the memory of the process until it is cancelled."""
+        while True:
+            await asyncio.sleep(MEMORY_INTERVAL_S)
+            used_mb = read_memory_mb(self.forwarder.process.pid)
+            self.peak_mb = max(self.peak_mb, used_mb)
+            if used_mb <= self.memory_mb:
+                continue
+            await self.forwarder.end()
+            self.n_ends += 1
+            self.record.write(
+                f"machine {self.forwarder.ip} ends the process at {used_mb:.0f} MB"
+            )
+            await asyncio.sleep(RESTART_S)
+            await self.forwarder.start()
+
+
+def read_memory_mb(pid):
+    """Return the resident memory of a process in MB, 0 if it has ended."""
+    try:
+        n_pages = int(Path(f"/proc/{pid}/statm").read_text().split()[1])
+    except (OSError, IndexError):
+        return 0.0
+    return n_pages * os.sysconf("SC_PAGE_SIZE") / 1e6
+
+
+def has_fault(machines, record):
+    """Return whether processes have ended as often as the rule Fault says.
+
+    :param machines: all :class:`Machine` objects.
+    """
+    for machine in machines:
+        record.write(
+            f"machine {machine.forwarder.ip}: {machine.n_ends} ends, at most "
+            f"{machine.peak_mb:.0f} MB"
+        )
+    n_machines = sum(machine.n_ends >= FAULT_ENDS for machine in machines)
+    return n_machines >= FAULT_MACHINES
+
+
 def fill_in(template, fields):
     """Return a template of settings with its placeholders filled in."""
 
