--- a/review/12/run.py
+++ b/review/12/run.py
@@ -1,6 +1,7 @@
-"""Connections to the store go silent, and a runner that left gets requests for long."""
+"""Another writer stores large values, and a withdrawn key stays in force."""
 
 import asyncio
+import os
 import sys
 import tempfile
 import time
@@ -11,12 +12,10 @@
 
 from loopback_3 import (  # noqa: E402
     HOST,
-    SEAL,
     Forwarder,
     Runner,
     Store,
     build_configuration,
-    encode_response,
     has_trouble,
     list_free_ports,
     read_head,
@@ -24,17 +23,17 @@
 )
 
 SERVICE = "depot"
-N_FORWARDERS = 4
-# Requests of each forwarder per second, and time for which a runner works on one.
-RATE_PER_S = 25
-WORK_S = 0.09
+KEPT_KEY, WITHDRAWN_KEY = "asnmgkcuyj8pjbvk9m68", "k7b2ex5wa5xwyhks8nbk"
+# Values that another writer stores, their size, the largest that the store takes, and
+# the time between two: that of one value on a link of 1,000 Mbit/s.
+N_VALUES = 60
+VALUE_BYTES = 1048576
+VALUE_INTERVAL_S = 0.012
 # Bounds of the site file, seconds.
+CONFIG_S = 2.0
 CONTACT_S = 3.0
-DRAIN_S = 2.0
-# Time for which a runner that left serves beyond the drain time, seconds.
-LINGER_S = 1.1
-# Time from the silence of the connections to the removal of the entry, seconds.
-LEAVE_AFTER_S = 0.2
+# Time for which requests are sent after the key was withdrawn, seconds.
+WATCHED_S = 12.0
 
 ROUTE = {
     "name": "order",
@@ -46,7 +45,7 @@
     "priority": 2,
     "service": SERVICE,
     "max_attempts": 1,
-    "public": True,
+    "public": False,
 }
 SERVICES = [
     {
@@ -59,69 +58,23 @@
 ]
 
 
-class OrderRunner(Runner):
-    """A runner that works on each request for a while, and notes when it came."""
-
-    def __init__(self, store, record, name):
-        super().__init__(store, record, name, SERVICE, 24)
-        self.arrivals = []
-
-    async def run(self, writer, request_id, headers, body):
-        self.arrivals.append((request_id, time.monotonic()))
-        await asyncio.sleep(WORK_S)
-        answer_headers = [
-            ("X-Catkinfork-Request-Id", request_id),
-            ("X-Catkinfork-Response-Seal", SEAL),
-        ]
-        writer.write(encode_response(200, b"done", answer_headers))
-
-
-class Clients:
-    """Clients that send requests to all forwarders, each on a connection of its own.
-
-    ``sent_at`` and ``ends`` have the time and the end of each request, by id.
-    """
-
-    def __init__(self, forwarders, record):
-        self.forwarders = forwarders
-        self.record = record
-        self.sent_at = {}
-        self.ends = {}
-
-    async def run(self, duration_s):
-        """Send requests for a time."""
-        ends_at = time.monotonic() + duration_s
-        async with asyncio.TaskGroup() as requests:
-            number = 0
-            while time.monotonic() < ends_at:
-                for forwarder in self.forwarders:
-                    number += 1
-                    requests.create_task(self.send(forwarder, f"order-{number}"))
-                await asyncio.sleep(1 / RATE_PER_S)
-
-    async def send(self, forwarder, request_id):
-        """Send a request and record how it ends."""
-        self.sent_at[request_id] = time.monotonic()
-        end = "closed connection"
-        try:
-            reader, writer = await asyncio.open_connection(
-                forwarder.ip, forwarder.front_port
-            )
-            lines = (
-                "POST /order/2f HTTP/1.1",
-                f"Host: {HOST}",
-                f"X-Catkinfork-Request-Id: {request_id}",
-                "X-Catkinfork-Deadline-Ms: 3000",
-                "Content-Length: 0",
-            )
-            writer.write("\r\n".join([*lines, "", ""]).encode())
-            start_line, _ = await read_head(reader)
-            end = start_line.split(" ")[1]
-            writer.close()
-        except (OSError, asyncio.IncompleteReadError):
-            pass
-        self.ends[request_id] = end
-        self.record.write(f"client of {forwarder.ip}: {request_id} ends with {end}")
+async def send(forwarder, request_id, key, record):
+    """Send a request with a key, and return the status of its answer."""
+    reader, writer = await asyncio.open_connection(forwarder.ip, forwarder.front_port)
+    lines = (
+        "POST /order/2f HTTP/1.1",
+        f"Host: {HOST}",
+        f"X-Catkinfork-Request-Id: {request_id}",
+        "X-Catkinfork-Deadline-Ms: 3000",
+        f"Authorization: Bearer {key}",
+        "Content-Length: 0",
+    )
+    writer.write("\r\n".join([*lines, "", ""]).encode())
+    start_line, _ = await read_head(reader)
+    writer.close()
+    status = start_line.split(" ")[1]
+    record.write(f"client of {forwarder.ip}: {request_id} ends with {status}")
+    return status
 
 
 async def play(record):
@@ -129,13 +82,14 @@
     store = Store()
     await store.open("127.0.0.1", 0)
     store_port = store.server.sockets[0].getsockname()[1]
-    await store.put("op/config", build_configuration(1, [ROUTE], SERVICES))
-    runners = [OrderRunner(store, record, name) for name in ("i-a", "i-b", "i-c")]
+    keys = [KEPT_KEY, WITHDRAWN_KEY]
+    await store.put("op/config", build_configuration(1, [ROUTE], SERVICES, keys))
+    runners = [Runner(store, record, name, SERVICE, 6) for name in ("i-a", "i-b")]
     for runner in runners:
         await runner.start("v1")
     ports = list_free_ports(4)
     with tempfile.TemporaryDirectory() as folder:
-        ips = [f"127.0.0.{number + 2}" for number in range(N_FORWARDERS)]
+        ips = [f"127.0.0.{number}" for number in (2, 3, 4, 5)]
         seeds = [f"{ip}:{ports[2]}" for ip in ips[:3]]
         forwarders = [
             Forwarder(Path(folder), ip, ports, store_port, seeds) for ip in ips
@@ -145,41 +99,44 @@
                 await forwarder.start()
             for forwarder in forwarders:
                 await forwarder.wait_ready()
-            await asyncio.sleep(CONTACT_S + 1.0)
-            return await empty_runner(store, runners[-1], forwarders, record)
+            await asyncio.sleep(CONTACT_S)
+            n_served = await withdraw_key(store, forwarders, record)
         finally:
             for forwarder in forwarders:
                 await forwarder.end()
+    record.write(f"{n_served} requests with the withdrawn key were served late")
+    return n_served == 0
+
 
+async def withdraw_key(store, forwarders, record):
+    """Withdraw a key, and return the number of requests that are served with it late.
 
-async def empty_runner(store, leaver, forwarders, record):
-    """Empty a runner under load, and return whether the rule was kept."""
-    clients = Clients(forwarders, record)
-    load = asyncio.create_task(clients.run(8.0))
-    await asyncio.sleep(2.0)
-    silent_at = time.monotonic()
+    Late is more than the time that a configuration may take.
+    """
+    for forwarder in forwarders:
+        status = await send(forwarder, "before", WITHDRAWN_KEY, record)
+        if status != "200":
+            raise RuntimeError("the key is not in force before it is withdrawn")
     if has_trouble():
-        store.silence_connections()
-        record.write("open connections to the store go silent, new ones work")
-    await asyncio.sleep(LEAVE_AFTER_S)
-    await leaver.leave()
-    left_at = time.monotonic()
-    await asyncio.sleep(DRAIN_S + LINGER_S)
-    leaver.crash()
-    await load
-    bound = max(silent_at + CONTACT_S, left_at + DRAIN_S)
-    late = [
-        (request_id, arrived_at - left_at)
-        for request_id, arrived_at in leaver.arrivals
-        if clients.sent_at[request_id] > bound
-    ]
-    for request_id, delay_s in late:
-        record.write(
-            f"{request_id} reached runner {leaver.name} {delay_s:.3f} s after its "
-            f"entry was removed, and ends with {clients.ends[request_id]}"
-        )
-    record.write(f"{len(late)} requests reached it from machines in touch")
-    return not late
+        for number in range(N_VALUES):
+            await store.put(f"servers/blob-{number}", os.urandom(VALUE_BYTES))
+            await asyncio.sleep(VALUE_INTERVAL_S)
+        record.write(f"another writer has stored {N_VALUES} values of 1 MiB")
+    await asyncio.sleep(0.5)
+    configuration = build_configuration(2, [ROUTE], SERVICES, [KEPT_KEY])
+    await store.put("op/config", configuration)
+    acknowledged_at = time.monotonic()
+    record.write("the operator has withdrawn a key")
+    n_served = 0
+    number = 0
+    while (elapsed_s := time.monotonic() - acknowledged_at) < WATCHED_S:
+        for forwarder in forwarders:
+            number += 1
+            status = await send(forwarder, f"order-{number}", WITHDRAWN_KEY, record)
+            if status == "200" and elapsed_s > CONFIG_S:
+                n_served += 1
+        await asyncio.sleep(0.25)
+    return n_served
 
 
 run_script(play, FOLDER)
