--- a/review/13/run.py
+++ b/review/13/run.py
@@ -1,11 +1,10 @@
-"""All forwarders and a runner lose power, and streams go on at another version."""
+"""Connections to the store go silent, and a runner that left gets requests for long."""
 
 import asyncio
 import sys
 import tempfile
 import time
 from pathlib import Path
-from typing import NamedTuple
 
 FOLDER = Path(__file__).resolve().parent
 sys.path.insert(0, str(FOLDER.parent))
@@ -13,8 +12,8 @@
 from loopback_3 import (  # noqa: E402
     HOST,
     Forwarder,
+    Runner,
     Store,
-    StreamRunner,
     build_configuration,
     has_trouble,
     list_free_ports,
@@ -22,142 +21,105 @@
     run_script,
 )
 
-SERVICE = "lm"
-OLD, NEW = "v1", "v2"
-N_SESSIONS = 6
-# Streams that keep the first runner busy.
-N_OTHERS = 16
-N_EVENTS = 80
-PAUSE_S = 0.1
-# Events of the first request of a session.
-N_FIRST_EVENTS = 3
-DEADLINE_MS = 12000
-# Time without power, seconds; the site files have up to 2.0 for machines.
-RUNNER_DOWN_S = 1.0
-MACHINES_DOWN_S = 1.5
-# Rule ORDER: more than this many streams.
-MAX_JOINED = 2
+SERVICE = "depot"
+N_FORWARDERS = 4
+# Requests that each machine gets at once, and time for which a runner works on one.
+N_AT_ONCE = 12
+WORK_S = 0.09
+# Bounds of the site file, seconds.
+CONTACT_S = 3.0
+DRAIN_S = 2.0
+# Times after the silence of the connections, seconds: at which the entry is removed, at
+# which the requests are sent, and at which the runner that left exits.
+REMOVED_S = 0.2
+SENT_S = 3.05
+EXIT_S = 3.12
+# Time from a call to the store to the silence of its connection, seconds.
+CALL_AGE_S = 0.05
 
 ROUTE = {
-    "name": "brief",
+    "name": "order",
     "host": HOST,
-    "prefix": "/brief/",
-    "kind": "streaming",
-    "timeout_ms": DEADLINE_MS,
-    "aim_ms": 800,
-    "priority": 1,
+    "prefix": "/order/",
+    "kind": "unsafe",
+    "timeout_ms": 1500,
+    "aim_ms": 300,
+    "priority": 2,
     "service": SERVICE,
-    "max_attempts": 2,
+    "max_attempts": 1,
     "public": True,
-    "sticky": True,
-    "resumable": True,
-    "gap_target_ms": 250,
 }
 SERVICES = [
     {
         "name": SERVICE,
         "health_path": "/healthz",
-        "max_connections": 360,
+        "max_connections": 96,
         "cold_s": 0.0,
         "cold_per_s": 0.0,
-        "engine": {"slots": 64, "kv_capacity": 558069, "stride": 8},
     }
 ]
 
 
-class SessionRunner(StreamRunner):
-    """A runner whose answers are as long as the request says."""
+class OrderRunner(Runner):
+    """A runner that works on each request for a while, and notes when it came."""
+
+    def __init__(self, store, record, name):
+        super().__init__(store, record, name, SERVICE, 24)
+        self.arrivals = []
 
     async def run(self, writer, request_id, headers, body):
-        self.n_events = int(headers["x-catkinfork-token-usage"].split(",")[1]) // 8
+        self.arrivals.append((request_id, time.monotonic()))
+        await asyncio.sleep(WORK_S)
         await super().run(writer, request_id, headers, body)
 
 
-class Answer(NamedTuple):
-    """What a client has received.
-
-    :param writers: runner and version of each event.
-    :param is_whole: whether the stream has ended as complete.
-    """
-
-    writers: list
-    is_whole: bool
-
-
-class Client:
-    """A client with a session of its own.
+class Clients:
+    """Clients that send requests to all machines, each on a connection of its own.
 
-    :param session: number of its session; the last part of its prompts belongs to it.
+    ``sent_at`` and ``ends`` have the time and the end of each request, by id.
     """
 
-    def __init__(self, session, record):
-        self.session = session
+    def __init__(self, forwarders, record):
+        self.forwarders = forwarders
         self.record = record
-        self.sent_at = None
+        self.sent_at = {}
+        self.ends = {}
 
-    async def send(self, forwarder, request_id, n_events, resumed=None, last_event=0):
-        """Send a request and return its :class:`Answer`.
+    async def send_at_once(self, name):
+        """Send requests to all machines at the same moment.
 
-        :param resumed: id of the request whose stream is taken up, or None.
+        :param name: beginning of their ids.
         """
-        if resumed is None:
-            self.sent_at = time.monotonic()
-        left_ms = DEADLINE_MS - int(1000 * (time.monotonic() - self.sent_at))
-        lines = [
-            "POST /brief/2f HTTP/1.1",
-            f"Host: {HOST}",
-            f"X-Catkinfork-Request-Id: {request_id}",
-            f"X-Catkinfork-Deadline-Ms: {left_ms}",
-            "X-Catkinfork-Model-Id: m",
-            f"X-Catkinfork-Token-Usage: 160,{8 * n_events}",
-            f"X-Catkinfork-Prefix-Hash: 5c1e07a2:100,{self.session + 16:x}:60",
-            "Content-Length: 0",
+        requests = [
+            self.send(forwarder, f"{name}-{forwarder.ip}-{number}")
+            for forwarder in self.forwarders
+            for number in range(N_AT_ONCE)
         ]
-        if resumed is not None:
-            lines += [f"Last-Event-Id: {last_event}", f"Resumes: {resumed}"]
-        self.record.write(f"client sends {request_id} to {forwarder.ip}")
-        writers = []
-        is_whole = False
-        status = "no answer"
+        await asyncio.gather(*requests)
+
+    async def send(self, forwarder, request_id):
+        """Send a request and record how it ends."""
+        self.sent_at[request_id] = time.monotonic()
+        end = "closed connection"
         try:
             reader, writer = await asyncio.open_connection(
                 forwarder.ip, forwarder.front_port
             )
+            lines = (
+                "POST /order/2f HTTP/1.1",
+                f"Host: {HOST}",
+                f"X-Catkinfork-Request-Id: {request_id}",
+                "X-Catkinfork-Deadline-Ms: 3000",
+                "Content-Length: 0",
+            )
             writer.write("\r\n".join([*lines, "", ""]).encode())
             start_line, _ = await read_head(reader)
-            status = start_line.split(" ")[1]
-            while status == "200" and (
-                size := int(await reader.readline() or b"x", 16)
-            ):
-                events = (await reader.readexactly(size + 2)).decode()
-                writers += [
-                    line.removeprefix("data: ")
-                    for line in events.splitlines()
-                    if line.startswith("data: ")
-                ]
-            is_whole = status == "200"
+            end = start_line.split(" ")[1]
             writer.close()
-        except (OSError, asyncio.IncompleteReadError, ValueError):
+        except (OSError, asyncio.IncompleteReadError):
             pass
-        counts = {one: writers.count(one) for one in dict.fromkeys(writers)}
-        self.record.write(
-            f"answer to {request_id}: {status}, events by {counts}, "
-            f"{'whole' if is_whole else 'not whole'}"
-        )
-        return Answer(writers, is_whole)
-
-    async def read_stream(self, forwarder):
-        """Read a stream, take it up once if it breaks off, and return its versions."""
-        request_id = f"stream-{self.session}"
-        answer = await self.send(forwarder, request_id, N_EVENTS)
-        writers = answer.writers
-        if not answer.is_whole and writers:
-            await forwarder.wait_ready()
-            again = await self.send(
-                forwarder, f"{request_id}-again", N_EVENTS, request_id, len(writers)
-            )
-            writers = writers + again.writers
-        return {one.split(" ")[1] for one in writers}
+        self.ends[request_id] = end
+        self.record.write(f"client of {forwarder.ip}: {request_id} ends with {end}")
 
 
 async def play(record):
@@ -166,15 +128,13 @@
     await store.open("127.0.0.1", 0)
     store_port = store.server.sockets[0].getsockname()[1]
     await store.put("op/config", build_configuration(1, [ROUTE], SERVICES))
-    runners = [
-        SessionRunner(store, record, name, SERVICE, 64, N_EVENTS, PAUSE_S)
-        for name in ("i-a", "i-b")
-    ]
-    await runners[0].start(OLD)
+    runners = [OrderRunner(store, record, name) for name in ("i-a", "i-b", "i-c")]
+    for runner in runners:
+        await runner.start("v1")
     ports = list_free_ports(4)
     with tempfile.TemporaryDirectory() as folder:
-        ips = ["127.0.0.2", "127.0.0.3"]
-        seeds = [f"{ip}:{ports[2]}" for ip in ips]
+        ips = [f"127.0.0.{number + 2}" for number in range(N_FORWARDERS)]
+        seeds = [f"{ip}:{ports[2]}" for ip in ips[:3]]
         forwarders = [
             Forwarder(Path(folder), ip, ports, store_port, seeds) for ip in ips
         ]
@@ -183,61 +143,45 @@
                 await forwarder.start()
             for forwarder in forwarders:
                 await forwarder.wait_ready()
-            await asyncio.sleep(3.0)
-            versions = await lose_power(runners, forwarders, record)
+            await asyncio.sleep(CONTACT_S + 1.0)
+            return await empty_runner(store, runners[-1], forwarders, record)
         finally:
             for forwarder in forwarders:
                 await forwarder.end()
-    n_joined = sum(len(found) > 1 for found in versions)
-    record.write(f"{n_joined} of {len(versions)} streams hold events of two versions")
-    return n_joined <= MAX_JOINED
 
 
-async def lose_power(runners, forwarders, record):
-    """Let sessions begin and go on, then take the power of the machines.
-
-    :returns: versions that wrote events, by stream.
-    """
-    first, second = runners
-    clients = [Client(number, record) for number in range(N_SESSIONS)]
-    await asyncio.gather(
-        *[
-            client.send(
-                forwarders[client.session % 2],
-                f"first-{client.session}",
-                N_FIRST_EVENTS,
-            )
-            for client in clients
-        ]
+async def empty_runner(store, leaver, forwarders, record):
+    """Empty a runner while no request comes, and return whether the rule was kept."""
+    clients = Clients(forwarders, record)
+    await clients.send_at_once("before")
+    store.watch_arrived.clear()
+    await store.watch_arrived.wait()
+    await asyncio.sleep(CALL_AGE_S)
+    silent_at = time.monotonic()
+    if has_trouble():
+        store.silence_connections()
+        record.write("open connections to the store go silent, new ones work")
+    await asyncio.sleep(REMOVED_S)
+    await leaver.leave()
+    left_at = time.monotonic()
+    asyncio.get_running_loop().call_later(
+        silent_at + EXIT_S - time.monotonic(), leaver.crash
     )
-    others = [
-        asyncio.create_task(
-            Client(100 + number, record).send(
-                forwarders[number % 2], f"other-{number}", N_EVENTS
-            )
-        )
-        for number in range(N_OTHERS)
-    ]
-    await asyncio.sleep(0.5)
-    await second.start(NEW)
-    await asyncio.sleep(1.0)
-    streams = [
-        asyncio.create_task(client.read_stream(forwarders[client.session % 2]))
-        for client in clients
+    await asyncio.sleep(silent_at + SENT_S - time.monotonic())
+    await clients.send_at_once("order")
+    bound = max(silent_at + CONTACT_S, left_at + DRAIN_S)
+    late = [
+        (request_id, arrived_at - left_at)
+        for request_id, arrived_at in leaver.arrivals
+        if clients.sent_at[request_id] > bound
     ]
-    await asyncio.sleep(2.0)
-    if has_trouble():
-        record.write("the forwarders and a runner lose power")
-        second.crash()
-        await asyncio.gather(*[forwarder.end() for forwarder in forwarders])
-        await asyncio.sleep(RUNNER_DOWN_S)
-        await second.start(NEW)
-        await asyncio.sleep(MACHINES_DOWN_S - RUNNER_DOWN_S)
-        for forwarder in forwarders:
-            await forwarder.start()
-    versions = await asyncio.gather(*streams)
-    await asyncio.gather(*others)
-    return versions
+    for request_id, delay_s in late:
+        record.write(
+            f"{request_id} reached runner {leaver.name} {delay_s:.3f} s after its "
+            f"entry was removed, and ends with {clients.ends[request_id]}"
+        )
+    record.write(f"{len(late)} requests reached it from machines in touch")
+    return not late
 
 
 run_script(play, FOLDER)
