--- a/review/loopback_3.py
+++ b/review/loopback_3.py
@@ -15,6 +15,7 @@
 import sys
 import time
 import tomllib
+from contextlib import suppress
 from pathlib import Path
 from typing import NamedTuple
 from urllib.parse import parse_qs, urlsplit
@@ -483,9 +484,12 @@
 
     async def end(self):
         """Kill the process if it runs, as a loss of power does."""
-        if self.process is not None and self.process.returncode is None:
+        if self.process is None or self.process.returncode is not None:
+            return
+        with suppress(ProcessLookupError):
+            # It may have ended without asyncio having noticed.
             os.kill(self.process.pid, signal.SIGKILL)
-            await self.process.wait()
+        await self.process.wait()
 
 
 class Machine:
