--- a/review/14/run.py
+++ b/review/14/run.py
@@ -120,7 +120,8 @@
 async def restart_one(store, machines, record):
     """Store the values, then stop one machine as planned and start it again."""
     forwarders = [machine.forwarder for machine in machines]
-    watches = [asyncio.create_task(machine.watch()) for machine in machines]
+    for machine in machines:
+        machine.watch()
     if has_trouble():
         for number in range(N_VALUES):
             await store.put(f"servers/blob-{number}", os.urandom(VALUE_BYTES))
@@ -129,13 +130,13 @@
     await send_all(forwarders, "before", record)
     for machine in machines:
         record.write(f"{machine.forwarder.ip} uses up to {machine.peak_mb:.0f} MB")
-    watches[0].cancel()
+    await machines[0].stop_watching()
     await restart(forwarders[0], record)
-    watches[0] = asyncio.create_task(machines[0].watch())
+    machines[0].watch()
     await asyncio.sleep(WATCHED_S)
     await send_all(forwarders, "after", record)
-    for watch in watches:
-        watch.cancel()
+    for machine in machines:
+        await machine.stop_watching()
 
 
 async def restart(forwarder, record):
--- a/review/loopback_3.py
+++ b/review/loopback_3.py
@@ -31,6 +31,8 @@
 HELD, BROKEN, COULD_NOT_RUN = 0, 1, 2
 # A forwarder that does not start in this time makes the case impossible, seconds.
 START_TIMEOUT_S = 15.0
+# Longest time of a script, seconds.
+MAX_RUN_S = 110.0
 READ_LIMIT_BYTES = 1 << 23
 # History of the store, seconds, and limits of a page of a list.
 HISTORY_S = 20.0
@@ -44,6 +46,8 @@
 RESTART_S = 0.5
 # Rule Fault: as many ends on as many machines.
 FAULT_ENDS, FAULT_MACHINES = 3, 2
+# All processes that were started, so that none is left behind.
+PROCESSES = []
 PLACEHOLDER = re.compile(r"\{\{([a-z_0-9.]+)\}\}")
 # Bounds of the smallest deployment's site file.
 BOUNDS = {
@@ -457,6 +461,7 @@
             self.process = await asyncio.create_subprocess_exec(
                 *self.command, cwd=ROOT, env=environment, stdout=log, stderr=log
             )
+        PROCESSES.append(self.process)
 
     async def wait_ready(self):
         """Wait until it reports itself as ready.
@@ -507,10 +512,22 @@
         self.memory_mb = memory_mb
         self.n_ends = 0
         self.peak_mb = 0.0
-
-    async def watch(self):
-        """Watch the memory of the process until it is cancelled."""
-        while True:
+        self.is_watching = False
+        self.task = None
+
+    def watch(self):
+        """Start to watch the memory of the process."""
+        self.is_watching = True
+        self.task = asyncio.create_task(self.watch_memory())
+
+    async def stop_watching(self):
+        """Stop to watch; a process that is being started is there afterwards."""
+        self.is_watching = False
+        await self.task
+
+    async def watch_memory(self):
+        """Watch the memory of the process."""
+        while self.is_watching:
             await asyncio.sleep(MEMORY_INTERVAL_S)
             used_mb = read_memory_mb(self.forwarder.process.pid)
             self.peak_mb = max(self.peak_mb, used_mb)
@@ -586,6 +603,14 @@
     return os.environ.get("TROUBLE", "1") != "0"
 
 
+def end_processes():
+    """End the processes that still run."""
+    for process in PROCESSES:
+        if process.returncode is None:
+            with suppress(ProcessLookupError):
+                os.kill(process.pid, signal.SIGKILL)
+
+
 def run_script(play, folder):
     """Play a case within a time limit and exit with its code.
 
@@ -595,9 +620,11 @@
     """
     record = Record(folder / "record.txt")
     try:
-        is_kept = asyncio.run(asyncio.wait_for(play(record), 110.0))
+        is_kept = asyncio.run(asyncio.wait_for(play(record), MAX_RUN_S))
     except Exception as error:
         record.write(f"could not run: {error!r}")
         sys.exit(COULD_NOT_RUN)
+    finally:
+        end_processes()
     record.write("the rule was kept" if is_kept else "the rule was broken")
     sys.exit(HELD if is_kept else BROKEN)
