--- a/review/12/run.py
+++ b/review/12/run.py
@@ -1,6 +1,7 @@
 """Another writer stores large values, and a withdrawn key stays in force."""
 
 import asyncio
+import base64
 import os
 import sys
 import tempfile
@@ -13,6 +14,7 @@
 from loopback_3 import (  # noqa: E402
     HOST,
     Forwarder,
+    Link,
     Runner,
     Store,
     build_configuration,
@@ -24,8 +26,10 @@
 
 SERVICE = "depot"
 KEPT_KEY, WITHDRAWN_KEY = "asnmgkcuyj8pjbvk9m68", "k7b2ex5wa5xwyhks8nbk"
+# Rate of the store's link, 1,000 Mbit/s as that of each machine.
+LINK_BYTES_PER_S = 125e6
 # Values that another writer stores, their size, the largest that the store takes, and
-# the time between two: that of one value on a link of 1,000 Mbit/s.
+# the time between two: that of one value on such a link.
 N_VALUES = 60
 VALUE_BYTES = 1048576
 VALUE_INTERVAL_S = 0.012
@@ -79,7 +83,7 @@
 
 async def play(record):
     """Play the case and return whether the rule was kept."""
-    store = Store()
+    store = Store(Link(LINK_BYTES_PER_S))
     await store.open("127.0.0.1", 0)
     store_port = store.server.sockets[0].getsockname()[1]
     keys = [KEPT_KEY, WITHDRAWN_KEY]
@@ -118,8 +122,9 @@
         if status != "200":
             raise RuntimeError("the key is not in force before it is withdrawn")
     if has_trouble():
+        value = base64.b64encode(os.urandom(VALUE_BYTES))
         for number in range(N_VALUES):
-            await store.put(f"servers/blob-{number}", os.urandom(VALUE_BYTES))
+            store.put_encoded(f"servers/blob-{number}", value)
             await asyncio.sleep(VALUE_INTERVAL_S)
         record.write(f"another writer has stored {N_VALUES} values of 1 MiB")
     await asyncio.sleep(0.5)
--- a/review/loopback_3.py
+++ b/review/loopback_3.py
@@ -95,11 +95,33 @@
     return start_line, {name.lower(): value.strip() for name, value in pairs}
 
 
+def encode_head(status, n_bytes, headers):
+    """Return the head of a response whose body has a length."""
+    lines = [f"HTTP/1.1 {status} X", f"Content-Length: {n_bytes}"]
+    lines += [f"{name}: {value}" for name, value in headers]
+    return "\r\n".join([*lines, "", ""]).encode("latin-1")
+
+
 def encode_response(status, body, headers=()):
     """Return a response with a length as bytes."""
-    lines = [f"HTTP/1.1 {status} X", f"Content-Length: {len(body)}"]
-    lines += [f"{name}: {value}" for name, value in headers]
-    return "\r\n".join([*lines, "", ""]).encode("latin-1") + body
+    return encode_head(status, len(body), headers) + body
+
+
+class Link:
+    """A network link that all connections of a process share.
+
+    :param bytes_per_s: its rate, bytes/s.
+    """
+
+    def __init__(self, bytes_per_s):
+        self.bytes_per_s = bytes_per_s
+        self.is_free_at = 0.0
+
+    async def carry(self, n_bytes):
+        """Wait until the link has carried some bytes."""
+        now = time.monotonic()
+        self.is_free_at = max(now, self.is_free_at) + n_bytes / self.bytes_per_s
+        await asyncio.sleep(self.is_free_at - now)
 
 
 class Listener:
@@ -155,10 +177,13 @@
 
     ``is_down`` states whether it leaves every call unanswered, reads and writes, and
     ``silent`` has the connections on which nothing is answered any more.
+
+    :param link: :class:`Link` that carries its answers, or None.
     """
 
-    def __init__(self):
+    def __init__(self, link=None):
         super().__init__()
+        self.link = link
         self.items = {}
         self.events = []
         self.dropped_revision = 0
@@ -175,19 +200,27 @@
         """Write an item, or remove it if the value is None, once the store is up."""
         while self.is_down:
             await asyncio.sleep(0.02)
-        self.revision += 1
-        item = {"key": key, "revision": self.revision}
-        if value is None:
-            self.items.pop(key, None)
-            item["removed"] = True
-        else:
-            raw = value if isinstance(value, bytes) else json.dumps(value).encode()
-            data = base64.b64encode(raw).decode()
-            item |= {"value": data, "created": self.revision, "lease": 0}
-        event = Event(self.revision, time.monotonic(), json.dumps(item).encode())
         if value is not None:
-            self.items[key] = event
-        self.events.append(event)
+            raw = value if isinstance(value, bytes) else json.dumps(value).encode()
+            self.put_encoded(key, base64.b64encode(raw))
+            return
+        self.revision += 1
+        self.items.pop(key, None)
+        item = {"key": key, "revision": self.revision, "removed": True}
+        data = json.dumps(item).encode()
+        self.events.append(Event(self.revision, time.monotonic(), data))
+
+    def put_encoded(self, key, value):
+        """Write an item whose value is base64 already, so that it takes no time."""
+        self.revision += 1
+        data = b'{"key":"%b","revision":%d,"value":"%b","created":%d,"lease":0}' % (
+            key.encode(),
+            self.revision,
+            value,
+            self.revision,
+        )
+        self.items[key] = Event(self.revision, time.monotonic(), data)
+        self.events.append(self.items[key])
 
     def drop_history(self):
         """Drop the events that are older than the history."""
@@ -199,19 +232,20 @@
             start_line, _ = await read_head(reader)
             target = urlsplit(start_line.split(" ")[1])
             query = {name: one[0] for name, one in parse_qs(target.query).items()}
-            status, body = await self.answer(target.path, query)
+            status, pieces = await self.answer(target.path, query)
             while self.is_down or writer in self.silent:
                 await asyncio.sleep(0.02)
-            writer.write(
-                encode_response(
-                    status,
-                    body,
-                    [("Content-Type", "application/json"), ("Store-Era", 1)],
-                )
-            )
+            headers = [("Content-Type", "application/json"), ("Store-Era", 1)]
+            n_bytes = sum(len(piece) for piece in pieces)
+            writer.write(encode_head(status, n_bytes, headers))
+            for piece in pieces:
+                writer.write(piece)
+                if self.link is not None:
+                    await self.link.carry(len(piece))
+                    await writer.drain()
 
     async def answer(self, path, query):
-        """Return the status and the body for a call."""
+        """Return the status and the body, in pieces, for a call."""
         if path == "/kv-range":
             return 200, self.list_page(query.get("prefix", ""), query.get("after", ""))
         self.watch_arrived.set()
@@ -221,7 +255,7 @@
             await asyncio.sleep(0.01)
         self.drop_history()
         if after < self.dropped_revision:
-            return 410, b"{}"
+            return 410, [b"{}"]
         events = [event for event in self.events if event.revision > after]
         return 200, self.encode(b"events", events)
 
@@ -242,14 +276,13 @@
         return self.encode(b"items", items, b',"more_pages":' + more)
 
     def encode(self, name, events, others=b""):
-        """Return a document with events or items as bytes."""
-        listed = b",".join(event.data for event in events)
-        return b'{"%b":[%b],"current_rev":%d%b}' % (
-            name,
-            listed,
-            self.revision,
-            others,
-        )
+        """Return a document with events or items, in pieces of bytes."""
+        pieces = [b'{"%b":[' % name]
+        for event in events:
+            pieces += [event.data, b","]
+        if events:
+            pieces.pop()
+        return [*pieces, b'],"current_rev":%d%b}' % (self.revision, others)]
 
 
 class Runner(Listener):
