Streams: a process that has just started knows of no departure it has not seen

Cause: no record is left, so that the engines are asked. That a server of another version has left rules their evidence out, but a new process has seen none leave, and took that for knowledge. find_only_version asked whether the history is long enough; find_by_caches did not.

The six cases of test_runner_that_left_before_a_power_failure_is_known fail on that code.

Fix: what engines keep counts only if departures are known for as long as a caller waits and 4 s. A process that lacks this reads the history of the store (20 s), once, while the engines are asked; event 816 says what it found. A removal whose entry is older than the history is one of any version.

--- a/catkinfork/balancing/_resumption.py
+++ b/catkinfork/balancing/_resumption.py
@@ -9,6 +9,8 @@
 # a caller may have resumed it before.
 MIN_STREAM_AGE_S = 60.0
 STREAM_AGE_PER_TIMEOUT = 4.0
+# Time for which a backend server may begin streams after its entry is gone, seconds.
+SERVED_AFTER_REMOVAL_S = 4.0
 
 # How the origin of a stream is known, for the log.
 RECORDED = "recorded"
@@ -116,8 +118,9 @@
         that has only read the prompt was to go on with the stream, as forwarders send
         it to its own version only. If engines of several versions qualify, or one of
         another version did not answer, nothing is certain. The same holds if a server
-        of another version has left, or has started again, since the stream may have
-        begun: it may have written the stream, and took its memory along.
+        of another version, or of an unknown one, has left, or has started again, since
+        the stream may have begun: it may have written the stream, and took its memory
+        along. That none has is known only if :meth:`knows_departures`.
 
         :param job: :class:`Job`.
         :param n_events: events that the caller has received.
@@ -140,7 +143,8 @@
                         sending.add(origin)
         origins = sending or reading
         gone = self.list_left({service for service, _ in caches}, since)
-        if len(origins) != 1 or (silent | gone) - origins:
+        has_unknown = self.registry.versions.unknown_left_at >= since
+        if len(origins) != 1 or (silent | gone) - origins or has_unknown:
             return OriginFinding(None, UNKNOWN)
         return OriginFinding(origins.pop(), CACHED)
 
@@ -157,6 +161,19 @@
             for version in versions.list_left(service, since)
         }
 
+    def knows_departures(self, route, stated_s, asked_at):
+        """Return whether all servers are known that may have left since a stream began.
+
+        A process that has just started has seen none leave, which is no sign that none
+        has. The caller of a stream waits for the timeout of its route, and its server
+        may have been gone from the store for a while when it began.
+
+        :param stated_s: time that its caller will wait, seconds.
+        :param asked_at: monotonic time at which its caller asked, seconds.
+        """
+        age_s = max(route.timeout_s, stated_s) + SERVED_AFTER_REMOVAL_S
+        return self.registry.versions.known_since <= asked_at - age_s
+
     def compute_begin(self, route, stated_s, asked_at):
         """Return the monotonic time at which a stream began at the earliest, seconds.
 
--- a/catkinfork/forwarder/_process.py
+++ b/catkinfork/forwarder/_process.py
@@ -89,6 +89,7 @@
             await self.listen()
             self.tasks.start_soon(self.watcher.run)
             self.tasks.start_soon(self.watcher.read_on_request)
+            self.tasks.start_soon(self.watcher.read_past_on_request)
             self.tasks.start_soon(self.watcher.poll_peers)
             self.tasks.start_soon(self.sweep)
             self.tasks.start_soon(self.send_peer_frames)
@@ -143,6 +144,7 @@
             settings.store.fleet_reads_per_s,
         )
         self.server.request_read = self.watcher.request_read
+        self.server.request_past = self.watcher.request_past
 
         self.joining = Joining(self, control_port)
 
--- a/catkinfork/forwarding/_resumption.py
+++ b/catkinfork/forwarding/_resumption.py
@@ -122,6 +122,8 @@
             return False
         self.await_source(ENGINES, LOOKUP_TIMEOUT_S, now)
         self.request_caches(now)
+        if not self.knows_departures():
+            self.request_past()
         return True
 
     def request_caches(self, now):
@@ -129,6 +131,26 @@
         for service in self.services:
             self.server.cache_lookup.request(service, now)
 
+    def knows_departures(self):
+        """Return whether all servers are known that may have begun it and left."""
+        job = self.exchange.job
+        stated_s = read_stated_s(self.exchange)
+        origins = self.server.balancer.origins
+        return origins.knows_departures(job.route, stated_s, self.asked_at)
+
+    def request_past(self):
+        """Have the history of the store read, which tells which servers have left.
+
+        :returns: whether it is awaited.
+        """
+        server = self.server
+        if server.balancer.registry.versions.is_past_read:
+            return False
+        if server.request_past is None:
+            return False
+        server.request_past()
+        return True
+
     def check(self, now):
         """Decide once enough is known, or go on to the next source after a timeout.
 
@@ -169,8 +191,13 @@
             if caches is None:
                 self.request_caches(now)
                 return False
-            since = origins.compute_begin(job.route, stated_s, self.asked_at)
-            finding = origins.find_by_caches(job, self.count_events(), caches, since)
+            if self.knows_departures():
+                since = origins.compute_begin(job.route, stated_s, self.asked_at)
+                finding = origins.find_by_caches(
+                    job, self.count_events(), caches, since
+                )
+            elif self.request_past():
+                return False
         self.source = finding.source
         if self.must_wait(finding):
             return False
--- a/catkinfork/forwarding/_server.py
+++ b/catkinfork/forwarding/_server.py
@@ -56,7 +56,8 @@
 
     ``stop_signalled_at`` is the monotonic time of the signal to stop, or None.
     ``cache_lookup`` is the :class:`CacheLookup` of the engines, or None, and
-    ``request_read`` a callable that has the store read soon, or None.
+    ``request_read`` and ``request_past`` callables that have the store, or its history,
+    read soon, or None.
     """
 
     def __init__(self, balancer, names, loop, rng, write_log, spawn):
@@ -75,6 +76,7 @@
         self.resumptions = set()
         self.cache_lookup = None
         self.request_read = None
+        self.request_past = None
         self.pools = {}
         self.listeners = []
         self.lag = LagMonitor()
--- a/catkinfork/forwarding/tests/test_versions.py
+++ b/catkinfork/forwarding/tests/test_versions.py
@@ -16,6 +16,7 @@
     run_world,
 )
 from catkinfork.topology import RouteTable, TrafficShare, Workspace
+from catkinfork.topology._past import PastDepartures
 
 
 def test_log_states_versions():
@@ -429,3 +430,33 @@
         assert (len(older.requests), len(newer.requests)) == (0, 0)
 
     run_world(test)
+
+
+@pytest.mark.parametrize("known_s", [None, 1.0, 5.0, 8.5])
+def test_engines_tell_nothing_while_departures_are_not_known(known_s):
+    """Guards against a text of two versions as a process that starts has seen no leave.
+
+    A server of another version may have left before. The history of the store reaches
+    back too little, or cannot be read.
+    """
+
+    async def test(world):
+        (older,) = await world.start("engine", stream(1, 9), version="v1")
+        source = ListedParts({older.address: {0xA1: 60, 0xB2: 44}})
+        world.server.cache_lookup = CacheLookup(
+            world.balancer, source, world.server.spawn
+        )
+
+        def read_past():
+            if known_s is not None:
+                departures = PastDepartures([], has_unknown=False)
+                now = world.loop.time()
+                world.registry.versions.record_past(departures, known_s, now)
+
+        world.server.request_past = read_past
+        with anyio.fail_after(2.5):
+            reply = await resume(world, "Resumes: r-before")
+        assert reply.status == 503
+        assert not older.requests
+
+    run_world(test)
--- a/catkinfork/forwarding/tests/world.py
+++ b/catkinfork/forwarding/tests/world.py
@@ -30,6 +30,7 @@
     TrafficShare,
     Workspace,
 )
+from catkinfork.topology._past import PastDepartures
 
 KEY = "key-of-a"
 # Headers of a request to an engine, with a shared part and one of its own.
@@ -109,6 +110,7 @@
         )
         self.server.apply_configuration(RouteTable(build_configuration(limits)))
         self.server.request_read = self.read_store
+        self.server.request_past = self.read_past
         self.backends = []
         self.port = 0
         tasks.start_soon(self.sweep)
@@ -147,6 +149,11 @@
         """Let the store be read, which lists what the registry has."""
         self.registry.versions.record_read(time.monotonic())
 
+    def read_past(self):
+        """Let the history of the store be read, in which no server has left."""
+        departures = PastDepartures([], has_unknown=False)
+        self.registry.versions.record_past(departures, inf, time.monotonic())
+
     def set_long_running(self):
         """Let the forwarder know the versions and routes of a long time."""
         now = self.loop.time()
--- a/catkinfork/platform/_store.py
+++ b/catkinfork/platform/_store.py
@@ -1,6 +1,7 @@
 """Client for the platform's key-value store."""
 
 import base64
+from math import inf
 from typing import Annotated, Generic, NamedTuple, TypeVar
 from urllib.parse import urlencode
 
@@ -17,12 +18,14 @@
     EraChangedError,
     HistoryLostError,
     Item,
+    PastEntries,
     SourceError,
     SourceTimeoutError,
 )
 
 # Prefixes of the keys that operators and backend servers publish.
-PREFIXES = ("op/", "servers/")
+ENTRY_PREFIX = "servers/"
+PREFIXES = ("op/", ENTRY_PREFIX)
 # Long-poll timeout of a watch, milliseconds. It bounds the time until an unresponsive
 # connection is detected.
 WATCH_TIMEOUT_MS = 1000
@@ -31,6 +34,8 @@
 CHECK_WAIT_MS = 1
 CHECK_TIMEOUT_S = 0.5
 WATCH_TIMEOUT_MARGIN_S = 0.6
+# Time for which the store keeps its history, seconds.
+HISTORY_S = 20.0
 MAX_PAGES = 1000
 # Counts the restores of the store from a copy.
 ERA_HEADER = b"store-era"
@@ -51,6 +56,7 @@
     revision: Revision
     value: str = ""
     removed: bool = False
+    created: Revision = 0
 
 
 class KeyDocument(msgspec.Struct):
@@ -185,14 +191,37 @@
     async def retry(self, revision):
         return await self.watch(revision, CHECK_WAIT_MS, READ_TIMEOUT_S)
 
-    async def watch(self, revision, wait_ms, timeout_s):
+    async def read_past(self, revision):
+        """Return the past entries, from the oldest revision that the store still has.
+
+        The store does not state it: the search halves the range in each step.
+        """
+        era = self.era
+        lost, kept = -1, revision
+        after = 0
+        items = []
+        while kept - lost > 1:
+            try:
+                changes = await self.watch(
+                    after, CHECK_WAIT_MS, CHECK_TIMEOUT_S, ENTRY_PREFIX
+                )
+                kept, items = after, changes.items
+            except HistoryLostError:
+                lost = after
+            if self.era != era:
+                raise EraChangedError("the era of the store has changed meanwhile")
+            after = (lost + kept) // 2
+        return PastEntries(items, HISTORY_S if kept else inf)
+
+    async def watch(self, revision, wait_ms, timeout_s, prefix=""):
         """Return the :class:`Changes` after a revision.
 
         :param wait_ms: time for which the store waits for a change, milliseconds.
         :param timeout_s: time for which the response is awaited, seconds.
+        :param prefix: prefix of the keys.
         """
         era = self.era
-        query = {"prefix": "", "after": revision, "wait_ms": wait_ms}
+        query = {"prefix": prefix, "after": revision, "wait_ms": wait_ms}
         page = await self.read("/kv-watch", query, _WATCH, timeout_s)
         if self.era != era:
             raise EraChangedError("the era of the store has changed during a watch")
@@ -265,4 +294,4 @@
         # Malformed, or not ASCII. An empty value makes the decoder report the item with
         # its key.
         value = b""
-    return Item(document.key, value, document.revision)
+    return Item(document.key, value, document.revision, document.created)
--- a/catkinfork/platform/tests/standins.py
+++ b/catkinfork/platform/tests/standins.py
@@ -85,6 +85,7 @@
         self.events = []
         self.revision = 1
         self.era = 1
+        self.dropped_revision = 0
         self.refused_ports = set()
         self.silent_ports = set()
         self.waiting = set()
@@ -110,6 +111,12 @@
             self.items[key] = item
         self.events.append(item)
 
+    def drop_history(self, n_events):
+        """Drop the oldest events."""
+        if n_events:
+            self.dropped_revision = self.events[n_events - 1]["revision"]
+            del self.events[:n_events]
+
     def save(self):
         """Return a copy of the contents."""
         return dict(self.items), list(self.events), self.revision
@@ -119,6 +126,7 @@
         items, events, self.revision = copied
         self.items = dict(items)
         self.events = list(events)
+        self.dropped_revision = 0
         self.era += 1
 
     async def serve(self, reader, writer):
@@ -169,7 +177,7 @@
         """Return the events after a revision."""
         after = int(query["after"])
         era = self.era
-        if after > self.revision:
+        if not self.dropped_revision <= after <= self.revision:
             return 410, {}
         ends_at = time.monotonic() + int(query["wait_ms"]) / 1000
         while time.monotonic() < ends_at and port not in self.refused_ports:
--- a/catkinfork/platform/tests/test_documents.py
+++ b/catkinfork/platform/tests/test_documents.py
@@ -296,7 +296,7 @@
     changes = anyio.run(source.wait, 1)
     assert changes.revision == 9
     assert changes.items == [
-        Item("a", b"data", 4),
+        Item("a", b"data", 4, 4),
         Item("b", None, 5),
         Item("c", b"", 6),
     ]
--- a/catkinfork/platform/tests/test_versions.py
+++ b/catkinfork/platform/tests/test_versions.py
@@ -275,3 +275,34 @@
     """Return whether a forwarder no longer knows a runner."""
     backends = (await read_status(forwarder))["backend_servers"]
     return name not in [one["name"] for one in backends]
+
+
+@pytest.mark.parametrize("is_entry_dropped", [False, True])
+@pytest.mark.parametrize("n_kept_more", [-N_LAST_TOKENS, 0, 100])
+def test_runner_that_left_before_a_power_failure_is_known(
+    tmp_path, n_kept_more, is_entry_dropped
+):
+    """Guards against a text of two versions as a runner leaves before all hosts start.
+
+    The only runner of one version leaves, and just after that all forwarders lose
+    power: those that start have seen none leave. The other runner keeps the session's
+    part of the prompt from an earlier request, with less or more than the stream has
+    sent.
+    """
+
+    async def test(versions, first, second):
+        store = versions.platform.store
+        versions.older.lists_kept = versions.newer.lists_kept = True
+        versions.newer.kept |= {"a1": 20, LAST_PART: N_LAST_TOKENS + n_kept_more}
+        store.put("servers/i-1", None)
+        if is_entry_dropped:
+            # The entry was written long before, its removal just now.
+            store.drop_history(len(store.events) - 1)
+        await restart_all(versions)
+        n_before = versions.count_runs()
+        for forwarder in (first, second):
+            assert await resume(forwarder, "r-first") == (503, [])
+            assert await find_source(forwarder, "r-first") == "unknown"
+        assert versions.count_runs() == n_before
+
+    run_versions(test, tmp_path)
--- a/catkinfork/topology/_events.py
+++ b/catkinfork/topology/_events.py
@@ -130,6 +130,15 @@
     "store; the server is used until its entry is back or `held_s` have passed",
     ("backend_server", "service", "held_s"),
 )
+PAST_READ = Event(
+    816,
+    "info",
+    "past_read",
+    "the history of the store was read for backend servers that left before this "
+    "process knew them: `n_left` starts ended in it, and if `has_unknown` is set, "
+    "others did whose entries are older than the history",
+    ("source", "n_items", "n_left", "has_unknown", "covered_s"),
+)
 
 EVENTS = (
     CONFIGURATION_ADOPTED,
@@ -148,4 +157,5 @@
     UPDATE_FAILED,
     FIGURE_IGNORED,
     REMOVAL_HELD,
+    PAST_READ,
 )
--- a/catkinfork/topology/_source.py
+++ b/catkinfork/topology/_source.py
@@ -12,11 +12,13 @@
     :param key: key of the item.
     :param value: encoded value, or None if the item has been removed.
     :param revision: store revision of the last change.
+    :param created: store revision at which the key was created, 0 if unknown.
     """
 
     key: str
     value: bytes | None
     revision: int
+    created: int = 0
 
 
 class Position(NamedTuple):
@@ -64,6 +66,17 @@
         return Position(self.era, self.revision)
 
 
+class PastEntries(NamedTuple):
+    """What the history of a source tells of the entries of backend servers.
+
+    :param items: :class:`Item` entries in the order in which they were written.
+    :param covered_s: time for which they are complete, seconds.
+    """
+
+    items: list
+    covered_s: float
+
+
 class SourceError(Exception):
     """A source failed or sent an unexpected response.
 
@@ -129,6 +142,13 @@
         """
         return await self.read_changes(revision)
 
+    async def read_past(self, revision):
+        """Return the :class:`PastEntries` before a revision, or None if there are none.
+
+        :raises SourceError: if the source fails.
+        """
+        return
+
 
 class BasePeers(ABC):
     """The other forwarders, as sources of their state."""
--- a/catkinfork/topology/_versions.py
+++ b/catkinfork/topology/_versions.py
@@ -20,7 +20,9 @@
     the first read of the store, and ``read_at`` that of the last read. ``asked_at`` is
     the latest start of a read, as of which the entries are known, and ``gap_s`` the
     time for which they were not before the last read. Until ``settled_at``, entries of
-    servers that live may be missing from the store.
+    servers that live may be missing from the store. ``is_past_read`` states whether the
+    history of the store was read for the time before ``known_since``, and
+    ``unknown_left_at`` is the last time at which a server of an unknown version left.
     """
 
     def __init__(self):
@@ -30,6 +32,8 @@
         self.asked_at = -inf
         self.settled_at = -inf
         self.gap_s = 0.0
+        self.is_past_read = False
+        self.unknown_left_at = -inf
 
     def record_read(self, now, asked_at=None):
         """Record that the entries of all backend servers were read.
@@ -41,7 +45,7 @@
         asked_at = now if asked_at is None else asked_at
         self.gap_s = now - self.asked_at
         if now - self.read_at > MAX_READ_GAP_S:
-            self.known_since = now
+            self.start_anew(now)
         self.read_at = now
         if asked_at >= self.settled_at:
             self.asked_at = max(self.asked_at, asked_at)
@@ -54,9 +58,29 @@
         """
         self.gap_s = now - self.asked_at
         if self.gap_s > MAX_LIST_GAP_S and self.known_since < now:
-            self.known_since = now
+            self.start_anew(now)
         self.settled_at = max(self.settled_at, settled_at)
 
+    def start_anew(self, now):
+        """Record that nothing is known of the time before now."""
+        self.known_since = now
+        self.is_past_read = False
+
+    def record_past(self, departures, covered_s, now):
+        """Record what the history of the store tells of the time before it was read.
+
+        When a server left is not known, so that it may have been just now.
+
+        :param departures: :class:`PastDepartures`.
+        :param covered_s: time for which the history is complete, seconds.
+        """
+        self.is_past_read = True
+        for entry in departures.entries:
+            self.record_left(entry, now)
+        if departures.has_unknown:
+            self.unknown_left_at = now
+        self.known_since = min(self.known_since, now - covered_s)
+
     def record_left(self, entry, now):
         """Record that a backend server has left, or has started again.
 
@@ -73,6 +97,8 @@
         :param since: monotonic time, seconds.
         :param until: monotonic time, seconds.
         """
+        if self.unknown_left_at >= since:
+            return False
         return self.known_since <= since and self.asked_at >= until
 
     def record_told(self, service, version, left_at):
--- a/catkinfork/topology/_watcher.py
+++ b/catkinfork/topology/_watcher.py
@@ -8,12 +8,14 @@
 import anyio
 
 from catkinfork.observability import log_event
-from catkinfork.topology._checks import limit_detail
+from catkinfork.topology._checks import MAX_DURATION_S, limit_detail
 from catkinfork.topology._events import (
+    PAST_READ,
     SOURCE_LOST,
     SOURCE_REGAINED,
     UPDATE_FAILED,
 )
+from catkinfork.topology._past import PastFollower
 from catkinfork.topology._source import (
     EraChangedError,
     HistoryLostError,
@@ -90,6 +92,7 @@
         self.read_at = None
         self.n_reads = 0
         self.read_requested = anyio.Event()
+        self.past_requested = anyio.Event()
         self.failure_logged_at = -inf
         self.n_unlogged_failures = 0
 
@@ -249,6 +252,51 @@
             # As in update.
             self.log_unexpected(error, self.source.name)
 
+    def request_past(self):
+        """Have the history of the store read soon, for the time before this process."""
+        self.past_requested.set()
+
+    async def read_past_on_request(self):
+        """Read the history in a loop, each time that this was requested."""
+        while True:
+            await self.past_requested.wait()
+            self.past_requested = anyio.Event()
+            await self.read_past()
+            n_forwarders = self.peers.count_forwarders()
+            await anyio.sleep(compute_requested_interval_s(n_forwarders))
+
+    async def read_past(self):
+        """Read the history once; what cannot be read stays unknown."""
+        versions = self.state.registry.versions
+        if not self.has_full_list or versions.is_past_read:
+            return
+        try:
+            past = await self.source.read_past(self.state.revision)
+        except SourceError:
+            return
+        except Exception as error:
+            # As in update.
+            self.log_unexpected(error, self.source.name)
+            return
+        if past is None:
+            versions.is_past_read = True
+            return
+        follower = PastFollower(self.state.decode)
+        for item in past.items:
+            follower.follow(item)
+        departures = follower.list_departures(self.state.registry.backends)
+        versions.record_past(departures, past.covered_s, time.monotonic())
+        self.write_log(
+            log_event(
+                PAST_READ,
+                source=self.source.name,
+                n_items=len(past.items),
+                n_left=len(departures.entries),
+                has_unknown=departures.has_unknown,
+                covered_s=min(past.covered_s, MAX_DURATION_S),
+            )
+        )
+
     def apply(self, changes, source):
         """Apply changes; missing entries are kept for a time after a new era."""
         now = time.monotonic()
