Store: values that name nothing to use are not kept, nor told to peers

All processes end by their memory (150 MB) once a second, and no request is answered.

Cause: an entry that is ignored cost its whole size in each reader. The replica kept its value, the list held all pages with their text, and the state for peers encoded all of it for each peer that asked.

Fix: the replica drops a value that names nothing once it is decoded; a key that named a server stays without its value, for peers. Entries without a configured service are bounded (1,024 of 4 KiB), with a new list once their service may be named. Values beyond 64 KiB are not decoded, and pages are converted one by one. A list that was cut after 1,000 pages counted as full; it is read to its end.

--- a/catkinfork/platform/_documents.py
+++ b/catkinfork/platform/_documents.py
@@ -206,6 +206,10 @@
         if item.value is None:
             return EntryItem(name, None)
         check_id(name, "id")
+        if not item.value:
+            raise ValueError(
+                f"expected base64 of 1 to {MAX_ENTRY_BYTES} bytes as the value"
+            )
         check_integer(len(item.value), "size in bytes", 0, MAX_ENTRY_BYTES)
         document = check_entry(_ENTRY.decode(item.value))
         entry = BackendEntry(
--- a/catkinfork/platform/_store.py
+++ b/catkinfork/platform/_store.py
@@ -9,6 +9,11 @@
 
 from catkinfork.forwarding import FetchError, FetchTimeoutError
 from catkinfork.observability import log_event
+from catkinfork.platform._documents import (
+    CONFIGURATION_KEY,
+    ENTRY_PREFIX,
+    MAX_ENTRY_BYTES,
+)
 from catkinfork.topology import (
     ERA_IGNORED,
     MAX_ERA,
@@ -24,7 +29,6 @@
 )
 
 # Prefixes of the keys that operators and backend servers publish.
-ENTRY_PREFIX = "servers/"
 PREFIXES = ("op/", ENTRY_PREFIX)
 # Long-poll timeout of a watch, milliseconds. It bounds the time until an unresponsive
 # connection is detected.
@@ -36,7 +40,8 @@
 WATCH_TIMEOUT_MARGIN_S = 0.6
 # Time for which the store keeps its history, seconds.
 HISTORY_S = 20.0
-MAX_PAGES = 1000
+# Length of the text of the largest value that is read of an entry, in base64.
+MAX_ENTRY_TEXT = 4 * (MAX_ENTRY_BYTES // 3 + 1)
 # Counts the restores of the store from a copy.
 ERA_HEADER = b"store-era"
 MAX_ERA_DIGITS = len(str(MAX_ERA))
@@ -127,10 +132,13 @@
 class Page(NamedTuple):
     """A page of a list.
 
+    :param items: :class:`Item` entries.
+    :param revision: revision of the store.
     :param era: era of the store in which it was read.
     """
 
-    document: RangeDocument
+    items: list
+    revision: int
     era: int
 
 
@@ -161,25 +169,32 @@
         if any(page.era != self.era for page in pages):
             raise EraChangedError("the era of the store has changed between two pages")
         for page in pages:
-            items += [convert_item(item) for item in page.document.items]
+            items += page.items
         # The first watch returns changes between the reads again.
-        revision = min(page.document.current_rev for page in pages)
+        revision = min(page.revision for page in pages)
         return Changes(items, revision, is_full=True, era=self.era)
 
     async def list_pages(self, prefix):
-        """Return the :class:`Page` entries of all items with a prefix."""
+        """Return the :class:`Page` entries of all items with a prefix.
+
+        Each page is converted before the next one is read, as they may be large.
+
+        :raises SourceError: if the pages do not come to an end.
+        """
         pages = []
         after = ""
-        for _ in range(MAX_PAGES):
+        while True:
             query = {"prefix": prefix}
             if after:
                 query["after"] = after
             document = await self.read("/kv-range", query, _RANGE, READ_TIMEOUT_S)
-            pages.append(Page(document, self.era))
-            if not document.more_pages or not document.items:
-                break
-            after = document.items[-1].key
-        return pages
+            items = [convert_item(item) for item in document.items]
+            pages.append(Page(items, document.current_rev, self.era))
+            if not document.more_pages:
+                return pages
+            if not items or items[-1].key <= after:
+                raise SourceError("a page of the list does not go on after the last")
+            after = items[-1].key
 
     async def wait(self, revision):
         timeout_s = WATCH_TIMEOUT_MS / 1000 + WATCH_TIMEOUT_MARGIN_S
@@ -288,6 +303,9 @@
     """Convert a document to an :class:`Item`."""
     if document.removed:
         return Item(document.key, None, document.revision)
+    if len(document.value) > MAX_ENTRY_TEXT and document.key != CONFIGURATION_KEY:
+        # Nobody reads a larger value, of which another writer may have written many.
+        return Item(document.key, b"", document.revision, document.created)
     try:
         value = base64.b64decode(document.value, validate=True)
     except ValueError:
--- a/catkinfork/topology/_state.py
+++ b/catkinfork/topology/_state.py
@@ -10,6 +10,7 @@
     FIGURE_IGNORED,
     STORE_RESTORED,
 )
+from catkinfork.topology._recent import RecentTable
 from catkinfork.topology._routes import RouteTable
 from catkinfork.topology._source import (
     ConfigurationItem,
@@ -25,6 +26,10 @@
 # Time after a restore of the store for which the known evacuations stay in force where
 # the copy differs, seconds. The operator publishes the latest ones again meanwhile.
 EVACUATION_HOLD_S = 10.0
+# Entries of services that no configuration names, of which another writer may write any
+# number, and the largest value that is kept of one.
+MAX_UNCONFIGURED = 1024
+MAX_UNCONFIGURED_BYTES = 4096
 
 
 class UnconfiguredEntry(NamedTuple):
@@ -32,10 +37,12 @@
 
     :param entry: :class:`BackendEntry`.
     :param read_at: monotonic time at which it was read, seconds.
+    :param key: key of its item.
     """
 
     entry: BackendEntry
     read_at: float
+    key: str
 
 
 class TopologyState:
@@ -48,6 +55,10 @@
 
     ``unconfigured`` has the latest entries by name of backend servers whose service a
     later configuration may name: an entry that does not change is not read again.
+    ``lacks_unconfigured`` states whether some were too many or too large to be kept,
+    and ``must_list`` that a new configuration may name their services, so that the
+    store has to be listed again. ``items`` has what is told to peers: a value that
+    names nothing is not kept, but for the key of one that named a backend server.
     ``evacuated`` has the data centres that the store lists as evacuated; the registry
     has those in force.
     """
@@ -62,9 +73,12 @@
         self.revision = 0
         self.routes = None
         self.configuration_item = None
-        self.unconfigured = {}
+        self.unconfigured = RecentTable(MAX_UNCONFIGURED)
+        self.lacks_unconfigured = False
+        self.must_list = False
         self.evacuated = set()
         self.evacuations_held_until = None
+        self.services = set()
 
     @property
     def position(self):
@@ -138,8 +152,8 @@
 
     def apply_copied_item(self, item, source, now, expires_at):
         """Apply an item of a store that was restored from a copy."""
-        self.items[item.key] = item
         decoded = self.decode(item)
+        self.keep(item, decoded)
         if isinstance(decoded, EvacuationItem):
             self.evacuated.add(decoded.data_centre)
             return
@@ -205,13 +219,35 @@
 
     def apply_item(self, item, source, now, expires_at):
         """Apply one item that is newer than the known one."""
-        if item.value is None:
-            self.items.pop(item.key, None)
-        else:
-            self.items[item.key] = item
         decoded = self.decode(item)
+        self.keep(item, decoded)
         self.apply_decoded(decoded, item, source, now, expires_at)
 
+    def keep(self, item, decoded):
+        """Keep an item for peers, without what nobody reads of it.
+
+        Another writer may have written any value, and any number of them.
+
+        :param decoded: typed form of the item, or None.
+        """
+        key = item.key
+        is_unreadable = isinstance(decoded, UnreadableItem)
+        if is_unreadable and not decoded.is_entry and self.is_configuration(key):
+            item = self.configuration_item._replace(revision=item.revision)
+        elif is_unreadable and decoded.is_entry and key in self.items:
+            # A peer that has the former value drops it at once.
+            item = item._replace(value=b"")
+        elif isinstance(decoded, EvacuationItem) and item.value is not None:
+            item = item._replace(value=b"")
+        elif is_unreadable or decoded is None or item.value is None:
+            self.items.pop(key, None)
+            return
+        elif isinstance(decoded, UnconfiguredItem) and not is_short(item):
+            self.items.pop(key, None)
+            self.lacks_unconfigured = True
+            return
+        self.items[key] = item
+
     def decode(self, item):
         """Return the typed form of an item, or None if it is irrelevant.
 
@@ -268,7 +304,11 @@
     def apply_configured_entries(self, configuration, source):
         """Apply the entries read before whose service a new configuration names."""
         services = configuration.list_services()
-        for name, (entry, read_at) in list(self.unconfigured.items()):
+        if self.lacks_unconfigured and services - self.services:
+            self.must_list = True
+            self.lacks_unconfigured = False
+        self.services = services
+        for name, (entry, read_at, _) in list(self.unconfigured.items()):
             if entry.service not in services:
                 continue
             del self.unconfigured[name]
@@ -309,7 +349,23 @@
         detail = f"service {entry.service!r} is not configured"
         self.registry.log_ignored(item.key, source, limit_detail(detail), now)
         self.registry.remove(entry.name, now, now)
-        self.unconfigured[entry.name] = UnconfiguredEntry(entry, now)
+        if not is_short(item):
+            self.unconfigured.pop(entry.name, None)
+            return
+        if len(self.unconfigured) == MAX_UNCONFIGURED:
+            self.forget_oldest(entry.name)
+        self.unconfigured[entry.name] = UnconfiguredEntry(entry, now, item.key)
+
+    def forget_oldest(self, name):
+        """Forget the entry without a configured service that was read first.
+
+        :param name: name of the backend server whose entry is kept in its place. If it
+            has one already, nothing is forgotten.
+        """
+        if name not in self.unconfigured:
+            _, oldest = self.unconfigured.popitem(last=False)
+            self.items.pop(oldest.key, None)
+            self.lacks_unconfigured = True
 
     def apply_evacuation(self, decoded):
         """Apply the evacuation state of a data centre."""
@@ -339,3 +395,8 @@
                 detail=decoded.detail,
             )
         )
+
+
+def is_short(item):
+    """Return whether an entry without a configured service may be kept."""
+    return len(item.value) <= MAX_UNCONFIGURED_BYTES
--- a/catkinfork/topology/_watcher.py
+++ b/catkinfork/topology/_watcher.py
@@ -205,6 +205,9 @@
             self.record_list(changes, self.read_at)
         self.apply(changes, self.source.name)
         self.state.registry.versions.record_read(self.read_at, asked_at)
+        if self.state.must_list:
+            self.state.must_list = False
+            self.has_full_list = False
         if changes.items or changes.is_full:
             self.on_change()
 
