Store: long answers are read item by item, and the operator's items beside them

Cause: a watch has no pages, and HttpClient gave up a body beyond 16 MiB. The watcher asked again from the same revision, for an answer that only grew, until the history was dropped. No other change got through either.

Fix: a body beyond 1 MiB goes to a reader in parts, which splits it into items, drops what nobody reads and has the rest applied as it arrives. What operators publish is read beside a long answer every 0.3 s. Ignored entries get at most 100 lines a minute, as they pushed other lines out of the log.

--- a/catkinfork/forwarder/_process.py
+++ b/catkinfork/forwarder/_process.py
@@ -90,6 +90,7 @@
             self.tasks.start_soon(self.watcher.run)
             self.tasks.start_soon(self.watcher.read_on_request)
             self.tasks.start_soon(self.watcher.read_past_on_request)
+            self.tasks.start_soon(self.watcher.follow_operator)
             self.tasks.start_soon(self.watcher.poll_peers)
             self.tasks.start_soon(self.sweep)
             self.tasks.start_soon(self.send_peer_frames)
--- a/catkinfork/forwarding/__init__.py
+++ b/catkinfork/forwarding/__init__.py
@@ -3,6 +3,7 @@
 from catkinfork.forwarding._admin import AdminResponse, AdminServer
 from catkinfork.forwarding._cache_lookup import BasePromptPartSource, CacheLookup
 from catkinfork.forwarding._client import (
+    BaseBodyReader,
     FetchedResponse,
     FetchError,
     FetchTimeoutError,
@@ -27,6 +28,7 @@
 from catkinfork.forwarding._server import SWEEP_INTERVAL_S, ForwardingServer
 
 __all__ = [
+    "BaseBodyReader",
     "CALLBACK_FAILED",
     "DRAIN_STARTED",
     "EVENTS",
--- a/catkinfork/platform/_store.py
+++ b/catkinfork/platform/_store.py
@@ -1,35 +1,35 @@
 """Client for the platform's key-value store."""
 
-import base64
 from math import inf
-from typing import Annotated, Generic, NamedTuple, TypeVar
+from typing import NamedTuple
 from urllib.parse import urlencode
 
-import msgspec
-
 from catkinfork.forwarding import FetchError, FetchTimeoutError
 from catkinfork.observability import log_event
-from catkinfork.platform._documents import (
-    CONFIGURATION_KEY,
-    ENTRY_PREFIX,
-    MAX_ENTRY_BYTES,
+from catkinfork.platform._documents import ENTRY_PREFIX
+from catkinfork.platform._pages import (
+    MALFORMED,
+    PageDecoder,
+    PageReader,
+    RangeDocument,
+    WatchDocument,
 )
 from catkinfork.topology import (
     ERA_IGNORED,
     MAX_ERA,
-    MAX_INTEGER,
     BaseSource,
     Changes,
     EraChangedError,
     HistoryLostError,
-    Item,
+    PartialList,
     PastEntries,
     SourceError,
     SourceTimeoutError,
 )
 
 # Prefixes of the keys that operators and backend servers publish.
-PREFIXES = ("op/", ENTRY_PREFIX)
+OPERATOR_PREFIX = "op/"
+PREFIXES = (OPERATOR_PREFIX, ENTRY_PREFIX)
 # Long-poll timeout of a watch, milliseconds. It bounds the time until an unresponsive
 # connection is detected.
 WATCH_TIMEOUT_MS = 1000
@@ -40,95 +40,11 @@
 WATCH_TIMEOUT_MARGIN_S = 0.6
 # Time for which the store keeps its history, seconds.
 HISTORY_S = 20.0
-# Length of the text of the largest value that is read of an entry, in base64.
-MAX_ENTRY_TEXT = 4 * (MAX_ENTRY_BYTES // 3 + 1)
 # Counts the restores of the store from a copy.
 ERA_HEADER = b"store-era"
 MAX_ERA_DIGITS = len(str(MAX_ERA))
 
 
-# Errors of a response that cannot be decoded. A nested one exceeds the recursion limit.
-MALFORMED = (msgspec.DecodeError, RecursionError)
-
-Revision = Annotated[int, msgspec.Meta(ge=0, le=MAX_INTEGER)]
-ItemType = TypeVar("ItemType")
-
-
-class ItemDocument(msgspec.Struct):
-    """An item or its removal."""
-
-    key: str
-    revision: Revision
-    value: str = ""
-    removed: bool = False
-    created: Revision = 0
-
-
-class KeyDocument(msgspec.Struct):
-    """The key of an item whose other fields cannot be read."""
-
-    key: str
-
-
-class RangeDocument(msgspec.Struct, Generic[ItemType]):
-    """A page of items. ``current_rev`` is the revision of the store."""
-
-    items: list[ItemType]
-    current_rev: Revision
-    more_pages: bool = False
-
-
-class WatchDocument(msgspec.Struct, Generic[ItemType]):
-    """Changes since a revision."""
-
-    current_rev: Revision
-    items: list[ItemType] = msgspec.field(name="events")
-
-
-class PageDecoder:
-    """Decodes pages of items, of which some may be odd.
-
-    :param document_type: generic type of the page.
-    """
-
-    def __init__(self, document_type):
-        self.strict = msgspec.json.Decoder(document_type[ItemDocument])
-        self.lenient = msgspec.json.Decoder(document_type[msgspec.Raw])
-
-    def decode(self, body):
-        """Return the decoded page.
-
-        An item that cannot be read counts as written at the revision of the page, with
-        an empty value; one without a key is left out.
-
-        :raises MALFORMED: if the page cannot be read.
-        """
-        try:
-            return self.strict.decode(body)
-        except MALFORMED:
-            page = self.lenient.decode(body)
-        items = [decode_item(raw, page.current_rev) for raw in page.items]
-        page.items = [item for item in items if item is not None]
-        return page
-
-
-def decode_item(raw, revision):
-    """Return an item of a page, without its value if it cannot be read, or None.
-
-    :param raw: the item as JSON.
-    :param revision: revision of the page.
-    """
-    try:
-        return msgspec.json.decode(raw, type=ItemDocument)
-    except MALFORMED:
-        pass
-    try:
-        key = msgspec.json.decode(raw, type=KeyDocument).key
-    except MALFORMED:
-        return None
-    return ItemDocument(key, revision)
-
-
 class Page(NamedTuple):
     """A page of a list.
 
@@ -142,8 +58,8 @@
     era: int
 
 
-_RANGE = PageDecoder(RangeDocument)
-_WATCH = PageDecoder(WatchDocument)
+_RANGE = PageDecoder(RangeDocument, "items")
+_WATCH = PageDecoder(WatchDocument, "events")
 
 
 class StoreSource(BaseSource):
@@ -165,7 +81,7 @@
         items = []
         pages = []
         for prefix in PREFIXES:
-            pages += await self.list_pages(prefix)
+            pages += await self.list_pages(prefix, self.on_long_read)
         if any(page.era != self.era for page in pages):
             raise EraChangedError("the era of the store has changed between two pages")
         for page in pages:
@@ -174,11 +90,12 @@
         revision = min(page.revision for page in pages)
         return Changes(items, revision, is_full=True, era=self.era)
 
-    async def list_pages(self, prefix):
+    async def list_pages(self, prefix, on_page=None):
         """Return the :class:`Page` entries of all items with a prefix.
 
         Each page is converted before the next one is read, as they may be large.
 
+        :param on_page: callable that is called before each further page, or None.
         :raises SourceError: if the pages do not come to an end.
         """
         pages = []
@@ -187,24 +104,31 @@
             query = {"prefix": prefix}
             if after:
                 query["after"] = after
-            document = await self.read("/kv-range", query, _RANGE, READ_TIMEOUT_S)
-            items = [convert_item(item) for item in document.items]
+            reader = PageReader(_RANGE)
+            document = await self.read("/kv-range", query, reader, READ_TIMEOUT_S)
+            items = document.items
             pages.append(Page(items, document.current_rev, self.era))
             if not document.more_pages:
                 return pages
             if not items or items[-1].key <= after:
                 raise SourceError("a page of the list does not go on after the last")
             after = items[-1].key
+            if on_page is not None:
+                on_page()
 
     async def wait(self, revision):
         timeout_s = WATCH_TIMEOUT_MS / 1000 + WATCH_TIMEOUT_MARGIN_S
-        return await self.watch(revision, WATCH_TIMEOUT_MS, timeout_s)
+        return await self.watch(
+            revision, WATCH_TIMEOUT_MS, timeout_s, on_items=self.hand_on
+        )
 
     async def read_changes(self, revision):
         return await self.watch(revision, CHECK_WAIT_MS, CHECK_TIMEOUT_S)
 
     async def retry(self, revision):
-        return await self.watch(revision, CHECK_WAIT_MS, READ_TIMEOUT_S)
+        return await self.watch(
+            revision, CHECK_WAIT_MS, READ_TIMEOUT_S, on_items=self.hand_on
+        )
 
     async def read_past(self, revision):
         """Return the past entries, from the oldest revision that the store still has.
@@ -228,30 +152,53 @@
             after = (lost + kept) // 2
         return PastEntries(items, HISTORY_S if kept else inf)
 
-    async def watch(self, revision, wait_ms, timeout_s, prefix=""):
+    async def watch(self, revision, wait_ms, timeout_s, prefix="", on_items=None):
         """Return the :class:`Changes` after a revision.
 
         :param wait_ms: time for which the store waits for a change, milliseconds.
         :param timeout_s: time for which the response is awaited, seconds.
         :param prefix: prefix of the keys.
+        :param on_items: callable that takes the head and items of a long response.
         """
         era = self.era
         query = {"prefix": prefix, "after": revision, "wait_ms": wait_ms}
-        page = await self.read("/kv-watch", query, _WATCH, timeout_s)
+        reader = PageReader(_WATCH, on_items)
+        page = await self.read("/kv-watch", query, reader, timeout_s)
         if self.era != era:
             raise EraChangedError("the era of the store has changed during a watch")
-        items = [convert_item(item) for item in page.items]
-        return Changes(items, page.current_rev, is_full=False, era=era)
+        return Changes(page.items, page.current_rev, is_full=False, era=era)
+
+    def hand_on(self, head, items):
+        """Hand on items of a long watch, unless they may be of another era.
+
+        :returns: whether they were applied.
+        """
+        self.on_long_read()
+        stated = head.find_header(ERA_HEADER) or b""
+        if stated.strip() != b"%d" % self.era:
+            return False
+        return self.on_items(items, self.era)
+
+    async def read_operator_items(self):
+        """Return all items of the operator, and the prefix of their keys."""
+        era = self.era
+        pages = await self.list_pages(OPERATOR_PREFIX)
+        if self.era != era:
+            raise EraChangedError("the era of the store has changed between two pages")
+        items = [item for page in pages for item in page.items]
+        revision = min(page.revision for page in pages)
+        return PartialList(OPERATOR_PREFIX, items, revision, era)
 
-    async def read(self, path, query, decoder, timeout_s):
-        """Return the decoded response to a request.
+    async def read(self, path, query, reader, timeout_s):
+        """Return the page in the response to a request.
 
+        :param reader: :class:`PageReader`.
         :raises HistoryLostError: if the store no longer has the requested changes.
         :raises SourceError: if there is no valid response.
         """
         try:
             target = f"{path}?{urlencode(query)}"
-            response = await self.client.fetch(target, timeout_s)
+            response = await self.client.fetch(target, timeout_s, reader)
         except FetchTimeoutError as error:
             raise SourceTimeoutError(error.detail) from error
         except FetchError as error:
@@ -264,7 +211,7 @@
         if response.status != 200:
             raise SourceError(f"unexpected status {response.status}")
         try:
-            return decoder.decode(response.body)
+            return reader.finish(response.body)
         except MALFORMED as error:
             raise SourceError(f"malformed response: {error}") from error
 
@@ -297,19 +244,3 @@
         self.write_log(
             log_event(ERA_IGNORED, value=stated, era=self.era, detail=detail)
         )
-
-
-def convert_item(document):
-    """Convert a document to an :class:`Item`."""
-    if document.removed:
-        return Item(document.key, None, document.revision)
-    if len(document.value) > MAX_ENTRY_TEXT and document.key != CONFIGURATION_KEY:
-        # Nobody reads a larger value, of which another writer may have written many.
-        return Item(document.key, b"", document.revision, document.created)
-    try:
-        value = base64.b64decode(document.value, validate=True)
-    except ValueError:
-        # Malformed, or not ASCII. An empty value makes the decoder report the item with
-        # its key.
-        value = b""
-    return Item(document.key, value, document.revision, document.created)
--- a/catkinfork/topology/_registry.py
+++ b/catkinfork/topology/_registry.py
@@ -31,6 +31,9 @@
 # Time between two log lines on ignored entries with one key, which another writer may
 # write with each heartbeat, seconds.
 IGNORED_LOG_INTERVAL_S = 60.0
+# Lines on ignored entries within that time, of all keys together: another writer may
+# use any number of them, and the lines on servers in use must not be lost among these.
+MAX_IGNORED_LINES = 100
 # Longest pause that a backend server may ask for, seconds.
 MAX_PAUSE_S = 300.0
 # Time after a pause within which the rate of requests is limited, seconds.
@@ -115,6 +118,8 @@
         self.leaving = RecentTable(MAX_LEAVING)
         self.throttled = RecentTable(MAX_THROTTLED)
         self.ignored = RecentTable(MAX_IGNORED)
+        self.ignored_since = -inf
+        self.n_ignored_lines = 0
         self.successions = RecentTable(MAX_SUCCESSIONS)
         self.rate_limits = RateLimitTable(write_log)
         self.versions = VersionHistory()
@@ -261,9 +266,14 @@
     def log_ignored(self, key, source, detail, now):
         """Log that an entry is ignored, once in a while for each key."""
         logged_at, n_unlogged = self.ignored.get(key, (-inf, 0))
-        if now - logged_at < IGNORED_LOG_INTERVAL_S:
+        if now - self.ignored_since >= IGNORED_LOG_INTERVAL_S:
+            self.ignored_since = now
+            self.n_ignored_lines = 0
+        is_full = self.n_ignored_lines >= MAX_IGNORED_LINES
+        if is_full or now - logged_at < IGNORED_LOG_INTERVAL_S:
             self.ignored[key] = (logged_at, n_unlogged + 1)
             return
+        self.n_ignored_lines += 1
         self.ignored[key] = (now, 0)
         self.write_log(
             log_event(
--- a/catkinfork/topology/_source.py
+++ b/catkinfork/topology/_source.py
@@ -66,6 +66,20 @@
         return Position(self.era, self.revision)
 
 
+class PartialList(NamedTuple):
+    """All items whose keys have a prefix.
+
+    :param items: :class:`Item` entries.
+    :param revision: store revision up to which the list is complete.
+    :param era: era of the store in which the items were read.
+    """
+
+    prefix: str
+    items: list
+    revision: int
+    era: int
+
+
 class PastEntries(NamedTuple):
     """What the history of a source tells of the entries of backend servers.
 
@@ -100,15 +114,26 @@
     """The store has begun a new era during a read."""
 
 
+def ignore_call(*arguments):
+    """Do nothing, and return False."""
+    return False
+
+
 class BaseSource(ABC):
     """Source of published items, with snapshot reads and long polling.
 
-    ``era`` is the greatest era that the source has stated.
+    ``era`` is the greatest era that the source has stated, ``on_items`` a callable that
+    takes items of an answer that is still being read, and their era, and returns
+    whether they were applied, and
+    ``on_long_read`` one that is called as long as an answer takes long to read.
     """
 
     name = ""
     era = 0
 
+    on_items = staticmethod(ignore_call)
+    on_long_read = staticmethod(ignore_call)
+
     @abstractmethod
     async def list_all(self):
         """Return a full snapshot as :class:`Changes`.
@@ -142,6 +167,13 @@
         """
         return await self.read_changes(revision)
 
+    async def read_operator_items(self):
+        """Return the :class:`PartialList` of what operators publish, or None.
+
+        :raises SourceError: if the source fails.
+        """
+        return
+
     async def read_past(self, revision):
         """Return the :class:`PastEntries` before a revision, or None if there are none.
 
--- a/catkinfork/topology/_state.py
+++ b/catkinfork/topology/_state.py
@@ -13,6 +13,7 @@
 from catkinfork.topology._recent import RecentTable
 from catkinfork.topology._routes import RouteTable
 from catkinfork.topology._source import (
+    Changes,
     ConfigurationItem,
     EntryItem,
     EvacuationItem,
@@ -114,6 +115,24 @@
                 self.apply_item(item, source, now, expires_at)
         self.revision = max(self.revision, changes.revision)
 
+    def apply_part(self, part, source, now):
+        """Apply the items of one prefix; what is told of others stays as it is.
+
+        :param part: :class:`PartialList`.
+        """
+        if part.era != self.era:
+            return
+        listed = {item.key for item in part.items}
+        gone = [
+            Item(key, None, part.revision)
+            for key in self.items
+            if key.startswith(part.prefix)
+            and key not in listed
+            and not self.is_configuration(key)
+        ]
+        items = part.items + gone
+        self.apply(Changes(items, self.revision, False, self.era), source, now, now)
+
     def adopt_era(self, changes, source, now, expires_at):
         """Replace the items by those of a store that was restored from a copy.
 
--- a/catkinfork/topology/_watcher.py
+++ b/catkinfork/topology/_watcher.py
@@ -17,6 +17,7 @@
 )
 from catkinfork.topology._past import PastFollower
 from catkinfork.topology._source import (
+    Changes,
     EraChangedError,
     HistoryLostError,
     SourceError,
@@ -28,6 +29,8 @@
 MIN_READ_INTERVAL_S = 0.15
 MAX_READ_INTERVAL_S = 0.6
 DEFAULT_FLEET_READS_PER_S = 110.0
+# Pause between two reads of what operators publish, beside an answer that takes long.
+OPERATOR_READ_INTERVAL_S = 0.3
 # The same for reads on request, which streams wait for that their callers resume.
 MAX_FLEET_REQUESTED_READS_PER_S = 400.0
 # Exponential backoff after failures.
@@ -93,6 +96,10 @@
         self.n_reads = 0
         self.read_requested = anyio.Event()
         self.past_requested = anyio.Event()
+        self.long_read = anyio.Event()
+        self.is_read_long = False
+        source.on_items = self.apply_items
+        source.on_long_read = self.record_long_read
         self.failure_logged_at = -inf
         self.n_unlogged_failures = 0
 
@@ -127,6 +134,7 @@
         :returns: time until the next read, seconds.
         """
         started_at = time.monotonic()
+        self.is_read_long = False
         try:
             await self.read()
         except HistoryLostError:
@@ -145,6 +153,7 @@
             self.has_full_list = False
             self.log_unexpected(error, self.source.name)
             return self.back_off()
+        self.is_read_long = False
         self.record_success()
         self.backoff_s = MIN_BACKOFF_S
         n_forwarders = self.peers.count_forwarders()
@@ -240,8 +249,59 @@
             n_forwarders = self.peers.count_forwarders()
             await anyio.sleep(compute_requested_interval_s(n_forwarders))
 
+    def record_long_read(self):
+        """Record that an answer takes long to read, such as one with large values."""
+        self.is_read_long = True
+        self.long_read.set()
+
+    def apply_items(self, items, era):
+        """Apply items of a watch whose answer is still being read.
+
+        The revision stays behind until the answer has ended.
+
+        :returns: whether they were applied.
+        """
+        if era != self.state.era:
+            return False
+        if items:
+            changes = Changes(items, self.state.revision, is_full=False, era=era)
+            self.apply(changes, self.source.name)
+            self.on_change()
+        return True
+
+    async def follow_operator(self):
+        """Read what operators publish in a loop, beside answers that take long.
+
+        Their changes would wait behind all that other writers have stored.
+        """
+        while True:
+            await self.long_read.wait()
+            self.long_read = anyio.Event()
+            await self.read_operator_items()
+            await anyio.sleep(OPERATOR_READ_INTERVAL_S)
+
+    async def read_operator_items(self):
+        """Read what operators publish once; a failure is left to the watch."""
+        if self.source.era != self.state.era:
+            return
+        try:
+            part = await self.source.read_operator_items()
+            if part is not None:
+                self.state.apply_part(part, self.source.name, time.monotonic())
+                self.on_change()
+        except SourceError:
+            return
+        except Exception as error:
+            # As in update.
+            self.log_unexpected(error, self.source.name)
+
     async def read_once(self):
-        """Read the changes now; a failure is left to the watch, as is a full list."""
+        """Read the changes now; a failure is left to the watch, as is a full list.
+
+        So is a long answer, which would only be read twice.
+        """
+        if self.is_read_long:
+            return
         if not self.has_full_list or self.source.era != self.state.era:
             return
         asked_at = time.monotonic()
--- a/catkinfork/topology/tests/test_odd_items.py
+++ b/catkinfork/topology/tests/test_odd_items.py
@@ -12,6 +12,7 @@
     TopologyState,
     UnreadableItem,
 )
+from catkinfork.topology._registry import IGNORED_LOG_INTERVAL_S, MAX_IGNORED_LINES
 from catkinfork.topology._watcher import FAILURE_LOG_INTERVAL_S
 from catkinfork.topology.tests.samples import build_entry, list_names
 from catkinfork.topology.tests.test_state import (
@@ -89,6 +90,20 @@
     assert [line["n_unlogged"] for line in lines] == [0, 119]
 
 
+def test_many_odd_entries_leave_room_in_the_log(state, events):
+    """Guards against lines on servers in use that are lost among those on odd keys."""
+    for number in range(5000):
+        now = number / 100
+        items = [Item(f"odd{number}", b"bad", number + 1)]
+        state.apply(Changes(items, number + 1, False), "test", now, now)
+    assert len(list_events(events, "entry_ignored")) == MAX_IGNORED_LINES
+    now += IGNORED_LOG_INTERVAL_S
+    items = [Item("odd4999", b"bad", 6000), Item("odd", b"bad", 6001)]
+    state.apply(Changes(items, 6001, False), "test", now, now)
+    lines = list_events(events, "entry_ignored")[MAX_IGNORED_LINES:]
+    assert [line["n_unlogged"] for line in lines] == [1, 0]
+
+
 def test_odd_key_does_not_break_a_line_of_the_log(state, events):
     """Guards against log lines that another writer makes up."""
     key = "a\r\n{}" + "x" * 10_000
