Store: silence on one connection is no outage of the store

Cause: the own timeout of a watch counted as an outage of the store since the begin of the watch, in which live servers may have lost their entries. The removal, read at once on the next connection, was held for 1.7 s.

Evidence: 806 "no response within 1.6 s", then 807 and 815 (removal_held) 0.1 s later on.

Fix: a request that stays without an answer for 0.3 s beyond the time for which the store may wait is asked again on a new connection, to be answered at once. The first response that begins counts. Only a store that answers neither is down. Reads of lists, of the history, on request and of the state of peers take the same way.

--- a/catkinfork/forwarder/_peer_source.py
+++ b/catkinfork/forwarder/_peer_source.py
@@ -4,7 +4,12 @@
 
 import msgspec
 
-from catkinfork.forwarding import AdminResponse, FetchError, HttpClient
+from catkinfork.forwarding import (
+    AdminResponse,
+    FetchError,
+    HttpClient,
+    SecondRequest,
+)
 from catkinfork.topology import (
     MAX_ERA,
     MAX_INTEGER,
@@ -18,6 +23,9 @@
 
 STATE_PATH = "/state"
 READ_TIMEOUT_S = 0.8
+# Time after which a connection without an answer counts as silent, and a new one is
+# tried, seconds.
+SILENCE_S = 0.3
 # Errors of a state that cannot be decoded; a nested one exceeds the recursion limit.
 MALFORMED = (msgspec.DecodeError, RecursionError)
 
@@ -103,7 +111,10 @@
 
     async def list_all(self):
         try:
-            response = await self.client.fetch(STATE_PATH, READ_TIMEOUT_S)
+            second = SecondRequest(SILENCE_S, STATE_PATH)
+            response = await self.client.fetch(
+                STATE_PATH, READ_TIMEOUT_S, second=second
+            )
             document = decode_state(response.body)
         except FetchError as error:
             raise SourceError(error.detail) from error
--- a/catkinfork/forwarder/tests/test_peer_source.py
+++ b/catkinfork/forwarder/tests/test_peer_source.py
@@ -37,7 +37,7 @@
     def __init__(self, body):
         self.body = body
 
-    async def fetch(self, target, timeout_s):
+    async def fetch(self, target, timeout_s, second):
         """Return the response."""
         return FetchedResponse(ResponseHead(200, b"", (), 0, "length"), self.body)
 
--- a/catkinfork/forwarding/__init__.py
+++ b/catkinfork/forwarding/__init__.py
@@ -8,6 +8,7 @@
     FetchError,
     FetchTimeoutError,
     HttpClient,
+    SecondRequest,
 )
 from catkinfork.forwarding._events import (
     CALLBACK_FAILED,
@@ -52,5 +53,6 @@
     "HeaderNames",
     "HttpClient",
     "ResponseHead",
+    "SecondRequest",
     "parse_part_name",
 ]
--- a/catkinfork/platform/_store.py
+++ b/catkinfork/platform/_store.py
@@ -4,7 +4,7 @@
 from typing import NamedTuple
 from urllib.parse import urlencode
 
-from catkinfork.forwarding import FetchError, FetchTimeoutError
+from catkinfork.forwarding import FetchError, FetchTimeoutError, SecondRequest
 from catkinfork.observability import log_event
 from catkinfork.platform._documents import ENTRY_PREFIX
 from catkinfork.platform._pages import (
@@ -15,6 +15,7 @@
     WatchDocument,
 )
 from catkinfork.topology import (
+    CONNECTION_REPLACED,
     ERA_IGNORED,
     MAX_ERA,
     BaseSource,
@@ -38,6 +39,9 @@
 CHECK_WAIT_MS = 1
 CHECK_TIMEOUT_S = 0.5
 WATCH_TIMEOUT_MARGIN_S = 0.6
+# Time beyond that of a watch after which a connection without an answer counts as
+# silent, and a new one is tried, seconds.
+SILENCE_S = 0.3
 # Time for which the store keeps its history, seconds.
 HISTORY_S = 20.0
 # Counts the restores of the store from a copy.
@@ -163,7 +167,7 @@
         era = self.era
         query = {"prefix": prefix, "after": revision, "wait_ms": wait_ms}
         reader = PageReader(_WATCH, on_items)
-        page = await self.read("/kv-watch", query, reader, timeout_s)
+        page = await self.read("/kv-watch", query, reader, timeout_s, wait_ms=wait_ms)
         if self.era != era:
             raise EraChangedError("the era of the store has changed during a watch")
         return Changes(page.items, page.current_rev, is_full=False, era=era)
@@ -189,20 +193,29 @@
         revision = min(page.revision for page in pages)
         return PartialList(OPERATOR_PREFIX, items, revision, era)
 
-    async def read(self, path, query, reader, timeout_s):
+    async def read(self, path, query, reader, timeout_s, wait_ms=0):
         """Return the page in the response to a request.
 
+        If the connection stays silent, a new one is asked for what is there now.
+
         :param reader: :class:`PageReader`.
+        :param wait_ms: time for which the store may wait, milliseconds.
         :raises HistoryLostError: if the store no longer has the requested changes.
         :raises SourceError: if there is no valid response.
         """
         try:
             target = f"{path}?{urlencode(query)}"
-            response = await self.client.fetch(target, timeout_s, reader)
+            now_query = query | {"wait_ms": CHECK_WAIT_MS} if wait_ms else query
+            second = SecondRequest(
+                wait_ms / 1000 + SILENCE_S, f"{path}?{urlencode(now_query)}"
+            )
+            response = await self.client.fetch(target, timeout_s, reader, second)
         except FetchTimeoutError as error:
             raise SourceTimeoutError(error.detail) from error
         except FetchError as error:
             raise SourceError(error.detail) from error
+        if response.is_second:
+            self.log_replaced(second.silence_s)
         self.record_era(response.head.find_header(ERA_HEADER))
         if response.status == 410:
             raise HistoryLostError(
@@ -215,6 +228,12 @@
         except MALFORMED as error:
             raise SourceError(f"malformed response: {error}") from error
 
+    def log_replaced(self, silence_s):
+        """Log that a silent connection was replaced."""
+        self.write_log(
+            log_event(CONNECTION_REPLACED, source=self.name, silence_s=silence_s)
+        )
+
     def record_era(self, value):
         """Record the era that an answer states, whatever its status.
 
--- a/catkinfork/platform/tests/standins.py
+++ b/catkinfork/platform/tests/standins.py
@@ -89,6 +89,8 @@
         self.refused_ports = set()
         self.silent_ports = set()
         self.waiting = set()
+        self.silent = set()
+        self.writers = set()
         self.servers = {}
 
     async def open(self):
@@ -132,6 +134,7 @@
     async def serve(self, reader, writer):
         """Serve one connection."""
         port = writer.get_extra_info("sockname")[1]
+        self.writers.add(writer)
         while True:
             start_line, _ = await read_head(reader)
             target = urlsplit(start_line.split(" ")[1])
@@ -146,7 +149,7 @@
                 self.waiting.discard(writer)
             if writer.is_closing():
                 return
-            while port in self.silent_ports:
+            while port in self.silent_ports or writer in self.silent:
                 await asyncio.sleep(0.01)
             data = json.dumps(body).encode()
             writer.write(
@@ -161,6 +164,11 @@
         for writer in waiting:
             writer.close()
 
+    def silence_connections(self):
+        """Let all open connections go silent for good, without a reset."""
+        self.silent |= self.writers
+        self.waiting.clear()
+
     def list_range(self, query):
         """Return a page of two items."""
         after = query.get("after", "")
--- a/catkinfork/platform/tests/test_documents.py
+++ b/catkinfork/platform/tests/test_documents.py
@@ -249,7 +249,7 @@
     def __init__(self, *responses):
         self.responses = list(responses)
 
-    async def fetch(self, target, timeout_s, reader=None):
+    async def fetch(self, target, timeout_s, reader=None, second=None):
         """Return the next response or raise the error."""
         response = self.responses[0]
         if len(self.responses) > 1:
--- a/catkinfork/platform/tests/test_ignored_entries.py
+++ b/catkinfork/platform/tests/test_ignored_entries.py
@@ -25,7 +25,7 @@
     def __init__(self, pages):
         self.pages = pages
 
-    async def fetch(self, target, timeout_s, reader=None):
+    async def fetch(self, target, timeout_s, reader=None, second=None):
         """Answer the read of a page."""
         if "prefix=op" in target:
             return build_page(era=b"1")
--- a/catkinfork/platform/tests/test_long_pages.py
+++ b/catkinfork/platform/tests/test_long_pages.py
@@ -131,7 +131,7 @@
         self.parts = parts
         self.era = era
 
-    async def fetch(self, target, timeout_s, reader=None):
+    async def fetch(self, target, timeout_s, reader=None, second=None):
         """Answer a watch in parts, or a read of what the operator publishes."""
         response = build_response(200, b"", self.era)
         for part in self.parts:
@@ -157,7 +157,7 @@
     """Guards against a read beside a long answer that lists all entries as well."""
 
     class OperatorClient:
-        async def fetch(self, target, timeout_s, reader=None):
+        async def fetch(self, target, timeout_s, reader=None, second=None):
             assert "prefix=op%2F" in target
             item = {"key": "op/evacuate/a", "revision": 4, "value": "e30="}
             return build_page([item], 12, era=b"1")
--- a/catkinfork/platform/tests/test_past.py
+++ b/catkinfork/platform/tests/test_past.py
@@ -23,7 +23,7 @@
         self.dropped = dropped
         self.n_calls = 0
 
-    async def fetch(self, target, timeout_s, reader=None):
+    async def fetch(self, target, timeout_s, reader=None, second=None):
         """Answer a watch of the entries that does not wait."""
         self.n_calls += 1
         assert "prefix=servers%2F&" in target
@@ -76,7 +76,7 @@
         super().__init__(1000, 700)
         self.failure = failure
 
-    async def fetch(self, target, timeout_s, reader=None):
+    async def fetch(self, target, timeout_s, reader=None, second=None):
         if self.n_calls < 3:
             return await super().fetch(target, timeout_s, reader)
         if isinstance(self.failure, Exception):
--- a/catkinfork/topology/__init__.py
+++ b/catkinfork/topology/__init__.py
@@ -17,6 +17,7 @@
 from catkinfork.topology._events import (
     CONFIGURATION_ADOPTED,
     CONFIGURATION_REJECTED,
+    CONNECTION_REPLACED,
     ERA_IGNORED,
     EVENTS,
 )
@@ -73,6 +74,7 @@
     "BasePeers",
     "BaseSource",
     "CONFIGURATION_ADOPTED",
+    "CONNECTION_REPLACED",
     "CONFIGURATION_REJECTED",
     "CallerLimits",
     "Changes",
--- a/catkinfork/topology/_events.py
+++ b/catkinfork/topology/_events.py
@@ -139,6 +139,14 @@
     "others did whose entries are older than the history",
     ("source", "n_items", "n_left", "has_unknown", "covered_s"),
 )
+CONNECTION_REPLACED = Event(
+    817,
+    "info",
+    "connection_replaced",
+    "a connection to a source was silent, and a new one answered at once: this is no "
+    "outage of the source",
+    ("source", "silence_s"),
+)
 
 EVENTS = (
     CONFIGURATION_ADOPTED,
@@ -158,4 +166,5 @@
     FIGURE_IGNORED,
     REMOVAL_HELD,
     PAST_READ,
+    CONNECTION_REPLACED,
 )
