Topology: side reads, ignored lines and unconfigured entries in modules of their own

Reads beside the watch (what operators publish, the history), the pauses between reads, the log of ignored entries and the table of entries without a configured service have modules of their own now, each with one class.

--- a/catkinfork/forwarder/_process.py
+++ b/catkinfork/forwarder/_process.py
@@ -49,6 +49,8 @@
 )
 from catkinfork.topology import (
     BackendRegistry,
+    OperatorReader,
+    PastReader,
     TopologyState,
     Watcher,
     split_address,
@@ -89,8 +91,8 @@
             await self.listen()
             self.tasks.start_soon(self.watcher.run)
             self.tasks.start_soon(self.watcher.read_on_request)
-            self.tasks.start_soon(self.watcher.read_past_on_request)
-            self.tasks.start_soon(self.watcher.follow_operator)
+            self.tasks.start_soon(self.past_reader.run)
+            self.tasks.start_soon(OperatorReader(self.watcher).run)
             self.tasks.start_soon(self.watcher.poll_peers)
             self.tasks.start_soon(self.sweep)
             self.tasks.start_soon(self.send_peer_frames)
@@ -145,7 +147,8 @@
             settings.store.fleet_reads_per_s,
         )
         self.server.request_read = self.watcher.request_read
-        self.server.request_past = self.watcher.request_past
+        self.past_reader = PastReader(self.watcher)
+        self.server.request_past = self.past_reader.request
 
         self.joining = Joining(self, control_port)
 
--- a/catkinfork/topology/__init__.py
+++ b/catkinfork/topology/__init__.py
@@ -28,6 +28,7 @@
     BackendRegistry,
 )
 from catkinfork.topology._routes import RouteTable, choose_target
+from catkinfork.topology._side_reads import OperatorReader, PastReader
 from catkinfork.topology._source import (
     BaseDecoder,
     BasePeers,
@@ -96,8 +97,10 @@
     "MAX_INTEGER",
     "MAX_NAME_LENGTH",
     "MAX_SLOTS",
+    "OperatorReader",
     "PartialList",
     "PastEntries",
+    "PastReader",
     "Position",
     "READY",
     "RecentTable",
--- a/catkinfork/topology/_registry.py
+++ b/catkinfork/topology/_registry.py
@@ -5,15 +5,14 @@
 
 from catkinfork.observability import log_event
 from catkinfork.topology._addresses import find_shared
-from catkinfork.topology._checks import limit_detail
 from catkinfork.topology._events import (
     BACKEND_ADDED,
     BACKEND_LEAVING,
     BACKEND_THROTTLED,
-    ENTRY_IGNORED,
     EVACUATION_CHANGED,
     REMOVAL_HELD,
 )
+from catkinfork.topology._ignored import IgnoredLog
 from catkinfork.topology._rate_limits import RateLimitTable
 from catkinfork.topology._recent import RecentTable
 from catkinfork.topology._source import Departure
@@ -23,17 +22,10 @@
 MAX_DEPARTED = 1024
 MAX_LEAVING = 1024
 MAX_THROTTLED = 1024
-MAX_IGNORED = 1024
 MAX_SUCCESSIONS = 1024
 # Successive entries of one start of a backend server that are in force though the known
 # one has a later start or sequence: a delayed write is a single one.
 N_SUCCESSIVE_ENTRIES = 3
-# Time between two log lines on ignored entries with one key, which another writer may
-# write with each heartbeat, seconds.
-IGNORED_LOG_INTERVAL_S = 60.0
-# Lines on ignored entries within that time, of all keys together: another writer may
-# use any number of them, and the lines on servers in use must not be lost among these.
-MAX_IGNORED_LINES = 100
 # Longest pause that a backend server may ask for, seconds.
 MAX_PAUSE_S = 300.0
 # Time after a pause within which the rate of requests is limited, seconds.
@@ -117,9 +109,7 @@
         self.departed = RecentTable(MAX_DEPARTED)
         self.leaving = RecentTable(MAX_LEAVING)
         self.throttled = RecentTable(MAX_THROTTLED)
-        self.ignored = RecentTable(MAX_IGNORED)
-        self.ignored_since = -inf
-        self.n_ignored_lines = 0
+        self.ignored = IgnoredLog(write_log)
         self.successions = RecentTable(MAX_SUCCESSIONS)
         self.rate_limits = RateLimitTable(write_log)
         self.versions = VersionHistory()
@@ -265,25 +255,7 @@
 
     def log_ignored(self, key, source, detail, now):
         """Log that an entry is ignored, once in a while for each key."""
-        logged_at, n_unlogged = self.ignored.get(key, (-inf, 0))
-        if now - self.ignored_since >= IGNORED_LOG_INTERVAL_S:
-            self.ignored_since = now
-            self.n_ignored_lines = 0
-        is_full = self.n_ignored_lines >= MAX_IGNORED_LINES
-        if is_full or now - logged_at < IGNORED_LOG_INTERVAL_S:
-            self.ignored[key] = (logged_at, n_unlogged + 1)
-            return
-        self.n_ignored_lines += 1
-        self.ignored[key] = (now, 0)
-        self.write_log(
-            log_event(
-                ENTRY_IGNORED,
-                key=limit_detail(key),
-                source=source,
-                detail=detail,
-                n_unlogged=n_unlogged,
-            )
-        )
+        self.ignored.record(key, source, detail, now)
 
     def remove(self, name, now, expires_at):
         """Handle the removal of an entry.
--- a/catkinfork/topology/_state.py
+++ b/catkinfork/topology/_state.py
@@ -1,7 +1,5 @@
 """Local replica of the published items."""
 
-from typing import NamedTuple
-
 from catkinfork.observability import log_event
 from catkinfork.topology._checks import limit_detail
 from catkinfork.topology._events import (
@@ -10,7 +8,6 @@
     FIGURE_IGNORED,
     STORE_RESTORED,
 )
-from catkinfork.topology._recent import RecentTable
 from catkinfork.topology._routes import RouteTable
 from catkinfork.topology._source import (
     Changes,
@@ -22,28 +19,11 @@
     UnconfiguredItem,
     UnreadableItem,
 )
-from catkinfork.topology._types import BackendEntry
+from catkinfork.topology._unconfigured import UnconfiguredTable
 
 # Time after a restore of the store for which the known evacuations stay in force where
 # the copy differs, seconds. The operator publishes the latest ones again meanwhile.
 EVACUATION_HOLD_S = 10.0
-# Entries of services that no configuration names, of which another writer may write any
-# number, and the largest value that is kept of one.
-MAX_UNCONFIGURED = 1024
-MAX_UNCONFIGURED_BYTES = 4096
-
-
-class UnconfiguredEntry(NamedTuple):
-    """An entry whose service no configuration in force has named since it was read.
-
-    :param entry: :class:`BackendEntry`.
-    :param read_at: monotonic time at which it was read, seconds.
-    :param key: key of its item.
-    """
-
-    entry: BackendEntry
-    read_at: float
-    key: str
 
 
 class TopologyState:
@@ -54,11 +34,10 @@
     :param on_configuration: callable that takes a :class:`RouteTable`.
     :param write_log: callable that takes a :class:`LogEvent`.
 
-    ``unconfigured`` has the latest entries by name of backend servers whose service a
-    later configuration may name: an entry that does not change is not read again.
-    ``lacks_unconfigured`` states whether some were too many or too large to be kept,
-    and ``must_list`` that a new configuration may name their services, so that the
-    store has to be listed again. ``items`` has what is told to peers: a value that
+    ``unconfigured`` has the latest entries of backend servers whose service a later
+    configuration may name. ``must_list`` states that it names one of which entries were
+    too many or too large to be kept, so that the store has to be listed again.
+    ``items`` has what is told to peers: a value that
     names nothing is not kept, but for the key of one that named a backend server.
     ``evacuated`` has the data centres that the store lists as evacuated; the registry
     has those in force.
@@ -74,8 +53,7 @@
         self.revision = 0
         self.routes = None
         self.configuration_item = None
-        self.unconfigured = RecentTable(MAX_UNCONFIGURED)
-        self.lacks_unconfigured = False
+        self.unconfigured = UnconfiguredTable()
         self.must_list = False
         self.evacuated = set()
         self.evacuations_held_until = None
@@ -261,10 +239,6 @@
         elif is_unreadable or decoded is None or item.value is None:
             self.items.pop(key, None)
             return
-        elif isinstance(decoded, UnconfiguredItem) and not is_short(item):
-            self.items.pop(key, None)
-            self.lacks_unconfigured = True
-            return
         self.items[key] = item
 
     def decode(self, item):
@@ -323,14 +297,11 @@
     def apply_configured_entries(self, configuration, source):
         """Apply the entries read before whose service a new configuration names."""
         services = configuration.list_services()
-        if self.lacks_unconfigured and services - self.services:
+        if self.unconfigured.is_incomplete and services - self.services:
             self.must_list = True
-            self.lacks_unconfigured = False
+            self.unconfigured.is_incomplete = False
         self.services = services
-        for name, (entry, read_at, _) in list(self.unconfigured.items()):
-            if entry.service not in services:
-                continue
-            del self.unconfigured[name]
+        for entry, read_at, _ in self.unconfigured.take(services):
             self.registry.apply_entry(entry, read_at, source)
 
     def log_ignored_figures(self, decoded, source):
@@ -352,7 +323,7 @@
 
     def apply_entry(self, decoded, source, now, expires_at):
         """Apply an entry of a backend server or its removal."""
-        unconfigured = self.unconfigured.pop(decoded.name, None)
+        unconfigured = self.unconfigured.pop(decoded.name)
         if decoded.entry is None:
             if unconfigured is not None:
                 self.registry.record_departure(unconfigured.entry)
@@ -368,23 +339,8 @@
         detail = f"service {entry.service!r} is not configured"
         self.registry.log_ignored(item.key, source, limit_detail(detail), now)
         self.registry.remove(entry.name, now, now)
-        if not is_short(item):
-            self.unconfigured.pop(entry.name, None)
-            return
-        if len(self.unconfigured) == MAX_UNCONFIGURED:
-            self.forget_oldest(entry.name)
-        self.unconfigured[entry.name] = UnconfiguredEntry(entry, now, item.key)
-
-    def forget_oldest(self, name):
-        """Forget the entry without a configured service that was read first.
-
-        :param name: name of the backend server whose entry is kept in its place. If it
-            has one already, nothing is forgotten.
-        """
-        if name not in self.unconfigured:
-            _, oldest = self.unconfigured.popitem(last=False)
-            self.items.pop(oldest.key, None)
-            self.lacks_unconfigured = True
+        for key in self.unconfigured.add(entry, item, now):
+            self.items.pop(key, None)
 
     def apply_evacuation(self, decoded):
         """Apply the evacuation state of a data centre."""
@@ -402,7 +358,7 @@
         If it is the entry of a backend server, that backend server is removed at once.
         """
         if decoded.is_entry:
-            self.unconfigured.pop(decoded.name, None)
+            self.unconfigured.pop(decoded.name)
             self.registry.log_ignored(item.key, source, decoded.detail, now)
             self.registry.remove(decoded.name, now, now)
             return
@@ -414,8 +370,3 @@
                 detail=decoded.detail,
             )
         )
-
-
-def is_short(item):
-    """Return whether an entry without a configured service may be kept."""
-    return len(item.value) <= MAX_UNCONFIGURED_BYTES
--- a/catkinfork/topology/_watcher.py
+++ b/catkinfork/topology/_watcher.py
@@ -8,14 +8,17 @@
 import anyio
 
 from catkinfork.observability import log_event
-from catkinfork.topology._checks import MAX_DURATION_S, limit_detail
+from catkinfork.topology._checks import limit_detail
 from catkinfork.topology._events import (
-    PAST_READ,
     SOURCE_LOST,
     SOURCE_REGAINED,
     UPDATE_FAILED,
 )
-from catkinfork.topology._past import PastFollower
+from catkinfork.topology._intervals import (
+    DEFAULT_FLEET_READS_PER_S,
+    compute_read_interval_s,
+    compute_requested_interval_s,
+)
 from catkinfork.topology._source import (
     Changes,
     EraChangedError,
@@ -24,15 +27,6 @@
     SourceTimeoutError,
 )
 
-# Pause between two reads of changes, which batches the heartbeats of backend servers.
-# It grows with the number of forwarders, so that their calls together do not.
-MIN_READ_INTERVAL_S = 0.15
-MAX_READ_INTERVAL_S = 0.6
-DEFAULT_FLEET_READS_PER_S = 110.0
-# Pause between two reads of what operators publish, beside an answer that takes long.
-OPERATOR_READ_INTERVAL_S = 0.3
-# The same for reads on request, which streams wait for that their callers resume.
-MAX_FLEET_REQUESTED_READS_PER_S = 400.0
 # Exponential backoff after failures.
 MIN_BACKOFF_S = 0.1
 MAX_BACKOFF_S = 0.6
@@ -95,7 +89,6 @@
         self.read_at = None
         self.n_reads = 0
         self.read_requested = anyio.Event()
-        self.past_requested = anyio.Event()
         self.long_read = anyio.Event()
         self.is_read_long = False
         source.on_items = self.apply_items
@@ -269,32 +262,6 @@
             self.on_change()
         return True
 
-    async def follow_operator(self):
-        """Read what operators publish in a loop, beside answers that take long.
-
-        Their changes would wait behind all that other writers have stored.
-        """
-        while True:
-            await self.long_read.wait()
-            self.long_read = anyio.Event()
-            await self.read_operator_items()
-            await anyio.sleep(OPERATOR_READ_INTERVAL_S)
-
-    async def read_operator_items(self):
-        """Read what operators publish once; a failure is left to the watch."""
-        if self.source.era != self.state.era:
-            return
-        try:
-            part = await self.source.read_operator_items()
-            if part is not None:
-                self.state.apply_part(part, self.source.name, time.monotonic())
-                self.on_change()
-        except SourceError:
-            return
-        except Exception as error:
-            # As in update.
-            self.log_unexpected(error, self.source.name)
-
     async def read_once(self):
         """Read the changes now; a failure is left to the watch, as is a full list.
 
@@ -315,51 +282,6 @@
             # As in update.
             self.log_unexpected(error, self.source.name)
 
-    def request_past(self):
-        """Have the history of the store read soon, for the time before this process."""
-        self.past_requested.set()
-
-    async def read_past_on_request(self):
-        """Read the history in a loop, each time that this was requested."""
-        while True:
-            await self.past_requested.wait()
-            self.past_requested = anyio.Event()
-            await self.read_past()
-            n_forwarders = self.peers.count_forwarders()
-            await anyio.sleep(compute_requested_interval_s(n_forwarders))
-
-    async def read_past(self):
-        """Read the history once; what cannot be read stays unknown."""
-        versions = self.state.registry.versions
-        if not self.has_full_list or versions.is_past_read:
-            return
-        try:
-            past = await self.source.read_past(self.state.revision)
-        except SourceError:
-            return
-        except Exception as error:
-            # As in update.
-            self.log_unexpected(error, self.source.name)
-            return
-        if past is None:
-            versions.is_past_read = True
-            return
-        follower = PastFollower(self.state.decode)
-        for item in past.items:
-            follower.follow(item)
-        departures = follower.list_departures(self.state.registry.backends)
-        versions.record_past(departures, past.covered_s, time.monotonic())
-        self.write_log(
-            log_event(
-                PAST_READ,
-                source=self.source.name,
-                n_items=len(past.items),
-                n_left=len(departures.entries),
-                has_unknown=departures.has_unknown,
-                covered_s=min(past.covered_s, MAX_DURATION_S),
-            )
-        )
-
     def apply(self, changes, source):
         """Apply changes; missing entries are kept for a time after a new era."""
         now = time.monotonic()
@@ -462,21 +384,3 @@
         if since is None or now - since < PEER_FALLBACK_DELAY_S:
             return None
         return self.peers.find_newer(self.state.position)
-
-
-def compute_read_interval_s(n_forwarders, reads_per_s=DEFAULT_FLEET_READS_PER_S):
-    """Return the pause between two reads of changes, seconds.
-
-    :param reads_per_s: reads by all forwarders together, 1/s.
-    """
-    return limit_interval_s(n_forwarders / reads_per_s)
-
-
-def compute_requested_interval_s(n_forwarders):
-    """Return the pause between two reads on request, seconds."""
-    return limit_interval_s(n_forwarders / MAX_FLEET_REQUESTED_READS_PER_S)
-
-
-def limit_interval_s(interval_s):
-    """Return an interval between two reads within its bounds, seconds."""
-    return min(MAX_READ_INTERVAL_S, max(MIN_READ_INTERVAL_S, interval_s))
--- a/catkinfork/topology/tests/test_ignored_entries.py
+++ b/catkinfork/topology/tests/test_ignored_entries.py
@@ -17,7 +17,10 @@
     UnconfiguredItem,
     UnreadableItem,
 )
-from catkinfork.topology._state import MAX_UNCONFIGURED, MAX_UNCONFIGURED_BYTES
+from catkinfork.topology._unconfigured import (
+    MAX_UNCONFIGURED,
+    MAX_UNCONFIGURED_BYTES,
+)
 from catkinfork.topology.tests.samples import (
     build_configuration,
     build_entry,
--- a/catkinfork/topology/tests/test_long_reads.py
+++ b/catkinfork/topology/tests/test_long_reads.py
@@ -6,6 +6,7 @@
 from catkinfork.topology import (
     Changes,
     Item,
+    OperatorReader,
     PartialList,
     SourceError,
 )
@@ -57,7 +58,7 @@
         watcher = build_watcher(state, source)
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(watcher.run)
-            tasks.start_soon(watcher.follow_operator)
+            tasks.start_soon(OperatorReader(watcher).run)
             tasks.start_soon(watcher.read_on_request)
             await anyio.sleep(seconds)
             result = check(watcher)
--- a/catkinfork/topology/tests/test_odd_items.py
+++ b/catkinfork/topology/tests/test_odd_items.py
@@ -12,7 +12,7 @@
     TopologyState,
     UnreadableItem,
 )
-from catkinfork.topology._registry import IGNORED_LOG_INTERVAL_S, MAX_IGNORED_LINES
+from catkinfork.topology._ignored import IGNORED_LOG_INTERVAL_S, MAX_IGNORED_LINES
 from catkinfork.topology._watcher import FAILURE_LOG_INTERVAL_S
 from catkinfork.topology.tests.samples import build_entry, list_names
 from catkinfork.topology.tests.test_state import (
--- a/catkinfork/topology/tests/test_past.py
+++ b/catkinfork/topology/tests/test_past.py
@@ -12,6 +12,7 @@
     EntryItem,
     Item,
     PastEntries,
+    PastReader,
     SourceError,
     TopologyState,
     UnreadableItem,
@@ -63,7 +64,7 @@
     async def main():
         await watcher.update()
         for _ in pasts:
-            await watcher.read_past()
+            await PastReader(watcher).read()
 
     anyio.run(main)
     return registry.versions
--- a/catkinfork/topology/tests/test_requested_reads.py
+++ b/catkinfork/topology/tests/test_requested_reads.py
@@ -12,7 +12,7 @@
     SourceError,
     TopologyState,
 )
-from catkinfork.topology._watcher import (
+from catkinfork.topology._intervals import (
     MAX_READ_INTERVAL_S,
     MIN_READ_INTERVAL_S,
     compute_requested_interval_s,
--- a/catkinfork/topology/tests/test_state.py
+++ b/catkinfork/topology/tests/test_state.py
@@ -25,11 +25,8 @@
     _watcher,
     choose_target,
 )
-from catkinfork.topology._watcher import (
-    MIN_EXPIRY_OUTAGE_S,
-    REREGISTRATION_TIME_S,
-    compute_read_interval_s,
-)
+from catkinfork.topology._intervals import compute_read_interval_s
+from catkinfork.topology._watcher import MIN_EXPIRY_OUTAGE_S, REREGISTRATION_TIME_S
 from catkinfork.topology.tests.samples import (
     build_configuration,
     build_entry,
