Streams: after an unknown departure, an engine counts that generated as much

Fix: beside a departure of an unknown version, an engine counts if it keeps at least as many generated tokens as the caller has received. One that has only read the prompt, or made less for an earlier request, does not.

--- a/catkinfork/balancing/_resumption.py
+++ b/catkinfork/balancing/_resumption.py
@@ -64,6 +64,7 @@
     def __init__(self, registry, streams):
         self.registry = registry
         self.streams = streams
+        self.services = {}
         self.targets = {}
         self.targets_changed_at = {}
 
@@ -74,6 +75,7 @@
 
         :param configuration: :class:`Configuration`.
         """
+        self.services = configuration.services
         targets = {}
         for route in configuration.routes:
             targets.setdefault(route.host, {})[route.prefix] = route.targets
@@ -118,9 +120,10 @@
         that has only read the prompt was to go on with the stream, as forwarders send
         it to its own version only. If engines of several versions qualify, or one of
         another version did not answer, nothing is certain. The same holds if a server
-        of another version, or of an unknown one, has left, or has started again, since
-        the stream may have begun: it may have written the stream, and took its memory
-        along. That none has is known only if :meth:`knows_departures`.
+        of another version has left, or has started again, since the stream may have
+        begun: it may have written the stream, and took its memory along. That none has
+        is known only if :meth:`knows_departures`. If one of an unknown version has,
+        an engine counts that keeps as many generated tokens as the caller has received.
 
         :param job: :class:`Job`.
         :param n_events: events that the caller has received.
@@ -132,6 +135,7 @@
         sending = set()
         reading = set()
         silent = set()
+        most = {}
         for service, entries in caches:
             for version, parts in entries:
                 origin = StreamOrigin(service, version)
@@ -139,14 +143,25 @@
                     silent.add(origin)
                 elif last_part.name in parts:
                     reading.add(origin)
+                    most[origin] = max(most.get(origin, 0), parts[last_part.name])
                     if parts[last_part.name] >= n_tokens:
                         sending.add(origin)
         origins = sending or reading
         gone = self.list_left({service for service, _ in caches}, since)
-        has_unknown = self.registry.versions.unknown_left_at >= since
-        if len(origins) != 1 or (silent | gone) - origins or has_unknown:
+        if len(origins) != 1 or (silent | gone) - origins:
             return OriginFinding(None, UNKNOWN)
-        return OriginFinding(origins.pop(), CACHED)
+        (origin,) = origins
+        if self.registry.versions.unknown_left_at >= since:
+            n_sent = n_events * self.find_event_tokens(origin.service)
+            if most.get(origin, 0) < last_part.n_tokens + n_sent:
+                return OriginFinding(None, UNKNOWN)
+        return OriginFinding(origin, CACHED)
+
+    def find_event_tokens(self, service):
+        """Return the generated tokens in one event of a stream, 1 if unknown."""
+        known = self.services.get(service)
+        engine = known.engine if known is not None else None
+        return max(1, engine.n_event_tokens) if engine is not None else 1
 
     def list_left(self, services, since):
         """Return the origins whose servers have left, or have started again.
--- a/catkinfork/balancing/tests/test_streams.py
+++ b/catkinfork/balancing/tests/test_streams.py
@@ -31,9 +31,11 @@
 from catkinfork.topology import (
     CallerLimits,
     Configuration,
+    Engine,
     Service,
     TrafficShare,
 )
+from catkinfork.topology._past import PastDepartures
 
 V1 = StreamOrigin("s", "v1")
 V2 = StreamOrigin("s", "v2")
@@ -388,3 +390,26 @@
     balancer.registry.versions.record_read(9.0)
     follow_versions(balancer, 9.0)
     assert balancer.streams.find(7, 9.0).origin is None
+
+
+@pytest.mark.parametrize(
+    ("n_kept", "n_event_tokens", "origin"),
+    [(40, 0, None), (44, 0, None), (45, 0, V1), (79, 8, None), (80, 8, V1)],
+)
+def test_unknown_departure_leaves_an_engine_that_generated_as_much(
+    n_kept, n_event_tokens, origin
+):
+    """Guards against streams that are all refused after a loss of power.
+
+    A server of an unknown version has left before, and the others have only read the
+    prompt, or generated less after it than the caller has received.
+    """
+    finder = build_finder("v1")
+    departures = PastDepartures([], has_unknown=True)
+    finder.registry.versions.record_past(departures, 20.0, LONG_AFTER - 1.0)
+    engine = Engine(64, 1000, n_event_tokens=n_event_tokens)
+    finder.services = {"s": Service("s", "/", 9, 0.0, 0.0, engine)}
+    caches = [("s", [EngineCache("v1", {PART: n_kept}), EngineCache("v3", {})])]
+    job = build_job(parts=[(PART, 40)])
+    begin = finder.compute_begin(ROUTE, 0.0, LONG_AFTER)
+    assert finder.find_by_caches(job, 5, caches, begin).origin == origin
